--- /dev/null
+++ b/crates/adapter/src/instances.rs
@@ -0,0 +1,220 @@
+//! The instances that this process hosts, and the translation between the wire's words and ours.
+
+use std::collections::BTreeMap;
+use std::panic::{self, AssertUnwindSafe};
+
+use pewterseam::Brain;
+use pewterseam::interface::{
+    Action, Event, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, RegistryNews, Request,
+};
+
+use crate::codec::{Batch, ENTRY_SIZE, Fault, Fields, LISTS, Record, Reply, malformed};
+use crate::settings;
+use crate::time::{micros, seconds};
+
+/// Marks a peer message for every peer.
+const EVERY_PEER: u32 = u32::MAX;
+
+/// One instance with the events of the current batch.
+struct Instance {
+    brain: Brain,
+    kinds: usize,
+    classes: usize,
+    events: Vec<Event>,
+}
+
+/// All instances of the process, each on its own.
+#[derive(Default)]
+pub struct Instances {
+    running: BTreeMap<u32, Instance>,
+    lists: [Option<Vec<Listed>>; LISTS],
+}
+
+impl Instances {
+    /// Hands a batch to the instances it names and gathers their actions.
+    pub fn answer(&mut self, batch: &Batch) -> Result<Reply, Fault> {
+        let now = wire_time(batch.clock_s)?;
+        for record in batch.records() {
+            self.take(batch, record)?;
+        }
+        let mut reply = Reply::default();
+        for (number, instance) in &mut self.running {
+            if instance.events.is_empty() {
+                continue;
+            }
+            let events = std::mem::take(&mut instance.events);
+            let brain = &mut instance.brain;
+            match panic::catch_unwind(AssertUnwindSafe(|| brain.step(now, events))) {
+                Ok(actions) => actions.into_iter().for_each(|action| write(&mut reply, *number, action)),
+                Err(cause) => {
+                    let text = cause.downcast_ref::<String>().map(String::as_str);
+                    let text = text.or(cause.downcast_ref::<&str>().copied()).unwrap_or("panic");
+                    reply.push_with(Record::new(1, *number), 5, text.as_bytes());
+                }
+            }
+        }
+        Ok(reply)
+    }
+
+    fn take(&mut self, batch: &Batch, record: Fields<'_>) -> Result<(), Fault> {
+        let number = record.u32(1);
+        match record.u8(0) {
+            4 => {
+                let settings = settings::parse(batch.tail(record, 13, 1)?)?;
+                let (kinds, classes) = (settings.kinds.len(), settings.classes.len());
+                let brain = Brain::new(settings, record.u64(5));
+                self.running.insert(number, Instance { brain, kinds, classes, events: Vec::new() });
+                Ok(())
+            }
+            5 => self.define(record.u16(1), batch.tail(record, 3, ENTRY_SIZE)?),
+            6 => self.running.remove(&number).map(drop).map_or_else(|| unknown(number), Ok),
+            code => {
+                let event = self.event(batch, code, record)?;
+                match self.running.get_mut(&number) {
+                    Some(instance) => instance.events.push(event),
+                    None => return unknown(number),
+                }
+                Ok(())
+            }
+        }
+    }
+
+    fn define(&mut self, list: u16, entries: &[u8]) -> Result<(), Fault> {
+        let Some(slot) = self.lists.get_mut(usize::from(list)) else {
+            return malformed(format!("list number {list} is above {}", LISTS - 1));
+        };
+        let entries = entries.chunks_exact(ENTRY_SIZE).map(|entry| listed(Fields(entry)));
+        *slot = Some(entries.collect::<Result<_, _>>()?);
+        Ok(())
+    }
+
+    fn event(&self, batch: &Batch, code: u8, record: Fields<'_>) -> Result<Event, Fault> {
+        Ok(match code {
+            1 => Event::Peer { from: record.u16(5), bytes: batch.tail(record, 7, 1)?.to_vec() },
+            3 => Event::Probed {
+                host: HostId(record.host(5)),
+                outcome: outcome(record.u8(11), 0)?,
+                took: wire_time(record.f64(12))?,
+                limit: limit(record, 20),
+            },
+            7 => Event::Registry(self.registry(record)?),
+            8 => Event::Withdrawn(MessageId(record.u64(5))),
+            9 => Event::Outcome {
+                id: MessageId(record.u64(5)),
+                attempt: u32::from(record.u8(13)),
+                host: HostId(record.host(14)),
+                outcome: outcome(record.u8(20), record.u32(30))?,
+                took: wire_time(record.f64(21))?,
+                closed: record.u8(29) != 0,
+                limit: limit(record, 34),
+            },
+            10 => Event::Message(self.request(record)?),
+            // A stream's start: the attempt is the client's, and its outcome still follows.
+            2 | 11 => Event::Timer,
+            other => return malformed(format!("unknown event code {other}")),
+        })
+    }
+
+    fn request(&self, record: Fields<'_>) -> Result<Request, Fault> {
+        let class = usize::from(record.u8(34));
+        if self.running.get(&record.u32(1)).is_some_and(|instance| class >= instance.classes) {
+            return malformed(format!("class {class} is not in the settings"));
+        }
+        Ok(Request {
+            id: MessageId(record.u64(5)),
+            class,
+            destination: record.f32(22) as u32,
+            tenant: record.u32(43) as usize,
+            key: Some(record.u64(14)).filter(|key| *key != 0),
+            deadline: wire_time(record.f64(35))?,
+        })
+    }
+
+    fn registry(&self, record: Fields<'_>) -> Result<RegistryNews, Fault> {
+        let scope = record.u8(5);
+        if scope == 3 {
+            return Ok(RegistryNews::Failed);
+        }
+        let list = record.u16(10);
+        let Some(entries) = self.lists.get(usize::from(list)).and_then(Option::as_ref) else {
+            return malformed(format!("list {list} was never defined"));
+        };
+        let kinds = self.running.get(&record.u32(1)).map_or(usize::MAX, |instance| instance.kinds);
+        if let Some(entry) = entries.iter().find(|entry| entry.kind >= kinds) {
+            return malformed(format!("kind {} is not in the settings", entry.kind));
+        }
+        match scope {
+            0 | 1 => Ok(RegistryNews::Whole(entries.clone())),
+            2 => Ok(RegistryNews::Changes(entries.clone())),
+            other => malformed(format!("unknown registry scope {other}")),
+        }
+    }
+}
+
+fn unknown(number: u32) -> Result<(), Fault> {
+    malformed(format!("instance {number} was never created"))
+}
+
+fn wire_time(value: f64) -> Result<Micros, Fault> {
+    micros(value).map_or_else(|| malformed(format!("{value} is no time")), Ok)
+}
+
+fn listed(entry: Fields<'_>) -> Result<Listed, Fault> {
+    Ok(Listed {
+        host: HostId(entry.host(0)),
+        zone: entry.u16(6),
+        kind: usize::from(entry.u8(8)),
+        destination: u32::from(entry.u16(9)),
+        lifecycle: match entry.u8(11) {
+            0 => Lifecycle::Gone,
+            1 => Lifecycle::Draining,
+            2 => Lifecycle::Ready,
+            other => return malformed(format!("unknown lifecycle {other}")),
+        },
+        weight: entry.f32(12),
+    })
+}
+
+fn outcome(code: u8, note: u32) -> Result<Outcome, Fault> {
+    Ok(match code {
+        10 => Outcome::Ok,
+        20 => Outcome::Error,
+        30 => Outcome::Full { wait: Micros::from(note) * 1000 },
+        40 => Outcome::Timeout,
+        50 => Outcome::ConnectFailed,
+        60 => Outcome::Reset,
+        70 => Outcome::Cancelled,
+        80 => Outcome::Moot,
+        other => return malformed(format!("unknown outcome {other}")),
+    })
+}
+
+/// The second reported value is the limit in calls a second; 0 says that there is none.
+fn limit(record: Fields<'_>, at: usize) -> Option<f64> {
+    Some(record.f32(at + 5)).filter(|limit| record.u8(at) >= 2 && limit.is_finite() && *limit > 0.0)
+}
+
+fn write(reply: &mut Reply, number: u32, action: Action) {
+    match action {
+        Action::Send { id, host, timeout } => reply.push(
+            Record::new(5, number)
+                .put(5, &id.0.to_be_bytes())
+                .host(13, host.0)
+                .put(19, &seconds(timeout).to_be_bytes()),
+        ),
+        Action::Cancel { id, attempt } => {
+            reply.push(Record::new(3, number).put(5, &id.0.to_be_bytes()).put(13, &[attempt as u8]));
+        }
+        Action::Refuse { id, retry_after } => reply.push(
+            Record::new(2, number).put(5, &id.0.to_be_bytes()).put(13, &seconds(retry_after).to_be_bytes()),
+        ),
+        Action::Fail(id) => reply.push(Record::new(8, number).put(5, &id.0.to_be_bytes())),
+        Action::Probe(host) => reply.push(Record::new(11, number).host(5, host.0)),
+        Action::Tell(bytes) => {
+            reply.push_with(Record::new(6, number).put(5, &EVERY_PEER.to_be_bytes()), 9, &bytes);
+        }
+        Action::Subscribe => reply.push(Record::new(4, number).put(5, &[1])),
+        Action::Wake(at) => reply.push(Record::new(12, number).put(5, &seconds(at).to_be_bytes())),
+        Action::Log(text) => reply.push_with(Record::new(9, number), 5, text.as_bytes()),
+    }
+}
--- /dev/null
+++ b/crates/adapter/src/settings.rs
@@ -0,0 +1,172 @@
+//! The settings a `create` brings: JSON, of which unknown keys are ignored.
+
+use pewterseam::interface::{Class, Effect, Group, Kind, Lateness, Listing, Micros, Settings, Tenant};
+use serde::Deserialize;
+
+use crate::codec::Fault;
+use crate::time::micros;
+
+#[derive(Deserialize)]
+struct Wire {
+    me: u16,
+    #[serde(default)]
+    my_zone: u16,
+    group_size: u16,
+    classes: Vec<WireClass>,
+    #[serde(default)]
+    tenants: Vec<WireTenant>,
+    #[serde(default = "one")]
+    over_share_worth: f64,
+    family_info: FamilyInfo,
+    models: Vec<String>,
+    allowed: Allowed,
+    #[serde(default)]
+    weights: String,
+    membership_mode: String,
+    rules: Rules,
+}
+
+#[derive(Deserialize)]
+struct WireClass {
+    effect: String,
+    #[serde(default)]
+    group: String,
+    #[serde(default)]
+    window_s: f64,
+    value: f64,
+    #[serde(default)]
+    late_share: f64,
+    goal_time_s: f64,
+    deadline_s: f64,
+    #[serde(default)]
+    in_order: bool,
+}
+
+#[derive(Deserialize)]
+struct WireTenant {
+    quota_per_s: f64,
+}
+
+#[derive(Deserialize)]
+struct FamilyInfo {
+    slots: usize,
+    #[serde(default)]
+    late: String,
+    #[serde(default)]
+    routes_apart: Vec<bool>,
+    #[serde(default)]
+    bundle_max: Vec<usize>,
+}
+
+#[derive(Deserialize)]
+struct Allowed {
+    attempts_cap: u32,
+    most_held: usize,
+    #[serde(default)]
+    cancel: bool,
+    #[serde(default)]
+    probes: bool,
+    #[serde(default)]
+    peers: bool,
+    #[serde(default)]
+    retry_after: bool,
+    #[serde(default)]
+    max_retry_after_s: f64,
+    conn_idle_s: f64,
+    dial_timeout_s: f64,
+    #[serde(default = "one_call")]
+    multiplex: usize,
+}
+
+#[derive(Deserialize)]
+struct Rules {
+    stop_sending_within_s: f64,
+    cold_share: f64,
+    cold_s: f64,
+    overload_factor: f64,
+    tip_after_s: f64,
+    #[serde(default)]
+    settle_after_doubt_s: f64,
+    #[serde(default)]
+    ask_within_s: f64,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+fn one_call() -> usize {
+    1
+}
+
+/// Reads the settings of one instance.
+pub fn parse(text: &[u8]) -> Result<Settings, Fault> {
+    let wire: Wire = serde_json::from_slice(text).map_err(|error| Fault::Settings(error.to_string()))?;
+    let info = &wire.family_info;
+    let kinds = (0..wire.models.len().max(1))
+        .map(|kind| Kind {
+            routes_apart: at_or_last(&info.routes_apart, kind).unwrap_or(false),
+            bundle: at_or_last(&info.bundle_max, kind).unwrap_or(1).max(1),
+        })
+        .collect();
+    let retry_after = if wire.allowed.retry_after { wire.allowed.max_retry_after_s } else { 0.0 };
+    Ok(Settings {
+        me: wire.me,
+        zone: wire.my_zone,
+        senders: wire.group_size,
+        classes: wire.classes.iter().map(class).collect::<Result<_, _>>()?,
+        kinds,
+        tenants: wire.tenants.iter().map(|tenant| Tenant { quota_per_s: tenant.quota_per_s }).collect(),
+        over_share_worth: wire.over_share_worth,
+        lateness: if info.late == "halving" { Lateness::Halving } else { Lateness::Linear },
+        slots: info.slots,
+        most_held: wire.allowed.most_held,
+        max_attempts: wire.allowed.attempts_cap,
+        may_cancel: wire.allowed.cancel,
+        may_probe: wire.allowed.probes,
+        may_tell: wire.allowed.peers,
+        max_retry_after: span(retry_after)?,
+        idle_close: span(wire.allowed.conn_idle_s)?,
+        dial_timeout: span(wire.allowed.dial_timeout_s)?,
+        calls_per_connection: wire.allowed.multiplex.max(1),
+        listing: match wire.weights.as_str() {
+            "nominal" => Listing::Nominal,
+            "rough" => Listing::Rough,
+            _ => Listing::Silent,
+        },
+        ask_registry: wire.membership_mode == "ask",
+        ask_within: span(wire.rules.ask_within_s)?,
+        drain_grace: span(wire.rules.stop_sending_within_s)?,
+        cold_share: wire.rules.cold_share,
+        cold_time: span(wire.rules.cold_s)?,
+        overload_factor: wire.rules.overload_factor,
+        overload_window: span(wire.rules.tip_after_s)?,
+        order_rest: span(wire.rules.settle_after_doubt_s)?,
+    })
+}
+
+fn class(wire: &WireClass) -> Result<Class, Fault> {
+    let group = if matches!(wire.group.as_str(), "zone" | "cell") { Group::Zone } else { Group::All };
+    let effect = match wire.effect.as_str() {
+        "free" => Effect::Free,
+        "guarded" => Effect::Guarded { window: span(wire.window_s)?, group },
+        "single_shot" => Effect::SingleShot,
+        other => return Err(Fault::Settings(format!("unknown effect '{other}'"))),
+    };
+    Ok(Class {
+        effect,
+        value: wire.value,
+        late_share: wire.late_share,
+        aim: span(wire.goal_time_s)?,
+        deadline: span(wire.deadline_s)?,
+        in_order: wire.in_order,
+    })
+}
+
+fn at_or_last<T: Copy>(list: &[T], index: usize) -> Option<T> {
+    list.get(index).or(list.last()).copied()
+}
+
+fn span(seconds: f64) -> Result<Micros, Fault> {
+    micros(seconds).ok_or_else(|| Fault::Settings(format!("{seconds} is no span of time")))
+}
--- /dev/null
+++ b/src/interface.rs
@@ -0,0 +1,256 @@
+//! What goes into the decision module and what comes out of it.
+//!
+//! Times are whole microseconds of the caller's clock. Nothing here depends on a wire or a socket.
+
+/// A point in time, or a span of it, in microseconds.
+pub type Micros = u64;
+
+/// One endpoint of a destination, opaque to the decisions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct HostId(pub u64);
+
+/// One message, unique for the life of the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MessageId(pub u64);
+
+/// The number of another firm's system.
+pub type DestinationId = u32;
+
+/// What a repeated attempt may do at the destination.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Safe to repeat at will.
+    Free,
+    /// Repeats are dropped for `window`, counted from the first attempt that may have run.
+    Guarded { window: Micros, group: Group },
+    /// Must never run twice.
+    SingleShot,
+}
+
+/// Which hosts of a destination share the memory of guarded messages.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    All,
+    Zone,
+}
+
+/// A class of message.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub effect: Effect,
+    /// Worth within the aim.
+    pub value: f64,
+    /// Share of the worth left at the deadline.
+    pub late_share: f64,
+    /// Full worth is earned within this span.
+    pub aim: Micros,
+    /// The span from first hand-in to the end.
+    pub deadline: Micros,
+    pub in_order: bool,
+}
+
+/// How worth falls after the aim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lateness {
+    Linear,
+    Halving,
+}
+
+/// A kind of destination.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    /// Hosts are routes with a limit, a pace and outages of their own.
+    pub routes_apart: bool,
+    /// Messages that may travel in one call.
+    pub bundle: usize,
+}
+
+/// A customer on whose behalf messages are sent.
+#[derive(Clone, Copy, Debug)]
+pub struct Tenant {
+    /// Messages a second over all senders that earn full worth.
+    pub quota_per_s: f64,
+}
+
+/// What the weight of a listed host says.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listing {
+    /// Nothing.
+    Silent,
+    /// The calls a second that the route takes from all senders together.
+    Nominal,
+    /// The same, far from exact.
+    Rough,
+}
+
+/// All that a sender is told at its start.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub me: u16,
+    /// Where this sender stands.
+    pub zone: u16,
+    /// Senders in this group, this one included.
+    pub senders: u16,
+    pub classes: Vec<Class>,
+    pub kinds: Vec<Kind>,
+    pub tenants: Vec<Tenant>,
+    /// Share of the worth that is left of a message beyond its tenant's quota.
+    pub over_share_worth: f64,
+    pub lateness: Lateness,
+    /// Calls that may be out at once.
+    pub slots: usize,
+    /// Messages that may be held, sent or not.
+    pub most_held: usize,
+    pub max_attempts: u32,
+    pub may_cancel: bool,
+    pub may_probe: bool,
+    pub may_tell: bool,
+    /// Clients may be told when to come back, up to this span; 0 where they may not.
+    pub max_retry_after: Micros,
+    /// Idle connections close after this span.
+    pub idle_close: Micros,
+    /// A connection not established by then has failed.
+    pub dial_timeout: Micros,
+    pub calls_per_connection: usize,
+    pub listing: Listing,
+    /// The registry answers only when asked.
+    pub ask_registry: bool,
+    pub ask_within: Micros,
+    pub drain_grace: Micros,
+    /// Share of its capacity that a destination has at least when it returns.
+    pub cold_share: f64,
+    /// It has all of it after this span.
+    pub cold_time: Micros,
+    /// A cold destination sent more than this multiple of its present capacity ...
+    pub overload_factor: f64,
+    /// ... for this span falls over.
+    pub overload_window: Micros,
+    /// A key rests this long after an attempt that may still run.
+    pub order_rest: Micros,
+}
+
+/// What the registry says of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the registry's list.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    pub host: HostId,
+    pub zone: u16,
+    pub kind: usize,
+    pub destination: DestinationId,
+    pub lifecycle: Lifecycle,
+    pub weight: f64,
+}
+
+/// What the registry told.
+#[derive(Clone, Debug)]
+pub enum RegistryNews {
+    /// The whole list; a host missing from it is gone.
+    Whole(Vec<Listed>),
+    /// Changed lines only.
+    Changes(Vec<Listed>),
+    /// A call failed or a subscription broke; the list stays as it was.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    Ok,
+    /// The destination answered with an error; it may have run.
+    Error,
+    /// Turned away unseen, perhaps with a wait (0: none told).
+    Full {
+        wait: Micros,
+    },
+    /// No answer in time; it may have run or still run.
+    Timeout,
+    /// No connection in time; it never ran.
+    ConnectFailed,
+    /// The connection broke; it may have run.
+    Reset,
+    /// Called off; it may have run.
+    Cancelled,
+    /// Never sent.
+    Moot,
+}
+
+/// A message handed in.
+#[derive(Clone, Copy, Debug)]
+pub struct Request {
+    pub id: MessageId,
+    pub class: usize,
+    pub destination: DestinationId,
+    pub tenant: usize,
+    /// The key of its order, where the class has one.
+    pub key: Option<u64>,
+    /// It may be delivered until then.
+    pub deadline: Micros,
+}
+
+/// What happened, in order of arrival.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Registry(RegistryNews),
+    Message(Request),
+    /// Nobody wants the message any more; no answer is owed.
+    Withdrawn(MessageId),
+    Timer,
+    Outcome {
+        id: MessageId,
+        attempt: u32,
+        host: HostId,
+        outcome: Outcome,
+        took: Micros,
+        /// The message is over; no answer is owed.
+        closed: bool,
+        /// Calls a second that the destination says it takes; none where it told nothing.
+        limit: Option<f64>,
+    },
+    Probed {
+        host: HostId,
+        outcome: Outcome,
+        took: Micros,
+        limit: Option<f64>,
+    },
+    Peer {
+        from: u16,
+        bytes: Vec<u8>,
+    },
+}
+
+/// What to do, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    Send {
+        id: MessageId,
+        host: HostId,
+        timeout: Micros,
+    },
+    /// Stop waiting for an attempt.
+    Cancel {
+        id: MessageId,
+        attempt: u32,
+    },
+    /// Final answer: not delivered, safe to hand in again, after `retry_after` if above 0.
+    Refuse {
+        id: MessageId,
+        retry_after: Micros,
+    },
+    /// Final answer: given up, with no promise about its effect.
+    Fail(MessageId),
+    Probe(HostId),
+    /// Tell every peer.
+    Tell(Vec<u8>),
+    /// Subscribe to the registry's changes.
+    Subscribe,
+    /// Ask for a `Timer` event at this time or just after it.
+    Wake(Micros),
+    Log(String),
+}
