--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::memo::{self, Memo, Record};
 
 /// Round of the reallocation (us); the design's default.
 const ROUND: Micros = 2_000_000;
@@ -49,29 +50,23 @@
 const LOOK: Micros = 10_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// Version and largest size of a peer message (bytes).
-const MEMO_VERSION: u8 = 1;
-const MEMO_MOST: usize = 256;
 /// Longest wait believed from a peer (us).
 const HEARSAY_MOST: Micros = 4_000_000;
 
 /// A limit's holder: a destination, or one host of it where routes are apart.
 type RouteId = (DestinationId, Option<HostId>);
 
-#[derive(Clone, Copy, PartialEq)]
+#[derive(Clone, Copy, Default, PartialEq)]
 enum Health {
+    #[default]
     Closed,
     /// No calls but one trial at a time, from `retry_at` on.
-    Open {
-        retry_at: Micros,
-        pause: Micros,
-    },
+    Open { retry_at: Micros, pause: Micros },
     /// Answers again, but may be cold.
-    SlowStart {
-        since: Micros,
-    },
+    SlowStart { since: Micros },
 }
 
+#[derive(Default)]
 struct Host {
     route: RouteId,
     kind: usize,
@@ -101,6 +96,7 @@
     pub refused: f64,
 }
 
+#[derive(Default)]
 struct Route {
     listed: f64,
     told: Option<f64>,
@@ -197,24 +193,8 @@
 
 impl Route {
     fn new(senders: u16, now: Micros) -> Self {
-        Route {
-            listed: 0.0,
-            told: None,
-            bound: false,
-            pool: 0.0,
-            share: 1.0 / f64::from(senders.max(1)),
-            tokens: 0.0,
-            filled_at: now,
-            used: 0.0,
-            refused: 0.0,
-            peak: 0.0,
-            slack: 0.0,
-            wait_until: 0,
-            full_since: None,
-            fulls: 0,
-            answer_time: FIRST_GUESS,
-            reports: BTreeMap::new(),
-        }
+        let share = 1.0 / f64::from(senders.max(1));
+        Route { share, filled_at: now, answer_time: FIRST_GUESS, ..Route::default() }
     }
 
     /// The pool's source, in the design's order; the last is the rate that was seen to be served.
@@ -708,12 +688,7 @@
     // ---- Outcomes
 
     fn conclude(
-        &mut self,
-        id: MessageId,
-        number: u32,
-        outcome: Outcome,
-        closed: bool,
-        limit: Option<f64>,
+        &mut self, id: MessageId, number: u32, outcome: Outcome, closed: bool, limit: Option<f64>,
         took: Micros,
     ) {
         let Some(message) = self.messages.get_mut(&id) else { return };
@@ -960,24 +935,9 @@
         } else if !self.hosts.contains_key(&entry.host) {
             return;
         }
-        let host = self.hosts.entry(entry.host).or_insert_with(|| Host {
-            route: route_id,
-            kind: entry.kind,
-            zone: entry.zone,
-            lifecycle: entry.lifecycle,
-            told_at: now,
-            health: Health::Closed,
-            trouble: 0.0,
-            bad_since: None,
-            bad_at: 0,
-            heard_at: now,
-            trial: false,
-            calls: 0,
-            idle: Vec::new(),
-            most_calls: None,
-            cold_tokens: 0.0,
-            cold_at: now,
-        });
+        let new =
+            Host { route: route_id, kind: entry.kind, zone: entry.zone, heard_at: now, ..Host::default() };
+        let host = self.hosts.entry(entry.host).or_insert(new);
         if host.lifecycle == Lifecycle::Ready && entry.lifecycle != Lifecycle::Ready {
             host.told_at = now;
         }
@@ -986,75 +946,42 @@
 
     // ---- Peers
 
-    /// Tells the peers of busy routes, the most used first: permits designated and used, refusals, a wait
-    /// that was told, an outage seen.
+    /// Tells the peers of busy routes, the most used first; between rounds only of waits told and outages.
     fn tell_peers(&mut self, round: bool) {
         if !self.settings.may_tell || self.settings.senders < 2 {
             return;
         }
-        let ailing = |id: &RouteId| {
-            let mut hosts = self.hosts.values().filter(|host| host.route == *id).peekable();
-            hosts.peek().is_some() && hosts.all(Host::is_open)
+        let record = |(id, route): (&RouteId, &Route)| Record {
+            destination: id.0,
+            host: id.1,
+            designated: route.report().designated,
+            used: route.used,
+            refused: route.refused,
+            ailing: self.hosts.values().filter(|host| host.route == *id).all(Host::is_open),
+            wait: route.wait_until.saturating_sub(self.now),
         };
-        let mut busy: Vec<_> = self
-            .routes
-            .iter()
-            .filter(
-                |(id, route)| {
-                    if round { route.used > 0.0 } else { route.wait_until > self.now || ailing(id) }
-                },
-            )
-            .collect();
-        busy.sort_by(|a, b| b.1.used.total_cmp(&a.1.used).then(a.0.cmp(b.0)));
-        let mut memo = vec![MEMO_VERSION, u8::from(round)];
-        for (id, route) in busy {
-            let Ok(destination) = u16::try_from(id.0) else { continue };
-            let report = route.report();
-            let wait = route.wait_until.saturating_sub(self.now) / 1000;
-            let mut record = destination.to_be_bytes().to_vec();
-            record.push(u8::from(id.1.is_some()) | u8::from(ailing(id)) << 1);
-            record.extend(id.1.iter().flat_map(|host| host.0.to_be_bytes()));
-            record.extend(((report.designated * 100.0).min(65535.0) as u16).to_be_bytes());
-            record.push(report.used.min(255.0) as u8);
-            record.push(report.refused.min(255.0) as u8);
-            record.extend((wait.min(65535) as u16).to_be_bytes());
-            if memo.len() + record.len() <= MEMO_MOST {
-                memo.extend(record);
-            }
-        }
-        if memo.len() > 2 {
-            self.actions.push(Action::Tell(memo));
+        let mut records: Vec<_> = self.routes.iter().map(record).collect();
+        records.retain(|record| if round { record.used > 0.0 } else { record.wait > 0 || record.ailing });
+        records.sort_by(|a, b| b.used.total_cmp(&a.used));
+        if !records.is_empty() {
+            self.actions.push(Action::Tell(memo::encode(&Memo { round, records })));
         }
     }
 
-    /// Reads a peer's message. Its bytes are untrusted: what is cut short, unknown or out of bounds is dropped.
+    /// A peer's word moves shares and warns; it never opens a host nor ends a wait.
     fn hear(&mut self, from: u16, bytes: &[u8]) {
-        let [MEMO_VERSION, round @ 0..=1, records @ ..] = bytes else { return };
-        let mut rest = records;
-        while let [d0, d1, flags @ 0..=3, tail @ ..] = rest {
-            let mut tail = tail;
-            let mut host = None;
-            if flags & 1 != 0 {
-                let Some((bytes, after)) = tail.split_first_chunk::<8>() else { return };
-                host = Some(HostId(u64::from_be_bytes(*bytes)));
-                tail = after;
-            }
-            let [p0, p1, used, refused, w0, w1, after @ ..] = tail else { return };
-            rest = after;
-            let id = (DestinationId::from(u16::from_be_bytes([*d0, *d1])), host);
+        let Some(memo) = memo::decode(bytes).filter(|_| from < self.settings.senders) else { return };
+        for record in memo.records {
+            let id = (record.destination, record.host);
             let Some(route) = self.routes.get_mut(&id) else { continue };
-            if *round == 1 && from < self.settings.senders && from != self.settings.me {
-                let designated = f64::from(u16::from_be_bytes([*p0, *p1])) / 100.0;
-                let report = Report { designated, used: f64::from(*used), refused: f64::from(*refused) };
-                route.reports.insert(from, (self.now, report));
+            if memo.round {
+                let Record { designated, used, refused, .. } = record;
+                route.reports.insert(from, (self.now, Report { designated, used, refused }));
             }
-            let wait = Micros::from(u16::from_be_bytes([*w0, *w1])) * 1000;
-            route.wait_until = route.wait_until.max(self.now + wait.min(HEARSAY_MOST));
-            if flags & 2 != 0 {
-                for host in self.hosts.values_mut().filter(|host| host.route == id) {
-                    host.trouble = host.trouble.max(SUSPECT);
-                    host.bad_at = self.now;
-                }
+            route.wait_until = route.wait_until.max(self.now + record.wait.min(HEARSAY_MOST));
+            for host in self.hosts.values_mut().filter(|host| record.ailing && host.route == id) {
+                host.trouble = host.trouble.max(SUSPECT);
+                host.bad_at = self.now;
             }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -130,8 +130,9 @@
 }
 
 /// What the registry says of a host.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lifecycle {
+    #[default]
     Ready,
     Draining,
     Gone,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod brain;
 pub mod interface;
+pub mod memo;
 
 pub use brain::Brain;
