--- a/src/brain.rs
+++ b/src/brain.rs
@@ -2,13 +2,14 @@
 //!
 //! The ordinary path is the permit pool of docs/design.md: each sender paces each limited route to its share
 //! of a pool, and each round the surplus of underusers passes to those that used all theirs. The rest guards
-//! that path. Order of the parts: constants, state, pool and shares, intake and shedding, dispatch, outcomes,
-//! health and slow start, registry, peers.
+//! that path. What is known, without decisions, is kept by `src/state.rs`. Order of the parts: constants, pool
+//! and shares, intake and shedding, dispatch, outcomes, health and slow start, registry, peers.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use crate::interface::*;
 use crate::memo::{self, Memo, Record};
+use crate::state::{Attempt, Health, Host, Message, Report, Route, RouteId, State};
 
 /// Round of the reallocation (us); the design's default.
 const ROUND: Micros = 2_000_000;
@@ -16,8 +17,14 @@
 const EXPIRY: Micros = 3 * ROUND;
 /// Factor on the pool after a round with refusals as full; the design's quarter off.
 const CUT: f64 = 0.75;
-/// Factor on the pool after a well used round without refusals: slow, one cut takes many rounds to undo.
-const REGROWTH: f64 = 1.04;
+/// Factor on the pool after a well used round without refusals: slow, one cut takes four rounds to undo.
+const REGROWTH: f64 = 1.08;
+/// Least pool (calls a second), so that a route never seen to serve is tried at all.
+const LEAST_POOL: f64 = 1.0;
+/// Part of an even slice that a sender keeps whatever it used, so that its next message need not wait long.
+const LEAST_SHARE: f64 = 0.25;
+/// Factor each round on the highest rate served, so that it follows a destination that lost capacity.
+const PEAK_FADE: f64 = 0.98;
 /// A round that used this part of the pool tests it; less tells nothing of its size.
 const WELL_USED: f64 = 0.7;
 /// Part of an underuser's surplus that passes on each round; half, so that one quiet round costs little.
@@ -26,7 +33,7 @@
 const BURST: Micros = 1_000_000;
 /// Pause after a refusal as full that told no wait (us), doubled with each further one up to a round.
 const FULL_PAUSE: Micros = 250_000;
-/// Multiples of a route's mean answer time without any sign of life that count as silence.
+/// Mean deviations beyond a route's mean answer time without any sign of life that count as silence.
 const PATIENCE: f64 = 5.0;
 /// Least and most silence that opens a host (us): longer than a brief stall, shorter than most aims.
 const PATIENCE_BOUNDS: (Micros, Micros) = (800_000, 2_500_000);
@@ -53,116 +60,16 @@
 /// Longest wait believed from a peer (us).
 const HEARSAY_MOST: Micros = 4_000_000;
 
-/// A limit's holder: a destination, or one host of it where routes are apart.
-type RouteId = (DestinationId, Option<HostId>);
-
-#[derive(Clone, Copy, Default, PartialEq)]
-enum Health {
-    #[default]
-    Closed,
-    /// No calls but one trial at a time, from `retry_at` on.
-    Open { retry_at: Micros, pause: Micros },
-    /// Answers again, but may be cold.
-    SlowStart { since: Micros },
-}
-
-#[derive(Default)]
-struct Host {
-    route: RouteId,
-    kind: usize,
-    zone: u16,
-    lifecycle: Lifecycle,
-    told_at: Micros,
-    health: Health,
-    trouble: f64,
-    /// When the present trouble began and when it last showed.
-    bad_since: Option<Micros>,
-    bad_at: Micros,
-    heard_at: Micros,
-    trial: bool,
-    calls: usize,
-    /// Since when each known connection has been idle.
-    idle: Vec<Micros>,
-    most_calls: Option<usize>,
-    cold_tokens: f64,
-    cold_at: Micros,
-}
-
-/// What one sender did on a route in its last round.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Report {
-    pub designated: f64,
-    pub used: f64,
-    pub refused: f64,
-}
-
-#[derive(Default)]
-struct Route {
-    listed: f64,
-    told: Option<f64>,
-    bound: bool,
-    /// Calls a second from all senders together.
-    pool: f64,
-    share: f64,
-    tokens: f64,
-    filled_at: Micros,
-    used: f64,
-    refused: f64,
-    /// Highest rate served in a round.
-    peak: f64,
-    /// Calls a second of the pool that the last reports left unused.
-    slack: f64,
-    wait_until: Micros,
-    full_since: Option<Micros>,
-    fulls: u32,
-    answer_time: f64,
-    reports: BTreeMap<u16, (Micros, Report)>,
-}
-
-struct Attempt {
-    number: u32,
-    call: u64,
-    host: HostId,
-    sent_at: Micros,
-}
-
-struct Message {
-    request: Request,
-    attempts: u32,
-    out: Option<Attempt>,
-    /// When the first attempt that may have run was sent.
-    ran: Option<Micros>,
-    /// Answered; kept only until its attempt has an outcome.
-    over: bool,
-}
-
-struct Call {
-    host: HostId,
-    sent_at: Micros,
-    members: usize,
-    trial: bool,
-    judged: bool,
-}
-
-#[derive(Default)]
-struct KeyQueue {
-    queue: VecDeque<MessageId>,
-    rest_until: Micros,
-}
-
 /// The decisions of one sender.
 pub struct Brain {
     settings: Settings,
     now: Micros,
     random: u64,
-    hosts: BTreeMap<HostId, Host>,
-    routes: BTreeMap<RouteId, Route>,
-    messages: BTreeMap<MessageId, Message>,
-    keys: BTreeMap<u64, KeyQueue>,
-    calls: BTreeMap<u64, Call>,
-    next_call: u64,
+    state: State,
     /// Messages of each tenant this round, and their mean rate a second.
     demand: Vec<(f64, f64)>,
+    /// How long what waits for a destination will take to go.
+    outlook: BTreeMap<DestinationId, Micros>,
     round_at: Micros,
     wake_at: Micros,
     ask_at: Option<Micros>,
@@ -171,6 +78,8 @@
     actions: Vec<Action>,
 }
 
+// ---- Pool and shares
+
 /// The reallocation that every sender runs alike: each fraction is the sender's part of all designated
 /// permits; underusers pass on part of their surplus, which those that used all theirs split by fraction.
 pub fn reallocate(reports: &BTreeMap<u16, Report>) -> BTreeMap<u16, f64> {
@@ -191,79 +100,63 @@
     reports.iter().map(|(sender, r)| (*sender, new(r))).collect()
 }
 
-impl Route {
-    fn new(senders: u16, now: Micros) -> Self {
-        let share = 1.0 / f64::from(senders.max(1));
-        Route { share, filled_at: now, answer_time: FIRST_GUESS, ..Route::default() }
-    }
-
-    /// The pool's source, in the design's order; the last is the rate that was seen to be served.
-    fn source(&self) -> f64 {
-        let listed = Some(self.listed).filter(|rate| *rate > 0.0);
-        self.told.or(listed).unwrap_or(self.peak)
-    }
-
-    /// This sender's pace in calls a second. Departure: slack that nobody used last round is lent evenly, so
-    /// that a clump at a sender trimmed before need not wait; all may lend at once for one round at most.
-    fn pace(&self, senders: u16) -> f64 {
-        self.share * self.pool + self.slack / f64::from(senders.max(1))
-    }
+/// The pool's source, in the design's order; the last is the rate that was seen to be served.
+fn source(route: &Route) -> f64 {
+    route.told.or(route.listed).unwrap_or(route.peak).max(LEAST_POOL)
+}
 
-    fn fill(&mut self, senders: u16, now: Micros) {
-        let pace = self.pace(senders);
-        let most = (pace * seconds(BURST)).max(1.0);
-        self.tokens = (self.tokens + pace * seconds(now - self.filled_at)).min(most);
-        self.filled_at = now;
-    }
+/// What a sender would report of the round so far.
+fn report(route: &Route) -> Report {
+    let designated = if route.bound { route.share * route.pool * seconds(ROUND) } else { route.used };
+    Report { designated, used: route.used, refused: route.refused }
+}
 
-    fn patience(&self) -> Micros {
-        let (least, most) = PATIENCE_BOUNDS;
-        ((self.answer_time * PATIENCE) as Micros).clamp(least, most)
-    }
+/// A sender's pace in calls a second. Departure: slack that nobody used last round is lent evenly, so that a
+/// clump at a sender trimmed before need not wait. Harm: all may draw on it at once, for a round at most.
+fn pace(route: &Route, senders: f64) -> f64 {
+    route.share * route.pool + route.slack / senders
+}
 
-    /// Closes a round: fresh reports with the own one decide pool, slack and share.
-    fn close_round(&mut self, me: u16, senders: u16, now: Micros, may_exceed: bool) {
-        self.reports.retain(|_, (at, _)| *at + EXPIRY > now);
-        let mut reports: BTreeMap<u16, Report> =
-            self.reports.iter().map(|(from, (_, r))| (*from, *r)).collect();
-        reports.insert(me, self.report());
-        let used: f64 = reports.values().map(|r| r.used).sum();
-        let refused: f64 = reports.values().map(|r| r.refused).sum();
-        let served = (used - refused).max(0.0) / seconds(ROUND);
-        self.peak = served.max(self.peak * 0.98);
-        if self.bound {
-            if refused > 0.0 && served > 0.0 {
-                self.pool = (self.pool * CUT).max(served);
-            } else if refused == 0.0 && used / seconds(ROUND) > self.pool * WELL_USED {
-                let most = if may_exceed && self.told.is_none() { f64::MAX } else { self.source() };
-                self.pool = (self.pool * REGROWTH).min(most.max(self.pool));
-            }
-            self.slack = (self.pool - used / seconds(ROUND)).max(0.0);
-            if refused > 0.0 {
-                self.slack = 0.0;
-            }
-            self.share = reallocate(&reports)[&me].max(0.25 / f64::from(senders.max(1)));
-        }
-        for (_, report) in self.reports.values_mut() {
-            report.refused = 0.0; // each refusal cuts the pool once
-        }
-        (self.used, self.refused) = (0.0, 0.0);
-    }
+fn fill(route: &mut Route, senders: f64, now: Micros) {
+    let pace = pace(route, senders);
+    let most = (pace * seconds(BURST)).max(1.0);
+    route.tokens = (route.tokens + pace * seconds(now - route.filled_at)).min(most);
+    route.filled_at = now;
+}
 
-    fn report(&self) -> Report {
-        let designated = if self.bound { self.share * self.pool * seconds(ROUND) } else { self.used };
-        Report { designated, used: self.used, refused: self.refused }
-    }
+/// Closes a round: fresh reports and the own one decide pool, slack and share.
+fn close_round(route: &mut Route, me: u16, senders: f64, now: Micros, may_exceed: bool) {
+    route.reports.retain(|_, (at, _)| *at + EXPIRY > now);
+    let mut reports: BTreeMap<u16, Report> = route.reports.iter().map(|(from, (_, r))| (*from, *r)).collect();
+    reports.insert(me, report(route));
+    let used = reports.values().map(|r| r.used).sum::<f64>() / seconds(ROUND);
+    let refused = reports.values().map(|r| r.refused).sum::<f64>() / seconds(ROUND);
+    let served = (used - refused).max(0.0);
+    route.peak = served.max(route.peak * PEAK_FADE);
+    if route.bound {
+        if refused > 0.0 && served > 0.0 {
+            route.pool = (route.pool * CUT).max(served);
+        } else if refused == 0.0 && used > route.pool * WELL_USED {
+            let most = if may_exceed && route.told.is_none() { f64::MAX } else { source(route) };
+            route.pool = (route.pool * REGROWTH).min(most.max(route.pool));
+        }
+        route.slack = if refused > 0.0 { 0.0 } else { (route.pool - used).max(0.0) };
+        route.share = reallocate(&reports)[&me].max(LEAST_SHARE / senders);
+    }
+    for (_, report) in route.reports.values_mut() {
+        report.refused = 0.0; // each refusal cuts the pool once
+    }
+    (route.used, route.refused) = (0.0, 0.0);
 }
 
-impl Host {
-    fn is_open(&self) -> bool {
-        matches!(self.health, Health::Open { .. })
-    }
+/// How long no sign of life from a route's host is borne.
+fn patience(route: &Route) -> Micros {
+    let (least, most) = PATIENCE_BOUNDS;
+    ((route.answer_time + PATIENCE * route.deviation) as Micros).clamp(least, most)
+}
 
-    fn suspect(&self, now: Micros) -> bool {
-        self.trouble >= SUSPECT && now < self.bad_at + ROUND
-    }
+fn suspect(host: &Host, now: Micros) -> bool {
+    host.trouble >= SUSPECT && now < host.bad_at + ROUND
 }
 
 fn seconds(span: Micros) -> f64 {
@@ -275,13 +168,9 @@
         Brain {
             now: 0,
             random: seed,
-            hosts: BTreeMap::new(),
-            routes: BTreeMap::new(),
-            messages: BTreeMap::new(),
-            keys: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            next_call: 0,
+            state: State::default(),
             demand: vec![(0.0, 0.0); settings.tenants.len()],
+            outlook: BTreeMap::new(),
             round_at: 0,
             wake_at: 0,
             ask_at: settings.ask_registry.then_some(0),
@@ -302,12 +191,12 @@
             match event {
                 Event::Registry(news) => self.learn(news),
                 Event::Message(request) => self.take(request),
-                Event::Withdrawn(id) => self.end(id),
+                Event::Withdrawn(id) => self.state.end(id, now),
                 Event::Timer => {}
                 Event::Outcome { id, attempt, outcome, closed, limit, took, .. } => {
-                    self.conclude(id, attempt, outcome, closed, limit, took)
+                    self.conclude(id, attempt, outcome, closed, limit, took);
                 }
-                Event::Probed { host, outcome, limit, .. } => self.probed(host, outcome, limit),
+                Event::Probed { host, outcome, limit, .. } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
             }
         }
@@ -316,11 +205,12 @@
             self.actions.push(Action::Subscribe);
         }
         self.close_rounds();
+        self.look_ahead();
         self.expire();
-        self.watch_silence();
+        self.watch_health();
         self.shed();
         self.dispatch();
-        let next = if self.messages.is_empty() { self.round_at } else { now + LOOK };
+        let next = if self.state.messages.is_empty() { self.round_at } else { now + LOOK };
         let next = next.min(self.round_at).min(self.ask_at.unwrap_or(Micros::MAX)).max(now + 1);
         if self.wake_at <= now || next < self.wake_at {
             self.wake_at = next;
@@ -336,16 +226,22 @@
         z ^ (z >> 31)
     }
 
-    // ---- Rounds
+    fn senders(&self) -> f64 {
+        f64::from(self.settings.senders.max(1))
+    }
+
+    fn class(&self, message: &Message) -> &Class {
+        &self.settings.classes[message.request.class]
+    }
 
     fn close_rounds(&mut self) {
         if self.now >= self.round_at {
             self.round_at = self.now + ROUND;
             self.tell_peers(true);
-            let may_exceed = self.settings.listing != Listing::Nominal;
-            for route in self.routes.values_mut() {
-                route.fill(self.settings.senders, self.now);
-                route.close_round(self.settings.me, self.settings.senders, self.now, may_exceed);
+            let (senders, may_exceed) = (self.senders(), self.settings.listing != Listing::Nominal);
+            for route in self.state.routes.values_mut() {
+                fill(route, senders, self.now);
+                close_round(route, self.settings.me, senders, self.now, may_exceed);
             }
             for (count, mean) in &mut self.demand {
                 *mean += (*count / seconds(ROUND) - *mean) * 2.0 * SAMPLE;
@@ -363,30 +259,28 @@
         if let Some((count, _)) = self.demand.get_mut(request.tenant) {
             *count += 1.0;
         }
-        if let (Some(key), true) = (request.key, self.settings.classes[request.class].in_order) {
-            self.keys.entry(key).or_default().queue.push_back(request.id);
-        }
-        let message = Message { request, attempts: 0, out: None, ran: None, over: false };
-        self.messages.insert(request.id, message);
+        self.state.accept(request, &self.settings.classes[request.class]);
+    }
+
+    /// Time since a message was first handed in.
+    fn age(&self, message: &Message, at: Micros) -> Micros {
+        at.saturating_sub(message.request.deadline.saturating_sub(self.class(message).deadline))
     }
 
     /// Worth of a message answered at `at`. Traffic beyond a tenant's share counts for little, and which
     /// message is beyond it can't be known here, so all of that tenant's weigh less.
     fn worth(&self, message: &Message, at: Micros) -> f64 {
-        let class = &self.settings.classes[message.request.class];
+        let class = self.class(message);
         if at >= message.request.deadline {
             return 0.0;
         }
-        let age = at.saturating_sub(message.request.deadline.saturating_sub(class.deadline));
-        let late = age.saturating_sub(class.aim);
+        let late = self.age(message, at).saturating_sub(class.aim) as f64;
         let left = match self.settings.lateness {
-            Lateness::Linear => {
-                1.0 - (1.0 - class.late_share) * late as f64 / (class.deadline - class.aim).max(1) as f64
-            }
-            Lateness::Halving => 0.5f64.powf(late as f64 / class.aim.max(1) as f64).max(class.late_share),
+            Lateness::Linear => 1.0 - (1.0 - class.late_share) * late / (class.deadline - class.aim) as f64,
+            Lateness::Halving => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_share),
         };
         let weight = self.settings.tenants.get(message.request.tenant).map_or(1.0, |tenant| {
-            let rate = self.demand[message.request.tenant].1 * f64::from(self.settings.senders);
+            let rate = self.demand[message.request.tenant].1 * self.senders();
             let within = (tenant.quota_per_s / rate.max(1e-9)).min(1.0);
             within + (1.0 - within) * self.settings.over_share_worth
         });
@@ -395,98 +289,75 @@
 
     /// How long the messages waiting for each destination will take to go. An outage is expected to last as
     /// long again as it has.
-    fn horizons(&self) -> BTreeMap<DestinationId, Micros> {
-        let mut waiting: BTreeMap<DestinationId, f64> = BTreeMap::new();
-        for message in self.messages.values().filter(|message| !message.over && message.out.is_none()) {
-            *waiting.entry(message.request.destination).or_default() += 1.0;
-        }
-        let horizon = |destination: DestinationId, count: f64| {
-            let hosts = || self.hosts.values().filter(move |host| host.route.0 == destination);
-            let open = hosts().all(Host::is_open);
-            let outage = hosts().filter_map(|host| host.bad_since).min().filter(|_| open);
-            let routes = self.routes.range((destination, None)..(destination + 1, None));
-            let pace: f64 = routes
-                .map(|(_, r)| if r.bound { r.pace(self.settings.senders) } else { f64::from(u16::MAX) })
-                .sum();
-            let drain = (count / pace.max(0.1) * 1e6) as Micros;
-            drain.max(ROUND / 2) + outage.map_or(0, |since| self.now - since)
+    fn look_ahead(&mut self) {
+        let mut counts: BTreeMap<DestinationId, f64> = BTreeMap::new();
+        for message in self.state.waiting() {
+            *counts.entry(message.request.destination).or_default() += 1.0;
+        }
+        let outlook = |destination: DestinationId, count: f64| {
+            let open = self.state.hosts_of(destination).all(|(_, host)| host.is_open());
+            let outage = self.state.hosts_of(destination).filter_map(|(_, host)| host.bad_since).min();
+            let paces = self
+                .state
+                .routes_of(destination)
+                .map(|r| if r.bound { pace(r, self.senders()) } else { 1e3 });
+            let drain = (count / paces.sum::<f64>().max(0.1) * 1e6) as Micros;
+            drain.max(ROUND / 2) + outage.filter(|_| open).map_or(0, |since| self.now - since)
         };
-        waiting.into_iter().map(|(destination, count)| (destination, horizon(destination, count))).collect()
+        self.outlook = counts.into_iter().map(|(id, count)| (id, outlook(id, count))).collect();
+    }
+
+    fn horizon(&self, message: &Message) -> Micros {
+        self.outlook.get(&message.request.destination).copied().unwrap_or(ROUND)
     }
 
     /// Danger: the room fills with messages for a destination that can't take them, and the door then turns
     /// away better ones. Whatever fills it, those worth least when their turn may come go first.
     fn shed(&mut self) {
-        let held = self.messages.values().filter(|message| !message.over).count();
         let room = self.settings.most_held as f64 * (1.0 - RESERVE);
-        let excess = held.saturating_sub(room as usize);
+        let excess = self.state.held().count().saturating_sub(room as usize);
         if excess == 0 {
             return;
         }
-        let horizons = self.horizons();
-        let waiting = self.messages.values().filter(|message| !message.over && message.out.is_none());
-        let mut waiting: Vec<_> = waiting
-            .map(|m| (self.worth(m, self.now + horizons[&m.request.destination]), m.request.id))
-            .collect();
+        let expected = |m: &Message| (self.worth(m, self.now + self.horizon(m)), m.request.id);
+        let mut waiting: Vec<_> = self.state.waiting().map(expected).collect();
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in waiting.into_iter().take(excess) {
-            let horizon = horizons[&self.messages[&id].request.destination];
-            self.give_up(id, horizon);
+            self.give_up(id);
         }
     }
 
     /// Gives the final answer now: a refusal where it is harmless to come again, else a failure.
-    fn give_up(&mut self, id: MessageId, come_back_in: Micros) {
-        let message = &self.messages[&id];
-        let harmless = match self.settings.classes[message.request.class].effect {
+    fn give_up(&mut self, id: MessageId) {
+        let Some(message) = self.state.messages.get(&id) else { return };
+        let ran = message.ran.is_some() || message.out.is_some();
+        let class = self.class(message);
+        let harmless = match class.effect {
             Effect::Free => true,
-            Effect::Guarded { window, group } => {
-                message.ran.is_none_or(|ran| group == Group::All && self.now < ran + window)
-                    && (message.out.is_none() || group == Group::All)
+            Effect::Guarded { group, .. } => {
+                !ran || (group == Group::All && !State::lapsed(message, class, self.now))
             }
-            Effect::SingleShot => message.ran.is_none() && message.out.is_none(),
+            Effect::SingleShot => !ran,
         };
-        let retry_after = come_back_in.min(self.settings.max_retry_after);
+        let retry_after = self.horizon(message).min(self.settings.max_retry_after);
         self.actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
-        self.end(id);
-    }
-
-    /// Marks a message as answered; it stays known while an attempt of it is out.
-    fn end(&mut self, id: MessageId) {
-        let Some(message) = self.messages.get_mut(&id) else { return };
-        message.over = true;
-        if message.out.is_some() {
-            return;
-        }
-        let key = message.request.key;
-        self.messages.remove(&id);
-        if let Some(entry) = key.and_then(|key| self.keys.get_mut(&key)) {
-            entry.queue.retain(|other| *other != id);
-        }
-        self.keys.retain(|_, entry| !entry.queue.is_empty() || entry.rest_until > self.now);
+        self.state.end(id, self.now);
     }
 
     /// Answers what can't be served in time any more: a message at its deadline, a waiting one already when
     /// the usual answer would come too late, a guarded one that its window no longer protects.
     fn expire(&mut self) {
-        let mut late = Vec::new();
-        for (id, message) in self.messages.iter().filter(|(_, message)| !message.over) {
-            let destination = message.request.destination;
-            let routes = self.routes.range((destination, None)..(destination + 1, None));
-            let fastest = routes.map(|(_, route)| route.answer_time).fold(f64::MAX, f64::min);
-            let needed = if message.out.is_some() { 0 } else { (fastest.min(FIRST_GUESS) / 2.0) as Micros };
-            let lapsed = match self.settings.classes[message.request.class].effect {
-                Effect::Guarded { window, .. } if message.out.is_none() => {
-                    message.ran.is_some_and(|ran| self.now + LOOK >= ran + window)
-                }
-                _ => false,
-            };
-            if self.now + needed >= message.request.deadline || lapsed {
-                late.push(*id);
-            }
-        }
+        let hopeless = |message: &&Message| {
+            let times = self.state.routes_of(message.request.destination).map(|route| route.answer_time);
+            let needed = times.fold(FIRST_GUESS, f64::min) as Micros / 2;
+            let waits = message.out.is_none();
+            let until = if waits { self.now + needed } else { self.now };
+            let lapsed = waits && State::lapsed(message, self.class(message), self.now + LOOK);
+            lapsed || until >= message.request.deadline
+        };
+        let late: Vec<_> = self.state.held().filter(hopeless).map(|message| message.request.id).collect();
         for id in late {
-            self.give_up(id, 0);
+            self.give_up(id);
         }
     }
 
@@ -495,52 +366,47 @@
     /// Sends what may go. Messages for one destination compete for its permits and all for the slots: first
     /// goes what would lose most by going last.
     fn dispatch(&mut self) {
-        let horizons = self.horizons();
-        let waiting = self.messages.values().filter(|message| !message.over && message.out.is_none());
-        let mut waiting: Vec<_> = waiting
-            .map(|m| {
-                let at = self.now + FIRST_GUESS as Micros;
-                let loss = self.worth(m, at) - self.worth(m, at + horizons[&m.request.destination]);
-                (loss, m.request.deadline, m.request.id)
-            })
-            .collect();
+        let senders = self.senders();
+        for route in self.state.routes.values_mut() {
+            fill(route, senders, self.now);
+        }
+        let loss = |m: &Message| {
+            let soon = self.now + FIRST_GUESS as Micros;
+            let loss = self.worth(m, soon) - self.worth(m, soon + self.horizon(m));
+            (loss, m.request.deadline, m.request.id)
+        };
+        let mut waiting: Vec<_> = self.state.waiting().map(loss).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
-        for route in self.routes.values_mut() {
-            route.fill(self.settings.senders, self.now);
-        }
         let mut bundles: BTreeMap<HostId, (u64, usize)> = BTreeMap::new();
         let mut starved = false;
         for (_, _, id) in waiting {
-            let message = &self.messages[&id];
-            if !self.in_turn(message) {
+            let message = &self.state.messages[&id];
+            // Danger: two messages of a key overtake each other. The head goes alone, after its rest.
+            if !self.state.in_turn(message, self.now) {
                 continue;
             }
-            let effect = self.settings.classes[message.request.class].effect;
             let destination = message.request.destination;
-            let joined = self
-                .hosts_of(destination)
-                .find(|(id, host)| {
-                    bundles.get(id).is_some_and(|(_, room)| *room > 0) && self.may_reach(message, host)
-                })
-                .map(|(id, _)| id);
+            let open =
+                |(id, host): &(HostId, &Host)| bundles.contains_key(id) && self.may_reach(message, host);
+            let joined = self.state.hosts_of(destination).find(open).map(|(host, _)| host);
             if let Some(host) = joined {
-                let (call, room) = bundles.get_mut(&host).expect("found above");
-                *room -= 1;
-                let call = *call;
+                let (call, room) = bundles[&host];
                 self.send(id, host, call);
+                bundles.insert(host, (call, room - 1));
+                bundles.retain(|_, (_, room)| *room > 0);
                 continue;
             }
-            let Some(host) = self.choose(message, effect) else { continue };
-            let free = self.settings.slots.saturating_sub(self.calls.len());
-            let out: usize = self.hosts_of(destination).map(|(_, host)| host.calls).sum();
+            let Some((host, kind)) = self.choose(message) else { continue };
+            // Danger: a slow or silent destination takes all slots. None may hold more than are free.
+            let free = self.settings.slots.saturating_sub(self.state.calls.len());
+            let out: usize = self.state.hosts_of(destination).map(|(_, host)| host.calls).sum();
+            starved |= free == 0;
             if free == 0 || out > free {
-                // Danger: a slow or silent destination takes all slots. None may hold more than are free.
-                starved |= free == 0;
                 continue;
             }
-            let call = self.open_call(host);
-            let room = self.settings.kinds[self.hosts[&host].kind].bundle - 1;
-            if room > 0 && !self.calls[&call].trial {
+            let Some(call) = self.state.open_call(host, self.now, self.settings.idle_close) else { continue };
+            let room = self.settings.kinds[kind].bundle - 1;
+            if room > 0 && !self.state.calls[&call].trial {
                 bundles.insert(host, (call, room));
             }
             self.send(id, host, call);
@@ -550,136 +416,104 @@
         }
     }
 
-    /// Danger: two messages of a key overtake each other. The head goes alone, after its rest.
-    fn in_turn(&self, message: &Message) -> bool {
-        let key = message.request.key.filter(|_| self.settings.classes[message.request.class].in_order);
-        key.and_then(|key| self.keys.get(&key)).is_none_or(|entry| {
-            entry.queue.front() == Some(&message.request.id) && self.now >= entry.rest_until
-        })
-    }
-
-    fn hosts_of(&self, destination: DestinationId) -> impl Iterator<Item = (HostId, &Host)> {
-        self.hosts.iter().filter(move |(_, host)| host.route.0 == destination).map(|(id, host)| (*id, host))
-    }
-
     /// A guarded message that may have run goes only where repeats are dropped.
     fn may_reach(&self, message: &Message, host: &Host) -> bool {
-        match self.settings.classes[message.request.class].effect {
-            Effect::Guarded { group: Group::Zone, .. } if message.ran.is_some() => {
-                host.zone == self.settings.zone
-            }
-            _ => true,
-        }
+        let zoned = matches!(self.class(message).effect, Effect::Guarded { group: Group::Zone, .. });
+        !zoned || message.ran.is_none() || host.zone == self.settings.zone
     }
 
-    fn choose(&self, message: &Message, effect: Effect) -> Option<HostId> {
-        let destination = message.request.destination;
-        let ready = self.hosts_of(destination).any(|(_, host)| host.lifecycle == Lifecycle::Ready);
+    /// The host for a message, with its kind: a healthy one before a doubtful one, then the least busy, then
+    /// one with a connection to spare.
+    fn choose(&self, message: &Message) -> Option<(HostId, usize)> {
+        let hosts = || self.state.hosts_of(message.request.destination);
+        let ready = hosts().any(|(_, host)| host.lifecycle == Lifecycle::Ready);
         let grace = (self.settings.drain_grace as f64 * GRACE_USED) as Micros;
-        let open = |host: &Host| match host.lifecycle {
+        let listed = |host: &Host| match host.lifecycle {
             Lifecycle::Ready => true,
+            // Danger: a drain is broken by a late send. Only the part of the grace that is safe, and only
+            // where no other host exists.
             _ => !ready && self.now < host.told_at + grace,
         };
-        self.hosts_of(destination)
-            .filter(|(_, host)| {
-                open(host) && self.may_reach(message, host) && self.admits(host, message, effect)
-            })
-            .min_by_key(|(id, host)| {
-                let suspect = host.suspect(self.now) || host.health != Health::Closed;
-                (suspect, host.calls, host.idle.is_empty(), *id)
-            })
-            .map(|(id, _)| id)
-    }
-
-    /// Whether a host takes this message now: wait, permits, health, connections.
-    fn admits(&self, host: &Host, message: &Message, effect: Effect) -> bool {
-        let route = &self.routes[&host.route];
+        let fit = |host: &Host| listed(host) && self.may_reach(message, host) && self.admits(host, message);
+        let rank = |id: HostId, host: &Host| {
+            let doubtful = suspect(host, self.now) || host.health != Health::Closed;
+            (doubtful, host.calls, host.idle.is_empty(), id)
+        };
+        let best = hosts().filter(|(_, host)| fit(host)).min_by_key(|(id, host)| rank(*id, host));
+        best.map(|(id, host)| (id, host.kind))
+    }
+
+    /// Whether a host takes this message now: wait, permits, connections, health.
+    fn admits(&self, host: &Host, message: &Message) -> bool {
+        let route = &self.state.routes[&host.route];
         if self.now < route.wait_until || (route.bound && route.tokens < 1.0) {
             return false;
         }
         // After a refusal one call at a time until one is served: the limit may still be spent by others.
-        if route.fulls > 0 && host.calls > 0 {
+        if (route.fulls > 0 && host.calls > 0) || host.most_calls.is_some_and(|most| host.calls >= most) {
             return false;
         }
-        if host.most_calls.is_some_and(|most| host.calls >= most) {
-            return false;
-        }
-        let class = &self.settings.classes[message.request.class];
-        let age = self.now.saturating_sub(message.request.deadline.saturating_sub(class.deadline));
         // Danger: a message that must not run twice dies with a failed call. It waits for a sign of health,
         // though not for ever. Covers silence, errors, resets; harms where only such messages come.
-        let precious = effect == Effect::SingleShot && age < class.aim;
+        let class = self.class(message);
+        let precious = class.effect == Effect::SingleShot && self.age(message, self.now) < class.aim;
         match host.health {
-            Health::Closed => !(precious && host.suspect(self.now)),
             Health::Open { retry_at, .. } => !precious && !host.trial && self.now >= retry_at,
-            Health::SlowStart { .. } => {
-                !(precious && host.suspect(self.now)) && host.cold_tokens + self.warmth(host) >= 1.0
-            }
+            _ if precious && suspect(host, self.now) => false,
+            Health::Closed => true,
+            Health::SlowStart { since } => host.cold_tokens + self.warmth(host, since) >= 1.0,
         }
     }
 
     /// Permits that a cold host has earned since they were last counted. Danger: what is sent in the rule's
     /// window passes a multiple of what it can do; each sender plans for its share of a part of that.
-    fn warmth(&self, host: &Host) -> f64 {
-        let Health::SlowStart { since } = host.health else { return 0.0 };
-        let route = &self.routes[&host.route];
-        let hosts = self.hosts.values().filter(|other| other.route == host.route).count().max(1) as f64;
+    fn warmth(&self, host: &Host, since: Micros) -> f64 {
+        let route = &self.state.routes[&host.route];
+        let hosts = self.state.hosts_of(host.route.0).filter(|(_, other)| other.route == host.route).count();
         let ramp = ((self.now - since) as f64 / self.settings.cold_time.max(1) as f64).min(1.0);
         let part = self.settings.cold_share + (1.0 - self.settings.cold_share) * ramp;
-        let capacity = if route.bound { route.pool.min(route.source()) } else { route.source() } / hosts;
-        let budget = capacity.max(0.5) * part * self.settings.overload_factor * COLD_BUDGET;
-        budget / f64::from(self.settings.senders.max(1)) * seconds(self.now - host.cold_at)
-    }
-
-    fn open_call(&mut self, id: HostId) -> u64 {
-        let now = self.now;
-        let warm = self.warmth(&self.hosts[&id]);
-        let host = self.hosts.get_mut(&id).expect("chosen from the list");
-        let route = self.routes.get_mut(&host.route).expect("every host has a route");
-        route.tokens -= 1.0;
-        route.used += 1.0;
-        host.cold_tokens = (host.cold_tokens + warm).min(1.0) - 1.0;
-        host.cold_at = now;
-        host.calls += 1;
-        let kept = now.saturating_sub(self.settings.idle_close);
-        host.idle.retain(|since| *since > kept);
-        host.idle.pop();
-        let trial = host.is_open();
-        host.trial |= trial;
-        self.next_call += 1;
-        let call = Call { host: id, sent_at: now, members: 0, trial, judged: false };
-        self.calls.insert(self.next_call, call);
-        self.next_call
+        let capacity = if route.bound { route.pool.min(source(route)) } else { source(route) };
+        let budget = capacity / hosts as f64 * part * self.settings.overload_factor * COLD_BUDGET;
+        budget / self.senders() * seconds(self.now - host.cold_at)
     }
 
     fn send(&mut self, id: MessageId, host: HostId, call: u64) {
-        let message = self.messages.get_mut(&id).expect("waiting");
-        let entry = self.calls.get_mut(&call).expect("opened before");
-        entry.members += 1;
-        let left = message.request.deadline - self.now;
-        let patience = self.routes[&self.hosts[&host].route].patience();
-        let timeout = if entry.trial { left.min(2 * patience) } else { left };
-        message.out = Some(Attempt { number: message.attempts, call, host, sent_at: self.now });
-        message.attempts += 1;
+        let trial = self.state.calls[&call].trial;
+        let left = self.state.messages[&id].request.deadline - self.now;
+        let Some((entry, route)) = self.state.host_and_route(host) else { return };
+        let timeout = if trial { left.min(2 * patience(route)) } else { left };
+        if let Health::SlowStart { since } = entry.health
+            && self.state.calls[&call].members == 0
+        {
+            let warm = self.warmth(&self.state.hosts[&host], since);
+            let entry = self.state.hosts.get_mut(&host).expect("looked up above");
+            entry.cold_tokens = (entry.cold_tokens + warm).min(1.0) - 1.0;
+            entry.cold_at = self.now;
+        }
+        self.state.join_call(call, id, self.now);
         self.actions.push(Action::Send { id, host, timeout });
     }
 
-    /// Danger: calls that will not be answered hold the slots. The oldest on an open host is called off.
+    /// Danger: calls that will not be answered hold the slots. The oldest on an open host is called off,
+    /// repeatable ones first.
     fn reclaim(&mut self) {
-        let open = |call: &Call| self.hosts.get(&call.host).is_some_and(Host::is_open) && !call.trial;
-        let oldest = self.calls.iter().filter(|(_, call)| open(call)).min_by_key(|(_, call)| call.sent_at);
-        if let Some((call, _)) = oldest {
-            let call = *call;
+        let mut lost = Vec::new();
+        for message in self.state.messages.values() {
+            let Some(attempt) = message.out else { continue };
+            let host = self.state.hosts.get(&attempt.host);
+            if host.is_none_or(|host| host.is_open()) && !self.state.calls[&attempt.call].trial {
+                let precious = self.class(message).effect == Effect::SingleShot;
+                lost.push((precious, attempt.sent_at, attempt.call));
+            }
+        }
+        if let Some((_, _, call)) = lost.into_iter().min() {
             self.call_off(|attempt, _| attempt.call == call);
         }
     }
 
     fn call_off(&mut self, which: impl Fn(&Attempt, &Message) -> bool) {
-        if !self.settings.may_cancel {
-            return;
-        }
-        for (id, message) in &self.messages {
-            if let Some(attempt) = message.out.as_ref().filter(|attempt| which(attempt, message)) {
+        for (id, message) in self.state.messages.iter().filter(|_| self.settings.may_cancel) {
+            if let Some(attempt) = message.out.filter(|attempt| which(attempt, message)) {
                 self.actions.push(Action::Cancel { id: *id, attempt: attempt.number });
             }
         }
@@ -691,66 +525,41 @@
         &mut self, id: MessageId, number: u32, outcome: Outcome, closed: bool, limit: Option<f64>,
         took: Micros,
     ) {
-        let Some(message) = self.messages.get_mut(&id) else { return };
-        let Some(attempt) = message.out.take_if(|attempt| attempt.number == number) else { return };
-        let (over, request, attempts) = (message.over, message.request, message.attempts);
-        let unclear =
-            matches!(outcome, Outcome::Error | Outcome::Timeout | Outcome::Reset | Outcome::Cancelled);
-        if unclear {
-            message.ran.get_or_insert(attempt.sent_at);
-            if outcome != Outcome::Error
-                && let Some(entry) = request.key.and_then(|key| self.keys.get_mut(&key))
-            {
-                entry.rest_until = self.now + self.settings.order_rest;
-            }
-        }
-        self.settle(&attempt, outcome, limit, took);
-        let class = &self.settings.classes[request.class];
-        if closed || over {
-            self.end(id);
-        } else if attempts >= self.settings.max_attempts || (unclear && class.effect == Effect::SingleShot) {
-            self.give_up(id, 0);
-        }
-    }
-
-    /// Books an outcome on its call, host and route. Messages of one call share its fate: it counts once.
-    fn settle(&mut self, attempt: &Attempt, outcome: Outcome, limit: Option<f64>, took: Micros) {
-        let call = self.calls.get_mut(&attempt.call).expect("out until its last outcome");
-        call.members -= 1;
-        let (first, last, trial) = (!call.judged, call.members == 0, call.trial);
-        call.judged = true;
-        if last {
-            self.calls.remove(&attempt.call);
-        }
-        let Some(host) = self.hosts.get_mut(&attempt.host) else { return };
-        if last {
-            host.calls -= 1;
-            host.trial &= !trial;
-            if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. }) {
-                host.idle.push(self.now);
-            }
+        let rest = self.settings.order_rest;
+        let closing = self.state.close_attempt(id, number, outcome, self.now, rest);
+        let Some((attempt, first)) = closing else { return };
+        if let Some((_, route)) = self.state.host_and_route(attempt.host)
+            && outcome == Outcome::Ok
+        {
+            let off = took as f64 - route.answer_time;
+            route.answer_time += off * SAMPLE;
+            route.deviation += (off.abs() - route.deviation) * SAMPLE;
         }
-        let route = self.routes.get_mut(&host.route).expect("every host has a route");
-        if outcome == Outcome::Ok {
-            route.answer_time += (took as f64 - route.answer_time) * SAMPLE;
+        if let (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) =
+            (self.state.host_and_route(attempt.host), outcome)
+        {
+            // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
+            route.wait_until = route.wait_until.max(self.now + wait + LOOK);
+            self.urgent_memo = true;
         }
         if first {
             self.judge(attempt.host, outcome, attempt.sent_at, limit);
         }
-    }
-
-    fn probed(&mut self, host: HostId, outcome: Outcome, limit: Option<f64>) {
-        if self.hosts.contains_key(&host) {
-            self.judge(host, outcome, self.now, limit);
+        let Some(message) = self.state.messages.get(&id) else { return };
+        let once = self.class(message).effect == Effect::SingleShot;
+        if closed || message.over {
+            self.state.end(id, self.now);
+        } else if message.attempts >= self.settings.max_attempts || (once && outcome.may_have_run()) {
+            self.give_up(id);
         }
     }
 
     // ---- Health, outage and slow start
 
+    /// Books an outcome on its host and route.
     fn judge(&mut self, id: HostId, outcome: Outcome, sent_at: Micros, limit: Option<f64>) {
         let now = self.now;
-        let host = self.hosts.get_mut(&id).expect("checked by the callers");
-        let route = self.routes.get_mut(&host.route).expect("every host has a route");
+        let Some((host, route)) = self.state.host_and_route(id) else { return };
         if let Some(limit) = limit {
             let told = route.told.get_or_insert(limit);
             *told += (limit - *told) * SAMPLE;
@@ -759,66 +568,56 @@
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. } | Outcome::Reset) {
             host.heard_at = now;
         }
+        if let Health::Open { pause, .. } = host.health {
+            let pause = (pause + pause / 2).min(ROUND);
+            host.health = Health::Open { retry_at: now + pause, pause };
+        }
         match outcome {
             Outcome::Ok => {
-                let full_since = route.full_since.take();
                 route.fulls = 0;
                 host.trouble /= 2.0;
-                if host.trouble < SUSPECT && !host.is_open() && now > host.bad_at + ROUND {
+                if host.is_open() {
+                    self.recover(id);
+                } else if host.trouble < SUSPECT && now > host.bad_at + ROUND {
                     host.bad_since = None;
                 }
-                let since = host.bad_since.into_iter().chain(full_since).min();
-                if host.is_open() || full_since.is_some_and(|at| now - at >= self.settings.overload_window) {
-                    self.recover(id, since.unwrap_or(now));
-                }
             }
             Outcome::Full { wait } => {
                 route.refused += 1.0;
+                if route.fulls == 0 {
+                    route.full_since = now;
+                }
                 route.fulls += 1;
-                let since = *route.full_since.get_or_insert(now);
                 if !route.bound {
                     route.bound = true;
-                    route.pool = route.source().max(1.0);
+                    route.tokens = 0.0;
+                    route.pool = source(route).max(route.peak);
                 }
                 route.tokens = route.tokens.min(0.0);
-                let pause = FULL_PAUSE << route.fulls.min(4).saturating_sub(1);
-                let until = now + if wait > 0 { wait + LOOK } else { pause.min(ROUND) };
-                route.wait_until = route.wait_until.max(until);
-                self.urgent_memo |= wait > 0;
+                let pause = (FULL_PAUSE << (route.fulls - 1).min(3)).min(ROUND);
+                route.wait_until = route.wait_until.max(now + pause * u64::from(wait == 0));
                 // Danger: shut, not limited. A limit has room again within a round or two; what refuses all
                 // for longer than the overload rule's window may come back cold.
-                if now - since >= self.settings.overload_window || wait >= self.settings.overload_window {
-                    let host = self.hosts.get_mut(&id).expect("checked by the callers");
+                let since = route.full_since;
+                if (now - since).max(wait) >= self.settings.overload_window {
                     host.bad_since.get_or_insert(since);
-                    host.bad_at = now;
-                    self.trip(id, "refuses all");
+                    self.ail(id, TRIP, "refuses all");
                 }
             }
             Outcome::Error | Outcome::Reset => self.ail(id, 1.0, "fails calls"),
             Outcome::Timeout if silent => self.ail(id, 1.0, "times out"),
-            Outcome::ConnectFailed => {
-                // Danger: a full table of connections looks like a dead host. Where calls are out or were
-                // answered just now it is the former: fewer calls at once from here on.
-                let lately = now < host.heard_at + self.settings.dial_timeout;
-                if host.calls > 0 && lately {
-                    host.most_calls = Some(host.calls.max(1));
-                } else {
-                    self.ail(id, TRIP, "takes no connection");
-                }
+            // Danger: a full table of connections looks like a dead host. Where calls are out and were
+            // answered just now it is the former: fewer calls at once from here on.
+            Outcome::ConnectFailed if host.calls > 0 && now < host.heard_at + self.settings.dial_timeout => {
+                host.most_calls = Some(host.calls);
             }
+            Outcome::ConnectFailed => self.ail(id, TRIP, "takes no connection"),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
-        if let Some(host) = self.hosts.get_mut(&id)
-            && let Health::Open { pause, .. } = host.health
-            && !matches!(outcome, Outcome::Ok | Outcome::Moot)
-        {
-            let pause = (pause + pause / 2).min(ROUND);
-            host.health = Health::Open { retry_at: now + pause, pause };
-        }
     }
 
     fn ail(&mut self, id: HostId, weight: f64, what: &str) {
-        let host = self.hosts.get_mut(&id).expect("checked by the callers");
+        let Some(host) = self.state.hosts.get_mut(&id) else { return };
         host.trouble += weight;
         host.bad_since.get_or_insert(self.now);
         host.bad_at = self.now;
@@ -827,64 +626,72 @@
         }
     }
 
-    /// Opens a host. Its neighbours turn suspect, since an outage mostly takes a destination whole. Repeatable
-    /// calls out there are called off: they would hold slots until the end.
+    /// Opens a host. Its neighbours turn suspect, since an outage mostly takes a destination whole.
     fn trip(&mut self, id: HostId, what: &str) {
-        let host = self.hosts.get_mut(&id).expect("checked by the callers");
-        if host.is_open() {
-            return;
-        }
+        let Some(host) = self.state.hosts.get_mut(&id).filter(|host| !host.is_open()) else { return };
         host.health = Health::Open { retry_at: self.now + TRIAL_PAUSE, pause: TRIAL_PAUSE };
         let destination = host.route.0;
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
-        for other in self.hosts.values_mut().filter(|other| other.route.0 == destination) {
-            if other.health == Health::Closed {
-                other.trouble = other.trouble.max(SUSPECT);
-                other.bad_at = self.now;
-            }
-        }
         self.urgent_memo = true;
-        let free = self.settings.classes.iter().map(|class| class.effect == Effect::Free).collect::<Vec<_>>();
-        self.call_off(|attempt, message| attempt.host == id && free[message.request.class]);
+        self.warn(|host| host.route.0 == destination);
+        // Repeatable calls out there go elsewhere where there is an elsewhere.
+        if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
+            let free: Vec<_> =
+                self.settings.classes.iter().map(|class| class.effect == Effect::Free).collect();
+            self.call_off(|attempt, message| attempt.host == id && free[message.request.class]);
+        }
     }
 
-    /// A host answers again. After trouble longer than the overload rule's window it may be cold.
-    fn recover(&mut self, id: HostId, since: Micros) {
-        let host = self.hosts.get_mut(&id).expect("checked by the callers");
-        host.trouble = 0.0;
-        host.bad_since = None;
+    fn warn(&mut self, which: impl Fn(&Host) -> bool) {
+        let closed = |host: &&mut Host| host.health == Health::Closed && which(host);
+        for host in self.state.hosts.values_mut().filter(closed) {
+            host.trouble = host.trouble.max(SUSPECT);
+            host.bad_at = self.now;
+        }
+    }
+
+    /// A host answers again. After trouble longer than the overload rule's window it may be cold. Repeatable
+    /// calls from before the trouble are lost: they go again.
+    fn recover(&mut self, id: HostId) {
+        let Some(host) = self.state.hosts.get_mut(&id) else { return };
+        let since = host.bad_since.take().unwrap_or(self.now);
         let cold = self.now - since >= self.settings.overload_window;
+        host.trouble = 0.0;
         host.health = if cold { Health::SlowStart { since: self.now } } else { Health::Closed };
         (host.cold_tokens, host.cold_at) = (0.0, self.now);
-        let destination = host.route.0;
-        let how = if cold { "slow start" } else { "closed" };
+        let (how, destination) = (if cold { "slow start" } else { "closed" }, host.route.0);
         self.actions.push(Action::Log(format!("{how}: a host of destination {destination} answers again")));
+        if cold {
+            let once: Vec<_> =
+                self.settings.classes.iter().map(|class| class.effect == Effect::SingleShot).collect();
+            self.call_off(|attempt, message| {
+                attempt.host == id && attempt.sent_at <= since && !once[message.request.class]
+            });
+        }
     }
 
     /// Danger: a destination that takes calls and answers none eats slots and every message that must not be
-    /// repeated. Covers hangs, lost machines and broken paths alike; harms where all calls are slow.
-    fn watch_silence(&mut self) {
+    /// repeated. Covers hangs, lost machines and broken paths alike; harms where all calls are slow. One
+    /// unanswered call says less than several.
+    fn watch_health(&mut self) {
         let now = self.now;
-        let mut oldest: BTreeMap<HostId, Micros> = BTreeMap::new();
-        for call in self.calls.values() {
-            let at = oldest.entry(call.host).or_insert(call.sent_at);
-            *at = (*at).min(call.sent_at);
+        let mut unanswered: BTreeMap<HostId, (Micros, u64)> = BTreeMap::new();
+        for call in self.state.calls.values() {
+            let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
+            *entry = (entry.0.min(call.sent_at), entry.1 + 1);
         }
-        for (id, sent_at) in oldest {
-            let Some(host) = self.hosts.get_mut(&id) else { continue };
+        for (id, (sent_at, count)) in unanswered {
+            let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
-            let patience = self.routes[&host.route].patience();
-            let patience = if host.suspect(now) { patience / 2 } else { patience };
+            let patience = patience(route) + patience(route) / count;
+            let patience = if suspect(host, now) { patience / 2 } else { patience };
             if !host.is_open() && now > since + patience {
                 host.bad_since.get_or_insert(since);
-                host.bad_at = now;
-                self.trip(id, "is silent");
+                self.ail(id, TRIP, "is silent");
             }
         }
-        for host in self.hosts.values_mut() {
-            if let Health::SlowStart { since } = host.health
-                && now > since + self.settings.cold_time
-            {
+        for host in self.state.hosts.values_mut() {
+            if matches!(host.health, Health::SlowStart { since } if now > since + self.settings.cold_time) {
                 host.health = Health::Closed;
             }
         }
@@ -893,55 +700,29 @@
     // ---- Registry
 
     fn learn(&mut self, news: RegistryNews) {
-        let entries = match news {
+        let (entries, whole) = match news {
+            RegistryNews::Whole(entries) => (entries, true),
+            RegistryNews::Changes(entries) => (entries, false),
             RegistryNews::Failed => {
+                // Danger: asking a list that is down in a loop keeps it down.
                 self.ask_at = self.settings.ask_registry.then_some(self.now + self.ask_pause);
                 self.ask_pause = (2 * self.ask_pause).min(self.settings.ask_within.max(ASK_PAUSE));
                 return;
             }
-            RegistryNews::Whole(entries) => {
-                let listed: Vec<HostId> = entries.iter().map(|entry| entry.host).collect();
-                for (id, host) in &mut self.hosts {
-                    if !listed.contains(id) && host.lifecycle != Lifecycle::Gone {
-                        if host.lifecycle == Lifecycle::Ready {
-                            host.told_at = self.now;
-                        }
-                        host.lifecycle = Lifecycle::Gone;
-                    }
-                }
-                entries
-            }
-            RegistryNews::Changes(entries) => entries,
         };
         self.ask_pause = ASK_PAUSE;
+        self.state.list(&entries, whole, |kind| self.settings.kinds[kind].routes_apart, self.now);
         for entry in entries {
-            self.list(&entry);
-        }
-        self.hosts.retain(|_, host| {
-            host.lifecycle != Lifecycle::Gone || host.calls > 0 || host.told_at == self.now
-        });
-    }
-
-    fn list(&mut self, entry: &Listed) {
-        let now = self.now;
-        let apart = self.settings.kinds[entry.kind].routes_apart;
-        let route_id = (entry.destination, apart.then_some(entry.host));
-        let senders = self.settings.senders;
-        if entry.lifecycle != Lifecycle::Gone {
-            let route = self.routes.entry(route_id).or_insert_with(|| Route::new(senders, now));
+            let Some((_, route)) = self.state.host_and_route(entry.host) else { continue };
+            if route.share == 0.0 {
+                route.share = 1.0 / f64::from(self.settings.senders.max(1));
+                (route.answer_time, route.deviation) = (FIRST_GUESS, FIRST_GUESS);
+                route.filled_at = self.now;
+            }
             if self.settings.listing != Listing::Silent {
-                route.listed = entry.weight;
+                route.listed = Some(entry.weight);
             }
-        } else if !self.hosts.contains_key(&entry.host) {
-            return;
-        }
-        let new =
-            Host { route: route_id, kind: entry.kind, zone: entry.zone, heard_at: now, ..Host::default() };
-        let host = self.hosts.entry(entry.host).or_insert(new);
-        if host.lifecycle == Lifecycle::Ready && entry.lifecycle != Lifecycle::Ready {
-            host.told_at = now;
         }
-        host.lifecycle = entry.lifecycle;
     }
 
     // ---- Peers
@@ -954,13 +735,13 @@
         let record = |(id, route): (&RouteId, &Route)| Record {
             destination: id.0,
             host: id.1,
-            designated: route.report().designated,
+            designated: report(route).designated,
             used: route.used,
             refused: route.refused,
-            ailing: self.hosts.values().filter(|host| host.route == *id).all(Host::is_open),
+            ailing: self.state.hosts.values().filter(|host| host.route == *id).all(Host::is_open),
             wait: route.wait_until.saturating_sub(self.now),
         };
-        let mut records: Vec<_> = self.routes.iter().map(record).collect();
+        let mut records: Vec<_> = self.state.routes.iter().map(record).collect();
         records.retain(|record| if round { record.used > 0.0 } else { record.wait > 0 || record.ailing });
         records.sort_by(|a, b| b.used.total_cmp(&a.used));
         if !records.is_empty() {
@@ -973,15 +754,14 @@
         let Some(memo) = memo::decode(bytes).filter(|_| from < self.settings.senders) else { return };
         for record in memo.records {
             let id = (record.destination, record.host);
-            let Some(route) = self.routes.get_mut(&id) else { continue };
+            let Some(route) = self.state.routes.get_mut(&id) else { continue };
             if memo.round {
                 let Record { designated, used, refused, .. } = record;
                 route.reports.insert(from, (self.now, Report { designated, used, refused }));
             }
             route.wait_until = route.wait_until.max(self.now + record.wait.min(HEARSAY_MOST));
-            for host in self.hosts.values_mut().filter(|host| record.ailing && host.route == id) {
-                host.trouble = host.trouble.max(SUSPECT);
-                host.bad_at = self.now;
+            if record.ailing {
+                self.warn(|host| host.route == id);
             }
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -182,6 +182,18 @@
     Moot,
 }
 
+impl Outcome {
+    /// The attempt may have taken effect.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Outcome::Error) || self.may_still_run()
+    }
+
+    /// The attempt may take effect even now.
+    pub fn may_still_run(self) -> bool {
+        matches!(self, Outcome::Timeout | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
 /// A message handed in.
 #[derive(Clone, Copy, Debug)]
 pub struct Request {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod brain;
 pub mod interface;
 pub mod memo;
+pub mod state;
 
 pub use brain::Brain;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,302 @@
+//! What a sender knows, and the bookkeeping that keeps it straight. What follows from it is decided in
+//! `brain.rs`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use crate::interface::{
+    Class, DestinationId, Effect, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, Request,
+};
+
+/// A limit's holder: a destination, or one host of it where routes are apart.
+pub type RouteId = (DestinationId, Option<HostId>);
+
+/// Whether calls to a host are let through.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum Health {
+    #[default]
+    Closed,
+    /// No calls but one trial at a time, from `retry_at` on.
+    Open { retry_at: Micros, pause: Micros },
+    /// Answers again, but may be cold.
+    SlowStart { since: Micros },
+}
+
+/// One endpoint of a destination.
+#[derive(Debug, Default)]
+pub struct Host {
+    pub route: RouteId,
+    pub kind: usize,
+    pub zone: u16,
+    pub lifecycle: Lifecycle,
+    /// When it was told that the host drains or is gone.
+    pub told_at: Micros,
+    pub health: Health,
+    /// Failures, halved by each success.
+    pub trouble: f64,
+    /// When the present trouble began and when it last showed.
+    pub bad_since: Option<Micros>,
+    pub bad_at: Micros,
+    /// Last sign of life.
+    pub heard_at: Micros,
+    /// A trial is out.
+    pub trial: bool,
+    /// Calls out.
+    pub calls: usize,
+    /// Since when each known connection has been idle.
+    pub idle: Vec<Micros>,
+    /// Calls at once beyond which connections were turned away.
+    pub most_calls: Option<usize>,
+    /// Permits of a slow start, and when they were last counted.
+    pub cold_tokens: f64,
+    pub cold_at: Micros,
+}
+
+impl Host {
+    pub fn is_open(&self) -> bool {
+        matches!(self.health, Health::Open { .. })
+    }
+}
+
+/// What one sender did on a route in a round, in permits.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Report {
+    pub designated: f64,
+    pub used: f64,
+    pub refused: f64,
+}
+
+/// The holder of a limit.
+#[derive(Debug, Default)]
+pub struct Route {
+    /// Calls a second by the registry's list and by the destination's own answers.
+    pub listed: Option<f64>,
+    pub told: Option<f64>,
+    /// Shares bind, since calls were refused as full.
+    pub bound: bool,
+    /// Calls a second from all senders together, and this sender's fraction of them.
+    pub pool: f64,
+    pub share: f64,
+    /// Calls a second of the pool that the last reports left unused.
+    pub slack: f64,
+    /// Permits in hand, and when they were last counted.
+    pub tokens: f64,
+    pub filled_at: Micros,
+    /// Permits used and calls refused in this round.
+    pub used: f64,
+    pub refused: f64,
+    /// Highest rate served lately, in calls a second.
+    pub peak: f64,
+    pub wait_until: Micros,
+    /// Refusals since the last call that was served, and when they began.
+    pub fulls: u32,
+    pub full_since: Micros,
+    /// Mean answer time and its mean deviation, in microseconds.
+    pub answer_time: f64,
+    pub deviation: f64,
+    /// Last report of each peer and when it came.
+    pub reports: BTreeMap<u16, (Micros, Report)>,
+}
+
+/// An attempt without an outcome.
+#[derive(Clone, Copy, Debug)]
+pub struct Attempt {
+    pub number: u32,
+    pub call: u64,
+    pub host: HostId,
+    pub sent_at: Micros,
+}
+
+/// A message that was taken.
+#[derive(Debug)]
+pub struct Message {
+    pub request: Request,
+    pub attempts: u32,
+    pub out: Option<Attempt>,
+    /// When the first attempt that may have run was sent.
+    pub ran: Option<Micros>,
+    /// Answered; kept only until its attempt has an outcome.
+    pub over: bool,
+}
+
+/// One call, with one message or more.
+#[derive(Debug)]
+pub struct Call {
+    pub host: HostId,
+    pub sent_at: Micros,
+    pub members: usize,
+    pub trial: bool,
+    pub judged: bool,
+}
+
+/// The messages of one key, in the order taken.
+#[derive(Debug, Default)]
+pub struct KeyQueue {
+    pub queue: VecDeque<MessageId>,
+    pub rest_until: Micros,
+}
+
+/// All of it.
+#[derive(Debug, Default)]
+pub struct State {
+    pub hosts: BTreeMap<HostId, Host>,
+    pub routes: BTreeMap<RouteId, Route>,
+    pub messages: BTreeMap<MessageId, Message>,
+    pub keys: BTreeMap<u64, KeyQueue>,
+    pub calls: BTreeMap<u64, Call>,
+    last_call: u64,
+}
+
+impl State {
+    pub fn hosts_of(&self, destination: DestinationId) -> impl Iterator<Item = (HostId, &Host)> {
+        self.hosts.iter().filter(move |(_, host)| host.route.0 == destination).map(|(id, host)| (*id, host))
+    }
+
+    pub fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
+        self.routes.range((destination, None)..(destination + 1, None)).map(|(_, route)| route)
+    }
+
+    /// A known host and its route.
+    pub fn host_and_route(&mut self, id: HostId) -> Option<(&mut Host, &mut Route)> {
+        let host = self.hosts.get_mut(&id)?;
+        let route = self.routes.get_mut(&host.route)?;
+        Some((host, route))
+    }
+
+    /// Messages that still need an answer.
+    pub fn held(&self) -> impl Iterator<Item = &Message> {
+        self.messages.values().filter(|message| !message.over)
+    }
+
+    /// Messages that still need an answer and have no attempt out.
+    pub fn waiting(&self) -> impl Iterator<Item = &Message> {
+        self.held().filter(|message| message.out.is_none())
+    }
+
+    pub fn accept(&mut self, request: Request, class: &Class) {
+        if let (Some(key), true) = (request.key, class.in_order) {
+            self.keys.entry(key).or_default().queue.push_back(request.id);
+        }
+        let message = Message { request, attempts: 0, out: None, ran: None, over: false };
+        self.messages.insert(request.id, message);
+    }
+
+    /// Marks a message as answered; it stays known while an attempt of it is out.
+    pub fn end(&mut self, id: MessageId, now: Micros) {
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        message.over = true;
+        if message.out.is_some() {
+            return;
+        }
+        let key = message.request.key;
+        self.messages.remove(&id);
+        if let Some(entry) = key.and_then(|key| self.keys.get_mut(&key)) {
+            entry.queue.retain(|other| *other != id);
+        }
+        self.keys.retain(|_, entry| !entry.queue.is_empty() || entry.rest_until > now);
+    }
+
+    /// Whether a message is the first of its key and the key's rest is over.
+    pub fn in_turn(&self, message: &Message, now: Micros) -> bool {
+        let entry = message.request.key.and_then(|key| self.keys.get(&key));
+        entry.is_none_or(|entry| {
+            let listed = entry.queue.contains(&message.request.id);
+            !listed || (entry.queue.front() == Some(&message.request.id) && now >= entry.rest_until)
+        })
+    }
+
+    /// Books a new call to a known host.
+    pub fn open_call(&mut self, id: HostId, now: Micros, idle_close: Micros) -> Option<u64> {
+        let (host, route) = self.host_and_route(id)?;
+        route.tokens -= 1.0;
+        route.used += 1.0;
+        host.calls += 1;
+        host.idle.retain(|since| *since + idle_close > now);
+        host.idle.pop();
+        let trial = host.is_open();
+        host.trial |= trial;
+        self.last_call += 1;
+        let call = Call { host: id, sent_at: now, members: 0, trial, judged: false };
+        self.calls.insert(self.last_call, call);
+        Some(self.last_call)
+    }
+
+    /// Books an attempt of a message in a call.
+    pub fn join_call(&mut self, call: u64, id: MessageId, now: Micros) {
+        if let (Some(entry), Some(message)) = (self.calls.get_mut(&call), self.messages.get_mut(&id)) {
+            entry.members += 1;
+            message.out = Some(Attempt { number: message.attempts, call, host: entry.host, sent_at: now });
+            message.attempts += 1;
+        }
+    }
+
+    /// Books the outcome of an attempt. Gives the attempt, and whether it is the first of its call to end:
+    /// messages of one call share its fate.
+    pub fn close_attempt(
+        &mut self, id: MessageId, number: u32, outcome: Outcome, now: Micros, rest: Micros,
+    ) -> Option<(Attempt, bool)> {
+        let message = self.messages.get_mut(&id)?;
+        let attempt = message.out.take_if(|attempt| attempt.number == number)?;
+        if outcome.may_have_run() {
+            message.ran.get_or_insert(attempt.sent_at);
+        }
+        if let Some(entry) = message.request.key.and_then(|key| self.keys.get_mut(&key))
+            && outcome.may_still_run()
+        {
+            entry.rest_until = now + rest;
+        }
+        let call = self.calls.get_mut(&attempt.call)?;
+        call.members -= 1;
+        let first = !std::mem::replace(&mut call.judged, true);
+        if call.members == 0 {
+            let trial = call.trial;
+            self.calls.remove(&attempt.call);
+            if let Some(host) = self.hosts.get_mut(&attempt.host) {
+                host.calls -= 1;
+                host.trial &= !trial;
+                if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. }) {
+                    host.idle.push(now);
+                }
+            }
+        }
+        Some((attempt, first))
+    }
+
+    /// Whether the window of a guarded message that may have run is over at `at`.
+    pub fn lapsed(message: &Message, class: &Class, at: Micros) -> bool {
+        match class.effect {
+            Effect::Guarded { window, .. } => message.ran.is_some_and(|ran| at >= ran + window),
+            _ => false,
+        }
+    }
+
+    /// Takes over lines of the registry's list; in a `whole` one a missing host is gone.
+    pub fn list(&mut self, entries: &[Listed], whole: bool, apart: impl Fn(usize) -> bool, now: Micros) {
+        for (id, host) in &mut self.hosts {
+            if whole && !entries.iter().any(|entry| entry.host == *id) {
+                host.leave(Lifecycle::Gone, now);
+            }
+        }
+        for entry in entries {
+            let route = (entry.destination, apart(entry.kind).then_some(entry.host));
+            if entry.lifecycle != Lifecycle::Gone {
+                self.routes.entry(route).or_default();
+                let new =
+                    Host { route, kind: entry.kind, zone: entry.zone, heard_at: now, ..Host::default() };
+                self.hosts.entry(entry.host).or_insert(new);
+            }
+            if let Some(host) = self.hosts.get_mut(&entry.host) {
+                host.leave(entry.lifecycle, now);
+            }
+        }
+        self.hosts.retain(|_, host| host.lifecycle != Lifecycle::Gone || host.calls > 0);
+    }
+}
+
+impl Host {
+    fn leave(&mut self, lifecycle: Lifecycle, now: Micros) {
+        if self.lifecycle == Lifecycle::Ready && lifecycle != Lifecycle::Ready {
+            self.told_at = now;
+        }
+        self.lifecycle = lifecycle;
+    }
+}
