--- /dev/null
+++ b/tests/brain.rs
@@ -0,0 +1,399 @@
+//! One small test for each danger that the decision module wards off, through its interface alone.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::*;
+use pewterseam::brain::reallocate;
+use pewterseam::interface::*;
+use pewterseam::memo::{self, Memo, Record};
+use pewterseam::state::Report;
+
+fn report(designated: f64, used: f64) -> Report {
+    Report { designated, used, refused: 0.0 }
+}
+
+fn peer_report(designated: f64, used: f64) -> Event {
+    let record = Record { destination: 1, designated, used, ..Record::default() };
+    Event::Peer { from: 1, bytes: memo::encode(&Memo { round: true, records: vec![record] }) }
+}
+
+/// Sends `count` free messages to destination 1 and returns the sends.
+fn clump(sender: &mut Sender, count: usize) -> Vec<Sent> {
+    let events = (0..count).map(|_| Event::Message(sender.request(FREE, 1))).collect();
+    sends(&sender.step(events))
+}
+
+/// Has one call refused as full, so that shares bind.
+fn bind(sender: &mut Sender) {
+    let first = clump(sender, 1)[0];
+    sender.outcome(&first, Outcome::Full { wait: 0 });
+}
+
+/// Lets time pass, has every call answered well at once, and counts the sends.
+fn served(sender: &mut Sender, span: Micros) -> usize {
+    let end = sender.now + span;
+    let mut attempts: BTreeMap<MessageId, u32> = BTreeMap::new();
+    let mut count = 0;
+    while sender.now < end {
+        for mut sent in sends(&sender.pass(10 * MILLI)) {
+            let attempt = attempts.entry(sent.id).or_default();
+            sent.attempt = *attempt;
+            *attempt += 1;
+            count += 1;
+            sender.outcome(&sent, Outcome::Ok);
+        }
+    }
+    count
+}
+
+// ---- The reallocation
+
+#[test]
+fn surplus_passes_only_from_underusers_to_full_holders() {
+    let reports = BTreeMap::from([(0, report(4.0, 4.0)), (1, report(4.0, 1.0)), (2, report(4.0, 4.0))]);
+    let shares = reallocate(&reports);
+    assert!(shares[&0] > 1.0 / 3.0 && shares[&1] < 1.0 / 3.0 && shares[&2] > 1.0 / 3.0);
+    assert!((shares.values().sum::<f64>() - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn shares_stay_where_nobody_used_all() {
+    let reports = BTreeMap::from([(0, report(6.0, 1.0)), (1, report(2.0, 0.0))]);
+    let shares = reallocate(&reports);
+    assert!((shares[&0] - 0.75).abs() < 1e-9 && (shares[&1] - 0.25).abs() < 1e-9);
+}
+
+#[test]
+fn fractions_that_do_not_sum_to_one_are_put_right_by_equal_reports() {
+    // A restarted sender claims an even slice while the other still holds all.
+    let reports = BTreeMap::from([(0, report(8.0, 8.0)), (1, report(4.0, 4.0))]);
+    let shares = reallocate(&reports);
+    assert!((shares.values().sum::<f64>() - 1.0).abs() < 1e-9);
+    assert!(shares[&0] > shares[&1]);
+}
+
+// ---- Pacing
+
+#[test]
+fn shares_bind_only_after_a_refusal_as_full() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    assert_eq!(clump(&mut sender, 4).len(), 4, "unbound, a clump goes at once");
+}
+
+#[test]
+fn a_bound_route_is_paced_to_an_even_slice_of_the_listed_rate() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    bind(&mut sender);
+    clump(&mut sender, 40);
+    sender.step(vec![peer_report(4.0, 4.0)]);
+    let count = served(&mut sender, 6 * SECOND);
+    // Half of 4 a second, and up to the slack of one round more; the pool was cut once.
+    assert!((6..=22).contains(&count), "{count} in 6 s");
+}
+
+#[test]
+fn calls_before_a_limit_binds_leave_no_debt() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    for _ in 0..40 {
+        let sent = clump(&mut sender, 1)[0];
+        sender.outcome(&sent, Outcome::Ok);
+        sender.now += 50 * MILLI;
+    }
+    bind(&mut sender);
+    assert!(served(&mut sender, 3 * SECOND) > 0, "the refused message goes again within a round or two");
+}
+
+#[test]
+fn reports_move_the_share_to_the_busy_sender() {
+    let mut idle_peer = Sender::new(settings(), &[listed(1, 1, 8.0)]);
+    let mut busy_peer = Sender::new(settings(), &[listed(1, 1, 8.0)]);
+    let counts = [(&mut idle_peer, 0.0), (&mut busy_peer, 8.0)].map(|(sender, used)| {
+        bind(sender);
+        clump(sender, 50);
+        let mut count = 0;
+        for _ in 0..4 {
+            sender.step(vec![peer_report(8.0, used)]);
+            count += served(sender, 2 * SECOND);
+        }
+        count
+    });
+    assert!(counts[0] > counts[1], "{counts:?}");
+}
+
+#[test]
+fn foreign_peer_bytes_change_nothing() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    let whole = memo::encode(&Memo { round: true, records: vec![Record { destination: 1, ..Record::default() }] });
+    let mut other_version = whole.clone();
+    other_version[0] += 1;
+    let cut_short = whole[..whole.len() - 1].to_vec();
+    for bytes in [Vec::new(), vec![1], other_version, cut_short, vec![255; 300]] {
+        assert_eq!(memo::decode(&bytes), None);
+        sender.step(vec![Event::Peer { from: 9, bytes }]);
+    }
+    assert_eq!(clump(&mut sender, 1).len(), 1);
+}
+
+// ---- Waits
+
+#[test]
+fn a_told_wait_holds_for_every_message_and_then_not_all_at_once() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0), listed(2, 1, 4.0)]);
+    let first = clump(&mut sender, 1)[0];
+    sender.outcome(&first, Outcome::Full { wait: SECOND });
+    assert!(clump(&mut sender, 5).is_empty());
+    assert!(sends(&sender.pass(SECOND)).is_empty());
+    assert!(sends(&sender.pass(100 * MILLI)).len() <= 2);
+}
+
+#[test]
+fn each_message_of_a_call_brings_a_wait_of_its_own() {
+    let mut settings = settings();
+    settings.kinds[0].bundle = 3;
+    let mut sender = Sender::new(settings, &[listed(1, 1, 4.0)]);
+    let bundle = clump(&mut sender, 2);
+    sender.outcome(&bundle[0], Outcome::Full { wait: 500 * MILLI });
+    sender.now += 20 * MILLI;
+    sender.outcome(&bundle[1], Outcome::Full { wait: 500 * MILLI });
+    assert!(sends(&sender.pass(500 * MILLI)).is_empty());
+}
+
+// ---- Effects, deadlines, order
+
+#[test]
+fn a_single_shot_message_that_may_have_run_is_failed_at_once() {
+    for outcome in [Outcome::Error, Outcome::Timeout, Outcome::Reset, Outcome::Cancelled] {
+        let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+        let (id, actions) = sender.hand_in(ONCE, 1);
+        let actions = sender.outcome(&sends(&actions)[0], outcome);
+        assert_eq!(failed(&actions), [id], "after {outcome:?}");
+        assert!(sends(&sender.pass(3 * SECOND)).is_empty());
+    }
+}
+
+#[test]
+fn a_single_shot_message_proven_unseen_goes_again() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    let (id, actions) = sender.hand_in(ONCE, 1);
+    sender.outcome(&sends(&actions)[0], Outcome::Full { wait: 0 });
+    assert!(sends(&sender.pass(3 * SECOND)).iter().any(|sent| sent.id == id));
+}
+
+#[test]
+fn a_guarded_message_that_may_have_run_ends_with_its_window() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    let (id, actions) = sender.hand_in(GUARDED, 1);
+    // A wait keeps it from going again inside the window.
+    sender.outcome(&sends(&actions)[0], Outcome::Error);
+    let again = sends(&sender.pass(50 * MILLI));
+    if let Some(sent) = again.first() {
+        sender.outcome(&Sent { attempt: 1, ..*sent }, Outcome::Full { wait: 10 * SECOND });
+    }
+    let actions = sender.pass(4 * SECOND);
+    assert!(sends(&actions).is_empty());
+    assert!(refused(&actions).contains(&id) || failed(&actions).contains(&id));
+}
+
+#[test]
+fn every_message_is_answered_by_its_deadline_even_without_an_outcome() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    let (id, _) = sender.hand_in(ONCE, 1);
+    let (stranded, _) = sender.hand_in(FREE, 9);
+    let actions = sender.pass(12 * SECOND);
+    assert_eq!(failed(&actions), [id]);
+    assert_eq!(refused(&actions), [stranded]);
+}
+
+#[test]
+fn messages_of_a_key_go_one_at_a_time_and_rest_after_doubt() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0), listed(2, 1, 4.0)]);
+    let [first, second] = [(); 2].map(|()| Request { key: Some(5), ..sender.request(GUARDED, 1) });
+    let actions = sender.step(vec![Event::Message(first), Event::Message(second)]);
+    let sent = sends(&actions);
+    assert_eq!(sent.iter().map(|sent| sent.id).collect::<Vec<_>>(), [first.id]);
+    sender.step(vec![Event::Withdrawn(first.id)]);
+    assert!(sends(&sender.pass(300 * MILLI)).is_empty(), "its attempt is still out");
+    sender.outcome(&sent[0], Outcome::Timeout);
+    assert!(sends(&sender.pass(490 * MILLI)).is_empty(), "the key rests");
+    assert_eq!(sends(&sender.pass(100 * MILLI))[0].id, second.id);
+}
+
+// ---- Room and slots
+
+#[test]
+fn room_that_runs_short_is_taken_from_the_least_worth() {
+    let mut settings = settings();
+    settings.may_cancel = false;
+    let mut sender = Sender::new(settings, &[listed(1, 1, 4.0)]);
+    let (_, actions) = sender.hand_in(FREE, 1);
+    sender.outcome(&sends(&actions)[0], Outcome::Full { wait: 9 * SECOND });
+    let worthy: Vec<_> = (0..30).map(|_| sender.hand_in(ONCE, 1).0).collect();
+    let mut turned_away = Vec::new();
+    for _ in 0..35 {
+        turned_away.extend(refused(&sender.hand_in(FREE, 1).1));
+    }
+    assert!(!turned_away.is_empty());
+    assert!(turned_away.iter().all(|id| !worthy.contains(id)));
+}
+
+#[test]
+fn a_refusal_for_want_of_room_says_when_to_come_back() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    let (_, actions) = sender.hand_in(FREE, 1);
+    sender.outcome(&sends(&actions)[0], Outcome::Full { wait: 9 * SECOND });
+    let actions: Vec<_> = (0..70).flat_map(|_| sender.hand_in(FREE, 1).1).collect();
+    let waits = actions.iter().filter_map(|action| match action {
+        Action::Refuse { retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(waits.clone().count() > 0 && waits.into_iter().all(|wait| wait > 0));
+}
+
+#[test]
+fn a_silent_destination_leaves_slots_to_the_others() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 40.0), listed(2, 2, 40.0)]);
+    assert!(clump(&mut sender, 30).len() <= 4);
+    let (id, actions) = sender.hand_in(FREE, 2);
+    assert_eq!(sends(&actions)[0].id, id);
+}
+
+// ---- Health and return
+
+/// Opens the only host of destination 1 by failed calls, and keeps it open for longer than the window.
+fn outage(sender: &mut Sender) {
+    let down = sender.now + 5 * SECOND;
+    while sender.now < down {
+        let (_, mut actions) = sender.hand_in(FREE, 1);
+        actions.extend(sender.pass(200 * MILLI));
+        for sent in sends(&actions) {
+            // Attempts past the first are told by number; a wrong one is ignored, so all are tried.
+            for attempt in 0..6 {
+                sender.outcome(&Sent { attempt, ..sent }, Outcome::Error);
+            }
+        }
+    }
+}
+
+#[test]
+fn an_open_host_gets_one_trial_at_a_time_and_none_that_must_not_run_twice() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0)]);
+    outage(&mut sender);
+    let (once, actions) = sender.hand_in(ONCE, 1);
+    let mut tried = sends(&actions);
+    for _ in 0..5 {
+        tried.extend(sends(&sender.hand_in(FREE, 1).1));
+    }
+    tried.extend(sends(&sender.pass(500 * MILLI)));
+    assert!(tried.len() <= 1, "{tried:?}");
+    assert!(tried.iter().all(|sent| sent.id != once));
+}
+
+#[test]
+fn a_returning_host_is_not_pushed_over() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0)]);
+    outage(&mut sender);
+    for _ in 0..50 {
+        sender.hand_in(FREE, 1);
+    }
+    let mut sent_at: Vec<Micros> = Vec::new();
+    let mut attempts: BTreeMap<MessageId, u32> = BTreeMap::new();
+    for _ in 0..800 {
+        for sent in sends(&sender.pass(10 * MILLI)) {
+            sent_at.push(sender.now);
+            let attempt = attempts.entry(sent.id).or_default();
+            for number in 0..6 {
+                sender.outcome(&Sent { attempt: number, ..sent }, Outcome::Ok);
+            }
+            *attempt += 1;
+        }
+    }
+    let settings = settings();
+    let first = sent_at[0];
+    for (index, start) in sent_at.iter().enumerate() {
+        let window = sent_at[index..].iter().filter(|at| **at < start + settings.overload_window).count();
+        let warm = (start + settings.overload_window - first) as f64 / settings.cold_time as f64;
+        let part = settings.cold_share + (1.0 - settings.cold_share) * warm.min(1.0);
+        // This sender's even part of the budget, with the trial and one permit in hand.
+        let budget = settings.overload_factor * part * 10.0 * 3.0 / 2.0 + 2.0;
+        assert!((window as f64) <= budget, "{window} calls in a window for {budget}");
+    }
+    assert!(sent_at.len() > 5, "it is used again");
+}
+
+#[test]
+fn one_slow_call_among_answers_opens_nothing() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0)]);
+    clump(&mut sender, 1);
+    for _ in 0..20 {
+        let (_, actions) = sender.hand_in(FREE, 1);
+        sender.now += 200 * MILLI;
+        sender.outcome(&sends(&actions)[0], Outcome::Ok);
+    }
+    assert_eq!(clump(&mut sender, 3).len(), 3);
+}
+
+#[test]
+fn a_lone_refusal_long_ago_is_no_outage() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0)]);
+    bind(&mut sender);
+    sender.now += 5 * SECOND;
+    let sent = sends(&sender.step(vec![Event::Timer]))[0];
+    let actions = sender.outcome(&Sent { attempt: 1, ..sent }, Outcome::Ok);
+    assert!(!actions.iter().any(|action| matches!(action, Action::Log(_))), "{actions:?}");
+}
+
+#[test]
+fn a_full_connection_table_limits_calls_and_opens_nothing() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0)]);
+    let sent = clump(&mut sender, 3);
+    sender.outcome(&sent[0], Outcome::Ok);
+    sender.now += 10 * MILLI;
+    let actions = sender.outcome(&sent[1], Outcome::ConnectFailed);
+    assert!(!actions.iter().any(|action| matches!(action, Action::Log(_))));
+    assert_eq!(clump(&mut sender, 4).len(), 0, "no more at once than were out");
+}
+
+// ---- Registry
+
+#[test]
+fn a_draining_host_gets_nothing_new_while_another_exists() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0), listed(2, 1, 10.0)]);
+    let draining = Listed { lifecycle: Lifecycle::Draining, ..listed(1, 1, 10.0) };
+    sender.step(vec![Event::Registry(RegistryNews::Changes(vec![draining]))]);
+    let sent = clump(&mut sender, 4);
+    assert!(!sent.is_empty() && sent.iter().all(|sent| sent.host == HostId(2)));
+}
+
+#[test]
+fn the_last_host_is_used_within_the_grace_and_not_beyond() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 10.0)]);
+    sender.step(vec![Event::Registry(RegistryNews::Whole(Vec::new()))]);
+    let draining = Listed { lifecycle: Lifecycle::Draining, ..listed(2, 2, 10.0) };
+    sender.step(vec![Event::Registry(RegistryNews::Changes(vec![draining]))]);
+    assert_eq!(sends(&sender.hand_in(FREE, 2).1).len(), 1);
+    sender.now += SECOND;
+    assert!(sends(&sender.hand_in(FREE, 2).1).is_empty());
+}
+
+#[test]
+fn a_registry_that_must_be_asked_is_asked_again_with_growing_pauses() {
+    let settings = Settings { ask_registry: true, ..settings() };
+    let mut sender = Sender::new(settings.clone(), &[]);
+    let mut asked = Vec::new();
+    for _ in 0..4000 {
+        sender.now += 10 * MILLI;
+        if sender.step(vec![Event::Timer]).contains(&Action::Subscribe) {
+            asked.push(sender.now);
+            sender.step(vec![Event::Registry(RegistryNews::Failed)]);
+        }
+        if asked.is_empty() {
+            sender.step(vec![Event::Registry(RegistryNews::Failed)]);
+            asked.push(sender.now);
+        }
+    }
+    let pauses: Vec<_> = asked.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert!(pauses.len() >= 4 && pauses.is_sorted());
+    assert!(pauses.iter().all(|pause| *pause <= settings.ask_within + 20 * MILLI));
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,158 @@
+//! A sender under test: settings, a clock, and the actions it asked for. It models no destinations.
+#![allow(dead_code)]
+
+use pewterseam::Brain;
+use pewterseam::interface::*;
+
+pub const SECOND: Micros = 1_000_000;
+pub const MILLI: Micros = 1000;
+pub const START: Micros = 100 * SECOND;
+
+/// Class numbers of [`settings`].
+pub const FREE: usize = 0;
+pub const GUARDED: usize = 1;
+pub const ONCE: usize = 2;
+
+pub fn settings() -> Settings {
+    let class = |effect, value, in_order| Class {
+        effect,
+        value,
+        late_share: 0.2,
+        aim: 2 * SECOND,
+        deadline: 12 * SECOND,
+        in_order,
+    };
+    let guarded = Effect::Guarded { window: 4 * SECOND, group: Group::All };
+    Settings {
+        me: 0,
+        zone: 0,
+        senders: 2,
+        classes: vec![
+            class(Effect::Free, 1.0, false),
+            class(guarded, 2.0, true),
+            class(Effect::SingleShot, 4.0, false),
+        ],
+        kinds: vec![Kind { routes_apart: false, bundle: 1 }],
+        tenants: Vec::new(),
+        over_share_worth: 1.0,
+        lateness: Lateness::Linear,
+        slots: 8,
+        most_held: 60,
+        max_attempts: 6,
+        may_cancel: true,
+        may_probe: true,
+        may_tell: true,
+        max_retry_after: 3 * SECOND,
+        idle_close: 15 * SECOND,
+        dial_timeout: SECOND,
+        calls_per_connection: 1,
+        listing: Listing::Nominal,
+        ask_registry: false,
+        ask_within: 10 * SECOND,
+        drain_grace: SECOND,
+        cold_share: 0.2,
+        cold_time: 10 * SECOND,
+        overload_factor: 2.0,
+        overload_window: 3 * SECOND,
+        order_rest: 500 * MILLI,
+    }
+}
+
+pub fn listed(host: u64, destination: DestinationId, weight: f64) -> Listed {
+    let lifecycle = Lifecycle::Ready;
+    Listed { host: HostId(host), zone: 0, kind: 0, destination, lifecycle, weight }
+}
+
+pub struct Sender {
+    pub brain: Brain,
+    pub now: Micros,
+    pub settings: Settings,
+    next: u64,
+}
+
+impl Sender {
+    pub fn new(settings: Settings, hosts: &[Listed]) -> Self {
+        let mut sender = Sender { brain: Brain::new(settings.clone(), 7), now: START, settings, next: 0 };
+        sender.step(vec![Event::Registry(RegistryNews::Whole(hosts.to_vec()))]);
+        sender
+    }
+
+    pub fn step(&mut self, events: Vec<Event>) -> Vec<Action> {
+        self.brain.step(self.now, events)
+    }
+
+    /// Lets `span` pass in small steps and gathers the actions.
+    pub fn pass(&mut self, span: Micros) -> Vec<Action> {
+        let end = self.now + span;
+        let mut actions = Vec::new();
+        while self.now < end {
+            self.now = (self.now + 10 * MILLI).min(end);
+            actions.extend(self.step(vec![Event::Timer]));
+        }
+        actions
+    }
+
+    pub fn request(&mut self, class: usize, destination: DestinationId) -> Request {
+        self.next += 1;
+        let deadline = self.now + self.settings.classes[class].deadline;
+        Request { id: MessageId(self.next), class, destination, tenant: 0, key: None, deadline }
+    }
+
+    pub fn hand_in(&mut self, class: usize, destination: DestinationId) -> (MessageId, Vec<Action>) {
+        let request = self.request(class, destination);
+        (request.id, self.step(vec![Event::Message(request)]))
+    }
+
+    pub fn outcome(&mut self, sent: &Sent, outcome: Outcome) -> Vec<Action> {
+        let event = sent.ended(outcome);
+        self.step(vec![event])
+    }
+}
+
+/// A send that was seen, with its attempt's number.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Sent {
+    pub id: MessageId,
+    pub host: HostId,
+    pub attempt: u32,
+    pub timeout: Micros,
+}
+
+impl Sent {
+    pub fn ended(&self, outcome: Outcome) -> Event {
+        Event::Outcome {
+            id: self.id,
+            attempt: self.attempt,
+            host: self.host,
+            outcome,
+            took: 200 * MILLI,
+            closed: outcome == Outcome::Ok,
+            limit: None,
+        }
+    }
+}
+
+/// The sends among actions, taken as first attempts.
+pub fn sends(actions: &[Action]) -> Vec<Sent> {
+    let sent = |action: &Action| match *action {
+        Action::Send { id, host, timeout } => Some(Sent { id, host, attempt: 0, timeout }),
+        _ => None,
+    };
+    actions.iter().filter_map(sent).collect()
+}
+
+pub fn refused(actions: &[Action]) -> Vec<MessageId> {
+    let refusal = |action: &Action| match *action {
+        Action::Refuse { id, .. } => Some(id),
+        _ => None,
+    };
+    actions.iter().filter_map(refusal).collect()
+}
+
+pub fn failed(actions: &[Action]) -> Vec<MessageId> {
+    let failure = |action: &Action| match *action {
+        Action::Fail(id) => Some(id),
+        _ => None,
+    };
+    actions.iter().filter_map(failure).collect()
+}
