Open silent hosts with an immediate trial; warnings hold back single-shot only

Cause: rumours of trouble halved the patience with silence at every sender, so that one slow answer opened hosts everywhere.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 const TRIP: f64 = 2.0;
 /// Trouble from which a host is suspect: one failure not yet answered by successes.
 const SUSPECT: f64 = 1.0;
-/// Pause before the first trial of an open host (us), half as long again after each failed one, up to a round.
+/// Pause after the first failed trial of an open host (us), half as long again after each more, up to a round.
 const TRIAL_PAUSE: Micros = 400_000;
 /// Part of the overload rule's budget that all senders together plan to use on a cold host.
 const COLD_BUDGET: f64 = 0.6;
@@ -64,7 +64,8 @@
 pub struct Brain {
     settings: Settings,
     now: Micros,
-    random: u64,
+    /// Part of a round that sets this sender's rounds apart from its peers'.
+    phase: Micros,
     state: State,
     /// Messages of each tenant this round, and their mean rate a second.
     demand: Vec<(f64, f64)>,
@@ -156,7 +157,7 @@
 }
 
 fn suspect(host: &Host, now: Micros) -> bool {
-    host.trouble >= SUSPECT && now < host.bad_at + ROUND
+    (host.trouble >= SUSPECT && now < host.bad_at + ROUND) || now < host.warned_at + ROUND
 }
 
 fn seconds(span: Micros) -> f64 {
@@ -167,7 +168,7 @@
     pub fn new(settings: Settings, seed: u64) -> Self {
         Brain {
             now: 0,
-            random: seed,
+            phase: seed % ROUND,
             state: State::default(),
             demand: vec![(0.0, 0.0); settings.tenants.len()],
             outlook: BTreeMap::new(),
@@ -185,7 +186,7 @@
     pub fn step(&mut self, now: Micros, events: Vec<Event>) -> Vec<Action> {
         self.now = now;
         if self.round_at == 0 {
-            self.round_at = now + ROUND / 4 + self.random() % ROUND;
+            self.round_at = now + self.phase;
         }
         for event in events {
             match event {
@@ -219,13 +220,6 @@
         std::mem::take(&mut self.actions)
     }
 
-    fn random(&mut self) -> u64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15); // splitmix64
-        let z = (self.random ^ (self.random >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        z ^ (z >> 31)
-    }
-
     fn senders(&self) -> f64 {
         f64::from(self.settings.senders.max(1))
     }
@@ -296,7 +290,7 @@
         }
         let outlook = |destination: DestinationId, count: f64| {
             let open = self.state.hosts_of(destination).all(|(_, host)| host.is_open());
-            let outage = self.state.hosts_of(destination).filter_map(|(_, host)| host.bad_since).min();
+            let outage = self.state.hosts_of(destination).map(|(_, host)| host.bad_since).min();
             let paces = self
                 .state
                 .routes_of(destination)
@@ -511,9 +505,10 @@
         }
     }
 
-    fn call_off(&mut self, which: impl Fn(&Attempt, &Message) -> bool) {
+    fn call_off(&mut self, which: impl Fn(&Attempt, Effect) -> bool) {
         for (id, message) in self.state.messages.iter().filter(|_| self.settings.may_cancel) {
-            if let Some(attempt) = message.out.filter(|attempt| which(attempt, message)) {
+            let effect = self.class(message).effect;
+            if let Some(attempt) = message.out.filter(|attempt| which(attempt, effect)) {
                 self.actions.push(Action::Cancel { id: *id, attempt: attempt.number });
             }
         }
@@ -576,10 +571,9 @@
             Outcome::Ok => {
                 route.fulls = 0;
                 host.trouble /= 2.0;
+                host.warned_at = 0;
                 if host.is_open() {
                     self.recover(id);
-                } else if host.trouble < SUSPECT && now > host.bad_at + ROUND {
-                    host.bad_since = None;
                 }
             }
             Outcome::Full { wait } => {
@@ -600,26 +594,29 @@
                 // for longer than the overload rule's window may come back cold.
                 let since = route.full_since;
                 if (now - since).max(wait) >= self.settings.overload_window {
-                    host.bad_since.get_or_insert(since);
-                    self.ail(id, TRIP, "refuses all");
+                    self.ail(id, TRIP, since, "refuses all");
                 }
             }
-            Outcome::Error | Outcome::Reset => self.ail(id, 1.0, "fails calls"),
-            Outcome::Timeout if silent => self.ail(id, 1.0, "times out"),
+            Outcome::Error | Outcome::Reset => self.ail(id, 1.0, now, "fails calls"),
+            Outcome::Timeout if silent => self.ail(id, 1.0, sent_at, "times out"),
             // Danger: a full table of connections looks like a dead host. Where calls are out and were
             // answered just now it is the former: fewer calls at once from here on.
             Outcome::ConnectFailed if host.calls > 0 && now < host.heard_at + self.settings.dial_timeout => {
                 host.most_calls = Some(host.calls);
             }
-            Outcome::ConnectFailed => self.ail(id, TRIP, "takes no connection"),
+            Outcome::ConnectFailed => self.ail(id, TRIP, sent_at, "takes no connection"),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
     }
 
-    fn ail(&mut self, id: HostId, weight: f64, what: &str) {
+    /// Books trouble that began at `since`. Spells less than the overload rule's window apart are one: a host
+    /// that fails most calls lets some through.
+    fn ail(&mut self, id: HostId, weight: f64, since: Micros, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         host.trouble += weight;
-        host.bad_since.get_or_insert(self.now);
+        if since > host.bad_at + self.settings.overload_window {
+            host.bad_since = since;
+        }
         host.bad_at = self.now;
         if host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. }) {
             self.trip(id, what);
@@ -629,24 +626,21 @@
     /// Opens a host. Its neighbours turn suspect, since an outage mostly takes a destination whole.
     fn trip(&mut self, id: HostId, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id).filter(|host| !host.is_open()) else { return };
-        host.health = Health::Open { retry_at: self.now + TRIAL_PAUSE, pause: TRIAL_PAUSE };
+        host.health = Health::Open { retry_at: self.now, pause: TRIAL_PAUSE };
         let destination = host.route.0;
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
         self.urgent_memo = true;
         self.warn(|host| host.route.0 == destination);
         // Repeatable calls out there go elsewhere where there is an elsewhere.
         if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
-            let free: Vec<_> =
-                self.settings.classes.iter().map(|class| class.effect == Effect::Free).collect();
-            self.call_off(|attempt, message| attempt.host == id && free[message.request.class]);
+            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
         }
     }
 
     fn warn(&mut self, which: impl Fn(&Host) -> bool) {
         let closed = |host: &&mut Host| host.health == Health::Closed && which(host);
         for host in self.state.hosts.values_mut().filter(closed) {
-            host.trouble = host.trouble.max(SUSPECT);
-            host.bad_at = self.now;
+            host.warned_at = self.now;
         }
     }
 
@@ -654,7 +648,7 @@
     /// calls from before the trouble are lost: they go again.
     fn recover(&mut self, id: HostId) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
-        let since = host.bad_since.take().unwrap_or(self.now);
+        let since = host.bad_since;
         let cold = self.now - since >= self.settings.overload_window;
         host.trouble = 0.0;
         host.health = if cold { Health::SlowStart { since: self.now } } else { Health::Closed };
@@ -662,10 +656,8 @@
         let (how, destination) = (if cold { "slow start" } else { "closed" }, host.route.0);
         self.actions.push(Action::Log(format!("{how}: a host of destination {destination} answers again")));
         if cold {
-            let once: Vec<_> =
-                self.settings.classes.iter().map(|class| class.effect == Effect::SingleShot).collect();
-            self.call_off(|attempt, message| {
-                attempt.host == id && attempt.sent_at <= since && !once[message.request.class]
+            self.call_off(|attempt, effect| {
+                attempt.host == id && attempt.sent_at <= since && effect != Effect::SingleShot
             });
         }
     }
@@ -684,10 +676,8 @@
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
             let patience = patience(route) + patience(route) / count;
-            let patience = if suspect(host, now) { patience / 2 } else { patience };
             if !host.is_open() && now > since + patience {
-                host.bad_since.get_or_insert(since);
-                self.ail(id, TRIP, "is silent");
+                self.ail(id, TRIP, since, "is silent");
             }
         }
         for host in self.state.hosts.values_mut() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,8 +34,10 @@
     /// Failures, halved by each success.
     pub trouble: f64,
     /// When the present trouble began and when it last showed.
-    pub bad_since: Option<Micros>,
+    pub bad_since: Micros,
     pub bad_at: Micros,
+    /// When a neighbour's or a peer's trouble last cast doubt on it.
+    pub warned_at: Micros,
     /// Last sign of life.
     pub heard_at: Micros,
     /// A trial is out.
