--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,8 @@
 const PATIENCE_BOUNDS: (Micros, Micros) = (800_000, 2_500_000);
 /// Trouble at which a host is opened: two failures in a row, or most calls failing.
 const TRIP: f64 = 2.0;
+/// Share of calls failing from which an outage is taken to be one though some were served: well under half.
+const MOSTLY: f64 = 0.25;
 /// Trouble from which a host is suspect: one failure not yet answered by successes.
 const SUSPECT: f64 = 1.0;
 /// Pause after the first failed trial of an open host (us), half as long again after each more, up to a round.
@@ -53,6 +55,10 @@
 const RESERVE: f64 = 0.06;
 /// Part of the drain's grace that is used where no other host exists.
 const GRACE_USED: f64 = 0.7;
+/// Part of the idle time at which connections were found dead that they are kept for.
+const STALE_USED: f64 = 0.7;
+/// Factor each round on that time, so that it is found out again when it is over.
+const STALE_REGROWTH: f64 = 1.1;
 /// Time between looks at what is held (us).
 const LOOK: Micros = 10_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
@@ -76,6 +82,9 @@
     ask_at: Option<Micros>,
     ask_pause: Micros,
     urgent_memo: bool,
+    /// Idle time from which connections are taken for dead, and the last call lost on an idle one.
+    stale_after: f64,
+    lost: Option<(DestinationId, Micros, Micros)>,
     actions: Vec<Action>,
 }
 
@@ -177,6 +186,8 @@
             ask_at: settings.ask_registry.then_some(0),
             ask_pause: ASK_PAUSE,
             urgent_memo: false,
+            stale_after: f64::MAX,
+            lost: None,
             actions: Vec::new(),
             settings,
         }
@@ -237,6 +248,7 @@
                 fill(route, senders, self.now);
                 close_round(route, self.settings.me, senders, self.now, may_exceed);
             }
+            self.stale_after *= STALE_REGROWTH;
             for (count, mean) in &mut self.demand {
                 *mean += (*count / seconds(ROUND) - *mean) * 2.0 * SAMPLE;
                 *count = 0.0;
@@ -575,6 +587,9 @@
                 if host.is_open() {
                     self.recover(id);
                 }
+                let Some(host) = self.state.hosts.get_mut(&id) else { return };
+                host.ok_at = now;
+                host.failing -= host.failing * SAMPLE;
             }
             Outcome::Full { wait } => {
                 route.refused += 1.0;
@@ -597,7 +612,10 @@
                     self.ail(id, TRIP, since, "refuses all");
                 }
             }
-            Outcome::Error | Outcome::Reset => self.ail(id, 1.0, now, "fails calls"),
+            Outcome::Error | Outcome::Reset => {
+                host.failing += (1.0 - host.failing) * SAMPLE;
+                self.ail(id, 1.0, now, "fails calls");
+            }
             Outcome::Timeout if silent => self.ail(id, 1.0, sent_at, "times out"),
             // Danger: a full table of connections looks like a dead host. Where calls are out and were
             // answered just now it is the former: fewer calls at once from here on.
@@ -649,7 +667,8 @@
     fn recover(&mut self, id: HostId) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         let since = host.bad_since;
-        let cold = self.now - since >= self.settings.overload_window;
+        let mostly = host.ok_at <= since || host.failing >= MOSTLY;
+        let cold = mostly && self.now - since >= self.settings.overload_window;
         host.trouble = 0.0;
         host.health = if cold { Health::SlowStart { since: self.now } } else { Health::Closed };
         (host.cold_tokens, host.cold_at) = (0.0, self.now);
@@ -668,10 +687,27 @@
     fn watch_health(&mut self) {
         let now = self.now;
         let mut unanswered: BTreeMap<HostId, (Micros, u64)> = BTreeMap::new();
-        for call in self.state.calls.values() {
+        let mut lost = Vec::new();
+        for call in self.state.calls.values_mut() {
+            let route = self.state.hosts.get(&call.host).map(|host| host.route);
+            let bound = route.and_then(|route| self.state.routes.get(&route)).map_or(Micros::MAX, patience);
+            if now > call.sent_at + 2 * bound
+                && let Some(idle) = call.idle_for.take()
+            {
+                lost.push((route.map_or(0, |route| route.0), idle));
+            }
             let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
             *entry = (entry.0.min(call.sent_at), entry.1 + 1);
         }
+        for (destination, idle) in lost {
+            self.lose_call(destination, idle);
+        }
+        for (id, host) in &mut self.state.hosts {
+            if host.idle.first().is_some_and(|since| (now - since) as f64 >= self.stale_after * STALE_USED) {
+                host.idle.clear();
+                self.actions.push(Action::CloseIdle(*id));
+            }
+        }
         for (id, (sent_at, count)) in unanswered {
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
@@ -687,6 +723,20 @@
         }
     }
 
+    /// Danger: something between drops idle connections unseen, and every call put on one is lost, which looks
+    /// like an outage of all destinations. Calls lost on idle connections to two destinations give the age to
+    /// close them at. Covers any limit on idle time shorter than ours; harms where two destinations hang at
+    /// once: handshakes, until the age has grown again.
+    fn lose_call(&mut self, destination: DestinationId, idle: Micros) {
+        if let Some((other, age, at)) = self.lost
+            && other != destination
+            && self.now < at + EXPIRY
+        {
+            self.stale_after = self.stale_after.min(idle.min(age) as f64);
+        }
+        self.lost = Some((destination, idle, self.now));
+    }
+
     // ---- Registry
 
     fn learn(&mut self, news: RegistryNews) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -259,6 +259,8 @@
     /// Final answer: given up, with no promise about its effect.
     Fail(MessageId),
     Probe(HostId),
+    /// Close the idle connections to a host.
+    CloseIdle(HostId),
     /// Tell every peer.
     Tell(Vec<u8>),
     /// Subscribe to the registry's changes.
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,8 +38,11 @@
     pub bad_at: Micros,
     /// When a neighbour's or a peer's trouble last cast doubt on it.
     pub warned_at: Micros,
-    /// Last sign of life.
+    /// Last sign of life, and last call that was served.
     pub heard_at: Micros,
+    pub ok_at: Micros,
+    /// Mean share of calls that failed at once.
+    pub failing: f64,
     /// A trial is out.
     pub trial: bool,
     /// Calls out.
@@ -128,6 +131,8 @@
     pub members: usize,
     pub trial: bool,
     pub judged: bool,
+    /// How long its connection had been idle; none for a new one.
+    pub idle_for: Option<Micros>,
 }
 
 /// The messages of one key, in the order taken.
@@ -213,11 +218,11 @@
         route.used += 1.0;
         host.calls += 1;
         host.idle.retain(|since| *since + idle_close > now);
-        host.idle.pop();
+        let idle_for = host.idle.pop().map(|since| now - since);
         let trial = host.is_open();
         host.trial |= trial;
         self.last_call += 1;
-        let call = Call { host: id, sent_at: now, members: 0, trial, judged: false };
+        let call = Call { host: id, sent_at: now, members: 0, trial, judged: false, idle_for };
         self.calls.insert(self.last_call, call);
         Some(self.last_call)
     }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -125,7 +125,8 @@
 #[test]
 fn foreign_peer_bytes_change_nothing() {
     let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
-    let whole = memo::encode(&Memo { round: true, records: vec![Record { destination: 1, ..Record::default() }] });
+    let whole =
+        memo::encode(&Memo { round: true, records: vec![Record { destination: 1, ..Record::default() }] });
     let mut other_version = whole.clone();
     other_version[0] += 1;
     let cut_short = whole[..whole.len() - 1].to_vec();
