--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,7 +58,7 @@
 /// Part of the idle time at which connections were found dead that they are kept for.
 const STALE_USED: f64 = 0.7;
 /// Factor each round on that time, so that it is found out again when it is over.
-const STALE_REGROWTH: f64 = 1.1;
+const STALE_REGROWTH: f64 = 1.03;
 /// Time between looks at what is held (us).
 const LOOK: Micros = 10_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
@@ -82,9 +82,10 @@
     ask_at: Option<Micros>,
     ask_pause: Micros,
     urgent_memo: bool,
-    /// Idle time from which connections are taken for dead, and the last call lost on an idle one.
+    /// Idle time from which connections are taken for dead.
     stale_after: f64,
-    lost: Option<(DestinationId, Micros, Micros)>,
+    /// Lately on idle connections: when sent, how long idle, and the destination if the call was lost.
+    reuses: Vec<(Micros, Micros, Option<DestinationId>)>,
     actions: Vec<Action>,
 }
 
@@ -187,7 +188,7 @@
             ask_pause: ASK_PAUSE,
             urgent_memo: false,
             stale_after: f64::MAX,
-            lost: None,
+            reuses: Vec::new(),
             actions: Vec::new(),
             settings,
         }
@@ -534,7 +535,7 @@
     ) {
         let rest = self.settings.order_rest;
         let closing = self.state.close_attempt(id, number, outcome, self.now, rest);
-        let Some((attempt, first)) = closing else { return };
+        let Some((attempt, first, idle_for)) = closing else { return };
         if let Some((_, route)) = self.state.host_and_route(attempt.host)
             && outcome == Outcome::Ok
         {
@@ -549,6 +550,9 @@
             route.wait_until = route.wait_until.max(self.now + wait + LOOK);
             self.urgent_memo = true;
         }
+        if let (Some(idle), Outcome::Ok) = (idle_for, outcome) {
+            self.reuses.push((attempt.sent_at, idle, None));
+        }
         if first {
             self.judge(attempt.host, outcome, attempt.sent_at, limit);
         }
@@ -687,27 +691,18 @@
     fn watch_health(&mut self) {
         let now = self.now;
         let mut unanswered: BTreeMap<HostId, (Micros, u64)> = BTreeMap::new();
-        let mut lost = Vec::new();
         for call in self.state.calls.values_mut() {
             let route = self.state.hosts.get(&call.host).map(|host| host.route);
             let bound = route.and_then(|route| self.state.routes.get(&route)).map_or(Micros::MAX, patience);
             if now > call.sent_at + 2 * bound
                 && let Some(idle) = call.idle_for.take()
             {
-                lost.push((route.map_or(0, |route| route.0), idle));
+                self.reuses.push((call.sent_at, idle, route.map(|route| route.0)));
             }
             let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
             *entry = (entry.0.min(call.sent_at), entry.1 + 1);
         }
-        for (destination, idle) in lost {
-            self.lose_call(destination, idle);
-        }
-        for (id, host) in &mut self.state.hosts {
-            if host.idle.first().is_some_and(|since| (now - since) as f64 >= self.stale_after * STALE_USED) {
-                host.idle.clear();
-                self.actions.push(Action::CloseIdle(*id));
-            }
-        }
+        self.learn_staleness();
         for (id, (sent_at, count)) in unanswered {
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
@@ -724,17 +719,26 @@
     }
 
     /// Danger: something between drops idle connections unseen, and every call put on one is lost, which looks
-    /// like an outage of all destinations. Calls lost on idle connections to two destinations give the age to
-    /// close them at. Covers any limit on idle time shorter than ours; harms where two destinations hang at
-    /// once: handshakes, until the age has grown again.
-    fn lose_call(&mut self, destination: DestinationId, idle: Micros) {
-        if let Some((other, age, at)) = self.lost
-            && other != destination
-            && self.now < at + EXPIRY
-        {
-            self.stale_after = self.stale_after.min(idle.min(age) as f64);
+    /// like an outage of all destinations. Where most calls on connections idle for so long or longer were
+    /// lost, at two destinations or more, they are closed sooner. Covers any limit on idle time shorter than
+    /// ours; harms, by handshakes, where most destinations hang at once, until the age has grown again.
+    fn learn_staleness(&mut self) {
+        let now = self.now;
+        self.reuses.retain(|(at, _, _)| now < at + EXPIRY);
+        let lost = |from: Micros| {
+            let older = self.reuses.iter().filter(move |(_, idle, _)| *idle >= from);
+            let places: Vec<_> = older.clone().filter_map(|(_, _, lost)| *lost).collect();
+            places.len() * 2 > older.count() && places.iter().any(|place| *place != places[0])
+        };
+        let ages = self.reuses.iter().filter(|(_, _, lost)| lost.is_some()).map(|(_, idle, _)| *idle);
+        let stale = ages.filter(|age| lost(*age)).min().map_or(f64::MAX, |age| age as f64);
+        self.stale_after = self.stale_after.min(stale);
+        for (id, host) in &mut self.state.hosts {
+            if host.idle.first().is_some_and(|since| (now - since) as f64 >= self.stale_after * STALE_USED) {
+                host.idle.clear();
+                self.actions.push(Action::CloseIdle(*id));
+            }
         }
-        self.lost = Some((destination, idle, self.now));
     }
 
     // ---- Registry
--- a/src/state.rs
+++ b/src/state.rs
@@ -236,11 +236,11 @@
         }
     }
 
-    /// Books the outcome of an attempt. Gives the attempt, and whether it is the first of its call to end:
-    /// messages of one call share its fate.
+    /// Books the outcome of an attempt. Gives the attempt, whether it is the first of its call to end
+    /// (messages of one call share its fate), and how long the call's connection had been idle.
     pub fn close_attempt(
         &mut self, id: MessageId, number: u32, outcome: Outcome, now: Micros, rest: Micros,
-    ) -> Option<(Attempt, bool)> {
+    ) -> Option<(Attempt, bool, Option<Micros>)> {
         let message = self.messages.get_mut(&id)?;
         let attempt = message.out.take_if(|attempt| attempt.number == number)?;
         if outcome.may_have_run() {
@@ -253,6 +253,7 @@
         }
         let call = self.calls.get_mut(&attempt.call)?;
         call.members -= 1;
+        let idle_for = call.idle_for.take();
         let first = !std::mem::replace(&mut call.judged, true);
         if call.members == 0 {
             let trial = call.trial;
@@ -265,7 +266,7 @@
                 }
             }
         }
-        Some((attempt, first))
+        Some((attempt, first, idle_for))
     }
 
     /// Whether the window of a guarded message that may have run is over at `at`.
