--- a/src/brain.rs
+++ b/src/brain.rs
@@ -73,8 +73,6 @@
     /// Part of a round that sets this sender's rounds apart from its peers'.
     phase: Micros,
     state: State,
-    /// Messages of each tenant this round, and their mean rate a second.
-    demand: Vec<(f64, f64)>,
     /// How long what waits for a destination will take to go.
     outlook: BTreeMap<DestinationId, Micros>,
     round_at: Micros,
@@ -180,7 +178,6 @@
             now: 0,
             phase: seed % ROUND,
             state: State::default(),
-            demand: vec![(0.0, 0.0); settings.tenants.len()],
             outlook: BTreeMap::new(),
             round_at: 0,
             wake_at: 0,
@@ -203,7 +200,9 @@
         for event in events {
             match event {
                 Event::Registry(news) => self.learn(news),
-                Event::Message(request) => self.take(request),
+                Event::Message(request) => {
+                    self.state.accept(request, &self.settings.classes[request.class]);
+                }
                 Event::Withdrawn(id) => self.state.end(id, now),
                 Event::Timer => {}
                 Event::Outcome { id, attempt, outcome, closed, limit, took, .. } => {
@@ -250,9 +249,8 @@
                 close_round(route, self.settings.me, senders, self.now, may_exceed);
             }
             self.stale_after *= STALE_REGROWTH;
-            for (count, mean) in &mut self.demand {
-                *mean += (*count / seconds(ROUND) - *mean) * 2.0 * SAMPLE;
-                *count = 0.0;
+            for (count, mean) in self.state.demand.values_mut() {
+                *mean += (std::mem::take(count) - *mean) * 2.0 * SAMPLE;
             }
         } else if self.urgent_memo {
             self.tell_peers(false);
@@ -262,13 +260,6 @@
 
     // ---- Intake, worth and shedding
 
-    fn take(&mut self, request: Request) {
-        if let Some((count, _)) = self.demand.get_mut(request.tenant) {
-            *count += 1.0;
-        }
-        self.state.accept(request, &self.settings.classes[request.class]);
-    }
-
     /// Time since a message was first handed in.
     fn age(&self, message: &Message, at: Micros) -> Micros {
         at.saturating_sub(message.request.deadline.saturating_sub(self.class(message).deadline))
@@ -277,21 +268,14 @@
     /// Worth of a message answered at `at`. Traffic beyond a tenant's share counts for little, and which
     /// message is beyond it can't be known here, so all of that tenant's weigh less.
     fn worth(&self, message: &Message, at: Micros) -> f64 {
-        let class = self.class(message);
-        if at >= message.request.deadline {
-            return 0.0;
-        }
-        let late = self.age(message, at).saturating_sub(class.aim) as f64;
-        let left = match self.settings.lateness {
-            Lateness::Linear => 1.0 - (1.0 - class.late_share) * late / (class.deadline - class.aim) as f64,
-            Lateness::Halving => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_share),
-        };
-        let weight = self.settings.tenants.get(message.request.tenant).map_or(1.0, |tenant| {
-            let rate = self.demand[message.request.tenant].1 * self.senders();
-            let within = (tenant.quota_per_s / rate.max(1e-9)).min(1.0);
+        let tenant = message.request.tenant;
+        let weight = self.settings.tenants.get(tenant).map_or(1.0, |quota| {
+            let mean = self.state.demand.get(&tenant).map_or(0.0, |(_, mean)| *mean);
+            let rate = mean / seconds(ROUND) * self.senders();
+            let within = (quota.quota_per_s / rate.max(1e-9)).min(1.0);
             within + (1.0 - within) * self.settings.over_share_worth
         });
-        class.value * weight * left
+        weight * self.class(message).worth(self.settings.lateness, self.age(message, at))
     }
 
     /// How long the messages waiting for each destination will take to go. An outage is expected to last as
@@ -337,15 +321,7 @@
     /// Gives the final answer now: a refusal where it is harmless to come again, else a failure.
     fn give_up(&mut self, id: MessageId) {
         let Some(message) = self.state.messages.get(&id) else { return };
-        let ran = message.ran.is_some() || message.out.is_some();
-        let class = self.class(message);
-        let harmless = match class.effect {
-            Effect::Free => true,
-            Effect::Guarded { group, .. } => {
-                !ran || (group == Group::All && !State::lapsed(message, class, self.now))
-            }
-            Effect::SingleShot => !ran,
-        };
+        let harmless = State::may_refuse(message, self.class(message), self.now);
         let retry_after = self.horizon(message).min(self.settings.max_retry_after);
         self.actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
         self.state.end(id, self.now);
@@ -373,10 +349,7 @@
     /// Sends what may go. Messages for one destination compete for its permits and all for the slots: first
     /// goes what would lose most by going last.
     fn dispatch(&mut self) {
-        let senders = self.senders();
-        for route in self.state.routes.values_mut() {
-            fill(route, senders, self.now);
-        }
+        self.fill();
         let loss = |m: &Message| {
             let soon = self.now + FIRST_GUESS as Micros;
             let loss = self.worth(m, soon) - self.worth(m, soon + self.horizon(m));
@@ -423,10 +396,8 @@
         }
     }
 
-    /// A guarded message that may have run goes only where repeats are dropped.
     fn may_reach(&self, message: &Message, host: &Host) -> bool {
-        let zoned = matches!(self.class(message).effect, Effect::Guarded { group: Group::Zone, .. });
-        !zoned || message.ran.is_none() || host.zone == self.settings.zone
+        State::may_reach(message, self.class(message), host, self.settings.zone)
     }
 
     /// The host for a message, with its kind: a healthy one before a doubtful one, then the least busy, then
@@ -468,35 +439,38 @@
             Health::Open { retry_at, .. } => !precious && !host.trial && self.now >= retry_at,
             _ if precious && suspect(host, self.now) => false,
             Health::Closed => true,
-            Health::SlowStart { since } => host.cold_tokens + self.warmth(host, since) >= 1.0,
+            Health::SlowStart { .. } => host.cold_tokens >= 1.0,
         }
     }
 
-    /// Permits that a cold host has earned since they were last counted. Danger: what is sent in the rule's
-    /// window passes a multiple of what it can do; each sender plans for its share of a part of that.
-    fn warmth(&self, host: &Host, since: Micros) -> f64 {
-        let route = &self.state.routes[&host.route];
-        let hosts = self.state.hosts_of(host.route.0).filter(|(_, other)| other.route == host.route).count();
-        let ramp = ((self.now - since) as f64 / self.settings.cold_time.max(1) as f64).min(1.0);
-        let part = self.settings.cold_share + (1.0 - self.settings.cold_share) * ramp;
-        let capacity = if route.bound { route.pool.min(source(route)) } else { source(route) };
-        let budget = capacity / hosts as f64 * part * self.settings.overload_factor * COLD_BUDGET;
-        budget / self.senders() * seconds(self.now - host.cold_at)
+    /// Counts permits up to now. Danger: what a cold host is sent in the rule's window passes a multiple of
+    /// what it can do; each sender plans for its share of a part of that.
+    fn fill(&mut self) {
+        let (now, senders, settings) = (self.now, self.senders(), &self.settings);
+        let mut hosts: BTreeMap<RouteId, f64> = BTreeMap::new();
+        for host in self.state.hosts.values() {
+            *hosts.entry(host.route).or_default() += 1.0;
+        }
+        for route in self.state.routes.values_mut() {
+            fill(route, senders, now);
+        }
+        for host in self.state.hosts.values_mut() {
+            let Health::SlowStart { since } = host.health else { continue };
+            let route = &self.state.routes[&host.route];
+            let ramp = ((now - since) as f64 / settings.cold_time.max(1) as f64).min(1.0);
+            let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
+            let capacity = if route.bound { route.pool.min(source(route)) } else { source(route) };
+            let budget = capacity / hosts[&host.route] * part * settings.overload_factor * COLD_BUDGET;
+            host.cold_tokens = (host.cold_tokens + budget / senders * seconds(now - host.cold_at)).min(1.0);
+            host.cold_at = now;
+        }
     }
 
     fn send(&mut self, id: MessageId, host: HostId, call: u64) {
-        let trial = self.state.calls[&call].trial;
         let left = self.state.messages[&id].request.deadline - self.now;
-        let Some((entry, route)) = self.state.host_and_route(host) else { return };
+        let trial = self.state.calls[&call].trial;
+        let route = &self.state.routes[&self.state.hosts[&host].route];
         let timeout = if trial { left.min(2 * patience(route)) } else { left };
-        if let Health::SlowStart { since } = entry.health
-            && self.state.calls[&call].members == 0
-        {
-            let warm = self.warmth(&self.state.hosts[&host], since);
-            let entry = self.state.hosts.get_mut(&host).expect("looked up above");
-            entry.cold_tokens = (entry.cold_tokens + warm).min(1.0) - 1.0;
-            entry.cold_at = self.now;
-        }
         self.state.join_call(call, id, self.now);
         self.actions.push(Action::Send { id, host, timeout });
     }
@@ -504,16 +478,14 @@
     /// Danger: calls that will not be answered hold the slots. The oldest on an open host is called off,
     /// repeatable ones first.
     fn reclaim(&mut self) {
-        let mut lost = Vec::new();
-        for message in self.state.messages.values() {
-            let Some(attempt) = message.out else { continue };
-            let host = self.state.hosts.get(&attempt.host);
-            if host.is_none_or(|host| host.is_open()) && !self.state.calls[&attempt.call].trial {
-                let precious = self.class(message).effect == Effect::SingleShot;
-                lost.push((precious, attempt.sent_at, attempt.call));
-            }
-        }
-        if let Some((_, _, call)) = lost.into_iter().min() {
+        let lost = |message: &Message| {
+            let attempt = message.out?;
+            let open = self.state.hosts.get(&attempt.host).is_none_or(Host::is_open);
+            let precious = self.class(message).effect == Effect::SingleShot;
+            let lost = open && !self.state.calls[&attempt.call].trial;
+            lost.then_some((precious, attempt.sent_at, attempt.call))
+        };
+        if let Some((_, _, call)) = self.state.messages.values().filter_map(lost).min() {
             self.call_off(|attempt, _| attempt.call == call);
         }
     }
@@ -536,22 +508,19 @@
         let rest = self.settings.order_rest;
         let closing = self.state.close_attempt(id, number, outcome, self.now, rest);
         let Some((attempt, first, idle_for)) = closing else { return };
-        if let Some((_, route)) = self.state.host_and_route(attempt.host)
-            && outcome == Outcome::Ok
-        {
-            let off = took as f64 - route.answer_time;
-            route.answer_time += off * SAMPLE;
-            route.deviation += (off.abs() - route.deviation) * SAMPLE;
-        }
-        if let (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) =
-            (self.state.host_and_route(attempt.host), outcome)
-        {
+        match (self.state.host_and_route(attempt.host), outcome) {
+            (Some((_, route)), Outcome::Ok) => {
+                let off = took as f64 - route.answer_time;
+                route.answer_time += off * SAMPLE;
+                route.deviation += (off.abs() - route.deviation) * SAMPLE;
+                self.reuses.extend(idle_for.map(|idle| (attempt.sent_at, idle, None)));
+            }
             // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
-            route.wait_until = route.wait_until.max(self.now + wait + LOOK);
-            self.urgent_memo = true;
-        }
-        if let (Some(idle), Outcome::Ok) = (idle_for, outcome) {
-            self.reuses.push((attempt.sent_at, idle, None));
+            (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) => {
+                route.wait_until = route.wait_until.max(self.now + wait + LOOK);
+                self.urgent_memo = true;
+            }
+            _ => {}
         }
         if first {
             self.judge(attempt.host, outcome, attempt.sent_at, limit);
@@ -579,7 +548,8 @@
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. } | Outcome::Reset) {
             host.heard_at = now;
         }
-        if let Health::Open { pause, .. } = host.health {
+        let failed = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
+        if let (Health::Open { pause, .. }, true) = (host.health, failed) {
             let pause = (pause + pause / 2).min(ROUND);
             host.health = Health::Open { retry_at: now + pause, pause };
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,6 +49,21 @@
     pub in_order: bool,
 }
 
+impl Class {
+    /// Worth of a message of this class that is answered at `age`.
+    pub fn worth(&self, lateness: Lateness, age: Micros) -> f64 {
+        if age >= self.deadline {
+            return 0.0;
+        }
+        let late = age.saturating_sub(self.aim) as f64;
+        let left = match lateness {
+            Lateness::Linear => 1.0 - (1.0 - self.late_share) * late / (self.deadline - self.aim) as f64,
+            Lateness::Halving => 0.5f64.powf(late / self.aim.max(1) as f64).max(self.late_share),
+        };
+        self.value * left
+    }
+}
+
 /// How worth falls after the aim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lateness {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::{
-    Class, DestinationId, Effect, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, Request,
+    Class, DestinationId, Effect, Group, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, Request,
 };
 
 /// A limit's holder: a destination, or one host of it where routes are apart.
@@ -150,6 +150,8 @@
     pub messages: BTreeMap<MessageId, Message>,
     pub keys: BTreeMap<u64, KeyQueue>,
     pub calls: BTreeMap<u64, Call>,
+    /// Messages of each tenant in this round, and their mean number in a round.
+    pub demand: BTreeMap<usize, (f64, f64)>,
     last_call: u64,
 }
 
@@ -180,6 +182,7 @@
     }
 
     pub fn accept(&mut self, request: Request, class: &Class) {
+        self.demand.entry(request.tenant).or_default().0 += 1.0;
         if let (Some(key), true) = (request.key, class.in_order) {
             self.keys.entry(key).or_default().queue.push_back(request.id);
         }
@@ -216,6 +219,7 @@
         let (host, route) = self.host_and_route(id)?;
         route.tokens -= 1.0;
         route.used += 1.0;
+        host.cold_tokens -= 1.0;
         host.calls += 1;
         host.idle.retain(|since| *since + idle_close > now);
         let idle_for = host.idle.pop().map(|since| now - since);
@@ -269,6 +273,25 @@
         Some((attempt, first, idle_for))
     }
 
+    /// Whether a refusal is harmless: the message may come again whatever became of its attempts.
+    pub fn may_refuse(message: &Message, class: &Class, now: Micros) -> bool {
+        let ran = message.ran.is_some() || message.out.is_some();
+        match class.effect {
+            Effect::Free => true,
+            Effect::Guarded { group, .. } => {
+                !ran || (group == Group::All && !State::lapsed(message, class, now))
+            }
+            Effect::SingleShot => !ran,
+        }
+    }
+
+    /// Whether a message may go to a host: a guarded one that may have run goes only where repeats are
+    /// dropped.
+    pub fn may_reach(message: &Message, class: &Class, host: &Host, zone: u16) -> bool {
+        let zoned = matches!(class.effect, Effect::Guarded { group: Group::Zone, .. });
+        !zoned || message.ran.is_none() || host.zone == zone
+    }
+
     /// Whether the window of a guarded message that may have run is over at `at`.
     pub fn lapsed(message: &Message, class: &Class, at: Micros) -> bool {
         match class.effect {
