--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,8 +43,8 @@
 const MOSTLY: f64 = 0.25;
 /// Trouble from which a host is suspect: one failure not yet answered by successes.
 const SUSPECT: f64 = 1.0;
-/// Pause after the first failed trial of an open host (us), half as long again after each more, up to a round.
-const TRIAL_PAUSE: Micros = 400_000;
+/// Pause before the first trial of an open host (us), half as long again after each failed one, up to a round.
+const TRIAL_PAUSE: Micros = 700_000;
 /// Part of the overload rule's budget that all senders together plan to use on a cold host.
 const COLD_BUDGET: f64 = 0.6;
 /// Weight of a new sample in a mean.
@@ -618,7 +618,7 @@
     /// Opens a host. Its neighbours turn suspect, since an outage mostly takes a destination whole.
     fn trip(&mut self, id: HostId, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id).filter(|host| !host.is_open()) else { return };
-        host.health = Health::Open { retry_at: self.now, pause: TRIAL_PAUSE };
+        host.health = Health::Open { retry_at: self.now + TRIAL_PAUSE, pause: TRIAL_PAUSE };
         let destination = host.route.0;
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
         self.urgent_memo = true;
