--- a/src/brain.rs
+++ b/src/brain.rs
@@ -599,6 +599,14 @@
             Outcome::ConnectFailed => self.ail(id, TRIP, sent_at, "takes no connection"),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
+        let Some(host) = self.state.hosts.get_mut(&id) else { return };
+        host.told |= failed || outcome == Outcome::Cancelled;
+        let destination = host.route.0;
+        // Repeatable calls out on a host whose trial failed go elsewhere where there is an elsewhere.
+        let elsewhere = self.state.hosts_of(destination).any(|(_, host)| !host.is_open());
+        if failed && elsewhere && self.state.hosts[&id].is_open() {
+            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
+        }
     }
 
     /// Books trouble that began at `since`. Spells less than the overload rule's window apart are one: a host
@@ -608,6 +616,7 @@
         host.trouble += weight;
         if since > host.bad_at + self.settings.overload_window {
             host.bad_since = since;
+            host.told = false;
         }
         host.bad_at = self.now;
         if host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. }) {
@@ -623,10 +632,6 @@
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
         self.urgent_memo = true;
         self.warn(|host| host.route.0 == destination);
-        // Repeatable calls out there go elsewhere where there is an elsewhere.
-        if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
-            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
-        }
     }
 
     fn warn(&mut self, which: impl Fn(&Host) -> bool) {
@@ -642,10 +647,11 @@
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         let since = host.bad_since;
         let mostly = host.ok_at <= since || host.failing >= MOSTLY;
-        let cold = mostly && self.now - since >= self.settings.overload_window;
+        let cold = host.told && mostly && self.now - since >= self.settings.overload_window;
         host.trouble = 0.0;
         host.health = if cold { Health::SlowStart { since: self.now } } else { Health::Closed };
         (host.cold_tokens, host.cold_at) = (0.0, self.now);
+        host.told = false;
         let (how, destination) = (if cold { "slow start" } else { "closed" }, host.route.0);
         self.actions.push(Action::Log(format!("{how}: a host of destination {destination} answers again")));
         if cold {
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,8 @@
     pub bad_at: Micros,
     /// When a neighbour's or a peer's trouble last cast doubt on it.
     pub warned_at: Micros,
+    /// A call was seen to fail in that trouble, not just to take long.
+    pub told: bool,
     /// Last sign of life, and last call that was served.
     pub heard_at: Micros,
     pub ok_at: Micros,
