--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -5,7 +5,7 @@
 
 use pewterseam::Brain;
 use pewterseam::interface::{
-    Action, Event, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, RegistryNews, Request,
+    Action, Ended, Event, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, RegistryNews, Request,
 };
 
 use crate::codec::{Batch, ENTRY_SIZE, Fault, Fields, LISTS, Record, Reply, malformed};
@@ -94,20 +94,18 @@
             3 => Event::Probed {
                 host: HostId(record.host(5)),
                 outcome: outcome(record.u8(11), 0)?,
-                took: wire_time(record.f64(12))?,
                 limit: limit(record, 20),
             },
             7 => Event::Registry(self.registry(record)?),
             8 => Event::Withdrawn(MessageId(record.u64(5))),
-            9 => Event::Outcome {
+            9 => Event::Ended(Ended {
                 id: MessageId(record.u64(5)),
                 attempt: u32::from(record.u8(13)),
-                host: HostId(record.host(14)),
                 outcome: outcome(record.u8(20), record.u32(30))?,
                 took: wire_time(record.f64(21))?,
                 closed: record.u8(29) != 0,
                 limit: limit(record, 34),
-            },
+            }),
             10 => Event::Message(self.request(record)?),
             // A stream's start: the attempt is the client's, and its outcome still follows.
             2 | 11 => Event::Timer,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -63,8 +63,6 @@
 const LOOK: Micros = 10_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// Longest wait believed from a peer (us).
-const HEARSAY_MOST: Micros = 4_000_000;
 
 /// The decisions of one sender.
 pub struct Brain {
@@ -126,13 +124,6 @@
     route.share * route.pool + route.slack / senders
 }
 
-fn fill(route: &mut Route, senders: f64, now: Micros) {
-    let pace = pace(route, senders);
-    let most = (pace * seconds(BURST)).max(1.0);
-    route.tokens = (route.tokens + pace * seconds(now - route.filled_at)).min(most);
-    route.filled_at = now;
-}
-
 /// Closes a round: fresh reports and the own one decide pool, slack and share.
 fn close_round(route: &mut Route, me: u16, senders: f64, now: Micros, may_exceed: bool) {
     route.reports.retain(|_, (at, _)| *at + EXPIRY > now);
@@ -205,10 +196,8 @@
                 }
                 Event::Withdrawn(id) => self.state.end(id, now),
                 Event::Timer => {}
-                Event::Outcome { id, attempt, outcome, closed, limit, took, .. } => {
-                    self.conclude(id, attempt, outcome, closed, limit, took);
-                }
-                Event::Probed { host, outcome, limit, .. } => self.judge(host, outcome, now, limit),
+                Event::Ended(ended) => self.conclude(ended),
+                Event::Probed { host, outcome, limit } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
             }
         }
@@ -242,10 +231,10 @@
     fn close_rounds(&mut self) {
         if self.now >= self.round_at {
             self.round_at = self.now + ROUND;
+            self.fill();
             self.tell_peers(true);
             let (senders, may_exceed) = (self.senders(), self.settings.listing != Listing::Nominal);
             for route in self.state.routes.values_mut() {
-                fill(route, senders, self.now);
                 close_round(route, self.settings.me, senders, self.now, may_exceed);
             }
             self.stale_after *= STALE_REGROWTH;
@@ -260,11 +249,6 @@
 
     // ---- Intake, worth and shedding
 
-    /// Time since a message was first handed in.
-    fn age(&self, message: &Message, at: Micros) -> Micros {
-        at.saturating_sub(message.request.deadline.saturating_sub(self.class(message).deadline))
-    }
-
     /// Worth of a message answered at `at`. Traffic beyond a tenant's share counts for little, and which
     /// message is beyond it can't be known here, so all of that tenant's weigh less.
     fn worth(&self, message: &Message, at: Micros) -> f64 {
@@ -275,7 +259,7 @@
             let within = (quota.quota_per_s / rate.max(1e-9)).min(1.0);
             within + (1.0 - within) * self.settings.over_share_worth
         });
-        weight * self.class(message).worth(self.settings.lateness, self.age(message, at))
+        weight * self.class(message).worth(self.settings.lateness, message.age(self.class(message), at))
     }
 
     /// How long the messages waiting for each destination will take to go. An outage is expected to last as
@@ -366,9 +350,9 @@
                 continue;
             }
             let destination = message.request.destination;
-            let open =
-                |(id, host): &(HostId, &Host)| bundles.contains_key(id) && self.may_reach(message, host);
-            let joined = self.state.hosts_of(destination).find(open).map(|(host, _)| host);
+            let joins =
+                |id: &HostId| bundles.contains_key(id) && self.may_reach(message, &self.state.hosts[id]);
+            let joined = self.state.hosts_of(destination).map(|(id, _)| id).find(joins);
             if let Some(host) = joined {
                 let (call, room) = bundles[&host];
                 self.send(id, host, call);
@@ -434,7 +418,7 @@
         // Danger: a message that must not run twice dies with a failed call. It waits for a sign of health,
         // though not for ever. Covers silence, errors, resets; harms where only such messages come.
         let class = self.class(message);
-        let precious = class.effect == Effect::SingleShot && self.age(message, self.now) < class.aim;
+        let precious = class.effect == Effect::SingleShot && message.age(class, self.now) < class.aim;
         match host.health {
             Health::Open { retry_at, .. } => !precious && !host.trial && self.now >= retry_at,
             _ if precious && suspect(host, self.now) => false,
@@ -452,7 +436,10 @@
             *hosts.entry(host.route).or_default() += 1.0;
         }
         for route in self.state.routes.values_mut() {
-            fill(route, senders, now);
+            let pace = pace(route, senders);
+            let most = (pace * seconds(BURST)).max(1.0);
+            route.tokens = (route.tokens + pace * seconds(now - route.filled_at)).min(most);
+            route.filled_at = now;
         }
         for host in self.state.hosts.values_mut() {
             let Health::SlowStart { since } = host.health else { continue };
@@ -501,12 +488,9 @@
 
     // ---- Outcomes
 
-    fn conclude(
-        &mut self, id: MessageId, number: u32, outcome: Outcome, closed: bool, limit: Option<f64>,
-        took: Micros,
-    ) {
-        let rest = self.settings.order_rest;
-        let closing = self.state.close_attempt(id, number, outcome, self.now, rest);
+    fn conclude(&mut self, ended: Ended) {
+        let Ended { id, outcome, took, closed, limit, .. } = ended;
+        let closing = self.state.close_attempt(&ended, self.now, self.settings.order_rest);
         let Some((attempt, first, idle_for)) = closing else { return };
         match (self.state.host_and_route(attempt.host), outcome) {
             (Some((_, route)), Outcome::Ok) => {
@@ -731,15 +715,11 @@
             }
         };
         self.ask_pause = ASK_PAUSE;
-        self.state.list(&entries, whole, |kind| self.settings.kinds[kind].routes_apart, self.now);
-        for entry in entries {
-            let Some((_, route)) = self.state.host_and_route(entry.host) else { continue };
-            if route.share == 0.0 {
-                route.share = 1.0 / f64::from(self.settings.senders.max(1));
-                (route.answer_time, route.deviation) = (FIRST_GUESS, FIRST_GUESS);
-                route.filled_at = self.now;
-            }
-            if self.settings.listing != Listing::Silent {
+        let share = 1.0 / self.senders();
+        let new = || Route { share, answer_time: FIRST_GUESS, deviation: FIRST_GUESS, ..Route::default() };
+        self.state.list(&entries, whole, |kind| self.settings.kinds[kind].routes_apart, new, self.now);
+        for entry in entries.iter().filter(|_| self.settings.listing != Listing::Silent) {
+            if let Some((_, route)) = self.state.host_and_route(entry.host) {
                 route.listed = Some(entry.weight);
             }
         }
@@ -779,7 +759,7 @@
                 let Record { designated, used, refused, .. } = record;
                 route.reports.insert(from, (self.now, Report { designated, used, refused }));
             }
-            route.wait_until = route.wait_until.max(self.now + record.wait.min(HEARSAY_MOST));
+            route.wait_until = route.wait_until.max(self.now + record.wait.min(EXPIRY));
             if record.ailing {
                 self.warn(|host| host.route == id);
             }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -222,6 +222,19 @@
     pub deadline: Micros,
 }
 
+/// The end of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    pub id: MessageId,
+    pub attempt: u32,
+    pub outcome: Outcome,
+    pub took: Micros,
+    /// The message is over; no answer is owed.
+    pub closed: bool,
+    /// Calls a second that the destination says it takes; none where it told nothing.
+    pub limit: Option<f64>,
+}
+
 /// What happened, in order of arrival.
 #[derive(Clone, Debug)]
 pub enum Event {
@@ -230,21 +243,10 @@
     /// Nobody wants the message any more; no answer is owed.
     Withdrawn(MessageId),
     Timer,
-    Outcome {
-        id: MessageId,
-        attempt: u32,
-        host: HostId,
-        outcome: Outcome,
-        took: Micros,
-        /// The message is over; no answer is owed.
-        closed: bool,
-        /// Calls a second that the destination says it takes; none where it told nothing.
-        limit: Option<f64>,
-    },
+    Ended(Ended),
     Probed {
         host: HostId,
         outcome: Outcome,
-        took: Micros,
         limit: Option<f64>,
     },
     Peer {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,8 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::{
-    Class, DestinationId, Effect, Group, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, Request,
+    Class, DestinationId, Effect, Ended, Group, HostId, Lifecycle, Listed, MessageId, Micros, Outcome,
+    Request,
 };
 
 /// A limit's holder: a destination, or one host of it where routes are apart.
@@ -125,6 +126,13 @@
     pub over: bool,
 }
 
+impl Message {
+    /// Time since it was first handed in.
+    pub fn age(&self, class: &Class, at: Micros) -> Micros {
+        at.saturating_sub(self.request.deadline.saturating_sub(class.deadline))
+    }
+}
+
 /// One call, with one message or more.
 #[derive(Debug)]
 pub struct Call {
@@ -245,10 +253,11 @@
     /// Books the outcome of an attempt. Gives the attempt, whether it is the first of its call to end
     /// (messages of one call share its fate), and how long the call's connection had been idle.
     pub fn close_attempt(
-        &mut self, id: MessageId, number: u32, outcome: Outcome, now: Micros, rest: Micros,
+        &mut self, ended: &Ended, now: Micros, rest: Micros,
     ) -> Option<(Attempt, bool, Option<Micros>)> {
-        let message = self.messages.get_mut(&id)?;
-        let attempt = message.out.take_if(|attempt| attempt.number == number)?;
+        let outcome = ended.outcome;
+        let message = self.messages.get_mut(&ended.id)?;
+        let attempt = message.out.take_if(|attempt| attempt.number == ended.attempt)?;
         if outcome.may_have_run() {
             message.ran.get_or_insert(attempt.sent_at);
         }
@@ -302,8 +311,12 @@
         }
     }
 
-    /// Takes over lines of the registry's list; in a `whole` one a missing host is gone.
-    pub fn list(&mut self, entries: &[Listed], whole: bool, apart: impl Fn(usize) -> bool, now: Micros) {
+    /// Takes over lines of the registry's list; in a `whole` one a missing host is gone. A `new` route is
+    /// made for a destination not seen before, or for a host whose kind has its routes `apart`.
+    pub fn list(
+        &mut self, entries: &[Listed], whole: bool, apart: impl Fn(usize) -> bool, new: impl Fn() -> Route,
+        now: Micros,
+    ) {
         for (id, host) in &mut self.hosts {
             if whole && !entries.iter().any(|entry| entry.host == *id) {
                 host.leave(Lifecycle::Gone, now);
@@ -312,7 +325,7 @@
         for entry in entries {
             let route = (entry.destination, apart(entry.kind).then_some(entry.host));
             if entry.lifecycle != Lifecycle::Gone {
-                self.routes.entry(route).or_default();
+                self.routes.entry(route).or_insert_with(|| Route { filled_at: now, ..new() });
                 let new =
                     Host { route, kind: entry.kind, zone: entry.zone, heard_at: now, ..Host::default() };
                 self.hosts.entry(entry.host).or_insert(new);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -120,15 +120,14 @@
 
 impl Sent {
     pub fn ended(&self, outcome: Outcome) -> Event {
-        Event::Outcome {
+        Event::Ended(Ended {
             id: self.id,
             attempt: self.attempt,
-            host: self.host,
             outcome,
             took: 200 * MILLI,
             closed: outcome == Outcome::Ok,
             limit: None,
-        }
+        })
     }
 }
 
