Call off only what may still earn less than a blocked message would lose

When slots run out, the call on an open host that may still earn least (the outage taken to last as long again) gives its slot up, and only where that is less than the blocked message would lose by waiting.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -342,8 +342,8 @@
         let mut waiting: Vec<_> = self.state.waiting().map(loss).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
         let mut bundles: BTreeMap<HostId, (u64, usize)> = BTreeMap::new();
-        let mut starved = false;
-        for (_, _, id) in waiting {
+        let mut starved: Option<f64> = None;
+        for (loss, _, id) in waiting {
             let message = &self.state.messages[&id];
             // Danger: two messages of a key overtake each other. The head goes alone, after its rest.
             if !self.state.in_turn(message, self.now) {
@@ -364,8 +364,8 @@
             // Danger: a slow or silent destination takes all slots. None may hold more than are free.
             let free = self.settings.slots.saturating_sub(self.state.calls.len());
             let out: usize = self.state.hosts_of(destination).map(|(_, host)| host.calls).sum();
-            starved |= free == 0;
             if free == 0 || out > free {
+                starved = starved.or(Some(loss).filter(|_| free == 0));
                 continue;
             }
             let Some(call) = self.state.open_call(host, self.now, self.settings.idle_close) else { continue };
@@ -375,8 +375,8 @@
             }
             self.send(id, host, call);
         }
-        if starved {
-            self.reclaim();
+        if let Some(loss) = starved {
+            self.reclaim(loss);
         }
     }
 
@@ -462,17 +462,17 @@
         self.actions.push(Action::Send { id, host, timeout });
     }
 
-    /// Danger: calls that will not be answered hold the slots. The oldest on an open host is called off,
-    /// repeatable ones first.
-    fn reclaim(&mut self) {
-        let lost = |message: &Message| {
-            let attempt = message.out?;
-            let open = self.state.hosts.get(&attempt.host).is_none_or(Host::is_open);
-            let precious = self.class(message).effect == Effect::SingleShot;
-            let lost = open && !self.state.calls[&attempt.call].trial;
-            lost.then_some((precious, attempt.sent_at, attempt.call))
+    /// Danger: calls that will not be answered hold the slots. The one on an open host that may still earn
+    /// least is called off, where that is less than a blocked message would lose.
+    fn reclaim(&mut self, loss: f64) {
+        let left = |message: &Message| {
+            let attempt = message.out.filter(|attempt| !self.state.calls[&attempt.call].trial)?;
+            let host = self.state.hosts.get(&attempt.host).filter(|host| host.is_open())?;
+            let worth = self.worth(message, self.now + (self.now - host.bad_since));
+            Some((worth, attempt.call)).filter(|(worth, _)| *worth < loss)
         };
-        if let Some((_, _, call)) = self.state.messages.values().filter_map(lost).min() {
+        let least = self.state.messages.values().filter_map(left).min_by(|a, b| a.0.total_cmp(&b.0));
+        if let Some((_, call)) = least {
             self.call_off(|attempt, _| attempt.call == call);
         }
     }
