--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,8 +23,6 @@
 const LEAST_POOL: f64 = 1.0;
 /// Part of an even slice that a sender keeps whatever it used, so that its next message need not wait long.
 const LEAST_SHARE: f64 = 0.25;
-/// Factor each round on the highest rate served, so that it follows a destination that lost capacity.
-const PEAK_FADE: f64 = 0.98;
 /// A round that used this part of the pool tests it; less tells nothing of its size.
 const WELL_USED: f64 = 0.7;
 /// Part of an underuser's surplus that passes on each round; half, so that one quiet round costs little.
@@ -57,8 +55,8 @@
 const GRACE_USED: f64 = 0.7;
 /// Part of the idle time at which connections were found dead that they are kept for.
 const STALE_USED: f64 = 0.7;
-/// Factor each round on that time, so that it is found out again when it is over.
-const STALE_REGROWTH: f64 = 1.03;
+/// Factor each round by which what was learned and not seen again fades: that time, the highest rate served.
+const FADE: f64 = 1.03;
 /// Time between looks at what is held (us).
 const LOOK: Micros = 10_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
@@ -132,7 +130,7 @@
     let used = reports.values().map(|r| r.used).sum::<f64>() / seconds(ROUND);
     let refused = reports.values().map(|r| r.refused).sum::<f64>() / seconds(ROUND);
     let served = (used - refused).max(0.0);
-    route.peak = served.max(route.peak * PEAK_FADE);
+    route.peak = served.max(route.peak / FADE);
     if route.bound {
         if refused > 0.0 && served > 0.0 {
             route.pool = (route.pool * CUT).max(served);
@@ -237,7 +235,7 @@
             for route in self.state.routes.values_mut() {
                 close_round(route, self.settings.me, senders, self.now, may_exceed);
             }
-            self.stale_after *= STALE_REGROWTH;
+            self.stale_after *= FADE;
             for (count, mean) in self.state.demand.values_mut() {
                 *mean += (std::mem::take(count) - *mean) * 2.0 * SAMPLE;
             }
@@ -412,7 +410,7 @@
             return false;
         }
         // After a refusal one call at a time until one is served: the limit may still be spent by others.
-        if (route.fulls > 0 && host.calls > 0) || host.most_calls.is_some_and(|most| host.calls >= most) {
+        if route.fulls > 0 && host.calls > 0 {
             return false;
         }
         // Danger: a message that must not run twice dies with a failed call. It waits for a sign of health,
@@ -431,10 +429,6 @@
     /// what it can do; each sender plans for its share of a part of that.
     fn fill(&mut self) {
         let (now, senders, settings) = (self.now, self.senders(), &self.settings);
-        let mut hosts: BTreeMap<RouteId, f64> = BTreeMap::new();
-        for host in self.state.hosts.values() {
-            *hosts.entry(host.route).or_default() += 1.0;
-        }
         for route in self.state.routes.values_mut() {
             let pace = pace(route, senders);
             let most = (pace * seconds(BURST)).max(1.0);
@@ -447,7 +441,7 @@
             let ramp = ((now - since) as f64 / settings.cold_time.max(1) as f64).min(1.0);
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
             let capacity = if route.bound { route.pool.min(source(route)) } else { source(route) };
-            let budget = capacity / hosts[&host.route] * part * settings.overload_factor * COLD_BUDGET;
+            let budget = capacity / route.hosts.max(1.0) * part * settings.overload_factor * COLD_BUDGET;
             host.cold_tokens = (host.cold_tokens + budget / senders * seconds(now - host.cold_at)).min(1.0);
             host.cold_at = now;
         }
@@ -575,25 +569,19 @@
                 self.ail(id, 1.0, now, "fails calls");
             }
             Outcome::Timeout if silent => self.ail(id, 1.0, sent_at, "times out"),
-            // Danger: a full table of connections looks like a dead host. Where calls are out and were
-            // answered just now it is the former: fewer calls at once from here on.
-            Outcome::ConnectFailed if host.calls > 0 && now < host.heard_at + self.settings.dial_timeout => {
-                host.most_calls = Some(host.calls);
-            }
             Outcome::ConnectFailed => self.ail(id, TRIP, sent_at, "takes no connection"),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         host.told |= failed || outcome == Outcome::Cancelled;
-        let destination = host.route.0;
+        let (open, destination) = (host.is_open(), host.route.0);
         // Repeatable calls out on a host whose trial failed go elsewhere where there is an elsewhere.
-        let elsewhere = self.state.hosts_of(destination).any(|(_, host)| !host.is_open());
-        if failed && elsewhere && self.state.hosts[&id].is_open() {
+        if failed && open && self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
             self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
         }
     }
 
-    /// Books trouble that began at `since`. Spells less than the overload rule's window apart are one: a host
+    /// Books trouble that began at `since` and opens a host that has too much of it. Spells less than the overload rule's window apart are one: a host
     /// that fails most calls lets some through.
     fn ail(&mut self, id: HostId, weight: f64, since: Micros, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
@@ -603,14 +591,11 @@
             host.told = false;
         }
         host.bad_at = self.now;
-        if host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. }) {
-            self.trip(id, what);
+        let fallen = host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. });
+        if host.is_open() || !fallen {
+            return;
         }
-    }
-
-    /// Opens a host. Its neighbours turn suspect, since an outage mostly takes a destination whole.
-    fn trip(&mut self, id: HostId, what: &str) {
-        let Some(host) = self.state.hosts.get_mut(&id).filter(|host| !host.is_open()) else { return };
+        // Its neighbours turn suspect, since an outage mostly takes a destination whole.
         host.health = Health::Open { retry_at: self.now + TRIAL_PAUSE, pause: TRIAL_PAUSE };
         let destination = host.route.0;
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
@@ -704,15 +689,12 @@
     // ---- Registry
 
     fn learn(&mut self, news: RegistryNews) {
-        let (entries, whole) = match news {
-            RegistryNews::Whole(entries) => (entries, true),
-            RegistryNews::Changes(entries) => (entries, false),
-            RegistryNews::Failed => {
-                // Danger: asking a list that is down in a loop keeps it down.
-                self.ask_at = self.settings.ask_registry.then_some(self.now + self.ask_pause);
-                self.ask_pause = (2 * self.ask_pause).min(self.settings.ask_within.max(ASK_PAUSE));
-                return;
-            }
+        let whole = matches!(news, RegistryNews::Whole(_));
+        let (RegistryNews::Whole(entries) | RegistryNews::Changes(entries)) = news else {
+            // Danger: asking a list that is down in a loop keeps it down.
+            self.ask_at = self.settings.ask_registry.then_some(self.now + self.ask_pause);
+            self.ask_pause = (2 * self.ask_pause).min(self.settings.ask_within.max(ASK_PAUSE));
+            return;
         };
         self.ask_pause = ASK_PAUSE;
         let share = 1.0 / self.senders();
@@ -732,14 +714,11 @@
         if !self.settings.may_tell || self.settings.senders < 2 {
             return;
         }
-        let record = |(id, route): (&RouteId, &Route)| Record {
-            destination: id.0,
-            host: id.1,
-            designated: report(route).designated,
-            used: route.used,
-            refused: route.refused,
-            ailing: self.state.hosts.values().filter(|host| host.route == *id).all(Host::is_open),
-            wait: route.wait_until.saturating_sub(self.now),
+        let record = |(id, route): (&RouteId, &Route)| {
+            let Report { designated, used, refused } = report(route);
+            let ailing = self.state.hosts.values().filter(|host| host.route == *id).all(Host::is_open);
+            let wait = route.wait_until.saturating_sub(self.now);
+            Record { destination: id.0, host: id.1, designated, used, refused, ailing, wait }
         };
         let mut records: Vec<_> = self.state.routes.iter().map(record).collect();
         records.retain(|record| if round { record.used > 0.0 } else { record.wait > 0 || record.ailing });
--- a/src/state.rs
+++ b/src/state.rs
@@ -52,8 +52,6 @@
     pub calls: usize,
     /// Since when each known connection has been idle.
     pub idle: Vec<Micros>,
-    /// Calls at once beyond which connections were turned away.
-    pub most_calls: Option<usize>,
     /// Permits of a slow start, and when they were last counted.
     pub cold_tokens: f64,
     pub cold_at: Micros,
@@ -79,6 +77,8 @@
     /// Calls a second by the registry's list and by the destination's own answers.
     pub listed: Option<f64>,
     pub told: Option<f64>,
+    /// Hosts that share it.
+    pub hosts: f64,
     /// Shares bind, since calls were refused as full.
     pub bound: bool,
     /// Calls a second from all senders together, and this sender's fraction of them.
@@ -335,6 +335,9 @@
             }
         }
         self.hosts.retain(|_, host| host.lifecycle != Lifecycle::Gone || host.calls > 0);
+        for (id, route) in &mut self.routes {
+            route.hosts = self.hosts.values().filter(|host| host.route == *id).count() as f64;
+        }
     }
 }
 
