--- a/src/brain.rs
+++ b/src/brain.rs
@@ -40,9 +40,9 @@
 const MOSTLY: f64 = 0.25;
 /// Trouble from which a host is suspect: one failure not yet answered by successes.
 const SUSPECT: f64 = 1.0;
-/// Pause before the first trial of an open host (us), half as long again after each failed one, up to a round.
+/// Pause before the first trial of an open host (us), half as long again after each failure, up to a round.
 const TRIAL_PAUSE: Micros = 700_000;
-/// Part of the overload rule's budget that all senders together plan to use on a cold host; the rest is slack.
+/// Part of the overload rule's budget that all senders together plan to use on a cold host; some is slack.
 const COLD_BUDGET: f64 = 0.6;
 /// Weight of a new sample in a mean.
 const SAMPLE: f64 = 0.15;
@@ -50,7 +50,7 @@
 const FIRST_GUESS: f64 = 300_000.0;
 /// Part of the room for messages kept free, so that this module and not the door picks what is turned away.
 const RESERVE: f64 = 0.06;
-/// Part that is used of a limit in time: the drain's grace, the idle time at which connections were found dead.
+/// Part that is used of a limit in time: the drain's grace, the idle age at which connections were dead.
 const TIME_USED: f64 = 0.7;
 /// Factor each round by which what was learned and not seen again fades: that time, the highest rate served.
 const FADE: f64 = 1.03;
@@ -565,8 +565,8 @@
         }
     }
 
-    /// Books trouble that began at `since` and opens a host that has too much of it. Spells less than the overload rule's window apart are one: a host
-    /// that fails most calls lets some through.
+    /// Books trouble that began at `since`; too much opens the host. Spells less than the overload rule's
+    /// window apart are one: a host that fails most calls lets some through.
     fn ail(&mut self, id: HostId, weight: f64, since: Micros, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         host.trouble += weight;
@@ -643,7 +643,7 @@
         }
     }
 
-    /// Danger: something between drops idle connections unseen, and every call put on one is lost, which looks
+    /// Danger: something between drops idle connections unseen; every call put on one is lost, which looks
     /// like an outage of all destinations. Where most calls on connections idle for so long or longer were
     /// lost, at two destinations or more, they are closed sooner. Covers any limit on idle time shorter than
     /// ours; harms, by handshakes, where most destinations hang at once, until the age has grown again.
