Do not cut a pool below half of its source

Departure from the design's quarter a round, acting only below half of the listed, told or served rate.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -18,6 +18,8 @@
 const CUT: f64 = 0.75;
 /// Factor on the pool after a well used round without refusals: slow, one cut takes four rounds to undo.
 const REGROWTH: f64 = 1.08;
+/// Part of its source below which the pool is not cut: refusals far below a limit have another reason.
+const LEAST_POOL_PART: f64 = 0.5;
 /// Least pool (calls a second), so that a route never seen to serve is tried at all.
 const LEAST_POOL: f64 = 1.0;
 /// Part of an even slice that a sender keeps whatever it used, so that its next message need not wait long.
@@ -124,7 +126,7 @@
     route.peak = served.max(route.peak / FADE);
     if route.bound {
         if refused > 0.0 && served > 0.0 {
-            route.pool = (route.pool * CUT).max(served);
+            route.pool = (route.pool * CUT).max(served).max(source(route) * LEAST_POOL_PART);
         } else if refused == 0.0 && used > route.pool * WELL_USED {
             let most = if may_exceed && route.told.is_none() { f64::MAX } else { source(route) };
             route.pool = (route.pool * REGROWTH).min(most.max(route.pool));
@@ -180,9 +182,7 @@
         for event in events {
             match event {
                 Event::Registry(news) => self.learn(news),
-                Event::Message(request) => {
-                    self.state.accept(request, &self.settings.classes[request.class]);
-                }
+                Event::Message(request) => self.state.accept(request, &self.settings.classes),
                 Event::Withdrawn(id) => self.state.end(id, now),
                 Event::Timer => {}
                 Event::Ended(ended) => self.conclude(ended),
--- a/src/state.rs
+++ b/src/state.rs
@@ -191,9 +191,9 @@
         self.held().filter(|message| message.out.is_none())
     }
 
-    pub fn accept(&mut self, request: Request, class: &Class) {
+    pub fn accept(&mut self, request: Request, classes: &[Class]) {
         self.demand.entry(request.tenant).or_default().0 += 1.0;
-        if let (Some(key), true) = (request.key, class.in_order) {
+        if let (Some(key), true) = (request.key, classes[request.class].in_order) {
             self.keys.entry(key).or_default().queue.push_back(request.id);
         }
         let message = Message { request, attempts: 0, out: None, ran: None, over: false };
