One call at a time to a suspect host

A host in doubt (a failure of its own, a neighbour's or a peer's outage) gets one call at a time until one is served, as after a refusal.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -19,7 +19,7 @@
 /// Factor on the pool after a well used round without refusals: slow, one cut takes four rounds to undo.
 const REGROWTH: f64 = 1.08;
 /// Part of its source below which the pool is not cut: refusals far below a limit have another reason.
-const LEAST_POOL_PART: f64 = 0.8;
+const LEAST_POOL_PART: f64 = 0.75;
 /// Least pool (calls a second), so that a route never seen to serve is tried at all.
 const LEAST_POOL: f64 = 1.0;
 /// Part of an even slice that a sender keeps whatever it used, so that its next message need not wait long.
@@ -391,8 +391,8 @@
             return false;
         }
         let class = self.class(message);
-        // After a refusal one call at a time until one is served: the limit may still be spent by others.
-        let spent = route.fulls > 0 && host.calls > 0;
+        // After a refusal, or in doubt, one call at a time until one is served.
+        let spent = host.calls > 0 && (route.fulls > 0 || suspect(host, self.now));
         if spent || !State::may_reach(message, class, host, self.settings.zone) {
             return false;
         }
