--- a/src/brain.rs
+++ b/src/brain.rs
@@ -327,7 +327,7 @@
         let mut waiting: Vec<_> = self.state.waiting().map(loss).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
         let mut bundles: BTreeMap<HostId, (u64, usize)> = BTreeMap::new();
-        let mut starved: Option<f64> = None;
+        let mut starved = 0.0;
         for (loss, _, id) in waiting {
             let message = &self.state.messages[&id];
             // Danger: two messages of a key overtake each other. The head goes alone, after its rest.
@@ -349,7 +349,7 @@
             let free = self.settings.slots.saturating_sub(self.state.calls.len());
             let out: usize = self.state.hosts_of(destination).map(|(_, host)| host.calls).sum();
             if free == 0 || out > free {
-                starved = starved.or(Some(loss).filter(|_| free == 0));
+                starved += if free == 0 { loss } else { 0.0 };
                 continue;
             }
             let Some(call) = self.state.open_call(host, self.now, self.settings.idle_close) else { continue };
@@ -359,8 +359,8 @@
             }
             self.send(id, host, call);
         }
-        if let Some(loss) = starved {
-            self.reclaim(loss);
+        if starved > 0.0 {
+            self.reclaim(starved);
         }
     }
 
@@ -443,7 +443,7 @@
     }
 
     /// Danger: calls that will not be answered hold the slots. The one on an open host that may still earn
-    /// least is called off, where that is less than a blocked message would lose.
+    /// least is called off, where that is less than the blocked messages would lose together.
     fn reclaim(&mut self, loss: f64) {
         let left = |message: &Message| {
             let attempt = message.out.filter(|attempt| !self.state.calls[&attempt.call].trial)?;
@@ -556,12 +556,8 @@
             Outcome::ConnectFailed => self.ail(id, TRIP, sent_at, "takes no connection"),
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
-        let Some(host) = self.state.hosts.get_mut(&id) else { return };
-        host.told |= failed || outcome == Outcome::Cancelled;
-        let (open, destination) = (host.is_open(), host.route.0);
-        // Repeatable calls out on a host whose trial failed go elsewhere where there is an elsewhere.
-        if failed && open && self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
-            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
+        if let Some(host) = self.state.hosts.get_mut(&id) {
+            host.told |= failed || outcome == Outcome::Cancelled;
         }
     }
 
@@ -585,6 +581,10 @@
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
         self.urgent_memo = true;
         self.warn(|host| host.route.0 == destination);
+        // Danger: calls that hang where one host of several does. What may be repeated goes to the others.
+        if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
+            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
+        }
     }
 
     fn warn(&mut self, which: impl Fn(&Host) -> bool) {
