--- a/src/brain.rs
+++ b/src/brain.rs
@@ -581,10 +581,6 @@
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
         self.urgent_memo = true;
         self.warn(|host| host.route.0 == destination);
-        // Danger: calls that hang where one host of several does. What may be repeated goes to the others.
-        if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
-            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
-        }
     }
 
     fn warn(&mut self, which: impl Fn(&Host) -> bool) {
