--- a/src/brain.rs
+++ b/src/brain.rs
@@ -349,7 +349,7 @@
             let free = self.settings.slots.saturating_sub(self.state.calls.len());
             let out: usize = self.state.hosts_of(destination).map(|(_, host)| host.calls).sum();
             if free == 0 || out > free {
-                starved += if free == 0 { loss } else { 0.0 };
+                starved = f64::max(starved, if free == 0 { loss } else { 0.0 });
                 continue;
             }
             let Some(call) = self.state.open_call(host, self.now, self.settings.idle_close) else { continue };
@@ -443,7 +443,7 @@
     }
 
     /// Danger: calls that will not be answered hold the slots. The one on an open host that may still earn
-    /// least is called off, where that is less than the blocked messages would lose together.
+    /// least is called off, where that is less than a blocked message would lose.
     fn reclaim(&mut self, loss: f64) {
         let left = |message: &Message| {
             let attempt = message.out.filter(|attempt| !self.state.calls[&attempt.call].trial)?;
@@ -557,7 +557,7 @@
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
         if let Some(host) = self.state.hosts.get_mut(&id) {
-            host.told |= failed || outcome == Outcome::Cancelled;
+            host.told |= failed;
         }
     }
 
@@ -581,6 +581,10 @@
         self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
         self.urgent_memo = true;
         self.warn(|host| host.route.0 == destination);
+        // Danger: calls that hang where one host of several does. What may be repeated goes to the others.
+        if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
+            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
+        }
     }
 
     fn warn(&mut self, which: impl Fn(&Host) -> bool) {
