Use 0.9 of the overload rule's budget on a cold host, less where rates are rough

The plan of all senders together for a cold host rises from 0.6 to 0.9 of what the rule allows at the least capacity it must have; where the listed rate is rough it is taken a third lower there.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,8 +44,10 @@
 const SUSPECT: f64 = 1.0;
 /// Pause before the first trial of an open host (us), half as long again after each failure, up to a round.
 const TRIAL_PAUSE: Micros = 700_000;
-/// Part of the overload rule's budget that all senders together plan to use on a cold host; some is slack.
-const COLD_BUDGET: f64 = 0.6;
+/// Part of the overload rule's budget that all senders together plan to use on a cold host.
+const COLD_BUDGET: f64 = 0.9;
+/// Factor by which a rough listed rate may be too high; a cold host is not to pay for it.
+const ROUGH: f64 = 1.5;
 /// Weight of a new sample in a mean.
 const SAMPLE: f64 = 0.15;
 /// Answer time taken for a route that has not answered yet (us).
@@ -81,14 +83,11 @@
     actions: Vec<Action>,
 }
 
-// ---- Pool and shares
-
 /// The reallocation that every sender runs alike: each fraction is the sender's part of all designated
 /// permits; underusers pass on part of their surplus, which those that used all theirs split by fraction.
 pub fn reallocate(reports: &BTreeMap<u16, Report>) -> BTreeMap<u16, f64> {
     let total: f64 = reports.values().map(|report| report.designated).sum();
-    let even = 1.0 / reports.len().max(1) as f64;
-    let fraction = |r: &Report| if total > 0.0 { r.designated / total } else { even };
+    let fraction = |r: &Report| r.designated / total.max(f64::MIN_POSITIVE);
     let is_full = |r: &Report| r.used > 0.0 && r.used + 1.0 > r.designated; // whole permits
     let full: f64 = reports.values().filter(|r| is_full(r)).map(fraction).sum();
     let part = if full > 0.0 { PASSED_ON } else { 0.0 };
@@ -427,6 +426,8 @@
             let ramp = (now - since) as f64 / settings.cold_time as f64;
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
             let capacity = if route.bound { route.pool.min(source(route)) } else { source(route) };
+            let rough = settings.listing == Listing::Rough && route.told.is_none();
+            let capacity = if rough { capacity / ROUGH } else { capacity };
             let budget = capacity / route.hosts.max(1.0) * part * settings.overload_factor * COLD_BUDGET;
             host.cold_tokens = (host.cold_tokens + budget / senders * seconds(now - host.cold_at)).min(1.0);
             host.cold_at = now;
@@ -496,8 +497,6 @@
         }
     }
 
-    // ---- Health, outage and slow start
-
     /// Books an outcome on its host and route.
     fn judge(&mut self, id: HostId, outcome: Outcome, sent_at: Micros, limit: Option<f64>) {
         let now = self.now;
@@ -687,8 +686,6 @@
         }
     }
 
-    // ---- Peers
-
     /// Tells the peers of busy routes, the most used first; between rounds only of waits told and outages.
     fn tell_peers(&mut self, round: bool) {
         if !self.settings.may_tell || self.settings.senders < 2 {
