--- a/src/brain.rs
+++ b/src/brain.rs
@@ -16,8 +16,8 @@
 const EXPIRY: Micros = 3 * ROUND;
 /// Factor on the pool after a round with refusals as full; the design's quarter off.
 const CUT: f64 = 0.75;
-/// Factor on the pool after a well used round without refusals: slow, one cut takes four rounds to undo.
-const REGROWTH: f64 = 1.08;
+/// Factor on the pool after a well used round without refusals: slow, one cut takes three rounds to undo.
+const REGROWTH: f64 = 1.12;
 /// Part of its source below which the pool is not cut: refusals far below a limit have another reason.
 const LEAST_POOL_PART: f64 = 0.75;
 /// Least pool (calls a second), so that a route never seen to serve is tried at all.
