--- a/src/brain.rs
+++ b/src/brain.rs
@@ -146,7 +146,7 @@
 }
 
 fn suspect(host: &Host, now: Micros) -> bool {
-    (host.trouble >= SUSPECT && now < host.bad_at + ROUND) || now < host.warned_at + ROUND
+    (host.trouble >= SUSPECT && now < host.bad_at + ROUND) || now < host.warned_at + EXPIRY
 }
 
 fn seconds(span: Micros) -> f64 {
