--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -50,6 +50,17 @@
     count
 }
 
+/// Hands in a clump and counts what is served of it in `span`.
+fn flood(sender: &mut Sender, size: usize, span: Micros) -> usize {
+    let mut out = clump(sender, size);
+    let mut count = 0;
+    while let Some(sent) = out.pop() {
+        count += 1;
+        out.extend(sends(&end(sender, sent, Outcome::Ok)));
+    }
+    count + served(sender, span)
+}
+
 // ---- The reallocation
 
 #[test]
@@ -124,6 +135,52 @@
     assert!(counts[0] > counts[1], "{counts:?}");
 }
 
+#[test]
+fn a_clump_at_a_trimmed_sender_draws_on_slack() {
+    // The peer holds most of the pool by its reports and uses none of it.
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 8.0)]);
+    bind(&mut sender);
+    for _ in 0..4 {
+        sender.step(vec![peer_report(14.0, 0.0)]);
+        served(&mut sender, 2 * SECOND);
+    }
+    let count = flood(&mut sender, 30, 2 * SECOND);
+    assert!(count >= 8, "{count} in 2 s of a pool of 6 to 8 a second");
+}
+
+#[test]
+fn a_dead_senders_report_expires_and_its_part_passes_on() {
+    let counts = [true, false].map(|alive| {
+        let mut sender = Sender::new(settings(), &[listed(1, 1, 8.0)]);
+        bind(&mut sender);
+        sender.step(vec![peer_report(14.0, 14.0)]);
+        clump(&mut sender, 50);
+        for _ in 0..4 {
+            served(&mut sender, 2 * SECOND);
+            if alive {
+                sender.step(vec![peer_report(14.0, 14.0)]);
+            }
+        }
+        served(&mut sender, 2 * SECOND)
+    });
+    assert!(counts[1] > counts[0], "{counts:?}");
+}
+
+#[test]
+fn a_pool_is_not_cut_far_below_its_source() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 8.0)]);
+    bind(&mut sender);
+    for _ in 0..10 {
+        // Each round one call is refused and then served.
+        for sent in clump(&mut sender, 1) {
+            end(&mut sender, sent, Outcome::Full { wait: 0 });
+        }
+        served(&mut sender, 2 * SECOND);
+    }
+    let count = flood(&mut sender, 40, 4 * SECOND);
+    assert!(count >= 9, "{count} in 4 s at half of 6 a second");
+}
+
 #[test]
 fn foreign_peer_bytes_change_nothing() {
     let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
