--- a/crates/adapter/src/settings.rs
+++ b/crates/adapter/src/settings.rs
@@ -73,9 +73,6 @@
     #[serde(default)]
     max_retry_after_s: f64,
     conn_idle_s: f64,
-    dial_timeout_s: f64,
-    #[serde(default = "one_call")]
-    multiplex: usize,
 }
 
 #[derive(Deserialize)]
@@ -95,10 +92,6 @@
     1.0
 }
 
-fn one_call() -> usize {
-    1
-}
-
 /// Reads the settings of one instance.
 pub fn parse(text: &[u8]) -> Result<Settings, Fault> {
     let wire: Wire = serde_json::from_slice(text).map_err(|error| Fault::Settings(error.to_string()))?;
@@ -127,8 +120,6 @@
         may_tell: wire.allowed.peers,
         max_retry_after: span(retry_after)?,
         idle_close: span(wire.allowed.conn_idle_s)?,
-        dial_timeout: span(wire.allowed.dial_timeout_s)?,
-        calls_per_connection: wire.allowed.multiplex.max(1),
         listing: match wire.weights.as_str() {
             "nominal" => Listing::Nominal,
             "rough" => Listing::Rough,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,9 +124,6 @@
     pub max_retry_after: Micros,
     /// Idle connections close after this span.
     pub idle_close: Micros,
-    /// A connection not established by then has failed.
-    pub dial_timeout: Micros,
-    pub calls_per_connection: usize,
     pub listing: Listing,
     /// The registry answers only when asked.
     pub ask_registry: bool,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,8 +44,6 @@
         may_tell: true,
         max_retry_after: 3 * SECOND,
         idle_close: 15 * SECOND,
-        dial_timeout: SECOND,
-        calls_per_connection: 1,
         listing: Listing::Nominal,
         ask_registry: false,
         ask_within: 10 * SECOND,
