--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -67,7 +67,8 @@
                 Ok(())
             }
             5 => self.define(record.u16(1), batch.tail(record, 3, ENTRY_SIZE)?),
-            6 => self.running.remove(&number).map(drop).map_or_else(|| unknown(number), Ok),
+            6 if self.running.remove(&number).is_some() => Ok(()),
+            6 => unknown(number),
             code => {
                 let event = self.event(batch, code, record)?;
                 match self.running.get_mut(&number) {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -302,10 +302,10 @@
     fn expire(&mut self) {
         let hopeless = |message: &&Message| {
             let times = self.state.routes_of(message.request.destination).map(|route| route.answer_time);
-            let needed = times.fold(FIRST_GUESS, f64::min) as Micros / 2;
-            let lapsed = State::lapsed(message, self.class(message), self.now + LOOK);
             let waits = message.out.is_none();
-            self.now + needed * u64::from(waits) >= message.request.deadline || (waits && lapsed)
+            let needed = if waits { times.fold(FIRST_GUESS, f64::min) as Micros / 2 } else { 0 };
+            let lapsed = waits && State::lapsed(message, self.class(message), self.now + LOOK);
+            lapsed || self.now + needed >= message.request.deadline
         };
         let late: Vec<_> = self.state.held().filter(hopeless).map(|message| message.request.id).collect();
         for id in late {
@@ -534,7 +534,6 @@
                 route.fulls += 1;
                 if !route.bound {
                     route.bound = true;
-                    route.tokens = 0.0;
                     route.pool = source(route).max(route.peak);
                 }
                 route.tokens = route.tokens.min(0.0);
@@ -556,7 +555,7 @@
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
         if let Some(host) = self.state.hosts.get_mut(&id) {
-            host.told |= failed;
+            host.failed |= failed;
         }
     }
 
@@ -567,7 +566,7 @@
         host.trouble += weight;
         if since > host.bad_at + self.settings.overload_window {
             host.bad_since = since;
-            host.told = false;
+            host.failed = false;
         }
         host.bad_at = self.now;
         let fallen = host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. });
@@ -599,12 +598,12 @@
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         let since = host.bad_since;
         let mostly = host.ok_at <= since || host.failing >= MOSTLY;
-        let cold = host.told && mostly && self.now - since >= self.settings.overload_window;
+        let cold = host.failed && mostly && self.now - since >= self.settings.overload_window;
         host.trouble = 0.0;
         host.health = if cold { Health::SlowStart { since: self.now } } else { Health::Closed };
         // Part of a permit at hand, by chance: many senders with small parts must not all start late.
         (host.cold_tokens, host.cold_at) = ((self.now ^ self.seed) as f64 % 1e3 / 1e3, self.now);
-        host.told = false;
+        host.failed = false;
         let (how, destination) = (if cold { "slow start" } else { "closed" }, host.route.0);
         self.actions.push(Action::Log(format!("{how}: a host of destination {destination} answers again")));
         if cold {
@@ -621,12 +620,12 @@
         let now = self.now;
         let mut unanswered: BTreeMap<HostId, (Micros, u64)> = BTreeMap::new();
         for call in self.state.calls.values_mut() {
-            let route = self.state.hosts.get(&call.host).map(|host| host.route);
-            let bound = route.and_then(|route| self.state.routes.get(&route)).map_or(Micros::MAX, patience);
+            let Some(host) = self.state.hosts.get(&call.host) else { continue };
+            let bound = patience(&self.state.routes[&host.route]);
             if now > call.sent_at + 2 * bound
                 && let Some(idle) = call.idle_for.take()
             {
-                self.reuses.push((call.sent_at, idle, route.map(|route| route.0)));
+                self.reuses.push((call.sent_at, idle, Some(host.route.0)));
             }
             let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
             *entry = (entry.0.min(call.sent_at), entry.1 + 1);
--- a/src/state.rs
+++ b/src/state.rs
@@ -40,7 +40,7 @@
     /// When a neighbour's or a peer's trouble last cast doubt on it.
     pub warned_at: Micros,
     /// A call was seen to fail in that trouble, not just to take long.
-    pub told: bool,
+    pub failed: bool,
     /// Last sign of life, and last call that was served.
     pub heard_at: Micros,
     pub ok_at: Micros,
@@ -227,7 +227,9 @@
     /// Books a new call to a known host.
     pub fn open_call(&mut self, id: HostId, now: Micros, idle_close: Micros) -> Option<u64> {
         let (host, route) = self.host_and_route(id)?;
-        route.tokens -= 1.0;
+        if route.bound {
+            route.tokens -= 1.0;
+        }
         route.used += 1.0;
         host.cold_tokens -= 1.0;
         host.calls += 1;
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -36,29 +36,31 @@
     (0..6).flat_map(|attempt| sender.outcome(&Sent { attempt, ..sent }, outcome)).collect()
 }
 
+/// Has calls, and those that follow at once, answered well, and counts them.
+fn answer(sender: &mut Sender, mut out: Vec<Sent>) -> usize {
+    let mut count = 0;
+    while let Some(sent) = out.pop() {
+        count += 1;
+        out.extend(sends(&end(sender, sent, Outcome::Ok)));
+    }
+    count
+}
+
 /// Lets time pass, has every call answered well at once, and counts the sends.
 fn served(sender: &mut Sender, span: Micros) -> usize {
     let end_at = sender.now + span;
-    let (mut count, mut out) = (0, Vec::new());
+    let mut count = 0;
     while sender.now < end_at {
-        out.extend(sends(&sender.pass(10 * MILLI)));
-        while let Some(sent) = out.pop() {
-            count += 1;
-            out.extend(sends(&end(sender, sent, Outcome::Ok)));
-        }
+        let out = sends(&sender.pass(10 * MILLI));
+        count += answer(sender, out);
     }
     count
 }
 
 /// Hands in a clump and counts what is served of it in `span`.
 fn flood(sender: &mut Sender, size: usize, span: Micros) -> usize {
-    let mut out = clump(sender, size);
-    let mut count = 0;
-    while let Some(sent) = out.pop() {
-        count += 1;
-        out.extend(sends(&end(sender, sent, Outcome::Ok)));
-    }
-    count + served(sender, span)
+    let out = clump(sender, size);
+    answer(sender, out) + served(sender, span)
 }
 
 // ---- The reallocation
@@ -354,11 +356,9 @@
     }
     let mut sent_at: Vec<Micros> = Vec::new();
     for _ in 0..800 {
-        let mut out = sends(&sender.pass(10 * MILLI));
-        while let Some(sent) = out.pop() {
-            sent_at.push(sender.now);
-            out.extend(sends(&end(&mut sender, sent, Outcome::Ok)));
-        }
+        let out = sends(&sender.pass(10 * MILLI));
+        let count = answer(&mut sender, out);
+        sent_at.extend(std::iter::repeat_n(sender.now, count));
     }
     let settings = settings();
     let first = sent_at[0];
