--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -210,8 +210,9 @@
         Action::Fail(id) => reply.push(Record::new(8, number).put(5, &id.0.to_be_bytes())),
         Action::Probe(host) => reply.push(Record::new(11, number).host(5, host.0)),
         Action::CloseIdle(host) => reply.push(Record::new(10, number).host(5, host.0)),
-        Action::Tell(bytes) => {
-            reply.push_with(Record::new(6, number).put(5, &EVERY_PEER.to_be_bytes()), 9, &bytes);
+        Action::Tell { to, bytes } => {
+            let whom = to.map_or(EVERY_PEER, u32::from);
+            reply.push_with(Record::new(6, number).put(5, &whom.to_be_bytes()), 9, &bytes);
         }
         Action::Subscribe => reply.push(Record::new(4, number).put(5, &[1])),
         Action::Wake(at) => reply.push(Record::new(12, number).put(5, &seconds(at).to_be_bytes())),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,16 +4,18 @@
 //! of a pool, and each round the surplus of underusers passes to those that used all theirs. The rest guards
 //! that path. What is known, without decisions, is kept by `src/state.rs`.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::interface::*;
-use crate::memo::{self, Memo, Record};
-use crate::state::{Attempt, Health, Host, Message, Report, Route, RouteId, State};
+use crate::memo::{self, Memo, Purpose, Record};
+use crate::state::*;
 
 /// Round of the reallocation (us); the design's default.
 const ROUND: Micros = 2_000_000;
 /// Age at which a peer's report counts no more (us); the design's default, three rounds.
 const EXPIRY: Micros = 3 * ROUND;
+/// Age up to which a report tells of the last round (us); a round, and time for it to come.
+const FRESH: Micros = ROUND + ROUND / 4;
 /// Factor on the pool after a round with refusals as full; the design's quarter off.
 const CUT: f64 = 0.75;
 /// Factor on the pool after a well used round without refusals: slow, one cut takes three rounds to undo.
@@ -24,27 +26,29 @@
 const LEAST_POOL: f64 = 1.0;
 /// Part of an even slice that a sender keeps whatever it used, so that its next message need not wait long.
 const LEAST_SHARE: f64 = 0.25;
+/// Senders that gather the reports of a route for all; with no more senders than that, all know all.
+const HOMES: u16 = 3;
 /// A round that used this part of the pool tests it; less tells nothing of its size.
 const WELL_USED: f64 = 0.7;
 /// Part of an underuser's surplus that passes on each round; half, so that one quiet round costs little.
 const PASSED_ON: f64 = 0.5;
 /// Permits that may be saved up while idle (us of the own pace).
 const BURST: Micros = 1_000_000;
-/// Pause after a refusal as full that told no wait (us), doubled with each further one up to a round.
+/// Pause after a refusal as full without a wait (us), doubled with each further one up to a round.
 const FULL_PAUSE: Micros = 250_000;
 /// Mean deviations beyond a route's mean answer time without any sign of life that count as silence.
 const PATIENCE: f64 = 5.0;
 /// Least and most silence that opens a host (us): longer than a brief stall, shorter than most aims.
 const PATIENCE_BOUNDS: (Micros, Micros) = (800_000, 2_500_000);
-/// Trouble at which a host is opened: two failures in a row, or most calls failing.
+/// Time-out of a call that may be repeated, and of one that may not, in units of the above; doubled with each
+/// attempt. Danger: lost calls hold the slots, whatever became of them. Harm: work done twice where all is slow.
+const NEXT_PATIENCE: Micros = 2;
+const LAST_PATIENCE: Micros = 8;
+/// Trouble at which a host is opened: failures in a row, most calls failing, or senders that tell of some.
 const TRIP: f64 = 2.0;
 /// Share of calls failing from which an outage is taken to be one though some were served: well under half.
 const MOSTLY: f64 = 0.25;
-/// Trouble from which a host is suspect: one failure not yet answered by successes.
-const SUSPECT: f64 = 1.0;
-/// Pause before the first trial of an open host (us), half as long again after each failure, up to a round.
-const TRIAL_PAUSE: Micros = 700_000;
-/// Part of the overload rule's budget that all senders together plan to use on a cold host.
+/// Part of the overload rule's budget that all senders together plan to use on a cold or open host.
 const COLD_BUDGET: f64 = 0.9;
 /// Factor by which a rough listed rate may be too high; a cold host is not to pay for it.
 const ROUGH: f64 = 1.5;
@@ -54,12 +58,13 @@
 const FIRST_GUESS: f64 = 300_000.0;
 /// Part of the room for messages kept free, so that this module and not the door picks what is turned away.
 const RESERVE: f64 = 0.06;
-/// Part that is used of a limit in time: the drain's grace, the idle age at which connections were dead.
-const TIME_USED: f64 = 0.7;
 /// Factor each round by which what was learned and not seen again fades: that time, the highest rate served.
 const FADE: f64 = 1.03;
+/// Factors on the time for which idle connections are kept: after a connect that failed, and each round.
+const KEEP_CUT: f64 = 0.5;
+const KEEP_REGROWTH: f64 = 1.1;
 /// Time between looks at what is held (us).
-const LOOK: Micros = 10_000;
+const LOOK: Micros = 20_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
 
@@ -71,30 +76,24 @@
     state: State,
     /// How long what waits for a destination will take to go.
     outlook: BTreeMap<DestinationId, Micros>,
-    round_at: Micros,
-    wake_at: Micros,
-    ask_at: Option<Micros>,
-    ask_pause: Micros,
-    urgent_memo: bool,
-    /// Idle time from which connections are taken for dead.
-    stale_after: f64,
-    /// Lately on idle connections: when sent, how long idle, and the destination if the call was lost.
-    reuses: Vec<(Micros, Micros, Option<DestinationId>)>,
+    agenda: Agenda,
+    /// Idle time for which connections are kept.
+    keep: f64,
     actions: Vec<Action>,
 }
 
-/// The reallocation that every sender runs alike: each fraction is the sender's part of all designated
-/// permits; underusers pass on part of their surplus, which those that used all theirs split by fraction.
-pub fn reallocate(reports: &BTreeMap<u16, Report>) -> BTreeMap<u16, f64> {
-    let total: f64 = reports.values().map(|report| report.designated).sum();
-    let fraction = |r: &Report| r.designated / total.max(f64::MIN_POSITIVE);
-    let is_full = |r: &Report| r.used > 0.0 && r.used + 1.0 > r.designated; // whole permits
-    let full: f64 = reports.values().filter(|r| is_full(r)).map(fraction).sum();
-    let part = if full > 0.0 { PASSED_ON } else { 0.0 };
-    let surplus = |r: &Report| fraction(r) * (1.0 - r.used / r.designated.max(1e-9)).max(0.0) * part;
-    let passed: f64 = reports.values().filter(|r| !is_full(r)).map(surplus).sum();
-    let gain = |r: &Report| if is_full(r) { passed * fraction(r) / full } else { -surplus(r) };
-    reports.iter().map(|(sender, r)| (*sender, fraction(r) + gain(r))).collect()
+/// The reallocation that every sender runs alike: a fraction is the sender's part of all designated permits;
+/// underusers pass on part of their surplus, which those that used all theirs split by fraction.
+pub fn reallocate(mine: &Report, all: &Report) -> f64 {
+    let passed = if all.full > 0.0 { PASSED_ON } else { 0.0 };
+    let gained = all.spare * mine.full / all.full.max(f64::MIN_POSITIVE);
+    (mine.designated + passed * (gained - mine.spare)) / all.designated.max(f64::MIN_POSITIVE)
+}
+
+/// An even slice. Departure: with many senders it would be less than a permit a round, for a route that few
+/// of them use; it is a permit a round at the least. Harm: an overspent pool until the reports are in.
+fn even_slice(route: &Route, senders: f64) -> f64 {
+    (1.0 / senders).max(1.0 / (route.pool * seconds(ROUND))).min(1.0)
 }
 
 /// The pool's source, in the design's order; the last is the rate that was seen to be served.
@@ -102,71 +101,82 @@
     route.told.or(route.listed).unwrap_or(route.peak).max(LEAST_POOL)
 }
 
-/// What a sender would report of the round so far.
-fn report(route: &Route) -> Report {
+/// Senders that gather a destination's reports.
+fn homes(destination: DestinationId, senders: u16) -> BTreeSet<u16> {
+    let first = u64::from(destination) * u64::from(HOMES);
+    (0..HOMES).map(|next| ((first + u64::from(next)) % u64::from(senders)) as u16).collect()
+}
+
+/// What a sender would report of the round so far. One with messages waiting has nothing to pass on.
+fn report(route: &Route, waits: bool) -> Report {
     let designated = if route.bound { route.share * route.pool * seconds(ROUND) } else { route.used };
-    Report { designated, used: route.used, refused: route.refused }
+    let is_full = waits || (route.used > 0.0 && route.used + 1.0 > designated); // whole permits
+    let (full, spare) = if is_full { (designated, 0.0) } else { (0.0, designated - route.used) };
+    Report { senders: 1.0, designated, full, spare, used: route.used, refused: route.refused }
 }
 
 /// A sender's pace in calls a second. Departure: slack that nobody used last round is lent evenly, so that a
 /// clump at a sender trimmed before need not wait. Harm: all may draw on it at once, for a round at most.
-fn pace(route: &Route, senders: f64) -> f64 {
-    route.share * route.pool + route.slack / senders
+fn pace(route: &Route) -> f64 {
+    route.share * route.pool + route.slack
 }
 
-/// Closes a round: fresh reports and the own one decide pool, slack and share.
-fn close_round(route: &mut Route, me: u16, senders: f64, now: Micros, may_exceed: bool) {
-    route.reports.retain(|_, (at, _)| *at + EXPIRY > now);
-    let mut reports: BTreeMap<u16, Report> = route.reports.iter().map(|(from, (_, r))| (*from, *r)).collect();
-    reports.insert(me, report(route));
-    let used = reports.values().map(|r| r.used).sum::<f64>() / seconds(ROUND);
-    let refused = reports.values().map(|r| r.refused).sum::<f64>() / seconds(ROUND);
+/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether nothing was served
+/// of more calls than a limit would refuse in a row.
+fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> bool {
+    let senders = f64::from(settings.senders);
+    route.fill(pace(route), seconds(BURST), now);
+    let mine = report(route, waits);
+    let all = route.others(settings.me, FRESH, EXPIRY, now) + mine;
+    let (used, refused) = (all.used / seconds(ROUND), all.refused / seconds(ROUND));
     let served = (used - refused).max(0.0);
     route.peak = served.max(route.peak / FADE);
+    if waits || route.used > 0.0 {
+        route.active_at = now;
+    }
     if route.bound {
         if refused > 0.0 && served > 0.0 {
             route.pool = (route.pool * CUT).max(served).max(source(route) * LEAST_POOL_PART);
         } else if refused == 0.0 && used > route.pool * WELL_USED {
-            let most = if may_exceed && route.told.is_none() { f64::MAX } else { source(route) };
+            let exact = settings.listing == Listing::Nominal || route.told.is_some();
+            let most = if exact { source(route) } else { f64::MAX };
             route.pool = (route.pool * REGROWTH).min(most.max(route.pool));
         }
-        route.slack = if refused > 0.0 { 0.0 } else { (route.pool - used).max(0.0) };
-        route.share = reallocate(&reports)[&me].max(LEAST_SHARE / senders);
+        // One that was idle until its report expired, or hears nothing of the others, takes an even slice.
+        let told = route.is_home || route.rest.is_some_and(|(at, _)| at + EXPIRY > now);
+        let slack = if refused > 0.0 || !told { 0.0 } else { (route.pool - used).max(0.0) };
+        route.slack = slack / all.senders.max(1.0);
+        let active = route.active_at + EXPIRY >= now;
+        let share = if told && active { reallocate(&mine, &all) } else { even_slice(route, senders) };
+        route.share = share.max(LEAST_SHARE / senders);
     }
-    for (_, report) in route.reports.values_mut() {
-        report.refused = 0.0; // each refusal cuts the pool once
-    }
-    (route.used, route.refused) = (0.0, 0.0);
+    route.start_round();
+    served == 0.0 && all.refused > TRIP
 }
 
 /// How long no sign of life from a route's host is borne.
 fn patience(route: &Route) -> Micros {
-    let (least, most) = PATIENCE_BOUNDS;
-    ((route.answer_time + PATIENCE * route.deviation) as Micros).clamp(least, most)
-}
-
-fn suspect(host: &Host, now: Micros) -> bool {
-    (host.trouble >= SUSPECT && now < host.bad_at + ROUND) || now < host.warned_at + EXPIRY
+    let bound = (route.answer_time + PATIENCE * route.deviation) as Micros;
+    bound.clamp(PATIENCE_BOUNDS.0, PATIENCE_BOUNDS.1)
 }
 
-fn seconds(span: Micros) -> f64 {
-    span as f64 / 1e6
+/// Doubt in a host: its own failure not yet answered by successes, or a neighbour's outage since it last served,
+/// as an outage mostly takes a destination whole.
+fn suspect(host: &Host, route: &Route, now: Micros) -> bool {
+    let doubted = route.doubted_at > host.ok_at && now < route.doubted_at + EXPIRY;
+    (host.trouble >= 1.0 && now < host.bad_at + ROUND) || doubted
 }
 
 impl Brain {
-    pub fn new(settings: Settings, seed: u64) -> Self {
+    pub fn new(mut settings: Settings, seed: u64) -> Self {
+        settings.senders = settings.senders.max(1);
         Brain {
             seed,
             now: 0,
             state: State::default(),
             outlook: BTreeMap::new(),
-            round_at: seed % ROUND, // apart from the peers' rounds
-            wake_at: 0,
-            ask_at: settings.ask_registry.then_some(0),
-            ask_pause: ASK_PAUSE,
-            urgent_memo: false,
-            stale_after: f64::MAX,
-            reuses: Vec::new(),
+            agenda: Agenda { ask_at: settings.ask_registry.then_some(0), ..Agenda::default() },
+            keep: settings.idle_close as f64,
             actions: Vec::new(),
             settings,
         }
@@ -174,11 +184,10 @@
 
     /// Takes all events of one batch, then decides once.
     pub fn step(&mut self, now: Micros, events: Vec<Event>) -> Vec<Action> {
-        if self.now == 0 {
-            self.round_at += now;
-        }
         self.now = now;
+        let mut due = now >= self.agenda.look_at;
         for event in events {
+            due |= !matches!(event, Event::Timer | Event::Peer { .. });
             match event {
                 Event::Registry(news) => self.learn(news),
                 Event::Message(request) => self.state.accept(request, &self.settings.classes),
@@ -189,50 +198,54 @@
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
             }
         }
-        if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = None;
+        if self.agenda.ask_at.is_some_and(|at| at <= now) {
+            self.agenda.ask_at = None;
             self.actions.push(Action::Subscribe);
         }
-        self.close_rounds();
-        self.look_ahead();
-        self.expire();
-        self.watch_health();
-        self.shed();
-        self.dispatch();
-        let next = if self.state.messages.is_empty() { self.round_at } else { now + LOOK };
-        let next = next.min(self.round_at).min(self.ask_at.unwrap_or(Micros::MAX)).max(now + 1);
-        if self.wake_at <= now || next < self.wake_at {
-            self.wake_at = next;
+        if now >= self.agenda.round_at {
+            self.close_rounds();
+        }
+        if now >= self.agenda.look_at {
+            self.agenda.look_at = now + LOOK;
+            self.look_ahead();
+            self.expire();
+            self.watch_health();
+        }
+        if due {
+            self.shed();
+            self.dispatch();
+        }
+        let look = if self.state.messages.is_empty() { Micros::MAX } else { self.agenda.look_at };
+        let next = look.min(self.agenda.round_at).min(self.agenda.ask_at.unwrap_or(Micros::MAX)).max(now + 1);
+        if self.agenda.wake_at <= now || next < self.agenda.wake_at {
+            self.agenda.wake_at = next;
             self.actions.push(Action::Wake(next));
         }
         std::mem::take(&mut self.actions)
     }
 
-    fn senders(&self) -> f64 {
-        f64::from(self.settings.senders.max(1))
-    }
-
     fn class(&self, message: &Message) -> &Class {
         &self.settings.classes[message.request.class]
     }
 
     fn close_rounds(&mut self) {
-        if self.now >= self.round_at {
-            self.round_at = self.now + ROUND;
-            self.fill();
-            self.tell_peers(true);
-            let (senders, may_exceed) = (self.senders(), self.settings.listing != Listing::Nominal);
-            for route in self.state.routes.values_mut() {
-                close_round(route, self.settings.me, senders, self.now, may_exceed);
-            }
-            self.stale_after *= FADE;
-            for (count, mean) in self.state.demand.values_mut() {
-                *mean += (std::mem::take(count) - *mean) * 2.0 * SAMPLE;
+        // Apart from the peers' rounds.
+        self.agenda.round_at = (self.now / ROUND + 1) * ROUND + self.seed % ROUND;
+        self.tell_round();
+        let mut shut = Vec::new();
+        for (id, route) in &mut self.state.routes {
+            if close_round(route, self.outlook.contains_key(&id.0), &self.settings, self.now) {
+                shut.push(*id);
             }
-        } else if self.urgent_memo {
-            self.tell_peers(false);
         }
-        self.urgent_memo = false;
+        // Danger: shut, not limited: it may come back cold, and each sender sees a refusal or two at most.
+        for host in shut.into_iter().flat_map(|id| self.state.closed_hosts(id)).collect::<Vec<_>>() {
+            self.ail(host, TRIP, self.now, "refuses all");
+        }
+        self.keep = (self.keep * KEEP_REGROWTH).min(self.settings.idle_close as f64);
+        for (count, mean) in self.state.demand.values_mut() {
+            *mean += (std::mem::take(count) - *mean) * 2.0 * SAMPLE;
+        }
     }
 
     // ---- Intake, worth and shedding
@@ -243,7 +256,7 @@
         let tenant = message.request.tenant;
         let weight = self.settings.tenants.get(tenant).map_or(1.0, |quota| {
             let mean = self.state.demand.get(&tenant).map_or(0.0, |(_, mean)| *mean);
-            let rate = mean / seconds(ROUND) * self.senders();
+            let rate = mean / seconds(ROUND) * f64::from(self.settings.senders);
             let within = (quota.quota_per_s / rate.max(1e-9)).min(1.0);
             within + (1.0 - within) * self.settings.over_share_worth
         });
@@ -252,19 +265,16 @@
 
     /// How long what waits for each destination will take to go; an outage should last as long again.
     fn look_ahead(&mut self) {
-        let mut counts: BTreeMap<DestinationId, f64> = BTreeMap::new();
-        for message in self.state.waiting() {
-            *counts.entry(message.request.destination).or_default() += 1.0;
-        }
         let outlook = |destination: DestinationId, count: f64| {
-            let open = self.state.hosts_of(destination).all(|(_, host)| host.is_open());
-            let outage = self.state.hosts_of(destination).map(|(_, host)| host.bad_since).min();
-            let rate = |route: &Route| if route.bound { pace(route, self.senders()) } else { f64::MAX };
+            let since = |host: &Host| if host.is_open() { host.bad_since } else { self.now };
+            let outage = self.state.hosts_of(destination).map(|(_, host)| self.now - since(host)).min();
+            let rate = |route: &Route| if route.bound { pace(route) } else { f64::MAX };
             let rates: f64 = self.state.routes_of(destination).map(rate).sum();
-            let drain = (count / rates.max(LEAST_POOL / self.senders()) * 1e6) as Micros;
-            drain.max(ROUND / 2) + outage.filter(|_| open).map_or(0, |since| self.now - since)
+            let drain = (count / rates.max(LEAST_POOL / f64::from(self.settings.senders)) * 1e6) as Micros;
+            drain.max(ROUND / 2) + outage.unwrap_or(0)
         };
-        self.outlook = counts.into_iter().map(|(id, count)| (id, outlook(id, count))).collect();
+        let counts = self.state.waiting_counts().into_iter();
+        self.outlook = counts.map(|(id, count)| (id, outlook(id, count))).collect();
     }
 
     fn horizon(&self, message: &Message) -> Micros {
@@ -301,11 +311,10 @@
     /// the usual answer would come too late, a guarded one that its window no longer protects.
     fn expire(&mut self) {
         let hopeless = |message: &&Message| {
-            let times = self.state.routes_of(message.request.destination).map(|route| route.answer_time);
             let waits = message.out.is_none();
-            let needed = if waits { times.fold(FIRST_GUESS, f64::min) as Micros / 2 } else { 0 };
-            let lapsed = waits && State::lapsed(message, self.class(message), self.now + LOOK);
-            lapsed || self.now + needed >= message.request.deadline
+            let needed = if waits { FIRST_GUESS as Micros / 2 } else { LOOK };
+            let lapsed = State::lapsed(message, self.class(message), self.now + LOOK);
+            (waits && lapsed) || self.now + needed >= message.request.deadline
         };
         let late: Vec<_> = self.state.held().filter(hopeless).map(|message| message.request.id).collect();
         for id in late {
@@ -325,62 +334,44 @@
         };
         let mut waiting: Vec<_> = self.state.waiting().map(loss).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
-        let mut bundles: BTreeMap<HostId, (u64, usize)> = BTreeMap::new();
-        let mut starved = 0.0;
-        for (loss, _, id) in waiting {
+        for (_, _, id) in waiting {
             let message = &self.state.messages[&id];
-            // Danger: two messages of a key overtake each other. The head goes alone, after its rest.
-            if !self.state.in_turn(message, self.now) {
+            // Danger: two messages of a key overtake each other. The head goes alone, after its rest. And one
+            // whose window is over may run twice.
+            if !self.state.in_turn(message, self.now)
+                || State::lapsed(message, self.class(message), self.now + LOOK)
+            {
                 continue;
             }
             let destination = message.request.destination;
-            let open = |id: &HostId| message.ran.is_none() && bundles.contains_key(id);
-            let joined = self.state.hosts_of(destination).map(|(id, _)| id).find(open);
-            if let Some(host) = joined {
-                let (call, room) = bundles[&host];
+            let joined = self.state.bundle(destination, self.now).filter(|_| message.ran.is_none());
+            if let Some((host, call)) = joined {
                 self.send(id, host, call);
-                bundles.insert(host, (call, room - 1));
-                bundles.retain(|_, (_, room)| *room > 0);
                 continue;
             }
-            let Some((host, kind)) = self.choose(message) else { continue };
+            let Some(host) = self.choose(message) else { continue };
             // Danger: a slow or silent destination takes all slots. None may hold more than are free.
             let free = self.settings.slots.saturating_sub(self.state.calls.len());
             let out: usize = self.state.hosts_of(destination).map(|(_, host)| host.calls).sum();
             if free == 0 || out > free {
-                starved = f64::max(starved, if free == 0 { loss } else { 0.0 });
                 continue;
             }
-            let Some(call) = self.state.open_call(host, self.now, self.settings.idle_close) else { continue };
-            let room = self.settings.kinds[kind].bundle - 1;
-            if room > 0 && !self.state.calls[&call].trial {
-                bundles.insert(host, (call, room));
-            }
+            let Some(call) = self.state.open_call(host, self.now, &self.settings) else { continue };
             self.send(id, host, call);
         }
-        if starved > 0.0 {
-            self.reclaim(starved);
-        }
     }
 
-    /// The host for a message, with its kind: a healthy one, then the least busy, then one with a connection.
-    fn choose(&self, message: &Message) -> Option<(HostId, usize)> {
+    /// The host for a message: a healthy one, then the least busy, then one with a connection.
+    fn choose(&self, message: &Message) -> Option<HostId> {
         let hosts = || self.state.hosts_of(message.request.destination);
-        let ready = hosts().any(|(_, host)| host.lifecycle == Lifecycle::Ready);
-        let grace = (self.settings.drain_grace as f64 * TIME_USED) as Micros;
-        let listed = |host: &Host| match host.lifecycle {
-            Lifecycle::Ready => true,
-            // Danger: a drain is broken by a late send. Only the part of the grace that is safe, and only
-            // where no other host exists.
-            _ => !ready && self.now < host.told_at + grace,
-        };
-        let fit = |host: &Host| listed(host) && self.admits(host, message);
+        let fit = |host: &Host| host.lifecycle == Lifecycle::Ready && self.admits(host, message);
         let rank = |id: HostId, host: &Host| {
-            let doubtful = suspect(host, self.now) || host.health != Health::Closed;
-            (doubtful, host.calls, host.idle.is_empty(), id)
+            let route = &self.state.routes[&host.route];
+            let doubtful = suspect(host, route, self.now) || host.health != Health::Closed;
+            (doubtful, host.calls, host.idle.is_empty(), scattered(id.0, self.seed))
         };
         let best = hosts().filter(|(_, host)| fit(host)).min_by_key(|(id, host)| rank(*id, host));
-        best.map(|(id, host)| (id, host.kind))
+        best.map(|(id, _)| id)
     }
 
     /// Whether a host takes this message now: wait, permits, connections, health.
@@ -391,7 +382,8 @@
         }
         let class = self.class(message);
         // After a refusal, or in doubt, one call at a time until one is served.
-        let spent = host.calls > 0 && (route.fulls > 0 || suspect(host, self.now));
+        let doubtful = suspect(host, route, self.now);
+        let spent = host.calls > 0 && (route.fulls > 0 || doubtful);
         if spent || !State::may_reach(message, class, host, self.settings.zone) {
             return false;
         }
@@ -399,93 +391,74 @@
         // though not for ever. Covers silence, errors, resets; harms where only such messages come.
         let precious = class.effect == Effect::SingleShot && message.age(class, self.now) < class.aim;
         match host.health {
-            Health::Open { retry_at, .. } => !precious && !host.trial && self.now >= retry_at,
-            _ if precious && suspect(host, self.now) => false,
+            Health::Open => !precious && !host.trial && host.cold_tokens >= 1.0,
+            _ if precious && doubtful => false,
             Health::Closed => true,
             Health::SlowStart { .. } => host.cold_tokens >= 1.0,
         }
     }
 
-    /// Counts permits up to now. Danger: what a cold host is sent in the rule's window passes a multiple of
-    /// what it can do; each sender plans for its share of a part of that.
+    /// Counts the permits of what is waited for up to now. Danger: what a cold host is sent in the rule's
+    /// window passes a multiple of what it can do; each sender plans for its share of a part of that.
     fn fill(&mut self) {
-        let (now, senders, settings) = (self.now, self.senders(), &self.settings);
-        for route in self.state.routes.values_mut() {
-            let pace = pace(route, senders);
-            let most = (pace * seconds(BURST)).max(1.0);
-            route.tokens = (route.tokens + pace * seconds(now - route.filled_at)).min(most);
-            route.filled_at = now;
-        }
-        for host in self.state.hosts.values_mut() {
-            let Health::SlowStart { since } = host.health else { continue };
-            let route = &self.state.routes[&host.route];
-            if now >= since + settings.cold_time {
+        let (now, senders, settings) = (self.now, f64::from(self.settings.senders), &self.settings);
+        let wanted = self.state.waiting_counts();
+        for destination in wanted.keys() {
+            for route in self.state.routes_of_mut(*destination) {
+                route.fill(pace(route), seconds(BURST), now);
+            }
+        }
+        let hosts = wanted.keys().flat_map(|destination| self.state.hosts_of(*destination));
+        for id in hosts.map(|(id, _)| id).collect::<Vec<_>>() {
+            let Some((host, route)) = self.state.host_and_route(id) else { continue };
+            let ramp = match host.health {
+                Health::Closed => continue,
+                Health::Open => 0.0,
+                Health::SlowStart { since } => seconds(now - since) / seconds(settings.cold_time),
+            };
+            // A cold time is over, or the word of others has expired.
+            if ramp >= 1.0 || (host.is_open() && host.trouble < TRIP && now >= host.verdict_at + EXPIRY) {
                 host.health = Health::Closed;
                 continue;
             }
-            let ramp = (now - since) as f64 / settings.cold_time as f64;
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
-            let capacity = if route.bound { route.pool.min(source(route)) } else { source(route) };
+            let known = if route.bound { route.pool.min(source(route)) } else { source(route) };
             let rough = settings.listing == Listing::Rough && route.told.is_none();
-            let capacity = if rough { capacity / ROUGH } else { capacity };
-            let budget = capacity / route.hosts.max(1.0) * part * settings.overload_factor * COLD_BUDGET;
-            host.cold_tokens = (host.cold_tokens + budget / senders * seconds(now - host.cold_at)).min(1.0);
+            let capacity = known / route.hosts.max(1.0) / if rough { ROUGH } else { 1.0 };
+            // No more senders can have something to send than messages came since.
+            let waiting = (capacity * seconds(now - host.bad_since)).max(1.0).min(senders);
+            let pace = capacity * part * settings.overload_factor * COLD_BUDGET / waiting;
+            host.cold_tokens = (host.cold_tokens + pace * seconds(now - host.cold_at)).min(1.0);
             host.cold_at = now;
         }
     }
 
     fn send(&mut self, id: MessageId, host: HostId, call: u64) {
-        let left = self.state.messages[&id].request.deadline - self.now;
-        let trial = self.state.calls[&call].trial;
-        let route = &self.state.routes[&self.state.hosts[&host].route];
-        let timeout = if trial { left.min(2 * patience(route)) } else { left };
+        let message = &self.state.messages[&id];
+        let (left, effect) = (message.request.deadline.saturating_sub(self.now), self.class(message).effect);
+        let bound = patience(&self.state.routes[&self.state.hosts[&host].route]);
+        let times = if effect == Effect::SingleShot { LAST_PATIENCE } else { NEXT_PATIENCE };
+        let timeout = left.min((bound * times).saturating_mul(2_u64.saturating_pow(message.attempts)));
         self.state.join_call(call, id, self.now);
         self.actions.push(Action::Send { id, host, timeout });
     }
 
-    /// Danger: calls that will not be answered hold the slots. The one on an open host that may still earn
-    /// least is called off, where that is less than a blocked message would lose.
-    fn reclaim(&mut self, loss: f64) {
-        let left = |message: &Message| {
-            let attempt = message.out.filter(|attempt| !self.state.calls[&attempt.call].trial)?;
-            let host = self.state.hosts.get(&attempt.host).filter(|host| host.is_open())?;
-            let worth = self.worth(message, self.now + (self.now - host.bad_since));
-            Some((worth, attempt.call)).filter(|(worth, _)| *worth < loss)
-        };
-        let least = self.state.messages.values().filter_map(left).min_by(|a, b| a.0.total_cmp(&b.0));
-        if let Some((_, call)) = least {
-            self.call_off(|attempt, _| attempt.call == call);
-        }
-    }
-
-    fn call_off(&mut self, which: impl Fn(&Attempt, Effect) -> bool) {
-        for (id, message) in self.state.messages.iter().filter(|_| self.settings.may_cancel) {
-            let effect = self.class(message).effect;
-            if let Some(attempt) = message.out.filter(|attempt| which(attempt, effect)) {
-                self.actions.push(Action::Cancel { id: *id, attempt: attempt.number });
-            }
-        }
-    }
-
     fn conclude(&mut self, ended: Ended) {
         let Ended { id, outcome, took, closed, limit, .. } = ended;
         let closing = self.state.close_attempt(&ended, self.now, self.settings.order_rest);
         let Some((attempt, first, idle_for)) = closing else { return };
         match (self.state.host_and_route(attempt.host), outcome) {
             (Some((_, route)), Outcome::Ok) => {
-                let off = took as f64 - route.answer_time;
-                route.answer_time += off * SAMPLE;
-                route.deviation += (off.abs() - route.deviation) * SAMPLE;
-                self.reuses.extend(idle_for.map(|idle| (attempt.sent_at, idle, None)));
+                route.answered(took, SAMPLE);
             }
             // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
             (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) => {
                 route.wait_until = route.wait_until.max(self.now + wait + LOOK);
-                self.urgent_memo = true;
             }
             _ => {}
         }
         if first {
+            self.learn_keep(attempt.host, outcome, idle_for);
             self.judge(attempt.host, outcome, attempt.sent_at, limit);
         }
         let Some(message) = self.state.messages.get(&id) else { return };
@@ -497,53 +470,61 @@
         }
     }
 
+    /// Danger: idle connections of many senders fill a host's table and nobody gets through; or something
+    /// between drops them unseen, and what is put on one is lost. Where a call that failed so is soon followed
+    /// by one served on a new connection, all are kept for less time. Harms, by handshakes, after short outages.
+    fn learn_keep(&mut self, id: HostId, outcome: Outcome, idle_for: Option<Micros>) {
+        let Some(host) = self.state.hosts.get_mut(&id) else { return };
+        match (outcome, idle_for) {
+            (Outcome::ConnectFailed, _) => host.lost = Some((self.now, self.keep)),
+            (Outcome::Timeout, Some(idle)) => host.lost = Some((self.now, idle as f64)),
+            (Outcome::Ok, None) => {
+                let lost = host.lost.take().filter(|(at, _)| self.now < at + self.settings.overload_window);
+                self.keep = lost.map_or(self.keep, |(_, idle)| self.keep.min(idle) * KEEP_CUT);
+                // One that would hardly be used again in that time is not kept at all.
+                if host.ok_at as f64 + self.keep < self.now as f64 {
+                    host.idle.clear();
+                    self.actions.push(Action::CloseIdle(id));
+                }
+            }
+            _ => {}
+        }
+    }
+
     /// Books an outcome on its host and route.
     fn judge(&mut self, id: HostId, outcome: Outcome, sent_at: Micros, limit: Option<f64>) {
         let now = self.now;
         let Some((host, route)) = self.state.host_and_route(id) else { return };
-        if let Some(limit) = limit {
-            let told = route.told.get_or_insert(limit);
-            *told += (limit - *told) * SAMPLE;
-        }
+        route.tell_limit(limit, SAMPLE);
         let silent = host.heard_at <= sent_at;
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. } | Outcome::Reset) {
             host.heard_at = now;
         }
         let failed = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
-        if let (Health::Open { pause, .. }, true) = (host.health, failed) {
-            let pause = (pause + pause / 2).min(ROUND);
-            host.health = Health::Open { retry_at: now + pause, pause };
-        }
+        let trial_failed = host.is_open() && failed;
         match outcome {
             Outcome::Ok => {
                 route.fulls = 0;
-                host.trouble /= 2.0;
-                host.warned_at = 0;
                 if host.is_open() {
                     self.recover(id);
+                    self.tell(id, true);
                 }
-                let Some(host) = self.state.hosts.get_mut(&id) else { return };
-                host.ok_at = now;
-                host.failing -= host.failing * SAMPLE;
+                self.state.serve(id, now, SAMPLE);
             }
             Outcome::Full { wait } => {
                 route.refused += 1.0;
-                if route.fulls == 0 {
-                    route.full_since = now;
-                }
                 route.fulls += 1;
                 if !route.bound {
                     route.bound = true;
                     route.pool = source(route).max(route.peak);
+                    route.share = even_slice(route, f64::from(self.settings.senders));
                 }
-                route.tokens = route.tokens.min(0.0);
+                // Part of a permit at hand, by chance: many senders must not all come again together.
+                route.tokens = route.tokens.min(chance(now, self.seed));
                 let pause = (FULL_PAUSE << (route.fulls - 1).min(3)).min(ROUND);
                 route.wait_until = route.wait_until.max(now + pause * u64::from(wait == 0));
-                // Danger: shut, not limited. A limit has room again within a round or two; what refuses all
-                // for longer than the overload rule's window may come back cold.
-                let since = route.full_since;
-                if (now - since).max(wait) >= self.settings.overload_window {
-                    self.ail(id, TRIP, since, "refuses all");
+                if wait >= self.settings.overload_window {
+                    self.ail(id, TRIP, now, "refuses all");
                 }
             }
             Outcome::Error | Outcome::Reset => {
@@ -551,11 +532,16 @@
                 self.ail(id, 1.0, now, "fails calls");
             }
             Outcome::Timeout if silent => self.ail(id, 1.0, sent_at, "times out"),
-            Outcome::ConnectFailed => self.ail(id, TRIP, sent_at, "takes no connection"),
+            // A connect that failed at once may have met a full table.
+            Outcome::ConnectFailed => {
+                let slow = now > sent_at + PATIENCE_BOUNDS.0;
+                self.ail(id, if slow { TRIP } else { 1.0 }, sent_at, "takes no connection");
+            }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
-        if let Some(host) = self.state.hosts.get_mut(&id) {
-            host.failed |= failed;
+        self.state.mark(id, failed);
+        if trial_failed {
+            self.tell(id, false);
         }
     }
 
@@ -563,54 +549,40 @@
     /// window apart are one: a host that fails most calls lets some through.
     fn ail(&mut self, id: HostId, weight: f64, since: Micros, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
-        host.trouble += weight;
-        if since > host.bad_at + self.settings.overload_window {
-            host.bad_since = since;
-            host.failed = false;
-        }
-        host.bad_at = self.now;
+        host.ail(weight, since, self.now, self.settings.overload_window);
         let fallen = host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. });
         if host.is_open() || !fallen {
             return;
         }
-        // Its neighbours turn suspect, since an outage mostly takes a destination whole.
-        host.health = Health::Open { retry_at: self.now + TRIAL_PAUSE, pause: TRIAL_PAUSE };
+        host.trouble = host.trouble.max(TRIP);
         let destination = host.route.0;
-        self.actions.push(Action::Log(format!("open: a host of destination {destination} {what}")));
-        self.urgent_memo = true;
-        self.warn(|host| host.route.0 == destination);
-        // Danger: calls that hang where one host of several does. What may be repeated goes to the others.
-        if self.state.hosts_of(destination).any(|(_, host)| !host.is_open()) {
-            self.call_off(|attempt, effect| attempt.host == id && effect == Effect::Free);
+        self.turn(id, Health::Open, "open", what);
+        for route in self.state.routes_of_mut(destination) {
+            route.doubted_at = self.now;
         }
+        self.tell(id, false);
     }
 
-    fn warn(&mut self, which: impl Fn(&Host) -> bool) {
-        let closed = |host: &&mut Host| host.health == Health::Closed && which(host);
-        for host in self.state.hosts.values_mut().filter(closed) {
-            host.warned_at = self.now;
-        }
+    /// Changes a host's health. Part of a permit is at hand, by chance: of many senders with small parts not
+    /// all must start late, nor all at once.
+    fn turn(&mut self, id: HostId, health: Health, how: &str, what: &str) {
+        let Some(host) = self.state.hosts.get_mut(&id) else { return };
+        (host.health, host.cold_tokens, host.cold_at) = (health, chance(self.now, self.seed), self.now);
+        let destination = host.route.0;
+        self.actions.push(Action::Log(format!("{how}: a host of destination {destination} {what}")));
     }
 
-    /// A host answers again. After trouble longer than the overload rule's window it may be cold. Repeatable
-    /// calls from before the trouble are lost: they go again.
+    /// A host answers again. After trouble longer than the overload rule's window it may be cold.
     fn recover(&mut self, id: HostId) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         let since = host.bad_since;
         let mostly = host.ok_at <= since || host.failing >= MOSTLY;
-        let cold = host.failed && mostly && self.now - since >= self.settings.overload_window;
-        host.trouble = 0.0;
-        host.health = if cold { Health::SlowStart { since: self.now } } else { Health::Closed };
-        // Part of a permit at hand, by chance: many senders with small parts must not all start late.
-        (host.cold_tokens, host.cold_at) = ((self.now ^ self.seed) as f64 % 1e3 / 1e3, self.now);
-        host.failed = false;
-        let (how, destination) = (if cold { "slow start" } else { "closed" }, host.route.0);
-        self.actions.push(Action::Log(format!("{how}: a host of destination {destination} answers again")));
-        if cold {
-            self.call_off(|attempt, effect| {
-                attempt.host == id && attempt.sent_at <= since && effect != Effect::SingleShot
-            });
-        }
+        let seen = host.failed || host.trouble < TRIP; // or told
+        let cold = seen && mostly && self.now - since >= self.settings.overload_window;
+        (host.trouble, host.failed) = (0.0, false);
+        let slow = Health::SlowStart { since: self.now };
+        let (health, how) = if cold { (slow, "slow start") } else { (Health::Closed, "closed") };
+        self.turn(id, health, how, "answers again");
     }
 
     /// Danger: a destination that takes calls and answers none eats slots and every message that must not be
@@ -618,20 +590,11 @@
     /// unanswered call says less than several.
     fn watch_health(&mut self) {
         let now = self.now;
-        let mut unanswered: BTreeMap<HostId, (Micros, u64)> = BTreeMap::new();
-        for call in self.state.calls.values_mut() {
-            let Some(host) = self.state.hosts.get(&call.host) else { continue };
-            let bound = patience(&self.state.routes[&host.route]);
-            if now > call.sent_at + 2 * bound
-                && let Some(idle) = call.idle_for.take()
-            {
-                self.reuses.push((call.sent_at, idle, Some(host.route.0)));
-            }
-            let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
-            *entry = (entry.0.min(call.sent_at), entry.1 + 1);
+        if self.keep < self.settings.idle_close as f64 {
+            let old = self.state.close_idle(self.keep as Micros, now);
+            self.actions.extend(old.into_iter().map(Action::CloseIdle));
         }
-        self.learn_staleness();
-        for (id, (sent_at, count)) in unanswered {
+        for (id, (sent_at, count)) in self.state.unanswered() {
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
             let patience = patience(route) + patience(route) / count;
@@ -641,82 +604,122 @@
         }
     }
 
-    /// Danger: something between drops idle connections unseen; every call put on one is lost, which looks
-    /// like an outage of all destinations. Where most calls on connections idle for so long or longer were
-    /// lost, at two destinations or more, they are closed sooner. Covers any limit on idle time shorter than
-    /// ours; harms, by handshakes, where most destinations hang at once, until the age has grown again.
-    fn learn_staleness(&mut self) {
-        let now = self.now;
-        self.reuses.retain(|(at, _, _)| now < at + EXPIRY);
-        let lost = |from: Micros| {
-            let older = self.reuses.iter().filter(move |(_, idle, _)| *idle >= from);
-            let places: Vec<_> = older.clone().filter_map(|(_, _, lost)| *lost).collect();
-            places.len() * 2 > older.count() && places.iter().any(|place| *place != places[0])
-        };
-        let ages = self.reuses.iter().filter(|(_, _, lost)| lost.is_some()).map(|(_, idle, _)| *idle);
-        let stale = ages.filter(|age| lost(*age)).min().map_or(f64::MAX, |age| age as f64);
-        self.stale_after = self.stale_after.min(stale);
-        for (id, host) in &mut self.state.hosts {
-            if host.idle.first().is_some_and(|since| (now - since) as f64 >= self.stale_after * TIME_USED) {
-                host.idle.clear();
-                self.actions.push(Action::CloseIdle(*id));
-            }
-        }
-    }
-
     // ---- Registry
 
     fn learn(&mut self, news: RegistryNews) {
         let whole = matches!(news, RegistryNews::Whole(_));
         let (RegistryNews::Whole(entries) | RegistryNews::Changes(entries)) = news else {
             // Danger: asking a list that is down in a loop keeps it down.
-            self.ask_at = self.settings.ask_registry.then_some(self.now + self.ask_pause);
-            self.ask_pause = (2 * self.ask_pause).min(self.settings.ask_within.max(ASK_PAUSE));
+            let pause = (2 * self.agenda.ask_pause).clamp(ASK_PAUSE, self.settings.ask_within.max(ASK_PAUSE));
+            self.agenda.ask_pause = pause;
+            self.agenda.ask_at = self.settings.ask_registry.then_some(self.now + pause);
             return;
         };
-        self.ask_pause = ASK_PAUSE;
-        let share = 1.0 / self.senders();
-        let new = || Route { share, answer_time: FIRST_GUESS, deviation: FIRST_GUESS, ..Route::default() };
-        self.state.list(&entries, whole, |kind| self.settings.kinds[kind].routes_apart, new, self.now);
-        for entry in entries.iter().filter(|_| self.settings.listing != Listing::Silent) {
-            if let Some((_, route)) = self.state.host_and_route(entry.host) {
-                route.listed = Some(entry.weight);
+        self.agenda.ask_pause = 0;
+        let (me, senders) = (self.settings.me, self.settings.senders);
+        let new = |id: RouteId| Route {
+            is_home: homes(id.0, senders).contains(&me),
+            answer_time: FIRST_GUESS,
+            deviation: FIRST_GUESS,
+            ..Route::default()
+        };
+        self.state.list(&entries, whole, &self.settings, new, self.now);
+    }
+
+    /// Tells the homes of the routes in use of the round that ends; one of them, in turn, is asked for sums.
+    fn tell_round(&mut self) {
+        let me = self.settings.me;
+        let mut records = Vec::new();
+        for (id, route) in &self.state.routes {
+            let (waits, homes) = (self.outlook.contains_key(&id.0), homes(id.0, self.settings.senders));
+            let unsure = route.bound || self.settings.listing == Listing::Silent;
+            let asked = homes.iter().nth((self.now / ROUND) as usize % homes.len()).copied();
+            for home in homes.iter().filter(|home| **home != me && (waits || route.used > 0.0)) {
+                let asks = unsure && asked == Some(*home) && !route.is_home;
+                let report = report(route, waits);
+                records.push((*home, Record { destination: id.0, host: id.1, report, asks, up: None }));
             }
         }
+        for (home, record) in records {
+            self.post(Some(home), Purpose::Round, record);
+        }
     }
 
-    /// Tells the peers of busy routes, the most used first; between rounds only of waits told and outages.
-    fn tell_peers(&mut self, round: bool) {
-        if !self.settings.may_tell || self.settings.senders < 2 {
-            return;
+    /// Tells the homes of a host's trouble, or of its end, as soon as it is seen.
+    fn tell(&mut self, id: HostId, up: bool) {
+        let Some(destination) = self.state.hosts.get(&id).map(|host| host.route.0) else { return };
+        let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
+        for home in homes(destination, self.settings.senders) {
+            if home == self.settings.me {
+                self.weigh(home, id, up);
+            } else {
+                self.post(Some(home), Purpose::News, record);
+            }
         }
-        let record = |(id, route): (&RouteId, &Route)| {
-            let ailing = self.state.hosts.values().filter(|host| host.route == *id).all(Host::is_open);
-            let wait = route.wait_until.saturating_sub(self.now);
-            Record { destination: id.0, host: id.1, report: report(route), ailing, wait }
-        };
-        let mut records: Vec<_> = self.state.routes.iter().map(record).collect();
-        records
-            .retain(|record| if round { record.report.used > 0.0 } else { record.wait > 0 || record.ailing });
-        records.sort_by(|a, b| b.report.used.total_cmp(&a.report.used));
-        if !records.is_empty() {
-            self.actions.push(Action::Tell(memo::encode(&Memo { round, records })));
+    }
+
+    fn post(&mut self, to: Option<u16>, purpose: Purpose, record: Record) {
+        if self.settings.may_tell && self.settings.senders > 1 {
+            let bytes = memo::encode(&Memo { purpose, record });
+            self.actions.push(Action::Tell { to, bytes });
         }
     }
 
-    /// A peer's word moves shares and warns; it never opens a host nor ends a wait.
+    /// A peer's word moves shares and may hold calls back; it never ends a wait.
     fn hear(&mut self, from: u16, bytes: &[u8]) {
         let Some(memo) = memo::decode(bytes).filter(|_| from < self.settings.senders) else { return };
-        for record in memo.records {
-            let id = (record.destination, record.host);
-            let Some(route) = self.state.routes.get_mut(&id) else { continue };
-            if memo.round {
-                route.reports.insert(from, (self.now, record.report));
-            }
-            route.wait_until = route.wait_until.max(self.now + record.wait.min(EXPIRY));
-            if record.ailing {
-                self.warn(|host| host.route == id);
+        let (told, now, senders) = (memo.record, self.now, self.settings.senders);
+        let id = (told.destination, told.host);
+        let (waits, is_home) = (self.outlook.contains_key(&id.0), homes(id.0, senders).contains(&from));
+        match (memo.purpose, told.host.zip(told.up), self.state.routes.get_mut(&id)) {
+            (Purpose::News, Some((host, up)), _) => self.weigh(from, host, up),
+            (Purpose::Verdict, Some((host, up)), _) if is_home => self.heed(host, up),
+            (Purpose::Round, None, Some(route)) => {
+                route.reports.insert(from, (now, told.report));
+                if told.asks {
+                    let report = route.others(from, FRESH, EXPIRY, now) + report(route, waits);
+                    self.post(Some(from), Purpose::Sums, Record { report, asks: false, ..told });
+                }
             }
+            (Purpose::Sums, None, Some(route)) => route.rest = Some((now, told.report)),
+            _ => {}
+        }
+    }
+
+    /// At a home: what peers tell of a host. Danger: with many senders each has few calls at a host, and each
+    /// would lose some to learn of an outage and of its end. Covers outages of all kinds; harms where a host
+    /// fails only some senders. One slow call is no outage: a quorum is asked for.
+    fn weigh(&mut self, from: u16, id: HostId, up: bool) {
+        let (me, now) = (self.settings.me, self.now);
+        let Some((host, route)) = self.state.host_and_route(id) else { return };
+        host.accusers.retain(|_, at| *at + EXPIRY > now);
+        let all = route.others(me, FRESH, EXPIRY, now) + report(route, false);
+        let served = (all.used - all.refused) / route.hosts.max(1.0);
+        if !up {
+            host.accusers.insert(from, now);
+        }
+        let known = now < if up { host.verdict_at + EXPIRY } else { host.worded_at + ROUND };
+        let enough = up || host.accusers.len() as f64 >= TRIP.max(served * MOSTLY);
+        if known == up && enough {
+            let destination = host.route.0;
+            let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
+            self.post(None, Purpose::Verdict, record);
+            self.heed(id, up);
+        }
+    }
+
+    /// Takes over a home's word: calls are held back, or go out again slowly.
+    fn heed(&mut self, id: HostId, up: bool) {
+        let Some(host) = self.state.hosts.get_mut(&id) else { return };
+        (host.verdict_at, host.worded_at) = (if up { 0 } else { self.now }, self.now);
+        if up {
+            host.accusers.clear();
+        }
+        if up && host.is_open() {
+            self.recover(id);
+        } else if !up && !host.is_open() {
+            host.ail(0.0, self.now, self.now, self.settings.overload_window);
+            self.turn(id, Health::Open, "open", "is out by the word of peers");
         }
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -275,8 +275,11 @@
     Probe(HostId),
     /// Close the idle connections to a host.
     CloseIdle(HostId),
-    /// Tell every peer.
-    Tell(Vec<u8>),
+    /// Tell one peer, or every one.
+    Tell {
+        to: Option<u16>,
+        bytes: Vec<u8>,
+    },
     /// Subscribe to the registry's changes.
     Subscribe,
     /// Ask for a `Timer` event at this time or just after it.
--- a/src/memo.rs
+++ b/src/memo.rs
@@ -1,81 +1,117 @@
 //! The bytes of a peer message. What they mean for a sender is decided in `brain.rs`.
+//!
+//! A version, a purpose, then destination, flags, host where it is named, and figures. Numbers are written
+//! seven bits to a byte, lowest first, since most are small and each byte has a price.
 
-use crate::interface::{DestinationId, HostId, Micros};
+use crate::interface::{DestinationId, HostId};
 use crate::state::Report;
 
-const VERSION: u8 = 1;
-/// Largest size of a peer message in bytes.
-const MOST: usize = 256;
+const VERSION: u8 = 2;
+/// Bytes of the longest number taken.
+const LONGEST: usize = 4;
 const PER_PERMIT: f64 = 100.0;
-const PER_MILLI: Micros = 1000;
 
-/// What one sender tells of one route.
+/// What is told of one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Record {
     pub destination: DestinationId,
-    /// The host, where routes are apart.
+    /// The host, where routes are apart or where the word is of its health.
     pub host: Option<HostId>,
     /// The round that ends.
     pub report: Report,
-    /// No host of the route is thought to answer.
-    pub ailing: bool,
-    /// What is left of a wait that was told.
-    pub wait: Micros,
+    /// The host answers again, or does not answer.
+    pub up: Option<bool>,
+    /// An answer with the sum of the others' reports is asked for.
+    pub asks: bool,
+}
+
+/// What a peer message is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Purpose {
+    /// What can't wait for the round's end.
+    #[default]
+    News,
+    /// What a home makes of its peers' news.
+    Verdict,
+    /// The sender's own reports of a round.
+    Round,
+    /// The sums that were asked for.
+    Sums,
 }
 
-/// A peer message: at the end of a `round`, or in between for what can't wait.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Memo {
-    pub round: bool,
-    pub records: Vec<Record>,
+    pub purpose: Purpose,
+    pub record: Record,
+}
+
+fn put(bytes: &mut Vec<u8>, number: f64) {
+    let mut left = number.clamp(0.0, f64::from((1u32 << (7 * LONGEST)) - 1)).round() as u32;
+    while left >= 128 {
+        bytes.push(left as u8 | 128);
+        left >>= 7;
+    }
+    bytes.push(left as u8);
+}
+
+fn take(bytes: &mut &[u8]) -> Option<f64> {
+    let length = bytes.iter().take(LONGEST).position(|byte| *byte < 128)? + 1;
+    let (number, rest) = bytes.split_at(length);
+    *bytes = rest;
+    let number = number.iter().rev().fold(0u32, |sum, byte| sum << 7 | u32::from(byte & 127));
+    Some(f64::from(number))
 }
 
-/// The message as bytes, with as many of the first records as fit.
+fn take_record(bytes: &mut &[u8]) -> Option<Record> {
+    let destination = take(bytes)? as DestinationId;
+    let (flags @ 0..=31, rest) = bytes.split_first()? else { return None };
+    *bytes = rest;
+    let mut host = None;
+    if flags & 1 != 0 {
+        let (id, rest) = bytes.split_first_chunk::<8>()?;
+        host = Some(HostId(u64::from_be_bytes(*id)));
+        *bytes = rest;
+    }
+    let asks = flags & 2 != 0;
+    let up = (flags & 4 != 0).then_some(flags & 8 != 0);
+    let mut record = Record { destination, host, up, asks, ..Record::default() };
+    if flags & 16 != 0 {
+        record.report = Report {
+            senders: take(bytes)?,
+            designated: take(bytes)? / PER_PERMIT,
+            full: take(bytes)? / PER_PERMIT,
+            spare: take(bytes)? / PER_PERMIT,
+            used: take(bytes)?,
+            refused: take(bytes)?,
+        };
+    }
+    Some(record)
+}
+
+/// The message as bytes.
 pub fn encode(memo: &Memo) -> Vec<u8> {
-    let mut bytes = vec![VERSION, u8::from(memo.round)];
-    for record in &memo.records {
-        let Ok(destination) = u16::try_from(record.destination) else { continue };
-        let mut part = destination.to_be_bytes().to_vec();
-        part.push(u8::from(record.host.is_some()) | u8::from(record.ailing) << 1);
-        part.extend(record.host.iter().flat_map(|host| host.0.to_be_bytes()));
-        part.extend(((record.report.designated * PER_PERMIT) as u16).to_be_bytes());
-        part.extend([record.report.used as u8, record.report.refused as u8]);
-        part.extend(u16::try_from(record.wait / PER_MILLI).unwrap_or(u16::MAX).to_be_bytes());
-        if bytes.len() + part.len() <= MOST {
-            bytes.extend(part);
-        }
+    let record = &memo.record;
+    let mut bytes = vec![VERSION, memo.purpose as u8];
+    put(&mut bytes, record.destination.into());
+    let up = record.up.is_some();
+    let flags = [record.host.is_some(), record.asks, up, record.up == Some(true), !up];
+    bytes.push(flags.iter().rev().fold(0, |bits, flag| bits << 1 | u8::from(*flag)));
+    bytes.extend(record.host.iter().flat_map(|host| host.0.to_be_bytes()));
+    let report = record.report;
+    let permits = [report.designated, report.full, report.spare].map(|permits| permits * PER_PERMIT);
+    let figures = [report.senders].into_iter().chain(permits).chain([report.used, report.refused]);
+    for figure in figures.filter(|_| !up) {
+        put(&mut bytes, figure);
     }
     bytes
 }
 
 /// Reads untrusted bytes; none where any of them is unknown, cut short or out of bounds.
 pub fn decode(bytes: &[u8]) -> Option<Memo> {
-    let [VERSION, round @ 0..=1, rest @ ..] = bytes else { return None };
-    if bytes.len() > MOST {
-        return None;
-    }
-    let mut memo = Memo { round: *round == 1, records: Vec::new() };
+    let [VERSION, purpose, rest @ ..] = bytes else { return None };
+    let purposes = [Purpose::News, Purpose::Verdict, Purpose::Round, Purpose::Sums];
+    let purpose = *purposes.get(usize::from(*purpose))?;
     let mut rest = rest;
-    while !rest.is_empty() {
-        let [d0, d1, flags @ 0..=3, tail @ ..] = rest else { return None };
-        let (host, tail) = match tail.split_first_chunk::<8>() {
-            Some((host, tail)) if flags & 1 != 0 => (Some(HostId(u64::from_be_bytes(*host))), tail),
-            None if flags & 1 != 0 => return None,
-            _ => (None, tail),
-        };
-        let [p0, p1, used, refused, w0, w1, tail @ ..] = tail else { return None };
-        memo.records.push(Record {
-            destination: u16::from_be_bytes([*d0, *d1]).into(),
-            host,
-            report: Report {
-                designated: f64::from(u16::from_be_bytes([*p0, *p1])) / PER_PERMIT,
-                used: f64::from(*used),
-                refused: f64::from(*refused),
-            },
-            ailing: flags & 2 != 0,
-            wait: Micros::from(u16::from_be_bytes([*w0, *w1])) * PER_MILLI,
-        });
-        rest = tail;
-    }
-    Some(memo)
+    let record = take_record(&mut rest)?;
+    rest.is_empty().then_some(Memo { purpose, record })
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,13 +1,31 @@
 //! What a sender knows, and the bookkeeping that keeps it straight. What follows from it is decided in
 //! `brain.rs`.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::Add;
 
 use crate::interface::{
-    Class, DestinationId, Effect, Ended, Group, HostId, Lifecycle, Listed, MessageId, Micros, Outcome,
-    Request,
+    Class, DestinationId, Effect, Ended, Group, HostId, Lifecycle, Listed, Listing, MessageId, Micros,
+    Outcome, Request, Settings,
 };
 
+/// Odd factor that scatters numbers (2^64 over the golden ratio).
+const SCATTER: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// An order of ids that differs between senders.
+pub fn scattered(id: u64, seed: u64) -> u64 {
+    (id ^ seed).wrapping_mul(SCATTER)
+}
+
+/// A fraction below one that differs between senders and times.
+pub fn chance(now: Micros, seed: u64) -> f64 {
+    (scattered(now, seed) >> 32) as f64 / f64::from(u32::MAX)
+}
+
+pub fn seconds(span: Micros) -> f64 {
+    span as f64 / 1e6
+}
+
 /// A limit's holder: a destination, or one host of it where routes are apart.
 pub type RouteId = (DestinationId, Option<HostId>);
 
@@ -16,8 +34,8 @@
 pub enum Health {
     #[default]
     Closed,
-    /// No calls but one trial at a time, from `retry_at` on.
-    Open { retry_at: Micros, pause: Micros },
+    /// No calls but one trial at a time.
+    Open,
     /// Answers again, but may be cold.
     SlowStart { since: Micros },
 }
@@ -37,8 +55,12 @@
     /// When the present trouble began and when it last showed.
     pub bad_since: Micros,
     pub bad_at: Micros,
-    /// When a neighbour's or a peer's trouble last cast doubt on it.
-    pub warned_at: Micros,
+    /// Senders that lately told of its trouble, and when; at the homes of its route.
+    pub accusers: BTreeMap<u16, Micros>,
+    /// When the homes last found it out of order.
+    pub verdict_at: Micros,
+    /// When they last told of it either way.
+    pub worded_at: Micros,
     /// A call was seen to fail in that trouble, not just to take long.
     pub failed: bool,
     /// Last sign of life, and last call that was served.
@@ -50,27 +72,65 @@
     pub trial: bool,
     /// Calls out.
     pub calls: usize,
+    /// When a call was last lost on a connection that had been idle, or got none, and for how long they idled.
+    pub lost: Option<(Micros, f64)>,
     /// Since when each known connection has been idle.
     pub idle: Vec<Micros>,
-    /// Permits of a slow start, and when they were last counted.
+    /// Permits of a host that is open or cold, and when they were last counted.
     pub cold_tokens: f64,
     pub cold_at: Micros,
 }
 
 impl Host {
     pub fn is_open(&self) -> bool {
-        matches!(self.health, Health::Open { .. })
+        self.health == Health::Open
+    }
+
+    /// Books trouble that began at `since`. Spells less than `apart` apart are one, and so is all until closed.
+    pub fn ail(&mut self, weight: f64, since: Micros, now: Micros, apart: Micros) {
+        self.trouble += weight;
+        if self.health == Health::Closed && since > self.bad_at + apart {
+            (self.bad_since, self.failed) = (since, false);
+        }
+        self.bad_at = now;
     }
 }
 
-/// What one sender did on a route in a round, in permits.
+/// What senders did on a route in a round, in permits: one of them, or several added up.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
+    pub senders: f64,
     pub designated: f64,
+    /// Designated to those that used all of theirs.
+    pub full: f64,
+    /// Left over by the others.
+    pub spare: f64,
     pub used: f64,
     pub refused: f64,
 }
 
+impl Report {
+    /// What a sender without a newer report has done since.
+    pub fn idle(self) -> Self {
+        Report { full: 0.0, spare: self.designated, used: 0.0, refused: 0.0, ..self }
+    }
+}
+
+impl Add for Report {
+    type Output = Report;
+
+    fn add(self, other: Report) -> Report {
+        Report {
+            senders: self.senders + other.senders,
+            designated: self.designated + other.designated,
+            full: self.full + other.full,
+            spare: self.spare + other.spare,
+            used: self.used + other.used,
+            refused: self.refused + other.refused,
+        }
+    }
+}
+
 /// The holder of a limit.
 #[derive(Debug, Default)]
 pub struct Route {
@@ -79,6 +139,8 @@
     pub told: Option<f64>,
     /// Hosts that share it.
     pub hosts: f64,
+    /// This sender gathers its reports.
+    pub is_home: bool,
     /// Shares bind, since calls were refused as full.
     pub bound: bool,
     /// Calls a second from all senders together, and this sender's fraction of them.
@@ -95,14 +157,61 @@
     /// Highest rate served lately, in calls a second.
     pub peak: f64,
     pub wait_until: Micros,
-    /// Refusals since the last call that was served, and when they began.
+    /// When an outage of one of its destination's hosts last cast doubt on all.
+    pub doubted_at: Micros,
+    /// Refusals since the last call that was served.
     pub fulls: u32,
-    pub full_since: Micros,
     /// Mean answer time and its mean deviation, in microseconds.
     pub answer_time: f64,
     pub deviation: f64,
-    /// Last report of each peer and when it came.
+    /// Last used or waited for.
+    pub active_at: Micros,
+    /// Last report of each peer and when it came; at the route's homes.
     pub reports: BTreeMap<u16, (Micros, Report)>,
+    /// What a home last told of all other senders together, and when.
+    pub rest: Option<(Micros, Report)>,
+}
+
+impl Route {
+    /// Books what the destination told of its limit, if it did; a new word has this weight in the mean.
+    pub fn tell_limit(&mut self, limit: Option<f64>, weight: f64) {
+        if let Some(limit) = limit {
+            let told = self.told.get_or_insert(limit);
+            *told += (limit - *told) * weight;
+        }
+    }
+
+    /// Begins a round; each refusal that was reported has had its effect.
+    pub fn start_round(&mut self) {
+        for (_, report) in self.reports.values_mut().chain(&mut self.rest) {
+            report.used -= report.refused;
+            report.refused = 0.0;
+        }
+        (self.used, self.refused) = (0.0, 0.0);
+    }
+
+    /// What the peers but one reported, added up. A report counts until it is `fresh` no more, and then tells
+    /// of an idle sender up to its expiry.
+    pub fn others(&self, but: u16, fresh: Micros, expiry: Micros, now: Micros) -> Report {
+        let reports = self.reports.iter().filter(|(from, _)| **from != but).map(|(_, report)| report);
+        let reports = reports.chain(&self.rest).filter(|(at, _)| *at + expiry > now);
+        let aged = |(at, report): &(Micros, Report)| if *at + fresh > now { *report } else { report.idle() };
+        reports.map(aged).fold(Report::default(), Report::add)
+    }
+
+    /// Books the time that an answer took; a new one has this weight in the means.
+    pub fn answered(&mut self, took: Micros, weight: f64) {
+        let off = took as f64 - self.answer_time;
+        self.answer_time += off * weight;
+        self.deviation += (off.abs() - self.deviation) * weight;
+    }
+
+    /// Counts permits up to now at `pace`; as many are saved up as it gives in `burst` seconds, one at least.
+    pub fn fill(&mut self, pace: f64, burst: f64, now: Micros) {
+        let gained = pace * seconds(now - self.filled_at);
+        self.tokens = (self.tokens + gained).min((pace * burst).max(1.0));
+        self.filled_at = now;
+    }
 }
 
 /// An attempt without an outcome.
@@ -139,6 +248,8 @@
     pub host: HostId,
     pub sent_at: Micros,
     pub members: usize,
+    /// Messages that may still join it.
+    pub room: usize,
     pub trial: bool,
     pub judged: bool,
     /// How long its connection had been idle; none for a new one.
@@ -152,6 +263,18 @@
     pub rest_until: Micros,
 }
 
+/// What is due when.
+#[derive(Debug, Default)]
+pub struct Agenda {
+    /// End of the round, next look at what is held, next timer.
+    pub round_at: Micros,
+    pub look_at: Micros,
+    pub wake_at: Micros,
+    /// When the registry is asked, and the last pause before that.
+    pub ask_at: Option<Micros>,
+    pub ask_pause: Micros,
+}
+
 /// All of it.
 #[derive(Debug, Default)]
 pub struct State {
@@ -162,18 +285,33 @@
     pub calls: BTreeMap<u64, Call>,
     /// Messages of each tenant in this round, and their mean number in a round.
     pub demand: BTreeMap<usize, (f64, f64)>,
+    /// The hosts of each destination.
+    index: BTreeMap<DestinationId, BTreeSet<HostId>>,
+    /// Hosts with idle connections.
+    idle: BTreeSet<HostId>,
     last_call: u64,
 }
 
 impl State {
     pub fn hosts_of(&self, destination: DestinationId) -> impl Iterator<Item = (HostId, &Host)> {
-        self.hosts.iter().filter(move |(_, host)| host.route.0 == destination).map(|(id, host)| (*id, host))
+        let ids = self.index.get(&destination).into_iter().flatten();
+        ids.filter_map(|id| Some((*id, self.hosts.get(id)?)))
+    }
+
+    /// The hosts of a route that are not open.
+    pub fn closed_hosts(&self, id: RouteId) -> impl Iterator<Item = HostId> {
+        let closed = move |host: &Host| host.route == id && !host.is_open();
+        self.hosts_of(id.0).filter(move |(_, host)| closed(host)).map(|(id, _)| id)
     }
 
     pub fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
         self.routes.range((destination, None)..(destination + 1, None)).map(|(_, route)| route)
     }
 
+    pub fn routes_of_mut(&mut self, destination: DestinationId) -> impl Iterator<Item = &mut Route> {
+        self.routes.range_mut((destination, None)..(destination + 1, None)).map(|(_, route)| route)
+    }
+
     /// A known host and its route.
     pub fn host_and_route(&mut self, id: HostId) -> Option<(&mut Host, &mut Route)> {
         let host = self.hosts.get_mut(&id)?;
@@ -191,6 +329,41 @@
         self.held().filter(|message| message.out.is_none())
     }
 
+    /// Books a call that was served; a new one has this weight in the mean.
+    pub fn serve(&mut self, id: HostId, now: Micros, weight: f64) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.trouble /= 2.0;
+            host.ok_at = now;
+            host.failing -= host.failing * weight;
+        }
+    }
+
+    /// Books whether a call was seen to fail.
+    pub fn mark(&mut self, id: HostId, failed: bool) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.failed |= failed;
+        }
+    }
+
+    /// How many messages wait for each destination.
+    pub fn waiting_counts(&self) -> BTreeMap<DestinationId, f64> {
+        let mut counts = BTreeMap::new();
+        for message in self.waiting() {
+            *counts.entry(message.request.destination).or_default() += 1.0;
+        }
+        counts
+    }
+
+    /// Of each known host with calls out, when the first was sent and how many there are.
+    pub fn unanswered(&self) -> BTreeMap<HostId, (Micros, u64)> {
+        let mut unanswered = BTreeMap::new();
+        for call in self.calls.values().filter(|call| self.hosts.contains_key(&call.host)) {
+            let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
+            *entry = (call.sent_at.min(entry.0), entry.1 + 1);
+        }
+        unanswered
+    }
+
     pub fn accept(&mut self, request: Request, classes: &[Class]) {
         self.demand.entry(request.tenant).or_default().0 += 1.0;
         if let (Some(key), true) = (request.key, classes[request.class].in_order) {
@@ -224,8 +397,16 @@
         })
     }
 
+    /// A call of this batch to a destination that another message may join.
+    pub fn bundle(&self, destination: DestinationId, now: Micros) -> Option<(HostId, u64)> {
+        let to = |id: HostId| self.hosts.get(&id).is_some_and(|host| host.route.0 == destination);
+        let latest = self.calls.iter().rev().take_while(|(_, call)| call.sent_at == now);
+        let mut open = latest.filter(|(_, call)| call.room > 0 && to(call.host));
+        open.next().map(|(number, call)| (call.host, *number))
+    }
+
     /// Books a new call to a known host.
-    pub fn open_call(&mut self, id: HostId, now: Micros, idle_close: Micros) -> Option<u64> {
+    pub fn open_call(&mut self, id: HostId, now: Micros, settings: &Settings) -> Option<u64> {
         let (host, route) = self.host_and_route(id)?;
         if route.bound {
             route.tokens -= 1.0;
@@ -233,20 +414,39 @@
         route.used += 1.0;
         host.cold_tokens -= 1.0;
         host.calls += 1;
-        host.idle.retain(|since| *since + idle_close > now);
+        host.idle.retain(|since| *since + settings.idle_close > now);
         let idle_for = host.idle.pop().map(|since| now - since);
         let trial = host.is_open();
         host.trial |= trial;
+        let room = if trial { 1 } else { settings.kinds[host.kind].bundle };
         self.last_call += 1;
-        let call = Call { host: id, sent_at: now, members: 0, trial, judged: false, idle_for };
+        let call = Call { host: id, sent_at: now, members: 0, room, trial, judged: false, idle_for };
         self.calls.insert(self.last_call, call);
         Some(self.last_call)
     }
 
+    /// Forgets and names the hosts whose oldest idle connection is of this age.
+    pub fn close_idle(&mut self, age: Micros, now: Micros) -> Vec<HostId> {
+        let hosts = &mut self.hosts;
+        let is_old = |id: &HostId| {
+            let since = hosts.get(id).and_then(|host| host.idle.first());
+            since.is_none_or(|since| since + age <= now)
+        };
+        let old: Vec<HostId> = self.idle.iter().copied().filter(is_old).collect();
+        for id in &old {
+            self.idle.remove(id);
+            if let Some(host) = hosts.get_mut(id) {
+                host.idle.clear();
+            }
+        }
+        old
+    }
+
     /// Books an attempt of a message in a call.
     pub fn join_call(&mut self, call: u64, id: MessageId, now: Micros) {
         if let (Some(entry), Some(message)) = (self.calls.get_mut(&call), self.messages.get_mut(&id)) {
             entry.members += 1;
+            entry.room -= 1;
             message.out = Some(Attempt { number: message.attempts, call, host: entry.host, sent_at: now });
             message.attempts += 1;
         }
@@ -270,7 +470,7 @@
         }
         let call = self.calls.get_mut(&attempt.call)?;
         call.members -= 1;
-        let idle_for = call.idle_for.take();
+        let idle_for = call.idle_for;
         let first = !std::mem::replace(&mut call.judged, true);
         if call.members == 0 {
             let trial = call.trial;
@@ -280,6 +480,7 @@
                 host.trial &= !trial;
                 if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. }) {
                     host.idle.push(now);
+                    self.idle.insert(attempt.host);
                 }
             }
         }
@@ -314,31 +515,42 @@
     }
 
     /// Takes over lines of the registry's list; in a `whole` one a missing host is gone. A `new` route is
-    /// made for a destination not seen before, or for a host whose kind has its routes `apart`.
+    /// made for a destination not seen before, or for a host whose kind has its routes apart.
     pub fn list(
-        &mut self, entries: &[Listed], whole: bool, apart: impl Fn(usize) -> bool, new: impl Fn() -> Route,
+        &mut self, entries: &[Listed], whole: bool, settings: &Settings, new: impl Fn(RouteId) -> Route,
         now: Micros,
     ) {
-        for (id, host) in &mut self.hosts {
-            if whole && !entries.iter().any(|entry| entry.host == *id) {
-                host.leave(Lifecycle::Gone, now);
-            }
+        let named: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
+        for (_, host) in self.hosts.iter_mut().filter(|(id, _)| whole && !named.contains(id)) {
+            host.leave(Lifecycle::Gone, now);
         }
         for entry in entries {
-            let route = (entry.destination, apart(entry.kind).then_some(entry.host));
+            let apart = settings.kinds[entry.kind].routes_apart;
+            let route = (entry.destination, apart.then_some(entry.host));
             if entry.lifecycle != Lifecycle::Gone {
-                self.routes.entry(route).or_insert_with(|| Route { filled_at: now, ..new() });
+                self.routes.entry(route).or_insert_with(|| Route { filled_at: now, ..new(route) });
                 let new =
                     Host { route, kind: entry.kind, zone: entry.zone, heard_at: now, ..Host::default() };
-                self.hosts.entry(entry.host).or_insert(new);
+                let host = self.hosts.entry(entry.host).or_insert(new);
+                self.index.entry(host.route.0).or_default().insert(entry.host);
             }
-            if let Some(host) = self.hosts.get_mut(&entry.host) {
+            if let Some((host, route)) = self.host_and_route(entry.host) {
                 host.leave(entry.lifecycle, now);
+                route.listed = Some(entry.weight).filter(|_| settings.listing != Listing::Silent);
             }
         }
         self.hosts.retain(|_, host| host.lifecycle != Lifecycle::Gone || host.calls > 0);
-        for (id, route) in &mut self.routes {
-            route.hosts = self.hosts.values().filter(|host| host.route == *id).count() as f64;
+        for destination in entries.iter().map(|entry| entry.destination).collect::<BTreeSet<_>>() {
+            self.count_hosts(destination);
+        }
+    }
+
+    fn count_hosts(&mut self, destination: DestinationId) {
+        let Some(ids) = self.index.get_mut(&destination) else { return };
+        ids.retain(|id| self.hosts.contains_key(id));
+        for (id, route) in self.routes.range_mut((destination, None)..(destination + 1, None)) {
+            let of_route = ids.iter().filter(|host| self.hosts[*host].route == *id);
+            route.hosts = of_route.count() as f64;
         }
     }
 }
