--- a/src/brain.rs
+++ b/src/brain.rs
@@ -41,7 +41,7 @@
 /// Least and most silence that opens a host (us): longer than a brief stall, shorter than most aims.
 const PATIENCE_BOUNDS: (Micros, Micros) = (800_000, 2_500_000);
 /// Time-out of a call that may be repeated, and of one that may not, in units of the above; doubled with each
-/// attempt. Danger: lost calls hold the slots, whatever became of them. Harm: work done twice where all is slow.
+/// attempt. Danger: lost calls hold slots, whatever became of them. Harm: work done twice where all is slow.
 const NEXT_PATIENCE: Micros = 2;
 const LAST_PATIENCE: Micros = 8;
 /// Trouble at which a host is opened: failures in a row, most calls failing, or senders that tell of some.
@@ -121,8 +121,7 @@
     route.share * route.pool + route.slack
 }
 
-/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether nothing was served
-/// of more calls than a limit would refuse in a row.
+/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether all was refused.
 fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> bool {
     let senders = f64::from(settings.senders);
     route.fill(pace(route), seconds(BURST), now);
@@ -160,8 +159,8 @@
     bound.clamp(PATIENCE_BOUNDS.0, PATIENCE_BOUNDS.1)
 }
 
-/// Doubt in a host: its own failure not yet answered by successes, or a neighbour's outage since it last served,
-/// as an outage mostly takes a destination whole.
+/// Doubt in a host: its own failure not yet answered by successes, or a neighbour's outage since it last
+/// served, as an outage mostly takes a destination whole.
 fn suspect(host: &Host, route: &Route, now: Micros) -> bool {
     let doubted = route.doubted_at > host.ok_at && now < route.doubted_at + EXPIRY;
     (host.trouble >= 1.0 && now < host.bad_at + ROUND) || doubted
@@ -398,8 +397,8 @@
         }
     }
 
-    /// Counts the permits of what is waited for up to now. Danger: what a cold host is sent in the rule's
-    /// window passes a multiple of what it can do; each sender plans for its share of a part of that.
+    /// Counts the permits of what is waited for. Danger: what a cold host is sent in the rule's window passes
+    /// a multiple of what it can do; each sender plans for its share of a part of that.
     fn fill(&mut self) {
         let (now, senders, settings) = (self.now, f64::from(self.settings.senders), &self.settings);
         let wanted = self.state.waiting_counts();
@@ -471,8 +470,9 @@
     }
 
     /// Danger: idle connections of many senders fill a host's table and nobody gets through; or something
-    /// between drops them unseen, and what is put on one is lost. Where a call that failed so is soon followed
-    /// by one served on a new connection, all are kept for less time. Harms, by handshakes, after short outages.
+    /// between drops them unseen, and what is put on one is lost. Where a call that failed so is soon
+    /// followed by one served on a new connection, all are kept for less time. Harms, by handshakes, after
+    /// short outages.
     fn learn_keep(&mut self, id: HostId, outcome: Outcome, idle_for: Option<Micros>) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         match (outcome, idle_for) {
