Time-outs grow eightfold with each attempt; one home speaks for all

Changes: each earlier attempt multiplies the time-out by eight; a quick failed connect is a quarter of a trip; each failure is told to the homes, a standing word needs one accuser, and the home whose turn it is speaks for all; an expired word ends in a slow start; looks every 25 ms.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! of a pool, and each round the surplus of underusers passes to those that used all theirs. The rest guards
 //! that path. What is known, without decisions, is kept by `src/state.rs`.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use crate::interface::*;
 use crate::memo::{self, Memo, Purpose, Record};
@@ -40,8 +40,8 @@
 const PATIENCE: f64 = 5.0;
 /// Least and most silence that opens a host (us): longer than a brief stall, shorter than most aims.
 const PATIENCE_BOUNDS: (Micros, Micros) = (800_000, 2_500_000);
-/// Time-out of a call that may be repeated, and of one that may not, in units of the above; doubled with each
-/// attempt. Danger: lost calls hold slots, whatever became of them. Harm: work done twice where all is slow.
+/// Time-out of a call that may be repeated, in units of the above; the factor for each earlier attempt and
+/// for one that may not. Danger: lost calls hold slots. Harm: work done twice, so a second has much more.
 const NEXT_PATIENCE: Micros = 2;
 const LAST_PATIENCE: Micros = 8;
 /// Trouble at which a host is opened: failures in a row, most calls failing, or senders that tell of some.
@@ -64,7 +64,7 @@
 const KEEP_CUT: f64 = 0.5;
 const KEEP_REGROWTH: f64 = 1.1;
 /// Time between looks at what is held (us).
-const LOOK: Micros = 20_000;
+const LOOK: Micros = 25_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
 
@@ -101,10 +101,11 @@
     route.told.or(route.listed).unwrap_or(route.peak).max(LEAST_POOL)
 }
 
-/// Senders that gather a destination's reports.
-fn homes(destination: DestinationId, senders: u16) -> BTreeSet<u16> {
-    let first = u64::from(destination) * u64::from(HOMES);
-    (0..HOMES).map(|next| ((first + u64::from(next)) % u64::from(senders)) as u16).collect()
+/// Senders that gather a destination's reports; the first, in turn, speaks for all.
+fn homes(destination: DestinationId, senders: u16, now: Micros) -> Vec<u16> {
+    let (first, count) = (u64::from(destination) * u64::from(HOMES), u64::from(HOMES.min(senders)));
+    let home = |place| ((first + (place + now / ROUND) % count) % u64::from(senders)) as u16;
+    (0..count).map(home).collect()
 }
 
 /// What a sender would report of the round so far. One with messages waiting has nothing to pass on.
@@ -415,9 +416,9 @@
                 Health::Open => 0.0,
                 Health::SlowStart { since } => seconds(now - since) / seconds(settings.cold_time),
             };
-            // A cold time is over, or the word of others has expired.
-            if ramp >= 1.0 || (host.is_open() && host.trouble < TRIP && now >= host.verdict_at + EXPIRY) {
-                host.health = Health::Closed;
+            let expired = host.is_open() && host.trouble < TRIP && now >= host.verdict_at + EXPIRY;
+            if ramp >= 1.0 || expired {
+                host.health = if expired { Health::SlowStart { since: now } } else { Health::Closed };
                 continue;
             }
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
@@ -437,7 +438,8 @@
         let (left, effect) = (message.request.deadline.saturating_sub(self.now), self.class(message).effect);
         let bound = patience(&self.state.routes[&self.state.hosts[&host].route]);
         let times = if effect == Effect::SingleShot { LAST_PATIENCE } else { NEXT_PATIENCE };
-        let timeout = left.min((bound * times).saturating_mul(2_u64.saturating_pow(message.attempts)));
+        let timeout =
+            left.min((bound * times).saturating_mul(LAST_PATIENCE.saturating_pow(message.attempts)));
         self.state.join_call(call, id, self.now);
         self.actions.push(Action::Send { id, host, timeout });
     }
@@ -501,7 +503,6 @@
             host.heard_at = now;
         }
         let failed = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
-        let trial_failed = host.is_open() && failed;
         match outcome {
             Outcome::Ok => {
                 route.fulls = 0;
@@ -523,7 +524,7 @@
                 route.tokens = route.tokens.min(chance(now, self.seed));
                 let pause = (FULL_PAUSE << (route.fulls - 1).min(3)).min(ROUND);
                 route.wait_until = route.wait_until.max(now + pause * u64::from(wait == 0));
-                if wait >= self.settings.overload_window {
+                if wait >= self.settings.overload_window || host.is_open() {
                     self.ail(id, TRIP, now, "refuses all");
                 }
             }
@@ -535,14 +536,11 @@
             // A connect that failed at once may have met a full table.
             Outcome::ConnectFailed => {
                 let slow = now > sent_at + PATIENCE_BOUNDS.0;
-                self.ail(id, if slow { TRIP } else { 1.0 }, sent_at, "takes no connection");
+                self.ail(id, if slow { TRIP } else { TRIP / 4.0 }, sent_at, "takes no connection");
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
         self.state.mark(id, failed);
-        if trial_failed {
-            self.tell(id, false);
-        }
     }
 
     /// Books trouble that began at `since`; too much opens the host. Spells less than the overload rule's
@@ -552,7 +550,7 @@
         host.ail(weight, since, self.now, self.settings.overload_window);
         let fallen = host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. });
         if host.is_open() || !fallen {
-            return;
+            return self.tell(id, false);
         }
         host.trouble = host.trouble.max(TRIP);
         let destination = host.route.0;
@@ -618,7 +616,7 @@
         self.agenda.ask_pause = 0;
         let (me, senders) = (self.settings.me, self.settings.senders);
         let new = |id: RouteId| Route {
-            is_home: homes(id.0, senders).contains(&me),
+            is_home: homes(id.0, senders, 0).contains(&me),
             answer_time: FIRST_GUESS,
             deviation: FIRST_GUESS,
             ..Route::default()
@@ -631,11 +629,11 @@
         let me = self.settings.me;
         let mut records = Vec::new();
         for (id, route) in &self.state.routes {
-            let (waits, homes) = (self.outlook.contains_key(&id.0), homes(id.0, self.settings.senders));
+            let (waits, homes) =
+                (self.outlook.contains_key(&id.0), homes(id.0, self.settings.senders, self.now));
             let unsure = route.bound || self.settings.listing == Listing::Silent;
-            let asked = homes.iter().nth((self.now / ROUND) as usize % homes.len()).copied();
             for home in homes.iter().filter(|home| **home != me && (waits || route.used > 0.0)) {
-                let asks = unsure && asked == Some(*home) && !route.is_home;
+                let asks = unsure && *home == homes[0] && !route.is_home;
                 let report = report(route, waits);
                 records.push((*home, Record { destination: id.0, host: id.1, report, asks, up: None }));
             }
@@ -649,7 +647,7 @@
     fn tell(&mut self, id: HostId, up: bool) {
         let Some(destination) = self.state.hosts.get(&id).map(|host| host.route.0) else { return };
         let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
-        for home in homes(destination, self.settings.senders) {
+        for home in homes(destination, self.settings.senders, self.now) {
             if home == self.settings.me {
                 self.weigh(home, id, up);
             } else {
@@ -670,7 +668,7 @@
         let Some(memo) = memo::decode(bytes).filter(|_| from < self.settings.senders) else { return };
         let (told, now, senders) = (memo.record, self.now, self.settings.senders);
         let id = (told.destination, told.host);
-        let (waits, is_home) = (self.outlook.contains_key(&id.0), homes(id.0, senders).contains(&from));
+        let (waits, is_home) = (self.outlook.contains_key(&id.0), homes(id.0, senders, now).contains(&from));
         match (memo.purpose, told.host.zip(told.up), self.state.routes.get_mut(&id)) {
             (Purpose::News, Some((host, up)), _) => self.weigh(from, host, up),
             (Purpose::Verdict, Some((host, up)), _) if is_home => self.heed(host, up),
@@ -699,9 +697,11 @@
             host.accusers.insert(from, now);
         }
         let known = now < if up { host.verdict_at + EXPIRY } else { host.worded_at + ROUND };
-        let enough = up || host.accusers.len() as f64 >= TRIP.max(served * MOSTLY);
-        if known == up && enough {
-            let destination = host.route.0;
+        let stands = up || now < host.verdict_at + EXPIRY;
+        let rounds = (EXPIRY / ROUND) as f64;
+        let enough = stands || host.accusers.len() as f64 >= TRIP.max(served * MOSTLY * rounds);
+        let destination = host.route.0;
+        if known == up && enough && homes(destination, self.settings.senders, now)[0] == me {
             let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
             self.post(None, Purpose::Verdict, record);
             self.heed(id, up);
