--- a/src/brain.rs
+++ b/src/brain.rs
@@ -160,8 +160,7 @@
     bound.clamp(PATIENCE_BOUNDS.0, PATIENCE_BOUNDS.1)
 }
 
-/// Doubt in a host: its own failure not yet answered by successes, or a neighbour's outage since it last
-/// served, as an outage mostly takes a destination whole.
+/// Doubt in a host: its own failure of late, or a neighbour's outage, as mostly all fail together.
 fn suspect(host: &Host, route: &Route, now: Micros) -> bool {
     let doubted = route.doubted_at > host.ok_at && now < route.doubted_at + EXPIRY;
     (host.trouble >= 1.0 && now < host.bad_at + ROUND) || doubted
@@ -473,8 +472,7 @@
 
     /// Danger: idle connections of many senders fill a host's table and nobody gets through; or something
     /// between drops them unseen, and what is put on one is lost. Where a call that failed so is soon
-    /// followed by one served on a new connection, all are kept for less time. Harms, by handshakes, after
-    /// short outages.
+    /// followed by one served on a new connection, all are kept for less time. Harms: handshakes.
     fn learn_keep(&mut self, id: HostId, outcome: Outcome, idle_for: Option<Micros>) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         match (outcome, idle_for) {
@@ -622,6 +620,10 @@
             ..Route::default()
         };
         self.state.list(&entries, whole, &self.settings, new, self.now);
+        // Danger: a new host of a destination that is out is as cold as the rest, and all would rush to it.
+        for entry in &entries {
+            self.state.inherit(entry.host, chance(self.now, self.seed), self.now);
+        }
     }
 
     /// Tells the homes of the routes in use of the round that ends; one of them, in turn, is asked for sums.
@@ -698,8 +700,8 @@
         }
         let known = now < if up { host.verdict_at + EXPIRY } else { host.worded_at + ROUND };
         let stands = up || now < host.verdict_at + EXPIRY;
-        let rounds = (EXPIRY / ROUND) as f64;
-        let enough = stands || host.accusers.len() as f64 >= TRIP.max(served * MOSTLY * rounds);
+        let most = served * MOSTLY * (EXPIRY / ROUND) as f64;
+        let enough = stands || host.accusers.len() as f64 >= TRIP.max(most);
         let destination = host.route.0;
         if known == up && enough && homes(destination, self.settings.senders, now)[0] == me {
             let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
@@ -711,10 +713,7 @@
     /// Takes over a home's word: calls are held back, or go out again slowly.
     fn heed(&mut self, id: HostId, up: bool) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
-        (host.verdict_at, host.worded_at) = (if up { 0 } else { self.now }, self.now);
-        if up {
-            host.accusers.clear();
-        }
+        host.word(up, self.now);
         if up && host.is_open() {
             self.recover(id);
         } else if !up && !host.is_open() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,6 +86,14 @@
         self.health == Health::Open
     }
 
+    /// Books the homes' word of it.
+    pub fn word(&mut self, up: bool, now: Micros) {
+        (self.verdict_at, self.worded_at) = (if up { 0 } else { now }, now);
+        if up {
+            self.accusers.clear();
+        }
+    }
+
     /// Books trouble that began at `since`. Spells less than `apart` apart are one, and so is all until closed.
     pub fn ail(&mut self, weight: f64, since: Micros, now: Micros, apart: Micros) {
         self.trouble += weight;
@@ -545,6 +553,23 @@
         }
     }
 
+    /// Has a host that was never used take over the trouble of its route's others, if all of them are open.
+    pub fn inherit(&mut self, id: HostId, tokens: f64, now: Micros) {
+        let Some(host) = self.hosts.get(&id) else { return };
+        let used = host.ok_at > 0 || host.calls > 0 || host.health != Health::Closed;
+        let others = self.hosts_of(host.route.0).filter(|(other, _)| *other != id);
+        let of_route: Vec<_> = others.map(|(_, other)| other).filter(|o| o.route == host.route).collect();
+        if used || of_route.is_empty() || !of_route.iter().all(|other| other.is_open()) {
+            return;
+        }
+        let Host { bad_since, bad_at, verdict_at, trouble, failed, .. } = *of_route[0];
+        if let Some(host) = self.hosts.get_mut(&id) {
+            (host.health, host.cold_tokens, host.cold_at) = (Health::Open, tokens, now);
+            (host.bad_since, host.bad_at, host.verdict_at) = (bad_since, bad_at, verdict_at);
+            (host.trouble, host.failed) = (trouble, failed);
+        }
+    }
+
     fn count_hosts(&mut self, destination: DestinationId) {
         let Some(ids) = self.index.get_mut(&destination) else { return };
         ids.retain(|id| self.hosts.contains_key(id));
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -535,6 +535,20 @@
     assert_eq!(sends(&actions).len(), 1);
 }
 
+#[test]
+fn a_new_host_of_a_destination_that_is_out_is_not_rushed() {
+    let sent = [true, false].map(|out| {
+        let mut sender = one_of_many(9);
+        if out {
+            sender.step(vec![word(3, Purpose::Verdict, false)]);
+        }
+        sender.now += 4 * SECOND;
+        sender.step(vec![Event::Registry(RegistryNews::Changes(vec![listed(2, 1, 4.0)]))]);
+        sends(&sender.hand_in(FREE, 1).1).len()
+    });
+    assert_eq!(sent, [0, 1]);
+}
+
 #[test]
 fn only_the_home_whose_turn_it_is_speaks_for_all() {
     let mut home = one_of_many(3);
