--- a/src/brain.rs
+++ b/src/brain.rs
@@ -207,10 +207,10 @@
         if now >= self.agenda.look_at {
             self.agenda.look_at = now + LOOK;
             self.look_ahead();
-            self.expire();
             self.watch_health();
         }
         if due {
+            self.expire();
             self.shed();
             self.dispatch();
         }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -274,6 +274,18 @@
     assert_eq!(refused(&actions), [stranded]);
 }
 
+#[test]
+fn what_comes_or_fails_with_no_time_left_is_answered_at_once() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
+    let (held, actions) = sender.hand_in(FREE, 1);
+    let sent = sends(&actions)[0];
+    sender.now += 5 * MILLI;
+    let request = Request { deadline: sender.now + 10 * MILLI, ..sender.request(FREE, 1) };
+    assert_eq!(refused(&sender.step(vec![Event::Message(request)])), [request.id]);
+    sender.now = START + sender.settings.classes[FREE].deadline;
+    assert_eq!(refused(&sender.outcome(&sent, Outcome::Timeout)), [held]);
+}
+
 #[test]
 fn messages_of_a_key_go_one_at_a_time_and_rest_after_doubt() {
     let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0), listed(2, 1, 4.0)]);
