--- a/src/state.rs
+++ b/src/state.rs
@@ -47,8 +47,6 @@
     pub kind: usize,
     pub zone: u16,
     pub lifecycle: Lifecycle,
-    /// When it was told that the host drains or is gone.
-    pub told_at: Micros,
     pub health: Health,
     /// Failures, halved by each success.
     pub trouble: f64,
@@ -530,7 +528,7 @@
     ) {
         let named: BTreeSet<HostId> = entries.iter().map(|entry| entry.host).collect();
         for (_, host) in self.hosts.iter_mut().filter(|(id, _)| whole && !named.contains(id)) {
-            host.leave(Lifecycle::Gone, now);
+            host.lifecycle = Lifecycle::Gone;
         }
         for entry in entries {
             let apart = settings.kinds[entry.kind].routes_apart;
@@ -543,7 +541,7 @@
                 self.index.entry(host.route.0).or_default().insert(entry.host);
             }
             if let Some((host, route)) = self.host_and_route(entry.host) {
-                host.leave(entry.lifecycle, now);
+                host.lifecycle = entry.lifecycle;
                 route.listed = Some(entry.weight).filter(|_| settings.listing != Listing::Silent);
             }
         }
@@ -579,12 +577,3 @@
         }
     }
 }
-
-impl Host {
-    fn leave(&mut self, lifecycle: Lifecycle, now: Micros) {
-        if self.lifecycle == Lifecycle::Ready && lifecycle != Lifecycle::Ready {
-            self.told_at = now;
-        }
-        self.lifecycle = lifecycle;
-    }
-}
