Reread: drop a lapse check made twice, work out homes only where used

expire runs before each dispatch and gives up every waiting message whose window is over by the same rule, so the check in dispatch could not act any more. Homes were worked out for each note heard and each idle route; now for a verdict and for routes that are told of. The stale comment on FADE is put right.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,7 +58,7 @@
 const FIRST_GUESS: f64 = 300_000.0;
 /// Part of the room for messages kept free, so that this module and not the door picks what is turned away.
 const RESERVE: f64 = 0.06;
-/// Factor each round by which what was learned and not seen again fades: that time, the highest rate served.
+/// Factor each round by which the highest rate served fades, if it is not seen again.
 const FADE: f64 = 1.03;
 /// Factors on the time for which idle connections are kept: after a connect that failed, and each round.
 const KEEP_CUT: f64 = 0.5;
@@ -307,7 +307,7 @@
     }
 
     /// Answers what can't be served in time any more: a message at its deadline, a waiting one already when
-    /// the usual answer would come too late, a guarded one that its window no longer protects.
+    /// the usual answer would come too late, a guarded one whose window is over and would run twice.
     fn expire(&mut self) {
         let hopeless = |message: &&Message| {
             let waits = message.out.is_none();
@@ -335,11 +335,8 @@
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then((a.1, a.2).cmp(&(b.1, b.2))));
         for (_, _, id) in waiting {
             let message = &self.state.messages[&id];
-            // Danger: two messages of a key overtake each other. The head goes alone, after its rest. And one
-            // whose window is over may run twice.
-            if !self.state.in_turn(message, self.now)
-                || State::lapsed(message, self.class(message), self.now + LOOK)
-            {
+            // Danger: two messages of a key overtake each other. The head goes alone, after its rest.
+            if !self.state.in_turn(message, self.now) {
                 continue;
             }
             let destination = message.request.destination;
@@ -631,10 +628,13 @@
         let me = self.settings.me;
         let mut records = Vec::new();
         for (id, route) in &self.state.routes {
-            let (waits, homes) =
-                (self.outlook.contains_key(&id.0), homes(id.0, self.settings.senders, self.now));
+            let waits = self.outlook.contains_key(&id.0);
+            if !waits && route.used == 0.0 {
+                continue;
+            }
+            let homes = homes(id.0, self.settings.senders, self.now);
             let unsure = route.bound || self.settings.listing == Listing::Silent;
-            for home in homes.iter().filter(|home| **home != me && (waits || route.used > 0.0)) {
+            for home in homes.iter().filter(|home| **home != me) {
                 let asks = unsure && *home == homes[0] && !route.is_home;
                 let report = report(route, waits);
                 records.push((*home, Record { destination: id.0, host: id.1, report, asks, up: None }));
@@ -670,10 +670,11 @@
         let Some(memo) = memo::decode(bytes).filter(|_| from < self.settings.senders) else { return };
         let (told, now, senders) = (memo.record, self.now, self.settings.senders);
         let id = (told.destination, told.host);
-        let (waits, is_home) = (self.outlook.contains_key(&id.0), homes(id.0, senders, now).contains(&from));
+        let waits = self.outlook.contains_key(&id.0);
+        let from_home = || homes(id.0, senders, now).contains(&from);
         match (memo.purpose, told.host.zip(told.up), self.state.routes.get_mut(&id)) {
             (Purpose::News, Some((host, up)), _) => self.weigh(from, host, up),
-            (Purpose::Verdict, Some((host, up)), _) if is_home => self.heed(host, up),
+            (Purpose::Verdict, Some((host, up)), _) if from_home() => self.heed(host, up),
             (Purpose::Round, None, Some(route)) => {
                 route.reports.insert(from, (now, told.report));
                 if told.asks {
--- a/src/state.rs
+++ b/src/state.rs
@@ -360,10 +360,10 @@
         counts
     }
 
-    /// Of each known host with calls out, when the first was sent and how many there are.
+    /// Of each host with calls out, when the first was sent and how many there are.
     pub fn unanswered(&self) -> BTreeMap<HostId, (Micros, u64)> {
         let mut unanswered = BTreeMap::new();
-        for call in self.calls.values().filter(|call| self.hosts.contains_key(&call.host)) {
+        for call in self.calls.values() {
             let entry = unanswered.entry(call.host).or_insert((call.sent_at, 0));
             *entry = (call.sent_at.min(entry.0), entry.1 + 1);
         }
