--- a/crates/adapter/src/codec.rs
+++ b/crates/adapter/src/codec.rs
@@ -3,6 +3,8 @@
 use std::fmt;
 use std::io::{self, Read, Write};
 
+use pewterseam_settings::Malformed;
+
 /// Bytes of a batch header: record count, frame size, clock.
 pub const BATCH_HEADER: usize = 16;
 /// Bytes of a reply header: frame size, record count.
@@ -21,7 +23,7 @@
 pub enum Fault {
     Io(io::Error),
     Frame(String),
-    Settings(String),
+    Settings(Malformed),
 }
 
 impl fmt::Display for Fault {
@@ -29,13 +31,19 @@
         match self {
             Fault::Io(error) => write!(f, "input or output failed: {error}"),
             Fault::Frame(text) => write!(f, "malformed frame: {text}"),
-            Fault::Settings(text) => write!(f, "malformed settings: {text}"),
+            Fault::Settings(error) => write!(f, "malformed settings: {error}"),
         }
     }
 }
 
 impl std::error::Error for Fault {}
 
+impl From<Malformed> for Fault {
+    fn from(error: Malformed) -> Self {
+        Fault::Settings(error)
+    }
+}
+
 impl From<io::Error> for Fault {
     fn from(error: io::Error) -> Self {
         Fault::Io(error)
--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -5,12 +5,13 @@
 
 use pewterseam::Brain;
 use pewterseam::interface::{
-    Action, Ended, Event, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, RegistryNews, Request,
+    Action, Ended, Event, History, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, RegistryNews,
+    Request,
 };
 
+use pewterseam_settings::time::{micros, seconds};
+
 use crate::codec::{Batch, ENTRY_SIZE, Fault, Fields, LISTS, Record, Reply, malformed};
-use crate::settings;
-use crate::time::{micros, seconds};
 
 /// Marks a peer message for every peer.
 const EVERY_PEER: u32 = u32::MAX;
@@ -60,7 +61,7 @@
         let number = record.u32(1);
         match record.u8(0) {
             4 => {
-                let settings = settings::parse(batch.tail(record, 13, 1)?)?;
+                let settings = pewterseam_settings::parse(batch.tail(record, 13, 1)?)?.settings;
                 let (kinds, classes) = (settings.kinds.len(), settings.classes.len());
                 let brain = Brain::new(settings, record.u64(5));
                 self.running.insert(number, Instance { brain, kinds, classes, events: Vec::new() });
@@ -126,6 +127,7 @@
             tenant: record.u32(43) as usize,
             key: Some(record.u64(14)).filter(|key| *key != 0),
             deadline: wire_time(record.f64(35))?,
+            history: History::default(),
         })
     }
 
@@ -195,7 +197,7 @@
 
 fn write(reply: &mut Reply, number: u32, action: Action) {
     match action {
-        Action::Send { id, host, timeout } => reply.push(
+        Action::Send { id, host, timeout, .. } => reply.push(
             Record::new(5, number)
                 .put(5, &id.0.to_be_bytes())
                 .host(13, host.0)
--- a/crates/adapter/tests/wire.rs
+++ b/crates/adapter/tests/wire.rs
@@ -6,8 +6,7 @@
 
 use pewterseam_adapter::codec::{ACTION_SIZE, Batch, EVENT_SIZE, Fault, REPLY_HEADER, Record, Reply};
 use pewterseam_adapter::instances::Instances;
-use pewterseam_adapter::settings;
-use pewterseam_adapter::time::{micros, seconds};
+use pewterseam_settings::time::{micros, seconds};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -220,10 +219,10 @@
 
 #[test]
 fn unknown_settings_are_ignored_and_known_ones_read() {
-    let settings = settings::parse(SETTINGS.as_bytes()).expect("well formed");
+    let settings = pewterseam_settings::parse(SETTINGS.as_bytes()).expect("well formed").settings;
     assert_eq!((settings.me, settings.senders, settings.slots), (1, 2, 4));
     assert_eq!((settings.max_retry_after, settings.cold_time), (2_000_000, 10_000_000));
-    assert!(settings::parse(SETTINGS.replace("\"free\"", "\"odd\"").as_bytes()).is_err());
+    assert!(pewterseam_settings::parse(SETTINGS.replace("\"free\"", "\"odd\"").as_bytes()).is_err());
 }
 
 /// Runs the built binary on some input: its exit code, output and what it said.
--- /dev/null
+++ b/crates/relay/src/counters.rs
@@ -0,0 +1,60 @@
+//! What is counted, printed on request and at exit. `docs/on-call.md` tells what each means.
+
+use std::fmt::Write;
+
+macro_rules! counters {
+    ($($name:ident),* $(,)?) => {
+        /// Counts since the start.
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+        pub struct Counters {
+            $(pub $name: u64,)*
+        }
+
+        impl Counters {
+            /// Name and value of each, in a fixed order.
+            pub fn all(&self) -> Vec<(&'static str, u64)> {
+                vec![$((stringify!($name), self.$name),)*]
+            }
+        }
+    };
+}
+
+counters! {
+    taken,
+    restored,
+    refused_at_once,
+    refused_at_door,
+    refused_by_journal,
+    bad_requests,
+    sent,
+    delivered,
+    turned_away,
+    errors,
+    timeouts,
+    no_connection,
+    resets,
+    not_sent,
+    failed,
+    returned,
+    notices_answered,
+    probes,
+    peer_messages_in,
+    peer_messages_out,
+    peer_messages_dropped,
+    lists,
+    list_failures,
+    list_entries_dropped,
+    journal_failures,
+    invariants_broken,
+}
+
+impl Counters {
+    /// One `name value` a line.
+    pub fn text(&self) -> String {
+        let mut text = String::new();
+        for (name, value) in self.all() {
+            let _ = writeln!(text, "{name} {value}");
+        }
+        text
+    }
+}
--- /dev/null
+++ b/crates/relay/src/hosts.rs
@@ -0,0 +1,224 @@
+//! Calls to hosts: one at a time on a connection, idle connections used again, nothing sent twice.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::{SinkExt, StreamExt};
+use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+
+use crate::http::{Client, Request, Response};
+use crate::reducer::Input;
+use crate::serve::Inputs;
+
+/// One attempt of a message at a host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    pub id: MessageId,
+    pub attempt: u32,
+    pub host: HostId,
+    pub address: SocketAddr,
+    pub request: Request,
+    /// Time to wait in all, and that part of it in which a connection must open.
+    pub timeout: Micros,
+    pub connect: Micros,
+}
+
+/// What came of a call or a probe.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Reply {
+    pub outcome: Outcome,
+    /// The message is over by the host's word.
+    pub closed: bool,
+    pub took: Micros,
+    /// The load report, as it was written.
+    pub load: Option<String>,
+}
+
+/// What an answer means; the table of the protocol.
+pub fn outcome(response: &Response) -> (Outcome, bool) {
+    match response.status {
+        200 => (Outcome::Ok, true),
+        429 => {
+            let wait = response.headers.text("X-Retry-In-Ms").and_then(|text| text.parse::<u64>().ok());
+            (Outcome::Full { wait: wait.unwrap_or(0).saturating_mul(1000) }, false)
+        }
+        503 if response.headers.text("X-No-Slot") == Some("1") => (Outcome::Moot, false),
+        503 => (Outcome::Full { wait: 0 }, false),
+        504 => (Outcome::Moot, false),
+        410 => (Outcome::Moot, true),
+        _ => (Outcome::Error, false),
+    }
+}
+
+/// What a probe's answer means.
+fn probed(response: &Response) -> (Outcome, bool) {
+    let outcome = if response.status == 200 { Outcome::Ok } else { Outcome::Full { wait: 0 } };
+    (outcome, false)
+}
+
+type Connection = Framed<TcpStream, Client>;
+
+struct Idle {
+    connection: Connection,
+    address: SocketAddr,
+    since: Instant,
+}
+
+/// The idle connections to all hosts.
+struct Pool {
+    idle: RefCell<HashMap<HostId, Vec<Idle>>>,
+    /// Hosts close what has been idle for this long.
+    idle_close: Duration,
+    most: usize,
+}
+
+impl Pool {
+    /// The connection that was used last, if one can still be used.
+    fn take(&self, host: HostId, address: SocketAddr) -> Option<Connection> {
+        let mut idle = self.idle.borrow_mut();
+        let of_host = idle.get_mut(&host)?;
+        of_host.retain(|kept| kept.address == address && kept.since.elapsed() < self.idle_close);
+        while let Some(kept) = of_host.pop() {
+            if is_quiet(&kept.connection) {
+                return Some(kept.connection);
+            }
+        }
+        None
+    }
+
+    fn put(&self, host: HostId, address: SocketAddr, connection: Connection) {
+        let mut idle = self.idle.borrow_mut();
+        for of_host in idle.values_mut() {
+            of_host.retain(|kept| kept.since.elapsed() < self.idle_close);
+        }
+        idle.retain(|_, of_host| !of_host.is_empty());
+        // Danger: descriptors run out. The longest idle makes room.
+        if idle.values().map(Vec::len).sum::<usize>() >= self.most {
+            let oldest = idle.iter().min_by_key(|(_, of_host)| of_host[0].since).map(|(host, _)| *host);
+            if let Some(of_host) = oldest.and_then(|host| idle.get_mut(&host)) {
+                of_host.remove(0);
+            }
+        }
+        let kept = Idle { connection, address, since: Instant::now() };
+        idle.entry(host).or_default().push(kept);
+    }
+}
+
+/// Nothing has come on an idle connection: neither bytes nor its end.
+fn is_quiet(connection: &Connection) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(connection.get_ref()).peek(&mut byte);
+    connection.read_buffer().is_empty()
+        && peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+/// How to stop each call that is out.
+type Calls = RefCell<BTreeMap<(MessageId, u32), oneshot::Sender<()>>>;
+
+/// The relay's side of all calls.
+pub struct Hosts {
+    pool: Rc<Pool>,
+    calls: Rc<Calls>,
+    inputs: Inputs,
+}
+
+impl Hosts {
+    /// `most_idle` is the part of the descriptors that idle connections may take.
+    pub fn new(idle_close: Micros, most_idle: usize, inputs: Inputs) -> Self {
+        let idle_close = Duration::from_micros(idle_close);
+        let pool = Pool { idle: RefCell::default(), idle_close, most: most_idle.max(1) };
+        Hosts { pool: Rc::new(pool), calls: Rc::default(), inputs }
+    }
+
+    pub fn call(&self, call: Call) {
+        let (stop, stopped) = oneshot::channel();
+        let key = (call.id, call.attempt);
+        self.calls.borrow_mut().insert(key, stop);
+        let (pool, calls, inputs) = (self.pool.clone(), self.calls.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let reply = run(&pool, &call, outcome, stopped).await;
+            calls.borrow_mut().remove(&key);
+            inputs.send(Input::Called { id: call.id, attempt: call.attempt, reply });
+        });
+    }
+
+    pub fn probe(&self, host: HostId, address: SocketAddr, path: &str, timeout: Micros) {
+        let request = Request::get(path);
+        let id = MessageId(0);
+        let call = Call { id, attempt: 0, host, address, request, timeout, connect: timeout };
+        let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
+        tokio::task::spawn_local(async move {
+            let (_stop, stopped) = oneshot::channel();
+            let reply = run(&pool, &call, probed, stopped).await;
+            inputs.send(Input::Probed { host, reply });
+        });
+    }
+
+    /// Stops waiting for a call and closes its connection.
+    pub fn cancel(&self, id: MessageId, attempt: u32) {
+        if let Some(stop) = self.calls.borrow_mut().remove(&(id, attempt)) {
+            let _ = stop.send(());
+        }
+    }
+
+    pub fn close_idle(&self, host: HostId) {
+        self.pool.idle.borrow_mut().remove(&host);
+    }
+}
+
+/// Makes a call and waits for what comes of it. What is dropped midway closes its connection.
+async fn run(
+    pool: &Pool, call: &Call, meaning: fn(&Response) -> (Outcome, bool), stopped: oneshot::Receiver<()>,
+) -> Reply {
+    let start = Instant::now();
+    let written = Cell::new(false);
+    let limit = Duration::from_micros(call.timeout);
+    let ended = tokio::select! {
+        biased;
+        response = timeout(limit, exchange(pool, call, &written)) => response.map_err(|_| Outcome::Timeout),
+        _ = stopped => Err(Outcome::Cancelled),
+    };
+    let took = start.elapsed().as_micros() as Micros;
+    let (outcome, closed, load) = match ended {
+        Ok(Some(response)) => {
+            let (outcome, closed) = meaning(&response);
+            let body = || String::from_utf8(response.body.to_vec()).ok();
+            let load = response.headers.text("Server-Load").map(str::to_owned).or_else(body);
+            (outcome, closed, load)
+        }
+        // What was not written in full never ran, whatever kept it.
+        _ if !written.get() => (Outcome::ConnectFailed, false, None),
+        Ok(None) => (Outcome::Reset, false, None),
+        Err(outcome) => (outcome, false, None),
+    };
+    Reply { outcome, closed, took, load }
+}
+
+/// The answer, if there is one; `written` tells whether the whole call was handed to the connection.
+async fn exchange(pool: &Pool, call: &Call, written: &Cell<bool>) -> Option<Response> {
+    let mut connection = match pool.take(call.host, call.address) {
+        Some(connection) => connection,
+        None => {
+            let limit = Duration::from_micros(call.connect);
+            let stream = timeout(limit, TcpStream::connect(call.address)).await.ok()?.ok()?;
+            stream.set_nodelay(true).ok()?;
+            Framed::new(stream, Client::new(call.address.to_string()))
+        }
+    };
+    connection.send(call.request.clone()).await.ok()?;
+    written.set(true);
+    let response = connection.next().await?.ok()?;
+    if response.keep_alive && connection.read_buffer().is_empty() {
+        pool.put(call.host, call.address, connection);
+    }
+    Some(response)
+}
--- a/crates/adapter/src/settings.rs
+++ b/crates/settings/src/parse.rs
@@ -1,11 +1,38 @@
-//! The settings a `create` brings: JSON, of which unknown keys are ignored.
+//! The settings object: JSON, of which unknown keys are ignored.
+
+use std::fmt;
 
 use pewterseam::interface::{Class, Effect, Group, Kind, Lateness, Listing, Micros, Settings, Tenant};
 use serde::Deserialize;
 
-use crate::codec::Fault;
 use crate::time::micros;
 
+/// What is wrong with the settings.
+#[derive(Debug)]
+pub struct Malformed(String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// The settings and the names that wires use for what is numbered in them.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub settings: Settings,
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub kinds: Vec<String>,
+    pub zones: Vec<String>,
+    /// Values of a load report, in order.
+    pub report: Vec<String>,
+    /// Reports come with the results of probes only.
+    pub report_by_probe: bool,
+}
+
 #[derive(Deserialize)]
 struct Wire {
     me: u16,
@@ -19,6 +46,10 @@
     over_share_worth: f64,
     family_info: FamilyInfo,
     models: Vec<String>,
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    report: WireReport,
     allowed: Allowed,
     #[serde(default)]
     weights: String,
@@ -26,8 +57,18 @@
     rules: Rules,
 }
 
+#[derive(Deserialize, Default)]
+struct WireReport {
+    #[serde(default)]
+    fields: Vec<String>,
+    #[serde(default)]
+    how: String,
+}
+
 #[derive(Deserialize)]
 struct WireClass {
+    #[serde(default)]
+    name: String,
     effect: String,
     #[serde(default)]
     group: String,
@@ -44,6 +85,8 @@
 
 #[derive(Deserialize)]
 struct WireTenant {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -73,6 +116,8 @@
     #[serde(default)]
     max_retry_after_s: f64,
     conn_idle_s: f64,
+    #[serde(default = "one")]
+    dial_timeout_s: f64,
 }
 
 #[derive(Deserialize)]
@@ -92,9 +137,22 @@
     1.0
 }
 
-/// Reads the settings of one instance.
-pub fn parse(text: &[u8]) -> Result<Settings, Fault> {
-    let wire: Wire = serde_json::from_slice(text).map_err(|error| Fault::Settings(error.to_string()))?;
+/// Reads the settings of one sender.
+pub fn parse(text: &[u8]) -> Result<Deployment, Malformed> {
+    let wire: Wire = serde_json::from_slice(text).map_err(|error| Malformed(error.to_string()))?;
+    let settings = settings(&wire)?;
+    Ok(Deployment {
+        settings,
+        classes: wire.classes.into_iter().map(|class| class.name).collect(),
+        tenants: wire.tenants.into_iter().map(|tenant| tenant.name).collect(),
+        kinds: wire.models,
+        zones: wire.zones,
+        report: wire.report.fields,
+        report_by_probe: wire.report.how == "pull",
+    })
+}
+
+fn settings(wire: &Wire) -> Result<Settings, Malformed> {
     let info = &wire.family_info;
     let kinds = (0..wire.models.len().max(1))
         .map(|kind| Kind {
@@ -120,6 +178,8 @@
         may_tell: wire.allowed.peers,
         max_retry_after: span(retry_after)?,
         idle_close: span(wire.allowed.conn_idle_s)?,
+        connect_timeout: span(wire.allowed.dial_timeout_s)?,
+        ends_by_notice: false,
         listing: match wire.weights.as_str() {
             "nominal" => Listing::Nominal,
             "rough" => Listing::Rough,
@@ -136,20 +196,24 @@
     })
 }
 
-fn class(wire: &WireClass) -> Result<Class, Fault> {
+fn class(wire: &WireClass) -> Result<Class, Malformed> {
     let group = if matches!(wire.group.as_str(), "zone" | "cell") { Group::Zone } else { Group::All };
     let effect = match wire.effect.as_str() {
         "free" => Effect::Free,
         "guarded" => Effect::Guarded { window: span(wire.window_s)?, group },
         "single_shot" => Effect::SingleShot,
-        other => return Err(Fault::Settings(format!("unknown effect '{other}'"))),
+        other => return Err(Malformed(format!("unknown effect '{other}'"))),
     };
+    let (aim, deadline) = (span(wire.goal_time_s)?, span(wire.deadline_s)?);
+    if aim > deadline {
+        return Err(Malformed(format!("class '{}' aims beyond its deadline", wire.name)));
+    }
     Ok(Class {
         effect,
         value: wire.value,
         late_share: wire.late_share,
-        aim: span(wire.goal_time_s)?,
-        deadline: span(wire.deadline_s)?,
+        aim,
+        deadline,
         in_order: wire.in_order,
     })
 }
@@ -158,6 +222,6 @@
     list.get(index).or(list.last()).copied()
 }
 
-fn span(seconds: f64) -> Result<Micros, Fault> {
-    micros(seconds).ok_or_else(|| Fault::Settings(format!("{seconds} is no span of time")))
+fn span(seconds: f64) -> Result<Micros, Malformed> {
+    micros(seconds).ok_or_else(|| Malformed(format!("{seconds} is no span of time")))
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,6 +67,16 @@
 const LOOK: Micros = 25_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
+/// Waits of the caller (us): for a change of the list, and beyond that for its answer; for the answer to a
+/// notice, and until it is told again; for the rest of a request that came in part. Short of any aim.
+pub const LIST_WAIT: Micros = 5_000_000;
+pub const LIST_PATIENCE: Micros = 1_000_000;
+pub const NOTICE_PATIENCE: Micros = 500_000;
+pub const NOTICE_PAUSE: Micros = 100_000;
+pub const CLIENT_PATIENCE: Micros = 5_000_000;
+/// Once asked to stop, how long new connections may still come, and when to be gone (us).
+pub const STOP_NOT_BEFORE: Micros = 1_000_000;
+pub const STOP_WITHIN: Micros = 3_300_000;
 
 /// The decisions of one sender.
 pub struct Brain {
@@ -189,16 +199,15 @@
             due |= !matches!(event, Event::Timer | Event::Peer { .. });
             match event {
                 Event::Registry(news) => self.learn(news),
-                Event::Message(request) => self.state.accept(request, &self.settings.classes),
-                Event::Withdrawn(id) => self.state.end(id, now),
+                Event::Message(request) => self.state.accept(request, &self.settings),
+                Event::Withdrawn(id) => self.state.withdraw(id, now),
                 Event::Timer => {}
                 Event::Ended(ended) => self.conclude(ended),
                 Event::Probed { host, outcome, limit } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
             }
         }
-        if self.agenda.ask_at.is_some_and(|at| at <= now) {
-            self.agenda.ask_at = None;
+        if self.agenda.ask_at.take_if(|at| *at <= now).is_some() {
             self.actions.push(Action::Subscribe);
         }
         if now >= self.agenda.round_at {
@@ -214,12 +223,8 @@
             self.shed();
             self.dispatch();
         }
-        let look = if self.state.messages.is_empty() { Micros::MAX } else { self.agenda.look_at };
-        let next = look.min(self.agenda.round_at).min(self.agenda.ask_at.unwrap_or(Micros::MAX)).max(now + 1);
-        if self.agenda.wake_at <= now || next < self.agenda.wake_at {
-            self.agenda.wake_at = next;
-            self.actions.push(Action::Wake(next));
-        }
+        let wake = self.agenda.wake(self.state.messages.is_empty(), now);
+        self.actions.extend(wake.map(Action::Wake));
         std::mem::take(&mut self.actions)
     }
 
@@ -303,17 +308,19 @@
         let retry_after = self.horizon(message).min(self.settings.max_retry_after);
         let harmless = State::may_refuse(message, self.class(message), self.now);
         self.actions.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail(id) });
-        self.state.end(id, self.now);
+        self.state.give_up(id, self.settings.ends_by_notice, self.now);
     }
 
-    /// Answers what can't be served in time any more: a message at its deadline, a waiting one already when
-    /// the usual answer would come too late, a guarded one whose window is over and would run twice.
+    /// Answers what can't be served any more: a message at its deadline, a waiting one already when the usual
+    /// answer would come too late, one without attempts left, one that would run twice.
     fn expire(&mut self) {
         let hopeless = |message: &&Message| {
-            let waits = message.out.is_none();
+            let (waits, class) = (message.out.is_none(), self.class(message));
             let needed = if waits { FIRST_GUESS as Micros / 2 } else { LOOK };
-            let lapsed = State::lapsed(message, self.class(message), self.now + LOOK);
-            (waits && lapsed) || self.now + needed >= message.request.deadline
+            let ran = class.effect == Effect::SingleShot && message.ran.is_some();
+            let spent = message.attempts >= self.settings.max_attempts || ran;
+            let lapsed = State::lapsed(message, class, self.now + LOOK);
+            (waits && (spent || lapsed)) || self.now + needed >= message.request.deadline
         };
         let late: Vec<_> = self.state.held().filter(hopeless).map(|message| message.request.id).collect();
         for id in late {
@@ -437,17 +444,16 @@
         let timeout =
             left.min((bound * times).saturating_mul(LAST_PATIENCE.saturating_pow(message.attempts)));
         self.state.join_call(call, id, self.now);
-        self.actions.push(Action::Send { id, host, timeout });
+        let connect = self.settings.connect_timeout.min(timeout);
+        self.actions.push(Action::Send { id, host, timeout, connect });
     }
 
     fn conclude(&mut self, ended: Ended) {
-        let Ended { id, outcome, took, closed, limit, .. } = ended;
+        let Ended { outcome, took, limit, .. } = ended;
         let closing = self.state.close_attempt(&ended, self.now, self.settings.order_rest);
         let Some((attempt, first, idle_for)) = closing else { return };
         match (self.state.host_and_route(attempt.host), outcome) {
-            (Some((_, route)), Outcome::Ok) => {
-                route.answered(took, SAMPLE);
-            }
+            (Some((_, route)), Outcome::Ok) => route.answered(took, SAMPLE),
             // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
             (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) => {
                 route.wait_until = route.wait_until.max(self.now + wait + LOOK);
@@ -458,13 +464,6 @@
             self.learn_keep(attempt.host, outcome, idle_for);
             self.judge(attempt.host, outcome, attempt.sent_at, limit);
         }
-        let Some(message) = self.state.messages.get(&id) else { return };
-        let once = self.class(message).effect == Effect::SingleShot;
-        if closed || message.over {
-            self.state.end(id, self.now);
-        } else if message.attempts >= self.settings.max_attempts || (once && outcome.may_have_run()) {
-            self.give_up(id);
-        }
     }
 
     /// Danger: idle connections of many senders fill a host's table and nobody gets through; or something
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -124,6 +124,10 @@
     pub max_retry_after: Micros,
     /// Idle connections close after this span.
     pub idle_close: Micros,
+    /// A connection that takes longer to open counts as failed.
+    pub connect_timeout: Micros,
+    /// An end other than delivery reaches the client by a notice; `Event::Withdrawn` says when it has.
+    pub ends_by_notice: bool,
     pub listing: Listing,
     /// The registry answers only when asked.
     pub ask_registry: bool,
@@ -217,6 +221,20 @@
     pub key: Option<u64>,
     /// It may be delivered until then.
     pub deadline: Micros,
+    pub history: History,
+}
+
+/// What became of a message before this sender's start; nothing for a new one. Messages with a history are
+/// handed in before all others, in the order in which they were first taken.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct History {
+    pub attempts: u32,
+    /// When the first attempt that may have run was sent.
+    pub ran: Option<Micros>,
+    /// When the sender stopped, if an attempt was out then; it may still run.
+    pub cut_at: Option<Micros>,
+    /// It was given up; its end is yet to be told.
+    pub over: bool,
 }
 
 /// The end of an attempt.
@@ -237,7 +255,7 @@
 pub enum Event {
     Registry(RegistryNews),
     Message(Request),
-    /// Nobody wants the message any more; no answer is owed.
+    /// No answer is owed any more: nobody wants the message, or its end has been told.
     Withdrawn(MessageId),
     Timer,
     Ended(Ended),
@@ -258,7 +276,9 @@
     Send {
         id: MessageId,
         host: HostId,
+        /// Time to wait for an answer, and that part of it in which a connection must open.
         timeout: Micros,
+        connect: Micros,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,8 +5,8 @@
 use std::ops::Add;
 
 use crate::interface::{
-    Class, DestinationId, Effect, Ended, Group, HostId, Lifecycle, Listed, Listing, MessageId, Micros,
-    Outcome, Request, Settings,
+    Class, DestinationId, Effect, Ended, Group, History, HostId, Lifecycle, Listed, Listing, MessageId,
+    Micros, Outcome, Request, Settings,
 };
 
 /// Odd factor that scatters numbers (2^64 over the golden ratio).
@@ -237,8 +237,10 @@
     pub out: Option<Attempt>,
     /// When the first attempt that may have run was sent.
     pub ran: Option<Micros>,
-    /// Answered; kept only until its attempt has an outcome.
+    /// Answered; kept only until its attempt has an outcome and its end is told.
     pub over: bool,
+    /// Its end has yet to be told.
+    pub untold: bool,
 }
 
 impl Message {
@@ -281,6 +283,17 @@
     pub ask_pause: Micros,
 }
 
+impl Agenda {
+    /// The next timer, if it is not set already; no look is due while nothing is held.
+    pub fn wake(&mut self, holds_nothing: bool, now: Micros) -> Option<Micros> {
+        let look = if holds_nothing { Micros::MAX } else { self.look_at };
+        let next = look.min(self.round_at).min(self.ask_at.unwrap_or(Micros::MAX)).max(now + 1);
+        let sets = self.wake_at <= now || next < self.wake_at;
+        self.wake_at = if sets { next } else { self.wake_at };
+        sets.then_some(next)
+    }
+}
+
 /// All of it.
 #[derive(Debug, Default)]
 pub struct State {
@@ -370,20 +383,40 @@
         unanswered
     }
 
-    pub fn accept(&mut self, request: Request, classes: &[Class]) {
+    /// Takes a message on. After an attempt that a restart cut off, its key rests as after any that may run on.
+    pub fn accept(&mut self, request: Request, settings: &Settings) {
+        let History { attempts, ran, cut_at, over } = request.history;
         self.demand.entry(request.tenant).or_default().0 += 1.0;
-        if let (Some(key), true) = (request.key, classes[request.class].in_order) {
-            self.keys.entry(key).or_default().queue.push_back(request.id);
+        if let (Some(key), true) = (request.key, settings.classes[request.class].in_order) {
+            let entry = self.keys.entry(key).or_default();
+            entry.queue.push_back(request.id);
+            entry.rest_until = entry.rest_until.max(cut_at.map_or(0, |at| at + settings.order_rest));
         }
-        let message = Message { request, attempts: 0, out: None, ran: None, over: false };
+        let message = Message { request, attempts, out: None, ran, over, untold: over };
         self.messages.insert(request.id, message);
     }
 
-    /// Marks a message as answered; it stays known while an attempt of it is out.
+    /// Books that nothing is owed for a message any more.
+    pub fn withdraw(&mut self, id: MessageId, now: Micros) {
+        if let Some(message) = self.messages.get_mut(&id) {
+            message.untold = false;
+        }
+        self.end(id, now);
+    }
+
+    /// Gives a message up; where ends are told by notices it holds its key until then.
+    pub fn give_up(&mut self, id: MessageId, by_notice: bool, now: Micros) {
+        if let Some(message) = self.messages.get_mut(&id) {
+            message.untold = by_notice;
+        }
+        self.end(id, now);
+    }
+
+    /// Marks a message as answered; it stays known while an attempt of it is out or its end is untold.
     pub fn end(&mut self, id: MessageId, now: Micros) {
         let Some(message) = self.messages.get_mut(&id) else { return };
         message.over = true;
-        if message.out.is_some() {
+        if message.out.is_some() || message.untold {
             return;
         }
         let key = message.request.key;
@@ -458,7 +491,7 @@
         }
     }
 
-    /// Books the outcome of an attempt. Gives the attempt, whether it is the first of its call to end
+    /// Books the outcome of an attempt, and the end of its message where it is over. Gives the attempt, whether it is the first of its call to end
     /// (messages of one call share its fate), and how long the call's connection had been idle.
     pub fn close_attempt(
         &mut self, ended: &Ended, now: Micros, rest: Micros,
@@ -490,6 +523,9 @@
                 }
             }
         }
+        if ended.closed || self.messages.get(&ended.id).is_some_and(|message| message.over) {
+            self.end(ended.id, now);
+        }
         Some((attempt, first, idle_for))
     }
 
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -44,6 +44,8 @@
         may_tell: true,
         max_retry_after: 3 * SECOND,
         idle_close: 15 * SECOND,
+        connect_timeout: SECOND,
+        ends_by_notice: false,
         listing: Listing::Nominal,
         ask_registry: false,
         ask_within: 10 * SECOND,
@@ -93,7 +95,8 @@
     pub fn request(&mut self, class: usize, destination: DestinationId) -> Request {
         self.next += 1;
         let deadline = self.now + self.settings.classes[class].deadline;
-        Request { id: MessageId(self.next), class, destination, tenant: 0, key: None, deadline }
+        let id = MessageId(self.next);
+        Request { id, class, destination, tenant: 0, key: None, deadline, history: History::default() }
     }
 
     pub fn hand_in(&mut self, class: usize, destination: DestinationId) -> (MessageId, Vec<Action>) {
@@ -132,7 +135,7 @@
 /// The sends among actions, taken as first attempts.
 pub fn sends(actions: &[Action]) -> Vec<Sent> {
     let sent = |action: &Action| match *action {
-        Action::Send { id, host, timeout } => Some(Sent { id, host, attempt: 0, timeout }),
+        Action::Send { id, host, timeout, .. } => Some(Sent { id, host, attempt: 0, timeout }),
         _ => None,
     };
     actions.iter().filter_map(sent).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -37,7 +37,7 @@
 
     fn check(&mut self, now: Micros, action: &Action) {
         match *action {
-            Action::Send { id, host, timeout } => self.sent(now, id, host, timeout),
+            Action::Send { id, host, timeout, .. } => self.sent(now, id, host, timeout),
             Action::Refuse { id, .. } => {
                 let known = &self.known[&id];
                 let harmless = match self.settings.classes[known.request.class].effect {
@@ -152,7 +152,8 @@
                     let key = settings.classes[class].in_order.then_some(u64::from(choice % 3) + 1);
                     let destination = DestinationId::from(choice % 3) + 1;
                     let id = MessageId(next);
-                    let request = Request { id, class, destination, tenant: 0, key, deadline };
+                    let history = History::default();
+                    let request = Request { id, class, destination, tenant: 0, key, deadline, history };
                     if let Some(key) = key {
                         referee.keys.entry(key).or_default().0.push(id);
                     }
