--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -1,37 +1,48 @@
 //! The listener for clients: requests come in, each gets one answer.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{oneshot, watch};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
-use crate::http::{Request, Response, Server};
-use crate::reducer::Input;
-use crate::serve::Inputs;
+use crate::http::{Fault, Request, Response, Server};
+use crate::inputs::Inputs;
+use crate::io::Input;
+use crate::limits::Budget;
+use crate::ring::Ringed;
 
-/// A request of one connection that waits for its answer.
+/// A request that waits for its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestId(pub u64);
 
-/// Pause after a failure to accept, such as too many open files in all.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+type Connection = Framed<Ringed, Server>;
+
+/// How long things may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// For the rest of a request that came in part.
+    pub patience: Duration,
+    /// Until connections are accepted again after a failure, and for the last bytes on one that is closed.
+    pub pause: Duration,
+}
 
 /// What connections share.
 struct Shared {
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Response>>>,
+    /// Connections between requests, the longest idle first, and how to dismiss each.
+    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
     last: Cell<u64>,
     open: Cell<usize>,
-    most: usize,
-    /// A half-sent request is given up after this.
-    patience: Duration,
+    budget: Budget,
+    pace: Pace,
     inputs: Inputs,
     stopping: watch::Sender<bool>,
 }
@@ -41,32 +52,30 @@
 pub struct Clients(Rc<Shared>);
 
 impl Clients {
-    /// `most` is the part of the descriptors that clients may take.
-    pub fn new(most: usize, patience: Duration, inputs: Inputs) -> Self {
+    pub fn new(budget: Budget, pace: Pace, inputs: Inputs) -> Self {
         Clients(Rc::new(Shared {
             waiting: RefCell::default(),
+            idle: RefCell::default(),
             last: Cell::new(0),
             open: Cell::new(0),
-            most: most.max(1),
-            patience,
+            budget,
+            pace,
             inputs,
-            stopping: watch::channel(false).0,
+            stopping: watch::Sender::new(false),
         }))
     }
 
-    pub async fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-        TcpListener::bind(address).await
-    }
-
-    /// Takes connections for as long as the process runs.
+    /// Takes connections for as long as the process runs. At the edge of the budget the rest wait in the
+    /// listener's queue.
     pub async fn accept(self, listener: TcpListener) {
-        loop {
+        let room = Arc::new(Semaphore::new(self.0.budget.clients + self.0.budget.leaving));
+        while let Ok(place) = room.clone().acquire_owned().await {
             match listener.accept().await {
                 Ok((stream, _)) => {
-                    tokio::task::spawn_local(self.clone().connection(stream));
+                    tokio::task::spawn_local(self.clone().connection(stream, place));
                 }
-                // Danger: no descriptor is left for a while. The ones in the queue wait.
-                Err(_) => sleep(ACCEPT_PAUSE).await,
+                // Danger: descriptors are short for a while, and a loop without a pause would take the core.
+                Err(_) => sleep(self.0.pace.pause).await,
             }
         }
     }
@@ -77,88 +86,119 @@
         }
     }
 
-    /// Closes connections as soon as nothing is read on them without an answer.
+    /// Closes connections as soon as no request is left on them.
     pub fn stop(&self) {
         self.0.stopping.send_replace(true);
     }
 
-    /// Connections that are still open.
+    /// Connections that are still served.
     pub fn open(&self) -> usize {
         self.0.open.get()
     }
 
-    async fn connection(self, stream: TcpStream) {
+    async fn connection(self, stream: TcpStream, _place: OwnedSemaphorePermit) {
         let shared = self.0;
-        let _ = stream.set_nodelay(true);
-        let mut framed = Framed::new(stream, Server::default());
-        if shared.open.get() >= shared.most {
-            // At the edge of the descriptors: turned away, not left waiting.
-            let response = Response { keep_alive: false, ..Response::text(503, "too many connections\n") };
-            let _ = framed.send(response).await;
-            return finish(framed).await;
+        let Ok(stream) = Ringed::new(stream) else { return };
+        let mut connection = Framed::new(stream, Server::default());
+        if shared.open.get() >= shared.budget.clients && !shared.dismiss_idle() {
+            let _ = connection.send(last(Response::text(503, "too many connections\n"))).await;
+        } else {
+            shared.open.set(shared.open.get() + 1);
+            shared.serve(&mut connection).await;
+            shared.open.set(shared.open.get() - 1);
         }
-        shared.open.set(shared.open.get() + 1);
-        serve(&shared, &mut framed).await;
-        shared.open.set(shared.open.get() - 1);
-        finish(framed).await;
+        finish(connection, shared.pace.pause).await;
     }
 }
 
-/// Answers the requests of a connection until it ends or is to be closed.
-async fn serve(shared: &Shared, framed: &mut Framed<TcpStream, Server>) {
-    let mut stopping = shared.stopping.subscribe();
-    loop {
-        let next = tokio::select! {
-            biased;
-            next = timeout(shared.patience, framed.next()) => next,
-            _ = stopping.wait_for(|stopping| *stopping) => match timeout(Duration::ZERO, framed.next()).await {
-                Ok(next) => Ok(next),
-                Err(_) => return,
-            },
-        };
-        let request = match next {
-            Ok(Some(Ok(request))) => request,
-            Ok(Some(Err(fault))) => {
-                shared.inputs.send(Input::BadRequest);
-                let response = Response::text(fault.status(), format!("{fault}\n"));
-                let _ = framed.send(Response { keep_alive: false, ..response }).await;
+/// An answer after which the connection ends.
+fn last(response: Response) -> Response {
+    Response { keep_alive: false, ..response }
+}
+
+impl Shared {
+    fn number(&self) -> u64 {
+        self.last.set(self.last.get() + 1);
+        self.last.get()
+    }
+
+    /// Closes the connection that has been idle for longest, if one is.
+    fn dismiss_idle(&self) -> bool {
+        let longest = self.idle.borrow_mut().pop_first();
+        longest.inspect(|(_, dismissed)| dismissed.notify_one()).is_some()
+    }
+
+    /// Answers the requests of a connection until it ends or is to be closed.
+    async fn serve(&self, connection: &mut Connection) {
+        loop {
+            let request = match self.next(connection).await {
+                Some(Ok(request)) => request,
+                Some(Err(response)) => {
+                    self.inputs.send(Input::BadRequest);
+                    let _ = connection.send(last(response)).await;
+                    return;
+                }
+                None => return,
+            };
+            let keep_alive = request.keep_alive;
+            let Some(response) = self.answer(request).await else { return };
+            let keep_alive = keep_alive && response.keep_alive && !*self.stopping.borrow();
+            if connection.send(Response { keep_alive, ..response }).await.is_err() || !keep_alive {
                 return;
             }
-            Ok(None) => return,
-            Err(_) if framed.codec().is_midway(framed.read_buffer()) => {
-                shared.inputs.send(Input::BadRequest);
-                let response = Response::text(408, "the request did not come in time\n");
-                let _ = framed.send(Response { keep_alive: false, ..response }).await;
-                return;
+        }
+    }
+
+    /// The next request, or the answer to what is none; nothing where the connection is to be closed.
+    async fn next(&self, connection: &mut Connection) -> Option<Result<Request, Response>> {
+        let mut stopping = self.stopping.subscribe();
+        let number = self.number();
+        let dismissed = Rc::new(Notify::new());
+        self.idle.borrow_mut().insert(number, dismissed.clone());
+        let mut leaves = false;
+        let next = loop {
+            // What has come is looked at first: no request that was read goes without an answer.
+            let late = tokio::select! {
+                biased;
+                next = connection.next() => break next,
+                () = sleep(self.pace.patience) => true,
+                () = dismissed.notified(), if !leaves => false,
+                _ = stopping.wait_for(|stopping| *stopping), if !leaves => false,
+            };
+            leaves |= !late;
+            let midway = connection.codec().is_midway(connection.read_buffer());
+            if late && midway {
+                break Some(Err(Fault::TooSlow));
+            }
+            if leaves && !midway {
+                break None;
             }
-            Err(_) => continue,
         };
-        let keep_alive = request.keep_alive && !*stopping.borrow();
-        let Some(response) = ask(shared, request).await else { return };
-        let keep_alive = keep_alive && response.keep_alive;
-        if framed.send(Response { keep_alive, ..response }).await.is_err() || !keep_alive {
-            return;
+        self.idle.borrow_mut().remove(&number);
+        match next? {
+            Ok(request) => Some(Ok(request)),
+            Err(Fault::Io(_)) => None,
+            Err(fault) => Some(Err(Response::text(fault.status(), format!("{fault}\n")))),
         }
     }
-}
 
-/// Has a request answered.
-async fn ask(shared: &Shared, request: Request) -> Option<Response> {
-    let id = RequestId(shared.last.get() + 1);
-    shared.last.set(id.0);
-    let (answer, answered) = oneshot::channel();
-    shared.waiting.borrow_mut().insert(id, answer);
-    shared.inputs.send(Input::Request { id, request });
-    answered.await.ok()
+    /// Has a request answered.
+    async fn answer(&self, request: Request) -> Option<Response> {
+        let id = RequestId(self.number());
+        let (answer, answered) = oneshot::channel();
+        self.waiting.borrow_mut().insert(id, answer);
+        self.inputs.send(Input::Request { id, request });
+        answered.await.ok()
+    }
 }
 
 /// Ends the sending side, then reads on for a moment. Danger: closing with bytes unread resets the
 /// connection, and the last answer may be lost on its way.
-async fn finish(framed: Framed<TcpStream, Server>) {
-    let mut stream = framed.into_inner();
+async fn finish(connection: Connection, linger: Duration) {
+    let mut stream = connection.into_inner();
     if stream.shutdown().await.is_ok() {
         let mut rest = [0; 1024];
         let drain = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
-        let _ = timeout(Duration::from_millis(200), drain).await;
+        let _ = timeout(linger, drain).await;
     }
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -30,6 +30,13 @@
     pub disk_mb: f64,
 }
 
+impl Limits {
+    /// Bytes that the folder that lasts may hold.
+    pub fn disk(&self) -> u64 {
+        (self.disk_mb * 1e6) as u64
+    }
+}
+
 #[derive(Deserialize)]
 struct File {
     name: String,
@@ -115,8 +122,10 @@
 /// What differs on sockets from the settings' own words, which are the simulator's.
 fn adapt(deployment: &mut Deployment) {
     let settings = &mut deployment.settings;
-    // The list is always asked for here, and an end other than delivery goes by a notice.
+    // The list is asked for here, of an agent to whom that costs nothing, and an end other than delivery goes
+    // by a notice.
     settings.ask_registry = true;
+    settings.ask_within = 0;
     settings.ends_by_notice = true;
     // A call carries one message.
     for kind in &mut settings.kinds {
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -3,16 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::{SinkExt, StreamExt};
 use serde::Deserialize;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
 
-use crate::http::{Client, Request};
-use crate::reducer::Input;
-use crate::serve::Inputs;
+use crate::agent::Agent;
+use crate::http::Request;
+use crate::inputs::Inputs;
+use crate::io::Input;
 
 /// The list or changes of it, in discovery's form.
 #[derive(Clone, Debug, Deserialize)]
@@ -44,9 +42,7 @@
     Gone,
 }
 
-type Connection = Framed<TcpStream, Client>;
-
-/// What is asked for at once, and how long the answer may take.
+/// What is asked for, and how long the answer may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
     /// How long discovery may hold an answer back while nothing changes.
@@ -55,48 +51,24 @@
     pub patience: Duration,
 }
 
-/// Follows the list from each time that it is asked for until a call fails.
+/// Follows the list from each time that it is asked for until a call fails. The next watch goes out as soon as
+/// the last one is answered, since changes in a gap between them might be missed.
 pub async fn follow(address: SocketAddr, mut asked: mpsc::UnboundedReceiver<Watch>, inputs: Inputs) {
-    let mut connection = None;
+    let mut agent = Agent::new(address);
     while let Some(watch) = asked.recv().await {
         let mut path = "/catalog/members".to_owned();
         let mut limit = watch.patience;
-        while let Ok(Some(list)) = timeout(limit, fetch(&mut connection, address, &path)).await {
+        while let Ok(Some(list)) = timeout(limit, fetch(&mut agent, &path)).await {
             path = format!("/catalog/members?index={}&wait={}", list.rev, watch.wait.as_millis());
             limit = watch.wait + watch.patience;
             inputs.send(Input::Listed(list));
         }
-        connection = None;
+        agent.hang_up();
         inputs.send(Input::ListFailed);
     }
 }
 
-async fn fetch(connection: &mut Option<Connection>, address: SocketAddr, path: &str) -> Option<List> {
-    let kept = connection.take();
-    let was_kept = kept.is_some();
-    let mut framed = match kept {
-        Some(framed) => framed,
-        None => connect(address).await?,
-    };
-    let mut answer = ask(&mut framed, path).await;
-    if answer.is_none() && was_kept {
-        framed = connect(address).await?;
-        answer = ask(&mut framed, path).await;
-    }
-    let (list, keep_alive) = answer?;
-    *connection = keep_alive.then_some(framed);
-    Some(list)
-}
-
-async fn connect(address: SocketAddr) -> Option<Connection> {
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    Some(Framed::new(stream, Client::new(address.to_string())))
-}
-
-async fn ask(framed: &mut Connection, path: &str) -> Option<(List, bool)> {
-    framed.send(Request::get(path)).await.ok()?;
-    let response = framed.next().await?.ok()?;
-    let list = (response.status == 200).then(|| serde_json::from_slice(&response.body).ok()).flatten()?;
-    Some((list, response.keep_alive))
+async fn fetch(agent: &mut Agent, path: &str) -> Option<List> {
+    let response = agent.ask(Request::get(path)).await?;
+    (response.status == 200).then(|| serde_json::from_slice(&response.body).ok())?
 }
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -15,9 +15,10 @@
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-use crate::http::{Client, Request, Response};
-use crate::reducer::Input;
-use crate::serve::Inputs;
+use crate::http::{Client, MOST_BODY, Request, Response};
+use crate::inputs::Inputs;
+use crate::io::Input;
+use crate::ring::Ringed;
 
 /// One attempt of a message at a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,7 +41,7 @@
     pub closed: bool,
     pub took: Micros,
     /// The load report, as it was written.
-    pub load: Option<String>,
+    pub report: Option<String>,
 }
 
 /// What an answer means; the table of the protocol.
@@ -65,7 +66,7 @@
     (outcome, false)
 }
 
-type Connection = Framed<TcpStream, Client>;
+type Connection = Framed<Ringed, Client>;
 
 struct Idle {
     connection: Connection,
@@ -116,8 +117,9 @@
 /// Nothing has come on an idle connection: neither bytes nor its end.
 fn is_quiet(connection: &Connection) -> bool {
     let mut byte = [MaybeUninit::uninit()];
-    let peeked = SockRef::from(connection.get_ref()).peek(&mut byte);
+    let peeked = SockRef::from(connection.get_ref().stream()).peek(&mut byte);
     connection.read_buffer().is_empty()
+        && connection.get_ref().is_drained()
         && peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
 }
 
@@ -188,19 +190,19 @@
         _ = stopped => Err(Outcome::Cancelled),
     };
     let took = start.elapsed().as_micros() as Micros;
-    let (outcome, closed, load) = match ended {
+    let (outcome, closed, report) = match ended {
         Ok(Some(response)) => {
             let (outcome, closed) = meaning(&response);
             let body = || String::from_utf8(response.body.to_vec()).ok();
-            let load = response.headers.text("Server-Load").map(str::to_owned).or_else(body);
-            (outcome, closed, load)
+            let report = response.headers.text("Server-Load").map(str::to_owned).or_else(body);
+            (outcome, closed, report)
         }
         // What was not written in full never ran, whatever kept it.
         _ if !written.get() => (Outcome::ConnectFailed, false, None),
         Ok(None) => (Outcome::Reset, false, None),
         Err(outcome) => (outcome, false, None),
     };
-    Reply { outcome, closed, took, load }
+    Reply { outcome, closed, took, report }
 }
 
 /// The answer, if there is one; `written` tells whether the whole call was handed to the connection.
@@ -210,14 +212,13 @@
         None => {
             let limit = Duration::from_micros(call.connect);
             let stream = timeout(limit, TcpStream::connect(call.address)).await.ok()?.ok()?;
-            stream.set_nodelay(true).ok()?;
-            Framed::new(stream, Client::new(call.address.to_string()))
+            Framed::new(Ringed::new(stream).ok()?, Client::new(call.address.to_string(), MOST_BODY))
         }
     };
     connection.send(call.request.clone()).await.ok()?;
     written.set(true);
     let response = connection.next().await?.ok()?;
-    if response.keep_alive && connection.read_buffer().is_empty() {
+    if response.keep_alive {
         pool.put(call.host, call.address, connection);
     }
     Some(response)
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -13,8 +13,8 @@
 const MOST_HEADERS: usize = 64;
 /// Most bytes of a body that a client may hand in.
 pub const MOST_BODY: usize = 64 * 1024;
-/// Most bytes of a body that a response to the relay may have; the list of hosts is the longest.
-pub const MOST_RESPONSE: usize = 4 * 1024 * 1024;
+/// Most bytes of the list of hosts, which is the longest that comes in.
+pub const MOST_LIST: usize = 4 * 1024 * 1024;
 
 /// Why bytes are no message.
 #[derive(Debug)]
@@ -24,6 +24,8 @@
     HeadTooLong,
     BodyTooLong,
     Unsupported(&'static str),
+    /// Part of it came, and the rest did not in time.
+    TooSlow,
 }
 
 impl Fault {
@@ -31,6 +33,7 @@
     pub fn status(&self) -> u16 {
         match self {
             Fault::Io(_) | Fault::Malformed(_) => 400,
+            Fault::TooSlow => 408,
             Fault::BodyTooLong => 413,
             Fault::HeadTooLong => 431,
             Fault::Unsupported(_) => 501,
@@ -45,6 +48,7 @@
             Fault::Malformed(text) | Fault::Unsupported(text) => f.write_str(text),
             Fault::HeadTooLong => f.write_str("the headers are too long"),
             Fault::BodyTooLong => f.write_str("the body is too long"),
+            Fault::TooSlow => f.write_str("the request did not come in time"),
         }
     }
 }
@@ -402,9 +406,9 @@
 }
 
 impl Client {
-    /// Requests carry this as their `Host`.
-    pub fn new(host: impl Into<String>) -> Self {
-        Client { reader: Reader::new(MOST_RESPONSE), host: host.into() }
+    /// Requests carry `host`; responses have bodies of `most_body` bytes at most.
+    pub fn new(host: impl Into<String>, most_body: usize) -> Self {
+        Client { reader: Reader::new(most_body), host: host.into() }
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/io.rs
@@ -0,0 +1,107 @@
+//! What goes into the reducer and what comes out of it.
+
+use std::net::SocketAddr;
+
+use pewterseam::interface::{HostId, MessageId, Micros};
+
+use crate::clients::RequestId;
+use crate::discovery::List;
+use crate::hosts::{Call, Reply};
+use crate::http::{Request, Response};
+use crate::journal::Record;
+use crate::notices::Notice;
+
+/// What happened outside.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// A client's request, whole.
+    Request {
+        id: RequestId,
+        request: Request,
+    },
+    /// What a client sent was no request.
+    BadRequest,
+    /// The outcome of a call.
+    Called {
+        id: MessageId,
+        attempt: u32,
+        reply: Reply,
+    },
+    Probed {
+        host: HostId,
+        reply: Reply,
+    },
+    Listed(List),
+    ListFailed,
+    Peer {
+        from: u16,
+        bytes: Vec<u8>,
+    },
+    /// A datagram that no peer sent, or too long a one.
+    Stray,
+    /// Notices that were answered; not `read` where the platform could make nothing of one.
+    Told {
+        numbers: Vec<u64>,
+        read: bool,
+    },
+    /// Notices that were not answered as they should be.
+    NotTold {
+        status: Option<u16>,
+    },
+    /// The journal was to be written anew.
+    WrittenAnew {
+        done: bool,
+    },
+    /// The process ends then; what is out by then is cut off.
+    Stop {
+        by: Micros,
+    },
+}
+
+/// What is to be done outside, once the step's records are in the journal.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Respond {
+        id: RequestId,
+        response: Response,
+    },
+    Call(Call),
+    Cancel {
+        id: MessageId,
+        attempt: u32,
+    },
+    Probe {
+        host: HostId,
+        address: SocketAddr,
+        path: &'static str,
+        timeout: Micros,
+    },
+    CloseIdle(HostId),
+    Notify(Notice),
+    Tell {
+        to: Option<u16>,
+        bytes: Vec<u8>,
+    },
+    /// Ask for the list and follow it.
+    Follow,
+    /// Step again then, at the latest.
+    Wake(Micros),
+    Log {
+        level: Level,
+        text: String,
+    },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    Info,
+    Warn,
+    Error,
+}
+
+/// What a step asks for.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Step {
+    pub records: Vec<Record>,
+    pub effects: Vec<Effect>,
+}
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -36,12 +36,11 @@
     Anew {
         next: u64,
     },
-    /// With the attempts so far and the first that may have run, where it is written anew.
+    /// With what became of it so far, where it is written anew.
     Taken {
         number: u64,
         message: Message,
-        attempts: u32,
-        ran: Option<Micros>,
+        past: Past,
     },
     /// Written before the call goes out.
     Started {
@@ -50,7 +49,7 @@
     },
     Over {
         number: u64,
-        may_have_run: bool,
+        how: Over,
     },
     /// Given up; the notice of it is owed.
     Closing {
@@ -63,6 +62,35 @@
     },
 }
 
+/// What is known of an attempt that is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Over {
+    /// Turned away or not sent at all.
+    Unseen,
+    /// It failed, but never ran.
+    Failed,
+    /// It failed and may have run.
+    MayHaveRun,
+}
+
+/// What became of a message's attempts so far.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Past {
+    pub attempts: u32,
+    /// When the first attempt that may have run was sent.
+    pub ran: Option<Micros>,
+    /// An attempt failed, other than by being turned away.
+    pub failed: bool,
+}
+
+impl Past {
+    /// Books the end of an attempt that was sent at `at`.
+    pub fn book(&mut self, at: Micros, how: Over) {
+        self.failed |= how != Over::Unseen;
+        self.ran = self.ran.or(Some(at).filter(|_| how == Over::MayHaveRun));
+    }
+}
+
 impl Record {
     /// Adds the record's frame to `bytes`.
     fn write(&self, bytes: &mut Vec<u8>) -> io::Result<()> {
@@ -104,9 +132,7 @@
 pub struct Restored {
     pub number: u64,
     pub message: Message,
-    pub attempts: u32,
-    /// When the first attempt that may have run was sent.
-    pub ran: Option<Micros>,
+    pub past: Past,
     /// An attempt was out when the process ended; it may have run.
     pub cut: bool,
     pub closing: Option<End>,
@@ -135,21 +161,21 @@
     fn apply(&mut self, record: Record) {
         match record {
             Record::Anew { next } => *self = Replay { next, ..Replay::default() },
-            Record::Taken { number, message, attempts, ran } => {
+            Record::Taken { number, message, past } => {
                 self.next = self.next.max(number + 1);
-                let restored = Restored { number, message, attempts, ran, cut: false, closing: None };
+                let restored = Restored { number, message, past, cut: false, closing: None };
                 self.messages.insert(number, restored);
             }
             Record::Started { number, at } => {
                 if let Some(restored) = self.messages.get_mut(&number) {
-                    restored.attempts += 1;
+                    restored.past.attempts += 1;
                     self.out.insert(number, at);
                 }
             }
-            Record::Over { number, may_have_run } => {
-                let at = self.out.remove(&number).filter(|_| may_have_run);
-                if let Some(restored) = self.messages.get_mut(&number) {
-                    restored.ran = restored.ran.or(at);
+            Record::Over { number, how } => {
+                if let (Some(restored), Some(at)) = (self.messages.get_mut(&number), self.out.remove(&number))
+                {
+                    restored.past.book(at, how);
                 }
             }
             Record::Closing { number, end } => {
@@ -168,7 +194,7 @@
     fn finish(mut self, dropped: u64) -> History {
         for (number, at) in self.out {
             if let Some(restored) = self.messages.get_mut(&number) {
-                restored.ran = restored.ran.or(Some(at));
+                restored.past.ran = restored.past.ran.or(Some(at));
                 restored.cut = true;
             }
         }
@@ -226,6 +252,8 @@
     older: u64,
     /// Bytes of messages on hand when it was last written anew.
     live: u64,
+    /// Bytes written from which it is tried again to write it anew, after a failure.
+    retry_from: u64,
 }
 
 impl Journal {
@@ -245,7 +273,7 @@
         let older = sizes.sum::<io::Result<u64>>()?;
         let number = found.last_key_value().map_or(0, |(number, _)| number + 1);
         let folder = folder.to_owned();
-        Ok((Journal { folder, limit, number, file: None, size: 0, older, live: 0 }, history))
+        Ok((Journal { folder, limit, number, file: None, size: 0, older, live: 0, retry_from: 0 }, history))
     }
 
     /// Bytes that messages on hand may take.
@@ -261,7 +289,7 @@
     /// Whether so much was written since that it should be written anew.
     pub fn is_due(&self) -> bool {
         let most = (self.limit as f64 * MOST_WRITTEN) as u64;
-        self.written() > most.min(LEAST_WRITTEN.max(4 * self.live))
+        self.written() > most.min(LEAST_WRITTEN.max(4 * self.live)).max(self.retry_from)
     }
 
     /// Appends records in one write. Where it fails none of them counts.
@@ -306,6 +334,14 @@
 
     /// Replaces all segments by one with these records, which tell of all messages on hand.
     pub fn write_anew(&mut self, next: u64, records: &[Record]) -> io::Result<()> {
+        // Danger: one that fails would be tried with each step, and take the core. More must be written first.
+        self.retry_from = self.written() + LEAST_WRITTEN;
+        self.replace(next, records)?;
+        self.retry_from = 0;
+        Ok(())
+    }
+
+    fn replace(&mut self, next: u64, records: &[Record]) -> io::Result<()> {
         let mut bytes = MAGIC.to_vec();
         Record::Anew { next }.write(&mut bytes)?;
         for record in records {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! `docs/relay.md` tells how the parts fit.
 
+pub mod agent;
 pub mod clients;
 pub mod clock;
 pub mod config;
@@ -9,9 +10,15 @@
 pub mod discovery;
 pub mod hosts;
 pub mod http;
+pub mod inputs;
+pub mod intake;
+pub mod io;
 pub mod journal;
+pub mod limits;
 pub mod message;
+pub mod names;
 pub mod notices;
 pub mod peers;
 pub mod reducer;
+pub mod ring;
 pub mod serve;
--- /dev/null
+++ b/crates/relay/src/names.rs
@@ -0,0 +1,106 @@
+//! The wire's names and ids in the terms of the decisions, and back.
+
+use std::collections::{HashMap, HashSet};
+use std::hash::Hasher;
+use std::net::SocketAddr;
+
+use pewterseam::interface::{History, HostId, Lifecycle, Listed, MessageId, RegistryNews, Request, Settings};
+use pewterseam_settings::Deployment;
+use siphasher::sip::SipHasher13;
+
+use crate::discovery::{List, State, Target};
+use crate::message::Message;
+
+/// The names of a deployment and the addresses of its hosts.
+pub struct Names {
+    deployment: Deployment,
+    hosts: HashMap<HostId, SocketAddr>,
+}
+
+/// The number of a name. Peers speak of hosts by it, so that it must be the same at every relay.
+fn number(name: &str) -> u64 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(name.as_bytes());
+    hasher.finish()
+}
+
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|other| other == name)
+}
+
+impl Names {
+    pub fn new(deployment: Deployment) -> Self {
+        Names { deployment, hosts: HashMap::new() }
+    }
+
+    pub fn settings(&self) -> &Settings {
+        &self.deployment.settings
+    }
+
+    pub fn knows_hosts(&self) -> bool {
+        !self.hosts.is_empty()
+    }
+
+    pub fn address(&self, host: HostId) -> Option<SocketAddr> {
+        self.hosts.get(&host).copied()
+    }
+
+    /// Where a probe goes: to the report, where it comes with probes only.
+    pub fn probe_path(&self) -> &'static str {
+        if self.deployment.report_by_probe { "/_load" } else { "/ping" }
+    }
+
+    /// A new message in the decisions' terms; else what of it is not known.
+    pub fn request(&self, id: MessageId, message: &Message) -> Result<Request, &'static str> {
+        let class = position(&self.deployment.classes, &message.class).ok_or("the class is not known\n")?;
+        let tenant = match self.deployment.tenants.as_slice() {
+            [] => 0,
+            tenants => position(tenants, &message.tenant).ok_or("the tenant is not known\n")?,
+        };
+        let (destination, deadline) = (message.destination, message.deadline);
+        let key = message.key.as_deref().map(number);
+        Ok(Request { id, class, destination, tenant, key, deadline, history: History::default() })
+    }
+
+    /// The limit in calls a second that a load report tells: its second value. 0 says that there is none.
+    pub fn limit(&self, report: Option<&str>) -> Option<f64> {
+        let name = self.deployment.report.get(1)?;
+        let values = report?.split(',').filter_map(|part| part.trim().split_once('='));
+        let value = values.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse().ok());
+        value.filter(|limit: &f64| limit.is_finite() && *limit > 0.0)
+    }
+
+    /// Takes over the list. Gives it in the decisions' terms, and how many entries are of a kind that the
+    /// settings don't have.
+    pub fn list(&mut self, list: &List) -> (RegistryNews, usize) {
+        let known = list.targets.iter().filter_map(|target| Some((target, self.listed(target)?)));
+        let (targets, entries): (Vec<&Target>, Vec<Listed>) = known.unzip();
+        if list.all {
+            let named: HashSet<HostId> = entries.iter().map(|entry| entry.host).collect();
+            self.hosts.retain(|host, _| named.contains(host));
+        }
+        for (target, entry) in targets.iter().zip(&entries) {
+            match entry.lifecycle {
+                Lifecycle::Gone => self.hosts.remove(&entry.host),
+                _ => self.hosts.insert(entry.host, target.endpoint),
+            };
+        }
+        let unknown = list.targets.len() - entries.len();
+        (if list.all { RegistryNews::Whole(entries) } else { RegistryNews::Changes(entries) }, unknown)
+    }
+
+    fn listed(&self, target: &Target) -> Option<Listed> {
+        Some(Listed {
+            host: HostId(number(&target.uid)),
+            zone: position(&self.deployment.zones, &target.az).unwrap_or(0) as u16,
+            kind: position(&self.deployment.kinds, &target.model)?,
+            destination: target.pod_group,
+            lifecycle: match target.state {
+                State::Ready => Lifecycle::Ready,
+                State::Terminating => Lifecycle::Draining,
+                State::Gone => Lifecycle::Gone,
+            },
+            weight: target.capacity_hint,
+        })
+    }
+}
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -5,17 +5,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
 use serde::Serialize;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
-use tokio_util::codec::Framed;
 
-use crate::http::{Client, Headers, MOST_BODY, Request, Response};
+use crate::agent::Agent;
+use crate::http::{Headers, MOST_BODY, Request};
+use crate::inputs::Inputs;
+use crate::io::Input;
 use crate::message::End;
-use crate::reducer::Input;
-use crate::serve::Inputs;
 
 /// The end of a message, to be told until it is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -40,7 +38,7 @@
             End::Returned { after_ms } => ("returned", Some(after_ms).filter(|after| *after > 0)),
         };
         let line = Line { id: &self.id, state, after_ms };
-        // A text and a number always make JSON.
+        // Texts and a number always make JSON.
         serde_json::to_string(&line).unwrap_or_default() + "\n"
     }
 }
@@ -56,65 +54,60 @@
 pub async fn tell(
     address: SocketAddr, pace: Pace, mut notices: mpsc::UnboundedReceiver<Notice>, inputs: Inputs,
 ) {
-    let mut connection = None;
+    let mut agent = Agent::new(address);
     let mut waiting: BTreeMap<u64, Notice> = BTreeMap::new();
+    // Lines that go together at most.
+    let mut most = usize::MAX;
     loop {
         if waiting.is_empty() {
-            match notices.recv().await {
-                Some(notice) => waiting.insert(notice.number, notice),
-                None => return,
-            };
+            let Some(notice) = notices.recv().await else { return };
+            waiting.insert(notice.number, notice);
         }
         while let Ok(notice) = notices.try_recv() {
             waiting.insert(notice.number, notice);
         }
-        let (mut body, mut numbers) = (String::new(), Vec::new());
-        for notice in waiting.values() {
-            let line = notice.line();
-            if !numbers.is_empty() && body.len() + line.len() > MOST_BODY {
-                break;
+        let (body, numbers) = lines(waiting.values(), most);
+        let headers = Headers::default().with("Content-Type", "application/x-ndjson");
+        let request = Request::post("/reports", headers, Bytes::from(body));
+        let answer = timeout(pace.patience, agent.ask(request)).await.ok().flatten();
+        let status = answer.map(|response| response.status);
+        let over = match status {
+            Some(200..300) => true,
+            // Danger: one line that the platform can't read holds back all others. They go one by one; one that
+            // is turned away alone won't be read better later.
+            Some(400) if numbers.len() == 1 => true,
+            Some(400) => {
+                most = 1;
+                false
             }
-            body += &line;
-            numbers.push(notice.number);
+            _ => false,
+        };
+        if !over {
+            agent.hang_up();
+            inputs.send(Input::NotTold { status });
+            sleep(pace.pause).await;
+            continue;
         }
-        let sent = timeout(pace.patience, post(&mut connection, address, body)).await.ok().flatten();
-        match sent.map(|response| response.status) {
-            Some(204 | 200) => {
-                for number in &numbers {
-                    waiting.remove(number);
-                }
-                inputs.send(Input::Told(numbers));
-            }
-            answer => {
-                inputs.send(Input::NotTold { status: answer });
-                connection = None;
-                sleep(pace.pause).await;
-            }
+        for number in &numbers {
+            waiting.remove(number);
+        }
+        if waiting.is_empty() {
+            most = usize::MAX;
         }
+        inputs.send(Input::Told { numbers, read: status != Some(400) });
     }
 }
 
-type Connection = Framed<TcpStream, Client>;
-
-/// Telling twice does no harm, so that a kept connection that broke is replaced at once.
-async fn post(connection: &mut Option<Connection>, address: SocketAddr, body: String) -> Option<Response> {
-    let headers = Headers::default().with("Content-Type", "application/x-ndjson");
-    let request = Request::post("/reports", headers, Bytes::from(body));
-    if let Some(mut framed) = connection.take()
-        && let Some(response) = exchange(&mut framed, request.clone()).await
-    {
-        *connection = response.keep_alive.then_some(framed);
-        return Some(response);
+/// As many lines as fit in a body, and whose they are.
+fn lines<'a>(notices: impl Iterator<Item = &'a Notice>, most: usize) -> (String, Vec<u64>) {
+    let (mut body, mut numbers) = (String::new(), Vec::new());
+    for notice in notices.take(most) {
+        let line = notice.line();
+        if !numbers.is_empty() && body.len() + line.len() > MOST_BODY {
+            break;
+        }
+        body += &line;
+        numbers.push(notice.number);
     }
-    let stream = TcpStream::connect(address).await.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let mut framed = Framed::new(stream, Client::new(address.to_string()));
-    let response = exchange(&mut framed, request).await?;
-    *connection = response.keep_alive.then_some(framed);
-    Some(response)
-}
-
-async fn exchange(framed: &mut Connection, request: Request) -> Option<Response> {
-    framed.send(request).await.ok()?;
-    framed.next().await?.ok()
+    (body, numbers)
 }
--- /dev/null
+++ b/crates/relay/src/ring.rs
@@ -0,0 +1,117 @@
+//! A TCP connection with one ring buffer a direction.
+//!
+//! What comes is taken off the socket into the inward ring before it is cut into messages; what goes waits in
+//! the outward ring until the socket takes it. Both are of fixed size, so that a connection costs no more than
+//! that however slow or fast the other side is.
+
+use std::io::{self, Read, Write};
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use ringbuf::LocalRb;
+use ringbuf::storage::Heap;
+use ringbuf::traits::Observer;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Bytes of each ring.
+pub const RING: usize = 8 * 1024;
+
+/// A connection as `Framed` takes it.
+pub struct Ringed {
+    stream: TcpStream,
+    inward: LocalRb<Heap<u8>>,
+    outward: LocalRb<Heap<u8>>,
+}
+
+/// The socket's own reads and writes, which never wait.
+struct Now<'a>(&'a TcpStream);
+
+impl Read for Now<'_> {
+    fn read(&mut self, bytes: &mut [u8]) -> io::Result<usize> {
+        self.0.try_read(bytes)
+    }
+}
+
+impl Write for Now<'_> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.try_write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl Ringed {
+    /// Small writes go out at once.
+    pub fn new(stream: TcpStream) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Ringed { stream, inward: LocalRb::new(RING), outward: LocalRb::new(RING) })
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
+    /// Nothing that came waits to be read.
+    pub fn is_drained(&self) -> bool {
+        self.inward.is_empty()
+    }
+
+    /// Moves what waits to the socket until nothing does.
+    fn poll_drain(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.outward.is_empty() {
+            ready!(self.stream.poll_write_ready(context))?;
+            match self.outward.write_into(&mut Now(&self.stream), None) {
+                Some(Ok(0)) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                Some(Err(error)) if error.kind() != io::ErrorKind::WouldBlock => {
+                    return Poll::Ready(Err(error));
+                }
+                _ => {}
+            }
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncRead for Ringed {
+    fn poll_read(
+        self: Pin<&mut Self>, context: &mut Context<'_>, into: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        while this.inward.is_empty() {
+            ready!(this.stream.poll_read_ready(context))?;
+            match this.inward.read_from(&mut Now(&this.stream), None) {
+                Some(Ok(0)) => return Poll::Ready(Ok(())),
+                Some(Err(error)) if error.kind() != io::ErrorKind::WouldBlock => {
+                    return Poll::Ready(Err(error));
+                }
+                _ => {}
+            }
+        }
+        let taken = this.inward.pop_slice(into.initialize_unfilled());
+        into.advance(taken);
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for Ringed {
+    fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        if this.outward.is_full() {
+            ready!(this.poll_drain(context))?;
+        }
+        Poll::Ready(Ok(this.outward.push_slice(bytes)))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.get_mut().poll_drain(context)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        ready!(this.poll_drain(context))?;
+        Pin::new(&mut this.stream).poll_shutdown(context)
+    }
+}
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,114 +1,62 @@
 //! Runs a relay: gathers inputs for the reducer, keeps its records, carries out its effects.
 
+use std::fmt;
 use std::io;
+use std::path::Path;
 use std::time::Duration;
 
 use pewterseam::brain;
+use pewterseam::interface::Micros;
 use slog::{Logger, error, info, warn};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, sleep_until};
 
-use crate::clients::Clients;
+use crate::clients::{self, Clients};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::discovery::{self, Watch};
 use crate::hosts::Hosts;
-use crate::journal::Journal;
-use crate::notices::{self, Notice, Pace};
+use crate::inputs::Inputs;
+use crate::io::{Effect, Input, Level, Step};
+use crate::journal::{History, Journal};
+use crate::limits::Budget;
+use crate::notices::{self, Notice};
 use crate::peers::Peers;
-use crate::reducer::{Effect, Input, Level, Reducer, Step};
+use crate::reducer::Reducer;
 
-/// Where tasks hand in what happened.
-#[derive(Clone)]
-pub struct Inputs(mpsc::UnboundedSender<Input>);
+/// Why a relay can't start.
+#[derive(Debug)]
+pub struct Fault(String);
 
-impl Inputs {
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<Input>) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        (Inputs(sender), receiver)
-    }
-
-    /// After the end of the loop nobody listens, and nothing is lost by that.
-    pub fn send(&self, input: Input) {
-        let _ = self.0.send(input);
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
     }
 }
 
-/// Descriptors for all but clients and hosts: standard streams, reactor, listener, peers, discovery, notices,
-/// the journal's segments, and some to spare.
-const OWN_DESCRIPTORS: usize = 32;
+impl std::error::Error for Fault {}
 
-struct Relay {
-    clock: Clock,
-    reducer: Reducer,
-    journal: Journal,
-    clients: Clients,
-    hosts: Hosts,
-    peers: Option<Peers>,
-    follow: mpsc::UnboundedSender<Watch>,
-    notices: mpsc::UnboundedSender<Notice>,
-    inputs: Inputs,
-    wake_at: Option<u64>,
-    log: Logger,
+/// Tells what failed, beside how.
+fn fault(what: impl fmt::Display) -> impl FnOnce(io::Error) -> Fault {
+    move |error| Fault(format!("{what}: {error}"))
 }
 
 /// Serves until asked to stop.
-pub async fn run(config: Config, log: Logger) -> io::Result<()> {
+pub async fn run(config: Config, log: Logger) -> Result<(), Fault> {
     LocalSet::new().run_until(serve(config, log)).await
 }
 
-async fn serve(config: Config, log: Logger) -> io::Result<()> {
-    let clock = Clock::start();
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let disk = (config.limits.disk_mb * 1e6) as u64;
-    let (journal, history) = Journal::open(&config.state, disk)?;
-    info!(log, "journal read"; "messages" => history.messages.len(), "bytes_dropped" => history.dropped);
-
+async fn serve(config: Config, log: Logger) -> Result<(), Fault> {
+    let mut terminate = signal(SignalKind::terminate()).map_err(fault("signals"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(fault("signals"))?;
     let (inputs, mut incoming) = Inputs::new();
-    let settings = &config.deployment.settings;
-    let descriptors = (config.limits.sockets as usize).saturating_sub(OWN_DESCRIPTORS);
-    let for_hosts = (descriptors / 2).max(settings.slots);
-    let clients = Clients::new(
-        descriptors.saturating_sub(for_hosts),
-        Duration::from_micros(brain::CLIENT_PATIENCE),
-        inputs.clone(),
-    );
-    let hosts = Hosts::new(settings.idle_close, for_hosts.saturating_sub(settings.slots), inputs.clone());
-    let peers = match config.peer_listen {
-        Some(listen) if settings.may_tell => {
-            let me = usize::from(settings.me);
-            let peers = Peers::bind(listen, &config.peers, config.peers_all, me).await?;
-            spawn_local(peers.clone().listen(inputs.clone()));
-            Some(peers)
-        }
-        _ => None,
-    };
-    let (follow, asked) = mpsc::unbounded_channel();
-    spawn_local(discovery::follow(config.discovery, asked, inputs.clone()));
-    let (notices, told) = mpsc::unbounded_channel();
-    let pace = Pace {
-        patience: Duration::from_micros(brain::NOTICE_PATIENCE),
-        pause: Duration::from_micros(brain::NOTICE_PAUSE),
-    };
-    spawn_local(notices::tell(config.discovery, pace, told, inputs.clone()));
-
-    let reducer = Reducer::new(config.deployment.clone(), config.seed, journal.room());
-    let wake_at = None;
-    let mut relay =
-        Relay { clock, reducer, journal, clients, hosts, peers, follow, notices, inputs, wake_at, log };
-    let step = relay.reducer.start(clock.now(), history, config.known);
-    relay.write_anew();
-    relay.carry_out(step);
-    let listener = Clients::listen(config.listen).await?;
-    spawn_local(relay.clients.clone().accept(listener));
-    info!(relay.log, "serving"; "name" => &config.name, "listen" => %config.listen);
-
-    let mut stop_at = None;
+    let mut relay = Relay::start(config, log, inputs).await?;
+    let mut stop_at: Option<Micros> = None;
     loop {
-        let wake = relay.wake_at.map(|at| Instant::from_std(clock.instant(at)));
+        let wake = relay.wake_at.map(|at| Instant::from_std(relay.clock.instant(at)));
         let timer = async {
             match wake {
                 Some(at) => sleep_until(at).await,
@@ -116,83 +64,149 @@
             }
         };
         let mut batch = Vec::new();
-        tokio::select! {
+        let asked_to_stop = tokio::select! {
             biased;
-            _ = terminate.recv(), if stop_at.is_none() => batch.push(Input::Stop),
-            _ = interrupt.recv(), if stop_at.is_none() => batch.push(Input::Stop),
-            Some(input) = incoming.recv() => batch.push(input),
-            _ = timer => {}
-        }
+            _ = terminate.recv() => true,
+            _ = interrupt.recv() => true,
+            Some(input) = incoming.recv() => {
+                batch.push(input);
+                false
+            }
+            () = timer => false,
+        };
         while let Ok(input) = incoming.try_recv() {
             batch.push(input);
         }
-        if stop_at.is_none() && batch.iter().any(|input| matches!(input, Input::Stop)) {
-            stop_at = Some(clock.now() + brain::STOP_WITHIN);
+        let now = relay.clock.now();
+        if asked_to_stop && stop_at.is_none() {
+            let by = now + brain::STOP_WITHIN;
+            stop_at = Some(by);
+            batch.push(Input::Stop { by });
             relay.clients.stop();
         }
-        let now = clock.now();
-        if relay.wake_at.is_some_and(|at| at <= now) {
-            relay.wake_at = None;
-        }
+        relay.wake_at = relay.wake_at.filter(|at| *at > now);
         let step = relay.reducer.step(now, batch);
         relay.carry_out(step);
-        if relay.journal.is_due() {
-            relay.write_anew();
-        }
-        if let Some(at) = stop_at {
-            let idle = relay.reducer.held() == 0 && relay.clients.open() == 0;
-            if now >= at || (idle && now + brain::STOP_WITHIN >= at + brain::STOP_NOT_BEFORE) {
+        if let Some(by) = stop_at {
+            let early = now + brain::STOP_WITHIN >= by + brain::STOP_NOT_BEFORE;
+            if now >= by || (early && relay.reducer.held() == 0 && relay.clients.open() == 0) {
                 break;
             }
-            relay.wake_at = Some(relay.wake_at.map_or(at, |wake| wake.min(at)));
+            relay.wake(by.min(now + brain::PAUSE));
         }
     }
-    for (name, value) in relay.reducer.counters().all() {
-        info!(relay.log, "counter"; "name" => name, "value" => value);
-    }
-    info!(relay.log, "stopped"; "held" => relay.reducer.held());
+    relay.say_goodbye();
     Ok(())
 }
 
+struct Relay {
+    clock: Clock,
+    reducer: Reducer,
+    journal: Journal,
+    clients: Clients,
+    hosts: Hosts,
+    peers: Option<Peers>,
+    follow: mpsc::UnboundedSender<Watch>,
+    notices: mpsc::UnboundedSender<Notice>,
+    inputs: Inputs,
+    wake_at: Option<Micros>,
+    log: Logger,
+}
+
+fn open_journal(folder: &Path, limit: u64, log: &Logger) -> Result<(Journal, History), Fault> {
+    let (journal, history) = Journal::open(folder, limit).map_err(fault(folder.display()))?;
+    info!(log, "journal read"; "messages" => history.messages.len());
+    if history.dropped > 0 {
+        warn!(log, "the journal's end was cut short"; "bytes_dropped" => history.dropped);
+    }
+    Ok((journal, history))
+}
+
 impl Relay {
-    /// Keeps a step's records, then does what it asks for; a step that can't be kept is undone first.
+    /// Takes over what the journal holds, then lets clients in.
+    async fn start(config: Config, log: Logger, inputs: Inputs) -> Result<Self, Fault> {
+        let clock = Clock::start();
+        let settings = config.deployment.settings.clone();
+        let budget = Budget::split(&config.limits, settings.slots)
+            .ok_or_else(|| Fault(format!("limits.sockets: {} are too few", config.limits.sockets)))?;
+        let (journal, history) = open_journal(&config.state, config.limits.disk(), &log)?;
+        let listener = TcpListener::bind(config.listen).await.map_err(fault(config.listen))?;
+        let peers = match config.peer_listen.filter(|_| settings.may_tell) {
+            Some(listen) => {
+                let me = usize::from(settings.me);
+                let bound = Peers::bind(listen, &config.peers, config.peers_all, me).await;
+                Some(bound.map_err(fault(listen))?)
+            }
+            None => None,
+        };
+        if let Some(peers) = &peers {
+            spawn_local(peers.clone().listen(inputs.clone()));
+        }
+        let (pause, patience) =
+            (Duration::from_micros(brain::PAUSE), Duration::from_micros(brain::ANSWER_PATIENCE));
+        let (follow, asked) = mpsc::unbounded_channel();
+        spawn_local(discovery::follow(config.discovery, asked, inputs.clone()));
+        let (notices, told) = mpsc::unbounded_channel();
+        let pace = notices::Pace { patience, pause };
+        spawn_local(notices::tell(config.discovery, pace, told, inputs.clone()));
+        let pace = clients::Pace { patience: Duration::from_micros(brain::CLIENT_PATIENCE), pause };
+        let clients = Clients::new(budget, pace, inputs.clone());
+        let hosts = Hosts::new(settings.idle_close, budget.idle, inputs.clone());
+        let room = journal.room().min(budget.held);
+        let mut reducer = Reducer::new(config.deployment, config.seed, room);
+        let step = reducer.start(clock.now(), history, config.known);
+        let wake_at = None;
+        let mut relay =
+            Relay { clock, reducer, journal, clients, hosts, peers, follow, notices, inputs, wake_at, log };
+        relay.carry_out(step);
+        relay.write_anew();
+        spawn_local(relay.clients.clone().accept(listener));
+        info!(relay.log, "serving"; "name" => config.name, "listen" => %config.listen);
+        Ok(relay)
+    }
+
+    fn wake(&mut self, at: Micros) {
+        self.wake_at = Some(self.wake_at.map_or(at, |wake| wake.min(at)));
+    }
+
+    /// Keeps a step's records, then does what it asks for. What can't be kept is taken back first.
     fn carry_out(&mut self, mut step: Step) {
-        if let Err(error) = self.journal.append(&step.records) {
+        while let Err(error) = self.journal.append(&step.records) {
             error!(self.log, "the journal takes nothing"; "error" => %error);
             step = self.reducer.undo(self.clock.now(), step);
-            // What is left tells of ends only, and is tried again with the next step.
-            let records = std::mem::take(&mut step.records);
-            if self.journal.append(&records).is_err() {
-                self.reducer.keep_for_later(records);
-            }
         }
         for effect in step.effects {
-            match effect {
-                Effect::Respond { id, response } => self.clients.respond(id, response),
-                Effect::Call(call) => self.hosts.call(call),
-                Effect::Cancel { id, attempt } => self.hosts.cancel(id, attempt),
-                Effect::Probe { host, address, path, timeout } => {
-                    self.hosts.probe(host, address, path, timeout)
-                }
-                Effect::CloseIdle(host) => self.hosts.close_idle(host),
-                Effect::Notify(notice) => {
-                    let _ = self.notices.send(notice);
-                }
-                Effect::Tell { to, bytes } => {
-                    if let Some(peers) = &self.peers {
-                        peers.tell(to, &bytes);
-                    }
-                }
-                Effect::Follow => {
-                    let wait = Duration::from_micros(brain::LIST_WAIT);
-                    let patience = Duration::from_micros(brain::LIST_PATIENCE);
-                    let _ = self.follow.send(Watch { wait, patience });
+            self.carry_out_effect(effect);
+        }
+        if self.journal.is_due() {
+            self.write_anew();
+        }
+    }
+
+    fn carry_out_effect(&mut self, effect: Effect) {
+        match effect {
+            Effect::Respond { id, response } => self.clients.respond(id, response),
+            Effect::Call(call) => self.hosts.call(call),
+            Effect::Cancel { id, attempt } => self.hosts.cancel(id, attempt),
+            Effect::Probe { host, address, path, timeout } => self.hosts.probe(host, address, path, timeout),
+            Effect::CloseIdle(host) => self.hosts.close_idle(host),
+            Effect::Notify(notice) => {
+                let _ = self.notices.send(notice);
+            }
+            Effect::Tell { to, bytes } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &bytes);
                 }
-                Effect::Wake(at) => self.wake_at = Some(self.wake_at.map_or(at, |wake| wake.min(at))),
-                Effect::Log { level: Level::Info, text } => info!(self.log, "{}", text),
-                Effect::Log { level: Level::Warn, text } => warn!(self.log, "{}", text),
-                Effect::Log { level: Level::Error, text } => error!(self.log, "{}", text),
             }
+            Effect::Follow => {
+                let wait = Duration::from_micros(brain::LIST_WAIT);
+                let patience = Duration::from_micros(brain::ANSWER_PATIENCE);
+                let _ = self.follow.send(Watch { wait, patience });
+            }
+            Effect::Wake(at) => self.wake(at),
+            Effect::Log { level: Level::Info, text } => info!(self.log, "{}", text),
+            Effect::Log { level: Level::Warn, text } => warn!(self.log, "{}", text),
+            Effect::Log { level: Level::Error, text } => error!(self.log, "{}", text),
         }
     }
 
@@ -204,4 +218,11 @@
         }
         self.inputs.send(Input::WrittenAnew { done: done.is_ok() });
     }
+
+    fn say_goodbye(&self) {
+        for (name, value) in self.reducer.counters().all() {
+            info!(self.log, "counter"; "name" => name, "value" => value);
+        }
+        info!(self.log, "stopped"; "held" => self.reducer.held());
+    }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,7 +14,7 @@
 const ROUND: Micros = 2_000_000;
 /// Age at which a peer's report counts no more (us); the design's default, three rounds.
 const EXPIRY: Micros = 3 * ROUND;
-/// Age up to which a report tells of the last round (us); a round, and time for it to come.
+/// Age up to which a report tells of the last round (us): a round, and time for it to come.
 const FRESH: Micros = ROUND + ROUND / 4;
 /// Factor on the pool after a round with refusals as full; the design's quarter off.
 const CUT: f64 = 0.75;
@@ -67,14 +67,14 @@
 const LOOK: Micros = 25_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// Waits of the caller (us): for a change of the list, and beyond that for its answer; for the answer to a
-/// notice, and until it is told again; for the rest of a request that came in part. Short of any aim.
+/// Waits of the caller (us): for news of the list; for an answer about it or to a notice, which come at once;
+/// until what failed is tried again, and for the last bytes on a connection; for the rest of a request.
 pub const LIST_WAIT: Micros = 5_000_000;
-pub const LIST_PATIENCE: Micros = 1_000_000;
-pub const NOTICE_PATIENCE: Micros = 500_000;
-pub const NOTICE_PAUSE: Micros = 100_000;
+pub const ANSWER_PATIENCE: Micros = 500_000;
+pub const PAUSE: Micros = 100_000;
 pub const CLIENT_PATIENCE: Micros = 5_000_000;
-/// Once asked to stop, how long new connections may still come, and when to be gone (us).
+/// Once asked to stop, how long new connections may still come, and when to be gone (us): platforms wait a
+/// few seconds before they kill.
 pub const STOP_NOT_BEFORE: Micros = 1_000_000;
 pub const STOP_WITHIN: Micros = 3_300_000;
 
@@ -89,6 +89,8 @@
     agenda: Agenda,
     /// Idle time for which connections are kept.
     keep: f64,
+    /// When the caller stops; what is out by then is cut off.
+    stop_at: Micros,
     actions: Vec<Action>,
 }
 
@@ -186,6 +188,7 @@
             outlook: BTreeMap::new(),
             agenda: Agenda { ask_at: settings.ask_registry.then_some(0), ..Agenda::default() },
             keep: settings.idle_close as f64,
+            stop_at: Micros::MAX,
             actions: Vec::new(),
             settings,
         }
@@ -199,9 +202,10 @@
             due |= !matches!(event, Event::Timer | Event::Peer { .. });
             match event {
                 Event::Registry(news) => self.learn(news),
-                Event::Message(request) => self.state.accept(request, &self.settings),
+                Event::Message(request) => self.take_on(request),
                 Event::Withdrawn(id) => self.state.withdraw(id, now),
                 Event::Timer => {}
+                Event::Stop { by } => self.stop_at = by,
                 Event::Ended(ended) => self.conclude(ended),
                 Event::Probed { host, outcome, limit } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
@@ -247,13 +251,21 @@
             self.ail(host, TRIP, self.now, "refuses all");
         }
         self.keep = (self.keep * KEEP_REGROWTH).min(self.settings.idle_close as f64);
-        for (count, mean) in self.state.demand.values_mut() {
-            *mean += (std::mem::take(count) - *mean) * 2.0 * SAMPLE;
-        }
+        self.state.average_demand(2.0 * SAMPLE);
     }
 
     // ---- Intake, worth and shedding
 
+    /// Danger: a restart forgets an outage, and what is on hand rushes at a destination that comes back cold.
+    fn take_on(&mut self, request: Request) {
+        let closed = |host: &Host| request.history.failed && host.health == Health::Closed;
+        let hosts = self.state.hosts_of(request.destination).filter(|(_, host)| closed(host));
+        for id in hosts.map(|(id, _)| id).collect::<Vec<_>>() {
+            self.turn(id, Health::SlowStart { since: self.now }, "slow start", "failed before the restart");
+        }
+        self.state.accept(request, &self.settings);
+    }
+
     /// Worth of a message answered at `at`. Traffic beyond a tenant's share counts for little, and which
     /// message is beyond it can't be known here, so all of that tenant's weigh less.
     fn worth(&self, message: &Message, at: Micros) -> f64 {
@@ -297,9 +309,7 @@
             |m: &Message| (self.worth(m, self.now + self.horizon(m)), self.worth(m, self.now), m.request.id);
         let mut waiting: Vec<_> = self.state.waiting().map(value).collect();
         waiting.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        for (_, _, id) in waiting.into_iter().take(excess) {
-            self.give_up(id);
-        }
+        waiting.into_iter().take(excess).for_each(|(_, _, id)| self.give_up(id));
     }
 
     /// Gives the final answer now: a refusal where it is harmless to come again, else a failure.
@@ -323,9 +333,7 @@
             (waits && (spent || lapsed)) || self.now + needed >= message.request.deadline
         };
         let late: Vec<_> = self.state.held().filter(hopeless).map(|message| message.request.id).collect();
-        for id in late {
-            self.give_up(id);
-        }
+        late.into_iter().for_each(|id| self.give_up(id));
     }
 
     // ---- Dispatch
@@ -380,7 +388,9 @@
     /// Whether a host takes this message now: wait, permits, connections, health.
     fn admits(&self, host: &Host, message: &Message) -> bool {
         let route = &self.state.routes[&host.route];
-        if self.now < route.wait_until || (route.bound && route.tokens < 1.0) {
+        // Danger: a stop cuts off a call that might have run, and what must not run twice is lost.
+        let stops = self.now + patience(route) > self.stop_at;
+        if stops || self.now < route.wait_until || (route.bound && route.tokens < 1.0) {
             return false;
         }
         let class = self.class(message);
@@ -407,9 +417,8 @@
         let (now, senders, settings) = (self.now, f64::from(self.settings.senders), &self.settings);
         let wanted = self.state.waiting_counts();
         for destination in wanted.keys() {
-            for route in self.state.routes_of_mut(*destination) {
-                route.fill(pace(route), seconds(BURST), now);
-            }
+            let routes = self.state.routes_of_mut(*destination);
+            routes.for_each(|route| route.fill(pace(route), seconds(BURST), now));
         }
         let hosts = wanted.keys().flat_map(|destination| self.state.hosts_of(*destination));
         for id in hosts.map(|(id, _)| id).collect::<Vec<_>>() {
@@ -455,9 +464,7 @@
         match (self.state.host_and_route(attempt.host), outcome) {
             (Some((_, route)), Outcome::Ok) => route.answered(took, SAMPLE),
             // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
-            (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) => {
-                route.wait_until = route.wait_until.max(self.now + wait + LOOK);
-            }
+            (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) => route.hold(self.now + wait + LOOK),
             _ => {}
         }
         if first {
@@ -517,7 +524,7 @@
                 // Part of a permit at hand, by chance: many senders must not all come again together.
                 route.tokens = route.tokens.min(chance(now, self.seed));
                 let pause = (FULL_PAUSE << (route.fulls - 1).min(3)).min(ROUND);
-                route.wait_until = route.wait_until.max(now + pause * u64::from(wait == 0));
+                route.hold(now + pause * u64::from(wait == 0));
                 if wait >= self.settings.overload_window || host.is_open() {
                     self.ail(id, TRIP, now, "refuses all");
                 }
@@ -549,9 +556,7 @@
         host.trouble = host.trouble.max(TRIP);
         let destination = host.route.0;
         self.turn(id, Health::Open, "open", what);
-        for route in self.state.routes_of_mut(destination) {
-            route.doubted_at = self.now;
-        }
+        self.state.routes_of_mut(destination).for_each(|route| route.doubted_at = self.now);
         self.tell(id, false);
     }
 
@@ -639,9 +644,7 @@
                 records.push((*home, Record { destination: id.0, host: id.1, report, asks, up: None }));
             }
         }
-        for (home, record) in records {
-            self.post(Some(home), Purpose::Round, record);
-        }
+        records.into_iter().for_each(|(home, record)| self.post(Some(home), Purpose::Round, record));
     }
 
     /// Tells the homes of a host's trouble, or of its end, as soon as it is seen.
@@ -695,9 +698,7 @@
         host.accusers.retain(|_, at| *at + EXPIRY > now);
         let all = route.others(me, FRESH, EXPIRY, now) + report(route, false);
         let served = (all.used - all.refused) / route.hosts.max(1.0);
-        if !up {
-            host.accusers.insert(from, now);
-        }
+        host.accusers.extend((!up).then_some((from, now)));
         let known = now < if up { host.verdict_at + EXPIRY } else { host.worded_at + ROUND };
         let stands = up || now < host.verdict_at + EXPIRY;
         let most = served * MOSTLY * (EXPIRY / ROUND) as f64;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -231,7 +231,9 @@
     pub attempts: u32,
     /// When the first attempt that may have run was sent.
     pub ran: Option<Micros>,
-    /// When the sender stopped, if an attempt was out then; it may still run.
+    /// An attempt was seen to fail, other than by being turned away.
+    pub failed: bool,
+    /// When an attempt was cut off, if one was out at the end; it may still run.
     pub cut_at: Option<Micros>,
     /// It was given up; its end is yet to be told.
     pub over: bool,
@@ -258,6 +260,10 @@
     /// No answer is owed any more: nobody wants the message, or its end has been told.
     Withdrawn(MessageId),
     Timer,
+    /// The caller stops then and cuts off what is out.
+    Stop {
+        by: Micros,
+    },
     Ended(Ended),
     Probed {
         host: HostId,
--- a/src/state.rs
+++ b/src/state.rs
@@ -187,6 +187,11 @@
         }
     }
 
+    /// Holds all calls back until then, at the least.
+    pub fn hold(&mut self, until: Micros) {
+        self.wait_until = self.wait_until.max(until);
+    }
+
     /// Begins a round; each refusal that was reported has had its effect.
     pub fn start_round(&mut self) {
         for (_, report) in self.reports.values_mut().chain(&mut self.rest) {
@@ -364,6 +369,13 @@
         }
     }
 
+    /// Ends a round of demand; it has this weight in the mean.
+    pub fn average_demand(&mut self, weight: f64) {
+        for (count, mean) in self.demand.values_mut() {
+            *mean += (std::mem::take(count) - *mean) * weight;
+        }
+    }
+
     /// How many messages wait for each destination.
     pub fn waiting_counts(&self) -> BTreeMap<DestinationId, f64> {
         let mut counts = BTreeMap::new();
@@ -385,7 +397,7 @@
 
     /// Takes a message on. After an attempt that a restart cut off, its key rests as after any that may run on.
     pub fn accept(&mut self, request: Request, settings: &Settings) {
-        let History { attempts, ran, cut_at, over } = request.history;
+        let History { attempts, ran, cut_at, over, .. } = request.history;
         self.demand.entry(request.tenant).or_default().0 += 1.0;
         if let (Some(key), true) = (request.key, settings.classes[request.class].in_order) {
             let entry = self.keys.entry(key).or_default();
