A destination's greatest number no longer ends the relay; sub-commands for operators

Observed on rereading what outside bytes may reach: State::routes_of ranged up to `destination + 1`, which has no value after. A request with that dest ended the process (debug: overflow, release: a range that starts after its end). The three ranges now stop where the destination does; the new test fails with the old lines.

Also on rereading the limits: old and new segments could come to 1.2 of the folder's limit after a step full of long bodies; the parts are now 0.25 and 0.4. A relay that stood still takes on nothing for a client that has left meanwhile.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -17,7 +17,7 @@
 use crate::inputs::Inputs;
 use crate::io::Input;
 use crate::limits::Budget;
-use crate::ring::Ringed;
+use crate::ring::{Next, Ringed};
 
 /// A request that waits for its answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -44,7 +44,17 @@
     budget: Budget,
     pace: Pace,
     inputs: Inputs,
-    stopping: watch::Sender<bool>,
+    phase: watch::Sender<Phase>,
+}
+
+/// Which connections are closed as soon as no request is on them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Phase {
+    Serving,
+    /// Those that have carried a request.
+    Stopping,
+    /// All.
+    Leaving,
 }
 
 /// The relay's side of all clients.
@@ -61,7 +71,7 @@
             budget,
             pace,
             inputs,
-            stopping: watch::Sender::new(false),
+            phase: watch::Sender::new(Phase::Serving),
         }))
     }
 
@@ -86,9 +96,14 @@
         }
     }
 
-    /// Closes connections as soon as no request is left on them.
+    /// Closes connections between requests from now on.
     pub fn stop(&self) {
-        self.0.stopping.send_replace(true);
+        self.0.phase.send_replace(Phase::Stopping);
+    }
+
+    /// Closes all that have no request on them.
+    pub fn leave(&self) {
+        self.0.phase.send_replace(Phase::Leaving);
     }
 
     /// Connections that are still served.
@@ -142,9 +157,14 @@
                 None => return,
             };
             is_fresh = false;
+            // Danger: the relay stood still, and the client has long gone to another one with its message.
+            if connection.read_buffer().is_empty() && connection.get_ref().next() == Next::End {
+                let _ = connection.send(last(Response::text(503, "the client has left\n"))).await;
+                return;
+            }
             let keep_alive = request.keep_alive;
             let Some(response) = self.answer(request).await else { return };
-            let keep_alive = keep_alive && response.keep_alive && !*self.stopping.borrow();
+            let keep_alive = keep_alive && response.keep_alive && *self.phase.borrow() == Phase::Serving;
             if connection.send(Response { keep_alive, ..response }).await.is_err() || !keep_alive {
                 return;
             }
@@ -155,7 +175,8 @@
     /// a stopping relay closes a connection on which the first request is just on its way, and a client that
     /// has not seen this one work does not send it again.
     async fn next(&self, connection: &mut Connection, is_fresh: bool) -> Option<Result<Request, Response>> {
-        let mut stopping = self.stopping.subscribe();
+        let mut phase = self.phase.subscribe();
+        let leaves_in = if is_fresh { Phase::Leaving } else { Phase::Stopping };
         let number = self.number();
         let dismissed = Rc::new(Notify::new());
         self.idle.borrow_mut().insert(number, dismissed.clone());
@@ -167,7 +188,7 @@
                 next = connection.next() => break next,
                 () = sleep(self.pace.patience) => true,
                 () = dismissed.notified(), if !leaves => false,
-                _ = stopping.wait_for(|stopping| *stopping), if !leaves && !is_fresh => false,
+                _ = phase.wait_for(|phase| *phase >= leaves_in), if !leaves => false,
             };
             leaves |= !late;
             let midway = connection.codec().is_midway(connection.read_buffer());
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,10 +1,9 @@
 //! What the platform tells the relay: environment and a JSON file.
 
-use std::env;
 use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 
 use pewterseam_settings::Deployment;
 use serde::Deserialize;
@@ -61,7 +60,6 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
-    pub state: PathBuf,
     pub seed: u64,
     pub limits: Limits,
     pub peer_listen: Option<SocketAddr>,
@@ -95,12 +93,10 @@
         if !file.peers.is_empty() && me >= file.peers.len() {
             return Err(Malformed(format!("{}: relay {me} is not among its peers", path.display())));
         }
-        let state = variable("NODE_STATE").ok_or_else(|| Malformed("NODE_STATE is not set".to_owned()))?;
         Ok(Config {
             name: variable("NODE_NAME").unwrap_or(file.name),
             listen: address("NODE_LISTEN", file.listen)?,
             discovery: address("NODE_DISCOVERY", file.discovery)?,
-            state: PathBuf::from(state),
             seed,
             limits: file.limits,
             peer_listen: file.peer_listen,
@@ -110,13 +106,6 @@
             deployment,
         })
     }
-
-    /// Reads what the environment names.
-    pub fn from_environment() -> Result<Self, Malformed> {
-        let variable = |name: &str| env::var(name).ok();
-        let path = variable("NODE_CONFIG").ok_or_else(|| Malformed("NODE_CONFIG is not set".to_owned()))?;
-        Config::read(Path::new(&path), variable)
-    }
 }
 
 /// What differs on sockets from the settings' own words, which are the simulator's.
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -37,6 +37,7 @@
     failed,
     returned,
     notices_answered,
+    notices_not_answered,
     probes,
     peer_messages_in,
     peer_messages_out,
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -2,14 +2,12 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
 use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
-use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -18,7 +16,7 @@
 use crate::http::{Client, MOST_BODY, Request, Response};
 use crate::inputs::Inputs;
 use crate::io::Input;
-use crate::ring::Ringed;
+use crate::ring::{Next, Ringed};
 
 /// One attempt of a message at a host.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,11 +114,7 @@
 
 /// Nothing has come on an idle connection: neither bytes nor its end.
 fn is_quiet(connection: &Connection) -> bool {
-    let mut byte = [MaybeUninit::uninit()];
-    let peeked = SockRef::from(connection.get_ref().stream()).peek(&mut byte);
-    connection.read_buffer().is_empty()
-        && connection.get_ref().is_drained()
-        && peeked.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    connection.read_buffer().is_empty() && connection.get_ref().next() == Next::Nothing
 }
 
 /// How to stop each call that is out.
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -5,6 +5,7 @@
 //! enough to outlast the process. `docs/relay.md` has more.
 
 use std::collections::BTreeMap;
+use std::fmt;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -21,11 +22,11 @@
 /// Files are counted in units of this many bytes.
 const BLOCK: u64 = 512;
 /// A message's attempts and end fit in this many bytes; kept free for each message taken on.
-const LIFE: u64 = 1024;
-/// Parts of the folder's limit: messages on hand, and all segments when they are written anew. Old and new
-/// segments lie side by side for a moment, and stay below the limit together.
-const MOST_LIVE: f64 = 0.35;
-const MOST_WRITTEN: f64 = 0.5;
+const LIFE: u64 = 640;
+/// Parts of the folder's limit: messages on hand, and all segments when they are written anew. A step may add
+/// as much as may be on hand, and then old and new segments lie side by side for a moment: 0.9 in all.
+const MOST_LIVE: f64 = 0.25;
+const MOST_WRITTEN: f64 = 0.4;
 /// Segments below this many bytes are not written anew.
 const LEAST_WRITTEN: u64 = 64 * 1024;
 
@@ -83,6 +84,13 @@
     pub failed: bool,
 }
 
+impl fmt::Display for Past {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, ", {} attempts", self.attempts)?;
+        f.write_str(if self.ran.is_some() { ", may have run" } else { "" })
+    }
+}
+
 impl Past {
     /// Books the end of an attempt that was sent at `at`.
     pub fn book(&mut self, at: Micros, how: Over) {
@@ -91,6 +99,23 @@
     }
 }
 
+impl fmt::Display for Record {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Record::Anew { next } => write!(f, "written anew, next {next}"),
+            Record::Taken { number, message, past } => write!(f, "{number} taken {message}{past}"),
+            Record::Started { number, at } => write!(f, "{number} attempt started at {at}"),
+            Record::Over { number, how: Over::Unseen } => write!(f, "{number} attempt over, not run"),
+            Record::Over { number, how: Over::Failed } => write!(f, "{number} attempt failed, not run"),
+            Record::Over { number, how: Over::MayHaveRun } => {
+                write!(f, "{number} attempt over, may have run")
+            }
+            Record::Closing { number, end } => write!(f, "{number} given up, {end}"),
+            Record::Ended { number } => write!(f, "{number} ended"),
+        }
+    }
+}
+
 impl Record {
     /// Adds the record's frame to `bytes`.
     fn write(&self, bytes: &mut Vec<u8>) -> io::Result<()> {
@@ -138,6 +163,16 @@
     pub closing: Option<End>,
 }
 
+impl fmt::Display for Restored {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}{}", self.number, self.message, self.past)?;
+        match self.closing {
+            Some(end) => write!(f, ", given up, {end}"),
+            None => Ok(()),
+        }
+    }
+}
+
 /// All that a journal tells.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct History {
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -1,9 +1,17 @@
 //! The command line of the relay.
 
+use std::env;
+use std::error::Error;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use pewterseam_relay::agent::Agent;
 use pewterseam_relay::config::Config;
+use pewterseam_relay::http::Request;
+use pewterseam_relay::journal;
 use pewterseam_relay::serve;
 use slog::{Drain, Logger, o};
 
@@ -18,25 +26,71 @@
 #[argh(subcommand)]
 enum Command {
     Serve(Serve),
+    Check(Check),
+    Counters(Counters),
+    Journal(Journal),
     Version(Version),
 }
 
-/// Run a relay as the environment configures it (NODE_CONFIG, NODE_STATE).
+/// Run a relay in the foreground.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
-struct Serve {}
+struct Serve {
+    /// configuration file (default: $NODE_CONFIG)
+    #[argh(option)]
+    config: Option<PathBuf>,
+    /// folder that outlasts the process (default: $NODE_STATE)
+    #[argh(option)]
+    state: Option<PathBuf>,
+}
+
+/// Read a configuration and say whether a relay could start with it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct Check {
+    /// configuration file (default: $NODE_CONFIG)
+    #[argh(option)]
+    config: Option<PathBuf>,
+}
+
+/// Print the counters of a running relay.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "counters")]
+struct Counters {
+    /// where the relay listens for clients
+    #[argh(positional)]
+    address: SocketAddr,
+}
+
+/// Print what a journal holds; the relay may run meanwhile.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "journal")]
+struct Journal {
+    /// folder of the journal
+    #[argh(positional)]
+    folder: PathBuf,
+    /// print each record, not only the messages on hand
+    #[argh(switch)]
+    records: bool,
+}
 
 /// Print the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
 struct Version {}
 
+type Done = Result<(), Box<dyn Error>>;
+
 fn main() -> ExitCode {
-    let done = match argh::from_env::<Arguments>().command {
-        Command::Serve(_) => serve(),
-        Command::Version(_) => {
-            println!("pewterseam {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+    let arguments: Vec<String> =
+        env::args_os().skip(1).map(|text| text.to_string_lossy().into_owned()).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let done = match Arguments::from_args(&["pewterseam"], &arguments) {
+        Ok(arguments) => run(arguments.command),
+        Err(exit) if exit.status.is_ok() => print(&exit.output),
+        Err(exit) => {
+            let line = exit.output.lines().map(str::trim).filter(|line| !line.is_empty()).collect::<Vec<_>>();
+            Err(line.join(" ").into())
         }
     };
     match done {
@@ -48,12 +102,76 @@
     }
 }
 
-fn serve() -> Result<(), Box<dyn std::error::Error>> {
-    let config = Config::from_environment()?;
-    let decorator = slog_term::PlainDecorator::new(std::io::stderr());
+/// A reader that has seen enough is no failure.
+fn print(text: &str) -> Done {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => Err(error.into()),
+        _ => Ok(()),
+    }
+}
+
+fn run(command: Command) -> Done {
+    match command {
+        Command::Serve(Serve { config, state }) => serve(config.as_deref(), state),
+        Command::Check(Check { config }) => check(config.as_deref()),
+        Command::Counters(Counters { address }) => counters(address),
+        Command::Journal(Journal { folder, records }) => print_journal(&folder, records),
+        Command::Version(_) => print(&format!("pewterseam {}\n", env!("CARGO_PKG_VERSION"))),
+    }
+}
+
+fn configuration(file: Option<&Path>) -> Result<Config, Box<dyn Error>> {
+    let variable = |name: &str| env::var(name).ok();
+    let named = variable("NODE_CONFIG").map(PathBuf::from);
+    let file = file.map(Path::to_owned).or(named);
+    let file = file.ok_or("no configuration: give --config or set NODE_CONFIG")?;
+    Ok(Config::read(&file, variable)?)
+}
+
+fn runtime() -> io::Result<tokio::runtime::Runtime> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()
+}
+
+fn serve(file: Option<&Path>, state: Option<PathBuf>) -> Done {
+    let config = configuration(file)?;
+    let state = state.or(env::var_os("NODE_STATE").map(PathBuf::from));
+    let state = state.ok_or("no folder for the journal: give --state or set NODE_STATE")?;
+    let decorator = slog_term::PlainDecorator::new(io::stderr());
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().fuse();
     let log = Logger::root(slog_async::Async::new(drain).build().fuse(), o!());
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(serve::run(config, log))?;
-    Ok(())
+    Ok(runtime()?.block_on(serve::run(config, &state, log))?)
+}
+
+fn check(file: Option<&Path>) -> Done {
+    let config = configuration(file)?;
+    serve::check(&config)?;
+    let settings = &config.deployment.settings;
+    let (classes, tenants) = (settings.classes.len(), settings.tenants.len());
+    print(&format!("{}: {classes} classes, {tenants} tenants, {} slots\n", config.name, settings.slots))
+}
+
+fn counters(address: SocketAddr) -> Done {
+    let asked = async { Agent::new(address).ask(Request::get("/_counters")).await };
+    let response = runtime()?.block_on(asked).ok_or_else(|| format!("{address} does not answer"))?;
+    if response.status != 200 {
+        return Err(format!("{address} answers {}", response.status).into());
+    }
+    print(&String::from_utf8_lossy(&response.body))
+}
+
+fn print_journal(folder: &Path, records: bool) -> Done {
+    let mut text = String::new();
+    let history = journal::read(folder, |record| {
+        if records {
+            text += &format!("{record}\n");
+        }
+    });
+    let history = history.map_err(|error| format!("{}: {error}", folder.display()))?;
+    for restored in history.messages.iter().filter(|_| !records) {
+        text += &format!("{restored}\n");
+    }
+    if history.dropped > 0 {
+        text += &format!("{} bytes could not be read\n", history.dropped);
+    }
+    print(&text)
 }
--- a/crates/relay/src/message.rs
+++ b/crates/relay/src/message.rs
@@ -1,5 +1,7 @@
 //! A message as clients hand it in, and what the relay owes for it.
 
+use std::fmt;
+
 use bytes::Bytes;
 use pewterseam::interface::Micros;
 use serde::{Deserialize, Serialize};
@@ -20,6 +22,17 @@
     pub body: Bytes,
 }
 
+impl fmt::Display for Message {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Message { id, class, tenant, destination, deadline, body, .. } = self;
+        write!(f, "{id:?} class {class:?} tenant {tenant:?} to {destination} by {deadline}")?;
+        if let Some(key) = &self.key {
+            write!(f, " key {key:?}")?;
+        }
+        write!(f, ", {} bytes", body.len())
+    }
+}
+
 /// The end of a message that is not delivered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum End {
@@ -29,3 +42,12 @@
         after_ms: u64,
     },
 }
+
+impl fmt::Display for End {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            End::Failed => f.write_str("failed"),
+            End::Returned { after_ms } => write!(f, "returned for {after_ms} ms"),
+        }
+    }
+}
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -45,6 +45,9 @@
     room: u64,
     footprint: u64,
     stopping: bool,
+    /// Discovery, and the platform for notices, did not answer last time.
+    list_fails: bool,
+    notices_fail: bool,
     /// Requests of this step whose message may yet be refused in it.
     asking: BTreeMap<MessageId, RequestId>,
     /// Records that a failing journal did not take.
@@ -65,6 +68,8 @@
             room,
             footprint: 0,
             stopping: false,
+            list_fails: false,
+            notices_fail: false,
             asking: BTreeMap::new(),
             backlog: Vec::new(),
             step: Step::default(),
@@ -208,11 +213,16 @@
             }
             Input::Listed(list) => {
                 self.counters.lists += 1;
+                if std::mem::take(&mut self.list_fails) {
+                    self.log(Level::Info, "discovery answers again".to_owned());
+                }
                 events.push(self.list(&list));
             }
             Input::ListFailed => {
                 self.counters.list_failures += 1;
-                self.log(Level::Warn, "discovery does not answer; the last list stays in use".to_owned());
+                if !std::mem::replace(&mut self.list_fails, true) {
+                    self.log(Level::Warn, "discovery does not answer; the last list stays in use".to_owned());
+                }
                 events.push(Event::Registry(RegistryNews::Failed));
             }
             Input::Peer { from, bytes } => {
@@ -227,6 +237,7 @@
                         "the platform can't read a notice; it is not told again".to_owned(),
                     );
                 }
+                self.notices_fail = false;
                 for number in numbers {
                     self.counters.notices_answered += u64::from(read);
                     self.step.records.push(Record::Ended { number });
@@ -234,8 +245,11 @@
                 }
             }
             Input::NotTold { status } => {
+                self.counters.notices_not_answered += 1;
                 let answer = status.map_or("no answer".to_owned(), |status| format!("status {status}"));
-                self.log(Level::Warn, format!("notices met with {answer}; they are told again"));
+                if !std::mem::replace(&mut self.notices_fail, true) {
+                    self.log(Level::Warn, format!("notices meet with {answer}; they are told again"));
+                }
             }
             Input::WrittenAnew { done } => self.counters.journal_failures += u64::from(!done),
             Input::Stop { by } => {
--- a/crates/relay/src/ring.rs
+++ b/crates/relay/src/ring.rs
@@ -5,18 +5,29 @@
 //! that however slow or fast the other side is.
 
 use std::io::{self, Read, Write};
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
 use ringbuf::LocalRb;
 use ringbuf::storage::Heap;
 use ringbuf::traits::Observer;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 /// Bytes of each ring.
 pub const RING: usize = 8 * 1024;
 
+/// What comes next on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    Nothing,
+    Bytes,
+    /// The other side has closed it, or it broke.
+    End,
+}
+
 /// A connection as `Framed` takes it.
 pub struct Ringed {
     stream: TcpStream,
@@ -50,13 +61,15 @@
         Ok(Ringed { stream, inward: LocalRb::new(RING), outward: LocalRb::new(RING) })
     }
 
-    pub fn stream(&self) -> &TcpStream {
-        &self.stream
-    }
-
-    /// Nothing that came waits to be read.
-    pub fn is_drained(&self) -> bool {
-        self.inward.is_empty()
+    /// What a read would meet next, without waiting and without taking it.
+    pub fn next(&self) -> Next {
+        let mut byte = [MaybeUninit::uninit()];
+        match SockRef::from(&self.stream).peek(&mut byte) {
+            _ if !self.inward.is_empty() => Next::Bytes,
+            Ok(1..) => Next::Bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Next::Nothing,
+            Ok(0) | Err(_) => Next::End,
+        }
     }
 
     /// Moves what waits to the socket until nothing does.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -44,16 +44,22 @@
     move |error| Fault(format!("{what}: {error}"))
 }
 
-/// Serves until asked to stop.
-pub async fn run(config: Config, log: Logger) -> Result<(), Fault> {
-    LocalSet::new().run_until(serve(config, log)).await
+/// Serves until asked to stop, with its journal in `folder`.
+pub async fn run(config: Config, folder: &Path, log: Logger) -> Result<(), Fault> {
+    LocalSet::new().run_until(serve(config, folder, log)).await
 }
 
-async fn serve(config: Config, log: Logger) -> Result<(), Fault> {
+/// Whether the limits do for a relay at all.
+pub fn check(config: &Config) -> Result<Budget, Fault> {
+    let budget = Budget::split(&config.limits, config.deployment.settings.slots);
+    budget.ok_or_else(|| Fault(format!("limits.sockets: {} are too few", config.limits.sockets)))
+}
+
+async fn serve(config: Config, folder: &Path, log: Logger) -> Result<(), Fault> {
     let mut terminate = signal(SignalKind::terminate()).map_err(fault("signals"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(fault("signals"))?;
     let (inputs, mut incoming) = Inputs::new();
-    let mut relay = Relay::start(config, log, inputs).await?;
+    let mut relay = Relay::start(config, folder, log, inputs).await?;
     let mut stop_at: Option<Micros> = None;
     loop {
         let wake = relay.wake_at.map(|at| Instant::from_std(relay.clock.instant(at)));
@@ -92,6 +98,10 @@
             if now >= by || (early && relay.reducer.held() == 0 && relay.clients.open() == 0) {
                 break;
             }
+            // Danger: a request that is read in the last moment goes without an answer.
+            if now + brain::PAUSE >= by {
+                relay.clients.leave();
+            }
             relay.wake(by.min(now + brain::PAUSE));
         }
     }
@@ -110,6 +120,8 @@
     notices: mpsc::UnboundedSender<Notice>,
     inputs: Inputs,
     wake_at: Option<Micros>,
+    /// The last step could not be kept.
+    journal_fails: bool,
     log: Logger,
 }
 
@@ -124,12 +136,11 @@
 
 impl Relay {
     /// Takes over what the journal holds, then lets clients in.
-    async fn start(config: Config, log: Logger, inputs: Inputs) -> Result<Self, Fault> {
+    async fn start(config: Config, folder: &Path, log: Logger, inputs: Inputs) -> Result<Self, Fault> {
         let clock = Clock::start();
         let settings = config.deployment.settings.clone();
-        let budget = Budget::split(&config.limits, settings.slots)
-            .ok_or_else(|| Fault(format!("limits.sockets: {} are too few", config.limits.sockets)))?;
-        let (journal, history) = open_journal(&config.state, config.limits.disk(), &log)?;
+        let budget = check(&config)?;
+        let (journal, history) = open_journal(folder, config.limits.disk(), &log)?;
         let listener = TcpListener::bind(config.listen).await.map_err(fault(config.listen))?;
         let peers = match config.peer_listen.filter(|_| settings.may_tell) {
             Some(listen) => {
@@ -155,9 +166,20 @@
         let room = journal.room().min(budget.held);
         let mut reducer = Reducer::new(config.deployment, config.seed, room);
         let step = reducer.start(clock.now(), history, config.known);
-        let wake_at = None;
-        let mut relay =
-            Relay { clock, reducer, journal, clients, hosts, peers, follow, notices, inputs, wake_at, log };
+        let mut relay = Relay {
+            clock,
+            reducer,
+            journal,
+            clients,
+            hosts,
+            peers,
+            follow,
+            notices,
+            inputs,
+            wake_at: None,
+            journal_fails: false,
+            log,
+        };
         relay.carry_out(step);
         relay.write_anew();
         spawn_local(relay.clients.clone().accept(listener));
@@ -171,10 +193,17 @@
 
     /// Keeps a step's records, then does what it asks for. What can't be kept is taken back first.
     fn carry_out(&mut self, mut step: Step) {
+        let mut failure = None;
         while let Err(error) = self.journal.append(&step.records) {
-            error!(self.log, "the journal takes nothing"; "error" => %error);
+            failure = Some(error);
             step = self.reducer.undo(self.clock.now(), step);
         }
+        if let Some(error) = &failure
+            && !self.journal_fails
+        {
+            error!(self.log, "the journal takes nothing"; "error" => %error);
+        }
+        self.journal_fails = failure.is_some();
         for effect in step.effects {
             self.carry_out_effect(effect);
         }
--- /dev/null
+++ b/crates/relay/tests/cli.rs
@@ -0,0 +1,73 @@
+//! The command line as a person meets it.
+
+mod common;
+
+use std::process::{Command, Output};
+
+use common::*;
+
+fn pewterseam(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pewterseam"));
+    for name in ["NODE_CONFIG", "NODE_STATE"] {
+        command.env_remove(name);
+    }
+    command.args(arguments).output().expect("started")
+}
+
+fn out(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).expect("text")
+}
+
+#[test]
+fn version_and_help_are_printed() {
+    let version = pewterseam(&["version"]);
+    assert!(version.status.success());
+    assert_eq!(out(&version), format!("pewterseam {}\n", env!("CARGO_PKG_VERSION")));
+    let help = pewterseam(&["--help"]);
+    assert!(help.status.success());
+    for word in ["serve", "check", "counters", "journal", "version"] {
+        assert!(out(&help).contains(word), "{word}");
+    }
+}
+
+#[test]
+fn what_can_not_be_done_is_one_plain_line() {
+    let cases: &[&[&str]] = &[
+        &[],
+        &["dance"],
+        &["serve", "--loud"],
+        &["serve"],
+        &["check", "--config", "/nowhere/config.json"],
+        &["counters", "nowhere"],
+        &["counters", "127.0.0.1:1"],
+        &["journal", "/nowhere"],
+    ];
+    for arguments in cases {
+        let output = pewterseam(arguments);
+        let text = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(1), "{arguments:?}: {text}");
+        assert_eq!(text.lines().count(), 1, "{arguments:?}: {text}");
+        assert!(text.starts_with("pewterseam: "), "{arguments:?}: {text}");
+    }
+}
+
+#[test]
+fn a_configuration_can_be_checked_and_a_running_relay_asked() {
+    let host = StandIn::start(|_| None);
+    let platform = platform(host.address);
+    let place = Place::new(platform.address);
+    let relay = place.start();
+    let config = place.folder.path().join("config.json");
+    let checked = pewterseam(&["check", "--config", &config.to_string_lossy()]);
+    assert_eq!(out(&checked), "n0: 3 classes, 1 tenants, 8 slots\n");
+    assert_eq!(relay.hand_in(&message("m1", "transfer", Some("acct"), b"12345")), 202);
+    wait_for("sent", || host.ids().len() == 1);
+    let counters = out(&pewterseam(&["counters", &place.listen.to_string()]));
+    assert!(counters.contains("taken 1\n") && counters.contains("held 1\n"), "{counters}");
+    let folder = place.state();
+    let journal = out(&pewterseam(&["journal", &folder.to_string_lossy()]));
+    assert!(journal.starts_with("1 \"m1\" class \"transfer\" tenant \"acme\" to 7 by "), "{journal}");
+    assert!(journal.ends_with(" key \"acct\", 5 bytes, 1 attempts, may have run\n"), "{journal}");
+    let records = out(&pewterseam(&["journal", "--records", &folder.to_string_lossy()]));
+    assert!(records.contains("1 taken \"m1\"") && records.contains("1 attempt started at "), "{records}");
+}
--- a/crates/relay/tests/rough.rs
+++ b/crates/relay/tests/rough.rs
@@ -197,3 +197,31 @@
         place.config[key] = before;
     }
 }
+
+#[test]
+fn a_message_whose_client_has_gone_by_the_time_it_is_read_is_not_taken_on() {
+    let (host, _platform, place) = served();
+    let relay = place.start();
+    // The relay stands still while a client comes, waits in vain and leaves.
+    relay.signal("STOP");
+    let mut gone = relay.connect();
+    gone.write_all(&message("m1", "transfer", None, b"")).expect("written");
+    drop(gone);
+    relay.signal("CONT");
+    assert_eq!(relay.hand_in(&message("m2", "transfer", None, b"")), 202);
+    wait_for("delivered", || relay.counter("delivered") == 1);
+    assert_eq!(host.ids(), ["m2"]);
+}
+
+// Danger: the decisions meet a destination's number after which there is none.
+#[test]
+fn the_greatest_numbers_harm_nothing() {
+    let (_host, _platform, place) = served();
+    let relay = place.start();
+    let text = String::from_utf8(message("m1", "balance", None, b"")).expect("text");
+    let far = text.replace("dest=7", "dest=4294967295").replace("Timeout: 30.0", "Timeout: 8000000000");
+    assert_eq!(relay.hand_in(far.as_bytes()), 202);
+    assert_eq!(relay.hand_in(&message("m2", "balance", None, b"")), 202);
+    wait_for("delivered", || relay.counter("delivered") == 1);
+    assert_eq!(relay.counter("held"), 1);
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -329,11 +329,13 @@
     }
 
     pub fn routes_of(&self, destination: DestinationId) -> impl Iterator<Item = &Route> {
-        self.routes.range((destination, None)..(destination + 1, None)).map(|(_, route)| route)
+        let routes = self.routes.range((destination, None)..).take_while(move |(id, _)| id.0 == destination);
+        routes.map(|(_, route)| route)
     }
 
     pub fn routes_of_mut(&mut self, destination: DestinationId) -> impl Iterator<Item = &mut Route> {
-        self.routes.range_mut((destination, None)..(destination + 1, None)).map(|(_, route)| route)
+        let routes = self.routes.range_mut((destination, None)..);
+        routes.take_while(move |(id, _)| id.0 == destination).map(|(_, route)| route)
     }
 
     /// A known host and its route.
@@ -619,7 +621,8 @@
     fn count_hosts(&mut self, destination: DestinationId) {
         let Some(ids) = self.index.get_mut(&destination) else { return };
         ids.retain(|id| self.hosts.contains_key(id));
-        for (id, route) in self.routes.range_mut((destination, None)..(destination + 1, None)) {
+        let routes = self.routes.range_mut((destination, None)..);
+        for (id, route) in routes.take_while(|(id, _)| id.0 == destination) {
             let of_route = ids.iter().filter(|host| self.hosts[*host].route == *id);
             route.hosts = of_route.count() as f64;
         }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -665,3 +665,103 @@
     assert!(pauses.len() >= 4 && pauses.is_sorted());
     assert!(pauses.iter().all(|pause| *pause <= settings.ask_within + 20 * MILLI));
 }
+
+// Danger: a destination's number comes from outside, and the greatest one has none after it.
+#[test]
+fn the_greatest_destination_number_is_one_like_others() {
+    let mut sender = Sender::new(settings(), &[listed(1, u32::MAX, 6.0), listed(2, u32::MAX - 1, 6.0)]);
+    let (_, actions) = sender.hand_in(FREE, u32::MAX);
+    assert_eq!(sends(&actions)[0].host, HostId(1));
+    let mut sender = Sender::new(settings(), &[listed(2, 1, 6.0)]);
+    let (id, actions) = sender.hand_in(FREE, u32::MAX);
+    assert_eq!(sends(&actions), []);
+    assert_eq!(refused(&sender.pass(13 * SECOND)), [id]);
+}
+
+// Danger: a restart forgets an outage, and what is on hand rushes at a destination that comes back cold.
+#[test]
+fn a_destination_that_failed_before_a_restart_starts_slowly() {
+    let sent_in_a_second = |failed| {
+        let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
+        let history = History { attempts: 1, failed, ..History::default() };
+        let requests: Vec<Event> =
+            (0..8).map(|_| Event::Message(Request { history, ..sender.request(FREE, 1) })).collect();
+        let mut out = sends(&sender.step(requests));
+        let mut count = out.len();
+        for _ in 0..10 {
+            for sent in std::mem::take(&mut out) {
+                out.extend(sends(&sender.outcome(&Sent { attempt: 1, ..sent }, Outcome::Ok)));
+            }
+            out.extend(sends(&sender.pass(100 * MILLI)));
+            count += out.len();
+        }
+        count
+    };
+    assert_eq!(sent_in_a_second(false), 8);
+    // 6 calls a second, of which it has a fifth, may be sent twice that, split by two senders.
+    assert!((1..=2).contains(&sent_in_a_second(true)), "{}", sent_in_a_second(true));
+}
+
+#[test]
+fn a_single_shot_message_that_may_have_run_before_a_restart_is_failed() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
+    let history =
+        History { attempts: 1, ran: Some(START - SECOND), cut_at: Some(START), ..History::default() };
+    let request = Request { history, ..sender.request(ONCE, 1) };
+    let actions = sender.step(vec![Event::Message(request)]);
+    assert_eq!((failed(&actions), sends(&actions)), (vec![request.id], vec![]));
+}
+
+#[test]
+fn a_guarded_messages_window_counts_from_before_the_restart() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
+    let ran = |ago| History { attempts: 1, ran: Some(START - ago), ..History::default() };
+    let inside = Request { history: ran(3 * SECOND), ..sender.request(GUARDED, 1) };
+    assert_eq!(sends(&sender.step(vec![Event::Message(inside)]))[0].id, inside.id);
+    let after = Request { history: ran(4 * SECOND), ..sender.request(GUARDED, 1) };
+    let actions = sender.step(vec![Event::Message(after)]);
+    assert_eq!((failed(&actions), sends(&actions)), (vec![after.id], vec![]));
+}
+
+#[test]
+fn a_key_rests_after_a_call_that_a_restart_cut_off() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
+    let history = History { attempts: 1, ran: Some(START), cut_at: Some(START), ..History::default() };
+    let request = Request { history, key: Some(5), ..sender.request(GUARDED, 1) };
+    assert_eq!(sends(&sender.step(vec![Event::Message(request)])), []);
+    assert_eq!(sends(&sender.pass(490 * MILLI)), []);
+    assert_eq!(sends(&sender.pass(20 * MILLI))[0].id, request.id);
+}
+
+// Danger: the next of a key goes out while the client still holds the one before to be open.
+#[test]
+fn a_message_that_was_given_up_holds_its_key_until_its_end_is_told() {
+    let mut sender = Sender::new(Settings { ends_by_notice: true, ..settings() }, &[listed(1, 1, 6.0)]);
+    let over = History { over: true, ..History::default() };
+    let first = Request { history: over, key: Some(5), ..sender.request(GUARDED, 1) };
+    let second = Request { key: Some(5), ..sender.request(GUARDED, 1) };
+    let actions = sender.step(vec![Event::Message(first), Event::Message(second)]);
+    assert_eq!((sends(&actions), failed(&actions), refused(&actions)), (vec![], vec![], vec![]));
+    assert_eq!(sends(&sender.pass(SECOND)), []);
+    assert_eq!(sends(&sender.step(vec![Event::Withdrawn(first.id)]))[0].id, second.id);
+    let third = Request { key: Some(5), ..sender.request(GUARDED, 1) };
+    sender.step(vec![Event::Message(third)]);
+    // The one that is out fails with its window over; only its notice lets the next one go.
+    sender.now += 5 * SECOND;
+    let sent = Sent { id: second.id, host: HostId(1), attempt: 0, timeout: 0 };
+    let actions = sender.outcome(&sent, Outcome::Error);
+    assert_eq!((failed(&actions), sends(&actions)), (vec![second.id], vec![]));
+    assert_eq!(sends(&sender.step(vec![Event::Withdrawn(second.id)]))[0].id, third.id);
+}
+
+// Danger: a stop cuts off a call that might have run, and what must not run twice is lost.
+#[test]
+fn nothing_goes_out_that_a_stop_would_cut_off() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
+    let by = sender.now + 3 * SECOND;
+    sender.step(vec![Event::Stop { by }]);
+    assert_eq!(sends(&sender.hand_in(ONCE, 1).1).len(), 1);
+    sender.pass(2 * SECOND + 500 * MILLI);
+    assert_eq!(sends(&sender.hand_in(ONCE, 1).1), []);
+    assert_eq!(sends(&sender.pass(SECOND)), []);
+}
