--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -28,7 +28,7 @@
 /// How long things may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
-    /// For the rest of a request that came in part.
+    /// For the rest of a request that came in part, and for a client to take its answer.
     pub patience: Duration,
     /// Until connections are accepted again after a failure, and for the last bytes on one that is closed.
     pub pause: Duration,
@@ -116,7 +116,7 @@
         let Ok(stream) = Ringed::new(stream) else { return };
         let mut connection = Framed::new(stream, Server::default());
         if shared.open.get() >= shared.budget.clients && !shared.dismiss_idle() {
-            let _ = connection.send(last(Response::text(503, "too many connections\n"))).await;
+            shared.send(&mut connection, last(Response::text(503, "too many connections\n"))).await;
         } else {
             shared.open.set(shared.open.get() + 1);
             shared.serve(&mut connection).await;
@@ -151,7 +151,7 @@
                 Some(Ok(request)) => request,
                 Some(Err(response)) => {
                     self.inputs.send(Input::BadRequest);
-                    let _ = connection.send(last(response)).await;
+                    self.send(connection, last(response)).await;
                     return;
                 }
                 None => return,
@@ -159,18 +159,23 @@
             is_fresh = false;
             // Danger: the relay stood still, and the client has long gone to another one with its message.
             if connection.read_buffer().is_empty() && connection.get_ref().next() == Next::End {
-                let _ = connection.send(last(Response::text(503, "the client has left\n"))).await;
+                self.send(connection, last(Response::text(503, "the client has left\n"))).await;
                 return;
             }
             let keep_alive = request.keep_alive;
             let Some(response) = self.answer(request).await else { return };
             let keep_alive = keep_alive && response.keep_alive && *self.phase.borrow() == Phase::Serving;
-            if connection.send(Response { keep_alive, ..response }).await.is_err() || !keep_alive {
+            if !self.send(connection, Response { keep_alive, ..response }).await || !keep_alive {
                 return;
             }
         }
     }
 
+    /// Writes an answer. Danger: a client that reads nothing holds its place for ever.
+    async fn send(&self, connection: &mut Connection, response: Response) -> bool {
+        matches!(timeout(self.pace.patience, connection.send(response)).await, Ok(Ok(())))
+    }
+
     /// The next request, or the answer to what is none; nothing where the connection is to be closed. Danger:
     /// a stopping relay closes a connection on which the first request is just on its way, and a client that
     /// has not seen this one work does not send it again.
@@ -195,7 +200,7 @@
             if late && midway {
                 break Some(Err(Fault::TooSlow));
             }
-            if leaves && !midway {
+            if leaves && !midway && connection.get_ref().next() != Next::Bytes {
                 break None;
             }
         };
@@ -221,9 +226,11 @@
 /// connection, and the last answer may be lost on its way.
 async fn finish(connection: Connection, linger: Duration) {
     let mut stream = connection.into_inner();
-    if stream.shutdown().await.is_ok() {
+    let end = async {
         let mut rest = [0; 1024];
-        let drain = async { while matches!(stream.read(&mut rest).await, Ok(1..)) {} };
-        let _ = timeout(linger, drain).await;
-    }
+        if stream.shutdown().await.is_ok() {
+            while matches!(stream.read(&mut rest).await, Ok(1..)) {}
+        }
+    };
+    let _ = timeout(linger, end).await;
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,27 +1,14 @@
 //! What the platform tells the relay: environment and a JSON file.
 
-use std::fmt;
 use std::fs;
 use std::net::SocketAddr;
 use std::path::Path;
 
-use pewterseam_settings::Deployment;
+use pewterseam_settings::{Deployment, Malformed};
 use serde::Deserialize;
 
 use crate::discovery::List;
 
-/// What is wrong with the configuration, in one line.
-#[derive(Debug)]
-pub struct Malformed(String);
-
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
-
-impl std::error::Error for Malformed {}
-
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
     pub memory_mb: u64,
@@ -72,26 +59,26 @@
 impl Config {
     /// Reads the file; what is also in the environment goes before it.
     pub fn read(path: &Path, variable: impl Fn(&str) -> Option<String>) -> Result<Self, Malformed> {
-        let text = fs::read(path).map_err(|error| Malformed(format!("{}: {error}", path.display())))?;
+        let text = fs::read(path).map_err(|error| Malformed::new(format!("{}: {error}", path.display())))?;
         let file: File = serde_json::from_slice(&text)
-            .map_err(|error| Malformed(format!("{}: {error}", path.display())))?;
+            .map_err(|error| Malformed::new(format!("{}: {error}", path.display())))?;
         let settings = file.settings.to_string();
         let mut deployment = pewterseam_settings::parse(settings.as_bytes())
-            .map_err(|error| Malformed(format!("{}: settings: {error}", path.display())))?;
+            .map_err(|error| Malformed::new(format!("{}: settings: {error}", path.display())))?;
         adapt(&mut deployment);
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|_| {
-            Malformed(format!("{}: seed '{}' is no number in hex", path.display(), file.seed))
+            Malformed::new(format!("{}: seed '{}' is no number in hex", path.display(), file.seed))
         })?;
         let address = |name: &str, default: SocketAddr| match variable(name) {
-            Some(text) => text.parse().map_err(|_| Malformed(format!("{name}: '{text}' is no address"))),
+            Some(text) => text.parse().map_err(|_| Malformed::new(format!("{name}: '{text}' is no address"))),
             None => Ok(default),
         };
         if !(file.limits.disk_mb.is_finite() && file.limits.disk_mb > 0.0) {
-            return Err(Malformed(format!("{}: limits.disk_mb must be above 0", path.display())));
+            return Err(Malformed::new(format!("{}: limits.disk_mb must be above 0", path.display())));
         }
         let me = usize::from(deployment.settings.me);
         if !file.peers.is_empty() && me >= file.peers.len() {
-            return Err(Malformed(format!("{}: relay {me} is not among its peers", path.display())));
+            return Err(Malformed::new(format!("{}: relay {me} is not among its peers", path.display())));
         }
         Ok(Config {
             name: variable("NODE_NAME").unwrap_or(file.name),
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -162,7 +162,9 @@
         spawn_local(notices::tell(config.discovery, pace, told, inputs.clone()));
         let pace = clients::Pace { patience: Duration::from_micros(brain::CLIENT_PATIENCE), pause };
         let clients = Clients::new(budget, pace, inputs.clone());
-        let hosts = Hosts::new(settings.idle_close, budget.idle, inputs.clone());
+        // Danger: a host closes an idle connection just as a call is written to it.
+        let idle_close = settings.idle_close.saturating_sub(brain::PAUSE);
+        let hosts = Hosts::new(idle_close, budget.idle, inputs.clone());
         let room = journal.room().min(budget.held);
         let mut reducer = Reducer::new(config.deployment, config.seed, room);
         let step = reducer.start(clock.now(), history, config.known);
@@ -249,9 +251,9 @@
     }
 
     fn say_goodbye(&self) {
-        for (name, value) in self.reducer.counters().all() {
-            info!(self.log, "counter"; "name" => name, "value" => value);
-        }
+        let counters = self.reducer.counters().all();
+        let counters: Vec<_> = counters.iter().map(|(name, value)| format!("{name} {value}")).collect();
+        info!(self.log, "counters: {}", counters.join(", "));
         info!(self.log, "stopped"; "held" => self.reducer.held());
     }
 }
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -11,6 +11,13 @@
 #[derive(Debug)]
 pub struct Malformed(String);
 
+impl Malformed {
+    /// `text` is one plain line.
+    pub fn new(text: impl Into<String>) -> Self {
+        Malformed(text.into())
+    }
+}
+
 impl fmt::Display for Malformed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(&self.0)
