A relay outlives whoever reads its log; settings that nothing reads are gone

Observed on rereading: slog's fuse() panics when a line can't be written, and with it the relay (main.rs, serve). Once a list of hosts was known the relay stays ready, also when discovery tells of an empty one.

--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -298,8 +298,9 @@
         fs::create_dir_all(folder)?;
         for entry in fs::read_dir(folder)? {
             let path = entry?.path();
+            // An unfinished segment of a process that died.
             if path.extension().is_some_and(|extension| extension == "new") {
-                fs::remove_file(path)?;
+                let _ = fs::remove_file(path);
             }
         }
         let history = read(folder, |_| {})?;
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -15,6 +15,7 @@
 pub struct Names {
     deployment: Deployment,
     hosts: HashMap<HostId, SocketAddr>,
+    has_list: bool,
 }
 
 /// The number of a name. Peers speak of hosts by it, so that it must be the same at every relay.
@@ -30,15 +31,16 @@
 
 impl Names {
     pub fn new(deployment: Deployment) -> Self {
-        Names { deployment, hosts: HashMap::new() }
+        Names { deployment, hosts: HashMap::new(), has_list: false }
     }
 
     pub fn settings(&self) -> &Settings {
         &self.deployment.settings
     }
 
-    pub fn knows_hosts(&self) -> bool {
-        !self.hosts.is_empty()
+    /// A list with hosts was told, now or before.
+    pub fn has_list(&self) -> bool {
+        self.has_list
     }
 
     pub fn address(&self, host: HostId) -> Option<SocketAddr> {
@@ -85,6 +87,7 @@
                 _ => self.hosts.insert(entry.host, target.endpoint),
             };
         }
+        self.has_list |= !self.hosts.is_empty();
         let unknown = list.targets.len() - entries.len();
         (if list.all { RegistryNews::Whole(entries) } else { RegistryNews::Changes(entries) }, unknown)
     }
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -269,9 +269,7 @@
                 Ok(order) => return order.map(Event::Message),
                 Err(response) => response,
             },
-            ("GET", "/_health") if !self.stopping && self.names.knows_hosts() => {
-                Response::text(200, "ready\n")
-            }
+            ("GET", "/_health") if !self.stopping && self.names.has_list() => Response::text(200, "ready\n"),
             ("GET", "/_health") => Response::text(503, "not ready\n"),
             ("GET", "/_counters") => Response::text(200, self.text()),
             (_, "/api" | "/_health" | "/_counters") => Response::text(405, "the method is another one\n"),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -275,6 +275,11 @@
         line.and_then(|value| value.parse().ok()).expect("a counter")
     }
 
+    /// Closes the pipe that its log goes to.
+    pub fn stop_reading_its_log(&mut self) {
+        drop(self.child.stderr.take());
+    }
+
     pub fn send(&self, bytes: &[u8]) -> Heard {
         let mut stream = self.connect();
         stream.write_all(bytes).expect("written");
--- a/crates/relay/tests/rough.rs
+++ b/crates/relay/tests/rough.rs
@@ -225,3 +225,20 @@
     wait_for("delivered", || relay.counter("delivered") == 1);
     assert_eq!(relay.counter("held"), 1);
 }
+
+#[test]
+fn a_log_that_nobody_reads_any_more_harms_nothing() {
+    let (_host, platform, place) = served();
+    let mut relay = place.start();
+    relay.stop_reading_its_log();
+    // Lines come with each failure of discovery and each time that it answers again.
+    for _ in 0..3 {
+        let before = relay.counter("list_failures");
+        platform.behave(|_| answer(500, "", ""));
+        wait_for("a failure", || relay.counter("list_failures") > before);
+        let (before, address) = (relay.counter("lists"), place.listen);
+        platform.behave(move |heard| platform_answer(heard, address));
+        wait_for("an answer", || relay.counter("lists") > before);
+    }
+    assert_eq!(relay.hand_in(&message("m1", "balance", None, b"")), 202);
+}
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -113,10 +113,6 @@
     attempts_cap: u32,
     most_held: usize,
     #[serde(default)]
-    cancel: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
     peers: bool,
     #[serde(default)]
     retry_after: bool,
@@ -180,8 +176,6 @@
         slots: info.slots,
         most_held: wire.allowed.most_held,
         max_attempts: wire.allowed.attempts_cap,
-        may_cancel: wire.allowed.cancel,
-        may_probe: wire.allowed.probes,
         may_tell: wire.allowed.peers,
         max_retry_after: span(retry_after)?,
         idle_close: span(wire.allowed.conn_idle_s)?,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -117,8 +117,6 @@
     /// Messages that may be held, sent or not.
     pub most_held: usize,
     pub max_attempts: u32,
-    pub may_cancel: bool,
-    pub may_probe: bool,
     pub may_tell: bool,
     /// Clients may be told when to come back, up to this span; 0 where they may not.
     pub max_retry_after: Micros,
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -304,9 +304,7 @@
 
 #[test]
 fn room_that_runs_short_is_taken_from_the_least_worth() {
-    let mut settings = settings();
-    settings.may_cancel = false;
-    let mut sender = Sender::new(settings, &[listed(1, 1, 4.0)]);
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 4.0)]);
     let (_, actions) = sender.hand_in(FREE, 1);
     sender.outcome(&sends(&actions)[0], Outcome::Full { wait: 9 * SECOND });
     let worthy: Vec<_> = (0..30).map(|_| sender.hand_in(ONCE, 1).0).collect();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -39,8 +39,6 @@
         slots: 8,
         most_held: 60,
         max_attempts: 6,
-        may_cancel: true,
-        may_probe: true,
         may_tell: true,
         max_retry_after: 3 * SECOND,
         idle_close: 15 * SECOND,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -232,7 +232,7 @@
 fn the_rules_hold_whatever_happens() {
     let variants = [
         settings(),
-        Settings { may_cancel: false, may_tell: false, listing: Listing::Silent, ..settings() },
+        Settings { may_tell: false, listing: Listing::Silent, ..settings() },
         Settings { most_held: 12, slots: 2, max_attempts: 3, listing: Listing::Rough, ..settings() },
         Settings { kinds: vec![Kind { routes_apart: false, bundle: 3 }], order_rest: 0, ..settings() },
     ];
