--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -137,7 +137,7 @@
     let state = state.or(env::var_os("NODE_STATE").map(PathBuf::from));
     let state = state.ok_or("no folder for the journal: give --state or set NODE_STATE")?;
     let decorator = slog_term::PlainDecorator::new(io::stderr());
-    // Danger: whoever reads the log ends, and the relay with it. Lines that can't be written are dropped.
+    // Lines that can't be written are dropped.
     let drain = slog_term::FullFormat::new(decorator).use_utc_timestamp().build().ignore_res();
     let log = Logger::root(slog_async::Async::new(drain).build().ignore_res(), o!());
     Ok(runtime()?.block_on(serve::run(config, &state, log))?)
