A restarted relay asks discovery before it sends what was restored

The first step sent restored messages by that old list, before the first answer could come, so that a host told to drain or gone before the restart could get something new long after the grace. They now wait for the first word of discovery, a few milliseconds; where it does not answer, the old list serves as before. Until then the relay is not ready.

--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -23,7 +23,7 @@
     taken,
     restored,
     refused_at_once,
-    refused_while_stopping,
+    refused_not_ready,
     refused_by_journal,
     bad_requests,
     sent,
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -33,6 +33,13 @@
     footprint: u64,
 }
 
+/// What waits for the first word of discovery.
+#[derive(Debug)]
+struct Start {
+    known: Option<List>,
+    restored: Vec<Event>,
+}
+
 /// The relay's state.
 pub struct Reducer {
     brain: Brain,
@@ -45,6 +52,8 @@
     room: u64,
     footprint: u64,
     stopping: bool,
+    /// Until discovery has been asked: the list as last known, and what the journal told.
+    start: Option<Start>,
     /// Discovery, and the platform for notices, did not answer last time.
     list_fails: bool,
     notices_fail: bool,
@@ -68,6 +77,7 @@
             room,
             footprint: 0,
             stopping: false,
+            start: None,
             list_fails: false,
             notices_fail: false,
             asking: BTreeMap::new(),
@@ -105,14 +115,25 @@
 
     // ---- Steps
 
-    /// Begins with the last known list and with what the journal tells.
+    /// Takes over what the journal tells. Danger: the list as last known may be old, and hosts that drain or are
+    /// gone by discovery's word would be sent what was restored. It is asked first; the old list is for when it
+    /// does not answer.
     pub fn start(&mut self, now: Micros, history: journal::History, known: Option<List>) -> Step {
         self.next = self.next.max(history.next);
-        let mut events: Vec<Event> = known.map(|list| self.list(&list)).into_iter().collect();
-        for restored in history.messages {
-            events.extend(self.restore(now, restored));
-        }
-        self.decide(now, events)
+        let messages = history.messages.into_iter();
+        let restored = messages.filter_map(|restored| self.restore(now, restored)).collect();
+        self.start = Some(Start { known, restored });
+        self.decide(now, Vec::new())
+    }
+
+    /// Goes on with the first word of discovery, or without it.
+    fn begin(&mut self, told: Option<&List>, events: &mut Vec<Event>) {
+        let Start { known, restored } = match self.start.take() {
+            Some(start) => start,
+            None => Start { known: None, restored: Vec::new() },
+        };
+        events.extend(told.or(known.as_ref()).map(|list| self.list(list)));
+        events.extend(restored);
     }
 
     /// Takes inputs in order, then has it decided once what follows.
@@ -216,13 +237,14 @@
                 if std::mem::take(&mut self.list_fails) {
                     self.log(Level::Info, "discovery answers again".to_owned());
                 }
-                events.push(self.list(&list));
+                self.begin(Some(&list), events);
             }
             Input::ListFailed => {
                 self.counters.list_failures += 1;
                 if !std::mem::replace(&mut self.list_fails, true) {
                     self.log(Level::Warn, "discovery does not answer; the last list stays in use".to_owned());
                 }
+                self.begin(None, events);
                 events.push(Event::Registry(RegistryNews::Failed));
             }
             Input::Peer { from, bytes } => {
@@ -269,7 +291,7 @@
                 Ok(order) => return order.map(Event::Message),
                 Err(response) => response,
             },
-            ("GET", "/_health") if !self.stopping && self.names.has_list() => Response::text(200, "ready\n"),
+            ("GET", "/_health") if self.is_ready() => Response::text(200, "ready\n"),
             ("GET", "/_health") => Response::text(503, "not ready\n"),
             ("GET", "/_counters") => Response::text(200, self.text()),
             (_, "/api" | "/_health" | "/_counters") => Response::text(405, "the method is another one\n"),
@@ -280,6 +302,10 @@
         None
     }
 
+    fn is_ready(&self) -> bool {
+        !self.stopping && self.start.is_none() && self.names.has_list()
+    }
+
     /// The counters, and what is on hand now.
     fn text(&self) -> String {
         let (held, out) = (self.held.len(), self.calls_out());
@@ -291,9 +317,9 @@
         let message = intake::message(now, request)?;
         let number = MessageId(self.next);
         let order = self.names.request(number, &message).map_err(|text| Response::text(422, text))?;
-        if self.stopping {
-            self.counters.refused_while_stopping += 1;
-            return Err(Response { keep_alive: false, ..Response::text(503, "stopping\n") });
+        if self.stopping || self.start.is_some() {
+            self.counters.refused_not_ready += 1;
+            return Err(Response { keep_alive: !self.stopping, ..Response::text(503, "not ready\n") });
         }
         // Danger: a client whose connection was closed sends the same request once more, and it would run twice.
         if self.by_client_id.contains_key(&message.id) {
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -47,8 +47,11 @@
 impl Relay {
     fn with(room: u64, history: History, change: impl Fn(&mut Value)) -> (Self, Step) {
         let mut reducer = Reducer::new(deployment(change), 7, room);
-        let known = list(&[("s-1", 7, "Ready"), ("s-2", 8, "Ready")], true);
-        let step = reducer.start(START, history, Some(known));
+        let mut step = reducer.start(START, history, None);
+        let told = list(&[("s-1", 7, "Ready"), ("s-2", 8, "Ready")], true);
+        let first = reducer.step(START, vec![Input::Listed(told)]);
+        step.records.extend(first.records);
+        step.effects.extend(first.effects);
         (Relay { reducer, now: START, requests: 0 }, step)
     }
 
@@ -288,6 +291,30 @@
     assert!(matches!(step.records[0], Record::Taken { number: 8, .. }), "{step:?}");
 }
 
+// Danger: the list as last known names hosts that have gone since, and what was restored goes there.
+#[test]
+fn what_was_restored_waits_for_the_first_word_of_discovery() {
+    let begin = || {
+        let messages = vec![restored(1, "balance", Past::default(), false)];
+        let mut reducer = Reducer::new(deployment(|_| {}), 7, 1_000_000);
+        let known = list(&[("s-1", 7, "Ready")], true);
+        let step = reducer.start(START, History { messages, next: 2, dropped: 0 }, Some(known));
+        assert_eq!(calls(&step), []);
+        Relay { reducer, now: START, requests: 0 }
+    };
+    let mut relay = begin();
+    let health = |id| Input::Request { id: RequestId(id), request: Request::get("/_health") };
+    assert_eq!(statuses(&relay.step(vec![health(90)])), [503]);
+    assert_eq!(statuses(&relay.hand_in("m2", "balance", None)), [503]);
+    let told = list(&[("s-1", 7, "Terminating"), ("s-3", 7, "Ready")], true);
+    let call = calls(&relay.step(vec![Input::Listed(told)])).remove(0);
+    assert_eq!(statuses(&relay.step(vec![health(91)])), [200]);
+    // With discovery down the old list has to do.
+    let old = calls(&begin().step(vec![Input::ListFailed])).remove(0);
+    assert_eq!(call.id, old.id);
+    assert!(call.host != old.host, "sent to a host that drains");
+}
+
 #[test]
 fn a_restored_message_past_its_deadline_is_told_at_once() {
     let mut late = restored(1, "balance", Past::default(), false);
@@ -357,7 +384,7 @@
     let mut reducer = Reducer::new(deployment(|_| {}), 7, 1_000_000);
     reducer.start(START, History::default(), None);
     let health = || Input::Request { id: RequestId(1), request: Request::get("/_health") };
-    assert_eq!(statuses(&reducer.step(START, vec![health()])), [503]);
+    assert_eq!(statuses(&reducer.step(START, vec![Input::ListFailed, health()])), [503]);
     reducer.step(START, vec![Input::Listed(list(&[("s-1", 7, "Ready")], true))]);
     assert_eq!(statuses(&reducer.step(START, vec![health()])), [200]);
 }
