A relay killed at any point of any sequence keeps its promises: tested

Clients are answered before their messages go on, so that a death in between leaves less that nobody heard of.

--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -188,12 +188,14 @@
                 break;
             }
         }
-        for (_, request) in std::mem::take(&mut self.asking) {
-            self.counters.taken += 1;
-            self.respond(request, Response::new(202));
-        }
+        let asking = std::mem::take(&mut self.asking);
+        self.counters.taken += asking.len() as u64;
         self.check();
-        std::mem::take(&mut self.step)
+        let mut step = std::mem::take(&mut self.step);
+        let taken = asking.into_values().map(|id| Effect::Respond { id, response: Response::new(202) });
+        // Clients are answered before their messages go on.
+        step.effects.splice(0..0, taken);
+        step
     }
 
     /// What must hold after each step.
--- /dev/null
+++ b/crates/relay/tests/crash.rs
@@ -0,0 +1,278 @@
+//! Reducer and journal under any sequence of messages, outcomes and deaths: a relay that is killed at any point
+//! between its records and its effects loses nothing, sends nothing twice that must not be, and keeps the order
+//! of keys. No host is modelled: outcomes are drawn.
+
+mod common;
+
+use std::collections::BTreeMap;
+use std::path::Path;
+
+use bytes::Bytes;
+use common::settings;
+use pewterseam::interface::{MessageId, Micros, Outcome};
+use pewterseam_relay::clients::RequestId;
+use pewterseam_relay::discovery::List;
+use pewterseam_relay::hosts::{Call, Reply};
+use pewterseam_relay::http::{Headers, Request};
+use pewterseam_relay::io::{Effect, Input, Step};
+use pewterseam_relay::journal::Journal;
+use pewterseam_relay::notices::Notice;
+use pewterseam_relay::reducer::Reducer;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use serde_json::json;
+
+const START: Micros = 1_700_000_000_000_000;
+const MILLI: Micros = 1_000;
+const CLASSES: [&str; 3] = ["balance", "posting", "transfer"];
+
+/// What the world outside knows of a message.
+#[derive(Debug, Default)]
+struct Known {
+    class: usize,
+    key: Option<u8>,
+    taken: bool,
+    may_have_run: bool,
+    delivered: bool,
+    /// The notice of it went out; and it was answered.
+    noticed: bool,
+    told: bool,
+}
+
+impl Known {
+    fn over(&self) -> bool {
+        self.delivered || self.told
+    }
+}
+
+struct World<'a> {
+    folder: &'a Path,
+    relay: Option<(Reducer, Journal)>,
+    now: Micros,
+    /// By client id, whose order is that of the hand-ins.
+    known: BTreeMap<String, Known>,
+    calls: Vec<Call>,
+    notices: Vec<Notice>,
+    asked: BTreeMap<RequestId, String>,
+    lives: u64,
+}
+
+fn list() -> List {
+    let target = |uid: &str, destination: u32| {
+        json!({"uid": uid, "endpoint": "127.0.0.1:9", "az": "a", "model": "partner", "pod_group": destination,
+            "state": "Ready", "capacity_hint": 20.0})
+    };
+    let targets = [target("s-1", 0), target("s-2", 0), target("s-3", 1)];
+    serde_json::from_value(json!({"rev": 1, "all": true, "targets": targets})).expect("a list")
+}
+
+impl World<'_> {
+    /// Starts a relay on what the folder holds. It may be killed in its first steps too.
+    fn start(&mut self, cut: usize) {
+        let mut deployment = pewterseam_settings::parse(settings().to_string().as_bytes()).expect("settings");
+        deployment.settings.ends_by_notice = true;
+        let (journal, history) = Journal::open(self.folder, 3_000_000).expect("opened");
+        self.lives += 1;
+        let mut reducer = Reducer::new(deployment, self.lives, journal.room());
+        let step = reducer.start(self.now, history, None);
+        self.relay = Some((reducer, journal));
+        self.carry_out(step, cut);
+        self.step(vec![Input::Listed(list())], cut);
+    }
+
+    /// What a dead relay had out may have run; nobody hears of it any more.
+    fn kill(&mut self) {
+        self.relay = None;
+        for call in std::mem::take(&mut self.calls) {
+            self.of(&call).may_have_run = true;
+        }
+        self.notices.clear();
+        self.asked.clear();
+    }
+
+    fn of(&mut self, call: &Call) -> &mut Known {
+        let id = call.request.headers.text("Request-Id").expect("an id").to_owned();
+        self.known.get_mut(&id).expect("handed in")
+    }
+
+    /// Has the relay take a step; it dies after `cut` effects if the step has more.
+    fn step(&mut self, inputs: Vec<Input>, cut: usize) {
+        if let Some((reducer, _)) = &mut self.relay {
+            let step = reducer.step(self.now, inputs);
+            self.carry_out(step, cut);
+        }
+    }
+
+    fn carry_out(&mut self, step: Step, cut: usize) {
+        let Some((reducer, journal)) = &mut self.relay else { return };
+        journal.append(&step.records).expect("written");
+        if journal.is_due() {
+            let (next, records) = reducer.records();
+            journal.write_anew(next, &records).expect("written anew");
+        }
+        let dies = step.effects.len() > cut;
+        for effect in step.effects.into_iter().take(cut) {
+            self.see(effect);
+        }
+        if dies {
+            self.kill();
+        }
+    }
+
+    fn see(&mut self, effect: Effect) {
+        match effect {
+            Effect::Respond { id, response } => {
+                let asked = self.asked.remove(&id).expect("answered once");
+                self.known.get_mut(&asked).expect("handed in").taken = response.status == 202;
+            }
+            Effect::Call(call) => {
+                let out = self.calls.iter().any(|other| other.id == call.id);
+                let id = call.request.headers.text("Request-Id").expect("an id").to_owned();
+                let known = &self.known[&id];
+                assert!(!out, "two copies of {id}");
+                assert!(!known.noticed, "{id} is sent after its notice");
+                assert!(!(known.class == 2 && known.may_have_run), "{id} may run twice");
+                let earlier = self.known.range(..id.clone()).map(|(_, other)| other);
+                let mut open = earlier.filter(|other| other.taken && other.key == known.key && !other.over());
+                assert!(known.key.is_none() || open.next().is_none(), "{id} is out of order");
+                self.calls.push(call);
+            }
+            Effect::Notify(notice) => {
+                self.known.get_mut(&notice.id).expect("handed in").noticed = true;
+                self.notices.push(notice);
+            }
+            _ => {}
+        }
+    }
+
+    fn hand_in(&mut self, choice: u8) -> Input {
+        let class = usize::from(choice) % CLASSES.len();
+        let key = (class == 1).then_some(choice % 4);
+        let id = format!("m{:05}", self.known.len());
+        let mut headers = Headers::default()
+            .with("Request-Id", id.clone())
+            .with("Request-Class", CLASSES[class])
+            .with("Tenant", "acme")
+            .with("Request-Timeout", if choice > 200 { "2" } else { "20" })
+            .with("X-Envelope", format!("dest={}", choice % 3));
+        if let Some(key) = key {
+            headers = headers.with("Cookie", format!("about={key}"));
+        }
+        let request = RequestId(self.known.len() as u64);
+        self.asked.insert(request, id.clone());
+        self.known.insert(id, Known { class, key, ..Known::default() });
+        Input::Request { id: request, request: Request::post("/api", headers, Bytes::from(vec![choice; 9])) }
+    }
+
+    fn end_call(&mut self, choice: u8, outcome: Outcome) -> Option<Input> {
+        if self.calls.is_empty() {
+            return None;
+        }
+        let call = self.calls.remove(usize::from(choice) % self.calls.len());
+        let known = self.of(&call);
+        known.may_have_run |= outcome.may_have_run();
+        known.delivered |= outcome == Outcome::Ok;
+        let reply = Reply { outcome, closed: outcome == Outcome::Ok, took: 100 * MILLI, report: None };
+        Some(Input::Called { id: call.id, attempt: call.attempt, reply })
+    }
+
+    fn tell(&mut self) -> Input {
+        let notices = std::mem::take(&mut self.notices);
+        for notice in &notices {
+            self.known.get_mut(&notice.id).expect("handed in").told = true;
+        }
+        Input::Told { numbers: notices.iter().map(|notice| notice.number).collect(), read: true }
+    }
+
+    /// Whatever is due by a time-out ends so.
+    fn pass(&mut self, span: Micros, cut: usize) {
+        let end = self.now + span;
+        while self.now < end && self.relay.is_some() {
+            self.now = (self.now + 10 * MILLI).min(end);
+            self.step(Vec::new(), cut);
+        }
+        self.now = end;
+    }
+}
+
+fn outcome(choice: u8) -> Outcome {
+    match choice % 12 {
+        0..=5 => Outcome::Ok,
+        6 => Outcome::Error,
+        7 => Outcome::Full { wait: 0 },
+        8 => Outcome::Full { wait: u64::from(choice) * MILLI },
+        9 => Outcome::Reset,
+        10 => Outcome::ConnectFailed,
+        _ => Outcome::Timeout,
+    }
+}
+
+fn play(draws: &[(u8, u8, u8)]) {
+    let folder = tempfile::tempdir().expect("a folder");
+    let mut world = World {
+        folder: folder.path(),
+        relay: None,
+        now: START,
+        known: BTreeMap::new(),
+        calls: Vec::new(),
+        notices: Vec::new(),
+        asked: BTreeMap::new(),
+        lives: 0,
+    };
+    world.start(usize::MAX);
+    for (kind, choice, pause) in draws {
+        // Every few steps the relay dies, before any of its effects or after some.
+        let cut = if pause % 8 == 0 { usize::from(*choice) % 4 } else { usize::MAX };
+        match kind % 8 {
+            0..=2 => {
+                let inputs =
+                    (0..=kind / 64).map(|part| world.hand_in(choice.wrapping_add(part * 5))).collect();
+                world.step(inputs, cut);
+            }
+            3..=5 => {
+                let ended = world.end_call(*choice, outcome(*choice));
+                world.step(ended.into_iter().collect(), cut);
+            }
+            6 if choice % 4 == 0 => {
+                let told = world.tell();
+                world.step(vec![told], cut);
+            }
+            _ => {}
+        }
+        world.pass(u64::from(*pause) * MILLI, usize::MAX);
+        if world.relay.is_none() {
+            world.now += u64::from(*choice) * 10 * MILLI;
+            world.start(if choice % 16 == 0 { 1 } else { usize::MAX });
+        }
+    }
+    // In the end all calls are served and all notices are answered.
+    for _ in 0..40 {
+        if world.relay.is_none() {
+            world.start(usize::MAX);
+        }
+        while let Some(ended) = world.end_call(0, Outcome::Ok) {
+            world.step(vec![ended], usize::MAX);
+        }
+        let told = world.tell();
+        world.step(vec![told], usize::MAX);
+        world.pass(1_000 * MILLI, usize::MAX);
+    }
+    let lost = world.known.iter().find(|(_, known)| known.taken && !known.over());
+    assert!(lost.is_none(), "lost: {lost:?}");
+    let (reducer, _) = world.relay.as_ref().expect("alive");
+    assert_eq!(reducer.held(), 0);
+    assert_eq!(reducer.counters().invariants_broken, 0);
+    assert!(world.calls.iter().all(|call| call.id > MessageId(0)));
+}
+
+#[test]
+fn a_relay_killed_at_any_point_keeps_its_promises() {
+    let config = Config { cases: 200, failure_persistence: None, max_shrink_iters: 200, ..Config::default() };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[5; 32]);
+    let draws = prop::collection::vec(any::<(u8, u8, u8)>(), 1..80);
+    let played = TestRunner::new_with_rng(config, rng).run(&draws, |draws| {
+        play(&draws);
+        Ok(())
+    });
+    played.unwrap_or_else(|error| panic!("{error}"));
+}
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -18,6 +18,8 @@
     out: Option<(HostId, Micros, Micros)>,
     ran: Option<Micros>,
     answered: bool,
+    /// Its end is decided, and the client has not heard of it.
+    untold: bool,
 }
 
 /// Checks the rules action by action.
@@ -58,6 +60,35 @@
         assert!(!known.answered, "{id:?} was answered twice");
         assert!(now <= known.request.deadline + 20 * MILLI, "{id:?} was answered late");
         known.answered = true;
+        known.untold = self.settings.ends_by_notice;
+    }
+
+    /// What a restarted sender is handed over: all that is open or untold, in the order taken.
+    fn restart(&mut self, now: Micros) -> Vec<Event> {
+        self.waits.clear();
+        self.hosts.values_mut().for_each(|(_, told)| *told = None);
+        if !self.settings.ends_by_notice {
+            self.known.clear();
+            self.keys.clear();
+            return Vec::new();
+        }
+        let mut events = Vec::new();
+        for known in self.known.values_mut() {
+            let cut = known.out.take();
+            known.ran = known.ran.or(cut.map(|(_, sent_at, _)| sent_at));
+            if let (Some((_, rest)), Some(_)) =
+                (known.request.key.and_then(|key| self.keys.get_mut(&key)), cut)
+            {
+                *rest = now + self.settings.order_rest;
+            }
+            if !known.answered || known.untold {
+                let (attempts, ran, failed) = (known.attempts, known.ran, known.attempts > 1);
+                let (cut_at, over) = (cut.map(|_| now), known.answered);
+                let history = History { attempts, ran, failed, cut_at, over };
+                events.push(Event::Message(Request { history, ..known.request }));
+            }
+        }
+        events
     }
 
     fn sent(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros) {
@@ -90,7 +121,8 @@
         if let Some((queue, rest)) = key.and_then(|key| self.keys.get(&key)) {
             assert!(now >= *rest, "a key was not left to rest");
             let earlier = queue.iter().take_while(|other| **other != id).map(|other| &self.known[other]);
-            assert!(earlier.into_iter().all(|known| known.answered && known.out.is_none()), "out of order");
+            let over = |known: &Known| known.answered && known.out.is_none() && !known.untold;
+            assert!(earlier.into_iter().all(over), "out of order");
         }
     }
 
@@ -157,7 +189,8 @@
                     if let Some(key) = key {
                         referee.keys.entry(key).or_default().0.push(id);
                     }
-                    let known = Known { request, attempts: 0, out: None, ran: None, answered: false };
+                    let known =
+                        Known { request, attempts: 0, out: None, ran: None, answered: false, untold: false };
                     referee.known.insert(id, known);
                     events.push(Event::Message(request));
                 }
@@ -185,14 +218,17 @@
                 bytes.truncate(usize::from(*pause) % 13);
                 events.push(Event::Peer { from: u16::from(choice % 3), bytes });
             }
-            _ if *choice == 0 => {
-                // A restart: all it held is void.
+            _ if *choice < 32 => {
+                // A restart: all it held is void, or handed over by a journal.
                 brain = Brain::new(settings.clone(), 12);
                 events = vec![Event::Registry(RegistryNews::Whole(hosts.to_vec()))];
-                referee.known.clear();
-                referee.keys.clear();
-                referee.waits.clear();
-                referee.hosts.values_mut().for_each(|(_, told)| *told = None);
+                events.extend(referee.restart(now));
+            }
+            _ if choice % 2 == 0 => {
+                for (id, known) in referee.known.iter_mut().filter(|(_, known)| known.untold) {
+                    known.untold = false;
+                    events.push(Event::Withdrawn(*id));
+                }
             }
             _ => {
                 let open: Vec<_> =
@@ -234,6 +270,8 @@
         settings(),
         Settings { may_tell: false, listing: Listing::Silent, ..settings() },
         Settings { most_held: 12, slots: 2, max_attempts: 3, listing: Listing::Rough, ..settings() },
+        Settings { ends_by_notice: true, ..settings() },
+        Settings { ends_by_notice: true, order_rest: 0, slots: 3, max_attempts: 4, ..settings() },
         Settings { kinds: vec![Kind { routes_apart: false, bundle: 3 }], order_rest: 0, ..settings() },
     ];
     let config = Config { cases: 24, failure_persistence: None, ..Config::default() };
