--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -10,6 +10,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use rustix::process::Pid;
+pub use rustix::process::Signal;
 use serde_json::{Value, json};
 
 /// Longer than anything here should take, so that a busy machine changes no verdict.
@@ -290,9 +292,9 @@
         self.send(message).status()
     }
 
-    pub fn signal(&self, name: &str) {
-        let status = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
-        assert!(status.expect("kill ran").success());
+    pub fn signal(&self, signal: Signal) {
+        let process = Pid::from_child(&self.child);
+        rustix::process::kill_process(process, signal).expect("signalled");
     }
 
     pub fn kill(mut self) {
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -103,7 +103,7 @@
     assert_eq!(relay.hand_in(&message("m1", "transfer", None, b"")), 202);
     wait_for("sent", || host.ids().len() == 2);
     let start = Instant::now();
-    relay.signal("TERM");
+    relay.signal(Signal::TERM);
     wait_for("not ready", || relay.get("/_health").status() == 503);
     assert_eq!(relay.hand_in(&message("m2", "balance", None, b"")), 503);
     let (well, log) = relay.ended();
@@ -123,7 +123,7 @@
     let place = Place::new(platform.address);
     let relay = place.start();
     assert_eq!(relay.hand_in(&message("m1", "transfer", None, b"")), 202);
-    relay.signal("TERM");
+    relay.signal(Signal::TERM);
     let (well, log) = relay.ended();
     assert!(well && log.contains("held: 1"), "{log}");
     let host = StandIn::start(|_| answer(200, "", ""));
--- a/crates/relay/tests/rough.rs
+++ b/crates/relay/tests/rough.rs
@@ -203,11 +203,11 @@
     let (host, _platform, place) = served();
     let relay = place.start();
     // The relay stands still while a client comes, waits in vain and leaves.
-    relay.signal("STOP");
+    relay.signal(Signal::STOP);
     let mut gone = relay.connect();
     gone.write_all(&message("m1", "transfer", None, b"")).expect("written");
     drop(gone);
-    relay.signal("CONT");
+    relay.signal(Signal::CONT);
     assert_eq!(relay.hand_in(&message("m2", "transfer", None, b"")), 202);
     wait_for("delivered", || relay.counter("delivered") == 1);
     assert_eq!(host.ids(), ["m2"]);
