--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -20,6 +20,8 @@
 }
 
 counters! {
+    requests,
+    answered,
     taken,
     restored,
     refused_at_once,
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -163,7 +163,8 @@
                 Effect::Respond { id, response } if response.status == 202 => {
                     self.counters.taken -= 1;
                     self.counters.refused_by_journal += 1;
-                    self.respond(id, Response::text(503, "the journal takes nothing\n"));
+                    let response = Response::text(503, "the journal takes nothing\n");
+                    self.step.effects.push(Effect::Respond { id, response });
                 }
                 Effect::Call(Call { id, attempt, .. }) => {
                     self.counters.sent -= 1;
@@ -190,6 +191,7 @@
         }
         let asking = std::mem::take(&mut self.asking);
         self.counters.taken += asking.len() as u64;
+        self.counters.answered += asking.len() as u64;
         self.check();
         let mut step = std::mem::take(&mut self.step);
         let taken = asking.into_values().map(|id| Effect::Respond { id, response: Response::new(202) });
@@ -200,6 +202,8 @@
 
     /// What must hold after each step.
     fn check(&mut self) {
+        let answered = self.counters.answered == self.counters.requests;
+        self.must(answered, "each request that was read is answered in its step");
         let footprint = self.held.values().map(|held| held.footprint).sum::<u64>();
         self.must(footprint == self.footprint, "the footprint is that of the messages on hand");
         let known = self.by_client_id.len() == self.held.len();
@@ -222,6 +226,7 @@
     }
 
     fn respond(&mut self, id: RequestId, response: Response) {
+        self.counters.answered += 1;
         self.step.effects.push(Effect::Respond { id, response });
     }
 
@@ -287,6 +292,7 @@
     // ---- Clients
 
     fn request(&mut self, now: Micros, id: RequestId, request: Request) -> Option<Event> {
+        self.counters.requests += 1;
         let path = request.path.split('?').next().unwrap_or_default();
         let response = match (request.method.as_str(), path) {
             ("POST", "/api") => match self.hand_in(now, id, request) {
