--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -2,14 +2,14 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use pewterseam_settings::{Deployment, Malformed};
 use serde::Deserialize;
 
 use crate::discovery::List;
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
     pub memory_mb: u64,
     pub sockets: u64,
@@ -23,7 +23,7 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Clone, Debug, Deserialize)]
 struct File {
     name: String,
     listen: SocketAddr,
@@ -44,6 +44,9 @@
 /// All that a relay is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
+    /// The file that it was read from, and what that says by itself.
+    path: PathBuf,
+    file: File,
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
@@ -81,18 +84,53 @@
             return Err(Malformed::new(format!("{}: relay {me} is not among its peers", path.display())));
         }
         Ok(Config {
-            name: variable("NODE_NAME").unwrap_or(file.name),
+            path: path.to_owned(),
+            name: variable("NODE_NAME").unwrap_or_else(|| file.name.clone()),
             listen: address("NODE_LISTEN", file.listen)?,
             discovery: address("NODE_DISCOVERY", file.discovery)?,
             seed,
             limits: file.limits,
             peer_listen: file.peer_listen,
-            peers: file.peers,
+            peers: file.peers.clone(),
             peers_all: file.peers_all,
-            known: file.known,
+            known: file.known.clone(),
             deployment,
+            file,
         })
     }
+
+    /// Reads its file again, whole. The environment is of the start and older than that.
+    pub fn again(&self) -> Result<Self, Malformed> {
+        Config::read(&self.path, |_| None)
+    }
+
+    /// What a newer one changes. Only what its file says otherwise counts: the environment may have gone
+    /// before the rest.
+    pub fn change(&self, newer: &Config) -> Change {
+        let (old, new) = (&self.file, &newer.file);
+        let others = [
+            ("name", old.name != new.name),
+            ("listen", old.listen != new.listen),
+            ("limits", old.limits != new.limits),
+            ("peer_listen", old.peer_listen != new.peer_listen),
+            ("peers", old.peers != new.peers),
+            ("peers_all", old.peers_all != new.peers_all),
+            ("settings", old.settings != new.settings),
+        ];
+        Change {
+            discovery: (old.discovery != new.discovery).then_some(new.discovery),
+            at_next_start: others.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect(),
+        }
+    }
+}
+
+/// What a new configuration changes in a running relay.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Change {
+    /// Where the list is and notices go from now on.
+    pub discovery: Option<SocketAddr>,
+    /// Keys whose new values are heeded at the next start only.
+    pub at_next_start: Vec<&'static str>,
 }
 
 /// What differs on sockets from the settings' own words, which are the simulator's.
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -47,6 +47,8 @@
     lists,
     list_failures,
     list_entries_dropped,
+    configurations,
+    configurations_rejected,
     journal_failures,
     invariants_broken,
 }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::timeout;
 
 use crate::agent::Agent;
@@ -42,6 +42,9 @@
     Gone,
 }
 
+/// Where the whole list is.
+const WHOLE: &str = "/catalog/members";
+
 /// What is asked for, and how long the answer may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Watch {
@@ -53,13 +56,27 @@
 
 /// Follows the list from each time that it is asked for until a call fails. The next watch goes out as soon as
 /// the last one is answered, since changes in a gap between them might be missed.
-pub async fn follow(address: SocketAddr, mut asked: mpsc::UnboundedReceiver<Watch>, inputs: Inputs) {
-    let mut agent = Agent::new(address);
+pub async fn follow(
+    mut address: watch::Receiver<SocketAddr>, mut asked: mpsc::UnboundedReceiver<Watch>, inputs: Inputs,
+) {
+    let mut agent = Agent::new(*address.borrow_and_update());
     while let Some(watch) = asked.recv().await {
-        let mut path = "/catalog/members".to_owned();
+        let mut path = WHOLE.to_owned();
         let mut limit = watch.patience;
-        while let Ok(Some(list)) = timeout(limit, fetch(&mut agent, &path)).await {
-            path = format!("/catalog/members?index={}&wait={}", list.rev, watch.wait.as_millis());
+        loop {
+            let list = tokio::select! {
+                biased;
+                // Danger: discovery has moved, and a watch at the old address is answered by nobody until it is
+                // given up. The new one is asked for all, since its versions may be others.
+                Ok(()) = address.changed() => {
+                    agent = Agent::new(*address.borrow_and_update());
+                    (path, limit) = (WHOLE.to_owned(), watch.patience);
+                    continue;
+                }
+                list = timeout(limit, fetch(&mut agent, &path)) => list,
+            };
+            let Ok(Some(list)) = list else { break };
+            path = format!("{WHOLE}?index={}&wait={}", list.rev, watch.wait.as_millis());
             limit = watch.wait + watch.patience;
             inputs.send(Input::Listed(list));
         }
--- a/crates/relay/src/io.rs
+++ b/crates/relay/src/io.rs
@@ -5,6 +5,7 @@
 use pewterseam::interface::{HostId, MessageId, Micros};
 
 use crate::clients::RequestId;
+use crate::config::Change;
 use crate::discovery::List;
 use crate::hosts::{Call, Reply};
 use crate::http::{Request, Response};
@@ -52,6 +53,8 @@
     WrittenAnew {
         done: bool,
     },
+    /// The configuration was read again: what is new in it, or what is wrong with it.
+    Configured(Result<Change, String>),
     /// The process ends then; what is out by then is cut off.
     Stop {
         by: Micros,
@@ -84,6 +87,8 @@
     },
     /// Ask for the list and follow it.
     Follow,
+    /// Discovery and the platform are there from now on.
+    Move(SocketAddr),
     /// Step again then, at the latest.
     Wake(Micros),
     Log {
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use serde::Serialize;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::{sleep, timeout};
 
 use crate::agent::Agent;
@@ -52,9 +52,10 @@
 
 /// Tells notices in order, many at once where many wait, each until it is answered.
 pub async fn tell(
-    address: SocketAddr, pace: Pace, mut notices: mpsc::UnboundedReceiver<Notice>, inputs: Inputs,
+    mut address: watch::Receiver<SocketAddr>, pace: Pace, mut notices: mpsc::UnboundedReceiver<Notice>,
+    inputs: Inputs,
 ) {
-    let mut agent = Agent::new(address);
+    let mut agent = Agent::new(*address.borrow_and_update());
     let mut waiting: BTreeMap<u64, Notice> = BTreeMap::new();
     // Lines that go together at most.
     let mut most = usize::MAX;
@@ -69,7 +70,16 @@
         let (body, numbers) = lines(waiting.values(), most);
         let headers = Headers::default().with("Content-Type", "application/x-ndjson");
         let request = Request::post("/reports", headers, Bytes::from(body));
-        let answer = timeout(pace.patience, agent.ask(request)).await.ok().flatten();
+        let answer = tokio::select! {
+            biased;
+            // Danger: the platform has moved, and what is owed would be told at the old address in vain. Telling
+            // twice does no harm.
+            Ok(()) = address.changed() => {
+                agent = Agent::new(*address.borrow_and_update());
+                continue;
+            }
+            answer = timeout(pace.patience, agent.ask(request)) => answer.ok().flatten(),
+        };
         let status = answer.map(|response| response.status);
         let over = match status {
             Some(200..300) => true,
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -10,6 +10,7 @@
 use pewterseam_settings::Deployment;
 
 use crate::clients::RequestId;
+use crate::config::Change;
 use crate::counters::Counters;
 use crate::discovery::List;
 use crate::hosts::{Call, Reply};
@@ -281,6 +282,14 @@
                 }
             }
             Input::WrittenAnew { done } => self.counters.journal_failures += u64::from(!done),
+            Input::Configured(Ok(change)) => self.configure(change),
+            Input::Configured(Err(text)) => {
+                self.counters.configurations_rejected += 1;
+                self.log(
+                    Level::Error,
+                    format!("the new configuration is not taken, the old one stays: {text}"),
+                );
+            }
             Input::Stop { by } => {
                 self.stopping = true;
                 self.log(Level::Info, "stopping: new requests are refused".to_owned());
@@ -289,6 +298,20 @@
         }
     }
 
+    /// Takes a new configuration over, as far as a running relay can.
+    fn configure(&mut self, change: Change) {
+        self.counters.configurations += 1;
+        let Change { discovery, at_next_start } = change;
+        let moved =
+            discovery.map_or("discovery stays".to_owned(), |address| format!("discovery is at {address}"));
+        self.log(Level::Info, format!("new configuration: {moved}"));
+        if !at_next_start.is_empty() {
+            let keys = at_next_start.join(", ");
+            self.log(Level::Warn, format!("new configuration: {keys} will be heeded at the next start"));
+        }
+        self.step.effects.extend(discovery.map(Effect::Move));
+    }
+
     // ---- Clients
 
     fn request(&mut self, now: Micros, id: RequestId, request: Request) -> Option<Event> {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::Duration;
 
@@ -10,13 +11,13 @@
 use slog::{Logger, error, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::{Instant, sleep_until};
 
 use crate::clients::{self, Clients};
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{Change, Config};
 use crate::discovery::{self, Watch};
 use crate::hosts::Hosts;
 use crate::inputs::Inputs;
@@ -58,6 +59,8 @@
 async fn serve(config: Config, folder: &Path, log: Logger) -> Result<(), Fault> {
     let mut terminate = signal(SignalKind::terminate()).map_err(fault("signals"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(fault("signals"))?;
+    // Danger: without a handler it ends the process.
+    let mut hangup = signal(SignalKind::hangup()).map_err(fault("signals"))?;
     let (inputs, mut incoming) = Inputs::new();
     let mut relay = Relay::start(config, folder, log, inputs).await?;
     let mut stop_at: Option<Micros> = None;
@@ -74,6 +77,10 @@
             biased;
             _ = terminate.recv() => true,
             _ = interrupt.recv() => true,
+            _ = hangup.recv() => {
+                batch.push(Input::Configured(relay.configure()));
+                false
+            }
             Some(input) = incoming.recv() => {
                 batch.push(input);
                 false
@@ -115,11 +122,14 @@
 
 struct Relay {
     clock: Clock,
+    /// As last read.
+    config: Config,
     reducer: Reducer,
     journal: Journal,
     clients: Clients,
     hosts: Hosts,
     peers: Option<Peers>,
+    discovery: watch::Sender<SocketAddr>,
     follow: mpsc::UnboundedSender<Watch>,
     notices: mpsc::UnboundedSender<Notice>,
     inputs: Inputs,
@@ -140,7 +150,7 @@
 
 impl Relay {
     /// Takes over what the journal holds, then lets clients in.
-    async fn start(config: Config, folder: &Path, log: Logger, inputs: Inputs) -> Result<Self, Fault> {
+    async fn start(mut config: Config, folder: &Path, log: Logger, inputs: Inputs) -> Result<Self, Fault> {
         let clock = Clock::start();
         let settings = config.deployment.settings.clone();
         let budget = check(&config)?;
@@ -159,26 +169,29 @@
         }
         let (pause, patience) =
             (Duration::from_micros(brain::PAUSE), Duration::from_micros(brain::ANSWER_PATIENCE));
+        let discovery = watch::Sender::new(config.discovery);
         let (follow, asked) = mpsc::unbounded_channel();
-        spawn_local(discovery::follow(config.discovery, asked, inputs.clone()));
+        spawn_local(discovery::follow(discovery.subscribe(), asked, inputs.clone()));
         let (notices, told) = mpsc::unbounded_channel();
         let pace = notices::Pace { patience, pause };
-        spawn_local(notices::tell(config.discovery, pace, told, inputs.clone()));
+        spawn_local(notices::tell(discovery.subscribe(), pace, told, inputs.clone()));
         let pace = clients::Pace { patience: Duration::from_micros(brain::CLIENT_PATIENCE), pause };
         let clients = Clients::new(budget, pace, inputs.clone());
         // Danger: a host closes an idle connection just as a call is written to it.
         let idle_close = settings.idle_close.saturating_sub(brain::PAUSE);
-        let hosts = Hosts::new(idle_close, budget.idle, inputs.clone());
+        let hosts = Hosts::new(idle_close, brain::ANSWER_PATIENCE, budget.idle, inputs.clone());
         let room = journal.room().min(budget.held);
-        let mut reducer = Reducer::new(config.deployment, config.seed, room);
-        let step = reducer.start(clock.now(), history, config.known);
+        let mut reducer = Reducer::new(config.deployment.clone(), config.seed, room);
+        let step = reducer.start(clock.now(), history, config.known.take());
         let mut relay = Relay {
             clock,
+            config,
             reducer,
             journal,
             clients,
             hosts,
             peers,
+            discovery,
             follow,
             notices,
             inputs,
@@ -189,10 +202,20 @@
         relay.carry_out(step);
         relay.write_anew();
         spawn_local(relay.clients.clone().accept(listener));
-        info!(relay.log, "serving"; "name" => config.name, "listen" => %config.listen);
+        let Config { name, listen, discovery, .. } = &relay.config;
+        info!(relay.log, "serving"; "name" => name, "listen" => %listen, "discovery" => %discovery);
         Ok(relay)
     }
 
+    /// Reads the configuration again; one that would not do for a start changes nothing.
+    fn configure(&mut self) -> Result<Change, String> {
+        let newer = self.config.again().map_err(|error| error.to_string())?;
+        check(&newer).map_err(|error| error.to_string())?;
+        let change = self.config.change(&newer);
+        self.config = newer;
+        Ok(change)
+    }
+
     fn wake(&mut self, at: Micros) {
         self.wake_at = Some(self.wake_at.map_or(at, |wake| wake.min(at)));
     }
@@ -238,6 +261,9 @@
                 let patience = Duration::from_micros(brain::ANSWER_PATIENCE);
                 let _ = self.follow.send(Watch { wait, patience });
             }
+            Effect::Move(address) => {
+                self.discovery.send_replace(address);
+            }
             Effect::Wake(at) => self.wake(at),
             Effect::Log { level: Level::Info, text } => info!(self.log, "{}", text),
             Effect::Log { level: Level::Warn, text } => warn!(self.log, "{}", text),
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -220,9 +220,15 @@
         self.folder.path().join("state")
     }
 
-    fn command(&self) -> Command {
+    /// Writes the configuration file.
+    pub fn configure(&self) -> PathBuf {
         let path = self.folder.path().join("config.json");
         fs::write(&path, self.config.to_string()).expect("written");
+        path
+    }
+
+    fn command(&self) -> Command {
+        let path = self.configure();
         fs::create_dir_all(self.state()).expect("made");
         let mut command = Command::new(env!("CARGO_BIN_EXE_pewterseam"));
         command.arg("serve").env("NODE_CONFIG", path).env("NODE_STATE", self.state());
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -21,9 +21,11 @@
 use pewterseam_relay::peers::Peers;
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::watch;
 use tokio::task::LocalSet;
 
 const SECOND: Micros = 1_000_000;
+const ANSWER_PATIENCE: Micros = 200_000;
 
 fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -31,6 +33,13 @@
     LocalSet::new().block_on(&runtime, whole);
 }
 
+/// Lets tasks go on until something becomes true.
+async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 // ---- Hosts
 
 struct Caller {
@@ -42,7 +51,7 @@
 impl Caller {
     fn new(idle_close: Micros, most_idle: usize) -> Self {
         let (inputs, incoming) = Inputs::new();
-        Caller { hosts: Hosts::new(idle_close, most_idle, inputs), incoming, last: 0 }
+        Caller { hosts: Hosts::new(idle_close, ANSWER_PATIENCE, most_idle, inputs), incoming, last: 0 }
     }
 
     fn start(&mut self, address: SocketAddr, timeout: Micros) -> MessageId {
@@ -191,9 +200,79 @@
             stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf").expect("written");
         });
         assert_eq!(caller.call(address).await.outcome, Outcome::Ok);
+    });
+}
+
+// Danger: an answer that is spoilt behind its first line is taken for none, and what was delivered goes again or is
+// failed; or it holds its slot until the call's time is up.
+#[test]
+fn a_spoilt_answer_is_what_its_first_line_says_if_that_is_200_and_else_may_have_run() {
+    let table = [
+        ("HTTP/1.1 200 OK\r\nContent-Le", Outcome::Ok),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", Outcome::Ok),
+        ("HTTP/1.1 200 OK\r\nContent-Length: -9\r\n\r\n", Outcome::Ok),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nxxxx", Outcome::Ok),
+        ("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok", Outcome::Ok),
+        ("HTTP/1.1 200 OK\r\n\x01\x02: \x7f\r\n\r\n", Outcome::Ok),
+        ("HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 200 OK\r\nnothing like a head\r\n\r\n", Outcome::Ok),
+        ("HTTP/1.1 20", Outcome::Error),
+        ("HTTP/1.1 2000 OK\r\n\r\n", Outcome::Error),
+        ("SSH-2.0-OpenSSH\r\n", Outcome::Error),
+        ("\x00\x01\x02\x03", Outcome::Error),
+        // What says that it never ran is not to be trusted once it is spoilt.
+        ("HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nhalf", Outcome::Error),
+        ("HTTP/1.1 429 No\r\nX-Retry-In-Ms: 5\r\nContent-Length: -1\r\n\r\n", Outcome::Error),
+    ];
+    run(async {
+        let mut caller = Caller::new(15 * SECOND, 10);
+        for (bytes, outcome) in table {
+            let host = StandIn::start(move |_| Some(bytes.as_bytes().to_vec()));
+            let reply = caller.call(host.address).await;
+            assert_eq!((reply.outcome, reply.closed), (outcome, outcome == Outcome::Ok), "{bytes:?}");
+            // The host was heard at once, whatever was waited for then.
+            assert!(reply.took < ANSWER_PATIENCE, "{bytes:?}: {}", reply.took);
+            caller.call(host.address).await;
+            assert_eq!(host.connections(), 2, "{bytes:?}");
+        }
+        let endless = StandIn::start(|_| {
+            Some(b"HTTP/1.1 200 OK\r\nX: ".iter().chain(&[b'x'; 50_000]).copied().collect())
+        });
+        assert_eq!(caller.call(endless.address).await.outcome, Outcome::Ok);
+        // The call's time may be up before.
         let half = StandIn::start(|_| Some(b"HTTP/1.1 200 OK\r\nContent-Le".to_vec()));
         caller.start(half.address, 100_000);
-        assert_eq!(caller.ended().await.outcome, Outcome::Timeout);
+        assert_eq!(caller.ended().await.outcome, Outcome::Ok);
+    });
+}
+
+#[test]
+fn what_comes_behind_an_answer_is_not_the_answer_to_the_next_call() {
+    run(async {
+        let mut caller = Caller::new(15 * SECOND, 10);
+        let twice = StandIn::start(|_| answer(503, "", "").map(|bytes| bytes.repeat(2)));
+        for _ in 0..3 {
+            assert_eq!(caller.call(twice.address).await.outcome, Outcome::Full { wait: 0 });
+        }
+        assert_eq!(twice.connections(), 3);
+    });
+}
+
+#[test]
+fn an_interim_answer_may_come_long_before_the_answer() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let address = listener.local_addr().expect("bound");
+        thread::spawn(move || {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            hear(&mut stream).expect("read").expect("a call");
+            stream.write_all(b"HTTP/1.1 102 Processing\r\n\r\n").expect("written");
+            thread::sleep(2 * Duration::from_micros(ANSWER_PATIENCE));
+            stream.write_all(&answer(200, "", "").expect("bytes")).expect("written");
+        });
+        let mut caller = Caller::new(15 * SECOND, 10);
+        let reply = caller.call(address).await;
+        assert_eq!(reply.outcome, Outcome::Ok);
+        assert!(reply.took > ANSWER_PATIENCE);
     });
 }
 
@@ -270,12 +349,21 @@
 
 // ---- Discovery
 
-fn follow(address: SocketAddr) -> (mpsc::UnboundedSender<Watch>, UnboundedReceiver<Input>, Watch) {
+struct Follower {
+    address: watch::Sender<SocketAddr>,
+    asks: mpsc::UnboundedSender<Watch>,
+    incoming: UnboundedReceiver<Input>,
+}
+
+const WATCH: Watch = Watch { wait: Duration::from_millis(100), patience: Duration::from_secs(2) };
+
+fn follow(address: SocketAddr) -> Follower {
     let (inputs, incoming) = Inputs::new();
     let (asks, asked) = mpsc::unbounded_channel();
-    tokio::task::spawn_local(discovery::follow(address, asked, inputs));
-    let watch = Watch { wait: Duration::from_millis(100), patience: Duration::from_secs(2) };
-    (asks, incoming, watch)
+    let address = watch::Sender::new(address);
+    tokio::task::spawn_local(discovery::follow(address.subscribe(), asked, inputs));
+    asks.send(WATCH).expect("listening");
+    Follower { address, asks, incoming }
 }
 
 #[test]
@@ -292,8 +380,7 @@
             }
             answer(200, "", &list.to_string())
         });
-        let (asks, mut incoming, watch) = follow(platform.address);
-        asks.send(watch).expect("listening");
+        let Follower { address: _address, asks, mut incoming } = follow(platform.address);
         for (rev, all) in [(4, true), (5, false)] {
             match incoming.recv().await {
                 Some(Input::Listed(list)) => assert_eq!((list.rev, list.all), (rev, all)),
@@ -307,7 +394,7 @@
         assert_eq!(lines[1], "GET /catalog/members?index=4&wait=100 HTTP/1.1");
         assert_eq!(lines[2], "GET /catalog/members?index=5&wait=100 HTTP/1.1");
         assert_eq!((lines.len(), platform.connections()), (3, 1));
-        asks.send(watch).expect("listening");
+        asks.send(WATCH).expect("listening");
         assert!(matches!(incoming.recv().await, Some(Input::Listed(_))));
     });
 }
@@ -318,24 +405,53 @@
         let answers = [answer(500, "", ""), answer(200, "", "no JSON"), answer(200, "", "{\"rev\":1}"), None];
         for answer in answers {
             let platform = StandIn::start(move |_| answer.clone());
-            let (asks, mut incoming, watch) = follow(platform.address);
-            asks.send(watch).expect("listening");
+            let Follower { address: _address, asks: _asks, mut incoming } = follow(platform.address);
             assert!(matches!(incoming.recv().await, Some(Input::ListFailed)));
         }
-        let (asks, mut incoming, watch) = follow(free_address());
-        asks.send(watch).expect("listening");
+        let Follower { address: _address, asks: _asks, mut incoming } = follow(free_address());
         assert!(matches!(incoming.recv().await, Some(Input::ListFailed)));
     });
 }
 
+#[test]
+fn when_discovery_moves_the_new_address_is_asked_at_once_and_for_all() {
+    run(async {
+        let host = free_address();
+        let silent = |heard: &Heard| heard.line.contains("index=");
+        let at = |rev: u64| {
+            StandIn::start(move |heard| {
+                let mut list = list(host, "Ready");
+                list["rev"] = json!(rev);
+                if silent(heard) { None } else { answer(200, "", &list.to_string()) }
+            })
+        };
+        let (old, new) = (at(9), at(2));
+        let Follower { address, asks: _asks, mut incoming } = follow(old.address);
+        assert!(matches!(incoming.recv().await, Some(Input::Listed(list)) if list.rev == 9));
+        until(|| old.heard().len() == 2).await;
+        address.send_replace(new.address);
+        // Danger: the list counts as failed, or the new one is asked for changes since a version of the old one.
+        assert!(matches!(incoming.recv().await, Some(Input::Listed(list)) if list.rev == 2));
+        assert_eq!(new.heard()[0].line, "GET /catalog/members HTTP/1.1");
+        until(|| new.heard().len() == 2).await;
+    });
+}
+
 // ---- Notices
 
-fn teller(address: SocketAddr) -> (mpsc::UnboundedSender<Notice>, UnboundedReceiver<Input>) {
+struct Teller {
+    address: watch::Sender<SocketAddr>,
+    notices: mpsc::UnboundedSender<Notice>,
+    incoming: UnboundedReceiver<Input>,
+}
+
+fn teller(address: SocketAddr) -> Teller {
     let (inputs, incoming) = Inputs::new();
     let (notices, told) = mpsc::unbounded_channel();
     let pace = Pace { patience: Duration::from_millis(200), pause: Duration::from_millis(10) };
-    tokio::task::spawn_local(notices::tell(address, pace, told, inputs));
-    (notices, incoming)
+    let address = watch::Sender::new(address);
+    tokio::task::spawn_local(notices::tell(address.subscribe(), pace, told, inputs));
+    Teller { address, notices, incoming }
 }
 
 fn notice(number: u64, end: End) -> Notice {
@@ -356,7 +472,7 @@
 fn notices_are_lines_of_json() {
     run(async {
         let platform = StandIn::start(|_| answer(204, "", ""));
-        let (notices, mut incoming) = teller(platform.address);
+        let Teller { address: _address, notices, mut incoming } = teller(platform.address);
         let ends = [End::Failed, End::Returned { after_ms: 500 }, End::Returned { after_ms: 0 }];
         for (number, end) in (1..).zip(ends) {
             notices.send(notice(number, end)).expect("listening");
@@ -375,7 +491,7 @@
 fn a_notice_is_told_again_until_it_is_answered() {
     run(async {
         let platform = StandIn::start(|_| None);
-        let (notices, mut incoming) = teller(platform.address);
+        let Teller { address: _address, notices, mut incoming } = teller(platform.address);
         notices.send(notice(1, End::Failed)).expect("listening");
         assert!(matches!(incoming.recv().await, Some(Input::NotTold { status: None })));
         platform.behave(|_| answer(503, "", ""));
@@ -385,6 +501,24 @@
     });
 }
 
+#[test]
+fn notices_that_are_owed_go_to_where_the_platform_has_moved() {
+    run(async {
+        let (old, new) = (StandIn::start(|_| None), StandIn::start(|_| answer(204, "", "")));
+        let Teller { address, notices, mut incoming } = teller(old.address);
+        notices.send(notice(1, End::Failed)).expect("listening");
+        until(|| !old.heard().is_empty()).await;
+        notices.send(notice(2, End::Failed)).expect("listening");
+        address.send_replace(new.address);
+        let mut all = Vec::new();
+        while all.len() < 2 {
+            all.extend(told(&mut incoming).await.0);
+        }
+        assert_eq!(all, [1, 2]);
+        assert!(!new.heard().is_empty());
+    });
+}
+
 #[test]
 fn one_notice_that_can_not_be_read_does_not_hold_back_the_others() {
     run(async {
@@ -392,7 +526,7 @@
             let bad = String::from_utf8_lossy(&heard.body).contains("m2");
             answer(if bad { 400 } else { 204 }, "", "")
         });
-        let (notices, mut incoming) = teller(platform.address);
+        let Teller { address: _address, notices, mut incoming } = teller(platform.address);
         for number in 1..=3 {
             notices.send(notice(number, End::Failed)).expect("listening");
         }
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use common::*;
+use serde_json::json;
 
 #[test]
 fn what_a_killed_relay_held_is_brought_to_its_end() {
@@ -174,3 +175,45 @@
     let (well, log) = relay.ended();
     assert!(well && !log.contains("silent") && !log.contains("times out"), "{log}");
 }
+
+#[test]
+fn a_new_configuration_moves_list_and_notices_and_what_is_on_hand_stays() {
+    let host = StandIn::start(|_| answer(500, "", ""));
+    let silent = |heard: &Heard| heard.line.starts_with("POST");
+    let address = host.address;
+    let old = StandIn::start(move |heard| if silent(heard) { None } else { platform_answer(heard, address) });
+    let new = platform(host.address);
+    let mut place = Place::new(old.address);
+    let relay = place.start();
+    assert_eq!(relay.hand_in(&message("m1", "transfer", None, b"")), 202);
+    wait_for("a notice is owed", || !notices(&old).is_empty());
+    // What is no configuration changes nothing.
+    let good = std::mem::replace(&mut place.config, json!({"discovery": new.address}));
+    place.configure();
+    relay.signal(Signal::HUP);
+    wait_for("turned away", || relay.counter("configurations_rejected") == 1);
+    assert_eq!((relay.counter("configurations"), new.heard().len()), (0, 0));
+    place.config = good;
+    place.config["discovery"] = json!(new.address);
+    place.config["limits"]["sockets"] = json!(2048);
+    place.configure();
+    relay.signal(Signal::HUP);
+    wait_for("the list is asked for there", || {
+        new.heard().iter().any(|heard| heard.line == "GET /catalog/members HTTP/1.1")
+    });
+    wait_for("the notice is told there", || notices(&new) == [("m1".to_owned(), "failed".to_owned())]);
+    wait_for("nothing is owed", || relay.counter("held") == 0);
+    assert_eq!((relay.counter("configurations"), relay.counter("list_failures")), (1, 0));
+    let before = old.heard().len();
+    host.behave(|_| answer(200, "", ""));
+    assert_eq!(relay.hand_in(&message("m2", "balance", None, b"")), 202);
+    wait_for("delivered", || relay.counter("delivered") == 1);
+    assert_eq!(old.heard().len(), before);
+    relay.signal(Signal::TERM);
+    let (well, log) = relay.ended();
+    assert!(well, "{log}");
+    assert!(
+        log.contains("the old one stays") && log.contains("limits will be heeded at the next start"),
+        "{log}"
+    );
+}
