A spoilt answer is what its first line says if that is 200, and ends its call at once

Seen by reading: `exchange` gave the status of an answer only when its whole head had parsed and its length fitted; a spoilt head, a claim of 3 GB, or a time-out, which dropped the connection with what had come, made a delivered message one that may have run. A 429 or 503 with a spoilt rest, on the other hand, was believed to have never run. An answer that began and stalled held its slot until the call's time was up, and its time went into the mean.

Bytes behind an answer now close its connection at once instead of when it is taken again.

--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -1,6 +1,6 @@
 //! Calls to hosts: one at a time on a connection, idle connections used again, nothing sent twice.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +13,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-use crate::http::{Client, MOST_BODY, Request, Response};
+use crate::http::{Client, Fault, MOST_BODY, Request, Response};
 use crate::inputs::Inputs;
 use crate::io::Input;
 use crate::ring::{Next, Ringed};
@@ -81,6 +81,8 @@
     idle: RefCell<HashMap<HostId, Vec<Idle>>>,
     /// Hosts close what has been idle for this long.
     idle_close: Duration,
+    /// For the rest of an answer once it has begun.
+    patience: Duration,
     most: usize,
 }
 
@@ -132,10 +134,10 @@
 }
 
 impl Hosts {
-    /// `most_idle` is the part of the descriptors that idle connections may take.
-    pub fn new(idle_close: Micros, most_idle: usize, inputs: Inputs) -> Self {
-        let idle_close = Duration::from_micros(idle_close);
-        let pool = Pool { idle: RefCell::default(), idle_close, most: most_idle.max(1) };
+    /// `patience` is for the rest of an answer that has begun, `most_idle` the part of the descriptors that idle connections may take.
+    pub fn new(idle_close: Micros, patience: Micros, most_idle: usize, inputs: Inputs) -> Self {
+        let (idle_close, patience) = (Duration::from_micros(idle_close), Duration::from_micros(patience));
+        let pool = Pool { idle: RefCell::default(), idle_close, patience, most: most_idle.max(1) };
         Hosts { pool: Rc::new(pool), calls: Rc::default(), inputs }
     }
 
@@ -187,41 +189,74 @@
     pool: &Pool, call: &Call, stopped: oneshot::Receiver<()>,
 ) -> (Micros, Result<Response, Outcome>) {
     let start = Instant::now();
-    let written = Cell::new(false);
+    let mut exchange = Exchange::default();
     let limit = Duration::from_micros(call.timeout);
     let ended = tokio::select! {
         biased;
-        response = timeout(limit, exchange(pool, call, &written)) => match response {
-            Ok(response) => response.ok_or(Outcome::Reset),
-            Err(_) => Err(Outcome::Timeout),
-        },
+        ended = timeout(limit, exchange.run(pool, call)) => ended.unwrap_or(Err(Outcome::Timeout)),
         _ = stopped => Err(Outcome::Cancelled),
     };
-    // What was not written in full never ran, whatever kept it.
-    let ended = ended.map_err(|outcome| if written.get() { outcome } else { Outcome::ConnectFailed });
-    (start.elapsed().as_micros() as Micros, ended)
+    let took = exchange.heard_at.unwrap_or_else(Instant::now) - start;
+    (took.as_micros() as Micros, ended.or_else(|outcome| exchange.fall_back(outcome)))
 }
 
-/// The answer, if there is one; `written` tells whether the whole call was handed to the connection.
-async fn exchange(pool: &Pool, call: &Call, written: &Cell<bool>) -> Option<Response> {
-    let mut connection = match pool.take(call.host, call.address) {
-        Some(connection) => connection,
-        None => {
-            let limit = Duration::from_micros(call.connect);
-            let stream = timeout(limit, TcpStream::connect(call.address)).await.ok()?.ok()?;
-            Framed::new(Ringed::new(stream).ok()?, Client::new(call.address.to_string(), MOST_BODY))
-        }
-    };
-    connection.send(call.request.clone()).await.ok()?;
-    written.set(true);
-    match connection.next().await {
-        Some(Ok(response)) => {
-            if response.keep_alive {
-                pool.put(call.host, call.address, connection);
+/// A call under way, and what is known of it should it be given up.
+#[derive(Default)]
+struct Exchange {
+    connection: Option<Connection>,
+    /// The whole call was handed to the connection.
+    written: bool,
+    /// When the first byte of an answer came.
+    heard_at: Option<Instant>,
+}
+
+impl Exchange {
+    async fn run(&mut self, pool: &Pool, call: &Call) -> Result<Response, Outcome> {
+        let connection = match pool.take(call.host, call.address) {
+            Some(connection) => connection,
+            None => connect(call).await.ok_or(Outcome::ConnectFailed)?,
+        };
+        let connection = self.connection.insert(connection);
+        connection.send(call.request.clone()).await.map_err(|_| Outcome::ConnectFailed)?;
+        self.written = true;
+        let response = loop {
+            // An interim answer may come long before the answer itself.
+            connection.get_ref().readable().await.map_err(|_| Outcome::Reset)?;
+            self.heard_at = Some(Instant::now());
+            match timeout(pool.patience, connection.next()).await {
+                Ok(Some(Ok(response))) => break response,
+                Ok(Some(Err(Fault::Io(_))) | None) => return Err(Outcome::Reset),
+                // Danger: a spoilt answer holds its slot until the call's time is up.
+                Ok(Some(Err(_))) => return Err(Outcome::Error),
+                Err(_) if connection.codec().is_midway(connection.read_buffer()) => {
+                    return Err(Outcome::Error);
+                }
+                Err(_) => self.heard_at = None,
             }
-            Some(response)
+        };
+        // Danger: bytes behind an answer are taken for the answer to the next call.
+        if let Some(connection) = self.connection.take().filter(|kept| response.keep_alive && is_quiet(kept))
+        {
+            pool.put(call.host, call.address, connection);
         }
-        // Danger: a delivered message is taken for one that may have run. Its first line tells all.
-        _ => connection.codec().begun().cloned(),
+        Ok(response)
     }
+
+    /// What a call that ended without a whole answer came to. What was not written in full never ran, whatever
+    /// kept it. Danger: a delivered message is taken for one that may have run, and is sent again or failed; its
+    /// first line tells that it was, whatever became of the rest.
+    fn fall_back(&self, outcome: Outcome) -> Result<Response, Outcome> {
+        let status = |connection: &Connection| connection.codec().status(connection.read_buffer());
+        match self.connection.as_ref().and_then(status) {
+            _ if !self.written => Err(Outcome::ConnectFailed),
+            Some(200) => Ok(Response { keep_alive: false, ..Response::new(200) }),
+            _ => Err(outcome),
+        }
+    }
+}
+
+async fn connect(call: &Call) -> Option<Connection> {
+    let limit = Duration::from_micros(call.connect);
+    let stream = timeout(limit, TcpStream::connect(call.address)).await.ok()?.ok()?;
+    Some(Framed::new(Ringed::new(stream).ok()?, Client::new(call.address.to_string(), MOST_BODY)))
 }
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -411,12 +411,22 @@
         Client { reader: Reader::new(most_body), host: host.into() }
     }
 
-    /// A response whose head has come and whose body has not yet come whole.
-    pub fn begun(&self) -> Option<&Response> {
-        match &self.reader.stage {
-            Stage::Body { start, .. } if start.status >= 200 => Some(start),
-            _ => None,
+    /// A part of a response has come, but not all of it.
+    pub fn is_midway(&self, buffered: &[u8]) -> bool {
+        self.reader.is_midway(buffered)
+    }
+
+    /// The status in the first line of a response of which the rest is spoilt or has not come.
+    pub fn status(&self, buffered: &[u8]) -> Option<u16> {
+        if let Stage::Body { start, .. } = &self.reader.stage {
+            return Some(start.status);
         }
+        let end = buffered.iter().take(MOST_HEAD).position(|byte| *byte == b'\n')?;
+        let mut response = httparse::Response::new(&mut []);
+        // The line alone and an empty one make a whole head.
+        let head = [&buffered[..=end], b"\r\n"].concat();
+        response.parse(&head).ok().filter(|parsed| parsed.is_complete())?;
+        response.code
     }
 }
 
--- a/crates/relay/src/ring.rs
+++ b/crates/relay/src/ring.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Waits until a read would meet something.
+    pub async fn readable(&self) -> io::Result<()> {
+        if self.inward.is_empty() { self.stream.readable().await } else { Ok(()) }
+    }
+
     /// Moves what waits to the socket until nothing does.
     fn poll_drain(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.outward.is_empty() {
