--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -10,10 +10,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore, oneshot, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
-use crate::http::{Fault, Request, Response, Server};
+use crate::http::{Fault, MOST_BODY, Request, Response, Server};
 use crate::inputs::Inputs;
 use crate::io::Input;
 use crate::limits::Budget;
@@ -28,8 +28,10 @@
 /// How long things may take.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
-    /// For the rest of a request that came in part, and for a client to take its answer.
+    /// For the first request on a connection, for the rest of a later one, and for a client to take its answer.
     pub patience: Duration,
+    /// For the next request.
+    pub idle: Duration,
     /// Until connections are accepted again after a failure, and for the last bytes on one that is closed.
     pub pause: Duration,
 }
@@ -37,8 +39,8 @@
 /// What connections share.
 struct Shared {
     waiting: RefCell<HashMap<RequestId, oneshot::Sender<Response>>>,
-    /// Connections between requests, the longest idle first, and how to dismiss each.
-    idle: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Connections on which nothing has come since they opened or since their last answer.
+    idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
     last: Cell<u64>,
     open: Cell<usize>,
     budget: Budget,
@@ -47,6 +49,14 @@
     phase: watch::Sender<Phase>,
 }
 
+/// An idle connection's place in the order of those that have carried a request and those that have not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Place {
+    is_fresh: bool,
+    since: Instant,
+    number: u64,
+}
+
 /// Which connections are closed as soon as no request is on them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -113,14 +123,19 @@
 
     async fn connection(self, stream: TcpStream, _place: OwnedSemaphorePermit) {
         let shared = self.0;
+        let opened = Instant::now();
         let Ok(stream) = Ringed::new(stream) else { return };
         let mut connection = Framed::new(stream, Server::default());
         if shared.open.get() >= shared.budget.clients && !shared.dismiss_idle() {
+            shared.inputs.send(Input::Crowded);
             shared.send(&mut connection, last(Response::text(503, "too many connections\n"))).await;
         } else {
             shared.open.set(shared.open.get() + 1);
-            shared.serve(&mut connection).await;
+            let answered = shared.serve(&mut connection, opened).await;
             shared.open.set(shared.open.get() - 1);
+            if !answered {
+                return;
+            }
         }
         finish(connection, shared.pace.pause).await;
     }
@@ -137,37 +152,39 @@
         self.last.get()
     }
 
-    /// Closes the connection that has been idle for longest, if one is.
+    /// Closes an idle connection, if there is one.
     fn dismiss_idle(&self) -> bool {
-        let longest = self.idle.borrow_mut().pop_first();
-        longest.inspect(|(_, dismissed)| dismissed.notify_one()).is_some()
+        let mut idle = self.idle.borrow_mut();
+        let place = least_missed(idle.keys(), Instant::now(), self.pace.pause);
+        place.and_then(|place| idle.remove(&place)).inspect(|dismissed| dismissed.notify_one()).is_some()
     }
 
-    /// Answers the requests of a connection until it ends or is to be closed.
-    async fn serve(&self, connection: &mut Connection) {
-        let mut is_fresh = true;
+    /// Answers the requests of a connection until it ends or is to be closed; tells whether it answered any.
+    async fn serve(&self, connection: &mut Connection, opened: Instant) -> bool {
+        let mut answered = false;
         loop {
-            let request = match self.next(connection, is_fresh).await {
+            let request = match self.next(connection, (!answered).then_some(opened)).await {
                 Some(Ok(request)) => request,
-                Some(Err(response)) => {
+                Some(Err(fault)) => {
                     self.inputs.send(Input::BadRequest);
+                    let response = Response::text(fault.status(), format!("{fault}\n"));
                     self.send(connection, last(response)).await;
-                    return;
+                    return true;
                 }
-                None => return,
+                None => return answered,
             };
-            is_fresh = false;
             // Danger: the relay stood still, and the client has long gone to another one with its message.
-            if connection.read_buffer().is_empty() && connection.get_ref().next() == Next::End {
+            if connection.get_ref().next() == Next::End {
                 self.send(connection, last(Response::text(503, "the client has left\n"))).await;
-                return;
+                return true;
             }
             let keep_alive = request.keep_alive;
-            let Some(response) = self.answer(request).await else { return };
+            let Some(response) = self.answer(request).await else { return true };
             let keep_alive = keep_alive && response.keep_alive && *self.phase.borrow() == Phase::Serving;
             if !self.send(connection, Response { keep_alive, ..response }).await || !keep_alive {
-                return;
+                return true;
             }
+            answered = true;
         }
     }
 
@@ -176,40 +193,56 @@
         matches!(timeout(self.pace.patience, connection.send(response)).await, Ok(Ok(())))
     }
 
-    /// The next request, or the answer to what is none; nothing where the connection is to be closed. Danger:
-    /// a stopping relay closes a connection on which the first request is just on its way, and a client that
-    /// has not seen this one work does not send it again.
-    async fn next(&self, connection: &mut Connection, is_fresh: bool) -> Option<Result<Request, Response>> {
+    /// The next request, or what is wrong with what came instead; nothing where the connection is to be closed.
+    /// The first request counts from when the connection `opened`. Danger: a stopping relay closes a connection
+    /// on which the first request is just on its way, and a client that has not seen this one work does not send
+    /// it again.
+    async fn next(
+        &self, connection: &mut Connection, opened: Option<Instant>,
+    ) -> Option<Result<Request, Fault>> {
+        loop {
+            if connection.read_buffer().is_empty() && !self.begins(connection, opened).await {
+                return None;
+            }
+            let by = opened.unwrap_or_else(Instant::now) + self.pace.patience;
+            return match timeout_at(by, connection.next()).await {
+                // Danger: a length that is wrong, or a request hidden behind another. A client sends one at a time.
+                Ok(Some(Ok(_))) if !is_blank(connection) => {
+                    Some(Err(Fault::Malformed("bytes follow the request")))
+                }
+                Ok(Some(Err(Fault::Io(_))) | None) => None,
+                Ok(next) => next,
+                Err(_) if connection.codec().is_midway(connection.read_buffer()) => Some(Err(Fault::TooSlow)),
+                // Empty lines between requests.
+                Err(_) => continue,
+            };
+        }
+    }
+
+    /// Waits until something comes on an idle connection; false where it is to be closed instead.
+    async fn begins(&self, connection: &Connection, opened: Option<Instant>) -> bool {
         let mut phase = self.phase.subscribe();
-        let leaves_in = if is_fresh { Phase::Leaving } else { Phase::Stopping };
-        let number = self.number();
+        let leaves_in = if opened.is_some() { Phase::Leaving } else { Phase::Stopping };
+        let since = opened.unwrap_or_else(Instant::now);
+        let by = since + if opened.is_some() { self.pace.patience } else { self.pace.idle };
+        let place = Place { is_fresh: opened.is_some(), since, number: self.number() };
         let dismissed = Rc::new(Notify::new());
-        self.idle.borrow_mut().insert(number, dismissed.clone());
-        let mut leaves = false;
-        let next = loop {
-            // What has come is looked at first: no request that was read goes without an answer.
-            let late = tokio::select! {
-                biased;
-                next = connection.next() => break next,
-                () = sleep(self.pace.patience) => true,
-                () = dismissed.notified(), if !leaves => false,
-                _ = phase.wait_for(|phase| *phase >= leaves_in), if !leaves => false,
-            };
-            leaves |= !late;
-            let midway = connection.codec().is_midway(connection.read_buffer());
-            if late && midway {
-                break Some(Err(Fault::TooSlow));
-            }
-            if leaves && !midway && connection.get_ref().next() != Next::Bytes {
-                break None;
-            }
+        self.idle.borrow_mut().insert(place, dismissed.clone());
+        let stream = connection.get_ref();
+        // What has come is looked at first: no request that was read goes without an answer.
+        let begins = tokio::select! {
+            biased;
+            come = stream.come() => come.is_ok(),
+            () = sleep_until(by) => false,
+            () = dismissed.notified() => false,
+            _ = phase.wait_for(|phase| *phase >= leaves_in) => false,
         };
-        self.idle.borrow_mut().remove(&number);
-        match next? {
-            Ok(request) => Some(Ok(request)),
-            Err(Fault::Io(_)) => None,
-            Err(fault) => Some(Err(Response::text(fault.status(), format!("{fault}\n")))),
+        self.idle.borrow_mut().remove(&place);
+        let begins = begins || stream.next() == Next::Bytes;
+        if !begins && opened.is_some() {
+            self.inputs.send(Input::Silent);
         }
+        begins
     }
 
     /// Has a request answered.
@@ -222,15 +255,63 @@
     }
 }
 
+/// Of idle connections in their order, the one whose end does least harm: one that has been silent for a while, else
+/// the one idle for longest. Danger: a client that has just connected loses its first request, which it does not
+/// send again; on a connection that has carried one it does.
+fn least_missed<'a>(
+    idle: impl Iterator<Item = &'a Place> + Clone, now: Instant, pause: Duration,
+) -> Option<Place> {
+    let first = |is_fresh: bool| idle.clone().find(|place| place.is_fresh == is_fresh).copied();
+    let (silent, used) = (first(true), first(false));
+    silent.filter(|place| now - place.since >= pause).or(used).or(silent)
+}
+
+/// Nothing but empty lines has come behind what was read.
+fn is_blank(connection: &Connection) -> bool {
+    let blank = |byte: &u8| matches!(byte, b'\r' | b'\n');
+    connection.read_buffer().iter().all(blank) && connection.get_ref().next() != Next::Bytes
+}
+
 /// Ends the sending side, then reads on for a moment. Danger: closing with bytes unread resets the
-/// connection, and the last answer may be lost on its way.
+/// connection, and the last answer may be lost on its way; but reading a body without end takes the core.
 async fn finish(connection: Connection, linger: Duration) {
     let mut stream = connection.into_inner();
     let end = async {
         let mut rest = [0; 1024];
         if stream.shutdown().await.is_ok() {
-            while matches!(stream.read(&mut rest).await, Ok(1..)) {}
+            let mut most = MOST_BODY;
+            while let Ok(length @ 1..) = stream.read(&mut rest).await
+                && length < most
+            {
+                most -= length;
+            }
         }
     };
     let _ = timeout(linger, end).await;
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_client_that_has_just_connected_is_dismissed_last() {
+        let now = Instant::now();
+        let pause = Duration::from_millis(100);
+        let place = |is_fresh: bool, age: u64| Place {
+            is_fresh,
+            since: now - Duration::from_millis(age),
+            number: age,
+        };
+        let least = |mut places: Vec<Place>| {
+            places.sort();
+            least_missed(places.iter(), now, pause)
+        };
+        let (young, mute, muter) = (place(true, 20), place(true, 150), place(true, 900));
+        let (used, long) = (place(false, 40), place(false, 3_000));
+        assert_eq!(least(vec![young, used, mute, long, muter]), Some(muter));
+        assert_eq!(least(vec![young, used, long]), Some(long));
+        assert_eq!(least(vec![young]), Some(young));
+        assert_eq!(least(vec![]), None);
+    }
+}
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -28,6 +28,8 @@
     refused_not_ready,
     refused_by_journal,
     bad_requests,
+    connections_silent,
+    connections_refused,
     sent,
     delivered,
     turned_away,
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -221,7 +221,7 @@
         self.written = true;
         let response = loop {
             // An interim answer may come long before the answer itself.
-            connection.get_ref().readable().await.map_err(|_| Outcome::Reset)?;
+            connection.get_ref().come().await.map_err(|_| Outcome::Reset)?;
             self.heard_at = Some(Instant::now());
             match timeout(pool.patience, connection.next()).await {
                 Ok(Some(Ok(response))) => break response,
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -477,6 +477,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         408 => "Request Timeout",
+        409 => "Conflict",
         413 => "Content Too Large",
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
--- a/crates/relay/src/io.rs
+++ b/crates/relay/src/io.rs
@@ -22,6 +22,9 @@
     },
     /// What a client sent was no request.
     BadRequest,
+    /// A connection was closed on which no request had come, or turned away as one too many.
+    Silent,
+    Crowded,
     /// The outcome of a call.
     Called {
         id: MessageId,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod config;
 pub mod counters;
 pub mod discovery;
+pub mod ended;
 pub mod hosts;
 pub mod http;
 pub mod inputs;
--- a/crates/relay/src/limits.rs
+++ b/crates/relay/src/limits.rs
@@ -33,7 +33,7 @@
         let descriptors = usize::try_from(limits.sockets).ok()?;
         let shared = descriptors.checked_sub(OWN + LEAVING + slots).filter(|shared| *shared >= 2)?;
         let by_memory = usize::try_from(memory / 2 / CLIENT).unwrap_or(usize::MAX).max(1);
-        let idle = shared / 2;
+        let idle = shared / 3;
         Some(Budget { clients: (shared - idle).min(by_memory), leaving: LEAVING, idle, held: memory / 4 })
     }
 }
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -18,8 +18,18 @@
     has_list: bool,
 }
 
+/// What a list tells.
+pub struct Told {
+    /// In the decisions' terms.
+    pub news: RegistryNews,
+    /// Hosts that were known and are gone.
+    pub gone: Vec<HostId>,
+    /// Entries of a kind that the settings don't have.
+    pub unknown: usize,
+}
+
 /// The number of a name. Peers speak of hosts by it, so that it must be the same at every relay.
-fn number(name: &str) -> u64 {
+pub fn number(name: &str) -> u64 {
     let mut hasher = SipHasher13::new();
     hasher.write(name.as_bytes());
     hasher.finish()
@@ -72,24 +82,25 @@
         value.filter(|limit: &f64| limit.is_finite() && *limit > 0.0)
     }
 
-    /// Takes over the list. Gives it in the decisions' terms, and how many entries are of a kind that the
-    /// settings don't have.
-    pub fn list(&mut self, list: &List) -> (RegistryNews, usize) {
+    /// Takes over the list.
+    pub fn list(&mut self, list: &List) -> Told {
         let known = list.targets.iter().filter_map(|target| Some((target, self.listed(target)?)));
         let (targets, entries): (Vec<&Target>, Vec<Listed>) = known.unzip();
-        if list.all {
-            let named: HashSet<HostId> = entries.iter().map(|entry| entry.host).collect();
-            self.hosts.retain(|host, _| named.contains(host));
-        }
+        let named: HashSet<HostId> = entries.iter().map(|entry| entry.host).collect();
+        let missing = |host: &HostId| list.all && !named.contains(host);
+        let mut gone: Vec<HostId> =
+            self.hosts.extract_if(|host, _| missing(host)).map(|(host, _)| host).collect();
         for (target, entry) in targets.iter().zip(&entries) {
-            match entry.lifecycle {
-                Lifecycle::Gone => self.hosts.remove(&entry.host),
-                _ => self.hosts.insert(entry.host, target.endpoint),
-            };
+            if entry.lifecycle == Lifecycle::Gone {
+                gone.extend(self.hosts.remove(&entry.host).map(|_| entry.host));
+            } else {
+                self.hosts.insert(entry.host, target.endpoint);
+            }
         }
         self.has_list |= !self.hosts.is_empty();
         let unknown = list.targets.len() - entries.len();
-        (if list.all { RegistryNews::Whole(entries) } else { RegistryNews::Changes(entries) }, unknown)
+        let news = if list.all { RegistryNews::Whole(entries) } else { RegistryNews::Changes(entries) };
+        Told { news, gone, unknown }
     }
 
     fn listed(&self, target: &Target) -> Option<Listed> {
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -13,13 +13,14 @@
 use crate::config::Change;
 use crate::counters::Counters;
 use crate::discovery::List;
+use crate::ended::EndedIds;
 use crate::hosts::{Call, Reply};
 use crate::http::{Headers, Request, Response};
 use crate::intake;
 use crate::io::{Effect, Input, Level, Step};
 use crate::journal::{self, Over, Past, Record, Restored};
 use crate::message::{End, Message};
-use crate::names::Names;
+use crate::names::{Names, Told};
 use crate::notices::Notice;
 
 /// A message on hand.
@@ -47,6 +48,7 @@
     names: Names,
     held: BTreeMap<MessageId, Held>,
     by_client_id: HashMap<String, MessageId>,
+    ended: EndedIds,
     /// The next message's number.
     next: u64,
     /// Bytes that messages on hand may take and do take.
@@ -69,7 +71,9 @@
 impl Reducer {
     /// `room` is for messages on hand, in bytes.
     pub fn new(deployment: Deployment, seed: u64, room: u64) -> Self {
+        let longest = deployment.settings.classes.iter().map(|class| class.deadline).max();
         Reducer {
+            ended: EndedIds::new(longest.unwrap_or(0)),
             brain: Brain::new(deployment.settings.clone(), seed),
             names: Names::new(deployment),
             held: BTreeMap::new(),
@@ -235,7 +239,9 @@
         match input {
             Input::Request { id, request } => events.extend(self.request(now, id, request)),
             Input::BadRequest => self.counters.bad_requests += 1,
-            Input::Called { id, attempt, reply } => events.push(self.called(id, attempt, reply)),
+            Input::Silent => self.counters.connections_silent += 1,
+            Input::Crowded => self.counters.connections_refused += 1,
+            Input::Called { id, attempt, reply } => events.push(self.called(now, id, attempt, reply)),
             Input::Probed { host, reply } => {
                 let limit = self.names.limit(reply.report.as_deref());
                 events.push(Event::Probed { host, outcome: reply.outcome, limit });
@@ -271,6 +277,9 @@
                 for number in numbers {
                     self.counters.notices_answered += u64::from(read);
                     self.step.records.push(Record::Ended { number });
+                    if let Some(held) = self.held.get(&MessageId(number)) {
+                        self.ended.add(now, &held.message.id, false);
+                    }
                     events.push(self.withdraw(MessageId(number)));
                 }
             }
@@ -357,6 +366,11 @@
             self.respond(id, Response::text(200, "on hand already\n"));
             return Ok(None);
         }
+        match self.ended.get(&message.id) {
+            Some(true) => return Err(Response::text(200, "delivered already\n")),
+            Some(false) => return Err(Response::text(409, "given up already\n")),
+            None => {}
+        }
         // Danger: the journal or the memory runs full, and what is on hand could not be brought to its end.
         if self.footprint + journal::footprint(&message) > self.room {
             self.counters.refused_by_journal += 1;
@@ -396,7 +410,7 @@
 
     // ---- Hosts and discovery
 
-    fn called(&mut self, id: MessageId, attempt: u32, reply: Reply) -> Event {
+    fn called(&mut self, now: Micros, id: MessageId, attempt: u32, reply: Reply) -> Event {
         let Reply { outcome, closed, took, report } = reply;
         let counters = &mut self.counters;
         *match outcome {
@@ -414,6 +428,7 @@
         {
             if closed {
                 self.step.records.push(Record::Ended { number });
+                self.ended.add(now, &held.message.id, outcome == Outcome::Ok);
                 self.forget(id);
             } else {
                 let how = match outcome {
@@ -430,7 +445,9 @@
     }
 
     fn list(&mut self, list: &List) -> Event {
-        let (news, unknown) = self.names.list(list);
+        let Told { news, gone, unknown } = self.names.list(list);
+        // Danger: over a long day, connections to hosts that are gone take the descriptors.
+        self.step.effects.extend(gone.into_iter().map(Effect::CloseIdle));
         if unknown > 0 {
             self.counters.list_entries_dropped += unknown as u64;
             self.log(Level::Warn, format!("{unknown} hosts of the list are of a kind not in the settings"));
--- a/crates/relay/src/ring.rs
+++ b/crates/relay/src/ring.rs
@@ -72,9 +72,12 @@
         }
     }
 
-    /// Waits until a read would meet something.
-    pub async fn readable(&self) -> io::Result<()> {
-        if self.inward.is_empty() { self.stream.readable().await } else { Ok(()) }
+    /// Waits until a read would meet bytes or an end. Danger: the reactor's word alone may be wrong.
+    pub async fn come(&self) -> io::Result<()> {
+        if self.inward.is_empty() {
+            self.stream.peek(&mut [0]).await?;
+        }
+        Ok(())
     }
 
     /// Moves what waits to the socket until nothing does.
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -175,7 +175,9 @@
         let (notices, told) = mpsc::unbounded_channel();
         let pace = notices::Pace { patience, pause };
         spawn_local(notices::tell(discovery.subscribe(), pace, told, inputs.clone()));
-        let pace = clients::Pace { patience: Duration::from_micros(brain::CLIENT_PATIENCE), pause };
+        let (patience, idle) =
+            (Duration::from_micros(brain::CLIENT_PATIENCE), Duration::from_micros(brain::CLIENT_IDLE));
+        let pace = clients::Pace { patience, idle, pause };
         let clients = Clients::new(budget, pace, inputs.clone());
         // Danger: a host closes an idle connection just as a call is written to it.
         let idle_close = settings.idle_close.saturating_sub(brain::PAUSE);
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -473,3 +473,58 @@
     };
     assert_eq!(play(), play());
 }
+
+#[test]
+fn an_id_that_was_delivered_or_given_up_does_not_run_again() {
+    let mut relay = Relay::new();
+    let call = calls(&relay.hand_in("m1", "transfer", None)).remove(0);
+    relay.called(&call, Outcome::Ok, true);
+    let step = relay.hand_in("m1", "transfer", None);
+    assert_eq!((statuses(&step), calls(&step).len()), (vec![200], 0));
+    let call = calls(&relay.hand_in("m2", "transfer", None)).remove(0);
+    let step = relay.called(&call, Outcome::Error, false);
+    assert_eq!(notices(&step), [("m2".to_owned(), End::Failed)]);
+    relay.step(vec![Input::Told { numbers: vec![2], read: true }]);
+    let step = relay.hand_in("m2", "transfer", None);
+    assert_eq!((statuses(&step), calls(&step).len()), (vec![409], 0));
+    // In the longest time that a message may take it is forgotten.
+    relay.pass(31 * SECOND);
+    let call = calls(&relay.hand_in("m3", "balance", None)).remove(0);
+    relay.called(&call, Outcome::Ok, true);
+    assert_eq!(statuses(&relay.hand_in("m1", "transfer", None)), [202]);
+}
+
+#[test]
+fn a_destination_that_was_never_listed_is_refused_at_once() {
+    let mut relay = Relay::new();
+    let mut request = relay.request("m1", "transfer", None);
+    if let Input::Request { request, .. } = &mut request {
+        let headers = [
+            ("Request-Id", "m1"),
+            ("Request-Class", "transfer"),
+            ("Tenant", "acme"),
+            ("Request-Timeout", "30"),
+            ("X-Envelope", "dest=99"),
+        ];
+        request.headers =
+            headers.into_iter().fold(Headers::default(), |all, (name, value)| all.with(name, value));
+    }
+    let step = relay.step(vec![request]);
+    assert_eq!((statuses(&step), step.records.len()), (vec![429], 0));
+    // One that was listed waits for a new host.
+    relay.step(vec![Input::Listed(list(&[("s-2", 8, "Ready")], true))]);
+    assert_eq!(statuses(&relay.hand_in("m2", "transfer", None)), [202]);
+}
+
+#[test]
+fn connections_to_hosts_that_are_gone_are_closed() {
+    let mut relay = Relay::new();
+    let closed =
+        |step: Step| step.effects.iter().filter(|effect| matches!(effect, Effect::CloseIdle(_))).count();
+    assert_eq!(
+        closed(relay.step(vec![Input::Listed(list(&[("s-1", 7, "Gone"), ("s-3", 7, "Ready")], false))])),
+        1
+    );
+    assert_eq!(closed(relay.step(vec![Input::Listed(list(&[("s-3", 7, "Ready")], true))])), 1);
+    assert_eq!(closed(relay.step(vec![Input::Listed(list(&[("s-3", 7, "Ready")], true))])), 0);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -68,13 +68,14 @@
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
 /// Waits of the caller (us): for news of the list; for an answer about it or to a notice, which come at once;
-/// until what failed is tried again, and for the last bytes on a connection; for the rest of a request.
+/// until what failed is tried again, and for the last bytes on a connection; for the first request on a
+/// connection or the rest of a later one; for the next request.
 pub const LIST_WAIT: Micros = 5_000_000;
 pub const ANSWER_PATIENCE: Micros = 500_000;
 pub const PAUSE: Micros = 100_000;
-pub const CLIENT_PATIENCE: Micros = 5_000_000;
-/// Once asked to stop, how long new connections may still come, and when to be gone (us): platforms wait a
-/// few seconds before they kill.
+pub const CLIENT_PATIENCE: Micros = 2_000_000;
+pub const CLIENT_IDLE: Micros = 5_000_000;
+/// Once asked to stop, how long new connections may still come, and when to be gone before a kill (us).
 pub const STOP_NOT_BEFORE: Micros = 1_000_000;
 pub const STOP_WITHIN: Micros = 3_300_000;
 
@@ -242,22 +243,25 @@
         self.tell_round();
         let mut shut = Vec::new();
         for (id, route) in &mut self.state.routes {
-            if close_round(route, self.outlook.contains_key(&id.0), &self.settings, self.now) {
-                shut.push(*id);
-            }
+            let waits = self.outlook.contains_key(&id.0);
+            shut.extend(close_round(route, waits, &self.settings, self.now).then_some(*id));
         }
         // Danger: shut, not limited: it may come back cold, and each sender sees a refusal or two at most.
         for host in shut.into_iter().flat_map(|id| self.state.closed_hosts(id)).collect::<Vec<_>>() {
             self.ail(host, TRIP, self.now, "refuses all");
         }
         self.keep = (self.keep * KEEP_REGROWTH).min(self.settings.idle_close as f64);
-        self.state.average_demand(2.0 * SAMPLE);
+        self.state.end_round(2.0 * SAMPLE, self.now);
     }
 
     // ---- Intake, worth and shedding
 
     /// Danger: a restart forgets an outage, and what is on hand rushes at a destination that comes back cold.
+    /// Danger: what no host will ever be listed for holds its place until its deadline.
     fn take_on(&mut self, request: Request) {
+        if request.history == History::default() && !self.state.knows(request.destination) {
+            return self.actions.push(Action::Refuse { id: request.id, retry_after: 0 });
+        }
         let closed = |host: &Host| request.history.failed && host.health == Health::Closed;
         let hosts = self.state.hosts_of(request.destination).filter(|(_, host)| closed(host));
         for id in hosts.map(|(id, _)| id).collect::<Vec<_>>() {
@@ -503,7 +507,6 @@
         if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. } | Outcome::Reset) {
             host.heard_at = now;
         }
-        let failed = !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
         match outcome {
             Outcome::Ok => {
                 route.fulls = 0;
@@ -541,7 +544,7 @@
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
-        self.state.mark(id, failed);
+        self.state.mark(id, !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot));
     }
 
     /// Books trouble that began at `since`; too much opens the host. Spells less than the overload rule's
@@ -594,8 +597,7 @@
         for (id, (sent_at, count)) in self.state.unanswered() {
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
-            let patience = patience(route) + patience(route) / count;
-            if !host.is_open() && now > since + patience {
+            if !host.is_open() && now > since + patience(route) + patience(route) / count {
                 self.ail(id, TRIP, since, "is silent");
             }
         }
@@ -662,8 +664,7 @@
 
     fn post(&mut self, to: Option<u16>, purpose: Purpose, record: Record) {
         if self.settings.may_tell && self.settings.senders > 1 {
-            let bytes = memo::encode(&Memo { purpose, record });
-            self.actions.push(Action::Tell { to, bytes });
+            self.actions.push(Action::Tell { to, bytes: memo::encode(&Memo { purpose, record }) });
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -371,8 +371,9 @@
         }
     }
 
-    /// Ends a round of demand; it has this weight in the mean.
-    pub fn average_demand(&mut self, weight: f64) {
+    /// Ends a round: its demand has this weight in the mean, and keys that rest no more are forgotten.
+    pub fn end_round(&mut self, weight: f64, now: Micros) {
+        self.keys.retain(|_, entry| !entry.queue.is_empty() || entry.rest_until > now);
         for (count, mean) in self.demand.values_mut() {
             *mean += (std::mem::take(count) - *mean) * weight;
         }
@@ -435,10 +436,17 @@
         }
         let key = message.request.key;
         self.messages.remove(&id);
-        if let Some(entry) = key.and_then(|key| self.keys.get_mut(&key)) {
+        if let Some((key, entry)) = key.and_then(|key| Some((key, self.keys.get_mut(&key)?))) {
             entry.queue.retain(|other| *other != id);
+            if entry.queue.is_empty() && entry.rest_until <= now {
+                self.keys.remove(&key);
+            }
         }
-        self.keys.retain(|_, entry| !entry.queue.is_empty() || entry.rest_until > now);
+    }
+
+    /// Whether a destination was ever listed, or none was at all.
+    pub fn knows(&self, destination: DestinationId) -> bool {
+        self.routes.is_empty() || self.routes_of(destination).next().is_some()
     }
 
     /// Whether a message is the first of its key and the key's rest is over.
@@ -595,10 +603,17 @@
                 route.listed = Some(entry.weight).filter(|_| settings.listing != Listing::Silent);
             }
         }
-        self.hosts.retain(|_, host| host.lifecycle != Lifecycle::Gone || host.calls > 0);
-        for destination in entries.iter().map(|entry| entry.destination).collect::<BTreeSet<_>>() {
-            self.count_hosts(destination);
+        // Danger: over a long day, what is kept of hosts that are gone fills the memory. That of one with calls
+        // out is forgotten with a later list.
+        let mut changed: BTreeSet<DestinationId> = entries.iter().map(|entry| entry.destination).collect();
+        for (_, host) in
+            self.hosts.extract_if(.., |_, host| host.lifecycle == Lifecycle::Gone && host.calls == 0)
+        {
+            changed.insert(host.route.0);
         }
+        self.routes.retain(|(_, host), _| host.is_none_or(|host| self.hosts.contains_key(&host)));
+        self.idle.retain(|host| self.hosts.contains_key(host));
+        changed.into_iter().for_each(|destination| self.count_hosts(destination));
     }
 
     /// Has a host that was never used take over the trouble of its route's others, if all of them are open.
@@ -628,3 +643,61 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::interface::{Kind, Lateness};
+
+    fn settings() -> Settings {
+        Settings {
+            me: 0,
+            zone: 0,
+            senders: 1,
+            classes: Vec::new(),
+            kinds: vec![Kind { routes_apart: true, bundle: 1 }],
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            lateness: Lateness::Linear,
+            slots: 8,
+            most_held: 50,
+            max_attempts: 3,
+            may_tell: false,
+            max_retry_after: 0,
+            idle_close: 1,
+            connect_timeout: 1,
+            ends_by_notice: false,
+            listing: Listing::Silent,
+            ask_registry: false,
+            ask_within: 0,
+            drain_grace: 0,
+            cold_share: 1.0,
+            cold_time: 1,
+            overload_factor: 1.0,
+            overload_window: 1,
+            order_rest: 0,
+        }
+    }
+
+    #[test]
+    fn nothing_is_kept_of_hosts_that_are_gone() {
+        let (mut state, settings) = (State::default(), settings());
+        let listed = |host, lifecycle| Listed {
+            host: HostId(host),
+            zone: 0,
+            kind: 0,
+            destination: host as DestinationId % 3,
+            lifecycle,
+            weight: 1.0,
+        };
+        for number in 0..300 {
+            let (first, whole) = (listed(number, Lifecycle::Ready), number % 2 == 0);
+            let gone = listed(number.saturating_sub(1), Lifecycle::Gone);
+            let entries = if whole || number == 0 { vec![first] } else { vec![gone, first] };
+            state.list(&entries, whole, &settings, |_| Route::default(), number);
+            state.idle.insert(HostId(number));
+        }
+        assert_eq!((state.hosts.len(), state.routes.len(), state.idle.len()), (1, 1, 1));
+        assert_eq!(state.index.values().map(BTreeSet::len).sum::<usize>(), 1);
+    }
+}
