--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -167,7 +167,7 @@
     Ok(Settings {
         me: wire.me,
         zone: wire.my_zone,
-        senders: wire.group_size,
+        senders: wire.group_size.max(1),
         classes: wire.classes.iter().map(class).collect::<Result<_, _>>()?,
         kinds,
         tenants: wire.tenants.iter().map(|tenant| Tenant { quota_per_s: tenant.quota_per_s }).collect(),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -67,9 +67,8 @@
 const LOOK: Micros = 25_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// Waits of the caller (us): for news of the list; for an answer about it or to a notice, which come at once;
-/// until what failed is tried again, and for the last bytes on a connection; for the first request on a
-/// connection or the rest of a later one; for the next request.
+/// Waits of the caller (us): for news of the list; for an answer about it or to a notice, or the rest of any;
+/// before what failed is tried again, or for last bytes; for the first or the rest of a request; for the next.
 pub const LIST_WAIT: Micros = 5_000_000;
 pub const ANSWER_PATIENCE: Micros = 500_000;
 pub const PAUSE: Micros = 100_000;
@@ -88,8 +87,9 @@
     /// How long what waits for a destination will take to go.
     outlook: BTreeMap<DestinationId, Micros>,
     agenda: Agenda,
-    /// Idle time for which connections are kept.
+    /// Idle time for which connections are kept, and the longest after which one was lately still of use.
     keep: f64,
+    proven: f64,
     /// When the caller stops; what is out by then is cut off.
     stop_at: Micros,
     actions: Vec<Action>,
@@ -180,8 +180,7 @@
 }
 
 impl Brain {
-    pub fn new(mut settings: Settings, seed: u64) -> Self {
-        settings.senders = settings.senders.max(1);
+    pub fn new(settings: Settings, seed: u64) -> Self {
         Brain {
             seed,
             now: 0,
@@ -189,6 +188,7 @@
             outlook: BTreeMap::new(),
             agenda: Agenda { ask_at: settings.ask_registry.then_some(0), ..Agenda::default() },
             keep: settings.idle_close as f64,
+            proven: 0.0,
             stop_at: Micros::MAX,
             actions: Vec::new(),
             settings,
@@ -228,8 +228,7 @@
             self.shed();
             self.dispatch();
         }
-        let wake = self.agenda.wake(self.state.messages.is_empty(), now);
-        self.actions.extend(wake.map(Action::Wake));
+        self.actions.extend(self.agenda.wake(self.state.messages.is_empty(), now).map(Action::Wake));
         std::mem::take(&mut self.actions)
     }
 
@@ -251,6 +250,7 @@
             self.ail(host, TRIP, self.now, "refuses all");
         }
         self.keep = (self.keep * KEEP_REGROWTH).min(self.settings.idle_close as f64);
+        self.proven *= KEEP_CUT;
         self.state.end_round(2.0 * SAMPLE, self.now);
     }
 
@@ -479,12 +479,14 @@
 
     /// Danger: idle connections of many senders fill a host's table and nobody gets through; or something
     /// between drops them unseen, and what is put on one is lost. Where a call that failed so is soon
-    /// followed by one served on a new connection, all are kept for less time. Harms: handshakes.
+    /// followed by one served on a new connection, all are kept for less time, if none idle for longer was of
+    /// use since: a call may be lost by chance. Harms: handshakes.
     fn learn_keep(&mut self, id: HostId, outcome: Outcome, idle_for: Option<Micros>) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         match (outcome, idle_for) {
             (Outcome::ConnectFailed, _) => host.lost = Some((self.now, self.keep)),
-            (Outcome::Timeout, Some(idle)) => host.lost = Some((self.now, idle as f64)),
+            (Outcome::Timeout, Some(idle)) => host.lost = Some((self.now, self.proven.max(idle as f64))),
+            (Outcome::Ok, Some(idle)) => self.proven = self.proven.max(idle as f64),
             (Outcome::Ok, None) => {
                 let lost = host.lost.take().filter(|(at, _)| self.now < at + self.settings.overload_window);
                 self.keep = lost.map_or(self.keep, |(_, idle)| self.keep.min(idle) * KEEP_CUT);
@@ -547,8 +549,8 @@
         self.state.mark(id, !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot));
     }
 
-    /// Books trouble that began at `since`; too much opens the host. Spells less than the overload rule's
-    /// window apart are one: a host that fails most calls lets some through.
+    /// Books trouble that began at `since`; too much opens the host. A host that fails most calls lets some
+    /// through: spells less than the overload rule's window apart are one.
     fn ail(&mut self, id: HostId, weight: f64, since: Micros, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         host.ail(weight, since, self.now, self.settings.overload_window);
@@ -563,8 +565,7 @@
         self.tell(id, false);
     }
 
-    /// Changes a host's health. Part of a permit is at hand, by chance: of many senders with small parts not
-    /// all must start late, nor all at once.
+    /// Changes a host's health. Part of a permit is at hand by chance: senders start neither late nor at once.
     fn turn(&mut self, id: HostId, health: Health, how: &str, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         (host.health, host.cold_tokens, host.cold_at) = (health, chance(self.now, self.seed), self.now);
@@ -591,8 +592,8 @@
     fn watch_health(&mut self) {
         let now = self.now;
         if self.keep < self.settings.idle_close as f64 {
-            let old = self.state.close_idle(self.keep as Micros, now);
-            self.actions.extend(old.into_iter().map(Action::CloseIdle));
+            let old = self.state.close_idle(self.keep as Micros, now).into_iter();
+            self.actions.extend(old.map(Action::CloseIdle));
         }
         for (id, (sent_at, count)) in self.state.unanswered() {
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
@@ -624,9 +625,8 @@
         };
         self.state.list(&entries, whole, &self.settings, new, self.now);
         // Danger: a new host of a destination that is out is as cold as the rest, and all would rush to it.
-        for entry in &entries {
-            self.state.inherit(entry.host, chance(self.now, self.seed), self.now);
-        }
+        let chance = chance(self.now, self.seed);
+        entries.iter().for_each(|entry| self.state.inherit(entry.host, chance, self.now));
     }
 
     /// Tells the homes of the routes in use of the round that ends; one of them, in turn, is asked for sums.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -414,9 +414,13 @@
     assert!(!actions.iter().any(|action| matches!(action, Action::Log(_))), "{actions:?}");
 }
 
-/// Hands in a message and ends its call, and the message with it, after 100 ms.
 fn call(sender: &mut Sender, outcome: Outcome) -> Vec<Action> {
-    let sent = sends(&sender.hand_in(FREE, 1).1)[0];
+    call_to(sender, 1, outcome)
+}
+
+/// Hands in a message and ends its call, and the message with it, after 100 ms.
+fn call_to(sender: &mut Sender, destination: DestinationId, outcome: Outcome) -> Vec<Action> {
+    let sent = sends(&sender.hand_in(FREE, destination).1)[0];
     sender.now += 100 * MILLI;
     let Event::Ended(ended) = sent.ended(outcome) else { unreachable!() };
     sender.step(vec![Event::Ended(Ended { closed: true, ..ended })])
@@ -440,6 +444,28 @@
     assert!(!closes_sooner_after(Outcome::Ok));
 }
 
+// Danger: one call that is lost by chance closes all idle connections, and each call pays for a new one.
+#[test]
+fn one_lost_call_does_not_outweigh_connections_that_idled_for_longer_and_still_worked() {
+    let closes = |pause: Micros| {
+        let mut sender = Sender::new(settings(), &[listed(1, 1, 40.0), listed(2, 2, 40.0)]);
+        // The first connection to a host is not kept.
+        for destination in [1, 1, 2, 2] {
+            call_to(&mut sender, destination, Outcome::Ok);
+        }
+        sender.pass(pause);
+        call_to(&mut sender, 2, Outcome::Ok);
+        call(&mut sender, Outcome::Ok);
+        sender.pass(50 * MILLI);
+        call(&mut sender, Outcome::Timeout);
+        let served = call(&mut sender, Outcome::Ok);
+        let actions = [served, sender.pass(200 * MILLI), call(&mut sender, Outcome::Ok)].concat();
+        actions.contains(&Action::CloseIdle(HostId(2)))
+    };
+    assert!(!closes(4 * SECOND));
+    assert!(closes(50 * MILLI));
+}
+
 #[test]
 fn connects_that_fail_between_served_calls_close_idle_connections_sooner() {
     assert!(closes_sooner_after(Outcome::ConnectFailed));
