A stopping relay serves what still comes for 2 s; only failures of seconds slow a restart

At fault: serve.rs closed clients' connections at the signal; take_on took any failure before the restart for an outage.

Now health turns 503 at once, and what still comes is taken on for 2 s.

--- a/crates/relay/src/io.rs
+++ b/crates/relay/src/io.rs
@@ -58,10 +58,11 @@
     },
     /// The configuration was read again: what is new in it, or what is wrong with it.
     Configured(Result<Change, String>),
-    /// The process ends then; what is out by then is cut off.
+    /// The process ends then; what is out by then is cut off. New requests are taken on until `Close`.
     Stop {
         by: Micros,
     },
+    Close,
 }
 
 /// What is to be done outside, once the step's records are in the journal.
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -61,6 +61,11 @@
     Ended {
         number: u64,
     },
+    /// Behind `Taken`, where it is written anew.
+    FailedAt {
+        number: u64,
+        at: Micros,
+    },
 }
 
 /// What is known of an attempt that is over.
@@ -82,6 +87,10 @@
     pub ran: Option<Micros>,
     /// An attempt failed, other than by being turned away.
     pub failed: bool,
+    /// When the first one that did was sent, if that is known; in a record of its own, as the format's first
+    /// version had none.
+    #[serde(skip)]
+    pub failed_at: Option<Micros>,
 }
 
 impl fmt::Display for Past {
@@ -94,7 +103,9 @@
 impl Past {
     /// Books the end of an attempt that was sent at `at`.
     pub fn book(&mut self, at: Micros, how: Over) {
-        self.failed |= how != Over::Unseen;
+        if how != Over::Unseen && !self.failed {
+            (self.failed, self.failed_at) = (true, Some(at));
+        }
         self.ran = self.ran.or(Some(at).filter(|_| how == Over::MayHaveRun));
     }
 }
@@ -112,6 +123,7 @@
             }
             Record::Closing { number, end } => write!(f, "{number} given up, {end}"),
             Record::Ended { number } => write!(f, "{number} ended"),
+            Record::FailedAt { number, at } => write!(f, "{number} first failed attempt started at {at}"),
         }
     }
 }
@@ -225,6 +237,11 @@
                 self.messages.remove(&number);
                 self.out.remove(&number);
             }
+            Record::FailedAt { number, at } => {
+                if let Some(restored) = self.messages.get_mut(&number) {
+                    restored.past.failed_at = Some(at);
+                }
+            }
         }
     }
 
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -54,7 +54,9 @@
     /// Bytes that messages on hand may take and do take.
     room: u64,
     footprint: u64,
+    /// Asked to stop, and taking on nothing any more.
     stopping: bool,
+    closed: bool,
     /// Until discovery has been asked: the list as last known, and what the journal told.
     start: Option<Start>,
     /// Discovery, and the platform for notices, did not answer last time.
@@ -82,6 +84,7 @@
             room,
             footprint: 0,
             stopping: false,
+            closed: false,
             start: None,
             list_fails: false,
             notices_fail: false,
@@ -112,6 +115,7 @@
             let (number, message) = (id.0, held.message.clone());
             let attempts = held.past.attempts - u32::from(held.out.is_some());
             records.push(Record::Taken { number, message, past: Past { attempts, ..held.past } });
+            records.extend(held.past.failed_at.map(|at| Record::FailedAt { number, at }));
             records.extend(held.out.map(|(_, at)| Record::Started { number, at }));
             records.extend(held.closing.map(|end| Record::Closing { number, end }));
         }
@@ -301,9 +305,13 @@
             }
             Input::Stop { by } => {
                 self.stopping = true;
-                self.log(Level::Info, "stopping: new requests are refused".to_owned());
+                self.log(Level::Info, "stopping: it is ready no more".to_owned());
                 events.push(Event::Stop { by });
             }
+            Input::Close => {
+                self.closed = true;
+                self.log(Level::Info, "stopping: new requests are refused".to_owned());
+            }
         }
     }
 
@@ -357,9 +365,9 @@
         let message = intake::message(now, request)?;
         let number = MessageId(self.next);
         let order = self.names.request(number, &message).map_err(|text| Response::text(422, text))?;
-        if self.stopping || self.start.is_some() {
+        if self.closed || self.start.is_some() {
             self.counters.refused_not_ready += 1;
-            return Err(Response { keep_alive: !self.stopping, ..Response::text(503, "not ready\n") });
+            return Err(Response { keep_alive: !self.closed, ..Response::text(503, "not ready\n") });
         }
         // Danger: a client whose connection was closed sends the same request once more, and it would run twice.
         if self.by_client_id.contains_key(&message.id) {
@@ -403,8 +411,10 @@
             (None, None) => self.close(id, End::Failed),
             (None, Some(_)) => {}
         }
-        let (Past { attempts, ran, failed }, cut_at) = (past, cut.then_some(now));
-        let history = History { attempts, ran, failed, cut_at, over: closing.is_some() };
+        let (Past { attempts, ran, failed, failed_at }, cut_at) = (past, cut.then_some(now));
+        // An older journal does not tell when.
+        let failed_at = failed_at.or(failed.then_some(0));
+        let history = History { attempts, ran, failed_at, cut_at, over: closing.is_some() };
         order.map(|order| Event::Message(Order { history, ..order }))
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -64,6 +64,7 @@
     let (inputs, mut incoming) = Inputs::new();
     let mut relay = Relay::start(config, folder, log, inputs).await?;
     let mut stop_at: Option<Micros> = None;
+    let mut closed = false;
     loop {
         let wake = relay.wake_at.map(|at| Instant::from_std(relay.clock.instant(at)));
         let timer = async {
@@ -99,14 +100,19 @@
             let by = now + brain::STOP_WITHIN;
             stop_at = Some(by);
             batch.push(Input::Stop { by });
+        }
+        // Danger: those that may not know yet that this one stops are refused, and the others get all at once.
+        let close_at = stop_at.map(|by| by - brain::STOP_WITHIN + brain::STOP_TAKING);
+        if !closed && close_at.is_some_and(|at| now >= at) {
+            closed = true;
+            batch.push(Input::Close);
             relay.clients.stop();
         }
         relay.wake_at = relay.wake_at.filter(|at| *at > now);
         let step = relay.reducer.step(now, batch);
         relay.carry_out(step);
         if let Some(by) = stop_at {
-            let early = now + brain::STOP_WITHIN >= by + brain::STOP_NOT_BEFORE;
-            if now >= by || (early && relay.reducer.held() == 0 && relay.clients.open() == 0) {
+            if now >= by || (closed && relay.reducer.held() == 0 && relay.clients.open() == 0) {
                 break;
             }
             // Danger: a request that is read in the last moment goes without an answer.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -74,8 +74,8 @@
 pub const PAUSE: Micros = 100_000;
 pub const CLIENT_PATIENCE: Micros = 2_000_000;
 pub const CLIENT_IDLE: Micros = 5_000_000;
-/// Once asked to stop, how long new connections may still come, and when to be gone before a kill (us).
-pub const STOP_NOT_BEFORE: Micros = 1_000_000;
+/// Once asked to stop, how long what still comes is taken on, and how long it may take in all (us).
+pub const STOP_TAKING: Micros = 2_000_000;
 pub const STOP_WITHIN: Micros = 3_300_000;
 
 /// The decisions of one sender.
@@ -256,13 +256,15 @@
 
     // ---- Intake, worth and shedding
 
-    /// Danger: a restart forgets an outage, and what is on hand rushes at a destination that comes back cold.
-    /// Danger: what no host will ever be listed for holds its place until its deadline.
+    /// Danger: what no host will ever be listed for holds its place until its deadline. Danger: a restart forgets
+    /// an outage, and what is on hand rushes at a destination that comes back cold, if it was out for long.
     fn take_on(&mut self, request: Request) {
         if request.history == History::default() && !self.state.knows(request.destination) {
             return self.actions.push(Action::Refuse { id: request.id, retry_after: 0 });
         }
-        let closed = |host: &Host| request.history.failed && host.health == Health::Closed;
+        let failed =
+            request.history.failed_at.is_some_and(|at| at + self.settings.overload_window <= self.now);
+        let closed = |host: &Host| failed && host.health == Health::Closed;
         let hosts = self.state.hosts_of(request.destination).filter(|(_, host)| closed(host));
         for id in hosts.map(|(id, _)| id).collect::<Vec<_>>() {
             self.turn(id, Health::SlowStart { since: self.now }, "slow start", "failed before the restart");
@@ -590,15 +592,14 @@
     /// repeated. Covers hangs, lost machines and broken paths alike; harms where all calls are slow. One
     /// unanswered call says less than several.
     fn watch_health(&mut self) {
-        let now = self.now;
         if self.keep < self.settings.idle_close as f64 {
-            let old = self.state.close_idle(self.keep as Micros, now).into_iter();
+            let old = self.state.close_idle(self.keep as Micros, self.now).into_iter();
             self.actions.extend(old.map(Action::CloseIdle));
         }
         for (id, (sent_at, count)) in self.state.unanswered() {
             let Some((host, route)) = self.state.host_and_route(id) else { continue };
             let since = host.heard_at.max(sent_at);
-            if !host.is_open() && now > since + patience(route) + patience(route) / count {
+            if !host.is_open() && self.now > since + patience(route) + patience(route) / count {
                 self.ail(id, TRIP, since, "is silent");
             }
         }
@@ -672,8 +673,7 @@
     fn hear(&mut self, from: u16, bytes: &[u8]) {
         let Some(memo) = memo::decode(bytes).filter(|_| from < self.settings.senders) else { return };
         let (told, now, senders) = (memo.record, self.now, self.settings.senders);
-        let id = (told.destination, told.host);
-        let waits = self.outlook.contains_key(&id.0);
+        let (id, waits) = ((told.destination, told.host), self.outlook.contains_key(&told.destination));
         let from_home = || homes(id.0, senders, now).contains(&from);
         match (memo.purpose, told.host.zip(told.up), self.state.routes.get_mut(&id)) {
             (Purpose::News, Some((host, up)), _) => self.weigh(from, host, up),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -229,8 +229,8 @@
     pub attempts: u32,
     /// When the first attempt that may have run was sent.
     pub ran: Option<Micros>,
-    /// An attempt was seen to fail, other than by being turned away.
-    pub failed: bool,
+    /// When the first attempt that was seen to fail, other than by being turned away, was sent.
+    pub failed_at: Option<Micros>,
     /// When an attempt was cut off, if one was out at the end; it may still run.
     pub cut_at: Option<Micros>,
     /// It was given up; its end is yet to be told.
