--- a/src/brain.rs
+++ b/src/brain.rs
@@ -206,7 +206,7 @@
                 Event::Message(request) => self.take_on(request),
                 Event::Withdrawn(id) => self.state.withdraw(id, now),
                 Event::Timer => {}
-                Event::Stop { by } => self.stop_at = by,
+                Event::Stop { by } => (self.stop_at, self.agenda.round_at) = (by, by.max(ROUND) - ROUND / 2),
                 Event::Ended(ended) => self.conclude(ended),
                 Event::Probed { host, outcome, limit } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
@@ -632,18 +632,17 @@
 
     /// Tells the homes of the routes in use of the round that ends; one of them, in turn, is asked for sums.
     fn tell_round(&mut self) {
-        let me = self.settings.me;
+        let (me, senders) = (self.settings.me, self.settings.senders);
+        let leaves = self.now + ROUND > self.stop_at;
         let mut records = Vec::new();
         for (id, route) in &self.state.routes {
             let waits = self.outlook.contains_key(&id.0);
-            if !waits && route.used == 0.0 {
-                continue;
-            }
-            let homes = homes(id.0, self.settings.senders, self.now);
+            let homes = if waits || route.used > 0.0 { homes(id.0, senders, self.now) } else { vec![] };
             let unsure = route.bound || self.settings.listing == Listing::Silent;
             for home in homes.iter().filter(|home| **home != me) {
                 let asks = unsure && *home == homes[0] && !route.is_home;
-                let report = report(route, waits);
+                // Danger: what a sender that stops had lies idle until its reports are old.
+                let report = if leaves { report(route, waits).parting() } else { report(route, waits) };
                 records.push((*home, Record { destination: id.0, host: id.1, report, asks, up: None }));
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -116,6 +116,11 @@
 }
 
 impl Report {
+    /// What a sender that leaves reports: it used its permits, and has none any more.
+    pub fn parting(self) -> Self {
+        Report { used: self.used, refused: self.refused, ..Report::default() }
+    }
+
     /// What a sender without a newer report has done since.
     pub fn idle(self) -> Self {
         Report { full: 0.0, spare: self.designated, used: 0.0, refused: 0.0, ..self }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -717,6 +717,34 @@
     assert_eq!(refused(&actions), []);
 }
 
+// Danger: the permits of a sender that stops lie idle until its reports are old, and what comes to the others waits.
+#[test]
+fn a_sender_that_stops_passes_on_all_its_permits() {
+    let told = |stops: bool| {
+        let mut sender = Sender::new(settings(), &[listed(1, 1, 8.0)]);
+        bind(&mut sender);
+        let mut actions = sender.pass(SECOND);
+        if stops {
+            sender.step(vec![Event::Stop { by: sender.now + 3_300 * MILLI }]);
+        }
+        clump(&mut sender, 3);
+        actions.clear();
+        actions.extend(sender.pass(2_400 * MILLI));
+        let report = |action: &Action| match action {
+            Action::Tell { bytes, .. } => memo::decode(bytes).filter(|memo| memo.purpose == Purpose::Round),
+            _ => None,
+        };
+        actions.iter().filter_map(report).next_back().expect("a report").record.report
+    };
+    let (goes_on, stops) = (told(false), told(true));
+    assert!(goes_on.senders > 0.0 && goes_on.designated > 0.0, "{goes_on:?}");
+    assert_eq!((stops.senders, stops.designated, stops.spare), (0.0, 0.0, 0.0));
+    assert!(stops.used > 0.0, "{stops:?}");
+    // The other has the whole pool with its next round.
+    let mine = report(8.0, 8.0);
+    assert_eq!(reallocate(&mine, &(mine + stops)), 1.0);
+}
+
 // Danger: a restart forgets an outage, and what is on hand rushes at a destination that comes back cold.
 #[test]
 fn a_destination_that_failed_before_a_restart_starts_slowly() {
