--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -107,6 +107,7 @@
                 took: wire_time(record.f64(21))?,
                 closed: record.u8(29) != 0,
                 limit: limit(record, 34),
+                carrier: None,
             }),
             10 => Event::Message(self.request(record)?),
             // A stream's start: the attempt is the client's, and its outcome still follows.
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use futures_util::{SinkExt, StreamExt};
-use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
+use pewterseam::interface::{Carrier, HostId, MessageId, Micros, Outcome};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -40,6 +40,7 @@
     pub took: Micros,
     /// The load report, as it was written.
     pub report: Option<String>,
+    pub carrier: Carrier,
 }
 
 /// What an answer to a call means: the protocol's table, and whether the message is over.
@@ -87,14 +88,14 @@
 }
 
 impl Pool {
-    /// The connection that was used last, if one can still be used.
-    fn take(&self, host: HostId, address: SocketAddr) -> Option<Connection> {
+    /// The connection that was used last, if one can still be used, and how long it has been idle.
+    fn take(&self, host: HostId, address: SocketAddr) -> Option<(Connection, Duration)> {
         let mut idle = self.idle.borrow_mut();
         let of_host = idle.get_mut(&host)?;
         of_host.retain(|kept| kept.address == address && kept.since.elapsed() < self.idle_close);
         while let Some(kept) = of_host.pop() {
             if is_quiet(&kept.connection) {
-                return Some(kept.connection);
+                return Some((kept.connection, kept.since.elapsed()));
             }
         }
         None
@@ -147,11 +148,11 @@
         self.calls.borrow_mut().insert(key, stop);
         let (pool, calls, inputs) = (self.pool.clone(), self.calls.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
-            let (took, ended) = run(&pool, &call, stopped).await;
+            let (took, carrier, ended) = run(&pool, &call, stopped).await;
             calls.borrow_mut().remove(&key);
             let (outcome, closed) = ended.as_ref().map_or_else(|outcome| (*outcome, false), called);
             let report = ended.as_ref().ok().and_then(report);
-            let reply = Reply { outcome, closed, took, report };
+            let reply = Reply { outcome, closed, took, report, carrier };
             inputs.send(Input::Called { id: call.id, attempt: call.attempt, reply });
         });
     }
@@ -163,11 +164,12 @@
         let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
         tokio::task::spawn_local(async move {
             let (_stop, stopped) = oneshot::channel();
-            let (took, ended) = run(&pool, &call, stopped).await;
+            let (took, carrier, ended) = run(&pool, &call, stopped).await;
             let outcome = ended.as_ref().map_or_else(|outcome| *outcome, probed);
             let body = |response: &Response| String::from_utf8(response.body.to_vec()).ok();
             let report = ended.as_ref().ok().and_then(|response| report(response).or_else(|| body(response)));
-            inputs.send(Input::Probed { host, reply: Reply { outcome, closed: false, took, report } });
+            let reply = Reply { outcome, closed: false, took, report, carrier };
+            inputs.send(Input::Probed { host, reply });
         });
     }
 
@@ -183,13 +185,14 @@
     }
 }
 
-/// Makes a call and waits for its answer, or for how else it ends; tells how long that took. What is dropped
-/// midway closes its connection.
+/// Makes a call and waits for its answer, or for how else it ends; tells how long that took and on what. What is
+/// dropped midway closes its connection.
 async fn run(
     pool: &Pool, call: &Call, stopped: oneshot::Receiver<()>,
-) -> (Micros, Result<Response, Outcome>) {
+) -> (Micros, Carrier, Result<Response, Outcome>) {
     let start = Instant::now();
-    let mut exchange = Exchange::default();
+    let carrier = Carrier { idle_for: None, kept: false };
+    let mut exchange = Exchange { connection: None, carrier, written: false, heard_at: None };
     let limit = Duration::from_micros(call.timeout);
     let ended = tokio::select! {
         biased;
@@ -197,13 +200,13 @@
         _ = stopped => Err(Outcome::Cancelled),
     };
     let took = exchange.heard_at.unwrap_or_else(Instant::now) - start;
-    (took.as_micros() as Micros, ended.or_else(|outcome| exchange.fall_back(outcome)))
+    (took.as_micros() as Micros, exchange.carrier, ended.or_else(|outcome| exchange.fall_back(outcome)))
 }
 
 /// A call under way, and what is known of it should it be given up.
-#[derive(Default)]
 struct Exchange {
     connection: Option<Connection>,
+    carrier: Carrier,
     /// The whole call was handed to the connection.
     written: bool,
     /// When the first byte of an answer came.
@@ -213,7 +216,10 @@
 impl Exchange {
     async fn run(&mut self, pool: &Pool, call: &Call) -> Result<Response, Outcome> {
         let connection = match pool.take(call.host, call.address) {
-            Some(connection) => connection,
+            Some((connection, idle)) => {
+                self.carrier.idle_for = Some(idle.as_micros() as Micros);
+                connection
+            }
             None => connect(call).await.ok_or(Outcome::ConnectFailed)?,
         };
         let connection = self.connection.insert(connection);
@@ -238,6 +244,7 @@
         if let Some(connection) = self.connection.take().filter(|kept| response.keep_alive && is_quiet(kept))
         {
             pool.put(call.host, call.address, connection);
+            self.carrier.kept = true;
         }
         Ok(response)
     }
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -21,8 +21,10 @@
 const MOST_PAYLOAD: usize = 1024 * 1024;
 /// Files are counted in units of this many bytes.
 const BLOCK: u64 = 512;
-/// A message's attempts and end fit in this many bytes; kept free for each message taken on.
-const LIFE: u64 = 640;
+/// What a message takes beside its texts and body when it is written anew, at the most: frames and numbers, an
+/// attempt that is out, its first failure and its end. Attempts that are over go with the next writing anew.
+/// Danger: room that is kept free for nothing has messages refused that could be held.
+const LIFE: u64 = 160;
 /// Parts of the folder's limit: messages on hand, and all segments when they are written anew. A step may add
 /// as much as may be on hand, and then old and new segments lie side by side for a moment: 0.9 in all.
 const MOST_LIVE: f64 = 0.25;
@@ -156,7 +158,7 @@
     }
 }
 
-/// Bytes of the journal that a message takes, its attempts and end included.
+/// Bytes of the journal that a message takes when it is written anew, at the most.
 pub fn footprint(message: &Message) -> u64 {
     let key = message.key.as_ref().map_or(0, String::len);
     let texts = message.id.len() + message.class.len() + message.tenant.len() + key;
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -181,7 +181,15 @@
                         held.out = None;
                     }
                     let (outcome, took, closed, limit) = (Outcome::Moot, 0, false, None);
-                    events.push(Event::Ended(Ended { id, attempt, outcome, took, closed, limit }));
+                    events.push(Event::Ended(Ended {
+                        id,
+                        attempt,
+                        outcome,
+                        took,
+                        closed,
+                        limit,
+                        carrier: None,
+                    }));
                 }
                 other => self.step.effects.push(other),
             }
@@ -421,7 +429,7 @@
     // ---- Hosts and discovery
 
     fn called(&mut self, now: Micros, id: MessageId, attempt: u32, reply: Reply) -> Event {
-        let Reply { outcome, closed, took, report } = reply;
+        let Reply { outcome, closed, took, report, carrier } = reply;
         let counters = &mut self.counters;
         *match outcome {
             Outcome::Ok => &mut counters.delivered,
@@ -451,7 +459,7 @@
             }
         }
         let limit = self.names.limit(report.as_deref());
-        Event::Ended(Ended { id, attempt, outcome, took, closed, limit })
+        Event::Ended(Ended { id, attempt, outcome, took, closed, limit, carrier: Some(carrier) })
     }
 
     fn list(&mut self, list: &List) -> Event {
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use common::settings;
-use pewterseam::interface::{Micros, Outcome};
+use pewterseam::interface::{Carrier, Micros, Outcome};
 use pewterseam_relay::clients::RequestId;
 use pewterseam_relay::discovery::List;
 use pewterseam_relay::hosts::{Call, Reply};
@@ -22,6 +22,7 @@
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use serde_json::json;
 
+const CARRIER: Carrier = Carrier { idle_for: None, kept: true };
 const START: Micros = 1_700_000_000_000_000;
 const MILLI: Micros = 1_000;
 /// For which repeats of the guarded class are dropped.
@@ -183,7 +184,13 @@
         let known = self.of(&call);
         known.ran = known.ran.or(Some(at).filter(|_| outcome.may_have_run()));
         known.delivered |= outcome == Outcome::Ok;
-        let reply = Reply { outcome, closed: outcome == Outcome::Ok, took: 100 * MILLI, report: None };
+        let reply = Reply {
+            outcome,
+            closed: outcome == Outcome::Ok,
+            took: 100 * MILLI,
+            report: None,
+            carrier: CARRIER,
+        };
         Some(Input::Called { id: call.id, attempt: call.attempt, reply })
     }
 
--- a/crates/relay/tests/journal.rs
+++ b/crates/relay/tests/journal.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use pewterseam_relay::journal::{History, Journal, Over, Past, Record, Restored, read};
+use pewterseam_relay::journal::{History, Journal, Over, Past, Record, Restored, footprint, read};
 use pewterseam_relay::message::{End, Message};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
@@ -183,6 +183,29 @@
     assert_eq!(history(folder.path()), History { messages, next: 502, dropped: 0 });
 }
 
+// Danger: too little room kept free and the folder runs over; too much, and messages are refused that could be held.
+#[test]
+fn a_message_takes_no_more_than_its_footprint_when_written_anew_and_not_much_less() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut journal, _) = Journal::open(folder.path(), LIMIT).expect("opened");
+    let at = u64::MAX / 2;
+    let past = Past { attempts: u32::MAX, ran: Some(at), failed: true, failed_at: Some(at) };
+    let mut records = Vec::new();
+    let mut footprints = 0;
+    for number in at..at + 800 {
+        let message = Message { deadline: at, destination: u32::MAX, ..message(number, 500) };
+        footprints += footprint(&message);
+        records.push(Record::Taken { number, message, past });
+        records.push(Record::FailedAt { number, at });
+        records.push(Record::Started { number, at });
+        records.push(Record::Closing { number, end: End::Returned { after_ms: at } });
+    }
+    journal.write_anew(at, &records).expect("written");
+    assert!(on_disk(folder.path()) <= footprints + 512, "{} of {footprints}", on_disk(folder.path()));
+    assert!(footprints <= on_disk(folder.path()) * 5 / 4, "{footprints} for {}", on_disk(folder.path()));
+    assert!(journal.room() / footprint(&message(1, 500)) > 1_000);
+}
+
 #[test]
 fn a_death_while_writing_anew_loses_nothing_and_brings_nothing_back() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use common::*;
-use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
+use pewterseam::interface::{Carrier, HostId, MessageId, Micros, Outcome};
 use pewterseam_relay::discovery::{self, Watch};
 use pewterseam_relay::hosts::{Call, Hosts, Reply};
 use pewterseam_relay::http::{Headers, Request};
@@ -118,10 +118,14 @@
         let mut caller = Caller::new(15 * SECOND, 10);
         for _ in 0..5 {
             let reply = caller.call(host.address).await;
+            assert!(reply.carrier.kept);
             // Danger: the time to the first byte of an answer comes out too short, and slow hosts count as silent.
             assert!(reply.outcome == Outcome::Ok && reply.took >= 30_000, "{reply:?}");
         }
         assert_eq!(host.connections(), 1);
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        let idle_for = caller.call(host.address).await.carrier.idle_for;
+        assert!(idle_for.is_some_and(|idle| idle >= 20_000), "{idle_for:?}");
         for _ in 0..3 {
             caller.start(host.address, 5 * SECOND);
         }
@@ -231,6 +235,8 @@
             let host = StandIn::start(move |_| Some(bytes.as_bytes().to_vec()));
             let reply = caller.call(host.address).await;
             assert_eq!((reply.outcome, reply.closed), (outcome, outcome == Outcome::Ok), "{bytes:?}");
+            // Danger: what is closed counts as an idle connection.
+            assert_eq!(reply.carrier, Carrier { idle_for: None, kept: false }, "{bytes:?}");
             // The host was heard at once, whatever was waited for then.
             assert!(reply.took < ANSWER_PATIENCE, "{bytes:?}: {}", reply.took);
             caller.call(host.address).await;
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use common::settings;
-use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
+use pewterseam::interface::{Carrier, HostId, MessageId, Micros, Outcome};
 use pewterseam_relay::clients::RequestId;
 use pewterseam_relay::discovery::List;
 use pewterseam_relay::hosts::{Call, Reply};
@@ -17,6 +17,7 @@
 use pewterseam_relay::reducer::Reducer;
 use serde_json::{Value, json};
 
+const CARRIER: Carrier = Carrier { idle_for: None, kept: true };
 const START: Micros = 1_700_000_000_000_000;
 const SECOND: Micros = 1_000_000;
 
@@ -86,7 +87,7 @@
     }
 
     fn called(&mut self, call: &Call, outcome: Outcome, closed: bool) -> Step {
-        let reply = Reply { outcome, closed, took: 100_000, report: None };
+        let reply = Reply { outcome, closed, took: 100_000, report: None, carrier: CARRIER };
         self.step(vec![Input::Called { id: call.id, attempt: call.attempt, reply }])
     }
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 const CUT: f64 = 0.75;
 /// Factor on the pool after a well used round without refusals: slow, one cut takes three rounds to undo.
 const REGROWTH: f64 = 1.12;
-/// Part of its source below which the pool is not cut: refusals far below a limit have another reason.
+/// Part of its source below which the pool is never: refusals there have another reason, or a limit was raised.
 const LEAST_POOL_PART: f64 = 0.75;
 /// Least pool (calls a second), so that a route never seen to serve is tried at all.
 const LEAST_POOL: f64 = 1.0;
@@ -149,12 +149,13 @@
     }
     if route.bound {
         if refused > 0.0 && served > 0.0 {
-            route.pool = (route.pool * CUT).max(served).max(source(route) * LEAST_POOL_PART);
+            route.pool = (route.pool * CUT).max(served);
         } else if refused == 0.0 && used > route.pool * WELL_USED {
             let exact = settings.listing == Listing::Nominal || route.told.is_some();
             let most = if exact { source(route) } else { f64::MAX };
             route.pool = (route.pool * REGROWTH).min(most.max(route.pool));
         }
+        route.pool = route.pool.max(source(route) * LEAST_POOL_PART);
         // One that was idle until its report expired, or hears nothing of the others, takes an even slice.
         let told = route.is_home || route.rest.is_some_and(|(at, _)| at + EXPIRY > now);
         let slack = if refused > 0.0 || !told { 0.0 } else { (route.pool - used).max(0.0) };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -237,6 +237,15 @@
     pub over: bool,
 }
 
+/// The connection of an attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Carrier {
+    /// How long it had been idle; none for a new one.
+    pub idle_for: Option<Micros>,
+    /// It is idle now, and may carry another.
+    pub kept: bool,
+}
+
 /// The end of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
@@ -248,6 +257,8 @@
     pub closed: bool,
     /// Calls a second that the destination says it takes; none where it told nothing.
     pub limit: Option<f64>,
+    /// None where the caller does not know.
+    pub carrier: Option<Carrier>,
 }
 
 /// What happened, in order of arrival.
--- a/src/state.rs
+++ b/src/state.rs
@@ -536,7 +536,10 @@
         }
         let call = self.calls.get_mut(&attempt.call)?;
         call.members -= 1;
-        let idle_for = call.idle_for;
+        // Danger: a connection that was closed, by a host or with a spoilt answer, counts as idle.
+        let idle_for = ended.carrier.map_or(call.idle_for, |carrier| carrier.idle_for);
+        let usual = matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. });
+        let kept = ended.carrier.map_or(usual, |carrier| carrier.kept);
         let first = !std::mem::replace(&mut call.judged, true);
         if call.members == 0 {
             let trial = call.trial;
@@ -544,7 +547,7 @@
             if let Some(host) = self.hosts.get_mut(&attempt.host) {
                 host.calls -= 1;
                 host.trial &= !trial;
-                if matches!(outcome, Outcome::Ok | Outcome::Error | Outcome::Full { .. }) {
+                if kept {
                     host.idle.push(now);
                     self.idle.insert(attempt.host);
                 }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -444,6 +444,62 @@
     assert!(!closes_sooner_after(Outcome::Ok));
 }
 
+// Danger: a limit was lowered for a while, and long after it was raised again the pool creeps up from there.
+#[test]
+fn a_limit_that_is_raised_again_is_used_at_once() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 40.0)]);
+    bind(&mut sender);
+    let mut served_at = |limit: u64, seconds: u64| {
+        let mut served = 0;
+        for _ in 0..seconds {
+            let mut room = limit;
+            for _ in 0..50 {
+                let mut actions = sender.pass(20 * MILLI);
+                actions.extend(sender.hand_in(FREE, 1).1);
+                let mut out = sends(&actions);
+                while let Some(sent) = out.pop() {
+                    let outcome = if room > 0 { Outcome::Ok } else { Outcome::Full { wait: 0 } };
+                    served += room.min(1);
+                    room = room.saturating_sub(1);
+                    for attempt in 0..6 {
+                        let Event::Ended(ended) = Sent { attempt, ..sent }.ended(outcome) else {
+                            unreachable!()
+                        };
+                        let ended = Ended { limit: Some(limit as f64), ..ended };
+                        out.extend(sends(&sender.step(vec![Event::Ended(ended)])));
+                    }
+                }
+            }
+        }
+        served
+    };
+    let (low, _, high) = (served_at(4, 16), served_at(40, 4), served_at(40, 2));
+    assert!(low <= 16 * 4 && high >= 40, "{low} and {high}");
+}
+
+// Danger: a host is preferred for an idle connection that was closed in fact.
+#[test]
+fn a_connection_that_was_not_kept_counts_for_nothing() {
+    let next_after = |kept: [bool; 2]| {
+        let mut sender = Sender::new(settings(), &[listed(1, 1, 40.0), listed(2, 1, 40.0)]);
+        let mut hosts = [HostId(0); 2];
+        // The first connection to a host is not kept anyway.
+        for kept in [[true, true], kept] {
+            let out = clump(&mut sender, 2);
+            hosts = [out[0].host, out[1].host];
+            sender.now += 100 * MILLI;
+            for (sent, kept) in out.iter().zip(kept) {
+                let Event::Ended(ended) = sent.ended(Outcome::Ok) else { unreachable!() };
+                let carrier = Some(Carrier { idle_for: None, kept });
+                sender.step(vec![Event::Ended(Ended { carrier, ..ended })]);
+            }
+        }
+        let next = clump(&mut sender, 1)[0].host;
+        hosts.iter().position(|host| *host == next)
+    };
+    assert_eq!((next_after([true, false]), next_after([false, true])), (Some(0), Some(1)));
+}
+
 // Danger: one call that is lost by chance closes all idle connections, and each call pays for a new one.
 #[test]
 fn one_lost_call_does_not_outweigh_connections_that_idled_for_longer_and_still_worked() {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -126,6 +126,7 @@
             took: 200 * MILLI,
             closed: outcome == Outcome::Ok,
             limit: None,
+            carrier: None,
         })
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -144,7 +144,15 @@
         }
         known.answered |= outcome == Outcome::Ok;
         let closed = known.answered;
-        Ended { id, attempt: known.attempts - 1, outcome, took: now - sent_at, closed, limit: None }
+        Ended {
+            id,
+            attempt: known.attempts - 1,
+            outcome,
+            took: now - sent_at,
+            closed,
+            limit: None,
+            carrier: None,
+        }
     }
 }
 
