--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 const CUT: f64 = 0.75;
 /// Factor on the pool after a well used round without refusals: slow, one cut takes three rounds to undo.
 const REGROWTH: f64 = 1.12;
-/// Part of its source below which the pool is never: refusals there have another reason, or a limit was raised.
+/// Part of its source below which the pool never is: refusals there have another reason, or a limit rose.
 const LEAST_POOL_PART: f64 = 0.75;
 /// Least pool (calls a second), so that a route never seen to serve is tried at all.
 const LEAST_POOL: f64 = 1.0;
@@ -68,7 +68,7 @@
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
 /// Waits of the caller (us): for news of the list; for an answer about it or to a notice, or the rest of any;
-/// before what failed is tried again, or for last bytes; for the first or the rest of a request; for the next.
+/// before what failed is tried again, or for last bytes; for the rest of a request; for the next one.
 pub const LIST_WAIT: Micros = 5_000_000;
 pub const ANSWER_PATIENCE: Micros = 500_000;
 pub const PAUSE: Micros = 100_000;
@@ -257,7 +257,7 @@
 
     // ---- Intake, worth and shedding
 
-    /// Danger: what no host will ever be listed for holds its place until its deadline. Danger: a restart forgets
+    /// Danger: what no host is ever listed for holds its place to its deadline. Danger: a restart forgets
     /// an outage, and what is on hand rushes at a destination that comes back cold, if it was out for long.
     fn take_on(&mut self, request: Request) {
         if request.history == History::default() && !self.state.knows(request.destination) {
@@ -568,7 +568,7 @@
         self.tell(id, false);
     }
 
-    /// Changes a host's health. Part of a permit is at hand by chance: senders start neither late nor at once.
+    /// Changes a host's health. Part of a permit is at hand by chance: senders must not all start at once.
     fn turn(&mut self, id: HostId, health: Health, how: &str, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         (host.health, host.cold_tokens, host.cold_at) = (health, chance(self.now, self.seed), self.now);
