--- a/src/state.rs
+++ b/src/state.rs
@@ -519,8 +519,9 @@
         }
     }
 
-    /// Books the outcome of an attempt, and the end of its message where it is over. Gives the attempt, whether it is the first of its call to end
-    /// (messages of one call share its fate), and how long the call's connection had been idle.
+    /// Books the outcome of an attempt, and the end of its message where it is over. Gives the attempt, whether
+    /// it is the first of its call to end (messages of one call share its fate), and how long the call's
+    /// connection had been idle.
     pub fn close_attempt(
         &mut self, ended: &Ended, now: Micros, rest: Micros,
     ) -> Option<(Attempt, bool, Option<Micros>)> {
