The agent follows its address itself; one end of a message, one notion of empty lines

Found on rereading; behaviour stays as it is. Discovery and notices each had the same select over a moved address, a time-out and giving the connection up: Agent::ask does all three now and says whether it was silence or a move. Two places booked the end of a message that was taken on in the same three steps: Reducer::finish. clients.rs had its own word for empty lines beside the reader's: is_midway goes by the reader's. Config held most of the file's values twice, the list of hosts among them, for as long as the process runs: it keeps the file's.

Not played on sockets again.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -207,12 +207,12 @@
             let by = opened.unwrap_or_else(Instant::now) + self.pace.patience;
             return match timeout_at(by, connection.next()).await {
                 // Danger: a length that is wrong, or a request hidden behind another. A client sends one at a time.
-                Ok(Some(Ok(_))) if !is_blank(connection) => {
+                Ok(Some(Ok(_))) if is_midway(connection) || connection.get_ref().next() == Next::Bytes => {
                     Some(Err(Fault::Malformed("bytes follow the request")))
                 }
                 Ok(Some(Err(Fault::Io(_))) | None) => None,
                 Ok(next) => next,
-                Err(_) if connection.codec().is_midway(connection.read_buffer()) => Some(Err(Fault::TooSlow)),
+                Err(_) if is_midway(connection) => Some(Err(Fault::TooSlow)),
                 // Empty lines between requests.
                 Err(_) => continue,
             };
@@ -266,10 +266,9 @@
     silent.filter(|place| now - place.since >= pause).or(used).or(silent)
 }
 
-/// Nothing but empty lines has come behind what was read.
-fn is_blank(connection: &Connection) -> bool {
-    let blank = |byte: &u8| matches!(byte, b'\r' | b'\n');
-    connection.read_buffer().iter().all(blank) && connection.get_ref().next() != Next::Bytes
+/// A part of a request has come, but not all of it.
+fn is_midway(connection: &Connection) -> bool {
+    connection.codec().is_midway(connection.read_buffer())
 }
 
 /// Ends the sending side, then reads on for a moment. Danger: closing with bytes unread resets the
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -23,39 +23,35 @@
     }
 }
 
+/// What the file says.
 #[derive(Clone, Debug, Deserialize)]
-struct File {
+pub struct File {
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
     seed: String,
-    limits: Limits,
+    pub limits: Limits,
     #[serde(default)]
-    peer_listen: Option<SocketAddr>,
+    pub peer_listen: Option<SocketAddr>,
     #[serde(default)]
-    peers: Vec<SocketAddr>,
+    pub peers: Vec<SocketAddr>,
     #[serde(default)]
-    peers_all: Option<SocketAddr>,
+    pub peers_all: Option<SocketAddr>,
     #[serde(default)]
-    known: Option<List>,
+    pub known: Option<List>,
     settings: serde_json::Value,
 }
 
 /// All that a relay is told at its start.
 #[derive(Clone, Debug)]
 pub struct Config {
-    /// The file that it was read from, and what that says by itself.
     path: PathBuf,
-    file: File,
+    pub file: File,
+    /// The environment may go before the file here.
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
-    pub limits: Limits,
-    pub peer_listen: Option<SocketAddr>,
-    pub peers: Vec<SocketAddr>,
-    pub peers_all: Option<SocketAddr>,
-    pub known: Option<List>,
     pub deployment: Deployment,
 }
 
@@ -89,11 +85,6 @@
             listen: address("NODE_LISTEN", file.listen)?,
             discovery: address("NODE_DISCOVERY", file.discovery)?,
             seed,
-            limits: file.limits,
-            peer_listen: file.peer_listen,
-            peers: file.peers.clone(),
-            peers_all: file.peers_all,
-            known: file.known.clone(),
             deployment,
             file,
         })
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,10 +5,9 @@
 
 use serde::Deserialize;
 use tokio::sync::{mpsc, watch};
-use tokio::time::timeout;
 
-use crate::agent::Agent;
-use crate::http::Request;
+use crate::agent::{Agent, Silence};
+use crate::http::{Request, Response};
 use crate::inputs::Inputs;
 use crate::io::Input;
 
@@ -57,25 +56,23 @@
 /// Follows the list from each time that it is asked for until a call fails. The next watch goes out as soon as
 /// the last one is answered, since changes in a gap between them might be missed.
 pub async fn follow(
-    mut address: watch::Receiver<SocketAddr>, mut asked: mpsc::UnboundedReceiver<Watch>, inputs: Inputs,
+    address: watch::Receiver<SocketAddr>, mut asked: mpsc::UnboundedReceiver<Watch>, inputs: Inputs,
 ) {
-    let mut agent = Agent::new(*address.borrow_and_update());
+    let mut agent = Agent::new(address);
     while let Some(watch) = asked.recv().await {
-        let mut path = WHOLE.to_owned();
-        let mut limit = watch.patience;
+        let whole = || (WHOLE.to_owned(), watch.patience);
+        let (mut path, mut limit) = whole();
         loop {
-            let list = tokio::select! {
-                biased;
-                // Danger: discovery has moved, and a watch at the old address is answered by nobody until it is
-                // given up. The new one is asked for all, since its versions may be others.
-                Ok(()) = address.changed() => {
-                    agent = Agent::new(*address.borrow_and_update());
-                    (path, limit) = (WHOLE.to_owned(), watch.patience);
+            let list = match agent.ask(Request::get(&path), limit).await {
+                Ok(response) => read(&response),
+                Err(Silence::NoAnswer) => None,
+                // The new one is asked for all, since its versions may be others.
+                Err(Silence::Moved) => {
+                    (path, limit) = whole();
                     continue;
                 }
-                list = timeout(limit, fetch(&mut agent, &path)) => list,
             };
-            let Ok(Some(list)) = list else { break };
+            let Some(list) = list else { break };
             path = format!("{WHOLE}?index={}&wait={}", list.rev, watch.wait.as_millis());
             limit = watch.wait + watch.patience;
             inputs.send(Input::Listed(list));
@@ -85,7 +82,6 @@
     }
 }
 
-async fn fetch(agent: &mut Agent, path: &str) -> Option<List> {
-    let response = agent.ask(Request::get(path)).await?;
+fn read(response: &Response) -> Option<List> {
     (response.status == 200).then(|| serde_json::from_slice(&response.body).ok())?
 }
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -181,16 +181,14 @@
 
     /// A part of a message has come, but not all of it.
     fn is_midway(&self, buffered: &[u8]) -> bool {
-        !buffered.is_empty() || !matches!(self.stage, Stage::Head)
+        blank(buffered) < buffered.len() || !matches!(self.stage, Stage::Head)
     }
 
     fn read(
         &mut self, bytes: &mut BytesMut, parse: fn(&[u8]) -> Parsed<H>,
     ) -> Result<Option<(H, Bytes)>, Fault> {
         if let Stage::Head = self.stage {
-            // Empty lines before a request line are to be skipped (RFC 9112, 2.2).
-            let blank = bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
-            bytes.advance(blank);
+            bytes.advance(blank(bytes));
             let Some((head, size)) = parse(&bytes[..bytes.len().min(MOST_HEAD)])? else {
                 return if bytes.len() >= MOST_HEAD { Err(Fault::HeadTooLong) } else { Ok(None) };
             };
@@ -234,6 +232,11 @@
     }
 }
 
+/// Bytes of empty lines in front, which are to be skipped (RFC 9112, 2.2).
+fn blank(bytes: &[u8]) -> usize {
+    bytes.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count()
+}
+
 /// Moves whole chunks from `bytes` to `body`; true after the last one and its trailers.
 fn read_chunks(bytes: &mut BytesMut, body: &mut BytesMut, most: usize) -> Result<bool, Fault> {
     loop {
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -6,6 +6,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::time::Duration;
 
 use argh::FromArgs;
 use pewterseam_relay::agent::Agent;
@@ -14,6 +15,7 @@
 use pewterseam_relay::journal;
 use pewterseam_relay::serve;
 use slog::{Drain, Logger, o};
+use tokio::sync::watch;
 
 /// Delivers outbound messages to other firms' systems.
 #[derive(FromArgs)]
@@ -152,8 +154,9 @@
 }
 
 fn counters(address: SocketAddr) -> Done {
-    let asked = async { Agent::new(address).ask(Request::get("/_counters")).await };
-    let response = runtime()?.block_on(asked).ok_or_else(|| format!("{address} does not answer"))?;
+    let mut agent = Agent::new(watch::channel(address).1);
+    let asked = async { agent.ask(Request::get("/_counters"), Duration::MAX).await };
+    let response = runtime()?.block_on(asked).map_err(|_| format!("{address} does not answer"))?;
     if response.status != 200 {
         return Err(format!("{address} answers {}", response.status).into());
     }
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -7,9 +7,9 @@
 use bytes::Bytes;
 use serde::Serialize;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::agent::Agent;
+use crate::agent::{Agent, Silence};
 use crate::http::{Headers, MOST_BODY, Request};
 use crate::inputs::Inputs;
 use crate::io::Input;
@@ -52,10 +52,10 @@
 
 /// Tells notices in order, many at once where many wait, each until it is answered.
 pub async fn tell(
-    mut address: watch::Receiver<SocketAddr>, pace: Pace, mut notices: mpsc::UnboundedReceiver<Notice>,
+    address: watch::Receiver<SocketAddr>, pace: Pace, mut notices: mpsc::UnboundedReceiver<Notice>,
     inputs: Inputs,
 ) {
-    let mut agent = Agent::new(*address.borrow_and_update());
+    let mut agent = Agent::new(address);
     let mut waiting: BTreeMap<u64, Notice> = BTreeMap::new();
     // Lines that go together at most.
     let mut most = usize::MAX;
@@ -70,17 +70,12 @@
         let (body, numbers) = lines(waiting.values(), most);
         let headers = Headers::default().with("Content-Type", "application/x-ndjson");
         let request = Request::post("/reports", headers, Bytes::from(body));
-        let answer = tokio::select! {
-            biased;
-            // Danger: the platform has moved, and what is owed would be told at the old address in vain. Telling
-            // twice does no harm.
-            Ok(()) = address.changed() => {
-                agent = Agent::new(*address.borrow_and_update());
-                continue;
-            }
-            answer = timeout(pace.patience, agent.ask(request)) => answer.ok().flatten(),
+        let status = match agent.ask(request, pace.patience).await {
+            Ok(response) => Some(response.status),
+            Err(Silence::NoAnswer) => None,
+            // What is owed is told there.
+            Err(Silence::Moved) => continue,
         };
-        let status = answer.map(|response| response.status);
         let over = match status {
             Some(200..300) => true,
             // Danger: one line that the platform can't read holds back all others. They go one by one; one that
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -288,11 +288,8 @@
                 self.notices_fail = false;
                 for number in numbers {
                     self.counters.notices_answered += u64::from(read);
-                    self.step.records.push(Record::Ended { number });
-                    if let Some(held) = self.held.get(&MessageId(number)) {
-                        self.ended.add(now, &held.message.id, false);
-                    }
-                    events.push(self.withdraw(MessageId(number)));
+                    self.finish(now, MessageId(number), false);
+                    events.push(Event::Withdrawn(MessageId(number)));
                 }
             }
             Input::NotTold { status } => {
@@ -440,14 +437,11 @@
             Outcome::Reset => &mut counters.resets,
             Outcome::Moot => &mut counters.not_sent,
         } += 1;
-        let number = id.0;
         if let Some(held) = self.held.get_mut(&id)
             && let Some((_, at)) = held.out.take_if(|(out, _)| *out == attempt)
         {
             if closed {
-                self.step.records.push(Record::Ended { number });
-                self.ended.add(now, &held.message.id, outcome == Outcome::Ok);
-                self.forget(id);
+                self.finish(now, id, outcome == Outcome::Ok);
             } else {
                 let how = match outcome {
                     Outcome::ConnectFailed => Over::Failed,
@@ -455,7 +449,7 @@
                     _ => Over::Unseen,
                 };
                 held.past.book(at, how);
-                self.step.records.push(Record::Over { number, how });
+                self.step.records.push(Record::Over { number: id.0, how });
             }
         }
         let limit = self.names.limit(report.as_deref());
@@ -482,6 +476,15 @@
         }
     }
 
+    /// Books the end of a message that was taken on; its id is remembered for a while.
+    fn finish(&mut self, now: Micros, id: MessageId, delivered: bool) {
+        self.step.records.push(Record::Ended { number: id.0 });
+        if let Some(held) = self.held.get(&id) {
+            self.ended.add(now, &held.message.id, delivered);
+        }
+        self.forget(id);
+    }
+
     /// Nothing is owed for a message any more.
     fn withdraw(&mut self, id: MessageId) -> Event {
         self.forget(id);
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -52,8 +52,8 @@
 
 /// Whether the limits do for a relay at all.
 pub fn check(config: &Config) -> Result<Budget, Fault> {
-    let budget = Budget::split(&config.limits, config.deployment.settings.slots);
-    budget.ok_or_else(|| Fault(format!("limits.sockets: {} are too few", config.limits.sockets)))
+    let budget = Budget::split(&config.file.limits, config.deployment.settings.slots);
+    budget.ok_or_else(|| Fault(format!("limits.sockets: {} are too few", config.file.limits.sockets)))
 }
 
 async fn serve(config: Config, folder: &Path, log: Logger) -> Result<(), Fault> {
@@ -160,12 +160,12 @@
         let clock = Clock::start();
         let settings = config.deployment.settings.clone();
         let budget = check(&config)?;
-        let (journal, history) = open_journal(folder, config.limits.disk(), &log)?;
+        let (journal, history) = open_journal(folder, config.file.limits.disk(), &log)?;
         let listener = TcpListener::bind(config.listen).await.map_err(fault(config.listen))?;
-        let peers = match config.peer_listen.filter(|_| settings.may_tell) {
+        let peers = match config.file.peer_listen.filter(|_| settings.may_tell) {
             Some(listen) => {
                 let me = usize::from(settings.me);
-                let bound = Peers::bind(listen, &config.peers, config.peers_all, me).await;
+                let bound = Peers::bind(listen, &config.file.peers, config.file.peers_all, me).await;
                 Some(bound.map_err(fault(listen))?)
             }
             None => None,
@@ -190,7 +190,7 @@
         let hosts = Hosts::new(idle_close, brain::ANSWER_PATIENCE, budget.idle, inputs.clone());
         let room = journal.room().min(budget.held);
         let mut reducer = Reducer::new(config.deployment.clone(), config.seed, room);
-        let step = reducer.start(clock.now(), history, config.known.take());
+        let step = reducer.start(clock.now(), history, config.file.known.take());
         let mut relay = Relay {
             clock,
             config,
