--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -5,7 +5,7 @@
 
 use pewterseam::Brain;
 use pewterseam::interface::{
-    Action, Ended, Event, History, HostId, MessageId, Micros, Outcome, RegistryNews, Request as Order,
+    Action, Ended, Event, History, HostId, MessageId, Micros, Outcome, Ran, RegistryNews, Request as Order,
 };
 use pewterseam_settings::Deployment;
 
@@ -419,6 +419,7 @@
         let (Past { attempts, ran, failed, failed_at }, cut_at) = (past, cut.then_some(now));
         // An older journal does not tell when.
         let failed_at = failed_at.or(failed.then_some(0));
+        let ran = ran.map(|at| Ran { at, zone: None });
         let history = History { attempts, ran, failed_at, cut_at, over: closing.is_some() };
         order.map(|order| Event::Message(Order { history, ..order }))
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -404,7 +404,7 @@
         // After a refusal, or in doubt, one call at a time until one is served.
         let doubtful = suspect(host, route, self.now);
         let spent = host.calls > 0 && (route.fulls > 0 || doubtful);
-        if spent || !State::may_reach(message, class, host, self.settings.zone) {
+        if spent || !State::may_reach(message, class, host) {
             return false;
         }
         // Danger: a message that must not run twice dies with a failed call. It waits for a sign of health,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -50,6 +50,11 @@
 }
 
 impl Class {
+    /// Repeats are dropped only by hosts of one zone.
+    pub fn is_zoned(&self) -> bool {
+        matches!(self.effect, Effect::Guarded { group: Group::Zone, .. })
+    }
+
     /// Worth of a message of this class that is answered at `age`.
     pub fn worth(&self, lateness: Lateness, age: Micros) -> f64 {
         if age >= self.deadline {
@@ -222,13 +227,22 @@
     pub history: History,
 }
 
+/// An attempt that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ran {
+    /// When it was sent.
+    pub at: Micros,
+    /// Where its host stands, if that is known.
+    pub zone: Option<u16>,
+}
+
 /// What became of a message before this sender's start; nothing for a new one. Messages with a history are
 /// handed in before all others, in the order in which they were first taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct History {
     pub attempts: u32,
-    /// When the first attempt that may have run was sent.
-    pub ran: Option<Micros>,
+    /// The first attempt that may have run.
+    pub ran: Option<Ran>,
     /// When the first attempt that was seen to fail, other than by being turned away, was sent.
     pub failed_at: Option<Micros>,
     /// When an attempt was cut off, if one was out at the end; it may still run.
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::{
     Class, DestinationId, Effect, Ended, Group, History, HostId, Lifecycle, Listed, Listing, MessageId,
-    Micros, Outcome, Request, Settings,
+    Micros, Outcome, Ran, Request, Settings,
 };
 
 /// Odd factor that scatters numbers (2^64 over the golden ratio).
@@ -246,8 +246,8 @@
     pub request: Request,
     pub attempts: u32,
     pub out: Option<Attempt>,
-    /// When the first attempt that may have run was sent.
-    pub ran: Option<Micros>,
+    /// The first attempt that may have run.
+    pub ran: Option<Ran>,
     /// Answered; kept only until its attempt has an outcome and its end is told.
     pub over: bool,
     /// Its end has yet to be told.
@@ -529,7 +529,8 @@
         let message = self.messages.get_mut(&ended.id)?;
         let attempt = message.out.take_if(|attempt| attempt.number == ended.attempt)?;
         if outcome.may_have_run() {
-            message.ran.get_or_insert(attempt.sent_at);
+            let zone = self.hosts.get(&attempt.host).map(|host| host.zone);
+            message.ran.get_or_insert(Ran { at: attempt.sent_at, zone });
         }
         if let Some(entry) = message.request.key.and_then(|key| self.keys.get_mut(&key))
             && outcome.may_still_run()
@@ -574,16 +575,15 @@
     }
 
     /// Whether a message may go to a host: a guarded one that may have run goes only where repeats are
-    /// dropped.
-    pub fn may_reach(message: &Message, class: &Class, host: &Host, zone: u16) -> bool {
-        let zoned = matches!(class.effect, Effect::Guarded { group: Group::Zone, .. });
-        !zoned || message.ran.is_none() || host.zone == zone
+    /// dropped. Danger: hosts that remember for their own zone alone run it once more in another.
+    pub fn may_reach(message: &Message, class: &Class, host: &Host) -> bool {
+        !class.is_zoned() || message.ran.is_none_or(|ran| ran.zone == Some(host.zone))
     }
 
     /// Whether the window of a guarded message that may have run is over at `at`.
     pub fn lapsed(message: &Message, class: &Class, at: Micros) -> bool {
         match class.effect {
-            Effect::Guarded { window, .. } => message.ran.is_some_and(|ran| at >= ran + window),
+            Effect::Guarded { window, .. } => message.ran.is_some_and(|ran| at >= ran.at + window),
             _ => false,
         }
     }
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -264,6 +264,31 @@
     assert!(refused(&actions).contains(&id) || failed(&actions).contains(&id));
 }
 
+#[test]
+fn a_message_whose_repeats_are_dropped_in_one_zone_goes_again_only_there() {
+    for key in 0..8 {
+        let at = |host, zone| Listed { zone, ..listed(host, 1, 6.0) };
+        // The sender's own zone is 0; which host comes first differs.
+        let hosts = [at(key + 1, 1), at(key + 11, 2), at(key + 21, 1), at(key + 31, 2)];
+        let zone = |host: HostId| hosts.iter().find(|entry| entry.host == host).map(|entry| entry.zone);
+        let mut sender = Sender::new(zoned(), &hosts);
+        let first = sends(&sender.hand_in(GUARDED, 1).1)[0];
+        let mut again = sends(&sender.outcome(&first, Outcome::Reset));
+        again.extend(sends(&sender.pass(3 * SECOND)));
+        assert!(!again.is_empty() && again.iter().all(|sent| zone(sent.host) == zone(first.host)));
+    }
+}
+
+#[test]
+fn a_message_that_ran_in_an_unknown_zone_is_not_sent_again() {
+    let mut sender = Sender::new(zoned(), &[listed(1, 1, 6.0)]);
+    let history = History { ran: Some(Ran { at: START, zone: None }), ..ran_at(START) };
+    let request = Request { history, ..sender.request(GUARDED, 1) };
+    let mut actions = sender.step(vec![Event::Message(request)]);
+    actions.extend(sender.pass(4 * SECOND));
+    assert_eq!((failed(&actions), sends(&actions)), (vec![request.id], vec![]));
+}
+
 #[test]
 fn every_message_is_answered_by_its_deadline_even_without_an_outcome() {
     let draining = Listed { lifecycle: Lifecycle::Draining, ..listed(2, 9, 4.0) };
@@ -844,11 +869,15 @@
     assert!((1..=2).contains(&slow), "{slow}");
 }
 
+/// One attempt, sent then, that may have run.
+fn ran_at(at: Micros) -> History {
+    History { attempts: 1, ran: Some(Ran { at, zone: Some(0) }), ..History::default() }
+}
+
 #[test]
 fn a_single_shot_message_that_may_have_run_before_a_restart_is_failed() {
     let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
-    let history =
-        History { attempts: 1, ran: Some(START - SECOND), cut_at: Some(START), ..History::default() };
+    let history = History { cut_at: Some(START), ..ran_at(START - SECOND) };
     let request = Request { history, ..sender.request(ONCE, 1) };
     let actions = sender.step(vec![Event::Message(request)]);
     assert_eq!((failed(&actions), sends(&actions)), (vec![request.id], vec![]));
@@ -857,10 +886,9 @@
 #[test]
 fn a_guarded_messages_window_counts_from_before_the_restart() {
     let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
-    let ran = |ago| History { attempts: 1, ran: Some(START - ago), ..History::default() };
-    let inside = Request { history: ran(3 * SECOND), ..sender.request(GUARDED, 1) };
+    let inside = Request { history: ran_at(START - 3 * SECOND), ..sender.request(GUARDED, 1) };
     assert_eq!(sends(&sender.step(vec![Event::Message(inside)]))[0].id, inside.id);
-    let after = Request { history: ran(4 * SECOND), ..sender.request(GUARDED, 1) };
+    let after = Request { history: ran_at(START - 4 * SECOND), ..sender.request(GUARDED, 1) };
     let actions = sender.step(vec![Event::Message(after)]);
     assert_eq!((failed(&actions), sends(&actions)), (vec![after.id], vec![]));
 }
@@ -868,7 +896,7 @@
 #[test]
 fn a_key_rests_after_a_call_that_a_restart_cut_off() {
     let mut sender = Sender::new(settings(), &[listed(1, 1, 6.0)]);
-    let history = History { attempts: 1, ran: Some(START), cut_at: Some(START), ..History::default() };
+    let history = History { cut_at: Some(START), ..ran_at(START) };
     let request = Request { history, key: Some(5), ..sender.request(GUARDED, 1) };
     assert_eq!(sends(&sender.step(vec![Event::Message(request)])), []);
     assert_eq!(sends(&sender.pass(490 * MILLI)), []);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -56,6 +56,13 @@
     }
 }
 
+/// Settings where repeats of a guarded message are dropped in one zone only.
+pub fn zoned() -> Settings {
+    let mut settings = settings();
+    settings.classes[GUARDED].effect = Effect::Guarded { window: 4 * SECOND, group: Group::Zone };
+    settings
+}
+
 pub fn listed(host: u64, destination: DestinationId, weight: f64) -> Listed {
     let lifecycle = Lifecycle::Ready;
     Listed { host: HostId(host), zone: 0, kind: 0, destination, lifecycle, weight }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -16,7 +16,7 @@
     request: Request,
     attempts: u32,
     out: Option<(HostId, Micros, Micros)>,
-    ran: Option<Micros>,
+    ran: Option<Ran>,
     answered: bool,
     /// Its end is decided, and the client has not heard of it.
     untold: bool,
@@ -29,7 +29,8 @@
     /// Messages of each key in the order taken, and when its rest is over.
     keys: BTreeMap<u64, (Vec<MessageId>, Micros)>,
     hosts: BTreeMap<HostId, (DestinationId, Option<Micros>)>,
-    waits: BTreeMap<DestinationId, Micros>,
+    /// By host where routes are apart.
+    waits: BTreeMap<(DestinationId, Option<HostId>), Micros>,
 }
 
 impl Referee {
@@ -75,7 +76,7 @@
         let mut events = Vec::new();
         for known in self.known.values_mut() {
             let cut = known.out.take();
-            known.ran = known.ran.or(cut.map(|(_, sent_at, _)| sent_at));
+            known.ran = known.ran.or(cut.map(|(host, at, _)| Ran { at, zone: Some(zone(host)) }));
             if let (Some((_, rest)), Some(_)) =
                 (known.request.key.and_then(|key| self.keys.get_mut(&key)), cut)
             {
@@ -99,6 +100,7 @@
         let known = self.known.get_mut(&id).expect("a message that was handed in");
         let class = &self.settings.classes[known.request.class];
         let (destination, told) = self.hosts[&host];
+        let route = route(&self.settings, destination, host);
         assert!(!known.answered, "sent {id:?} after its end");
         assert!(known.out.is_none(), "two attempts of {id:?}");
         assert!(before < slots, "more calls than slots");
@@ -108,11 +110,13 @@
             "sent to a host that drains"
         );
         assert!(known.attempts < self.settings.max_attempts, "too many attempts");
-        assert!(self.waits.get(&destination).is_none_or(|until| now >= *until), "a wait was broken");
+        assert!(self.waits.get(&route).is_none_or(|until| now >= *until), "a wait was broken");
         match (class.effect, known.ran) {
             (Effect::SingleShot, Some(_)) => panic!("{id:?} may run twice"),
-            (Effect::Guarded { window, .. }, Some(ran)) => {
-                assert!(now < ran + window, "{id:?} after its window")
+            (Effect::Guarded { window, group }, Some(ran)) => {
+                assert!(now < ran.at + window, "{id:?} after its window");
+                let inside = group == Group::All || ran.zone == Some(zone(host));
+                assert!(inside, "{id:?} outside its zone");
             }
             _ => {}
         }
@@ -129,9 +133,9 @@
 
     fn ended(&mut self, now: Micros, id: MessageId, outcome: Outcome) -> Ended {
         let known = self.known.get_mut(&id).expect("an attempt that is out");
-        let (_, sent_at, _) = known.out.take().expect("an attempt that is out");
+        let (host, sent_at, _) = known.out.take().expect("an attempt that is out");
         if outcome.may_have_run() {
-            known.ran.get_or_insert(sent_at);
+            known.ran.get_or_insert(Ran { at: sent_at, zone: Some(zone(host)) });
         }
         if let (Some((_, rest)), true) =
             (known.request.key.and_then(|key| self.keys.get_mut(&key)), outcome.may_still_run())
@@ -139,7 +143,7 @@
             *rest = now + self.settings.order_rest;
         }
         if let Outcome::Full { wait } = outcome {
-            let until = self.waits.entry(known.request.destination).or_default();
+            let until = self.waits.entry(route(&self.settings, known.request.destination, host)).or_default();
             *until = (*until).max(now + wait);
         }
         known.answered |= outcome == Outcome::Ok;
@@ -156,6 +160,16 @@
     }
 }
 
+/// The zone in which the hosts of these tests stand.
+fn zone(host: HostId) -> u16 {
+    (host.0 % 2) as u16
+}
+
+/// What a wait binds.
+fn route(settings: &Settings, destination: DestinationId, host: HostId) -> (DestinationId, Option<HostId>) {
+    (destination, settings.kinds[0].routes_apart.then_some(host))
+}
+
 fn outcome(draw: u8, mood: u8) -> Outcome {
     match draw.wrapping_add(mood.wrapping_mul(37)) % 12 {
         0..=5 => Outcome::Ok,
@@ -171,7 +185,8 @@
 /// Plays one sequence of draws; each is a kind of event, a choice in it and the time that passes.
 fn play(settings: Settings, draws: &[(u8, u8, u8)]) {
     let mut now = START;
-    let hosts = [(1, 1), (2, 1), (3, 2), (4, 3), (5, 3)].map(|(host, place)| listed(host, place, 6.0));
+    let hosts = [(1, 1), (2, 1), (3, 2), (4, 3), (5, 3)]
+        .map(|(host, place)| Listed { zone: zone(HostId(host)), ..listed(host, place, 6.0) });
     let mut brain = Brain::new(settings.clone(), 11);
     let mut referee = Referee {
         settings: settings.clone(),
@@ -219,7 +234,7 @@
                 let (destination, told) = referee.hosts[&host];
                 let told = (lifecycle != Lifecycle::Ready).then(|| told.unwrap_or(now));
                 referee.hosts.insert(host, (destination, told));
-                let entry = Listed { lifecycle, ..listed(host.0, destination, 6.0) };
+                let entry = Listed { lifecycle, zone: zone(host), ..listed(host.0, destination, 6.0) };
                 events.push(Event::Registry(RegistryNews::Changes(vec![entry])));
             }
             14 => {
@@ -282,6 +297,8 @@
         Settings { ends_by_notice: true, ..settings() },
         Settings { ends_by_notice: true, order_rest: 0, slots: 3, max_attempts: 4, ..settings() },
         Settings { kinds: vec![Kind { routes_apart: false, bundle: 3 }], order_rest: 0, ..settings() },
+        Settings { kinds: vec![Kind { routes_apart: true, bundle: 3 }], ends_by_notice: true, ..zoned() },
+        Settings { drain_grace: 250 * MILLI, lateness: Lateness::Halving, senders: 200, ..zoned() },
     ];
     let config = Config { cases: 24, failure_persistence: None, ..Config::default() };
     for settings in variants {
