--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -4,7 +4,8 @@
 use std::hash::Hasher;
 use std::net::SocketAddr;
 
-use pewterseam::interface::{History, HostId, Lifecycle, Listed, MessageId, RegistryNews, Request, Settings};
+use pewterseam::interface::{
+    Allowance, History, HostId, Lifecycle, Listed, MessageId, RegistryNews, Request, Settings};
 use pewterseam_settings::Deployment;
 use siphasher::sip::SipHasher13;
 
@@ -74,12 +75,16 @@
         Ok(Request { id, class, destination, tenant, key, deadline, history: History::default() })
     }
 
-    /// The limit in calls a second that a load report tells: its second value. 0 says that there is none.
-    pub fn limit(&self, report: Option<&str>) -> Option<f64> {
-        let name = self.deployment.report.get(1)?;
-        let values = report?.split(',').filter_map(|part| part.trim().split_once('='));
-        let value = values.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse().ok());
-        value.filter(|limit: &f64| limit.is_finite() && *limit > 0.0)
+    /// What a load report tells of a limit: its second value is the rate in calls a second, 0 where there is none,
+    /// and its first the share that is left.
+    pub fn limit(&self, report: Option<&str>) -> Option<Allowance> {
+        let value = |index: usize| -> Option<f64> {
+            let name = self.deployment.report.get(index)?;
+            let values = report?.split(',').filter_map(|part| part.trim().split_once('='));
+            values.filter(|(key, _)| key == name).find_map(|(_, value)| value.parse().ok())
+        };
+        let rate = value(1).filter(|rate| rate.is_finite() && *rate > 0.0)?;
+        Some(Allowance { rate, left: value(0).filter(|left| (0.0..=1.0).contains(left)) })
     }
 
     /// Takes over the list.
@@ -130,8 +135,12 @@
             "rules": {"stop_sending_within_s": 1, "cold_share": 1, "cold_s": 1, "overload_factor": 1,
             "tip_after_s": 1}, "report": {"fields": ["x0", "x1"]}}"#;
         let names = Names::new(pewterseam_settings::parse(settings.as_bytes()).expect("settings"));
-        assert_eq!(names.limit(Some("x0=0.4,x1=25")), Some(25.0));
-        assert_eq!(names.limit(Some("x1=2.5, x0=1")), Some(2.5));
+        let told = |rate, left| Some(Allowance { rate, left });
+        assert_eq!(names.limit(Some("x0=0.4,x1=25")), told(25.0, Some(0.4)));
+        assert_eq!(names.limit(Some("x1=2.5, x0=1")), told(2.5, Some(1.0)));
+        for nonsense in ["x1=25", "x0=,x1=25", "x0=nan,x1=25", "x0=-1,x1=25", "x1=25,x0=2"] {
+            assert_eq!(names.limit(Some(nonsense)), told(25.0, None), "{nonsense}");
+        }
         for nonsense in
             ["x0=0.4,x1=0", "x1=nan", "x1=inf", "x1=-3", "garbage", "", "x1", "x0=1", "\u{1f980}=1"]
         {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,8 @@
 const PASSED_ON: f64 = 0.5;
 /// Permits that may be saved up while idle (us of the own pace).
 const BURST: Micros = 1_000_000;
+/// Share of a limit that is left, at most, where calls are refused for it.
+const SPENT: f64 = 0.5;
 /// Pause after a refusal as full without a wait (us), doubled with each further one up to a round.
 const FULL_PAUSE: Micros = 250_000;
 /// Mean deviations beyond a route's mean answer time without any sign of life that count as silence.
@@ -63,6 +65,10 @@
 /// Factors on the time for which idle connections are kept: after a connect that failed, and each round.
 const KEEP_CUT: f64 = 0.5;
 const KEEP_REGROWTH: f64 = 1.1;
+/// How long tables of a kind count as full after one was seen to be, or told of (us), and age at which that is
+/// told anew: longer than idle connections usually last, and no more words than needed.
+const CROWDED: Micros = 30_000_000;
+const CROWDED_ANEW: Micros = CROWDED / 2;
 /// Calls that a sender should have for a host while a connection idles, at the host's limit, for it to be kept:
 /// what is used is a third of that on quiet days.
 const OFTEN: f64 = 3.0;
@@ -93,6 +99,8 @@
     /// Idle time for which connections are kept, by kind, and the longest after which one was still of use.
     keep: Vec<f64>,
     proven: f64,
+    /// When a table of a host was last seen or told to be full, by kind.
+    crowded_at: Vec<Option<Micros>>,
     /// When the caller stops; what is out by then is cut off.
     stop_at: Micros,
     actions: Vec<Action>,
@@ -176,13 +184,20 @@
 }
 
 /// Has shares bind. Part of a permit is at hand, by chance: many senders must not all come again together.
-fn bind(route: &mut Route, senders: f64, chance: f64) {
+fn bind(route: &mut Route, senders: f64, chance: f64, now: Micros) {
     if !route.bound {
         route.bound = true;
         route.pool = source(route).max(route.peak);
         route.share = even_slice(route, senders);
     }
-    route.tokens = route.tokens.min(chance);
+    (route.tokens, route.filled_at) = (route.tokens.min(chance), now);
+}
+
+/// The pause after the last of so many refusals, by chance half as long to half as long again. Danger: all that
+/// a clump or an outage turned away come again in step.
+fn pause(refusals: u32, now: Micros, seed: u64) -> Micros {
+    let pause = (FULL_PAUSE << (refusals - 1).min(3)).min(ROUND);
+    (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
 /// How long no sign of life from a route's host is borne.
@@ -207,6 +222,7 @@
             agenda: Agenda { ask_at: settings.ask_registry.then_some(0), ..Agenda::default() },
             keep: vec![settings.idle_close as f64; settings.kinds.len()],
             proven: 0.0,
+            crowded_at: vec![None; settings.kinds.len()],
             stop_at: Micros::MAX,
             actions: Vec::new(),
             settings,
@@ -506,7 +522,7 @@
         let (Some(host), now) = (self.state.hosts.get_mut(&id), self.now) else { return };
         let keep = &mut self.keep[host.kind];
         match (outcome, idle_for) {
-            (Outcome::ConnectFailed, _) => *keep *= KEEP_CUT,
+            (Outcome::ConnectFailed, _) => host.lost = Some((now, *keep * KEEP_CUT)),
             (Outcome::Timeout, Some(age)) => host.lost = Some((now, self.proven.max(age as f64 * KEEP_CUT))),
             (Outcome::Ok, Some(idle)) => self.proven = self.proven.max(idle as f64),
             (Outcome::Ok, None) => {
@@ -515,19 +531,40 @@
             }
             _ => {}
         }
-        // One that would hardly be used again in that time is not kept at all.
-        let route = &self.state.routes[&host.route];
-        let own = source(route) / route.hosts.max(1.0) / f64::from(self.settings.senders);
-        let keep = self.keep[host.kind];
-        let scarce = keep < self.settings.idle_close as f64 && own * keep / 1e6 < OFTEN;
-        if outcome == Outcome::Ok && scarce {
+        // Danger: those that were turned away hold all places, and are the last to need them.
+        if self.crowded_at[host.kind].is_some_and(|at| now < at + CROWDED) {
+            self.spare(id);
+        }
+    }
+
+    /// Closes the idle connections to a host that would hardly be used again in their time.
+    fn spare(&mut self, id: HostId) {
+        let (keep, senders) = (seconds(self.settings.idle_close), f64::from(self.settings.senders));
+        let Some((host, route)) = self.state.host_and_route(id) else { return };
+        if !host.idle.is_empty() && source(route) / route.hosts.max(1.0) / senders * keep < OFTEN {
             host.idle.clear();
             self.actions.push(Action::CloseIdle(id));
         }
     }
 
+    /// Danger: those that hold the idle connections which fill a host's table are not those that get none. What
+    /// one sees of a kind of host it tells all, once. Harms: handshakes, where the host was just down.
+    fn crowd(&mut self, id: HostId, seen: bool) {
+        let Some(Host { kind, route, .. }) = self.state.hosts.get(&id) else { return };
+        let (kind, destination, now) = (*kind, route.0, self.now);
+        let before = self.crowded_at[kind].replace(now);
+        if seen && before.is_none_or(|at| now >= at + CROWDED_ANEW) {
+            let record = Record { destination, host: Some(id), up: Some(false), ..Record::default() };
+            self.post(None, Purpose::Crowded, record);
+        }
+        if before.is_none_or(|at| now >= at + CROWDED) {
+            let of_kind = self.state.hosts.iter().filter(|(_, host)| host.kind == kind).map(|(id, _)| *id);
+            of_kind.collect::<Vec<_>>().into_iter().for_each(|id| self.spare(id));
+        }
+    }
+
     /// Books an outcome on its host and route.
-    fn judge(&mut self, id: HostId, outcome: Outcome, sent_at: Micros, limit: Option<f64>) {
+    fn judge(&mut self, id: HostId, outcome: Outcome, sent_at: Micros, limit: Option<Allowance>) {
         let now = self.now;
         let Some((host, route)) = self.state.host_and_route(id) else { return };
         route.tell_limit(limit, SAMPLE);
@@ -547,11 +584,16 @@
             Outcome::Full { wait } => {
                 route.refused += 1.0;
                 route.fulls += 1;
-                bind(route, f64::from(self.settings.senders), chance(now, self.seed));
-                let pause = (FULL_PAUSE << (route.fulls - 1).min(3)).min(ROUND);
-                route.hold(now + pause * u64::from(wait == 0));
-                if wait >= self.settings.overload_window || host.is_open() {
-                    self.ail(id, TRIP, now, "refuses all");
+                bind(route, f64::from(self.settings.senders), chance(now, self.seed), now);
+                route.hold(now + pause(route.fulls, now, self.seed) * u64::from(wait == 0));
+                // Danger: where refused calls use up the limit, waits are as long as an outage's. A limit that is
+                // left says that it is shut; what is told is late, so that it takes two to say so.
+                let left = limit.and_then(|limit| limit.left);
+                let weight = if left.is_some() { TRIP / 2.0 } else { TRIP };
+                let host_open = host.is_open();
+                let shut = wait >= self.settings.overload_window && left.is_none_or(|left| left > SPENT);
+                if shut || host_open {
+                    self.ail(id, if host_open { TRIP } else { weight }, now, "refuses all");
                 }
             }
             Outcome::Error | Outcome::Reset => {
@@ -566,8 +608,11 @@
                 // to the limit, and its permit is not used.
                 (route.used, route.tokens) = ((route.used - 1.0).max(0.0), route.tokens + 1.0);
                 host.unmet += 1;
-                host.shut_until = now + (FULL_PAUSE << (host.unmet - 1).min(3)).min(ROUND);
+                host.shut_until = now + pause(host.unmet, now, self.seed);
                 self.ail(id, if slow { TRIP } else { TRIP / 4.0 }, sent_at, "takes no connection");
+                if !slow {
+                    self.crowd(id, true);
+                }
             }
             Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => {}
         }
@@ -581,10 +626,7 @@
         host.ail(weight, since, self.now, self.settings.overload_window);
         let fallen = host.trouble >= TRIP || matches!(host.health, Health::SlowStart { .. });
         if host.is_open() || !fallen {
-            // Danger: connects that fail at full tables pass for an outage where many senders tell of some.
-            return if weight >= 1.0 {
-                self.tell(id, false)
-            };
+            return self.tell(id, false);
         }
         host.trouble = host.trouble.max(TRIP);
         let destination = host.route.0;
@@ -703,6 +745,7 @@
         match (memo.purpose, told.host.zip(told.up), self.state.routes.get_mut(&id)) {
             (Purpose::News, Some((host, up)), _) => self.weigh(from, host, up),
             (Purpose::Verdict, Some((host, up)), _) if from_home() => self.heed(host, up),
+            (Purpose::Crowded, Some((host, _)), _) => self.crowd(host, false),
             (Purpose::Round, None, Some(route)) => {
                 route.reports.insert(from, (now, told.report));
                 if told.asks {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -260,6 +260,15 @@
     pub kept: bool,
 }
 
+/// What a destination tells of its limit in an answer; late, and not exact.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Calls a second that it takes.
+    pub rate: f64,
+    /// Share of its limit that is left just now, if it tells that.
+    pub left: Option<f64>,
+}
+
 /// The end of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended {
@@ -269,8 +278,8 @@
     pub took: Micros,
     /// The message is over; no answer is owed.
     pub closed: bool,
-    /// Calls a second that the destination says it takes; none where it told nothing.
-    pub limit: Option<f64>,
+    /// None where it told nothing.
+    pub limit: Option<Allowance>,
     /// None where the caller does not know.
     pub carrier: Option<Carrier>,
 }
@@ -291,7 +300,7 @@
     Probed {
         host: HostId,
         outcome: Outcome,
-        limit: Option<f64>,
+        limit: Option<Allowance>,
     },
     Peer {
         from: u16,
--- a/src/memo.rs
+++ b/src/memo.rs
@@ -37,6 +37,8 @@
     Round,
     /// The sums that were asked for.
     Sums,
+    /// A host's table of connections was found full.
+    Crowded,
 }
 
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -109,7 +111,7 @@
 /// Reads untrusted bytes; none where any of them is unknown, cut short or out of bounds.
 pub fn decode(bytes: &[u8]) -> Option<Memo> {
     let [VERSION, purpose, rest @ ..] = bytes else { return None };
-    let purposes = [Purpose::News, Purpose::Verdict, Purpose::Round, Purpose::Sums];
+    let purposes = [Purpose::News, Purpose::Verdict, Purpose::Round, Purpose::Sums, Purpose::Crowded];
     let purpose = *purposes.get(usize::from(*purpose))?;
     let mut rest = rest;
     let record = take_record(&mut rest)?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,7 +5,7 @@
 use std::ops::Add;
 
 use crate::interface::{
-    Class, DestinationId, Effect, Ended, Group, History, HostId, Lifecycle, Listed, Listing, MessageId,
+    Allowance, Class, DestinationId, Effect, Ended, Group, History, HostId, Lifecycle, Listed, Listing, MessageId,
     Micros, Outcome, Ran, Request, Settings,
 };
 
@@ -191,10 +191,10 @@
 
 impl Route {
     /// Books what the destination told of its limit, if it did; a new word has this weight in the mean.
-    pub fn tell_limit(&mut self, limit: Option<f64>, weight: f64) {
-        if let Some(limit) = limit {
-            let told = self.told.get_or_insert(limit);
-            *told += (limit - *told) * weight;
+    pub fn tell_limit(&mut self, limit: Option<Allowance>, weight: f64) {
+        if let Some(Allowance { rate, .. }) = limit {
+            let told = self.told.get_or_insert(rate);
+            *told += (rate - *told) * weight;
         }
     }
 
