--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,8 +34,8 @@
 const PASSED_ON: f64 = 0.5;
 /// Permits that may be saved up while idle (us of the own pace).
 const BURST: Micros = 1_000_000;
-/// Share of a limit that is left, at most, where calls are refused for it.
-const SPENT: f64 = 0.5;
+/// Share of a limit that is left from which calls are not refused for it, even by late news.
+const SHUT_FROM: f64 = 0.8;
 /// Pause after a refusal as full without a wait (us), doubled with each further one up to a round.
 const FULL_PAUSE: Micros = 250_000;
 /// Mean deviations beyond a route's mean answer time without any sign of life that count as silence.
@@ -505,7 +505,24 @@
         match (self.state.host_and_route(attempt.host), outcome) {
             (Some((_, route)), Outcome::Ok) => route.answered(took, SAMPLE),
             // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
-            (Some((_, route)), Outcome::Full { wait: wait @ 1.. }) => route.hold(self.now + wait + LOOK),
+            (Some((host, route)), Outcome::Full { wait: wait @ 1.. }) => {
+                let (until, (destination, host)) = (self.now + wait + LOOK, host.route);
+                // Danger: where refused calls use up the limit, each that comes in a wait makes it longer, and
+                // hardly one in two is told. Who is tells all; a destination that is shut has its own word.
+                let many = wait >= FULL_PAUSE && self.settings.senders > HOMES;
+                let limited = limit.and_then(|limit| limit.left).is_none_or(|left| left <= SHUT_FROM);
+                if many && limited {
+                    let news = until > route.wait_until + FULL_PAUSE;
+                    route.hold(until + (wait as f64 * chance(self.now, self.seed)) as Micros);
+                    let report = Report { used: wait as f64 / 1e3, ..Report::default() };
+                    let record = Record { destination, host, report, ..Record::default() };
+                    if news {
+                        self.post(None, Purpose::Wait, record);
+                    }
+                } else {
+                    route.hold(until);
+                }
+            }
             _ => {}
         }
         if first {
@@ -591,7 +608,7 @@
                 let left = limit.and_then(|limit| limit.left);
                 let weight = if left.is_some() { TRIP / 2.0 } else { TRIP };
                 let host_open = host.is_open();
-                let shut = wait >= self.settings.overload_window && left.is_none_or(|left| left > SPENT);
+                let shut = wait >= self.settings.overload_window && left.is_none_or(|left| left > SHUT_FROM);
                 if shut || host_open {
                     self.ail(id, if host_open { TRIP } else { weight }, now, "refuses all");
                 }
@@ -753,6 +770,11 @@
                     self.post(Some(from), Purpose::Sums, Record { report, asks: false, ..told });
                 }
             }
+            // Bounded, as a peer's bytes are not to be trusted.
+            (Purpose::Wait, None, Some(route)) => {
+                let wait = ((told.report.used * 1e3) as Micros).min(EXPIRY);
+                route.hold(now + wait + LOOK + (wait as f64 * chance(now, self.seed)) as Micros);
+            }
             (Purpose::Sums, None, Some(route)) => route.rest = Some((now, told.report)),
             _ => {}
         }
