--- a/src/brain.rs
+++ b/src/brain.rs
@@ -200,6 +200,12 @@
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
+/// What a told wait is longer by, by chance. What is owed there is what was refused, so that the wait says how many
+/// come again; each further refusal says that they were more.
+fn spread(wait: Micros, refusals: u32, chance: f64) -> Micros {
+    (wait as f64 * chance * f64::from(1 + refusals)) as Micros
+}
+
 /// How long no sign of life from a route's host is borne.
 fn patience(route: &Route) -> Micros {
     let bound = (route.answer_time + PATIENCE * route.deviation) as Micros;
@@ -513,7 +519,7 @@
                 let limited = limit.and_then(|limit| limit.left).is_none_or(|left| left <= SHUT_FROM);
                 if many && limited {
                     let news = until > route.wait_until + FULL_PAUSE;
-                    route.hold(until + (wait as f64 * chance(self.now, self.seed)) as Micros);
+                    route.hold(until + spread(wait, route.fulls, chance(self.now, self.seed)));
                     let report = Report { used: wait as f64 / 1e3, ..Report::default() };
                     let record = Record { destination, host, report, ..Record::default() };
                     if news {
@@ -773,7 +779,7 @@
             // Bounded, as a peer's bytes are not to be trusted.
             (Purpose::Wait, None, Some(route)) => {
                 let wait = ((told.report.used * 1e3) as Micros).min(EXPIRY);
-                route.hold(now + wait + LOOK + (wait as f64 * chance(now, self.seed)) as Micros);
+                route.hold(now + wait + LOOK + spread(wait, route.fulls, chance(now, self.seed)));
             }
             (Purpose::Sums, None, Some(route)) => route.rest = Some((now, told.report)),
             _ => {}
