--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -5,8 +5,8 @@
 
 use pewterseam::Brain;
 use pewterseam::interface::{
-    Action, Allowance, Ended, Event, History, HostId, Lifecycle, Listed, MessageId, Micros, Outcome, RegistryNews,
-    Request,
+    Action, Allowance, Ended, Event, History, HostId, Lifecycle, Listed, MessageId, Micros, Outcome,
+    RegistryNews, Request,
 };
 
 use pewterseam_settings::time::{micros, seconds};
@@ -194,7 +194,8 @@
 /// The second reported value is the limit in calls a second, of which the first says what share is left; 0 says
 /// that there is none.
 fn limit(record: Fields<'_>, at: usize) -> Option<Allowance> {
-    let rate = Some(record.f32(at + 5)).filter(|rate| record.u8(at) >= 2 && rate.is_finite() && *rate > 0.0)?;
+    let rate =
+        Some(record.f32(at + 5)).filter(|rate| record.u8(at) >= 2 && rate.is_finite() && *rate > 0.0)?;
     let left = Some(record.f32(at + 1)).filter(|left| (0.0..=1.0).contains(left));
     Some(Allowance { rate, left })
 }
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use pewterseam::interface::{
-    Allowance, History, HostId, Lifecycle, Listed, MessageId, RegistryNews, Request, Settings};
+    Allowance, History, HostId, Lifecycle, Listed, MessageId, RegistryNews, Request, Settings,
+};
 use pewterseam_settings::Deployment;
 use siphasher::sip::SipHasher13;
 
--- a/src/memo.rs
+++ b/src/memo.rs
@@ -113,7 +113,8 @@
 /// Reads untrusted bytes; none where any of them is unknown, cut short or out of bounds.
 pub fn decode(bytes: &[u8]) -> Option<Memo> {
     let [VERSION, purpose, rest @ ..] = bytes else { return None };
-    let purposes = [Purpose::News, Purpose::Verdict, Purpose::Round, Purpose::Sums, Purpose::Crowded, Purpose::Wait];
+    let purposes =
+        [Purpose::News, Purpose::Verdict, Purpose::Round, Purpose::Sums, Purpose::Crowded, Purpose::Wait];
     let purpose = *purposes.get(usize::from(*purpose))?;
     let mut rest = rest;
     let record = take_record(&mut rest)?;
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,8 +5,8 @@
 use std::ops::Add;
 
 use crate::interface::{
-    Allowance, Class, DestinationId, Effect, Ended, Group, History, HostId, Lifecycle, Listed, Listing, MessageId,
-    Micros, Outcome, Ran, Request, Settings,
+    Allowance, Class, DestinationId, Effect, Ended, Group, History, HostId, Lifecycle, Listed, Listing,
+    MessageId, Micros, Outcome, Ran, Request, Settings,
 };
 
 /// Odd factor that scatters numbers (2^64 over the golden ratio).
