--- a/src/brain.rs
+++ b/src/brain.rs
@@ -494,7 +494,10 @@
             };
             let expired = host.is_open() && host.trouble < TRIP && now >= host.verdict_at + EXPIRY;
             if ramp >= 1.0 || expired {
-                host.health = if expired { Health::SlowStart { since: now } } else { Health::Closed };
+                // Danger: a word that expired is no return: all would end their slow start at once.
+                let unborne = matches!(host.health, Health::SlowStart { since } if host.is_unsure(since));
+                let slow = Health::SlowStart { since: now };
+                host.health = if expired || unborne { slow } else { Health::Closed };
                 continue;
             }
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
@@ -615,9 +618,10 @@
         match outcome {
             Outcome::Ok => {
                 (route.fulls, host.unmet) = (0, 0);
-                if host.is_open() {
+                if host.is_open() || host.verdict_at > 0 {
                     self.recover(id);
                     self.tell(id, true);
+                    self.state.vindicate(id);
                 }
                 self.state.serve(id, now, SAMPLE);
             }
@@ -813,7 +817,7 @@
         let all = route.others(me, FRESH, EXPIRY, now) + report(route, false);
         let served = (all.used - all.refused) / route.hosts.max(1.0);
         host.accusers.extend((!up).then_some((from, now)));
-        let known = now < if up { host.verdict_at + EXPIRY } else { host.worded_at + ROUND };
+        let known = if up { host.verdict_at > 0 } else { now < host.worded_at + ROUND };
         let stands = up || now < host.verdict_at + EXPIRY;
         let most = served * MOSTLY * (EXPIRY / ROUND) as f64;
         let enough = stands || host.accusers.len() as f64 >= TRIP.max(most);
@@ -828,8 +832,9 @@
     /// Takes over a home's word: calls are held back, or go out again slowly.
     fn heed(&mut self, id: HostId, up: bool) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
+        let unsure = host.is_open() || (host.verdict_at > 0 && host.health != Health::Closed);
         host.word(up, self.now);
-        if up && host.is_open() {
+        if up && unsure {
             self.recover(id);
         } else if !up && !host.is_open() {
             host.ail(0.0, self.now, self.now, self.settings.overload_window);
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,6 +88,11 @@
         self.health == Health::Open
     }
 
+    /// Nothing bears its slow start out: the homes' word expired, and no call was served since.
+    pub fn is_unsure(&self, since: Micros) -> bool {
+        self.verdict_at > 0 && self.ok_at < since
+    }
+
     /// Books the homes' word of it.
     pub fn word(&mut self, up: bool, now: Micros) {
         (self.verdict_at, self.worded_at) = (if up { 0 } else { now }, now);
@@ -375,6 +380,13 @@
         }
     }
 
+    /// Books that a served call bore out that a host is not out of order.
+    pub fn vindicate(&mut self, id: HostId) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            host.verdict_at = 0;
+        }
+    }
+
     /// Books whether a call was seen to fail.
     pub fn mark(&mut self, id: HostId, failed: bool) {
         if let Some(host) = self.hosts.get_mut(&id) {
