--- a/crates/relay/tests/journal.rs
+++ b/crates/relay/tests/journal.rs
@@ -92,6 +92,31 @@
     assert_eq!(history(folder.path()), History { messages, next: 6, dropped: 0 });
 }
 
+#[test]
+fn the_zone_of_the_first_attempt_that_may_have_run_comes_back() {
+    let started = |number, at, zone| [Record::Started { number, at }, Record::StartedIn { number, zone }];
+    let over = |number, how| Record::Over { number, how };
+    let mut records = Vec::from([1, 2, 3, 4].map(|number| taken(number, 10)));
+    // Turned away in one zone, may have run in the next, and again in a third.
+    records.extend(started(1, 50, 5));
+    records.push(over(1, Over::Unseen));
+    records.extend(started(1, 51, 6));
+    records.push(over(1, Over::MayHaveRun));
+    records.extend(started(1, 52, 7));
+    records.push(over(1, Over::MayHaveRun));
+    // Cut off.
+    records.extend(started(2, 53, 8));
+    // Cut off before its zone was written, and never known again.
+    records.push(Record::Started { number: 3, at: 54 });
+    records.extend(started(3, 55, 9));
+    // Written anew.
+    records.push(Record::RanIn { number: 4, zone: 3 });
+    let folder = tempfile::tempdir().expect("a folder");
+    write(folder.path(), &records);
+    let zones: Vec<_> = history(folder.path()).messages.iter().map(|message| message.past.ran_in).collect();
+    assert_eq!(zones, [Some(6), Some(8), None, Some(3)]);
+}
+
 #[test]
 fn of_two_attempts_that_deaths_cut_off_the_first_counts() {
     let folder = tempfile::tempdir().expect("a folder");
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -6,14 +6,15 @@
 
 use bytes::Bytes;
 use common::settings;
-use pewterseam::interface::{Carrier, HostId, MessageId, Micros, Outcome};
+use pewterseam::interface::{Carrier, HostId, Learnt, LearntRoute, MessageId, Micros, Outcome};
 use pewterseam_relay::clients::RequestId;
 use pewterseam_relay::discovery::List;
 use pewterseam_relay::hosts::{Call, Reply};
 use pewterseam_relay::http::{Headers, Request, Response};
 use pewterseam_relay::io::{Effect, Input, Step};
-use pewterseam_relay::journal::{History, Past, Record, Restored};
+use pewterseam_relay::journal::{History, Past, Record, Restored, Zone};
 use pewterseam_relay::message::{End, Message};
+use pewterseam_relay::names::number;
 use pewterseam_relay::reducer::Reducer;
 use serde_json::{Value, json};
 
@@ -132,6 +133,14 @@
     step.effects.iter().filter_map(notice).collect()
 }
 
+fn logs(step: &Step) -> Vec<String> {
+    let log = |effect: &Effect| match effect {
+        Effect::Log { text, .. } => Some(text.clone()),
+        _ => None,
+    };
+    step.effects.iter().filter_map(log).collect()
+}
+
 fn restored(number: u64, class: &str, past: Past, cut: bool) -> Restored {
     let message = Message {
         id: format!("m{number}"),
@@ -292,6 +301,111 @@
     assert!(matches!(step.records[0], Record::Taken { number: 8, .. }), "{step:?}");
 }
 
+/// Two zones, and repeats of `posting` dropped in one of them only.
+fn zoned(settings: &mut Value) {
+    settings["zones"] = json!(["a", "b"]);
+    settings["classes"][1]["group"] = json!("zone");
+}
+
+/// Hosts of destination 7, `s-a` and `s-b`, each in the zone of its name.
+fn zoned_list() -> List {
+    let mut told = list(&[("s-a", 7, "Ready"), ("s-b", 7, "Ready")], true);
+    for target in &mut told.targets {
+        target.az = target.uid.trim_start_matches("s-").to_owned();
+    }
+    told
+}
+
+fn zone(name: &str) -> Zone {
+    number(name) as Zone
+}
+
+#[test]
+fn a_message_that_may_have_run_goes_again_only_in_its_zone_across_a_restart() {
+    let again = |ran_in| {
+        let past = Past { attempts: 1, ran: Some(START - SECOND), ran_in, ..Past::default() };
+        let history = History { messages: vec![restored(3, "posting", past, false)], next: 4, dropped: 0 };
+        let mut reducer = Reducer::new(deployment(zoned), 7, 1_000_000);
+        reducer.start(START, history, None);
+        let mut relay = Relay { reducer, now: START, requests: 0 };
+        let mut step = relay.step(vec![Input::Listed(zoned_list())]);
+        step.effects.extend(relay.pass(2 * SECOND).effects);
+        calls(&step).iter().map(|call| call.host).collect::<Vec<_>>()
+    };
+    for name in ["a", "b"] {
+        assert_eq!(again(Some(zone(name))), [HostId(number(&format!("s-{name}")))]);
+    }
+    // A zone that the settings don't name any more, and none that was kept.
+    assert_eq!((again(Some(zone("c"))), again(None)), (vec![], vec![]));
+}
+
+#[test]
+fn the_zone_of_an_attempt_is_recorded_where_repeats_are_dropped_in_one_only() {
+    let mut reducer = Reducer::new(deployment(zoned), 7, 1_000_000);
+    reducer.start(START, History::default(), None);
+    let mut relay = Relay { reducer, now: START, requests: 0 };
+    relay.step(vec![Input::Listed(zoned_list())]);
+    let step = relay.hand_in("m1", "posting", Some("acct"));
+    let call = calls(&step).remove(0);
+    let own = if call.host == HostId(number("s-a")) { zone("a") } else { zone("b") };
+    assert!(step.records.contains(&Record::StartedIn { number: 1, zone: own }), "{step:?}");
+    relay.called(&call, Outcome::Reset, false);
+    assert!(relay.reducer.records().1.contains(&Record::RanIn { number: 1, zone: own }));
+    let step = relay.hand_in("m2", "balance", None);
+    assert!(!step.records.iter().any(|record| matches!(record, Record::StartedIn { .. })), "{step:?}");
+}
+
+// The first seconds after a switch to another deployment.
+#[test]
+fn what_was_learnt_is_kept_where_it_means_the_same_and_the_rest_starts_afresh() {
+    let host = |name: &str| HostId(number(name));
+    let route = |destination, apart, name: &str| LearntRoute {
+        destination,
+        apart,
+        hosts: vec![host(name)],
+        rate: Some(5.0),
+        answer_time: 900_000.0,
+        deviation: 100_000.0,
+    };
+    // Kept; a destination of the same number with other hosts; one that holds its limit another way.
+    let routes = vec![route(7, false, "s-1"), route(8, false, "s-9"), route(8, true, "s-2")];
+    let begin = |age: Micros, out: &[&str]| {
+        let out = out.iter().map(|name| (host(name), START - age - SECOND)).collect();
+        let mut reducer = Reducer::new(deployment(|_| {}), 7, 1_000_000);
+        reducer.recall(Ok(Some(Learnt { at: START - age, routes: routes.clone(), out })));
+        reducer.start(START, History::default(), None);
+        let mut relay = Relay { reducer, now: START, requests: 0 };
+        let told = list(&[("s-1", 7, "Ready"), ("s-2", 8, "Ready")], true);
+        let step = relay.step(vec![Input::Listed(told)]);
+        (relay, logs(&step))
+    };
+    let (mut relay, log) = begin(SECOND, &["s-9"]);
+    assert_eq!(log, ["learnt before the restart: 1 routes kept, 2 dropped"]);
+    // The usual answer takes long, so that a call is given the time for it.
+    let timeout = calls(&relay.hand_in("m1", "balance", None))[0].timeout;
+    let fresh = calls(&Relay::new().hand_in("m1", "balance", None))[0].timeout;
+    assert!(timeout != fresh, "{timeout} and {fresh}");
+    // A host that was out a moment ago is not rushed at; one that was out long ago is as any other.
+    for (age, most) in [(SECOND, 1), (60 * SECOND, 6)] {
+        let (mut relay, log) = begin(age, &["s-1"]);
+        assert_eq!(log.iter().any(|line| line.contains("was out before the restart")), most == 1);
+        let requests = (0..6).map(|n| relay.request(&format!("m{n}"), "balance", None)).collect();
+        let sent = calls(&relay.step(requests)).len();
+        assert!(if most == 1 { sent <= 1 } else { sent > 1 }, "{sent} after {age}");
+    }
+}
+
+#[test]
+fn what_was_learnt_and_can_not_be_read_stops_no_start() {
+    let mut reducer = Reducer::new(deployment(|_| {}), 7, 1_000_000);
+    reducer.recall(Err("it is torn".to_owned()));
+    let messages = vec![restored(1, "balance", Past::default(), false)];
+    let first = reducer.start(START, History { messages, next: 2, dropped: 0 }, None);
+    assert_eq!(logs(&first), ["what was learnt before the restart can't be read: it is torn"]);
+    let told = list(&[("s-1", 7, "Ready")], true);
+    assert_eq!(calls(&reducer.step(START, vec![Input::Listed(told)])).len(), 1);
+}
+
 // Danger: the list as last known names hosts that have gone since, and what was restored goes there.
 #[test]
 fn what_was_restored_waits_for_the_first_word_of_discovery() {
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -193,6 +193,11 @@
     place.configure();
     relay.signal(Signal::HUP);
     wait_for("turned away", || relay.counter("configurations_rejected") == 1);
+    place.config = good.clone();
+    place.config["settings"]["family_info"]["late"] = json!("halvng");
+    place.configure();
+    relay.signal(Signal::HUP);
+    wait_for("turned away again", || relay.counter("configurations_rejected") == 2);
     assert_eq!((relay.counter("configurations"), new.heard().len()), (0, 0));
     place.config = good;
     place.config["discovery"] = json!(new.address);
--- a/crates/relay/tests/rough.rs
+++ b/crates/relay/tests/rough.rs
@@ -241,13 +241,20 @@
         ("seed", json!("not hex"), "seed"),
         ("listen", json!("nowhere"), "config.json"),
         ("settings", json!({}), "settings"),
+        ("late", json!("halvng"), "halvng"),
+        ("routes_apart", json!([true, false, true]), "routes_apart"),
+        ("zone_fee", json!([0.1, -1.0]), "zone_fee"),
         ("limits", json!({"memory_mb": 192, "sockets": 8, "disk_mb": 3}), "limits.sockets"),
         ("limits", json!({"memory_mb": 192, "sockets": 1024, "disk_mb": -1}), "disk_mb"),
         ("peers", json!(["127.0.0.1:1"]), ""),
     ];
     for (key, value, word) in cases {
-        let before = place.config[key].clone();
-        place.config[key] = value;
+        let before = place.config.clone();
+        if ["late", "routes_apart", "zone_fee"].contains(&key) {
+            place.config["settings"]["family_info"][key] = value;
+        } else {
+            place.config[key] = value;
+        }
         if key == "peers" {
             place.config["settings"]["me"] = json!(4);
         }
@@ -257,7 +264,7 @@
         let last = text.lines().last().unwrap_or_default();
         assert!(last.starts_with("pewterseam: ") && last.contains(word), "{key}: {text}");
         assert!(!text.contains("panicked"), "{key}: {text}");
-        place.config[key] = before;
+        place.config = before;
     }
 }
 
