--- a/src/brain.rs
+++ b/src/brain.rs
@@ -62,7 +62,7 @@
 const RESERVE: f64 = 0.06;
 /// Factor each round by which the highest rate served fades, if it is not seen again.
 const FADE: f64 = 1.03;
-/// Factors on the time for which idle connections are kept: after a connect that failed, and each round.
+/// Factors on the time for which idle connections are kept: after a call lost on one, and each round.
 const KEEP_CUT: f64 = 0.5;
 const KEEP_REGROWTH: f64 = 1.1;
 /// How long tables of a kind count as full after one was seen to be, or told of (us), and age at which that is
@@ -550,15 +550,13 @@
         }
     }
 
-    /// Danger: idle connections of many senders fill a host's table and nobody gets through; or something
-    /// between drops them unseen, and what is put on one is lost. Where a call that failed so is soon
-    /// followed by one served on a new connection, all are kept for less time, if none idle for longer was of
-    /// use since: a call may be lost by chance. Harms: handshakes.
+    /// Danger: something between drops idle connections unseen, and what is put on one is lost. Where a call
+    /// that failed so is soon followed by one served on a new connection, all are kept for less time, if none
+    /// idle for longer was of use since: a call may be lost by chance. Harms: handshakes.
     fn learn_keep(&mut self, id: HostId, outcome: Outcome, idle_for: Option<Micros>) {
         let (Some(host), now) = (self.state.hosts.get_mut(&id), self.now) else { return };
         let keep = &mut self.keep[host.kind];
         match (outcome, idle_for) {
-            (Outcome::ConnectFailed, _) => host.lost = Some((now, *keep * KEEP_CUT)),
             (Outcome::Timeout, Some(age)) => host.lost = Some((now, self.proven.max(age as f64 * KEEP_CUT))),
             (Outcome::Ok, Some(idle)) => self.proven = self.proven.max(idle as f64),
             (Outcome::Ok, None) => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -73,8 +73,8 @@
     pub trial: bool,
     /// Calls out.
     pub calls: usize,
-    /// When a call was last lost on a connection that had been idle, or got none, and how long others are to idle
-    /// if that was why.
+    /// When a call was last lost on a connection that had been idle, and how long others are to idle if that was
+    /// why.
     pub lost: Option<(Micros, f64)>,
     /// Since when each known connection has been idle.
     pub idle: Vec<Micros>,
