--- a/src/brain.rs
+++ b/src/brain.rs
@@ -738,9 +738,8 @@
         self.state.learnt(self.now)
     }
 
-    /// Takes over what an earlier sender had learnt and what means the same still: limits that destinations told
-    /// and answer times; and, as one may return cold, outages that are news yet. Shares, pools, permits, waits and
-    /// idle times start afresh.
+    /// Takes over what an earlier sender had learnt and means the same still: limits that destinations told,
+    /// answer times, and outages that are news yet, as one may return cold. All else starts afresh.
     fn recall(&mut self, learnt: &Learnt) {
         let (now, apart) = (self.now, self.settings.overload_window);
         let kept = learnt.routes.iter().filter(|old| self.state.recall(old)).count();
