--- a/src/brain.rs
+++ b/src/brain.rs
@@ -65,12 +65,12 @@
 /// Factors on the time for which idle connections are kept: after a call lost on one, and each round.
 const KEEP_CUT: f64 = 0.5;
 const KEEP_REGROWTH: f64 = 1.1;
-/// How long tables of a kind count as full after one was seen to be, or told of (us), and age at which that is
-/// told anew: longer than idle connections usually last, and no more words than needed.
+/// How long tables of a kind count as full after one was seen to be, or told of, and age at which that is
+/// told anew (us): longer than idle connections usually last, and no more words than needed.
 const CROWDED: Micros = 30_000_000;
 const CROWDED_ANEW: Micros = CROWDED / 2;
-/// Calls that a sender should have for a host while a connection idles, at the host's limit, for it to be kept:
-/// what is used is a third of that on quiet days.
+/// Calls that a sender should have for a host while a connection idles, at the host's limit, for it to be
+/// kept: what is used is a third of that on quiet days.
 const OFTEN: f64 = 3.0;
 /// Time between looks at what is held (us).
 const LOOK: Micros = 25_000;
@@ -146,8 +146,8 @@
     route.share * route.pool + route.slack
 }
 
-/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether all was refused, and
-/// the wait that follows from the reports where most were and none was told.
+/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether all was refused,
+/// and the wait that follows from the reports where most were and none was told.
 fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> (bool, Micros) {
     let senders = f64::from(settings.senders);
     route.fill(pace(route), seconds(BURST), now);
@@ -176,8 +176,8 @@
         let share = if told && active { reallocate(&mine, &all) } else { even_slice(route, senders) };
         route.share = share.max(LEAST_SHARE / senders);
     }
-    // Danger: a clump turned away at one sender, or at some whose rounds end before those of the served, passes
-    // for an outage. Only a home knows, and only over two rounds.
+    // Danger: a clump turned away at one sender, or at some whose rounds end before those of the served,
+    // passes for an outage. Only a home knows, and only over two rounds.
     let barren = served == 0.0 && all.refused > TRIP;
     route.barren = if barren { route.barren + 1 } else { 0 };
     route.start_round();
@@ -199,15 +199,15 @@
     (route.tokens, route.filled_at) = (route.tokens.min(chance), now);
 }
 
-/// The pause after the last of so many refusals, by chance half as long to half as long again. Danger: all that
-/// a clump or an outage turned away come again in step.
+/// The pause after the last of so many refusals, by chance half as long to half as long again. Danger: all
+/// that a clump or an outage turned away come again in step.
 fn pause(refusals: u32, now: Micros, seed: u64) -> Micros {
     let pause = (FULL_PAUSE << (refusals - 1).min(3)).min(ROUND);
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
-/// What a told wait is longer by, by chance. What is owed there is what was refused, so that the wait says how many
-/// come again; each further refusal says that they were more.
+/// What a told wait is longer by, by chance. What is owed there is what was refused, so that the wait says
+/// how many come again; each further refusal says that they were more.
 fn spread(wait: Micros, refusals: u32, chance: f64) -> Micros {
     (wait as f64 * chance * f64::from(1 + refusals)) as Micros
 }
@@ -531,8 +531,8 @@
             // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
             (Some((host, route)), Outcome::Full { wait: wait @ 1.. }) => {
                 let (until, id) = (self.now + wait + LOOK, host.route);
-                // Danger: where refused calls use up the limit, each that comes in a wait makes it longer, and
-                // hardly one in two is told. Who is tells all; a destination that is shut has its own word.
+                // Danger: where refused calls use up the limit, each that comes in a wait makes it longer,
+                // and hardly one in two is told. Who is tells all; one that is shut has its own word.
                 let limited = limit.and_then(|limit| limit.left).is_none_or(|left| left <= SHUT_FROM);
                 let all = limited && wait >= FULL_PAUSE && self.settings.senders > HOMES;
                 let news = all && until > route.wait_until + FULL_PAUSE;
@@ -581,8 +581,8 @@
         }
     }
 
-    /// Danger: those that hold the idle connections which fill a host's table are not those that get none. What
-    /// one sees of a kind of host it tells all, once. Harms: handshakes, where the host was just down.
+    /// Danger: those that hold the idle connections which fill a host's table are not those that get none.
+    /// What one sees of a kind of host it tells all, once. Harms: handshakes, where the host was just down.
     fn crowd(&mut self, id: HostId, seen: bool) {
         let Some(Host { kind, route, .. }) = self.state.hosts.get(&id) else { return };
         let (kind, destination, now) = (*kind, route.0, self.now);
@@ -621,8 +621,8 @@
                 route.fulls += 1;
                 bind(route, f64::from(self.settings.senders), chance(now, self.seed), now);
                 route.hold(now + pause(route.fulls, now, self.seed) * u64::from(wait == 0));
-                // Danger: where refused calls use up the limit, waits are as long as an outage's. A limit that is
-                // left says that it is shut; what is told is late, so that it takes two to say so.
+                // Danger: where refused calls use up the limit, waits are as long as an outage's. A limit
+                // that is left says that it is shut; what is told is late, so that it takes two to say so.
                 let left = limit.and_then(|limit| limit.left);
                 let weight = if left.is_some() { TRIP / 2.0 } else { TRIP };
                 let host_open = host.is_open();
@@ -639,8 +639,8 @@
             // A connect that failed at once may have met a full table.
             Outcome::ConnectFailed => {
                 let slow = now > sent_at + PATIENCE_BOUNDS.0;
-                // Danger: tried again at once, a full table takes all attempts of a message. The call never came
-                // to the limit, and its permit is not used.
+                // Danger: tried again at once, a full table takes all attempts of a message. The call never
+                // came to the limit, and its permit is not used.
                 (route.used, route.tokens) = ((route.used - 1.0).max(0.0), route.tokens + 1.0);
                 if !slow {
                     host.unmet += 1;
