--- a/src/brain.rs
+++ b/src/brain.rs
@@ -488,14 +488,13 @@
             let ramp = match host.health {
                 Health::Closed => continue,
                 Health::Open => 0.0,
+                // Danger: a word that expired is no return: all would speed up together, and end at once.
+                Health::SlowStart { since } if host.is_unsure(since) => 0.0,
                 Health::SlowStart { since } => seconds(now - since) / seconds(settings.cold_time),
             };
             let expired = host.is_open() && host.trouble < TRIP && now >= host.verdict_at + EXPIRY;
             if ramp >= 1.0 || expired {
-                // Danger: a word that expired is no return: all would end their slow start at once.
-                let unborne = matches!(host.health, Health::SlowStart { since } if host.is_unsure(since));
-                let slow = Health::SlowStart { since: now };
-                host.health = if expired || unborne { slow } else { Health::Closed };
+                host.health = if expired { Health::SlowStart { since: now } } else { Health::Closed };
                 continue;
             }
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
