--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -692,9 +692,7 @@
 fn a_wait_told_by_a_peer_holds_calls_and_ends_by_chance() {
     let mut starts = Vec::new();
     for seed in 0..20 {
-        let mut sender = one_of_many(7);
-        sender.brain = pewterseam::Brain::new(sender.settings.clone(), seed * 77_777);
-        sender.step(vec![Event::Registry(RegistryNews::Whole(vec![listed(1, 1, 4.0)]))]);
+        let mut sender = seeded_of_many(7, seed);
         sender.step(vec![wait_word(1000.0)]);
         assert!(sends(&sender.hand_in(FREE, 1).1).is_empty());
         let begin = sender.now;
@@ -751,6 +749,11 @@
     Sender::new(Settings { me, senders: 200, ..settings() }, &[listed(1, 1, 4.0)])
 }
 
+/// The same with chances of its own.
+fn seeded_of_many(me: u16, number: u64) -> Sender {
+    Sender::seeded(number * 77_777, Settings { me, senders: 200, ..settings() }, &[listed(1, 1, 4.0)])
+}
+
 /// The notes among actions: to whom, and what.
 fn notes(actions: &[Action]) -> Vec<(Option<u16>, Memo)> {
     let note = |action: &Action| match action {
@@ -827,9 +830,7 @@
     // Trials go out, at the pace that all senders together may have at a cold host.
     let mut tried = 0;
     for me in 6..66 {
-        let mut sender = one_of_many(me);
-        sender.brain = pewterseam::Brain::new(sender.settings.clone(), u64::from(me) * 77_777);
-        sender.step(vec![Event::Registry(RegistryNews::Whole(vec![listed(1, 1, 4.0)]))]);
+        let mut sender = seeded_of_many(me, u64::from(me));
         sender.step(vec![word(3, Purpose::Verdict, false)]);
         sender.now += 7 * SECOND;
         let actions = [sender.hand_in(ONCE, 1).1, sender.pass(11 * SECOND)].concat();
@@ -843,9 +844,7 @@
     // How many of 60 senders send in the last seconds of the cold time, and just after.
     let mut rushing = 0;
     for me in 6..66 {
-        let mut sender = one_of_many(me);
-        sender.brain = pewterseam::Brain::new(sender.settings.clone(), u64::from(me) * 77_777);
-        sender.step(vec![Event::Registry(RegistryNews::Whole(vec![listed(1, 1, 4.0)]))]);
+        let mut sender = seeded_of_many(me, u64::from(me));
         sender.step(vec![word(3, Purpose::Verdict, false)]);
         sender.pass(7 * SECOND);
         sender.hand_in(FREE, 1);
@@ -922,9 +921,8 @@
     // All have something to send to a destination that has been out for long.
     let mut tried = 0;
     for me in 6..200 {
-        let mut sender = Sender::new(Settings { me, senders: 200, ..settings() }, &[listed(1, 1, 10.0)]);
-        sender.brain = pewterseam::Brain::new(sender.settings.clone(), u64::from(me) * 77_777);
-        sender.step(vec![Event::Registry(RegistryNews::Whole(vec![listed(1, 1, 10.0)]))]);
+        let settings = Settings { me, senders: 200, ..settings() };
+        let mut sender = Sender::seeded(u64::from(me) * 77_777, settings, &[listed(1, 1, 10.0)]);
         sender.step(vec![word(3, Purpose::Verdict, false)]);
         for _ in 0..3 {
             sender.now += 4 * SECOND;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -77,7 +77,11 @@
 
 impl Sender {
     pub fn new(settings: Settings, hosts: &[Listed]) -> Self {
-        let mut sender = Sender { brain: Brain::new(settings.clone(), 7), now: START, settings, next: 0 };
+        Sender::seeded(7, settings, hosts)
+    }
+
+    pub fn seeded(seed: u64, settings: Settings, hosts: &[Listed]) -> Self {
+        let mut sender = Sender { brain: Brain::new(settings.clone(), seed), now: START, settings, next: 0 };
         sender.step(vec![Event::Registry(RegistryNews::Whole(hosts.to_vec()))]);
         sender
     }
