The sender's own zone is no setting of the module any more

Its one use was in may_reach, which now goes by the zone of the first attempt; nothing read it since. The wire's my_zone is ignored like other unknown keys.

--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -43,8 +43,6 @@
 #[derive(Deserialize)]
 struct Wire {
     me: u16,
-    #[serde(default)]
-    my_zone: u16,
     group_size: u16,
     classes: Vec<WireClass>,
     #[serde(default)]
@@ -176,7 +174,6 @@
     let retry_after = if wire.allowed.retry_after { wire.allowed.max_retry_after_s } else { 0.0 };
     Ok(Settings {
         me: wire.me,
-        zone: wire.my_zone,
         senders: wire.group_size.max(1),
         classes: wire.classes.iter().map(class).collect::<Result<_, _>>()?,
         kinds,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,8 +107,6 @@
 #[derive(Clone, Debug)]
 pub struct Settings {
     pub me: u16,
-    /// Where this sender stands.
-    pub zone: u16,
     /// Senders in this group, this one included.
     pub senders: u16,
     pub classes: Vec<Class>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -709,7 +709,6 @@
     fn settings() -> Settings {
         Settings {
             me: 0,
-            zone: 0,
             senders: 1,
             classes: Vec::new(),
             kinds: vec![Kind { routes_apart: true, bundle: 1 }],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -25,7 +25,6 @@
     let guarded = Effect::Guarded { window: 4 * SECOND, group: Group::All };
     Settings {
         me: 0,
-        zone: 0,
         senders: 2,
         classes: vec![
             class(Effect::Free, 1.0, false),
