Operators' listener, host maintenance, standby, SO_REUSEPORT and a turn on the shared folder

ops.rs: one call a connection on the address of 'ops' or NODE_OPS, each in its own task, 2 s for a whole call; 4xx and a count (bad_calls) for what is none. The reducer answers /status, /status/metrics (relay.NAME[.CLASS]=N), maintenance enter/exit (names.rs tells a host under maintenance as draining whatever discovery says; maintenance.json keeps them for the next process; an id never listed gets 400), /standby and /active (health says no, connections close between requests, as in a stop that can be undone). sockets.rs: listeners for clients, operators and peers bound with SO_REUSEPORT.

Ruled out: the listener (binding works), discovery (none in the logs). Lines to blame: Relay::start read the shared folder while the old process still served from it. Now a new process waits for the lock on NODE_STATE/turn.lock, answering /status yes meanwhile so that the platform stops the old one; clients wait in the listener's queue.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -111,6 +111,18 @@
         self.0.phase.send_replace(Phase::Stopping);
     }
 
+    /// Sends clients away, as a stop does, or takes them again; a stop that has begun stays.
+    pub fn standby(&self, on: bool) {
+        self.0.phase.send_if_modified(|phase| {
+            let next = match (*phase, on) {
+                (Phase::Serving, true) => Phase::Stopping,
+                (Phase::Stopping, false) => Phase::Serving,
+                (other, _) => other,
+            };
+            std::mem::replace(phase, next) != next
+        });
+    }
+
     /// Closes all that have no request on them.
     pub fn leave(&self) {
         self.0.phase.send_replace(Phase::Leaving);
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -39,6 +39,9 @@
     pub peers_all: Option<SocketAddr>,
     #[serde(default)]
     pub known: Option<List>,
+    /// Where operators call; none where neither this nor `NODE_OPS` is given.
+    #[serde(default)]
+    ops: Option<SocketAddr>,
     settings: serde_json::Value,
 }
 
@@ -51,6 +54,7 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    pub ops: Option<SocketAddr>,
     pub seed: u64,
     pub deployment: Deployment,
 }
@@ -84,6 +88,12 @@
             name: variable("NODE_NAME").unwrap_or_else(|| file.name.clone()),
             listen: address("NODE_LISTEN", file.listen)?,
             discovery: address("NODE_DISCOVERY", file.discovery)?,
+            ops: match variable("NODE_OPS") {
+                Some(text) => Some(
+                    text.parse().map_err(|_| Malformed::new(format!("NODE_OPS: '{text}' is no address")))?,
+                ),
+                None => file.ops,
+            },
             seed,
             deployment,
             file,
@@ -102,6 +112,7 @@
         let others = [
             ("name", old.name != new.name),
             ("listen", old.listen != new.listen),
+            ("ops", old.ops != new.ops),
             ("limits", old.limits != new.limits),
             ("peer_listen", old.peer_listen != new.peer_listen),
             ("peers", old.peers != new.peers),
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -51,6 +51,8 @@
     list_entries_dropped,
     configurations,
     configurations_rejected,
+    calls,
+    bad_calls,
     journal_failures,
     invariants_broken,
 }
--- a/crates/relay/src/io.rs
+++ b/crates/relay/src/io.rs
@@ -22,6 +22,13 @@
     },
     /// What a client sent was no request.
     BadRequest,
+    /// An operator's call, whole.
+    Ops {
+        id: RequestId,
+        request: Request,
+    },
+    /// What an operator sent was no call, or came too slowly, or one too many.
+    BadOps,
     /// A connection was closed on which no request had come, or turned away as one too many.
     Silent,
     Crowded,
@@ -72,6 +79,15 @@
         id: RequestId,
         response: Response,
     },
+    /// To an operator.
+    Answer {
+        id: RequestId,
+        response: Response,
+    },
+    /// Clients are sent away, or taken again: `/_health` says so, and connections close between requests.
+    Standby(bool),
+    /// The names of hosts under maintenance, to be kept for the next process.
+    KeepMaintenance(Vec<String>),
     Call(Call),
     Cancel {
         id: MessageId,
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -20,8 +20,17 @@
     /// Address and zone.
     hosts: HashMap<HostId, (SocketAddr, Zone)>,
     has_list: bool,
+    /// What discovery said last of each host it lists, and the names of all it ever listed.
+    listed: HashMap<HostId, Listed>,
+    ever: HashSet<String>,
+    /// Under maintenance: told to the decisions as draining, whatever discovery says.
+    maintained: HashSet<String>,
 }
 
+/// A host that no list ever named.
+#[derive(Debug)]
+pub struct NeverListed;
+
 /// What a list tells.
 pub struct Told {
     /// In the decisions' terms.
@@ -45,7 +54,53 @@
 
 impl Names {
     pub fn new(deployment: Deployment) -> Self {
-        Names { deployment, hosts: HashMap::new(), has_list: false }
+        let (listed, ever, maintained) = (HashMap::new(), HashSet::new(), HashSet::new());
+        Names { deployment, hosts: HashMap::new(), has_list: false, listed, ever, maintained }
+    }
+
+    pub fn class_names(&self) -> &[String] {
+        &self.deployment.classes
+    }
+
+    pub fn class_number(&self, class: &str) -> Option<usize> {
+        position(&self.deployment.classes, class)
+    }
+
+    /// Hosts known now.
+    pub fn discovered(&self) -> usize {
+        self.hosts.len()
+    }
+
+    /// Hosts known now that are under maintenance.
+    pub fn ejected(&self) -> usize {
+        self.maintained.iter().filter(|name| self.hosts.contains_key(&HostId(number(name)))).count()
+    }
+
+    /// The names of the hosts under maintenance, in order.
+    pub fn maintained(&self) -> Vec<String> {
+        let mut names: Vec<String> = self.maintained.iter().cloned().collect();
+        names.sort();
+        names
+    }
+
+    /// Puts a host under maintenance, or takes it back: what that changes for the decisions, if anything. `Err`
+    /// where no list ever named it. Names kept from an earlier process are taken with `force`.
+    pub fn maintain(
+        &mut self, name: &str, under: bool, force: bool,
+    ) -> Result<Option<RegistryNews>, NeverListed> {
+        if !force && !self.ever.contains(name) {
+            return Err(NeverListed);
+        }
+        let changed =
+            if under { self.maintained.insert(name.to_owned()) } else { self.maintained.remove(name) };
+        let entry = self.listed.get(&HostId(number(name))).copied().filter(|_| changed);
+        Ok(entry.map(|entry| RegistryNews::Changes(vec![self.as_maintained(name, entry)])))
+    }
+
+    /// Danger: discovery lists a host under maintenance as ready, and calls would go to it while it restarts.
+    fn as_maintained(&self, name: &str, entry: Listed) -> Listed {
+        let held = self.maintained.contains(name) && entry.lifecycle == Lifecycle::Ready;
+        Listed { lifecycle: if held { Lifecycle::Draining } else { entry.lifecycle }, ..entry }
     }
 
     pub fn settings(&self) -> &Settings {
@@ -109,14 +164,23 @@
 
     /// Takes over the list.
     pub fn list(&mut self, list: &List) -> Told {
+        self.ever.extend(list.targets.iter().map(|target| target.uid.clone()));
         let known = list.targets.iter().filter_map(|target| Some((target, self.listed(target)?)));
-        let (targets, entries): (Vec<&Target>, Vec<Listed>) = known.unzip();
+        let (targets, mut entries): (Vec<&Target>, Vec<Listed>) = known.unzip();
+        if list.all {
+            self.listed.clear();
+        }
+        for (target, entry) in targets.iter().zip(entries.iter_mut()) {
+            self.listed.insert(entry.host, *entry);
+            *entry = self.as_maintained(&target.uid, *entry);
+        }
         let named: HashSet<HostId> = entries.iter().map(|entry| entry.host).collect();
         let missing = |host: &HostId| list.all && !named.contains(host);
         let mut gone: Vec<HostId> =
             self.hosts.extract_if(|host, _| missing(host)).map(|(host, _)| host).collect();
         for (target, entry) in targets.iter().zip(&entries) {
             if entry.lifecycle == Lifecycle::Gone {
+                self.listed.remove(&entry.host);
                 gone.extend(self.hosts.remove(&entry.host).map(|_| entry.host));
             } else {
                 self.hosts.insert(entry.host, (target.endpoint, number(&target.az) as Zone));
--- /dev/null
+++ b/crates/relay/src/ops.rs
@@ -0,0 +1,160 @@
+//! The listener for operators: one call a connection, each answered by the reducer.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::{SinkExt, StreamExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+use tokio_util::codec::Framed;
+
+use crate::clients::RequestId;
+use crate::http::{Request, Response, Server};
+use crate::inputs::Inputs;
+use crate::io::Input;
+
+/// How many operators' connections may be open at once; the next is answered 503 at once.
+pub const MOST_OPEN: usize = 32;
+
+/// An operator's call, in the reducer's terms.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Call {
+    Status,
+    Metrics,
+    /// A host under maintenance, or back from it, by its name in the list.
+    Enter(String),
+    Exit(String),
+    Standby,
+    Active,
+}
+
+/// What an operator's request asks for, or the answer to one that asks for nothing that is here.
+pub fn call(request: &Request) -> Result<Call, Response> {
+    let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+    let name = || {
+        let names = query.split('&').filter_map(|pair| pair.split_once('='));
+        let name = names.filter(|(key, _)| *key == "name").map(|(_, value)| value).next_back();
+        name.filter(|name| !name.is_empty()).map(str::to_owned)
+    };
+    let named = |make: fn(String) -> Call| name().map(make).ok_or_else(|| no(400, "name=ID is wanted\n"));
+    match (request.method.as_str(), path) {
+        ("GET", "/status") => Ok(Call::Status),
+        ("GET", "/status/metrics") => Ok(Call::Metrics),
+        ("POST", "/maintenance/enter") => named(Call::Enter),
+        ("POST", "/maintenance/exit") => named(Call::Exit),
+        ("POST", "/standby") => Ok(Call::Standby),
+        ("POST", "/active") => Ok(Call::Active),
+        (
+            _,
+            "/status" | "/status/metrics" | "/maintenance/enter" | "/maintenance/exit" | "/standby"
+            | "/active",
+        ) => Err(no(405, "the method is another one\n")),
+        _ => Err(no(404, "there is nothing here\n")),
+    }
+}
+
+/// The answer while another process still serves from the folder: this one is there to take over.
+pub fn waiting(request: &Request) -> Response {
+    match call(request) {
+        Ok(Call::Status) => Response { keep_alive: false, ..Response::text(200, "taking over\n") },
+        Ok(_) => no(503, "another process serves until it ends\n"),
+        Err(response) => response,
+    }
+}
+
+fn no(status: u16, text: &str) -> Response {
+    Response { keep_alive: false, ..Response::text(status, text) }
+}
+
+/// What the operators' connections share.
+#[derive(Default)]
+struct Shared {
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Response>>>,
+    last: Cell<u64>,
+    open: Cell<usize>,
+}
+
+/// The relay's side of the operators.
+#[derive(Clone)]
+pub struct Operators {
+    shared: Rc<Shared>,
+    /// For a whole call, and for its answer.
+    patience: Duration,
+    pause: Duration,
+    inputs: Inputs,
+}
+
+impl Operators {
+    pub fn new(patience: Duration, pause: Duration, inputs: Inputs) -> Self {
+        Operators { shared: Rc::default(), patience, pause, inputs }
+    }
+
+    pub fn respond(&self, id: RequestId, response: Response) {
+        if let Some(waiting) = self.shared.waiting.borrow_mut().remove(&id) {
+            let _ = waiting.send(response);
+        }
+    }
+
+    /// Takes operators' connections for as long as the process runs.
+    pub async fn accept(self, listener: TcpListener) {
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let open = &self.shared.open;
+                    open.set(open.get() + 1);
+                    let this = self.clone();
+                    tokio::task::spawn_local(async move {
+                        let crowded = this.shared.open.get() > MOST_OPEN;
+                        this.serve(stream, crowded).await;
+                        this.shared.open.set(this.shared.open.get() - 1);
+                    });
+                }
+                // Danger: descriptors are short for a while, and a loop without a pause would take the core.
+                Err(_) => sleep(self.pause).await,
+            }
+        }
+    }
+
+    /// Reads one call and answers it. Danger: a caller that sends nothing, or half a call, holds only its own
+    /// task, and is closed after `patience`.
+    async fn serve(&self, stream: TcpStream, crowded: bool) {
+        let mut connection = Framed::new(stream, Server::default());
+        let response = if crowded {
+            self.inputs.send(Input::BadOps);
+            no(503, "too many calls at once\n")
+        } else {
+            match timeout(self.patience, connection.next()).await {
+                Ok(Some(Ok(request))) => self.answer(request).await,
+                Ok(Some(Err(fault))) => {
+                    self.inputs.send(Input::BadOps);
+                    no(fault.status(), &format!("{fault}\n"))
+                }
+                Ok(None) => return,
+                Err(_) => {
+                    self.inputs.send(Input::BadOps);
+                    no(408, "no whole call in time\n")
+                }
+            }
+        };
+        let response = Response { keep_alive: false, ..response };
+        let _ = timeout(self.patience, connection.send(response)).await;
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let shared = &self.shared;
+        shared.last.set(shared.last.get() + 1);
+        let id = RequestId(shared.last.get());
+        let (answer, answered) = oneshot::channel();
+        shared.waiting.borrow_mut().insert(id, answer);
+        self.inputs.send(Input::Ops { id, request });
+        let response = timeout(self.patience, answered).await;
+        shared.waiting.borrow_mut().remove(&id);
+        match response {
+            Ok(Ok(response)) => response,
+            _ => no(503, "no answer in time\n"),
+        }
+    }
+}
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -26,7 +26,7 @@
     pub async fn bind(
         listen: SocketAddr, peers: &[SocketAddr], all: Option<SocketAddr>, me: usize,
     ) -> io::Result<Self> {
-        let socket = Rc::new(UdpSocket::bind(listen).await?);
+        let socket = Rc::new(crate::sockets::datagrams(listen)?);
         // Until it has been seen to be writable, nothing would be sent.
         socket.writable().await?;
         Ok(Peers { socket, peers: peers.into(), all, me })
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -23,6 +23,7 @@
 use crate::message::{End, Message};
 use crate::names::{Names, Told};
 use crate::notices::Notice;
+use crate::ops;
 
 /// A message on hand.
 #[derive(Debug)]
@@ -71,12 +72,22 @@
     backlog: Vec<Record>,
     step: Step,
     counters: Counters,
+    /// Sent away by an operator: `/_health` says no, while the rest goes on.
+    standby: bool,
+    /// By class, in the settings' order: delivered, refused or handed back, failed.
+    ends: Vec<[u64; 3]>,
 }
 
+/// Where a class's ends are counted.
+const SUCCEEDED: usize = 0;
+const DECLINED: usize = 1;
+const ABORTED: usize = 2;
+
 impl Reducer {
     /// `room` is for messages on hand, in bytes.
     pub fn new(deployment: Deployment, seed: u64, room: u64) -> Self {
         let longest = deployment.settings.classes.iter().map(|class| class.deadline).max();
+        let deployment_classes = deployment.classes.len();
         Reducer {
             ended: EndedIds::new(longest.unwrap_or(0)),
             brain: Brain::new(deployment.settings.clone(), seed),
@@ -96,6 +107,15 @@
             backlog: Vec::new(),
             step: Step::default(),
             counters: Counters::default(),
+            standby: false,
+            ends: vec![[0; 3]; deployment_classes],
+        }
+    }
+
+    /// Takes over the hosts under maintenance that an earlier process kept; before `start`.
+    pub fn maintained(&mut self, names: Vec<String>) {
+        for name in names {
+            let _ = self.names.maintain(&name, true, true);
         }
     }
 
@@ -274,6 +294,8 @@
         match input {
             Input::Request { id, request } => events.extend(self.request(now, id, request)),
             Input::BadRequest => self.counters.bad_requests += 1,
+            Input::Ops { id, request } => events.extend(self.operate(id, request)),
+            Input::BadOps => self.counters.bad_calls += 1,
             Input::Silent => self.counters.connections_silent += 1,
             Input::Crowded => self.counters.connections_refused += 1,
             Input::Called { id, attempt, reply } => events.push(self.called(now, id, attempt, reply)),
@@ -367,7 +389,7 @@
                 Ok(order) => return order.map(Event::Message),
                 Err(response) => response,
             },
-            ("GET", "/_health") if self.is_ready() => Response::text(200, "ready\n"),
+            ("GET", "/_health") if self.is_ready() && !self.standby => Response::text(200, "ready\n"),
             ("GET", "/_health") => Response::text(503, "not ready\n"),
             ("GET", "/_counters") => Response::text(200, self.text()),
             (_, "/api" | "/_health" | "/_counters") => Response::text(405, "the method is another one\n"),
@@ -378,6 +400,80 @@
         None
     }
 
+    // ---- Operators
+
+    /// Answers an operator's call; gives what the decisions are to be told of it.
+    fn operate(&mut self, id: RequestId, request: Request) -> Option<Event> {
+        self.counters.calls += 1;
+        let (response, news) = match ops::call(&request) {
+            Err(response) => {
+                self.counters.bad_calls += 1;
+                (response, None)
+            }
+            Ok(ops::Call::Status) if self.is_ready() => (Response::text(200, "serving\n"), None),
+            Ok(ops::Call::Status) => (Response::text(503, "not serving yet\n"), None),
+            Ok(ops::Call::Metrics) => (Response::text(200, self.metrics()), None),
+            Ok(ops::Call::Enter(name)) => self.maintain(&name, true),
+            Ok(ops::Call::Exit(name)) => self.maintain(&name, false),
+            Ok(ops::Call::Standby | ops::Call::Active) if self.stopping => {
+                (Response::text(409, "the process stops\n"), None)
+            }
+            Ok(call) => {
+                self.standby = call == ops::Call::Standby;
+                let word =
+                    if self.standby { "standby: clients are sent away" } else { "active: clients are taken" };
+                self.log(Level::Info, word.to_owned());
+                self.step.effects.push(Effect::Standby(self.standby));
+                (Response::text(200, format!("{word}\n")), None)
+            }
+        };
+        self.step.effects.push(Effect::Answer { id, response });
+        news.map(Event::Registry)
+    }
+
+    fn maintain(&mut self, name: &str, under: bool) -> (Response, Option<RegistryNews>) {
+        match self.names.maintain(name, under, false) {
+            Err(_) => (Response::text(400, "no list ever named this host\n"), None),
+            Ok(news) => {
+                let word = if under { "under maintenance" } else { "back from maintenance" };
+                self.log(Level::Info, format!("host {name}: {word}"));
+                self.step.effects.push(Effect::KeepMaintenance(self.names.maintained()));
+                (Response::text(200, format!("{word}\n")), news)
+            }
+        }
+    }
+
+    /// The figures, one `relay.NAME[.CLASS]=N` a line.
+    fn metrics(&self) -> String {
+        let mut text = String::new();
+        for (index, name) in ["succeeded", "declined", "aborted"].into_iter().enumerate() {
+            for (class, ends) in self.names.class_names().iter().zip(&self.ends) {
+                text.push_str(&format!("relay.{name}.{class}={}\n", ends[index]));
+            }
+        }
+        let counters = &self.counters;
+        let figures = [
+            ("forwards", counters.sent),
+            ("outstanding", self.held.len() as u64),
+            ("discovered", self.names.discovered() as u64),
+            ("ejected", self.names.ejected() as u64),
+            ("sighup_applied", counters.configurations),
+            ("sighup_rejected", counters.configurations_rejected),
+        ];
+        for (name, value) in figures {
+            text.push_str(&format!("relay.{name}={value}\n"));
+        }
+        text
+    }
+
+    /// Counts a message's end under its class.
+    fn count_end(&mut self, id: MessageId, how: usize) {
+        let class = self.held.get(&id).and_then(|held| self.names.class_number(&held.message.class));
+        if let Some(ends) = class.and_then(|class| self.ends.get_mut(class)) {
+            ends[how] += 1;
+        }
+    }
+
     fn is_ready(&self) -> bool {
         !self.stopping && self.start.is_none() && self.names.has_list()
     }
@@ -471,6 +567,7 @@
             && let Some((_, at, zone)) = held.out.take_if(|(out, ..)| *out == attempt)
         {
             if closed {
+                self.count_end(id, if outcome == Outcome::Ok { SUCCEEDED } else { ABORTED });
                 self.finish(now, id, outcome == Outcome::Ok);
             } else {
                 let how = match outcome {
@@ -529,11 +626,13 @@
         };
         self.step.records.retain(|record| !matches!(record, Record::Taken { number, .. } if *number == id.0));
         self.counters.refused_at_once += 1;
+        self.count_end(id, if end == End::Failed { ABORTED } else { DECLINED });
         self.respond(request, refusal(end));
         Some(self.withdraw(id))
     }
 
     fn close(&mut self, id: MessageId, end: End) {
+        self.count_end(id, if end == End::Failed { ABORTED } else { DECLINED });
         match end {
             End::Failed => self.counters.failed += 1,
             End::Returned { .. } => self.counters.returned += 1,
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -1,6 +1,7 @@
 //! Runs a relay: gathers inputs for the reducer, keeps its records, carries out its effects.
 
 use std::fmt;
+use std::fs::{self, File, TryLockError};
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -13,7 +14,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{LocalSet, spawn_local, yield_now};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::clients::{self, Clients};
 use crate::clock::Clock;
@@ -25,9 +26,12 @@
 use crate::journal::{History, Journal};
 use crate::learnt;
 use crate::limits::Budget;
+use crate::maintenance;
 use crate::notices::{self, Notice};
+use crate::ops::{self, Operators};
 use crate::peers::Peers;
 use crate::reducer::Reducer;
+use crate::sockets;
 
 /// Why a relay can't start.
 #[derive(Debug)]
@@ -63,7 +67,19 @@
     // Danger: without a handler it ends the process.
     let mut hangup = signal(SignalKind::hangup()).map_err(fault("signals"))?;
     let (inputs, mut incoming) = Inputs::new();
-    let mut relay = Relay::start(config, folder, log, inputs).await?;
+    // Bound before the turn is taken: clients wait in the listener's queue, and operators are answered.
+    let listener = sockets::listen(config.listen).map_err(fault(config.listen))?;
+    let ops = match config.ops {
+        Some(address) => Some(sockets::listen(address).map_err(fault(address))?),
+        None => None,
+    };
+    let patience = Duration::from_micros(brain::CLIENT_PATIENCE);
+    let operators = Operators::new(patience, Duration::from_micros(brain::PAUSE), inputs.clone());
+    if let Some(ops) = ops {
+        spawn_local(operators.clone().accept(ops));
+    }
+    let _turn = take_turn(folder, &operators, &mut incoming, &log).await?;
+    let mut relay = Relay::start(config, folder, log, inputs, listener, operators).await?;
     let mut stop_at: Option<Micros> = None;
     let mut closed = false;
     loop {
@@ -127,6 +143,44 @@
     Ok(())
 }
 
+/// The file whose lock says which process serves from the folder.
+const TURN: &str = "turn.lock";
+
+/// Waits until no other process serves from the folder; meanwhile `/status` says yes, so that the platform stops
+/// the other one. Danger: a new version starts while the old one serves, and both would deliver what the journal
+/// holds, twice and out of order.
+async fn take_turn(
+    folder: &Path, operators: &Operators, incoming: &mut mpsc::UnboundedReceiver<Input>, log: &Logger,
+) -> Result<File, Fault> {
+    fs::create_dir_all(folder).map_err(fault(folder.display()))?;
+    let path = folder.join(TURN);
+    let turn = File::options().create(true).truncate(false).write(true).open(&path);
+    let turn = turn.map_err(fault(path.display()))?;
+    let mut waits = false;
+    loop {
+        match turn.try_lock() {
+            Ok(()) => break,
+            Err(TryLockError::WouldBlock) => {}
+            Err(TryLockError::Error(error)) => return Err(fault(path.display())(error)),
+        }
+        if !std::mem::replace(&mut waits, true) {
+            info!(log, "another process serves from the folder; this one takes over when it ends");
+        }
+        tokio::select! {
+            Some(input) = incoming.recv() => {
+                if let Input::Ops { id, request } = input {
+                    operators.respond(id, ops::waiting(&request));
+                }
+            }
+            () = sleep(Duration::from_micros(brain::PAUSE) / 5) => {}
+        }
+    }
+    if waits {
+        info!(log, "the other process has ended; this one takes over");
+    }
+    Ok(turn)
+}
+
 struct Relay {
     clock: Clock,
     /// As last read.
@@ -134,6 +188,7 @@
     reducer: Reducer,
     journal: Journal,
     clients: Clients,
+    operators: Operators,
     hosts: Hosts,
     peers: Option<Peers>,
     discovery: watch::Sender<SocketAddr>,
@@ -141,6 +196,7 @@
     notices: mpsc::UnboundedSender<Notice>,
     inputs: Inputs,
     wake_at: Option<Micros>,
+    folder: std::path::PathBuf,
     /// The last step could not be kept.
     journal_fails: bool,
     log: Logger,
@@ -157,12 +213,14 @@
 
 impl Relay {
     /// Takes over what the journal holds, then lets clients in.
-    async fn start(mut config: Config, folder: &Path, log: Logger, inputs: Inputs) -> Result<Self, Fault> {
+    async fn start(
+        mut config: Config, folder: &Path, log: Logger, inputs: Inputs, listener: TcpListener,
+        operators: Operators,
+    ) -> Result<Self, Fault> {
         let clock = Clock::start();
         let settings = config.deployment.settings.clone();
         let budget = check(&config)?;
         let (journal, history) = open_journal(folder, config.file.limits.disk(), &log)?;
-        let listener = TcpListener::bind(config.listen).await.map_err(fault(config.listen))?;
         let peers = match config.file.peer_listen.filter(|_| settings.may_tell) {
             Some(listen) => {
                 let me = usize::from(settings.me);
@@ -192,6 +250,10 @@
         let room = journal.room().min(budget.held);
         let mut reducer = Reducer::new(config.deployment.clone(), config.seed, room);
         reducer.recall(learnt::read(folder));
+        match maintenance::read(folder) {
+            Ok(names) => reducer.maintained(names),
+            Err(error) => warn!(log, "the hosts under maintenance can't be read"; "error" => %error),
+        }
         let step = reducer.start(clock.now(), history, config.file.known.take());
         let mut relay = Relay {
             clock,
@@ -199,6 +261,7 @@
             reducer,
             journal,
             clients,
+            operators,
             hosts,
             peers,
             discovery,
@@ -206,6 +269,7 @@
             notices,
             inputs,
             wake_at: None,
+            folder: folder.to_owned(),
             journal_fails: false,
             log,
         };
@@ -254,6 +318,13 @@
     fn carry_out_effect(&mut self, effect: Effect) {
         match effect {
             Effect::Respond { id, response } => self.clients.respond(id, response),
+            Effect::Answer { id, response } => self.operators.respond(id, response),
+            Effect::Standby(on) => self.clients.standby(on),
+            Effect::KeepMaintenance(names) => {
+                if let Err(error) = maintenance::write(&self.folder, &names) {
+                    error!(self.log, "the hosts under maintenance are not kept"; "error" => %error);
+                }
+            }
             Effect::Call(call) => self.hosts.call(call),
             Effect::Cancel { id, attempt } => self.hosts.cancel(id, attempt),
             Effect::Probe { host, address, path, timeout } => self.hosts.probe(host, address, path, timeout),
@@ -301,3 +372,37 @@
         info!(self.log, "stopped"; "held" => self.reducer.held());
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::http::Request;
+
+    #[tokio::test]
+    async fn a_second_process_waits_for_the_folder_and_says_yes_meanwhile() {
+        let folder = tempfile::tempdir().expect("folder");
+        let held = File::create(folder.path().join(TURN)).expect("a file");
+        held.lock().expect("locked");
+        let (inputs, mut incoming) = Inputs::new();
+        let pause = Duration::from_millis(100);
+        let operators = Operators::new(pause, pause, inputs.clone());
+        let log = Logger::root(slog::Discard, slog::o!());
+        LocalSet::new()
+            .run_until(async {
+                let waiting = take_turn(folder.path(), &operators, &mut incoming, &log);
+                let waited = tokio::time::timeout(Duration::from_millis(300), waiting).await;
+                assert!(waited.is_err(), "it waits while the other holds the folder");
+                drop(held);
+                let waiting = take_turn(folder.path(), &operators, &mut incoming, &log);
+                let taken = tokio::time::timeout(Duration::from_secs(2), waiting).await;
+                assert!(taken.is_ok_and(|turn| turn.is_ok()), "it takes over once the other has ended");
+            })
+            .await;
+        let status = Request::get("/status");
+        assert_eq!(ops::waiting(&status).status, 200);
+        assert_eq!(
+            ops::waiting(&Request { method: "POST".to_owned(), ..Request::get("/standby") }).status,
+            503
+        );
+    }
+}
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -646,3 +646,85 @@
     assert_eq!(closed(relay.step(vec![Input::Listed(list(&[("s-3", 7, "Ready")], true))])), 1);
     assert_eq!(closed(relay.step(vec![Input::Listed(list(&[("s-3", 7, "Ready")], true))])), 0);
 }
+
+fn operate(relay: &mut Relay, method: &str, path: &str) -> (u16, String, Step) {
+    let request = Request { method: method.to_owned(), ..Request::get(path) };
+    let step = relay.step(vec![Input::Ops { id: RequestId(500), request }]);
+    let answer = step.effects.iter().find_map(|effect| match effect {
+        Effect::Answer { id: RequestId(500), response } => Some(response.clone()),
+        _ => None,
+    });
+    let answer = answer.expect("every call is answered in its step");
+    (answer.status, String::from_utf8_lossy(&answer.body).into_owned(), step)
+}
+
+#[test]
+fn a_host_under_maintenance_gets_nothing_until_it_is_back_whatever_discovery_says() {
+    let mut relay = Relay::new();
+    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter?name=never-listed").0, 400);
+    let (status, _, step) = operate(&mut relay, "POST", "/maintenance/enter?name=s-1");
+    assert_eq!(status, 200);
+    assert!(step.effects.contains(&Effect::KeepMaintenance(vec!["s-1".to_owned()])));
+    // Repeated calls are fine, and discovery's word that it is ready changes nothing.
+    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter?name=s-1").0, 200);
+    relay.step(vec![Input::Listed(list(&[("s-1", 7, "Ready"), ("s-2", 8, "Ready")], true))]);
+    assert_eq!(calls(&relay.hand_in("m1", "balance", None)), []);
+    assert_eq!(calls(&relay.pass(SECOND)), []);
+    let (status, body, _) = operate(&mut relay, "GET", "/status/metrics");
+    assert_eq!(status, 200);
+    assert!(body.lines().any(|line| line == "relay.ejected=1"), "{body}");
+    let (status, _, step) = operate(&mut relay, "POST", "/maintenance/exit?name=s-1");
+    assert_eq!(status, 200);
+    assert!(step.effects.contains(&Effect::KeepMaintenance(Vec::new())));
+    let sent = calls(&step).len() + calls(&relay.pass(5 * SECOND)).len();
+    assert_eq!(sent, 1, "the message goes once the host is back");
+}
+
+#[test]
+fn hosts_kept_under_maintenance_by_an_earlier_process_stay_out() {
+    let mut reducer = Reducer::new(deployment(|_| {}), 7, 1_000_000);
+    reducer.maintained(vec!["s-1".to_owned()]);
+    reducer.start(START, History::default(), None);
+    reducer.step(START, vec![Input::Listed(list(&[("s-1", 7, "Ready")], true))]);
+    let mut relay = Relay { reducer, now: START, requests: 0 };
+    assert_eq!(calls(&relay.hand_in("m1", "balance", None)), []);
+}
+
+#[test]
+fn standby_sends_clients_away_and_active_takes_them_again() {
+    let mut relay = Relay::new();
+    let health = |relay: &mut Relay| {
+        statuses(&relay.step(vec![Input::Request { id: RequestId(90), request: Request::get("/_health") }]))
+    };
+    assert_eq!(operate(&mut relay, "GET", "/status").0, 200);
+    let (status, _, step) = operate(&mut relay, "POST", "/standby");
+    assert_eq!(status, 200);
+    assert!(step.effects.contains(&Effect::Standby(true)));
+    assert_eq!(health(&mut relay), [503]);
+    // What still comes on open connections is taken on.
+    assert_eq!(statuses(&relay.hand_in("m1", "balance", None)), [202]);
+    let (status, _, step) = operate(&mut relay, "POST", "/active");
+    assert_eq!(status, 200);
+    assert!(step.effects.contains(&Effect::Standby(false)));
+    assert_eq!(health(&mut relay), [200]);
+}
+
+#[test]
+fn the_figures_count_ends_by_class_and_calls_that_are_none_get_a_no() {
+    let mut relay = Relay::new();
+    let call = calls(&relay.hand_in("m1", "balance", None)).remove(0);
+    relay.called(&call, Outcome::Ok, true);
+    relay.hand_in("m2", "balance", None);
+    let (status, body, _) = operate(&mut relay, "GET", "/status/metrics");
+    assert_eq!(status, 200);
+    for line in ["relay.succeeded.balance=1", "relay.forwards=2", "relay.outstanding=1", "relay.discovered=2"]
+    {
+        assert!(body.lines().any(|figure| figure == line), "{line} in {body}");
+    }
+    assert!(body.lines().all(|line| line.starts_with("relay.") && line.contains('=')), "{body}");
+    assert_eq!(operate(&mut relay, "GET", "/nothing").0, 404);
+    assert_eq!(operate(&mut relay, "POST", "/status").0, 405);
+    assert_eq!(operate(&mut relay, "GET", "/standby").0, 405);
+    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter").0, 400);
+    assert_eq!(relay.reducer.counters().bad_calls, 4);
+}
