--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -121,16 +121,19 @@
         ];
         Change {
             discovery: (old.discovery != new.discovery).then_some(new.discovery),
+            settings: (old.settings != new.settings).then(|| Box::new(newer.deployment.clone())),
             at_next_start: others.into_iter().filter_map(|(key, differs)| differs.then_some(key)).collect(),
         }
     }
 }
 
 /// What a new configuration changes in a running relay.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub struct Change {
     /// Where the list is and notices go from now on.
     pub discovery: Option<SocketAddr>,
+    /// Classes and attempts are heeded at once; the rest of the settings at the next start.
+    pub settings: Option<Box<Deployment>>,
     /// Keys whose new values are heeded at the next start only.
     pub at_next_start: Vec<&'static str>,
 }
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -256,9 +256,9 @@
     fn fall_back(&self, outcome: Outcome) -> Result<Response, Outcome> {
         let status = |connection: &Connection| connection.codec().status(connection.read_buffer());
         // Danger: a wait told in the head of an answer whose body broke off is not heeded, and the next call
-        // goes before it is over. A whole head says what the host meant, whatever became of the body.
+        // goes before it is over. A whole head of a 429 is the host's word; other spoilt answers stay unsure.
         let head = self.connection.as_ref().and_then(|connection| connection.codec().head());
-        match (head, self.connection.as_ref().and_then(status)) {
+        match (head.filter(|head| head.status == 429), self.connection.as_ref().and_then(status)) {
             _ if !self.written => Err(Outcome::ConnectFailed),
             (Some(head), _) => Ok(Response { keep_alive: false, body: Bytes::new(), ..head.clone() }),
             (None, Some(200)) => Ok(Response { keep_alive: false, ..Response::new(200) }),
--- a/crates/relay/src/names.rs
+++ b/crates/relay/src/names.rs
@@ -25,6 +25,8 @@
     ever: HashSet<String>,
     /// Under maintenance: told to the decisions as draining, whatever discovery says.
     maintained: HashSet<String>,
+    /// Classes of the settings that take new messages; the others are there for what is open.
+    live: Vec<bool>,
 }
 
 /// A host that no list ever named.
@@ -55,15 +57,39 @@
 impl Names {
     pub fn new(deployment: Deployment) -> Self {
         let (listed, ever, maintained) = (HashMap::new(), HashSet::new(), HashSet::new());
-        Names { deployment, hosts: HashMap::new(), has_list: false, listed, ever, maintained }
+        let live = vec![true; deployment.classes.len()];
+        Names { deployment, hosts: HashMap::new(), has_list: false, listed, ever, maintained, live }
     }
 
     pub fn class_names(&self) -> &[String] {
         &self.deployment.classes
     }
 
+    /// The place of the class that new messages of that name take.
     pub fn class_number(&self, class: &str) -> Option<usize> {
-        position(&self.deployment.classes, class)
+        let live = |(place, name): &(usize, &String)| *name == class && self.live[*place];
+        self.deployment.classes.iter().enumerate().rev().find(live).map(|(place, _)| place)
+    }
+
+    /// Takes the classes and attempts of new settings over; gives the settings for the decisions. Classes only
+    /// grow: one that is new, or whose rules changed, is added at the end. Danger: a message open under the old
+    /// rules of its class would be sent, or given up, under the new ones.
+    pub fn retune(&mut self, new: &Deployment) -> Settings {
+        self.live.fill(false);
+        for (name, class) in new.classes.iter().zip(&new.settings.classes) {
+            let classes = self.deployment.classes.iter().zip(&self.deployment.settings.classes);
+            let same = classes.enumerate().find(|(_, (old, rules))| *old == name && *rules == class);
+            match same {
+                Some((place, _)) => self.live[place] = true,
+                None => {
+                    self.deployment.classes.push(name.clone());
+                    self.deployment.settings.classes.push(class.clone());
+                    self.live.push(true);
+                }
+            }
+        }
+        self.deployment.settings.max_attempts = new.settings.max_attempts;
+        self.deployment.settings.clone()
     }
 
     /// Hosts known now.
@@ -125,8 +151,7 @@
 
     /// Whether a class's repeats are dropped in one zone only.
     pub fn is_zoned(&self, class: &str) -> bool {
-        position(&self.deployment.classes, class)
-            .is_some_and(|class| self.settings().classes[class].is_zoned())
+        self.class_number(class).is_some_and(|class| self.settings().classes[class].is_zoned())
     }
 
     pub fn address(&self, host: HostId) -> Option<SocketAddr> {
@@ -140,7 +165,7 @@
 
     /// A new message in the decisions' terms; else what of it is not known.
     pub fn request(&self, id: MessageId, message: &Message) -> Result<Request, &'static str> {
-        let class = position(&self.deployment.classes, &message.class).ok_or("the class is not known\n")?;
+        let class = self.class_number(&message.class).ok_or("the class is not known\n")?;
         let tenant = match self.deployment.tenants.as_slice() {
             [] => 0,
             tenants => position(tenants, &message.tenant).ok_or("the tenant is not known\n")?,
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -74,8 +74,8 @@
     counters: Counters,
     /// Sent away by an operator: `/_health` says no, while the rest goes on.
     standby: bool,
-    /// By class, in the settings' order: delivered, refused or handed back, failed.
-    ends: Vec<[u64; 3]>,
+    /// By the name of the class, in the settings' order: delivered, refused or handed back, failed.
+    ends: Vec<(String, [u64; 3])>,
 }
 
 /// Where a class's ends are counted.
@@ -87,7 +87,7 @@
     /// `room` is for messages on hand, in bytes.
     pub fn new(deployment: Deployment, seed: u64, room: u64) -> Self {
         let longest = deployment.settings.classes.iter().map(|class| class.deadline).max();
-        let deployment_classes = deployment.classes.len();
+        let deployment_classes = deployment.classes.clone();
         Reducer {
             ended: EndedIds::new(longest.unwrap_or(0)),
             brain: Brain::new(deployment.settings.clone(), seed),
@@ -108,7 +108,7 @@
             step: Step::default(),
             counters: Counters::default(),
             standby: false,
-            ends: vec![[0; 3]; deployment_classes],
+            ends: deployment_classes.into_iter().map(|class| (class, [0; 3])).collect(),
         }
     }
 
@@ -345,7 +345,7 @@
                 }
             }
             Input::WrittenAnew { done } => self.counters.journal_failures += u64::from(!done),
-            Input::Configured(Ok(change)) => self.configure(change),
+            Input::Configured(Ok(change)) => events.extend(self.configure(change)),
             Input::Configured(Err(text)) => {
                 self.counters.configurations_rejected += 1;
                 self.log(
@@ -366,9 +366,9 @@
     }
 
     /// Takes a new configuration over, as far as a running relay can.
-    fn configure(&mut self, change: Change) {
+    fn configure(&mut self, change: Change) -> Option<Event> {
         self.counters.configurations += 1;
-        let Change { discovery, at_next_start } = change;
+        let Change { discovery, settings, at_next_start } = change;
         let moved =
             discovery.map_or("discovery stays".to_owned(), |address| format!("discovery is at {address}"));
         self.log(Level::Info, format!("new configuration: {moved}"));
@@ -377,6 +377,14 @@
             self.log(Level::Warn, format!("new configuration: {keys} will be heeded at the next start"));
         }
         self.step.effects.extend(discovery.map(Effect::Move));
+        let settings = settings.map(|deployment| self.names.retune(&deployment))?;
+        for class in self.names.class_names().to_vec() {
+            if !self.ends.iter().any(|(name, _)| *name == class) {
+                self.ends.push((class, [0; 3]));
+            }
+        }
+        self.log(Level::Info, "new configuration: classes and attempts are heeded now".to_owned());
+        Some(Event::Retuned(settings))
     }
 
     // ---- Clients
@@ -447,7 +455,7 @@
     fn metrics(&self) -> String {
         let mut text = String::new();
         for (index, name) in ["succeeded", "declined", "aborted"].into_iter().enumerate() {
-            for (class, ends) in self.names.class_names().iter().zip(&self.ends) {
+            for (class, ends) in &self.ends {
                 text.push_str(&format!("relay.{name}.{class}={}\n", ends[index]));
             }
         }
@@ -468,9 +476,15 @@
 
     /// Counts a message's end under its class.
     fn count_end(&mut self, id: MessageId, how: usize) {
-        let class = self.held.get(&id).and_then(|held| self.names.class_number(&held.message.class));
-        if let Some(ends) = class.and_then(|class| self.ends.get_mut(class)) {
-            ends[how] += 1;
+        let Some(held) = self.held.get(&id) else { return };
+        let class = &held.message.class;
+        match self.ends.iter_mut().find(|(name, _)| name == class) {
+            Some((_, ends)) => ends[how] += 1,
+            None => {
+                let mut ends = [0; 3];
+                ends[how] = 1;
+                self.ends.push((class.clone(), ends));
+            }
         }
     }
 
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -228,6 +228,11 @@
         // What says that it never ran is not to be trusted once it is spoilt.
         ("HTTP/1.1 503 No\r\nContent-Length: 9\r\n\r\nhalf", Outcome::Error),
         ("HTTP/1.1 429 No\r\nX-Retry-In-Ms: 5\r\nContent-Length: -1\r\n\r\n", Outcome::Error),
+        // But a wait in a whole head is told, whatever became of the body.
+        (
+            "HTTP/1.1 429 No\r\nX-Retry-In-Ms: 5\r\nContent-Length: 9\r\n\r\nhalf",
+            Outcome::Full { wait: 5_000 },
+        ),
     ];
     run(async {
         let mut caller = Caller::new(15 * SECOND, 10);
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -728,3 +728,44 @@
     assert_eq!(operate(&mut relay, "POST", "/maintenance/enter").0, 400);
     assert_eq!(relay.reducer.counters().bad_calls, 4);
 }
+
+fn retune(relay: &mut Relay, change: impl Fn(&mut Value)) -> Step {
+    let settings = Some(Box::new(deployment(change)));
+    let change = pewterseam_relay::config::Change { discovery: None, settings, at_next_start: Vec::new() };
+    relay.step(vec![Input::Configured(Ok(change))])
+}
+
+#[test]
+fn a_class_added_at_sighup_is_taken_and_a_dropped_one_is_not() {
+    let mut relay = Relay::new();
+    let unknown = relay.hand_in("new-1", "balance_b", None);
+    assert_eq!(statuses(&unknown), [422]);
+    retune(&mut relay, |settings| {
+        let mut added = settings["classes"][0].clone();
+        added["name"] = json!("balance_b");
+        added["effect"] = json!("single_shot");
+        settings["classes"][0] = added;
+    });
+    assert_eq!(statuses(&relay.hand_in("new-2", "balance_b", None)), [202]);
+    // The class that was dropped takes nothing new.
+    assert_eq!(statuses(&relay.hand_in("old-1", "balance", None)), [422]);
+    let (_, body, _) = operate(&mut relay, "GET", "/status/metrics");
+    assert!(body.lines().any(|line| line == "relay.succeeded.balance_b=0"), "{body}");
+}
+
+#[test]
+fn a_message_open_at_sighup_keeps_the_rules_of_its_class() {
+    let mut relay = Relay::new();
+    // Free: it may go again after a call that may have run.
+    let call = calls(&relay.hand_in("m1", "balance", None)).remove(0);
+    retune(&mut relay, |settings| settings["classes"][0]["effect"] = json!("single_shot"));
+    let step = relay.called(&call, Outcome::Timeout, false);
+    let again = calls(&step).len() + calls(&relay.pass(3 * SECOND)).len();
+    assert_eq!(again, 1, "the open message is tried again, as its class allowed when it came");
+    // A new one of that name is single-shot: after a call that may have run it is failed, not sent again.
+    let call = calls(&relay.hand_in("m2", "balance", None)).remove(0);
+    let step = relay.called(&call, Outcome::Timeout, false);
+    let mut after = calls(&step);
+    after.extend(calls(&relay.pass(3 * SECOND)));
+    assert!(after.iter().all(|call| call.id != MessageId(2)), "{after:?}");
+}
--- a/crates/settings/src/parse.rs
+++ b/crates/settings/src/parse.rs
@@ -186,7 +186,10 @@
         },
         slots: info.slots,
         most_held: wire.allowed.most_held,
-        max_attempts: wire.allowed.attempts_cap,
+        max_attempts: match wire.allowed.attempts_cap {
+            0 => return Err(Malformed("allowed.attempts_cap must be above 0".to_owned())),
+            cap => cap,
+        },
         may_tell: wire.allowed.peers,
         max_retry_after: span(retry_after)?,
         idle_close: span(wire.allowed.conn_idle_s)?,
@@ -223,6 +226,9 @@
         other => return Err(Malformed(format!("unknown effect '{other}'"))),
     };
     let (aim, deadline) = (span(wire.goal_time_s)?, span(wire.deadline_s)?);
+    if deadline == 0 {
+        return Err(Malformed(format!("class '{}': deadline_s must be above 0", wire.name)));
+    }
     if aim > deadline {
         return Err(Malformed(format!("class '{}' aims beyond its deadline", wire.name)));
     }
@@ -279,6 +285,16 @@
         read.map(|deployment| deployment.settings).map_err(|error| error.to_string())
     }
 
+    #[test]
+    fn a_deadline_or_attempts_not_over_0_are_refused() {
+        let deadline = read(|wire| wire["classes"][0]["deadline_s"] = json!(0.0)).expect_err("refused");
+        assert!(deadline.contains("deadline_s must be above 0"), "{deadline}");
+        let goal = |wire: &mut Value| wire["classes"][0]["goal_time_s"] = json!(0.0);
+        assert!(read(|wire| (goal(wire), wire["classes"][0]["deadline_s"] = json!(-1.0)).1).is_err());
+        let attempts = read(|wire| wire["allowed"]["attempts_cap"] = json!(0)).expect_err("refused");
+        assert!(attempts.contains("attempts_cap must be above 0"), "{attempts}");
+    }
+
     #[test]
     fn what_is_missing_has_its_default() {
         let settings = read(|_| {}).expect("settings");
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -257,6 +257,7 @@
                 Event::Probed { host, outcome, limit } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
                 Event::Learnt(learnt) => self.recall(&learnt),
+                Event::Retuned(settings) => self.settings = settings,
             }
         }
         if self.agenda.ask_at.take_if(|at| *at <= now).is_some() {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -35,7 +35,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     pub effect: Effect,
     /// Worth within the aim.
@@ -330,6 +330,8 @@
     },
     /// After the first list: what the sender that was here before had learnt.
     Learnt(Learnt),
+    /// New settings, of the same kinds; classes are only added, so that each message keeps its own.
+    Retuned(Settings),
 }
 
 /// What to do, in order.
