Waits told by destinations outlast the process in learnt.json: no wait broken on upgrade

Checked: learnt.json is written at the old one's stop and read by the new one after the turn on the folder, but kept told limits and answer times only. Lines to blame: State::learnt and State::recall (no wait_until). Now the wait goes with the route, and recall holds the route until then; an older file reads as no wait.

Test: a recalled wait holds calls until it is over, and fails without the recall line.

--- a/crates/relay/src/learnt.rs
+++ b/crates/relay/src/learnt.rs
@@ -29,6 +29,9 @@
     rate: Option<f64>,
     answer_time: f64,
     deviation: f64,
+    /// Of older files: none.
+    #[serde(default)]
+    wait_until: Micros,
 }
 
 impl Route {
@@ -37,15 +40,15 @@
         let sound = self.rate.is_none_or(|rate| is_sound(rate, f64::MIN_POSITIVE))
             && is_sound(self.answer_time, 0.0)
             && is_sound(self.deviation, 0.0);
-        let Route { destination, apart, rate, answer_time, deviation, .. } = self;
+        let Route { destination, apart, rate, answer_time, deviation, wait_until, .. } = self;
         let hosts = self.hosts.into_iter().map(HostId).collect();
-        sound.then_some(LearntRoute { destination, apart, hosts, rate, answer_time, deviation })
+        sound.then_some(LearntRoute { destination, apart, hosts, rate, answer_time, deviation, wait_until })
     }
 
     fn write(route: &LearntRoute) -> Self {
-        let LearntRoute { destination, apart, rate, answer_time, deviation, .. } = *route;
+        let LearntRoute { destination, apart, rate, answer_time, deviation, wait_until, .. } = *route;
         let hosts = route.hosts.iter().map(|host| host.0).collect();
-        Route { destination, apart, hosts, rate, answer_time, deviation }
+        Route { destination, apart, hosts, rate, answer_time, deviation, wait_until }
     }
 }
 
--- a/crates/relay/tests/learnt.rs
+++ b/crates/relay/tests/learnt.rs
@@ -17,6 +17,7 @@
         rate: Some(2.5),
         answer_time: 300_000.5,
         deviation: 0.0,
+        wait_until: 1_700,
     };
     let other = LearntRoute { apart: false, rate: None, ..route.clone() };
     Learnt { at: 1_000, routes: vec![route, other], out: vec![(HostId(3), 900)] }
--- a/crates/relay/tests/reducer.rs
+++ b/crates/relay/tests/reducer.rs
@@ -366,6 +366,7 @@
         rate: Some(5.0),
         answer_time: 900_000.0,
         deviation: 100_000.0,
+        wait_until: 0,
     };
     // Kept; a destination of the same number with other hosts; one that holds its limit another way.
     let routes = vec![route(7, false, "s-1"), route(8, false, "s-9"), route(8, true, "s-2")];
@@ -769,3 +770,32 @@
     after.extend(calls(&relay.pass(3 * SECOND)));
     assert!(after.iter().all(|call| call.id != MessageId(2)), "{after:?}");
 }
+
+#[test]
+fn a_wait_told_to_the_process_before_holds_in_the_next() {
+    let host = |name: &str| HostId(number(name));
+    let route = LearntRoute {
+        destination: 7,
+        apart: false,
+        hosts: vec![host("s-1")],
+        rate: None,
+        answer_time: 100_000.0,
+        deviation: 10_000.0,
+        wait_until: START + 3 * SECOND,
+    };
+    let begin = |wait_until| {
+        let mut reducer = Reducer::new(deployment(|_| {}), 7, 1_000_000);
+        let routes = vec![LearntRoute { wait_until, ..route.clone() }];
+        reducer.recall(Ok(Some(Learnt { at: START - SECOND, routes, out: Vec::new() })));
+        reducer.start(START, History::default(), None);
+        let mut relay = Relay { reducer, now: START, requests: 0 };
+        relay.step(vec![Input::Listed(list(&[("s-1", 7, "Ready")], true))]);
+        relay
+    };
+    let mut relay = begin(START + 3 * SECOND);
+    assert_eq!(calls(&relay.hand_in("m1", "balance", None)), []);
+    assert_eq!(calls(&relay.pass(2 * SECOND)), [], "not before the wait is over");
+    assert_eq!(calls(&relay.pass(3 * SECOND)).len(), 1);
+    let mut relay = begin(0);
+    assert_eq!(calls(&relay.hand_in("m1", "balance", None)).len(), 1);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -294,6 +294,8 @@
     /// Mean time of an answer and its mean deviation, in microseconds.
     pub answer_time: f64,
     pub deviation: f64,
+    /// No call goes before then: the destination said so.
+    pub wait_until: Micros,
 }
 
 /// What a sender has learnt and the next one at its place may use.
--- a/src/state.rs
+++ b/src/state.rs
@@ -412,6 +412,7 @@
             rate: route.told,
             answer_time: route.answer_time,
             deviation: route.deviation,
+            wait_until: route.wait_until,
         };
         let used = self.routes.iter().filter(|(_, route)| route.active_at > 0);
         let open = self.hosts.iter().filter(|(_, host)| host.is_open());
@@ -427,6 +428,8 @@
         let route = self.routes.get_mut(&(old.destination, old.apart.then_some(*host)));
         if let Some(route) = route {
             (route.told, route.answer_time, route.deviation) = (old.rate, old.answer_time, old.deviation);
+            // Danger: a wait told to the process before is forgotten, and calls go before it is over.
+            route.hold(old.wait_until);
             return true;
         }
         false
