--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -128,7 +128,8 @@
         self.held.len()
     }
 
-    fn calls_out(&self) -> usize {
+    /// Calls out now.
+    pub fn calls_out(&self) -> usize {
         self.held.values().filter(|held| held.out.is_some()).count()
     }
 
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -81,7 +81,7 @@
     let _turn = take_turn(folder, &operators, &mut incoming, &log).await?;
     let mut relay = Relay::start(config, folder, log, inputs, listener, operators).await?;
     let mut stop_at: Option<Micros> = None;
-    let mut closed = false;
+    let (mut closed, mut handing_over) = (false, false);
     loop {
         let wake = relay.wake_at.map(|at| Instant::from_std(relay.clock.instant(at)));
         let timer = async {
@@ -114,13 +114,20 @@
         }
         let now = relay.clock.now();
         if asked_to_stop && stop_at.is_none() {
-            let by = now + brain::STOP_WITHIN;
+            // Danger: clients are refused at the door, or wait in the new one's queue, while the old one serves
+            // for its full time. What it holds goes to the new one through the journal.
+            handing_over = folder.join(NEXT).exists();
+            let by = now + if handing_over { brain::HAND_OVER_WITHIN } else { brain::STOP_WITHIN };
             stop_at = Some(by);
             batch.push(Input::Stop { by });
+            if handing_over {
+                info!(relay.log, "a new process waits: connections close, and what is on hand is left to it");
+                relay.clients.hand_over();
+            }
         }
         // Danger: those that may not know yet that this one stops are refused, and the others get all at once.
         let close_at = stop_at.map(|by| by - brain::STOP_WITHIN + brain::STOP_TAKING);
-        if !closed && close_at.is_some_and(|at| now >= at) {
+        if !closed && !handing_over && close_at.is_some_and(|at| now >= at) {
             closed = true;
             batch.push(Input::Close);
             relay.clients.stop();
@@ -129,7 +136,12 @@
         let step = relay.reducer.step(now, batch);
         relay.carry_out(step);
         if let Some(by) = stop_at {
-            if now >= by || (closed && relay.reducer.held() == 0 && relay.clients.open() == 0) {
+            let done = if handing_over {
+                relay.reducer.calls_out() == 0
+            } else {
+                closed && relay.reducer.held() == 0
+            };
+            if now >= by || (done && relay.clients.open() == 0) {
                 break;
             }
             // Danger: a request that is read in the last moment goes without an answer.
@@ -145,6 +157,8 @@
 
 /// The file whose lock says which process serves from the folder.
 const TURN: &str = "turn.lock";
+/// The file that says that another process waits for the turn.
+const NEXT: &str = "turn.next";
 
 /// Waits until no other process serves from the folder; meanwhile `/status` says yes, so that the platform stops
 /// the other one. Danger: a new version starts while the old one serves, and both would deliver what the journal
@@ -157,6 +171,7 @@
     let turn = File::options().create(true).truncate(false).write(true).open(&path);
     let turn = turn.map_err(fault(path.display()))?;
     let mut waits = false;
+    let next = folder.join(NEXT);
     loop {
         match turn.try_lock() {
             Ok(()) => break,
@@ -164,6 +179,7 @@
             Err(TryLockError::Error(error)) => return Err(fault(path.display())(error)),
         }
         if !std::mem::replace(&mut waits, true) {
+            fs::write(&next, b"").map_err(fault(next.display()))?;
             info!(log, "another process serves from the folder; this one takes over when it ends");
         }
         tokio::select! {
@@ -175,6 +191,8 @@
             () = sleep(Duration::from_micros(brain::PAUSE) / 5) => {}
         }
     }
+    // Danger: a waiter that died left its word, and a later stop would leave all to nobody before its time.
+    let _ = fs::remove_file(&next);
     if waits {
         info!(log, "the other process has ended; this one takes over");
     }
@@ -392,10 +410,12 @@
                 let waiting = take_turn(folder.path(), &operators, &mut incoming, &log);
                 let waited = tokio::time::timeout(Duration::from_millis(300), waiting).await;
                 assert!(waited.is_err(), "it waits while the other holds the folder");
+                assert!(folder.path().join(NEXT).exists(), "the other one learns that this one waits");
                 drop(held);
                 let waiting = take_turn(folder.path(), &operators, &mut incoming, &log);
                 let taken = tokio::time::timeout(Duration::from_secs(2), waiting).await;
                 assert!(taken.is_ok_and(|turn| turn.is_ok()), "it takes over once the other has ended");
+                assert!(!folder.path().join(NEXT).exists());
             })
             .await;
         let status = Request::get("/status");
