--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,7 +86,7 @@
 /// Once asked to stop, how long what still comes is taken on, and how long it may take in all (us).
 pub const STOP_TAKING: Micros = 2_000_000;
 pub const STOP_WITHIN: Micros = 3_300_000;
-/// With a new process waiting to take the journal over, the old one ends once calls of this span are back (us).
+/// A new process waits to take the journal over: the old one ends once calls of this span are back (us).
 pub const HAND_OVER_WITHIN: Micros = 1_000_000;
 
 /// The decisions of one sender.
