--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -47,6 +47,8 @@
     pace: Pace,
     inputs: Inputs,
     phase: watch::Sender<Phase>,
+    /// The listener is to be closed.
+    handed_over: Notify,
 }
 
 /// An idle connection's place in the order of those that have carried a request and those that have not.
@@ -82,6 +84,7 @@
             pace,
             inputs,
             phase: watch::Sender::new(Phase::Serving),
+            handed_over: Notify::new(),
         }))
     }
 
@@ -90,7 +93,11 @@
     pub async fn accept(self, listener: TcpListener) {
         let room = Arc::new(Semaphore::new(self.0.budget.clients + self.0.budget.leaving));
         while let Ok(place) = room.clone().acquire_owned().await {
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                () = self.0.handed_over.notified() => return,
+            };
+            match accepted {
                 Ok((stream, _)) => {
                     tokio::task::spawn_local(self.clone().connection(stream, place));
                 }
@@ -123,11 +130,10 @@
         });
     }
 
-    /// Closes connections between requests: a new process takes clients now. Danger: the listener stays open
-    /// until the process ends, since the connections in its queue would be reset at its close, and so would those
-    /// that the kernel keeps sending to it while it lasts.
+    /// Takes no more connections, and closes those it has between requests: a new process takes clients now.
     pub fn hand_over(&self) {
         self.stop();
+        self.0.handed_over.notify_one();
     }
 
     /// Closes all that have no request on them.
