--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -380,9 +380,7 @@
         self.step.effects.extend(discovery.map(Effect::Move));
         let settings = settings.map(|deployment| self.names.retune(&deployment))?;
         for class in self.names.class_names().to_vec() {
-            if !self.ends.iter().any(|(name, _)| *name == class) {
-                self.ends.push((class, [0; 3]));
-            }
+            self.ends_of(&class);
         }
         self.log(Level::Info, "new configuration: classes and attempts are heeded now".to_owned());
         Some(Event::Retuned(settings))
@@ -477,16 +475,26 @@
 
     /// Counts a message's end under its class.
     fn count_end(&mut self, id: MessageId, how: usize) {
-        let Some(held) = self.held.get(&id) else { return };
-        let class = &held.message.class;
-        match self.ends.iter_mut().find(|(name, _)| name == class) {
-            Some((_, ends)) => ends[how] += 1,
+        if let Some(class) = self.held.get(&id).map(|held| held.message.class.clone()) {
+            self.ends_of(&class)[how] += 1;
+        }
+    }
+
+    /// The ends counted under a class's name, from 0 where it has none yet.
+    fn ends_of(&mut self, class: &str) -> &mut [u64; 3] {
+        let place = match self.ends.iter().position(|(name, _)| name == class) {
+            Some(place) => place,
             None => {
-                let mut ends = [0; 3];
-                ends[how] = 1;
-                self.ends.push((class.clone(), ends));
+                self.ends.push((class.to_owned(), [0; 3]));
+                self.ends.len() - 1
             }
-        }
+        };
+        &mut self.ends[place].1
+    }
+
+    /// Counts a message that is given up: failed, or refused and handed back.
+    fn count_given_up(&mut self, id: MessageId, end: End) {
+        self.count_end(id, if end == End::Failed { ABORTED } else { DECLINED });
     }
 
     fn is_ready(&self) -> bool {
@@ -641,13 +649,13 @@
         };
         self.step.records.retain(|record| !matches!(record, Record::Taken { number, .. } if *number == id.0));
         self.counters.refused_at_once += 1;
-        self.count_end(id, if end == End::Failed { ABORTED } else { DECLINED });
+        self.count_given_up(id, end);
         self.respond(request, refusal(end));
         Some(self.withdraw(id))
     }
 
     fn close(&mut self, id: MessageId, end: End) {
-        self.count_end(id, if end == End::Failed { ABORTED } else { DECLINED });
+        self.count_given_up(id, end);
         match end {
             End::Failed => self.counters.failed += 1,
             End::Returned { .. } => self.counters.returned += 1,
