--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,8 +1,7 @@
 //! Every decision of a sender. Its types, events and actions stand in `src/interface.rs`.
 //!
-//! The ordinary path is the permit pool of docs/design.md: each sender paces each limited route to its share
-//! of a pool, and each round the surplus of underusers passes to those that used all theirs. The rest guards
-//! that path. What is known, without decisions, is kept by `src/state.rs`.
+//! The ordinary path is the permit pool of docs/design.md: senders pace each limited route to their shares of a
+//! pool, and each round the surplus of underusers passes to those that used all. The rest guards that path.
 
 use std::collections::BTreeMap;
 
@@ -208,10 +207,11 @@
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
-/// What a told wait is longer by, by chance. What is owed there is what was refused, so that the wait says
-/// how many come again; each further refusal says that they were more.
-fn spread(wait: Micros, refusals: u32, chance: f64) -> Micros {
-    (wait as f64 * chance * f64::from(1 + refusals)) as Micros
+/// Holds a route for a wait that all were told, by chance for longer. What is owed there is what was refused, so
+/// that the wait says how many come again; each further refusal says that they were more.
+fn hold_apart(route: &mut Route, wait: Micros, now: Micros, seed: u64) {
+    let longer = wait as f64 * chance(now, seed) * f64::from(1 + route.fulls);
+    route.hold(now + wait + LOOK + longer as Micros);
 }
 
 /// How long no sign of life from a route's host is borne.
@@ -297,12 +297,10 @@
             let (is_shut, wait) = close_round(route, waits, &self.settings, self.now);
             shut.extend(is_shut.then_some(*id));
             if wait >= FULL_PAUSE && senders > HOMES && homes(id.0, senders, self.now)[0] == me {
-                let wait = wait.min(ROUND);
-                route.hold(self.now + wait + spread(wait, route.fulls, chance(self.now, self.seed)));
-                owed.push((*id, wait));
+                owed.push((*id, wait.min(ROUND)));
             }
         }
-        owed.into_iter().for_each(|(id, wait)| self.tell_wait(id, wait));
+        owed.into_iter().for_each(|(id, wait)| self.heed_wait(id, wait, true));
         // Danger: shut, not limited: it may come back cold, and each sender sees a refusal or two at most.
         for host in shut.into_iter().flat_map(|id| self.state.closed_hosts(id)).collect::<Vec<_>>() {
             self.ail(host, TRIP, self.now, "refuses all");
@@ -530,19 +528,11 @@
         let Some((attempt, first, idle_for)) = closing else { return };
         match (self.state.host_and_route(attempt.host), outcome) {
             (Some((_, route)), Outcome::Ok) => route.answered(took, SAMPLE),
-            // Danger: a wait is broken. Each message of a call brings its own; the latest end holds.
-            (Some((host, route)), Outcome::Full { wait: wait @ 1.. }) => {
-                let (until, id) = (self.now + wait + LOOK, host.route);
-                // Danger: where refused calls use up the limit, each that comes in a wait makes it longer,
-                // and hardly one in two is told. Who is tells all; one that is shut has its own word.
+            // Each message of a call brings its own wait; the latest end holds. One that is shut has its own word.
+            (Some((host, _)), Outcome::Full { wait: wait @ 1.. }) => {
                 let limited = limit.and_then(|limit| limit.left).is_none_or(|left| left <= SHUT_FROM);
-                let all = limited && wait >= FULL_PAUSE && self.settings.senders > HOMES;
-                let news = all && until > route.wait_until + FULL_PAUSE;
-                let longer = spread(wait, route.fulls, chance(self.now, self.seed));
-                route.hold(until + if all { longer } else { 0 });
-                if news {
-                    self.tell_wait(id, wait);
-                }
+                let id = host.route;
+                self.heed_wait(id, wait, limited);
             }
             _ => {}
         }
@@ -590,8 +580,7 @@
         let (kind, destination, now) = (*kind, route.0, self.now);
         let before = self.crowded_at[kind].replace(now);
         if seen && before.is_none_or(|at| now >= at + CROWDED_ANEW) {
-            let record = Record { destination, host: Some(id), up: Some(false), ..Record::default() };
-            self.post(None, Purpose::Crowded, record);
+            self.post(None, Purpose::Crowded, Record::of_host(destination, id, false));
         }
         if before.is_none_or(|at| now >= at + CROWDED) {
             let of_kind = self.state.hosts.iter().filter(|(_, host)| host.kind == kind).map(|(id, _)| *id);
@@ -614,7 +603,6 @@
                 if host.is_open() || host.verdict_at > 0 {
                     self.recover(id);
                     self.tell(id, true);
-                    self.state.vindicate(id);
                 }
                 self.state.serve(id, now, SAMPLE);
             }
@@ -778,12 +766,11 @@
     /// Tells the homes of a host's trouble, or of its end, as soon as it is seen.
     fn tell(&mut self, id: HostId, up: bool) {
         let Some(destination) = self.state.hosts.get(&id).map(|host| host.route.0) else { return };
-        let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
         for home in homes(destination, self.settings.senders, self.now) {
             if home == self.settings.me {
                 self.weigh(home, id, up);
             } else {
-                self.post(Some(home), Purpose::News, record);
+                self.post(Some(home), Purpose::News, Record::of_host(destination, id, up));
             }
         }
     }
@@ -794,9 +781,21 @@
         }
     }
 
-    fn tell_wait(&mut self, (destination, host): RouteId, wait: Micros) {
-        let report = Report { used: wait as f64 / 1e3, ..Report::default() };
-        self.post(None, Purpose::Wait, Record { destination, host, report, ..Record::default() });
+    /// Danger: a wait is broken. Danger: where refused calls use up a limit, each that comes in a wait makes it
+    /// longer, and hardly one in two is told; who is told of a `limited` route's wait tells all.
+    fn heed_wait(&mut self, id: RouteId, wait: Micros, limited: bool) {
+        let Some(route) = self.state.routes.get_mut(&id) else { return };
+        let until = self.now + wait + LOOK;
+        if !limited || wait < FULL_PAUSE || self.settings.senders <= HOMES {
+            return route.hold(until);
+        }
+        let news = until > route.wait_until + FULL_PAUSE;
+        hold_apart(route, wait, self.now, self.seed);
+        if news {
+            let report = Report { used: wait as f64 / 1e3, ..Report::default() };
+            let record = Record { destination: id.0, host: id.1, report, ..Record::default() };
+            self.post(None, Purpose::Wait, record);
+        }
     }
 
     /// A peer's word moves shares and may hold calls back; it never ends a wait.
@@ -819,7 +818,7 @@
             // Bounded, as a peer's bytes are not to be trusted.
             (Purpose::Wait, None, Some(route)) => {
                 let wait = ((told.report.used * 1e3) as Micros).min(EXPIRY);
-                route.hold(now + wait + LOOK + spread(wait, route.fulls, chance(now, self.seed)));
+                hold_apart(route, wait, now, self.seed);
             }
             (Purpose::Sums, None, Some(route)) => route.rest = Some((now, told.report)),
             _ => {}
@@ -842,8 +841,7 @@
         let enough = stands || host.accusers.len() as f64 >= TRIP.max(most);
         let destination = host.route.0;
         if known == up && enough && homes(destination, self.settings.senders, now)[0] == me {
-            let record = Record { destination, host: Some(id), up: Some(up), ..Record::default() };
-            self.post(None, Purpose::Verdict, record);
+            self.post(None, Purpose::Verdict, Record::of_host(destination, id, up));
             self.heed(id, up);
         }
     }
--- a/src/memo.rs
+++ b/src/memo.rs
@@ -25,6 +25,13 @@
     pub asks: bool,
 }
 
+impl Record {
+    /// Of a host's health alone.
+    pub fn of_host(destination: DestinationId, host: HostId, up: bool) -> Self {
+        Record { destination, host: Some(host), up: Some(up), ..Record::default() }
+    }
+}
+
 /// What a peer message is for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Purpose {
--- a/src/state.rs
+++ b/src/state.rs
@@ -371,22 +371,16 @@
         self.held().filter(|message| message.out.is_none())
     }
 
-    /// Books a call that was served; a new one has this weight in the mean.
+    /// Books a call that was served; a new one has this weight in the mean. It bears out that a host is not out
+    /// of order, whatever the homes found.
     pub fn serve(&mut self, id: HostId, now: Micros, weight: f64) {
         if let Some(host) = self.hosts.get_mut(&id) {
             host.trouble /= 2.0;
-            host.ok_at = now;
+            (host.ok_at, host.verdict_at) = (now, 0);
             host.failing -= host.failing * weight;
         }
     }
 
-    /// Books that a served call bore out that a host is not out of order.
-    pub fn vindicate(&mut self, id: HostId) {
-        if let Some(host) = self.hosts.get_mut(&id) {
-            host.verdict_at = 0;
-        }
-    }
-
     /// Books whether a call was seen to fail.
     pub fn mark(&mut self, id: HostId, failed: bool) {
         if let Some(host) = self.hosts.get_mut(&id) {
