--- a/src/brain.rs
+++ b/src/brain.rs
@@ -169,12 +169,11 @@
             route.pool = (route.pool * REGROWTH).min(most.max(route.pool));
         }
         route.pool = route.pool.max(source(route) * LEAST_POOL_PART);
-        // One that was idle until its report expired, or hears nothing of the others, takes an even slice.
+        // One that hears nothing of the others takes an even slice.
         let told = route.is_home || route.rest.is_some_and(|(at, _)| at + EXPIRY > now);
         let slack = if refused > 0.0 || !told { 0.0 } else { (route.pool - used).max(0.0) };
         route.slack = slack / all.senders.max(1.0);
-        let active = route.active_at + EXPIRY >= now;
-        let share = if told && active { reallocate(&mine, &all) } else { even_slice(route, senders) };
+        let share = if told { reallocate(&mine, &all) } else { even_slice(route, senders) };
         route.share = share.max(LEAST_SHARE / senders);
     }
     // Danger: a clump turned away at one sender, or at some whose rounds end before those of the served,
@@ -190,14 +189,14 @@
     (route.is_home && route.barren > 1, (owed * 1e6) as Micros)
 }
 
-/// Has shares bind. Part of a permit is at hand, by chance: many senders must not all come again together.
-fn bind(route: &mut Route, senders: f64, chance: f64, now: Micros) {
+/// Has shares bind. No permit is at hand: many senders must not all come again together.
+fn bind(route: &mut Route, senders: f64, now: Micros) {
     if !route.bound {
         route.bound = true;
         route.pool = source(route).max(route.peak);
         route.share = even_slice(route, senders);
     }
-    (route.tokens, route.filled_at) = (route.tokens.min(chance), now);
+    (route.tokens, route.filled_at) = (0.0, now);
 }
 
 /// The pause after the last of so many refusals, by chance half as long to half as long again. Danger: all
@@ -425,9 +424,8 @@
             }
             let Some(host) = self.choose(message) else { continue };
             // Danger: a slow or silent destination takes all slots. None may hold more than are free.
-            let free = self.settings.slots.saturating_sub(self.state.calls.len());
             let out: usize = self.state.hosts_of(destination).map(|(_, host)| host.calls).sum();
-            if free == 0 || out > free {
+            if self.state.calls.len() + out.max(1) > self.settings.slots {
                 continue;
             }
             let Some(call) = self.state.open_call(host, self.now, &self.settings) else { continue };
@@ -609,16 +607,10 @@
             Outcome::Full { wait } => {
                 route.refused += 1.0;
                 route.fulls += 1;
-                bind(route, f64::from(self.settings.senders), chance(now, self.seed), now);
+                bind(route, f64::from(self.settings.senders), now);
                 route.hold(now + pause(route.fulls, now, self.seed) * u64::from(wait == 0));
-                // Danger: where refused calls use up the limit, waits are as long as an outage's. A limit
-                // that is left says that it is shut; what is told is late, so that it takes two to say so.
-                let left = limit.and_then(|limit| limit.left);
-                let weight = if left.is_some() { TRIP / 2.0 } else { TRIP };
-                let host_open = host.is_open();
-                let shut = wait >= self.settings.overload_window && left.is_none_or(|left| left > SHUT_FROM);
-                if shut || host_open {
-                    self.ail(id, if host_open { TRIP } else { weight }, now, "refuses all");
+                if wait >= self.settings.overload_window || host.is_open() {
+                    self.ail(id, TRIP, now, "refuses all");
                 }
             }
             Outcome::Error | Outcome::Reset => {
@@ -752,9 +744,8 @@
         for (id, route) in &self.state.routes {
             let waits = self.outlook.contains_key(&id.0);
             let homes = if waits || route.used > 0.0 { homes(id.0, senders, self.now) } else { vec![] };
-            let unsure = route.bound || self.settings.listing == Listing::Silent;
             for home in homes.iter().filter(|home| **home != me) {
-                let asks = unsure && *home == homes[0] && !route.is_home;
+                let asks = route.bound && *home == homes[0] && !route.is_home;
                 // Danger: what a sender that stops had lies idle until its reports are old.
                 let report = if leaves { report(route, waits).parting() } else { report(route, waits) };
                 records.push((*home, Record { destination: id.0, host: id.1, report, asks, up: None }));
