A host out by the word of peers stays so until a trial is served or its return is told

An old word turned into a slow start after 6 s, and a second guard kept that slow start at its least pace until a call was served. Trials at the same pace do what both did: the host stays open.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -487,13 +487,10 @@
             let ramp = match host.health {
                 Health::Closed => continue,
                 Health::Open => 0.0,
-                // Danger: a word that expired is no return: all would speed up together, and end at once.
-                Health::SlowStart { since } if host.is_unsure(since) => 0.0,
                 Health::SlowStart { since } => seconds(now - since) / seconds(settings.cold_time),
             };
-            let expired = host.is_open() && host.trouble < TRIP && now >= host.verdict_at + EXPIRY;
-            if ramp >= 1.0 || expired {
-                host.health = if expired { Health::SlowStart { since: now } } else { Health::Closed };
+            if ramp >= 1.0 {
+                host.health = Health::Closed;
                 continue;
             }
             let part = settings.cold_share + (1.0 - settings.cold_share) * ramp;
@@ -840,9 +837,8 @@
     /// Takes over a home's word: calls are held back, or go out again slowly.
     fn heed(&mut self, id: HostId, up: bool) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
-        let unsure = host.is_open() || (host.verdict_at > 0 && host.health != Health::Closed);
         host.word(up, self.now);
-        if up && unsure {
+        if up && host.is_open() {
             self.recover(id);
         } else if !up && !host.is_open() {
             host.ail(0.0, self.now, self.now, self.settings.overload_window);
--- a/src/state.rs
+++ b/src/state.rs
@@ -88,11 +88,6 @@
         self.health == Health::Open
     }
 
-    /// Nothing bears its slow start out: the homes' word expired, and no call was served since.
-    pub fn is_unsure(&self, since: Micros) -> bool {
-        self.verdict_at > 0 && self.ok_at < since
-    }
-
     /// Books the homes' word of it.
     pub fn word(&mut self, up: bool, now: Micros) {
         (self.verdict_at, self.worded_at) = (if up { 0 } else { now }, now);
