--- a/src/brain.rs
+++ b/src/brain.rs
@@ -147,9 +147,8 @@
     route.share * route.pool + route.slack
 }
 
-/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether all was refused,
-/// and the wait that follows from the reports where most were and none was told.
-fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> (bool, Micros) {
+/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether all was refused.
+fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> bool {
     let senders = f64::from(settings.senders);
     route.fill(pace(route), seconds(BURST), now);
     let mine = report(route, waits);
@@ -181,12 +180,7 @@
     let barren = served == 0.0 && all.refused > TRIP;
     route.barren = if barren { route.barren + 1 } else { 0 };
     route.start_round();
-    let owed = if route.is_home && route.wait_until <= now && all.refused > TRIP && refused > served {
-        all.refused / route.pool.max(LEAST_POOL)
-    } else {
-        0.0
-    };
-    (route.is_home && route.barren > 1, (owed * 1e6) as Micros)
+    route.is_home && route.barren > 1
 }
 
 /// Has shares bind. No permit is at hand: many senders must not all come again together.
@@ -289,17 +283,11 @@
         // Apart from the peers' rounds.
         self.agenda.round_at = (self.now / ROUND + 1) * ROUND + self.seed % ROUND;
         self.tell_round();
-        let (mut shut, mut owed) = (Vec::new(), Vec::new());
-        let (me, senders) = (self.settings.me, self.settings.senders);
+        let mut shut = Vec::new();
         for (id, route) in &mut self.state.routes {
             let waits = self.outlook.contains_key(&id.0);
-            let (is_shut, wait) = close_round(route, waits, &self.settings, self.now);
-            shut.extend(is_shut.then_some(*id));
-            if wait >= FULL_PAUSE && senders > HOMES && homes(id.0, senders, self.now)[0] == me {
-                owed.push((*id, wait.min(ROUND)));
-            }
+            shut.extend(close_round(route, waits, &self.settings, self.now).then_some(*id));
         }
-        owed.into_iter().for_each(|(id, wait)| self.heed_wait(id, wait, true));
         // Danger: shut, not limited: it may come back cold, and each sender sees a refusal or two at most.
         for host in shut.into_iter().flat_map(|id| self.state.closed_hosts(id)).collect::<Vec<_>>() {
             self.ail(host, TRIP, self.now, "refuses all");
