--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -7,8 +7,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use pewterseam::brain;
 use pewterseam::interface::Micros;
+use pewterseam::waits;
 use slog::{Logger, error, info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -73,8 +73,8 @@
         Some(address) => Some(sockets::listen(address).map_err(fault(address))?),
         None => None,
     };
-    let patience = Duration::from_micros(brain::CLIENT_PATIENCE);
-    let operators = Operators::new(patience, Duration::from_micros(brain::PAUSE), inputs.clone());
+    let patience = Duration::from_micros(waits::CLIENT);
+    let operators = Operators::new(patience, Duration::from_micros(waits::PAUSE), inputs.clone());
     if let Some(ops) = ops {
         spawn_local(operators.clone().accept(ops));
     }
@@ -117,7 +117,7 @@
             // Danger: clients are refused at the door, or wait in the new one's queue, while the old one serves
             // for its full time. What it holds goes to the new one through the journal.
             handing_over = folder.join(NEXT).exists();
-            let by = now + if handing_over { brain::HAND_OVER_WITHIN } else { brain::STOP_WITHIN };
+            let by = now + if handing_over { waits::HAND_OVER } else { waits::STOP_WITHIN };
             stop_at = Some(by);
             batch.push(Input::Stop { by });
             if handing_over {
@@ -126,7 +126,7 @@
             }
         }
         // Danger: those that may not know yet that this one stops are refused, and the others get all at once.
-        let close_at = stop_at.map(|by| by - brain::STOP_WITHIN + brain::STOP_TAKING);
+        let close_at = stop_at.map(|by| by - waits::STOP_WITHIN + waits::STOP_TAKING);
         if !closed && !handing_over && close_at.is_some_and(|at| now >= at) {
             closed = true;
             batch.push(Input::Close);
@@ -145,10 +145,10 @@
                 break;
             }
             // Danger: a request that is read in the last moment goes without an answer.
-            if now + brain::PAUSE >= by {
+            if now + waits::PAUSE >= by {
                 relay.clients.leave();
             }
-            relay.wake(by.min(now + brain::PAUSE));
+            relay.wake(by.min(now + waits::PAUSE));
         }
     }
     relay.say_goodbye(folder);
@@ -188,7 +188,7 @@
                     operators.respond(id, ops::waiting(&request));
                 }
             }
-            () = sleep(Duration::from_micros(brain::PAUSE) / 5) => {}
+            () = sleep(Duration::from_micros(waits::PAUSE) / 5) => {}
         }
     }
     // Danger: a waiter that died left its word, and a later stop would leave all to nobody before its time.
@@ -250,8 +250,7 @@
         if let Some(peers) = &peers {
             spawn_local(peers.clone().listen(inputs.clone()));
         }
-        let (pause, patience) =
-            (Duration::from_micros(brain::PAUSE), Duration::from_micros(brain::ANSWER_PATIENCE));
+        let (pause, patience) = (Duration::from_micros(waits::PAUSE), Duration::from_micros(waits::ANSWER));
         let discovery = watch::Sender::new(config.discovery);
         let (follow, asked) = mpsc::unbounded_channel();
         spawn_local(discovery::follow(discovery.subscribe(), asked, inputs.clone()));
@@ -259,12 +258,12 @@
         let pace = notices::Pace { patience, pause };
         spawn_local(notices::tell(discovery.subscribe(), pace, told, inputs.clone()));
         let (patience, idle) =
-            (Duration::from_micros(brain::CLIENT_PATIENCE), Duration::from_micros(brain::CLIENT_IDLE));
+            (Duration::from_micros(waits::CLIENT), Duration::from_micros(waits::CLIENT_IDLE));
         let pace = clients::Pace { patience, idle, pause };
         let clients = Clients::new(budget, pace, inputs.clone());
         // Danger: a host closes an idle connection just as a call is written to it.
-        let idle_close = settings.idle_close.saturating_sub(brain::PAUSE);
-        let hosts = Hosts::new(idle_close, brain::ANSWER_PATIENCE, budget.idle, inputs.clone());
+        let idle_close = settings.idle_close.saturating_sub(waits::PAUSE);
+        let hosts = Hosts::new(idle_close, waits::ANSWER, budget.idle, inputs.clone());
         let room = journal.room().min(budget.held);
         let mut reducer = Reducer::new(config.deployment.clone(), config.seed, room);
         reducer.recall(learnt::read(folder));
@@ -356,8 +355,8 @@
                 }
             }
             Effect::Follow => {
-                let wait = Duration::from_micros(brain::LIST_WAIT);
-                let patience = Duration::from_micros(brain::ANSWER_PATIENCE);
+                let wait = Duration::from_micros(waits::LIST);
+                let patience = Duration::from_micros(waits::ANSWER);
                 let _ = self.follow.send(Watch { wait, patience });
             }
             Effect::Move(address) => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -75,19 +75,6 @@
 const LOOK: Micros = 25_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// Waits of the caller (us): for news of the list; for an answer about it or to a notice, or the rest of any;
-/// before what failed is tried again, or for last bytes; for the rest of a request; for the next one.
-pub const LIST_WAIT: Micros = 5_000_000;
-pub const ANSWER_PATIENCE: Micros = 500_000;
-pub const PAUSE: Micros = 100_000;
-pub const CLIENT_PATIENCE: Micros = 2_000_000;
-pub const CLIENT_IDLE: Micros = 5_000_000;
-/// Once asked to stop, how long what still comes is taken on, and how long it may take in all (us).
-pub const STOP_TAKING: Micros = 2_000_000;
-pub const STOP_WITHIN: Micros = 3_300_000;
-/// A new process waits to take the journal over: the old one ends once calls of this span are back (us).
-pub const HAND_OVER_WITHIN: Micros = 1_000_000;
-
 /// The decisions of one sender.
 pub struct Brain {
     settings: Settings,
