--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! Every decision of a sender. Its types, events and actions stand in `src/interface.rs`.
 //!
-//! The ordinary path is the permit pool of docs/design.md: senders pace each limited route to their shares of a
-//! pool, and each round the surplus of underusers passes to those that used all. The rest guards that path.
+//! The ordinary path is the permit pool of docs/design.md: senders pace each limited route to their shares of
+//! a pool, and each round the surplus of underusers passes to those that used all. The rest guards it.
 
 use std::collections::BTreeMap;
 
@@ -187,8 +187,8 @@
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
-/// Holds a route for a wait that all were told, by chance for longer. What is owed there is what was refused, so
-/// that the wait says how many come again; each further refusal says that they were more.
+/// Holds a route for a wait that all were told, by chance for longer. What is owed there is what was refused,
+/// so that the wait says how many come again; each further refusal says that they were more.
 fn hold_apart(route: &mut Route, wait: Micros, now: Micros, seed: u64) {
     let longer = wait as f64 * chance(now, seed) * f64::from(1 + route.fulls);
     route.hold(now + wait + LOOK + longer as Micros);
@@ -498,7 +498,7 @@
         let Some((attempt, first, idle_for)) = closing else { return };
         match (self.state.host_and_route(attempt.host), outcome) {
             (Some((_, route)), Outcome::Ok) => route.answered(took, SAMPLE),
-            // Each message of a call brings its own wait; the latest end holds. One that is shut has its own word.
+            // Each message of a call brings its own wait, the latest end holds; a shut one has its own word.
             (Some((host, _)), Outcome::Full { wait: wait @ 1.. }) => {
                 let limited = limit.and_then(|limit| limit.left).is_none_or(|left| left <= SHUT_FROM);
                 let id = host.route;
@@ -744,8 +744,8 @@
         }
     }
 
-    /// Danger: a wait is broken. Danger: where refused calls use up a limit, each that comes in a wait makes it
-    /// longer, and hardly one in two is told; who is told of a `limited` route's wait tells all.
+    /// Danger: a wait is broken. Danger: where refused calls use up a limit, each that comes in a wait makes
+    /// it longer, and hardly one in two is told; who is told of a `limited` route's wait tells all.
     fn heed_wait(&mut self, id: RouteId, wait: Micros, limited: bool) {
         let Some(route) = self.state.routes.get_mut(&id) else { return };
         let until = self.now + wait + LOOK;
