A second look at the moment of writing: an opened connection asks the module again

Seen: a call decided at one time is written up to a second later, when its connection has opened, whatever was learnt meanwhile (crates/relay/src/hosts.rs, Exchange::run: connect, then send).

Dials are effects of their own now. A pool without sockets (pool.rs) knows the idle connections; an attempt that finds none asks for one, and when it is open the module says whether the call goes, with what it knows then: wait, drain, stop, window, deadline, host open since. What may not go is withheld: the attempt does not count, its permit comes back, its connection stays for the next call. A call of which part waits in a buffer is called off when the same changes. A call that is written and given up ends by a reset, so that it can't arrive later. A repeat's time-out ends with its window. Attempts are recorded when they are written, no longer when they are decided.

--- a/crates/adapter/src/instances.rs
+++ b/crates/adapter/src/instances.rs
@@ -208,6 +208,8 @@
                 .host(13, host.0)
                 .put(19, &seconds(timeout).to_be_bytes()),
         ),
+        // On this wire connections open by themselves, and nothing is written late.
+        Action::Write { .. } | Action::Withhold { .. } => {}
         Action::Cancel { id, attempt } => {
             reply.push(Record::new(3, number).put(5, &id.0.to_be_bytes()).put(13, &[attempt as u8]));
         }
--- a/crates/relay/src/counters.rs
+++ b/crates/relay/src/counters.rs
@@ -38,6 +38,7 @@
     no_connection,
     resets,
     not_sent,
+    withheld,
     failed,
     returned,
     notices_answered,
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -1,35 +1,35 @@
-//! Calls to hosts: one at a time on a connection, idle connections used again, nothing sent twice.
+//! Connections to hosts, one call at a time on each: opened, written to, read and closed as the reducer says.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use pewterseam::interface::{Carrier, HostId, MessageId, Micros, Outcome};
+use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
 use tokio::net::TcpStream;
-use tokio::sync::oneshot;
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 use crate::http::{Client, Fault, MOST_BODY, Request, Response};
 use crate::inputs::Inputs;
 use crate::io::Input;
+use crate::pool::ConnectionId;
 use crate::ring::{Next, Ringed};
 
-/// One attempt of a message at a host.
+/// One attempt of a message at a host, on a connection that is open.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Call {
+    pub connection: ConnectionId,
     pub id: MessageId,
     pub attempt: u32,
     pub host: HostId,
-    pub address: SocketAddr,
     pub request: Request,
-    /// Time to wait in all, and that part of it in which a connection must open.
+    /// Time to wait for the answer.
     pub timeout: Micros,
-    pub connect: Micros,
 }
 
 /// What came of a call or a probe.
@@ -38,10 +38,12 @@
     pub outcome: Outcome,
     /// The message is over by the host's word.
     pub closed: bool,
+    /// Until the first byte of an answer, or the end.
     pub took: Micros,
     /// The load report, as it was written.
     pub report: Option<String>,
-    pub carrier: Carrier,
+    /// The connection is idle now, and may carry another call.
+    pub kept: bool,
 }
 
 /// What an answer to a call means: the protocol's table, and whether the message is over.
@@ -72,166 +74,184 @@
 
 type Connection = Framed<Ringed, Client>;
 
-struct Idle {
-    connection: Connection,
-    address: SocketAddr,
-    since: Instant,
-}
-
-/// The idle connections to all hosts.
-struct Pool {
-    idle: RefCell<HashMap<HostId, Vec<Idle>>>,
-    /// Hosts close what has been idle for this long.
-    idle_close: Duration,
-    /// For the rest of an answer once it has begun.
-    patience: Duration,
-    most: usize,
-}
-
-impl Pool {
-    /// The connection that was used last, if one can still be used, and how long it has been idle.
-    fn take(&self, host: HostId, address: SocketAddr) -> Option<(Connection, Duration)> {
-        let mut idle = self.idle.borrow_mut();
-        let of_host = idle.get_mut(&host)?;
-        of_host.retain(|kept| kept.address == address && kept.since.elapsed() < self.idle_close);
-        while let Some(kept) = of_host.pop() {
-            if is_quiet(&kept.connection) {
-                return Some((kept.connection, kept.since.elapsed()));
-            }
-        }
-        None
-    }
-
-    fn put(&self, host: HostId, address: SocketAddr, connection: Connection) {
-        let mut idle = self.idle.borrow_mut();
-        for of_host in idle.values_mut() {
-            of_host.retain(|kept| kept.since.elapsed() < self.idle_close);
-        }
-        idle.retain(|_, of_host| !of_host.is_empty());
-        // Danger: descriptors run out. The longest idle makes room.
-        if idle.values().map(Vec::len).sum::<usize>() >= self.most {
-            let oldest = idle.iter().min_by_key(|(_, of_host)| of_host[0].since).map(|(host, _)| *host);
-            if let Some(of_host) = oldest.and_then(|host| idle.get_mut(&host)) {
-                of_host.remove(0);
-            }
-        }
-        let kept = Idle { connection, address, since: Instant::now() };
-        idle.entry(host).or_default().push(kept);
-    }
-}
-
 /// Nothing has come on an idle connection: neither bytes nor its end.
 fn is_quiet(connection: &Connection) -> bool {
     connection.read_buffer().is_empty() && connection.get_ref().next() == Next::Nothing
 }
 
-/// How to stop each call that is out.
-type Calls = RefCell<BTreeMap<(MessageId, u32), oneshot::Sender<()>>>;
+/// What a connection is told.
+enum Order {
+    Write(Call),
+    Abandon,
+}
 
-/// The relay's side of all calls.
-pub struct Hosts {
-    pool: Rc<Pool>,
-    calls: Rc<Calls>,
+struct Shared {
+    orders: RefCell<HashMap<ConnectionId, mpsc::UnboundedSender<Order>>>,
+    /// For the rest of an answer that has begun.
+    patience: Duration,
     inputs: Inputs,
 }
 
+/// The relay's side of all connections to hosts. Each is a task of its own, which closes its connection when it
+/// is told nothing any more.
+#[derive(Clone)]
+pub struct Hosts(Rc<Shared>);
+
 impl Hosts {
-    /// `patience` is for the rest of an answer that has begun, `most_idle` the part of the descriptors that idle connections may take.
-    pub fn new(idle_close: Micros, patience: Micros, most_idle: usize, inputs: Inputs) -> Self {
-        let (idle_close, patience) = (Duration::from_micros(idle_close), Duration::from_micros(patience));
-        let pool = Pool { idle: RefCell::default(), idle_close, patience, most: most_idle.max(1) };
-        Hosts { pool: Rc::new(pool), calls: Rc::default(), inputs }
+    pub fn new(patience: Micros, inputs: Inputs) -> Self {
+        let patience = Duration::from_micros(patience);
+        Hosts(Rc::new(Shared { orders: RefCell::default(), patience, inputs }))
     }
 
-    pub fn call(&self, call: Call) {
-        let (stop, stopped) = oneshot::channel();
-        let key = (call.id, call.attempt);
-        self.calls.borrow_mut().insert(key, stop);
-        let (pool, calls, inputs) = (self.pool.clone(), self.calls.clone(), self.inputs.clone());
+    /// Opens a connection; one that is not open in that time is given up.
+    pub fn open(&self, id: ConnectionId, address: SocketAddr, within: Micros) {
+        let (order, orders) = mpsc::unbounded_channel();
+        self.0.orders.borrow_mut().insert(id, order);
+        let shared = self.0.clone();
         tokio::task::spawn_local(async move {
-            let (took, carrier, ended) = run(&pool, &call, stopped).await;
-            calls.borrow_mut().remove(&key);
-            let (outcome, closed) = ended.as_ref().map_or_else(|outcome| (*outcome, false), called);
-            let report = ended.as_ref().ok().and_then(report);
-            let reply = Reply { outcome, closed, took, report, carrier };
-            inputs.send(Input::Called { id: call.id, attempt: call.attempt, reply });
+            let last = shared.carry(id, address, within, orders).await;
+            shared.orders.borrow_mut().remove(&id);
+            if let Some(input) = last {
+                shared.inputs.send(input);
+            }
         });
     }
 
-    pub fn probe(&self, host: HostId, address: SocketAddr, path: &str, timeout: Micros) {
-        let request = Request::get(path);
-        let id = MessageId(0);
-        let call = Call { id, attempt: 0, host, address, request, timeout, connect: timeout };
-        let (pool, inputs) = (self.pool.clone(), self.inputs.clone());
+    /// Writes a call to an open connection.
+    pub fn call(&self, call: Call) {
+        let connection = call.connection;
+        if !self.order(connection, Order::Write(call)) {
+            self.0.inputs.send(Input::Closed(connection));
+        }
+    }
+
+    /// Gives the call of a connection up, and the connection with it.
+    pub fn abandon(&self, connection: ConnectionId) {
+        self.order(connection, Order::Abandon);
+    }
+
+    /// Closes a connection that carries nothing.
+    pub fn close(&self, connection: ConnectionId) {
+        self.0.orders.borrow_mut().remove(&connection);
+    }
+
+    fn order(&self, connection: ConnectionId, order: Order) -> bool {
+        self.0.orders.borrow().get(&connection).is_some_and(|orders| orders.send(order).is_ok())
+    }
+
+    /// Asks a host how it is, on a connection of its own.
+    pub fn probe(&self, host: HostId, address: SocketAddr, path: &str, limit: Micros) {
+        let (request, shared) = (Request::get(path), self.0.clone());
         tokio::task::spawn_local(async move {
-            let (_stop, stopped) = oneshot::channel();
-            let (took, carrier, ended) = run(&pool, &call, stopped).await;
-            let outcome = ended.as_ref().map_or_else(|outcome| *outcome, probed);
+            let (_order, mut orders) = mpsc::unbounded_channel();
+            let connection = ConnectionId(0);
+            let call = Call { connection, id: MessageId(0), attempt: 0, host, request, timeout: limit };
+            let start = Instant::now();
+            let ended = match connect(address, limit).await {
+                Some(opened) => shared.exchange(opened, &call, &mut orders).await.ended,
+                None => Err(Outcome::ConnectFailed),
+            };
             let body = |response: &Response| String::from_utf8(response.body.to_vec()).ok();
             let report = ended.as_ref().ok().and_then(|response| report(response).or_else(|| body(response)));
-            let reply = Reply { outcome, closed: false, took, report, carrier };
-            inputs.send(Input::Probed { host, reply });
+            let outcome = ended.as_ref().map_or_else(|outcome| *outcome, probed);
+            let took = start.elapsed().as_micros() as Micros;
+            let reply = Reply { outcome, closed: false, took, report, kept: false };
+            shared.inputs.send(Input::Probed { host, reply });
         });
     }
+}
 
-    /// Stops waiting for a call and closes its connection.
-    pub fn cancel(&self, id: MessageId, attempt: u32) {
-        if let Some(stop) = self.calls.borrow_mut().remove(&(id, attempt)) {
-            let _ = stop.send(());
+impl Shared {
+    /// Has a connection opened and carry what it is told to, until it ends; gives what is to be told of that.
+    async fn carry(
+        &self, id: ConnectionId, address: SocketAddr, within: Micros,
+        mut orders: mpsc::UnboundedReceiver<Order>,
+    ) -> Option<Input> {
+        let opened = tokio::select! {
+            biased;
+            // Nobody needs it any more.
+            _ = orders.recv() => return None,
+            opened = connect(address, within) => opened,
+        };
+        let Some(mut connection) = opened else { return Some(Input::NotOpened(id)) };
+        self.inputs.send(Input::Opened(id));
+        loop {
+            let order = tokio::select! {
+                biased;
+                order = orders.recv() => order,
+                _ = connection.get_ref().come() => return Some(Input::Closed(id)),
+            };
+            let Some(Order::Write(call)) = order else { return None };
+            // Danger: a host closes an idle connection just as a call is written to it.
+            if !is_quiet(&connection) {
+                return Some(Input::Closed(id));
+            }
+            let Exchanged { ended, took, kept } = self.exchange(connection, &call, &mut orders).await;
+            let (outcome, closed) = ended.as_ref().map_or_else(|outcome| (*outcome, false), called);
+            let report = ended.as_ref().ok().and_then(report);
+            let reply = Reply { outcome, closed, took, report, kept: kept.is_some() };
+            let told = Input::Called { connection: id, reply };
+            connection = match kept {
+                Some(kept) => kept,
+                None => return Some(told),
+            };
+            self.inputs.send(told);
         }
     }
 
-    pub fn close_idle(&self, host: HostId) {
-        self.pool.idle.borrow_mut().remove(&host);
+    /// Makes a call and waits for its answer, or for how else it ends. Danger: what was written and given up arrives later, when whatever held it back is over; the
+    /// connection ends by a reset, which drops what the network has not taken yet.
+    async fn exchange(
+        &self, connection: Connection, call: &Call, orders: &mut mpsc::UnboundedReceiver<Order>,
+    ) -> Exchanged {
+        let start = Instant::now();
+        let mut exchange = Exchange { connection, written: false, heard_at: None };
+        let limit = Duration::from_micros(call.timeout);
+        let ended = tokio::select! {
+            biased;
+            ended = timeout(limit, exchange.run(self, call)) => ended.unwrap_or(Err(Outcome::Timeout)),
+            _ = orders.recv() => Err(Outcome::Cancelled),
+        };
+        let took = exchange.heard_at.unwrap_or_else(Instant::now) - start;
+        // Danger: bytes behind an answer are taken for the answer to the next call.
+        let kept = ended.as_ref().is_ok_and(|response| response.keep_alive) && is_quiet(&exchange.connection);
+        if ended.is_err() {
+            exchange.connection.get_ref().reset_at_end();
+        }
+        let ended = ended.or_else(|outcome| exchange.fall_back(outcome));
+        Exchanged { ended, took: took.as_micros() as Micros, kept: kept.then_some(exchange.connection) }
     }
 }
 
-/// Makes a call and waits for its answer, or for how else it ends; tells how long that took and on what. What is
-/// dropped midway closes its connection.
-async fn run(
-    pool: &Pool, call: &Call, stopped: oneshot::Receiver<()>,
-) -> (Micros, Carrier, Result<Response, Outcome>) {
-    let start = Instant::now();
-    let carrier = Carrier { idle_for: None, kept: false };
-    let mut exchange = Exchange { connection: None, carrier, written: false, heard_at: None };
-    let limit = Duration::from_micros(call.timeout);
-    let ended = tokio::select! {
-        biased;
-        ended = timeout(limit, exchange.run(pool, call)) => ended.unwrap_or(Err(Outcome::Timeout)),
-        _ = stopped => Err(Outcome::Cancelled),
-    };
-    let took = exchange.heard_at.unwrap_or_else(Instant::now) - start;
-    (took.as_micros() as Micros, exchange.carrier, ended.or_else(|outcome| exchange.fall_back(outcome)))
+/// What came of a call.
+struct Exchanged {
+    ended: Result<Response, Outcome>,
+    /// Until the first byte of an answer, or the end.
+    took: Micros,
+    /// The connection, where it may carry another call.
+    kept: Option<Connection>,
 }
 
 /// A call under way, and what is known of it should it be given up.
 struct Exchange {
-    connection: Option<Connection>,
-    carrier: Carrier,
-    /// The whole call was handed to the connection.
+    connection: Connection,
+    /// The whole call was handed to the network.
     written: bool,
     /// When the first byte of an answer came.
     heard_at: Option<Instant>,
 }
 
 impl Exchange {
-    async fn run(&mut self, pool: &Pool, call: &Call) -> Result<Response, Outcome> {
-        let connection = match pool.take(call.host, call.address) {
-            Some((connection, idle)) => {
-                self.carrier.idle_for = Some(idle.as_micros() as Micros);
-                connection
-            }
-            None => connect(call).await.ok_or(Outcome::ConnectFailed)?,
-        };
-        let connection = self.connection.insert(connection);
-        connection.send(call.request.clone()).await.map_err(|_| Outcome::ConnectFailed)?;
+    async fn run(&mut self, shared: &Shared, call: &Call) -> Result<Response, Outcome> {
+        self.write(shared, call).await.map_err(|_| Outcome::ConnectFailed)?;
         self.written = true;
-        let response = loop {
+        let connection = &mut self.connection;
+        loop {
             // An interim answer may come long before the answer itself.
             connection.get_ref().come().await.map_err(|_| Outcome::Reset)?;
             self.heard_at = Some(Instant::now());
-            match timeout(pool.patience, connection.next()).await {
-                Ok(Some(Ok(response))) => break response,
+            match timeout(shared.patience, connection.next()).await {
+                Ok(Some(Ok(response))) => return Ok(response),
                 Ok(Some(Err(Fault::Io(_))) | None) => return Err(Outcome::Reset),
                 // Danger: a spoilt answer holds its slot until the call's time is up.
                 Ok(Some(Err(_))) => return Err(Outcome::Error),
@@ -240,25 +260,42 @@
                 }
                 Err(_) => self.heard_at = None,
             }
+        }
+    }
+
+    /// Writes the call whole; tells when part of it has to wait.
+    async fn write(&mut self, shared: &Shared, call: &Call) -> std::io::Result<()> {
+        let stalled = |stalled| {
+            shared.inputs.send(Input::Stalled { connection: call.connection, stalled });
         };
-        // Danger: bytes behind an answer are taken for the answer to the next call.
-        if let Some(connection) = self.connection.take().filter(|kept| response.keep_alive && is_quiet(kept))
-        {
-            pool.put(call.host, call.address, connection);
-            self.carrier.kept = true;
+        let mut sent = std::pin::pin!(self.connection.send(call.request.clone()));
+        let at_once = tokio::select! {
+            biased;
+            sent = &mut sent => Some(sent),
+            () = std::future::ready(()) => None,
+        };
+        match at_once {
+            Some(sent) => sent,
+            None => {
+                stalled(true);
+                let sent = sent.await;
+                stalled(false);
+                sent
+            }
         }
-        Ok(response)
     }
 
     /// What a call that ended without a whole answer came to. What was not written in full never ran, whatever
     /// kept it. Danger: a delivered message is taken for one that may have run, and is sent again or failed; its
     /// first line tells that it was, whatever became of the rest.
     fn fall_back(&self, outcome: Outcome) -> Result<Response, Outcome> {
-        let status = |connection: &Connection| connection.codec().status(connection.read_buffer());
+        let connection = &self.connection;
         // Danger: a wait told in the head of an answer whose body broke off is not heeded, and the next call
         // goes before it is over. A whole head of a 429 is the host's word; other spoilt answers stay unsure.
-        let head = self.connection.as_ref().and_then(|connection| connection.codec().head());
-        match (head.filter(|head| head.status == 429), self.connection.as_ref().and_then(status)) {
+        let head = connection.codec().head().filter(|head| head.status == 429);
+        match (head, connection.codec().status(connection.read_buffer())) {
+            // Called off by the relay itself: that says nothing of the host.
+            _ if !self.written && outcome == Outcome::Cancelled => Err(Outcome::Moot),
             _ if !self.written => Err(Outcome::ConnectFailed),
             (Some(head), _) => Ok(Response { keep_alive: false, body: Bytes::new(), ..head.clone() }),
             (None, Some(200)) => Ok(Response { keep_alive: false, ..Response::new(200) }),
@@ -267,8 +304,8 @@
     }
 }
 
-async fn connect(call: &Call) -> Option<Connection> {
-    let limit = Duration::from_micros(call.connect);
-    let stream = timeout(limit, TcpStream::connect(call.address)).await.ok()?.ok()?;
-    Some(Framed::new(Ringed::new(stream).ok()?, Client::new(call.address.to_string(), MOST_BODY)))
+async fn connect(address: SocketAddr, within: Micros) -> Option<Connection> {
+    let limit = Duration::from_micros(within);
+    let stream = timeout(limit, TcpStream::connect(address)).await.ok()?.ok()?;
+    Some(Framed::new(Ringed::new(stream).ok()?, Client::new(address.to_string(), MOST_BODY)))
 }
--- a/crates/relay/src/io.rs
+++ b/crates/relay/src/io.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use pewterseam::interface::{HostId, MessageId, Micros};
+use pewterseam::interface::{HostId, Micros};
 
 use crate::clients::RequestId;
 use crate::config::Change;
@@ -11,6 +11,7 @@
 use crate::http::{Request, Response};
 use crate::journal::Record;
 use crate::notices::Notice;
+use crate::pool::ConnectionId;
 
 /// What happened outside.
 #[derive(Clone, Debug)]
@@ -32,10 +33,19 @@
     /// A connection was closed on which no request had come, or turned away as one too many.
     Silent,
     Crowded,
-    /// The outcome of a call.
+    /// A connection is open, or can't be had in time.
+    Opened(ConnectionId),
+    NotOpened(ConnectionId),
+    /// A connection closed while it was idle, or had closed when a call was to be written to it: nothing was.
+    Closed(ConnectionId),
+    /// Part of a connection's call waits to be written, or none does any more.
+    Stalled {
+        connection: ConnectionId,
+        stalled: bool,
+    },
+    /// The outcome of a connection's call.
     Called {
-        id: MessageId,
-        attempt: u32,
+        connection: ConnectionId,
         reply: Reply,
     },
     Probed {
@@ -88,18 +98,24 @@
     Standby(bool),
     /// The names of hosts under maintenance, to be kept for the next process.
     KeepMaintenance(Vec<String>),
-    Call(Call),
-    Cancel {
-        id: MessageId,
-        attempt: u32,
+    /// Open a connection in that time.
+    Open {
+        connection: ConnectionId,
+        address: SocketAddr,
+        within: Micros,
     },
+    /// Write a call to an open connection that carries none.
+    Call(Call),
+    /// Give a connection's call up so that nothing of it arrives any more.
+    Abandon(ConnectionId),
+    /// Close connections that carry nothing.
+    Close(Vec<ConnectionId>),
     Probe {
         host: HostId,
         address: SocketAddr,
         path: &'static str,
         timeout: Micros,
     },
-    CloseIdle(HostId),
     Notify(Notice),
     Tell {
         to: Option<u16>,
--- a/crates/relay/src/journal.rs
+++ b/crates/relay/src/journal.rs
@@ -273,7 +273,7 @@
             }
             Record::FailedAt { number, at } => {
                 if let Some(restored) = self.messages.get_mut(&number) {
-                    restored.past.failed_at = Some(at);
+                    (restored.past.failed, restored.past.failed_at) = (true, Some(at));
                 }
             }
             Record::StartedIn { number, zone } => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod notices;
 pub mod ops;
 pub mod peers;
+pub mod pool;
 pub mod reducer;
 pub mod ring;
 pub mod serve;
--- a/crates/relay/src/reducer.rs
+++ b/crates/relay/src/reducer.rs
@@ -2,12 +2,14 @@
 //! reads no clock and touches no socket or file. What to do with a message is decided by the [`Brain`].
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 use pewterseam::Brain;
 use pewterseam::interface::{
-    Action, Ended, Event, History, HostId, Learnt, MessageId, Micros, Outcome, Ran, RegistryNews,
+    Action, Carrier, Ended, Event, History, HostId, Learnt, MessageId, Micros, Outcome, Ran, RegistryNews,
     Request as Order,
 };
+use pewterseam::waits;
 use pewterseam_settings::Deployment;
 
 use crate::clients::RequestId;
@@ -24,19 +26,55 @@
 use crate::names::{Names, Told};
 use crate::notices::Notice;
 use crate::ops;
+use crate::pool::{ConnectionId, Pool};
 
 /// A message on hand.
 #[derive(Debug)]
 struct Held {
     message: Message,
     past: Past,
-    /// The attempt that is out, when it was sent, and to which zone where that matters.
-    out: Option<(u32, Micros, Option<Zone>)>,
+    out: Option<Out>,
     /// Given up; the notice of it is not answered yet.
     closing: Option<End>,
     footprint: u64,
 }
 
+/// The attempt of a message that is out.
+#[derive(Clone, Copy, Debug)]
+struct Out {
+    attempt: u32,
+    /// When it was decided, and when it was written, if it was.
+    at: Micros,
+    written_at: Option<Micros>,
+    /// To which zone, where that matters.
+    zone: Option<Zone>,
+    connection: ConnectionId,
+}
+
+/// What a connection is for that is being opened, or carries a call.
+#[derive(Clone, Copy, Debug)]
+struct Carried {
+    id: MessageId,
+    attempt: u32,
+    host: HostId,
+    address: SocketAddr,
+    /// When the attempt was decided, and until when it may take.
+    at: Micros,
+    until: Micros,
+    connect: Micros,
+    /// How long the connection had been idle; none for a new one.
+    idle_for: Option<Micros>,
+}
+
+/// How much a relay may hold.
+#[derive(Clone, Copy, Debug)]
+pub struct Room {
+    /// Bytes of messages on hand.
+    pub bytes: u64,
+    /// Idle connections to hosts.
+    pub idle_connections: usize,
+}
+
 /// What waits for the first word of discovery.
 #[derive(Debug)]
 struct Start {
@@ -49,6 +87,8 @@
     brain: Brain,
     names: Names,
     held: BTreeMap<MessageId, Held>,
+    pool: Pool,
+    carried: BTreeMap<ConnectionId, Carried>,
     by_client_id: HashMap<String, MessageId>,
     ended: EndedIds,
     /// The next message's number.
@@ -84,8 +124,9 @@
 const ABORTED: usize = 2;
 
 impl Reducer {
-    /// `room` is for messages on hand, in bytes.
-    pub fn new(deployment: Deployment, seed: u64, room: u64) -> Self {
+    pub fn new(deployment: Deployment, seed: u64, room: Room) -> Self {
+        // Danger: a host closes an idle connection just as a call is written to it.
+        let idle_close = deployment.settings.idle_close.saturating_sub(waits::PAUSE);
         let longest = deployment.settings.classes.iter().map(|class| class.deadline).max();
         let deployment_classes = deployment.classes.clone();
         Reducer {
@@ -93,9 +134,11 @@
             brain: Brain::new(deployment.settings.clone(), seed),
             names: Names::new(deployment),
             held: BTreeMap::new(),
+            pool: Pool::new(idle_close, room.idle_connections),
+            carried: BTreeMap::new(),
             by_client_id: HashMap::new(),
             next: 1,
-            room,
+            room: room.bytes,
             footprint: 0,
             stopping: false,
             closed: false,
@@ -142,8 +185,9 @@
             records.push(Record::Taken { number, message, past: Past { attempts, ..held.past } });
             records.extend(held.past.failed_at.map(|at| Record::FailedAt { number, at }));
             records.extend(held.past.ran_in.map(|zone| Record::RanIn { number, zone }));
-            records.extend(held.out.map(|(_, at, _)| Record::Started { number, at }));
-            let zone = held.out.and_then(|(_, _, zone)| zone);
+            let written = held.out.and_then(|out| Some((out.written_at?, out.zone)));
+            records.extend(written.map(|(at, _)| Record::Started { number, at }));
+            let zone = written.and_then(|(_, zone)| zone);
             records.extend(zone.map(|zone| Record::StartedIn { number, zone }));
             records.extend(held.closing.map(|end| Record::Closing { number, end }));
         }
@@ -219,21 +263,9 @@
                     let response = Response::text(503, "the journal takes nothing\n");
                     self.step.effects.push(Effect::Respond { id, response });
                 }
-                Effect::Call(Call { id, attempt, .. }) => {
+                Effect::Call(call) => {
                     self.counters.sent -= 1;
-                    if let Some(held) = self.held.get_mut(&id) {
-                        held.out = None;
-                    }
-                    let (outcome, took, closed, limit) = (Outcome::Moot, 0, false, None);
-                    events.push(Event::Ended(Ended {
-                        id,
-                        attempt,
-                        outcome,
-                        took,
-                        closed,
-                        limit,
-                        carrier: None,
-                    }));
+                    events.extend(self.unmade(now, call.connection));
                 }
                 other => self.step.effects.push(other),
             }
@@ -254,6 +286,10 @@
         self.counters.taken += asking.len() as u64;
         self.counters.answered += asking.len() as u64;
         self.check();
+        let closing = self.pool.closing();
+        if !closing.is_empty() {
+            self.step.effects.push(Effect::Close(closing));
+        }
         let mut step = std::mem::take(&mut self.step);
         let taken = asking.into_values().map(|id| Effect::Respond { id, response: Response::new(202) });
         // Clients are answered before their messages go on.
@@ -299,7 +335,14 @@
             Input::BadOps => self.counters.bad_calls += 1,
             Input::Silent => self.counters.connections_silent += 1,
             Input::Crowded => self.counters.connections_refused += 1,
-            Input::Called { id, attempt, reply } => events.push(self.called(now, id, attempt, reply)),
+            Input::Opened(connection) => events.extend(self.opened(connection)),
+            Input::NotOpened(connection) => events.extend(self.not_opened(now, connection)),
+            Input::Closed(connection) => self.closed_connection(now, connection),
+            Input::Stalled { connection, stalled } => {
+                let carried = self.carried.get(&connection);
+                events.extend(carried.map(|c| Event::Stalled { id: c.id, attempt: c.attempt, stalled }));
+            }
+            Input::Called { connection, reply } => events.extend(self.called(now, connection, reply)),
             Input::Probed { host, reply } => {
                 let limit = self.names.limit(reply.report.as_deref());
                 events.push(Event::Probed { host, outcome: reply.outcome, limit });
@@ -574,8 +617,86 @@
 
     // ---- Hosts and discovery
 
-    fn called(&mut self, now: Micros, id: MessageId, attempt: u32, reply: Reply) -> Event {
-        let Reply { outcome, closed, took, report, carrier } = reply;
+    /// A connection was opened for an attempt: whether it goes is decided anew.
+    fn opened(&mut self, connection: ConnectionId) -> Option<Event> {
+        let carried = self.carried.get(&connection);
+        self.must(carried.is_some(), "connections are opened for attempts");
+        let Carried { id, attempt, .. } = *self.carried.get(&connection)?;
+        Some(Event::Opened { id, attempt })
+    }
+
+    fn not_opened(&mut self, now: Micros, connection: ConnectionId) -> Option<Event> {
+        let took = now - self.carried.get(&connection)?.at;
+        let (outcome, closed, report, kept) = (Outcome::ConnectFailed, false, None, false);
+        self.called(now, connection, Reply { outcome, closed, took, report, kept })
+    }
+
+    /// An idle connection closed. Danger: a call was just to be written to it; another is opened for that.
+    fn closed_connection(&mut self, now: Micros, connection: ConnectionId) {
+        let Some(carried) = self.carried.remove(&connection) else {
+            self.pool.lost(connection);
+            return;
+        };
+        if let Some(held) = self.held.get_mut(&carried.id)
+            && let Some(out) = held.out.as_mut().filter(|out| out.connection == connection)
+            && out.written_at.take().is_some()
+        {
+            self.counters.sent -= 1;
+            self.step.records.push(Record::Over { number: carried.id.0, how: Over::Unseen });
+        }
+        self.open(Carried { idle_for: None, ..carried }, now);
+    }
+
+    /// Asks for a connection for an attempt.
+    fn open(&mut self, carried: Carried, now: Micros) {
+        let connection = self.pool.open();
+        if let Some(out) = self.held.get_mut(&carried.id).and_then(|held| held.out.as_mut()) {
+            out.connection = connection;
+        }
+        let within = carried.connect.min(carried.until.saturating_sub(now));
+        self.step.effects.push(Effect::Open { connection, address: carried.address, within });
+        self.carried.insert(connection, carried);
+    }
+
+    /// A call that could not be recorded stays unmade, and its connection idle.
+    fn unmade(&mut self, now: Micros, connection: ConnectionId) -> Option<Event> {
+        let Carried { id, attempt, host, address, idle_for, .. } = self.carried.remove(&connection)?;
+        self.pool.put(connection, host, address, now);
+        if let Some(held) = self.held.get_mut(&id) {
+            held.out = None;
+        }
+        let (outcome, took, closed, limit) = (Outcome::Moot, 0, false, None);
+        let carrier = Some(Carrier { idle_for, kept: true });
+        Some(Event::Ended(Ended { id, attempt, outcome, took, closed, limit, carrier }))
+    }
+
+    /// An attempt is not to be made: it is as if it had never been, and its connection is idle.
+    fn withhold(&mut self, now: Micros, id: MessageId, attempt: u32) {
+        let of_attempt = |carried: &Carried| carried.id == id && carried.attempt == attempt;
+        let found = self.carried.iter().find(|(_, carried)| of_attempt(carried));
+        let Some((connection, Carried { host, address, .. })) = found.map(|(id, carried)| (*id, *carried))
+        else {
+            return self.must(false, "what is withheld has a connection");
+        };
+        self.counters.withheld += 1;
+        self.carried.remove(&connection);
+        self.pool.put(connection, host, address, now);
+        if let Some(held) = self.held.get_mut(&id)
+            && held.out.take_if(|out| out.connection == connection).is_some()
+        {
+            held.past.attempts -= 1;
+        }
+    }
+
+    fn called(&mut self, now: Micros, connection: ConnectionId, reply: Reply) -> Option<Event> {
+        let Reply { outcome, closed, took, report, kept } = reply;
+        let Carried { id, attempt, host, address, at: decided_at, idle_for, .. } =
+            self.carried.remove(&connection)?;
+        if kept {
+            self.pool.put(connection, host, address, now);
+        }
+        let carrier = Carrier { idle_for, kept };
+        let mut opening = 0;
         let counters = &mut self.counters;
         *match outcome {
             Outcome::Ok => &mut counters.delivered,
@@ -587,8 +708,10 @@
             Outcome::Moot => &mut counters.not_sent,
         } += 1;
         if let Some(held) = self.held.get_mut(&id)
-            && let Some((_, at, zone)) = held.out.take_if(|(out, ..)| *out == attempt)
+            && let Some(out) = held.out.take_if(|out| out.connection == connection)
         {
+            let at = out.written_at.unwrap_or(out.at);
+            opening = out.written_at.map_or(0, |written_at| written_at - decided_at);
             if closed {
                 self.count_end(id, if outcome == Outcome::Ok { SUCCEEDED } else { ABORTED });
                 self.finish(now, id, outcome == Outcome::Ok);
@@ -598,18 +721,23 @@
                     _ if outcome.may_have_run() => Over::MayHaveRun,
                     _ => Over::Unseen,
                 };
-                held.past.book(at, zone, how);
-                self.step.records.push(Record::Over { number: id.0, how });
+                let failed_before = held.past.failed;
+                held.past.book(at, out.zone, how);
+                if out.written_at.is_some() {
+                    self.step.records.push(Record::Over { number: id.0, how });
+                } else if !failed_before && held.past.failed {
+                    self.step.records.push(Record::FailedAt { number: id.0, at });
+                }
             }
         }
-        let limit = self.names.limit(report.as_deref());
-        Event::Ended(Ended { id, attempt, outcome, took, closed, limit, carrier: Some(carrier) })
+        let (limit, took) = (self.names.limit(report.as_deref()), took + opening);
+        Some(Event::Ended(Ended { id, attempt, outcome, took, closed, limit, carrier: Some(carrier) }))
     }
 
     fn list(&mut self, list: &List) -> Event {
         let Told { news, gone, unknown } = self.names.list(list);
         // Danger: over a long day, connections to hosts that are gone take the descriptors.
-        self.step.effects.extend(gone.into_iter().map(Effect::CloseIdle));
+        gone.into_iter().for_each(|host| self.pool.close(host));
         if unknown > 0 {
             self.counters.list_entries_dropped += unknown as u64;
             self.log(Level::Warn, format!("{unknown} hosts of the list are of a kind not in the settings"));
@@ -680,7 +808,13 @@
     fn act(&mut self, now: Micros, action: Action) -> Option<Event> {
         match action {
             Action::Send { id, host, timeout, connect } => self.send(now, id, host, timeout, connect),
-            Action::Cancel { id, attempt } => self.step.effects.push(Effect::Cancel { id, attempt }),
+            Action::Write { id, .. } => self.write(now, id),
+            Action::Withhold { id, attempt } => self.withhold(now, id, attempt),
+            Action::Cancel { id, attempt } => {
+                let out = self.held.get(&id).and_then(|held| held.out);
+                let out = out.filter(|out| out.attempt == attempt);
+                self.step.effects.extend(out.map(|out| Effect::Abandon(out.connection)));
+            }
             Action::Refuse { id, retry_after } => {
                 return self.end(id, End::Returned { after_ms: retry_after.div_ceil(1000) });
             }
@@ -692,7 +826,7 @@
                     self.step.effects.push(Effect::Probe { host, address, path, timeout });
                 }
             }
-            Action::CloseIdle(host) => self.step.effects.push(Effect::CloseIdle(host)),
+            Action::CloseIdle(host) => self.pool.close(host),
             Action::Tell { to, bytes } => {
                 self.counters.peer_messages_out += 1;
                 self.step.effects.push(Effect::Tell { to, bytes });
@@ -704,6 +838,7 @@
         None
     }
 
+    /// Has an attempt made on an idle connection at once, or on a new one once that is open.
     fn send(&mut self, now: Micros, id: MessageId, host: HostId, timeout: Micros, connect: Micros) {
         let held = self.held.get_mut(&id).filter(|held| held.out.is_none() && held.closing.is_none());
         let zoned = held.as_ref().is_some_and(|held| self.names.is_zoned(&held.message.class));
@@ -713,8 +848,35 @@
         };
         let attempt = held.past.attempts;
         held.past.attempts += 1;
-        held.out = Some((attempt, now, zone));
-        let message = &held.message;
+        let idle = self.pool.take(host, address, now);
+        let (until, idle_for) = (now + timeout, idle.map(|(_, idle_for)| idle_for));
+        let carried = Carried { id, attempt, host, address, at: now, until, connect, idle_for };
+        let out = |connection| Out { attempt, at: now, written_at: None, zone, connection };
+        match idle {
+            Some((connection, _)) => {
+                held.out = Some(out(connection));
+                self.carried.insert(connection, carried);
+                self.write(now, id);
+            }
+            None => {
+                held.out = Some(out(ConnectionId(0)));
+                self.open(carried, now);
+            }
+        }
+    }
+
+    /// Has the call of an attempt written to its connection, which is open.
+    fn write(&mut self, now: Micros, id: MessageId) {
+        let out = self.held.get_mut(&id).and_then(|held| Some((held.out.as_mut()?, &held.message)));
+        let Some((out, message)) = out else {
+            return self.must(false, "what is written is out");
+        };
+        let Some(carried) = self.carried.get(&out.connection) else {
+            return self.must(false, "what is written has a connection");
+        };
+        out.written_at = Some(now);
+        let (connection, attempt, host) = (out.connection, out.attempt, carried.host);
+        let timeout = carried.until.saturating_sub(now);
         let mut headers = Headers::default().with("Request-Id", message.id.clone());
         if let Some(key) = &message.idempotency_key {
             headers = headers.with("Idempotency-Key", key.clone());
@@ -723,9 +885,9 @@
         let request =
             Request::post("/v1/messages", headers.with("Request-Timeout", wait), message.body.clone());
         self.step.records.push(Record::Started { number: id.0, at: now });
-        self.step.records.extend(zone.map(|zone| Record::StartedIn { number: id.0, zone }));
+        self.step.records.extend(out.zone.map(|zone| Record::StartedIn { number: id.0, zone }));
         self.counters.sent += 1;
-        self.step.effects.push(Effect::Call(Call { id, attempt, host, address, request, timeout, connect }));
+        self.step.effects.push(Effect::Call(Call { connection, id, attempt, host, request, timeout }));
     }
 }
 
--- a/crates/relay/src/ring.rs
+++ b/crates/relay/src/ring.rs
@@ -8,6 +8,7 @@
 use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use ringbuf::LocalRb;
 use ringbuf::storage::Heap;
@@ -80,6 +81,13 @@
         Ok(())
     }
 
+    /// Has the connection end by a reset when it is dropped. Danger: closed in order, what the network has not
+    /// taken yet is still delivered, however much later.
+    pub fn reset_at_end(&self) {
+        // A connection that broke already can't be set, and needs no more.
+        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+    }
+
     /// Moves what waits to the socket until nothing does.
     fn poll_drain(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         while !self.outward.is_empty() {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -30,7 +30,7 @@
 use crate::notices::{self, Notice};
 use crate::ops::{self, Operators};
 use crate::peers::Peers;
-use crate::reducer::Reducer;
+use crate::reducer::{Reducer, Room};
 use crate::sockets;
 
 /// Why a relay can't start.
@@ -261,10 +261,8 @@
             (Duration::from_micros(waits::CLIENT), Duration::from_micros(waits::CLIENT_IDLE));
         let pace = clients::Pace { patience, idle, pause };
         let clients = Clients::new(budget, pace, inputs.clone());
-        // Danger: a host closes an idle connection just as a call is written to it.
-        let idle_close = settings.idle_close.saturating_sub(waits::PAUSE);
-        let hosts = Hosts::new(idle_close, waits::ANSWER, budget.idle, inputs.clone());
-        let room = journal.room().min(budget.held);
+        let hosts = Hosts::new(waits::ANSWER, inputs.clone());
+        let room = Room { bytes: journal.room().min(budget.held), idle_connections: budget.idle };
         let mut reducer = Reducer::new(config.deployment.clone(), config.seed, room);
         reducer.recall(learnt::read(folder));
         match maintenance::read(folder) {
@@ -342,10 +340,11 @@
                     error!(self.log, "the hosts under maintenance are not kept"; "error" => %error);
                 }
             }
+            Effect::Open { connection, address, within } => self.hosts.open(connection, address, within),
             Effect::Call(call) => self.hosts.call(call),
-            Effect::Cancel { id, attempt } => self.hosts.cancel(id, attempt),
+            Effect::Abandon(connection) => self.hosts.abandon(connection),
+            Effect::Close(connections) => connections.into_iter().for_each(|id| self.hosts.close(id)),
             Effect::Probe { host, address, path, timeout } => self.hosts.probe(host, address, path, timeout),
-            Effect::CloseIdle(host) => self.hosts.close_idle(host),
             Effect::Notify(notice) => {
                 let _ = self.notices.send(notice);
             }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -236,6 +236,8 @@
                 Event::Timer => {}
                 Event::Stop { by } => (self.stop_at, self.agenda.round_at) = (by, by.max(ROUND) - ROUND / 2),
                 Event::Ended(ended) => self.conclude(ended),
+                Event::Opened { id, attempt } => self.look_again(id, attempt),
+                Event::Stalled { id, attempt, stalled } => self.state.stall(id, attempt, stalled),
                 Event::Probed { host, outcome, limit } => self.judge(host, outcome, now, limit),
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
                 Event::Learnt(learnt) => self.recall(&learnt),
@@ -371,6 +373,13 @@
         };
         let late: Vec<_> = self.state.held().filter(hopeless).map(|message| message.request.id).collect();
         late.into_iter().for_each(|id| self.give_up(id));
+        let barred = |m: &&Message| m.out.is_some_and(|out| out.stalled) && !self.may_still_go(m);
+        let barred = self.state.messages.values().filter(barred);
+        let barred: Vec<_> = barred.filter_map(|m| Some((m.request.id, m.out?.number))).collect();
+        for (id, attempt) in barred {
+            self.state.stall(id, attempt, false);
+            self.actions.push(Action::Cancel { id, attempt });
+        }
     }
 
     // ---- Dispatch
@@ -411,7 +420,7 @@
     /// The host for a message: a healthy one, then the least busy, then one with a connection.
     fn choose(&self, message: &Message) -> Option<HostId> {
         let hosts = || self.state.hosts_of(message.request.destination);
-        let fit = |host: &Host| host.lifecycle == Lifecycle::Ready && self.admits(host, message);
+        let fit = |host: &Host| self.allows(host, message) && self.admits(host, message);
         let rank = |id: HostId, host: &Host| {
             let route = &self.state.routes[&host.route];
             let doubtful = suspect(host, route, self.now) || host.health != Health::Closed;
@@ -421,19 +430,48 @@
         best.map(|(id, _)| id)
     }
 
-    /// Whether a host takes this message now: wait, permits, connections, health.
-    fn admits(&self, host: &Host, message: &Message) -> bool {
-        let route = &self.state.routes[&host.route];
+    /// Whether nothing forbids a message at a host, whatever there is to send it with: drain, wait, stop, zone,
+    /// window, deadline.
+    fn allows(&self, host: &Host, message: &Message) -> bool {
+        let (route, class) = (&self.state.routes[&host.route], self.class(message));
         // Danger: a stop cuts off a call that might have run, and what must not run twice is lost.
         let stops = self.now + patience(route) > self.stop_at;
-        if stops || self.now < route.wait_until.max(host.shut_until) || (route.bound && route.tokens < 1.0) {
+        let over = message.over || self.now + LOOK >= State::until(message, class);
+        let waits = self.now < route.wait_until || host.lifecycle != Lifecycle::Ready;
+        !stops && !over && !waits && State::may_reach(message, class, host)
+    }
+
+    /// The second look, at the moment of writing. Danger: a connection takes long to open, or bytes to go out,
+    /// and what was decided before that breaks a wait, a drain or a window of which the sender knows by now.
+    fn look_again(&mut self, id: MessageId, attempt: u32) {
+        if self.state.messages.get(&id).is_some_and(|message| self.may_still_go(message)) {
+            self.state.write(id, self.now);
+            self.actions.push(Action::Write { id, attempt });
+        } else {
+            self.state.withhold(id, attempt, self.now);
+            self.actions.push(Action::Withhold { id, attempt });
+        }
+    }
+
+    /// Whether what is out and not written yet may go now. A host that was opened since takes trials only.
+    fn may_still_go(&self, message: &Message) -> bool {
+        let Some(out) = message.out else { return false };
+        let trial = self.state.calls.get(&out.call).is_some_and(|call| call.trial);
+        let host = self.state.hosts.get(&out.host).filter(|host| trial || !host.is_open());
+        host.is_some_and(|host| self.allows(host, message))
+    }
+
+    /// Whether a host takes this message now: permits, connections, health.
+    fn admits(&self, host: &Host, message: &Message) -> bool {
+        let route = &self.state.routes[&host.route];
+        if self.now < host.shut_until || (route.bound && route.tokens < 1.0) {
             return false;
         }
         let class = self.class(message);
         // After a refusal, or in doubt, one call at a time until one is served.
         let doubtful = suspect(host, route, self.now);
         let spent = host.calls > 0 && (route.fulls > 0 || doubtful);
-        if spent || !State::may_reach(message, class, host) {
+        if spent {
             return false;
         }
         // Danger: a message that must not run twice dies with a failed call. It waits for a sign of health,
@@ -482,7 +520,9 @@
 
     fn send(&mut self, id: MessageId, host: HostId, call: u64) {
         let message = &self.state.messages[&id];
-        let (left, effect) = (message.request.deadline.saturating_sub(self.now), self.class(message).effect);
+        let class = self.class(message);
+        // Danger: a repeat that is held up on its way arrives when its window is over.
+        let (left, effect) = (State::until(message, class).saturating_sub(self.now), class.effect);
         let bound = patience(&self.state.routes[&self.state.hosts[&host].route]);
         let times = if effect == Effect::SingleShot { LAST_PATIENCE } else { NEXT_PATIENCE };
         let timeout =
@@ -595,7 +635,7 @@
                 let slow = now > sent_at + PATIENCE_BOUNDS.0;
                 // Danger: tried again at once, a full table takes all attempts of a message. The call never
                 // came to the limit, and its permit is not used.
-                (route.used, route.tokens) = ((route.used - 1.0).max(0.0), route.tokens + 1.0);
+                route.give_back();
                 if !slow {
                     host.unmet += 1;
                     host.shut_until = now + pause(host.unmet, now, self.seed);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -321,6 +321,18 @@
         by: Micros,
     },
     Ended(Ended),
+    /// A new connection for an attempt is open and nothing is written on it yet: `Action::Write` or
+    /// `Action::Withhold` is the answer. A caller whose connections open at once has none of these.
+    Opened {
+        id: MessageId,
+        attempt: u32,
+    },
+    /// Part of an attempt's call waits to be written, or none does any more.
+    Stalled {
+        id: MessageId,
+        attempt: u32,
+        stalled: bool,
+    },
     Probed {
         host: HostId,
         outcome: Outcome,
@@ -346,6 +358,16 @@
         timeout: Micros,
         connect: Micros,
     },
+    /// Write the call of an attempt on the connection that was opened for it.
+    Write {
+        id: MessageId,
+        attempt: u32,
+    },
+    /// Write nothing; the attempt does not count, and its connection is idle now.
+    Withhold {
+        id: MessageId,
+        attempt: u32,
+    },
     /// Stop waiting for an attempt.
     Cancel {
         id: MessageId,
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,8 +5,8 @@
 use std::ops::Add;
 
 use crate::interface::{
-    Allowance, Class, DestinationId, Effect, Ended, Group, History, HostId, Learnt, LearntRoute, Lifecycle,
-    Listed, Listing, MessageId, Micros, Outcome, Ran, Request, Settings,
+    Allowance, Carrier, Class, DestinationId, Effect, Ended, Group, History, HostId, Learnt, LearntRoute,
+    Lifecycle, Listed, Listing, MessageId, Micros, Outcome, Ran, Request, Settings,
 };
 
 /// Odd factor that scatters numbers (2^64 over the golden ratio).
@@ -203,6 +203,11 @@
         self.wait_until = self.wait_until.max(until);
     }
 
+    /// Takes back the permit of a call that never came to the limit.
+    pub fn give_back(&mut self) {
+        (self.used, self.tokens) = ((self.used - 1.0).max(0.0), self.tokens + 1.0);
+    }
+
     /// Begins a round; each refusal that was reported has had its effect.
     pub fn start_round(&mut self) {
         for (_, report) in self.reports.values_mut().chain(&mut self.rest) {
@@ -243,6 +248,8 @@
     pub call: u64,
     pub host: HostId,
     pub sent_at: Micros,
+    /// Part of it waits to be written.
+    pub stalled: bool,
 }
 
 /// A message that was taken.
@@ -553,11 +560,44 @@
         if let (Some(entry), Some(message)) = (self.calls.get_mut(&call), self.messages.get_mut(&id)) {
             entry.members += 1;
             entry.room -= 1;
-            message.out = Some(Attempt { number: message.attempts, call, host: entry.host, sent_at: now });
+            let (number, host) = (message.attempts, entry.host);
+            message.out = Some(Attempt { number, call, host, sent_at: now, stalled: false });
             message.attempts += 1;
         }
     }
 
+    /// Books that the call of an attempt is written now; nothing joins it any more.
+    pub fn write(&mut self, id: MessageId, now: Micros) {
+        let out = self.messages.get_mut(&id).and_then(|message| message.out.as_mut());
+        let Some(out) = out else { return };
+        out.sent_at = now;
+        if let Some(call) = self.calls.get_mut(&out.call) {
+            (call.sent_at, call.room) = (now, 0);
+        }
+    }
+
+    /// Books that nothing of an attempt is written: it and its permit are as if it had never been.
+    pub fn withhold(&mut self, id: MessageId, attempt: u32, now: Micros) {
+        let carrier = Some(Carrier { idle_for: None, kept: true });
+        let (outcome, took, closed, limit) = (Outcome::Moot, 0, false, None);
+        let ended = Ended { id, attempt, outcome, took, closed, limit, carrier };
+        let Some((out, ..)) = self.close_attempt(&ended, now, 0) else { return };
+        if let Some(message) = self.messages.get_mut(&id) {
+            message.attempts -= 1;
+        }
+        if let Some((_, route)) = self.host_and_route(out.host) {
+            route.give_back();
+        }
+    }
+
+    /// Books whether part of an attempt waits to be written.
+    pub fn stall(&mut self, id: MessageId, attempt: u32, stalled: bool) {
+        let out = self.messages.get_mut(&id).and_then(|message| message.out.as_mut());
+        if let Some(out) = out.filter(|out| out.number == attempt) {
+            out.stalled = stalled;
+        }
+    }
+
     /// Books the outcome of an attempt, and the end of its message where it is over. Gives the attempt, whether
     /// it is the first of its call to end (messages of one call share its fate), and how long the call's
     /// connection had been idle.
@@ -627,6 +667,17 @@
         }
     }
 
+    /// Until when a call may be under way: the message's deadline, or the end of its window.
+    pub fn until(message: &Message, class: &Class) -> Micros {
+        let deadline = message.request.deadline;
+        match class.effect {
+            Effect::Guarded { window, .. } => {
+                message.ran.map_or(deadline, |ran| deadline.min(ran.at + window))
+            }
+            _ => deadline,
+        }
+    }
+
     /// Takes over lines of the registry's list; in a `whole` one a missing host is gone. A `new` route is
     /// made for a destination not seen before, or for a host whose kind has its routes apart.
     pub fn list(
