--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -263,6 +263,10 @@
 }
 
 impl Relay {
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn connect(&self) -> TcpStream {
         let stream = TcpStream::connect(self.listen).expect("connected");
         stream.set_read_timeout(Some(PATIENCE)).expect("set");
