--- a/crates/relay/src/io.rs
+++ b/crates/node/src/io.rs
@@ -4,29 +4,34 @@
 
 use pewterseam::interface::{HostId, Micros};
 
-use crate::clients::RequestId;
-use crate::config::Change;
-use crate::discovery::List;
-use crate::hosts::{Call, Reply};
-use crate::http::{Request, Response};
-use crate::journal::Record;
-use crate::notices::Notice;
+use pewterseam_durable::record::Record;
+
+use crate::call::{Call, Reply};
+use crate::change::Change;
+use crate::client::{Answer, Offer, Question, RequestId};
+use crate::list::List;
+use crate::notice::Notice;
+use crate::operator::{Operation, Verdict};
 use crate::pool::ConnectionId;
 
 /// What happened outside.
 #[derive(Clone, Debug)]
 pub enum Input {
-    /// A client's request, whole.
-    Request {
+    /// A client hands a message in.
+    Offer {
+        id: RequestId,
+        offer: Offer,
+    },
+    Question {
         id: RequestId,
-        request: Request,
+        question: Question,
     },
-    /// What a client sent was no request.
+    /// What a client sent was no request, and was answered so.
     BadRequest,
-    /// An operator's call, whole.
-    Ops {
+    /// An operator's call.
+    Operation {
         id: RequestId,
-        request: Request,
+        operation: Operation,
     },
     /// What an operator sent was no call, or came too slowly, or one too many.
     BadOps,
@@ -85,14 +90,15 @@
 /// What is to be done outside, once the step's records are in the journal.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Effect {
-    Respond {
+    Answer {
         id: RequestId,
-        response: Response,
+        answer: Answer,
     },
     /// To an operator.
-    Answer {
+    Tell {
         id: RequestId,
-        response: Response,
+        verdict: Verdict,
+        text: String,
     },
     /// Clients are sent away, or taken again: `/_health` says so, and connections close between requests.
     Standby(bool),
@@ -117,7 +123,8 @@
         timeout: Micros,
     },
     Notify(Notice),
-    Tell {
+    /// To one peer, or every one.
+    Gossip {
         to: Option<u16>,
         bytes: Vec<u8>,
     },
--- a/crates/relay/src/names.rs
+++ b/crates/node/src/names.rs
@@ -10,9 +10,10 @@
 use pewterseam_settings::Deployment;
 use siphasher::sip::SipHasher13;
 
-use crate::discovery::{List, State, Target};
-use crate::journal::Zone;
-use crate::message::Message;
+use pewterseam_durable::message::Message;
+use pewterseam_durable::record::Zone;
+
+use crate::list::{List, State, Target};
 
 /// The names of a deployment and the addresses of its hosts.
 pub struct Names {
@@ -165,10 +166,10 @@
 
     /// A new message in the decisions' terms; else what of it is not known.
     pub fn request(&self, id: MessageId, message: &Message) -> Result<Request, &'static str> {
-        let class = self.class_number(&message.class).ok_or("the class is not known\n")?;
+        let class = self.class_number(&message.class).ok_or("the class is not known")?;
         let tenant = match self.deployment.tenants.as_slice() {
             [] => 0,
-            tenants => position(tenants, &message.tenant).ok_or("the tenant is not known\n")?,
+            tenants => position(tenants, &message.tenant).ok_or("the tenant is not known")?,
         };
         let (destination, deadline) = (message.destination, message.deadline);
         let key = message.key.as_deref().map(number);
--- a/crates/relay/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -12,20 +12,20 @@
 use pewterseam::waits;
 use pewterseam_settings::Deployment;
 
-use crate::clients::RequestId;
-use crate::config::Change;
+use pewterseam_durable::message::{End, Message};
+use pewterseam_durable::record::{self, Over, Past, Record, Zone};
+use pewterseam_durable::replay::{History as Kept, Restored};
+
+use crate::call::{Call, Reply};
+use crate::change::Change;
+use crate::client::{Answer, Offer, Question, RequestId};
 use crate::counters::Counters;
-use crate::discovery::List;
 use crate::ended::EndedIds;
-use crate::hosts::{Call, Reply};
-use crate::http::{Headers, Request, Response};
-use crate::intake;
 use crate::io::{Effect, Input, Level, Step};
-use crate::journal::{self, Over, Past, Record, Restored, Zone};
-use crate::message::{End, Message};
+use crate::list::List;
 use crate::names::{Names, Told};
-use crate::notices::Notice;
-use crate::ops;
+use crate::notice::Notice;
+use crate::operator::{Operation, Verdict};
 use crate::pool::{ConnectionId, Pool};
 
 /// A message on hand.
@@ -199,7 +199,7 @@
     /// Takes over what the journal tells. Danger: the list as last known may be old, and hosts that drain or are
     /// gone by discovery's word would be sent what was restored. It is asked first; the old list is for when it
     /// does not answer.
-    pub fn start(&mut self, now: Micros, history: journal::History, known: Option<List>) -> Step {
+    pub fn start(&mut self, now: Micros, history: Kept, known: Option<List>) -> Step {
         self.next = self.next.max(history.next);
         let messages = history.messages.into_iter();
         let restored = messages.filter_map(|restored| self.restore(now, restored)).collect();
@@ -257,11 +257,10 @@
         }
         for effect in step.effects {
             match effect {
-                Effect::Respond { id, response } if response.status == 202 => {
+                Effect::Answer { id, answer: Answer::Taken } => {
                     self.counters.taken -= 1;
                     self.counters.refused_by_journal += 1;
-                    let response = Response::text(503, "the journal takes nothing\n");
-                    self.step.effects.push(Effect::Respond { id, response });
+                    self.step.effects.push(Effect::Answer { id, answer: Answer::NotKept });
                 }
                 Effect::Call(call) => {
                     self.counters.sent -= 1;
@@ -291,7 +290,7 @@
             self.step.effects.push(Effect::Close(closing));
         }
         let mut step = std::mem::take(&mut self.step);
-        let taken = asking.into_values().map(|id| Effect::Respond { id, response: Response::new(202) });
+        let taken = asking.into_values().map(|id| Effect::Answer { id, answer: Answer::Taken });
         // Clients are answered before their messages go on.
         step.effects.splice(0..0, taken);
         step
@@ -322,16 +321,18 @@
         self.step.effects.push(Effect::Log { level, text });
     }
 
-    fn respond(&mut self, id: RequestId, response: Response) {
+    fn answer(&mut self, id: RequestId, answer: Answer) {
         self.counters.answered += 1;
-        self.step.effects.push(Effect::Respond { id, response });
+        self.counters.bad_requests += u64::from(answer.is_fault_of_client());
+        self.step.effects.push(Effect::Answer { id, answer });
     }
 
     fn take(&mut self, now: Micros, input: Input, events: &mut Vec<Event>) {
         match input {
-            Input::Request { id, request } => events.extend(self.request(now, id, request)),
+            Input::Offer { id, offer } => events.extend(self.offer(now, id, offer)),
+            Input::Question { id, question } => self.question(id, question),
             Input::BadRequest => self.counters.bad_requests += 1,
-            Input::Ops { id, request } => events.extend(self.operate(id, request)),
+            Input::Operation { id, operation } => events.extend(self.operate(id, operation)),
             Input::BadOps => self.counters.bad_calls += 1,
             Input::Silent => self.counters.connections_silent += 1,
             Input::Crowded => self.counters.connections_refused += 1,
@@ -431,64 +432,62 @@
 
     // ---- Clients
 
-    fn request(&mut self, now: Micros, id: RequestId, request: Request) -> Option<Event> {
+    /// Takes a message on, or says why not; gives what is to be decided of it.
+    fn offer(&mut self, now: Micros, id: RequestId, offer: Offer) -> Option<Event> {
+        self.counters.requests += 1;
+        match self.hand_in(now, id, offer) {
+            Ok(order) => Some(Event::Message(order)),
+            Err(answer) => {
+                self.answer(id, answer);
+                None
+            }
+        }
+    }
+
+    fn question(&mut self, id: RequestId, question: Question) {
         self.counters.requests += 1;
-        let path = request.path.split('?').next().unwrap_or_default();
-        let response = match (request.method.as_str(), path) {
-            ("POST", "/api") => match self.hand_in(now, id, request) {
-                Ok(order) => return order.map(Event::Message),
-                Err(response) => response,
-            },
-            ("GET", "/_health") if self.is_ready() && !self.standby => Response::text(200, "ready\n"),
-            ("GET", "/_health") => Response::text(503, "not ready\n"),
-            ("GET", "/_counters") => Response::text(200, self.text()),
-            (_, "/api" | "/_health" | "/_counters") => Response::text(405, "the method is another one\n"),
-            _ => Response::text(404, "there is nothing here\n"),
+        let answer = match question {
+            Question::Ready => Answer::Ready(self.is_ready() && !self.standby),
+            Question::Counters => Answer::Counters(self.text()),
         };
-        self.counters.bad_requests += u64::from((400..500).contains(&response.status));
-        self.respond(id, response);
-        None
+        self.answer(id, answer);
     }
 
     // ---- Operators
 
     /// Answers an operator's call; gives what the decisions are to be told of it.
-    fn operate(&mut self, id: RequestId, request: Request) -> Option<Event> {
+    fn operate(&mut self, id: RequestId, operation: Operation) -> Option<Event> {
         self.counters.calls += 1;
-        let (response, news) = match ops::call(&request) {
-            Err(response) => {
-                self.counters.bad_calls += 1;
-                (response, None)
-            }
-            Ok(ops::Call::Status) if self.is_ready() => (Response::text(200, "serving\n"), None),
-            Ok(ops::Call::Status) => (Response::text(503, "not serving yet\n"), None),
-            Ok(ops::Call::Metrics) => (Response::text(200, self.metrics()), None),
-            Ok(ops::Call::Enter(name)) => self.maintain(&name, true),
-            Ok(ops::Call::Exit(name)) => self.maintain(&name, false),
-            Ok(ops::Call::Standby | ops::Call::Active) if self.stopping => {
-                (Response::text(409, "the process stops\n"), None)
+        let (verdict, text, news) = match operation {
+            Operation::Status if self.is_ready() => (Verdict::Yes, "serving".to_owned(), None),
+            Operation::Status => (Verdict::NotNow, "not serving yet".to_owned(), None),
+            Operation::Metrics => (Verdict::Yes, self.metrics(), None),
+            Operation::Enter(name) => self.maintain(&name, true),
+            Operation::Exit(name) => self.maintain(&name, false),
+            Operation::Standby | Operation::Active if self.stopping => {
+                (Verdict::Conflict, "the process stops".to_owned(), None)
             }
-            Ok(call) => {
-                self.standby = call == ops::Call::Standby;
+            Operation::Standby | Operation::Active => {
+                self.standby = operation == Operation::Standby;
                 let word =
                     if self.standby { "standby: clients are sent away" } else { "active: clients are taken" };
                 self.log(Level::Info, word.to_owned());
                 self.step.effects.push(Effect::Standby(self.standby));
-                (Response::text(200, format!("{word}\n")), None)
+                (Verdict::Yes, word.to_owned(), None)
             }
         };
-        self.step.effects.push(Effect::Answer { id, response });
+        self.step.effects.push(Effect::Tell { id, verdict, text });
         news.map(Event::Registry)
     }
 
-    fn maintain(&mut self, name: &str, under: bool) -> (Response, Option<RegistryNews>) {
+    fn maintain(&mut self, name: &str, under: bool) -> (Verdict, String, Option<RegistryNews>) {
         match self.names.maintain(name, under, false) {
-            Err(_) => (Response::text(400, "no list ever named this host\n"), None),
+            Err(_) => (Verdict::Unknown, "no list ever named this host".to_owned(), None),
             Ok(news) => {
                 let word = if under { "under maintenance" } else { "back from maintenance" };
                 self.log(Level::Info, format!("host {name}: {word}"));
                 self.step.effects.push(Effect::KeepMaintenance(self.names.maintained()));
-                (Response::text(200, format!("{word}\n")), news)
+                (Verdict::Yes, word.to_owned(), news)
             }
         }
     }
@@ -550,41 +549,39 @@
         format!("{}held {held}\ncalls_out {out}\n", self.counters.text())
     }
 
-    /// Takes a message on, or says why not; nothing is to be decided for one that is on hand already.
-    fn hand_in(&mut self, now: Micros, id: RequestId, request: Request) -> Result<Option<Order>, Response> {
-        let message = intake::message(now, request)?;
+    fn hand_in(&mut self, now: Micros, id: RequestId, offer: Offer) -> Result<Order, Answer> {
+        let message = offer.message(now);
         let number = MessageId(self.next);
-        let order = self.names.request(number, &message).map_err(|text| Response::text(422, text))?;
+        let order = self.names.request(number, &message).map_err(Answer::Unknown)?;
         if self.closed || self.start.is_some() {
             self.counters.refused_not_ready += 1;
-            return Err(Response { keep_alive: !self.closed, ..Response::text(503, "not ready\n") });
+            return Err(Answer::NotReady { last: self.closed });
         }
         // Danger: a client whose connection was closed sends the same request once more, and it would run twice.
         if self.by_client_id.contains_key(&message.id) {
-            self.respond(id, Response::text(200, "on hand already\n"));
-            return Ok(None);
+            return Err(Answer::OnHand);
         }
         match self.ended.get(&message.id) {
-            Some(true) => return Err(Response::text(200, "delivered already\n")),
-            Some(false) => return Err(Response::text(409, "given up already\n")),
+            Some(true) => return Err(Answer::Delivered),
+            Some(false) => return Err(Answer::GivenUp),
             None => {}
         }
         // Danger: the journal or the memory runs full, and what is on hand could not be brought to its end.
         if self.footprint + self.footprint_of(&message) > self.room {
             self.counters.refused_by_journal += 1;
-            return Err(Response::text(503, "no room for more bytes\n"));
+            return Err(Answer::NoRoom);
         }
         self.next += 1;
         let past = Past::default();
         self.step.records.push(Record::Taken { number: number.0, message: message.clone(), past });
         self.hold(number, message, past);
         self.asking.insert(number, id);
-        Ok(Some(order))
+        Ok(order)
     }
 
     fn footprint_of(&self, message: &Message) -> u64 {
-        let zones = if self.names.is_zoned(&message.class) { journal::ZONES } else { 0 };
-        journal::footprint(message) + zones
+        let zones = if self.names.is_zoned(&message.class) { record::ZONES } else { 0 };
+        record::footprint(message) + zones
     }
 
     fn hold(&mut self, id: MessageId, message: Message, past: Past) {
@@ -778,7 +775,7 @@
         self.step.records.retain(|record| !matches!(record, Record::Taken { number, .. } if *number == id.0));
         self.counters.refused_at_once += 1;
         self.count_given_up(id, end);
-        self.respond(request, refusal(end));
+        self.answer(request, refusal(end));
         Some(self.withdraw(id))
     }
 
@@ -829,7 +826,7 @@
             Action::CloseIdle(host) => self.pool.close(host),
             Action::Tell { to, bytes } => {
                 self.counters.peer_messages_out += 1;
-                self.step.effects.push(Effect::Tell { to, bytes });
+                self.step.effects.push(Effect::Gossip { to, bytes });
             }
             Action::Subscribe => self.step.effects.push(Effect::Follow),
             Action::Wake(at) => self.step.effects.push(Effect::Wake(at)),
@@ -877,29 +874,28 @@
         out.written_at = Some(now);
         let (connection, attempt, host) = (out.connection, out.attempt, carried.host);
         let timeout = carried.until.saturating_sub(now);
-        let mut headers = Headers::default().with("Request-Id", message.id.clone());
-        if let Some(key) = &message.idempotency_key {
-            headers = headers.with("Idempotency-Key", key.clone());
-        }
-        let wait = format!("{}.{:06}", timeout / 1_000_000, timeout % 1_000_000);
-        let request =
-            Request::post("/v1/messages", headers.with("Request-Timeout", wait), message.body.clone());
+        let (body, idempotency_key) = (message.body.clone(), message.idempotency_key.clone());
+        let message = message.id.clone();
         self.step.records.push(Record::Started { number: id.0, at: now });
         self.step.records.extend(out.zone.map(|zone| Record::StartedIn { number: id.0, zone }));
         self.counters.sent += 1;
-        self.step.effects.push(Effect::Call(Call { connection, id, attempt, host, request, timeout }));
+        self.step.effects.push(Effect::Call(Call {
+            connection,
+            id,
+            attempt,
+            host,
+            message,
+            idempotency_key,
+            body,
+            timeout,
+        }));
     }
 }
 
 /// The answer to a client whose message is given up before it was told that it is taken on.
-fn refusal(end: End) -> Response {
+fn refusal(end: End) -> Answer {
     match end {
-        End::Failed => Response::text(500, "given up\n"),
-        End::Returned { after_ms: 0 } => Response::text(429, "not now\n"),
-        End::Returned { after_ms } => {
-            let response = Response::text(429, "not now\n");
-            let seconds = format!("{}.{:03}", after_ms / 1000, after_ms % 1000);
-            Response { headers: response.headers.with("Retry-After", seconds), ..response }
-        }
+        End::Failed => Answer::Failed,
+        End::Returned { after_ms } => Answer::Refused { after_ms },
     }
 }
--- /dev/null
+++ b/crates/node/tests/common/mod.rs
@@ -0,0 +1,5 @@
+//! What tests of the node share.
+
+mod settings;
+
+pub use settings::settings;
--- a/crates/relay/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -7,16 +7,18 @@
 use bytes::Bytes;
 use common::settings;
 use pewterseam::interface::{HostId, Learnt, LearntRoute, MessageId, Micros, Outcome};
-use pewterseam_relay::clients::RequestId;
-use pewterseam_relay::discovery::List;
-use pewterseam_relay::hosts::{Call, Reply};
-use pewterseam_relay::http::{Headers, Request, Response};
-use pewterseam_relay::io::{Effect, Input, Step};
-use pewterseam_relay::journal::{History, Over, Past, Record, Restored, Zone};
-use pewterseam_relay::message::{End, Message};
-use pewterseam_relay::names::number;
-use pewterseam_relay::pool::ConnectionId;
-use pewterseam_relay::reducer::{Reducer, Room};
+use pewterseam_durable::message::{End, Message};
+use pewterseam_durable::record::{Over, Past, Record, Zone};
+use pewterseam_durable::replay::{History, Restored};
+use pewterseam_node::call::{Call, Reply};
+use pewterseam_node::change::Change;
+use pewterseam_node::client::{Answer, Offer, Question, RequestId};
+use pewterseam_node::io::{Effect, Input, Step};
+use pewterseam_node::list::List;
+use pewterseam_node::names::number;
+use pewterseam_node::operator::{Operation, Verdict};
+use pewterseam_node::pool::ConnectionId;
+use pewterseam_node::reducer::{Reducer, Room};
 use serde_json::{Value, json};
 
 const START: Micros = 1_700_000_000_000_000;
@@ -99,18 +101,17 @@
 
     fn request(&mut self, id: &str, class: &str, key: Option<&str>) -> Input {
         self.requests += 1;
-        let headers = Headers::default()
-            .with("Request-Id", id.to_owned())
-            .with("Request-Class", class.to_owned())
-            .with("Tenant", "acme")
-            .with("Request-Timeout", "30")
-            .with("X-Envelope", "dest=7");
-        let headers = match key {
-            Some(key) => headers.with("Cookie", format!("about={key}")),
-            None => headers,
+        let offer = Offer {
+            id: id.to_owned(),
+            class: class.to_owned(),
+            tenant: "acme".to_owned(),
+            key: key.map(str::to_owned),
+            destination: 7,
+            lifetime: 30 * SECOND,
+            idempotency_key: None,
+            body: Bytes::from_static(b"body"),
         };
-        let request = Request::post("/api", headers, Bytes::from_static(b"body"));
-        Input::Request { id: RequestId(self.requests), request }
+        Input::Offer { id: RequestId(self.requests), offer }
     }
 
     fn hand_in(&mut self, id: &str, class: &str, key: Option<&str>) -> Step {
@@ -144,16 +145,16 @@
     step.effects.iter().filter_map(call).collect()
 }
 
-fn responses(step: &Step) -> Vec<Response> {
-    let response = |effect: &Effect| match effect {
-        Effect::Respond { response, .. } => Some(response.clone()),
-        _ => None,
-    };
-    step.effects.iter().filter_map(response).collect()
+fn is_ready(id: u64) -> Input {
+    Input::Question { id: RequestId(id), question: Question::Ready }
 }
 
-fn statuses(step: &Step) -> Vec<u16> {
-    responses(step).iter().map(|response| response.status).collect()
+fn answers(step: &Step) -> Vec<Answer> {
+    let answer = |effect: &Effect| match effect {
+        Effect::Answer { answer, .. } => Some(answer.clone()),
+        _ => None,
+    };
+    step.effects.iter().filter_map(answer).collect()
 }
 
 fn notices(step: &Step) -> Vec<(String, End)> {
@@ -191,14 +192,13 @@
     let mut relay = Relay::new();
     let step = relay.hand_in("m1", "balance", None);
     assert!(matches!(step.records[..], [Record::Taken { number: 1, .. }, Record::Started { number: 1, .. }]));
-    assert_eq!(statuses(&step), [202]);
+    assert_eq!(answers(&step), [Answer::Taken]);
     let call = calls(&step).remove(0);
     assert_eq!((call.id, call.attempt), (MessageId(1), 0));
-    assert_eq!(call.request.headers.text("Request-Id"), Some("m1"));
-    assert_eq!(call.request.headers.get("Idempotency-Key"), None);
-    let timeout: f64 =
-        call.request.headers.text("Request-Timeout").and_then(|t| t.parse().ok()).expect("a time");
-    assert!((timeout - call.timeout as f64 / 1e6).abs() < 1e-9);
+    assert_eq!(
+        (call.message.as_str(), call.idempotency_key.clone(), &call.body[..]),
+        ("m1", None, &b"body"[..])
+    );
     let step = relay.called(&call, Outcome::Ok, true);
     assert_eq!(step.records, [Record::Ended { number: 1 }]);
     assert_eq!(relay.reducer.held(), 0);
@@ -213,17 +213,15 @@
     })
     .0;
     for number in 0..18 {
-        assert_eq!(statuses(&relay.hand_in(&format!("m{number}"), "transfer", None)), [202]);
+        assert_eq!(answers(&relay.hand_in(&format!("m{number}"), "transfer", None)), [Answer::Taken]);
     }
     let held = relay.reducer.held();
     let step = relay.hand_in("least", "balance", None);
-    let response = responses(&step).remove(0);
-    assert_eq!((response.status, step.records.len(), relay.reducer.held()), (429, 0, held));
-    let after = response.headers.text("Retry-After").and_then(|after| after.parse::<f64>().ok());
-    assert!(after.is_some_and(|after| after > 0.0 && after <= 3.0), "{response:?}");
+    assert!(matches!(answers(&step)[..], [Answer::Refused { after_ms: 1..=3_000 }]), "{step:?}");
+    assert_eq!((step.records.len(), relay.reducer.held()), (0, held));
     assert_eq!(notices(&step), []);
     // The client may come again under the same id.
-    assert_eq!(statuses(&relay.hand_in("least", "transfer", None)), [202]);
+    assert_eq!(answers(&relay.hand_in("least", "transfer", None)), [Answer::Taken]);
 }
 
 #[test]
@@ -231,7 +229,7 @@
     let (mut relay, _) = Relay::with(1_000_000, History::default(), |_| {});
     let empty = list(&[("s-2", 8, "Ready")], true);
     relay.step(vec![Input::Listed(empty)]);
-    assert_eq!(statuses(&relay.hand_in("m1", "transfer", None)), [202]);
+    assert_eq!(answers(&relay.hand_in("m1", "transfer", None)), [Answer::Taken]);
     assert_eq!(notices(&relay.pass(29 * SECOND)), []);
     let step = relay.pass(SECOND);
     let told = notices(&step);
@@ -265,12 +263,12 @@
     assert_eq!(calls(&step).len(), 1);
     let now = relay.now;
     let step = relay.reducer.undo(now, step);
-    assert_eq!((statuses(&step), calls(&step)), (vec![503], vec![]));
+    assert_eq!((answers(&step), calls(&step)), (vec![Answer::NotKept], vec![]));
     assert_eq!((relay.reducer.held(), relay.reducer.counters().taken), (0, 0));
     assert_eq!(relay.reducer.counters().sent, 0);
     // The same is taken on later, and nothing of the first time is left.
     let step = relay.hand_in("m1", "transfer", None);
-    assert_eq!((statuses(&step), calls(&step).len()), (vec![202], 1));
+    assert_eq!((answers(&step), calls(&step).len()), (vec![Answer::Taken], 1));
 }
 
 #[test]
@@ -289,7 +287,7 @@
     let mut relay = Relay::new();
     let mut step = relay.hand_in("m1", "transfer", None);
     assert!(matches!(step.records.remove(0), Record::Taken { number: 1, .. }), "this much was kept");
-    step.effects.retain(|effect| !matches!(effect, Effect::Respond { .. }));
+    step.effects.retain(|effect| !matches!(effect, Effect::Answer { .. }));
     let mut told = Vec::new();
     for _ in 0..100 {
         // The journal fails each time, as the loop around the reducer would meet it.
@@ -450,12 +448,11 @@
         Relay { reducer, now: START, requests: 0, opens_late: false }
     };
     let mut relay = begin();
-    let health = |id| Input::Request { id: RequestId(id), request: Request::get("/_health") };
-    assert_eq!(statuses(&relay.step(vec![health(90)])), [503]);
-    assert_eq!(statuses(&relay.hand_in("m2", "balance", None)), [503]);
+    assert_eq!(answers(&relay.step(vec![is_ready(90)])), [Answer::Ready(false)]);
+    assert_eq!(answers(&relay.hand_in("m2", "balance", None)), [Answer::NotReady { last: false }]);
     let told = list(&[("s-1", 7, "Terminating"), ("s-3", 7, "Ready")], true);
     let call = calls(&relay.step(vec![Input::Listed(told)])).remove(0);
-    assert_eq!(statuses(&relay.step(vec![health(91)])), [200]);
+    assert_eq!(answers(&relay.step(vec![is_ready(91)])), [Answer::Ready(true)]);
     // With discovery down the old list has to do.
     let old = calls(&begin().step(vec![Input::ListFailed])).remove(0);
     assert_eq!(call.id, old.id);
@@ -488,7 +485,7 @@
     let mut relay = Relay::new();
     assert_eq!(calls(&relay.hand_in("m1", "balance", None)).len(), 1);
     let step = relay.hand_in("m1", "balance", None);
-    assert_eq!((statuses(&step), calls(&step), &step.records[..]), (vec![200], vec![], &[][..]));
+    assert_eq!((answers(&step), calls(&step), &step.records[..]), (vec![Answer::OnHand], vec![], &[][..]));
     assert_eq!(relay.reducer.held(), 1);
     // Danger: it is refused for want of a record that it has, and handed in again under another id.
     let again = relay.request("m1", "balance", None);
@@ -496,36 +493,32 @@
     let step = relay.step(vec![again, other]);
     let now = relay.now;
     let step = relay.reducer.undo(now, step);
-    let mut answers = statuses(&step);
-    answers.sort_unstable();
-    assert_eq!(answers, [200, 503]);
+    let answers = answers(&step);
+    assert!(answers.contains(&Answer::OnHand) && answers.contains(&Answer::NotKept), "{answers:?}");
     assert_eq!((relay.reducer.held(), relay.reducer.counters().taken), (1, 1));
 }
 
 #[test]
 fn no_more_bytes_are_taken_on_than_there_is_room_for() {
     let mut relay = Relay::with(1_000, History::default(), |_| {}).0;
-    let answers: Vec<u16> =
-        (0..8).flat_map(|number| statuses(&relay.hand_in(&format!("m{number}"), "balance", None))).collect();
+    let answers: Vec<Answer> =
+        (0..8).flat_map(|number| answers(&relay.hand_in(&format!("m{number}"), "balance", None))).collect();
     assert_eq!(answers.len(), 8);
-    assert_eq!((answers[0], answers[7]), (202, 503));
+    assert_eq!((&answers[0], &answers[7]), (&Answer::Taken, &Answer::NoRoom));
     assert!(relay.reducer.counters().refused_by_journal > 0);
 }
 
 #[test]
 fn a_stopping_relay_is_not_ready_and_takes_nothing_on() {
     let mut relay = Relay::new();
-    let get = |path: &str, id| Input::Request { id: RequestId(id), request: Request::get(path) };
-    assert_eq!(statuses(&relay.step(vec![get("/_health", 90)])), [200]);
+    assert_eq!(answers(&relay.step(vec![is_ready(90)])), [Answer::Ready(true)]);
     let by = relay.now + 3 * SECOND;
     relay.step(vec![Input::Stop { by }]);
-    assert_eq!(statuses(&relay.step(vec![get("/_health", 91)])), [503]);
+    assert_eq!(answers(&relay.step(vec![is_ready(91)])), [Answer::Ready(false)]);
     // Those that do not know yet are served.
-    assert_eq!(statuses(&relay.hand_in("m1", "balance", None)), [202]);
+    assert_eq!(answers(&relay.hand_in("m1", "balance", None)), [Answer::Taken]);
     relay.step(vec![Input::Close]);
-    let step = relay.hand_in("m2", "balance", None);
-    let response = responses(&step).remove(0);
-    assert_eq!((response.status, response.keep_alive), (503, false));
+    assert_eq!(answers(&relay.hand_in("m2", "balance", None)), [Answer::NotReady { last: true }]);
 }
 
 #[test]
@@ -543,10 +536,9 @@
 fn a_relay_without_a_list_is_not_ready() {
     let mut reducer = Reducer::new(deployment(|_| {}), 7, room(1_000_000));
     reducer.start(START, History::default(), None);
-    let health = || Input::Request { id: RequestId(1), request: Request::get("/_health") };
-    assert_eq!(statuses(&reducer.step(START, vec![Input::ListFailed, health()])), [503]);
+    assert_eq!(answers(&reducer.step(START, vec![Input::ListFailed, is_ready(1)])), [Answer::Ready(false)]);
     reducer.step(START, vec![Input::Listed(list(&[("s-1", 7, "Ready")], true))]);
-    assert_eq!(statuses(&reducer.step(START, vec![health()])), [200]);
+    assert_eq!(answers(&reducer.step(START, vec![is_ready(1)])), [Answer::Ready(true)]);
 }
 
 #[test]
@@ -633,40 +625,32 @@
     let call = calls(&relay.hand_in("m1", "transfer", None)).remove(0);
     relay.called(&call, Outcome::Ok, true);
     let step = relay.hand_in("m1", "transfer", None);
-    assert_eq!((statuses(&step), calls(&step).len()), (vec![200], 0));
+    assert_eq!((answers(&step), calls(&step).len()), (vec![Answer::Delivered], 0));
     let call = calls(&relay.hand_in("m2", "transfer", None)).remove(0);
     let step = relay.called(&call, Outcome::Error, false);
     assert_eq!(notices(&step), [("m2".to_owned(), End::Failed)]);
     relay.step(vec![Input::Told { numbers: vec![2], read: true }]);
     let step = relay.hand_in("m2", "transfer", None);
-    assert_eq!((statuses(&step), calls(&step).len()), (vec![409], 0));
+    assert_eq!((answers(&step), calls(&step).len()), (vec![Answer::GivenUp], 0));
     // In the longest time that a message may take it is forgotten.
     relay.pass(31 * SECOND);
     let call = calls(&relay.hand_in("m3", "balance", None)).remove(0);
     relay.called(&call, Outcome::Ok, true);
-    assert_eq!(statuses(&relay.hand_in("m1", "transfer", None)), [202]);
+    assert_eq!(answers(&relay.hand_in("m1", "transfer", None)), [Answer::Taken]);
 }
 
 #[test]
 fn a_destination_that_was_never_listed_is_refused_at_once() {
     let mut relay = Relay::new();
     let mut request = relay.request("m1", "transfer", None);
-    if let Input::Request { request, .. } = &mut request {
-        let headers = [
-            ("Request-Id", "m1"),
-            ("Request-Class", "transfer"),
-            ("Tenant", "acme"),
-            ("Request-Timeout", "30"),
-            ("X-Envelope", "dest=99"),
-        ];
-        request.headers =
-            headers.into_iter().fold(Headers::default(), |all, (name, value)| all.with(name, value));
+    if let Input::Offer { offer, .. } = &mut request {
+        offer.destination = 99;
     }
     let step = relay.step(vec![request]);
-    assert_eq!((statuses(&step), step.records.len()), (vec![429], 0));
+    assert_eq!((answers(&step), step.records.len()), (vec![Answer::Refused { after_ms: 0 }], 0));
     // One that was listed waits for a new host.
     relay.step(vec![Input::Listed(list(&[("s-2", 8, "Ready")], true))]);
-    assert_eq!(statuses(&relay.hand_in("m2", "transfer", None)), [202]);
+    assert_eq!(answers(&relay.hand_in("m2", "transfer", None)), [Answer::Taken]);
 }
 
 #[test]
@@ -682,34 +666,37 @@
     assert_eq!(closed(relay.step(vec![Input::Listed(list(&[("s-3", 7, "Ready")], true))])), 0);
 }
 
-fn operate(relay: &mut Relay, method: &str, path: &str) -> (u16, String, Step) {
-    let request = Request { method: method.to_owned(), ..Request::get(path) };
-    let step = relay.step(vec![Input::Ops { id: RequestId(500), request }]);
+fn operate(relay: &mut Relay, operation: Operation) -> (Verdict, String, Step) {
+    let step = relay.step(vec![Input::Operation { id: RequestId(500), operation }]);
     let answer = step.effects.iter().find_map(|effect| match effect {
-        Effect::Answer { id: RequestId(500), response } => Some(response.clone()),
+        Effect::Tell { id: RequestId(500), verdict, text } => Some((*verdict, text.clone())),
         _ => None,
     });
-    let answer = answer.expect("every call is answered in its step");
-    (answer.status, String::from_utf8_lossy(&answer.body).into_owned(), step)
+    let (verdict, text) = answer.expect("every call is answered in its step");
+    (verdict, text, step)
+}
+
+fn enter(host: &str) -> Operation {
+    Operation::Enter(host.to_owned())
 }
 
 #[test]
 fn a_host_under_maintenance_gets_nothing_until_it_is_back_whatever_discovery_says() {
     let mut relay = Relay::new();
-    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter?name=never-listed").0, 400);
-    let (status, _, step) = operate(&mut relay, "POST", "/maintenance/enter?name=s-1");
-    assert_eq!(status, 200);
+    assert_eq!(operate(&mut relay, enter("never-listed")).0, Verdict::Unknown);
+    let (status, _, step) = operate(&mut relay, enter("s-1"));
+    assert_eq!(status, Verdict::Yes);
     assert!(step.effects.contains(&Effect::KeepMaintenance(vec!["s-1".to_owned()])));
     // Repeated calls are fine, and discovery's word that it is ready changes nothing.
-    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter?name=s-1").0, 200);
+    assert_eq!(operate(&mut relay, enter("s-1")).0, Verdict::Yes);
     relay.step(vec![Input::Listed(list(&[("s-1", 7, "Ready"), ("s-2", 8, "Ready")], true))]);
     assert_eq!(calls(&relay.hand_in("m1", "balance", None)), []);
     assert_eq!(calls(&relay.pass(SECOND)), []);
-    let (status, body, _) = operate(&mut relay, "GET", "/status/metrics");
-    assert_eq!(status, 200);
+    let (status, body, _) = operate(&mut relay, Operation::Metrics);
+    assert_eq!(status, Verdict::Yes);
     assert!(body.lines().any(|line| line == "relay.ejected=1"), "{body}");
-    let (status, _, step) = operate(&mut relay, "POST", "/maintenance/exit?name=s-1");
-    assert_eq!(status, 200);
+    let (status, _, step) = operate(&mut relay, Operation::Exit("s-1".to_owned()));
+    assert_eq!(status, Verdict::Yes);
     assert!(step.effects.contains(&Effect::KeepMaintenance(Vec::new())));
     let sent = calls(&step).len() + calls(&relay.pass(5 * SECOND)).len();
     assert_eq!(sent, 1, "the message goes once the host is back");
@@ -728,20 +715,18 @@
 #[test]
 fn standby_sends_clients_away_and_active_takes_them_again() {
     let mut relay = Relay::new();
-    let health = |relay: &mut Relay| {
-        statuses(&relay.step(vec![Input::Request { id: RequestId(90), request: Request::get("/_health") }]))
-    };
-    assert_eq!(operate(&mut relay, "GET", "/status").0, 200);
-    let (status, _, step) = operate(&mut relay, "POST", "/standby");
-    assert_eq!(status, 200);
+    let health = |relay: &mut Relay| answers(&relay.step(vec![is_ready(90)]));
+    assert_eq!(operate(&mut relay, Operation::Status).0, Verdict::Yes);
+    let (status, _, step) = operate(&mut relay, Operation::Standby);
+    assert_eq!(status, Verdict::Yes);
     assert!(step.effects.contains(&Effect::Standby(true)));
-    assert_eq!(health(&mut relay), [503]);
+    assert_eq!(health(&mut relay), [Answer::Ready(false)]);
     // What still comes on open connections is taken on.
-    assert_eq!(statuses(&relay.hand_in("m1", "balance", None)), [202]);
-    let (status, _, step) = operate(&mut relay, "POST", "/active");
-    assert_eq!(status, 200);
+    assert_eq!(answers(&relay.hand_in("m1", "balance", None)), [Answer::Taken]);
+    let (status, _, step) = operate(&mut relay, Operation::Active);
+    assert_eq!(status, Verdict::Yes);
     assert!(step.effects.contains(&Effect::Standby(false)));
-    assert_eq!(health(&mut relay), [200]);
+    assert_eq!(health(&mut relay), [Answer::Ready(true)]);
 }
 
 #[test]
@@ -750,23 +735,20 @@
     let call = calls(&relay.hand_in("m1", "balance", None)).remove(0);
     relay.called(&call, Outcome::Ok, true);
     relay.hand_in("m2", "balance", None);
-    let (status, body, _) = operate(&mut relay, "GET", "/status/metrics");
-    assert_eq!(status, 200);
+    let (status, body, _) = operate(&mut relay, Operation::Metrics);
+    assert_eq!(status, Verdict::Yes);
     for line in ["relay.succeeded.balance=1", "relay.forwards=2", "relay.outstanding=1", "relay.discovered=2"]
     {
         assert!(body.lines().any(|figure| figure == line), "{line} in {body}");
     }
     assert!(body.lines().all(|line| line.starts_with("relay.") && line.contains('=')), "{body}");
-    assert_eq!(operate(&mut relay, "GET", "/nothing").0, 404);
-    assert_eq!(operate(&mut relay, "POST", "/status").0, 405);
-    assert_eq!(operate(&mut relay, "GET", "/standby").0, 405);
-    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter").0, 400);
-    assert_eq!(relay.reducer.counters().bad_calls, 4);
+    relay.step(vec![Input::BadOps]);
+    assert_eq!(relay.reducer.counters().bad_calls, 1);
 }
 
 fn retune(relay: &mut Relay, change: impl Fn(&mut Value)) -> Step {
     let settings = Some(Box::new(deployment(change)));
-    let change = pewterseam_relay::config::Change { discovery: None, settings, at_next_start: Vec::new() };
+    let change = Change { discovery: None, settings, at_next_start: Vec::new() };
     relay.step(vec![Input::Configured(Ok(change))])
 }
 
@@ -774,17 +756,18 @@
 fn a_class_added_at_sighup_is_taken_and_a_dropped_one_is_not() {
     let mut relay = Relay::new();
     let unknown = relay.hand_in("new-1", "balance_b", None);
-    assert_eq!(statuses(&unknown), [422]);
+    assert_eq!(answers(&unknown), [Answer::Unknown("the class is not known")]);
     retune(&mut relay, |settings| {
         let mut added = settings["classes"][0].clone();
         added["name"] = json!("balance_b");
         added["effect"] = json!("single_shot");
         settings["classes"][0] = added;
     });
-    assert_eq!(statuses(&relay.hand_in("new-2", "balance_b", None)), [202]);
+    assert_eq!(answers(&relay.hand_in("new-2", "balance_b", None)), [Answer::Taken]);
     // The class that was dropped takes nothing new.
-    assert_eq!(statuses(&relay.hand_in("old-1", "balance", None)), [422]);
-    let (_, body, _) = operate(&mut relay, "GET", "/status/metrics");
+    let old = answers(&relay.hand_in("old-1", "balance", None));
+    assert_eq!(old, [Answer::Unknown("the class is not known")]);
+    let (_, body, _) = operate(&mut relay, Operation::Metrics);
     assert!(body.lines().any(|line| line == "relay.succeeded.balance_b=0"), "{body}");
 }
 
@@ -913,9 +896,9 @@
 fn maintenance_called_while_a_connection_opens_is_kept() {
     let mut relay = Relay::new();
     let connection = being_opened(&mut relay, "m1", "transfer");
-    assert_eq!(operate(&mut relay, "POST", "/maintenance/enter?name=s-1").0, 200);
+    assert_eq!(operate(&mut relay, enter("s-1")).0, Verdict::Yes);
     is_withheld(&mut relay, connection);
-    let (_, _, step) = operate(&mut relay, "POST", "/maintenance/exit?name=s-1");
+    let (_, _, step) = operate(&mut relay, Operation::Exit("s-1".to_owned()));
     assert_eq!(calls(&step)[0].id, MessageId(1), "on the connection that is open");
 }
 
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -13,16 +13,15 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use tokio_util::codec::Framed;
 
+use pewterseam_node::client::{Answer, RequestId};
+use pewterseam_node::io::Input;
+
 use crate::http::{Fault, MOST_BODY, Request, Response, Server};
 use crate::inputs::Inputs;
-use crate::io::Input;
+use crate::intake::{self, Asked};
 use crate::limits::Budget;
 use crate::ring::{Next, Ringed};
 
-/// A request that waits for its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct RequestId(pub u64);
-
 type Connection = Framed<Ringed, Server>;
 
 /// How long things may take.
@@ -38,7 +37,7 @@
 
 /// What connections share.
 struct Shared {
-    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Response>>>,
+    waiting: RefCell<HashMap<RequestId, oneshot::Sender<Answer>>>,
     /// Connections on which nothing has come since they opened or since their last answer.
     idle: RefCell<BTreeMap<Place, Rc<Notify>>>,
     last: Cell<u64>,
@@ -107,9 +106,9 @@
         }
     }
 
-    pub fn respond(&self, request: RequestId, response: Response) {
+    pub fn answer(&self, request: RequestId, answer: Answer) {
         if let Some(waiting) = self.0.waiting.borrow_mut().remove(&request) {
-            let _ = waiting.send(response);
+            let _ = waiting.send(answer);
         }
     }
 
@@ -272,11 +271,21 @@
 
     /// Has a request answered.
     async fn answer(&self, request: Request) -> Option<Response> {
+        let asked = match intake::read(request) {
+            Ok(asked) => asked,
+            Err(response) => {
+                self.inputs.send(Input::BadRequest);
+                return Some(response);
+            }
+        };
         let id = RequestId(self.number());
         let (answer, answered) = oneshot::channel();
         self.waiting.borrow_mut().insert(id, answer);
-        self.inputs.send(Input::Request { id, request });
-        answered.await.ok()
+        self.inputs.send(match asked {
+            Asked::Offer(offer) => Input::Offer { id, offer },
+            Asked::Question(question) => Input::Question { id, question },
+        });
+        answered.await.ok().map(intake::response)
     }
 }
 
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -7,7 +7,8 @@
 use pewterseam_settings::{Deployment, Malformed};
 use serde::Deserialize;
 
-use crate::discovery::List;
+use pewterseam_node::change::Change;
+use pewterseam_node::list::List;
 
 #[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
 pub struct Limits {
@@ -127,17 +128,6 @@
     }
 }
 
-/// What a new configuration changes in a running relay.
-#[derive(Clone, Debug)]
-pub struct Change {
-    /// Where the list is and notices go from now on.
-    pub discovery: Option<SocketAddr>,
-    /// Classes and attempts are heeded at once; the rest of the settings at the next start.
-    pub settings: Option<Box<Deployment>>,
-    /// Keys whose new values are heeded at the next start only.
-    pub at_next_start: Vec<&'static str>,
-}
-
 /// What differs on sockets from the settings' own words, which are the simulator's.
 fn adapt(deployment: &mut Deployment) {
     let settings = &mut deployment.settings;
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -3,43 +3,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use serde::Deserialize;
 use tokio::sync::{mpsc, watch};
 
+use pewterseam_node::io::Input;
+use pewterseam_node::list::List;
+
 use crate::agent::{Agent, Silence};
 use crate::http::{Request, Response};
 use crate::inputs::Inputs;
-use crate::io::Input;
-
-/// The list or changes of it, in discovery's form.
-#[derive(Clone, Debug, Deserialize)]
-pub struct List {
-    pub rev: u64,
-    /// It is whole: what is missing is gone.
-    pub all: bool,
-    pub targets: Vec<Target>,
-}
-
-/// One host of the list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Target {
-    pub uid: String,
-    pub endpoint: SocketAddr,
-    #[serde(default)]
-    pub az: String,
-    pub model: String,
-    pub pod_group: u32,
-    pub state: State,
-    #[serde(default)]
-    pub capacity_hint: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-pub enum State {
-    Ready,
-    Terminating,
-    Gone,
-}
 
 /// Where the whole list is.
 const WHOLE: &str = "/catalog/members";
--- a/crates/relay/src/hosts.rs
+++ b/crates/relay/src/hosts.rs
@@ -8,44 +8,20 @@
 
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
+use pewterseam::interface::{HostId, Micros, Outcome};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
-use crate::http::{Client, Fault, MOST_BODY, Request, Response};
+use pewterseam_node::call::{Call, Reply};
+use pewterseam_node::io::Input;
+use pewterseam_node::pool::ConnectionId;
+
+use crate::http::{Client, Fault, Headers, MOST_BODY, Request, Response};
 use crate::inputs::Inputs;
-use crate::io::Input;
-use crate::pool::ConnectionId;
 use crate::ring::{Next, Ringed};
 
-/// One attempt of a message at a host, on a connection that is open.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Call {
-    pub connection: ConnectionId,
-    pub id: MessageId,
-    pub attempt: u32,
-    pub host: HostId,
-    pub request: Request,
-    /// Time to wait for the answer.
-    pub timeout: Micros,
-}
-
-/// What came of a call or a probe.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Reply {
-    pub outcome: Outcome,
-    /// The message is over by the host's word.
-    pub closed: bool,
-    /// Until the first byte of an answer, or the end.
-    pub took: Micros,
-    /// The load report, as it was written.
-    pub report: Option<String>,
-    /// The connection is idle now, and may carry another call.
-    pub kept: bool,
-}
-
 /// What an answer to a call means: the protocol's table, and whether the message is over.
 fn called(response: &Response) -> (Outcome, bool) {
     match response.status {
@@ -72,6 +48,17 @@
     response.headers.text("Server-Load").map(str::to_owned)
 }
 
+/// A call as hosts read it.
+fn request(call: &Call) -> Request {
+    let headers = Headers::default().with("Request-Id", call.message.clone());
+    let headers = match &call.idempotency_key {
+        Some(key) => headers.with("Idempotency-Key", key.clone()),
+        None => headers,
+    };
+    let wait = format!("{}.{:06}", call.timeout / 1_000_000, call.timeout % 1_000_000);
+    Request::post("/v1/messages", headers.with("Request-Timeout", wait), call.body.clone())
+}
+
 type Connection = Framed<Ringed, Client>;
 
 /// Nothing has come on an idle connection: neither bytes nor its end.
@@ -140,15 +127,16 @@
     }
 
     /// Asks a host how it is, on a connection of its own.
-    pub fn probe(&self, host: HostId, address: SocketAddr, path: &str, limit: Micros) {
+    pub fn probe(&self, host: HostId, address: SocketAddr, path: &str, within: Micros) {
         let (request, shared) = (Request::get(path), self.0.clone());
+        let limit = Duration::from_micros(within);
         tokio::task::spawn_local(async move {
             let (_order, mut orders) = mpsc::unbounded_channel();
-            let connection = ConnectionId(0);
-            let call = Call { connection, id: MessageId(0), attempt: 0, host, request, timeout: limit };
             let start = Instant::now();
-            let ended = match connect(address, limit).await {
-                Some(opened) => shared.exchange(opened, &call, &mut orders).await.ended,
+            let ended = match connect(address, within).await {
+                Some(opened) => {
+                    shared.exchange(opened, ConnectionId(0), request, limit, &mut orders).await.ended
+                }
                 None => Err(Outcome::ConnectFailed),
             };
             let body = |response: &Response| String::from_utf8(response.body.to_vec()).ok();
@@ -186,7 +174,9 @@
             if !is_quiet(&connection) {
                 return Some(Input::Closed(id));
             }
-            let Exchanged { ended, took, kept } = self.exchange(connection, &call, &mut orders).await;
+            let limit = Duration::from_micros(call.timeout);
+            let exchanged = self.exchange(connection, id, request(&call), limit, &mut orders).await;
+            let Exchanged { ended, took, kept } = exchanged;
             let (outcome, closed) = ended.as_ref().map_or_else(|outcome| (*outcome, false), called);
             let report = ended.as_ref().ok().and_then(report);
             let reply = Reply { outcome, closed, took, report, kept: kept.is_some() };
@@ -202,14 +192,14 @@
     /// Makes a call and waits for its answer, or for how else it ends. Danger: what was written and given up arrives later, when whatever held it back is over; the
     /// connection ends by a reset, which drops what the network has not taken yet.
     async fn exchange(
-        &self, connection: Connection, call: &Call, orders: &mut mpsc::UnboundedReceiver<Order>,
+        &self, connection: Connection, id: ConnectionId, request: Request, limit: Duration,
+        orders: &mut mpsc::UnboundedReceiver<Order>,
     ) -> Exchanged {
         let start = Instant::now();
         let mut exchange = Exchange { connection, written: false, heard_at: None };
-        let limit = Duration::from_micros(call.timeout);
         let ended = tokio::select! {
             biased;
-            ended = timeout(limit, exchange.run(self, call)) => ended.unwrap_or(Err(Outcome::Timeout)),
+            ended = timeout(limit, exchange.run(self, id, request)) => ended.unwrap_or(Err(Outcome::Timeout)),
             _ = orders.recv() => Err(Outcome::Cancelled),
         };
         let took = exchange.heard_at.unwrap_or_else(Instant::now) - start;
@@ -242,8 +232,10 @@
 }
 
 impl Exchange {
-    async fn run(&mut self, shared: &Shared, call: &Call) -> Result<Response, Outcome> {
-        self.write(shared, call).await.map_err(|_| Outcome::ConnectFailed)?;
+    async fn run(
+        &mut self, shared: &Shared, id: ConnectionId, request: Request,
+    ) -> Result<Response, Outcome> {
+        self.write(shared, id, request).await.map_err(|_| Outcome::ConnectFailed)?;
         self.written = true;
         let connection = &mut self.connection;
         loop {
@@ -264,11 +256,11 @@
     }
 
     /// Writes the call whole; tells when part of it has to wait.
-    async fn write(&mut self, shared: &Shared, call: &Call) -> std::io::Result<()> {
+    async fn write(&mut self, shared: &Shared, id: ConnectionId, request: Request) -> std::io::Result<()> {
         let stalled = |stalled| {
-            shared.inputs.send(Input::Stalled { connection: call.connection, stalled });
+            shared.inputs.send(Input::Stalled { connection: id, stalled });
         };
-        let mut sent = std::pin::pin!(self.connection.send(call.request.clone()));
+        let mut sent = std::pin::pin!(self.connection.send(request));
         let at_once = tokio::select! {
             biased;
             sent = &mut sent => Some(sent),
--- a/crates/relay/src/inputs.rs
+++ b/crates/relay/src/inputs.rs
@@ -2,7 +2,7 @@
 
 use tokio::sync::mpsc;
 
-use crate::io::Input;
+use pewterseam_node::io::Input;
 
 /// The way to the reducer.
 #[derive(Clone)]
--- a/crates/relay/src/intake.rs
+++ b/crates/relay/src/intake.rs
@@ -1,25 +1,67 @@
-//! Reads a message out of a client's request, and says in plain words what is wrong with one that is none.
+//! What a client's request asks for, in the node's terms, and the answer in HTTP's; what is wrong with one that is none
+//! is said in plain words.
 
-use pewterseam::interface::Micros;
+use pewterseam_node::client::{Answer, Offer, Question};
 use pewterseam_settings::time::micros;
 
 use crate::http::{Request, Response};
-use crate::message::Message;
 
-/// The message that a request hands in at `now`, or the answer to a bad one.
-pub fn message(now: Micros, request: Request) -> Result<Message, Response> {
-    let span = needed(&request, "Request-Timeout")?.parse().ok().and_then(micros);
-    let span = span.ok_or_else(|| bad("Request-Timeout is no number of seconds"))?;
+/// What a request asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Asked {
+    Offer(Offer),
+    Question(Question),
+}
+
+/// What a request asks for, or the answer to one that asks for nothing that is here.
+pub fn read(request: Request) -> Result<Asked, Response> {
+    let path = request.path.split('?').next().unwrap_or_default();
+    match (request.method.as_str(), path) {
+        ("POST", "/api") => offer(request).map(Asked::Offer),
+        ("GET", "/_health") => Ok(Asked::Question(Question::Ready)),
+        ("GET", "/_counters") => Ok(Asked::Question(Question::Counters)),
+        (_, "/api" | "/_health" | "/_counters") => Err(Response::text(405, "the method is another one\n")),
+        _ => Err(Response::text(404, "there is nothing here\n")),
+    }
+}
+
+/// The answer as clients read it.
+pub fn response(answer: Answer) -> Response {
+    match answer {
+        Answer::Taken => Response::new(202),
+        Answer::OnHand => Response::text(200, "on hand already\n"),
+        Answer::Delivered => Response::text(200, "delivered already\n"),
+        Answer::GivenUp => Response::text(409, "given up already\n"),
+        Answer::Refused { after_ms: 0 } => Response::text(429, "not now\n"),
+        Answer::Refused { after_ms } => {
+            let response = Response::text(429, "not now\n");
+            let seconds = format!("{}.{:03}", after_ms / 1000, after_ms % 1000);
+            Response { headers: response.headers.with("Retry-After", seconds), ..response }
+        }
+        Answer::Failed => Response::text(500, "given up\n"),
+        Answer::NotReady { last } => Response { keep_alive: !last, ..Response::text(503, "not ready\n") },
+        Answer::NoRoom => Response::text(503, "no room for more bytes\n"),
+        Answer::NotKept => Response::text(503, "the journal takes nothing\n"),
+        Answer::Unknown(text) => Response::text(422, format!("{text}\n")),
+        Answer::Ready(true) => Response::text(200, "ready\n"),
+        Answer::Ready(false) => Response::text(503, "not ready\n"),
+        Answer::Counters(text) => Response::text(200, text),
+    }
+}
+
+/// The message that a request hands in, or the answer to a bad one.
+fn offer(request: Request) -> Result<Offer, Response> {
+    let lifetime = needed(&request, "Request-Timeout")?.parse().ok().and_then(micros);
     let envelope = needed(&request, "X-Envelope")?;
     let destination = value(envelope, [',', ';'], "dest").and_then(|dest| dest.parse().ok());
     let key = value(text(&request, "Cookie")?.unwrap_or_default(), [';', ';'], "about");
-    Ok(Message {
+    Ok(Offer {
+        lifetime: lifetime.ok_or_else(|| bad("Request-Timeout is no number of seconds"))?,
         id: needed(&request, "Request-Id")?.to_owned(),
         class: needed(&request, "Request-Class")?.to_owned(),
         tenant: text(&request, "Tenant")?.unwrap_or_default().to_owned(),
         key: key.filter(|key| !key.is_empty()).map(str::to_owned),
         destination: destination.ok_or_else(|| bad("X-Envelope names no destination"))?,
-        deadline: now.saturating_add(span),
         idempotency_key: request.headers.get("Idempotency-Key").map(|key| key.to_vec()),
         body: request.body,
     })
@@ -73,20 +115,19 @@
 
     #[test]
     fn a_message_is_read_and_its_opaque_parts_go_on_unchanged() {
-        let message = message(1_000_000, request(("X-Other", "1"))).expect("well formed");
-        assert_eq!((message.id.as_str(), message.class.as_str()), ("9b1f03aa5c7e2d41", "notice"));
-        assert_eq!((message.tenant.as_str(), message.key.as_deref()), ("acme", Some("7f3a")));
-        assert_eq!((message.destination, message.deadline), (7, 1_480_000));
-        assert_eq!(message.idempotency_key.as_deref(), Some(&b"5c0f"[..]));
-        assert_eq!(&message.body[..], b"\x00\xff");
+        let offer = offer(request(("X-Other", "1"))).expect("well formed");
+        assert_eq!((offer.id.as_str(), offer.class.as_str()), ("9b1f03aa5c7e2d41", "notice"));
+        assert_eq!((offer.tenant.as_str(), offer.key.as_deref()), ("acme", Some("7f3a")));
+        assert_eq!((offer.destination, offer.lifetime), (7, 480_000));
+        assert_eq!(offer.idempotency_key.as_deref(), Some(&b"5c0f"[..]));
+        assert_eq!(&offer.body[..], b"\x00\xff");
     }
 
     #[test]
     fn what_may_be_missing_is_missing() {
-        let message = message(0, request(("Cookie", ""))).expect("well formed");
-        assert_eq!(message.key, None);
-        let message = super::message(0, request(("Idempotency-Key", ""))).expect("well formed");
-        assert_eq!(message.idempotency_key, None);
+        assert_eq!(offer(request(("Cookie", ""))).expect("well formed").key, None);
+        let offer = offer(request(("Idempotency-Key", ""))).expect("well formed");
+        assert_eq!(offer.idempotency_key, None);
     }
 
     #[test]
@@ -105,8 +146,31 @@
             ("X-Envelope", "to=7"),
         ];
         for change in changes {
-            let answer = message(0, request(change)).expect_err(change.1);
+            let answer = offer(request(change)).expect_err(change.1);
             assert_eq!(answer.status, 400, "{change:?}");
         }
     }
+
+    #[test]
+    fn what_is_asked_besides_and_what_is_not_here_are_told_apart() {
+        let asked = |method: &str, path: &str| {
+            let request = Request { method: method.to_owned(), ..Request::get(path) };
+            read(request).map_err(|response| response.status)
+        };
+        assert_eq!(asked("GET", "/_health?x=1"), Ok(Asked::Question(Question::Ready)));
+        assert_eq!(asked("GET", "/_counters"), Ok(Asked::Question(Question::Counters)));
+        assert_eq!(
+            [asked("POST", "/_health"), asked("GET", "/api"), asked("GET", "/x")],
+            [405, 405, 404].map(Err)
+        );
+    }
+
+    #[test]
+    fn a_refusal_says_when_to_come_again() {
+        let after = |after_ms| response(Answer::Refused { after_ms });
+        assert_eq!((after(0).status, after(0).headers.get("Retry-After")), (429, None));
+        assert_eq!(after(1_250).headers.text("Retry-After"), Some("1.250"));
+        let last = response(Answer::NotReady { last: true });
+        assert_eq!((last.status, last.keep_alive), (503, false));
+    }
 }
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -9,19 +9,13 @@
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
+use pewterseam_durable::message::End;
+use pewterseam_node::io::Input;
+use pewterseam_node::notice::Notice;
+
 use crate::agent::{Agent, Silence};
 use crate::http::{Headers, MOST_BODY, Request};
 use crate::inputs::Inputs;
-use crate::io::Input;
-use crate::message::End;
-
-/// The end of a message, to be told until it is answered.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Notice {
-    pub number: u64,
-    pub id: String,
-    pub end: End,
-}
 
 #[derive(Serialize)]
 struct Line<'a> {
@@ -31,16 +25,14 @@
     after_ms: Option<u64>,
 }
 
-impl Notice {
-    fn line(&self) -> String {
-        let (state, after_ms) = match self.end {
-            End::Failed => ("failed", None),
-            End::Returned { after_ms } => ("returned", Some(after_ms).filter(|after| *after > 0)),
-        };
-        let line = Line { id: &self.id, state, after_ms };
-        // Texts and a number always make JSON.
-        serde_json::to_string(&line).unwrap_or_default() + "\n"
-    }
+fn line(notice: &Notice) -> String {
+    let (state, after_ms) = match notice.end {
+        End::Failed => ("failed", None),
+        End::Returned { after_ms } => ("returned", Some(after_ms).filter(|after| *after > 0)),
+    };
+    let line = Line { id: &notice.id, state, after_ms };
+    // Texts and a number always make JSON.
+    serde_json::to_string(&line).unwrap_or_default() + "\n"
 }
 
 /// How long an answer may take, and the pause before the same is told again.
@@ -107,7 +99,7 @@
 fn lines<'a>(notices: impl Iterator<Item = &'a Notice>, most: usize) -> (String, Vec<u64>) {
     let (mut body, mut numbers) = (String::new(), Vec::new());
     for notice in notices.take(most) {
-        let line = notice.line();
+        let line = line(notice);
         if !numbers.is_empty() && body.len() + line.len() > MOST_BODY {
             break;
         }
--- a/crates/relay/src/ops.rs
+++ b/crates/relay/src/ops.rs
@@ -11,42 +11,33 @@
 use tokio::time::{sleep, timeout};
 use tokio_util::codec::Framed;
 
-use crate::clients::RequestId;
+use pewterseam_node::client::RequestId;
+use pewterseam_node::io::Input;
+use pewterseam_node::operator::{Operation, Verdict};
+
 use crate::http::{Request, Response, Server};
 use crate::inputs::Inputs;
-use crate::io::Input;
 
 /// How many operators' connections may be open at once; the next is answered 503 at once.
 pub const MOST_OPEN: usize = 32;
 
-/// An operator's call, in the reducer's terms.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Call {
-    Status,
-    Metrics,
-    /// A host under maintenance, or back from it, by its name in the list.
-    Enter(String),
-    Exit(String),
-    Standby,
-    Active,
-}
-
 /// What an operator's request asks for, or the answer to one that asks for nothing that is here.
-pub fn call(request: &Request) -> Result<Call, Response> {
+pub fn read(request: &Request) -> Result<Operation, Response> {
     let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
     let name = || {
         let names = query.split('&').filter_map(|pair| pair.split_once('='));
         let name = names.filter(|(key, _)| *key == "name").map(|(_, value)| value).next_back();
         name.filter(|name| !name.is_empty()).map(str::to_owned)
     };
-    let named = |make: fn(String) -> Call| name().map(make).ok_or_else(|| no(400, "name=ID is wanted\n"));
+    let named =
+        |make: fn(String) -> Operation| name().map(make).ok_or_else(|| no(400, "name=ID is wanted\n"));
     match (request.method.as_str(), path) {
-        ("GET", "/status") => Ok(Call::Status),
-        ("GET", "/status/metrics") => Ok(Call::Metrics),
-        ("POST", "/maintenance/enter") => named(Call::Enter),
-        ("POST", "/maintenance/exit") => named(Call::Exit),
-        ("POST", "/standby") => Ok(Call::Standby),
-        ("POST", "/active") => Ok(Call::Active),
+        ("GET", "/status") => Ok(Operation::Status),
+        ("GET", "/status/metrics") => Ok(Operation::Metrics),
+        ("POST", "/maintenance/enter") => named(Operation::Enter),
+        ("POST", "/maintenance/exit") => named(Operation::Exit),
+        ("POST", "/standby") => Ok(Operation::Standby),
+        ("POST", "/active") => Ok(Operation::Active),
         (
             _,
             "/status" | "/status/metrics" | "/maintenance/enter" | "/maintenance/exit" | "/standby"
@@ -57,14 +48,24 @@
 }
 
 /// The answer while another process still serves from the folder: this one is there to take over.
-pub fn waiting(request: &Request) -> Response {
-    match call(request) {
-        Ok(Call::Status) => Response { keep_alive: false, ..Response::text(200, "taking over\n") },
-        Ok(_) => no(503, "another process serves until it ends\n"),
-        Err(response) => response,
+pub fn waiting(operation: &Operation) -> (Verdict, &'static str) {
+    match operation {
+        Operation::Status => (Verdict::Yes, "taking over"),
+        _ => (Verdict::NotNow, "another process serves until it ends"),
     }
 }
 
+fn response(verdict: Verdict, text: &str) -> Response {
+    let end = if text.ends_with('\n') { "" } else { "\n" };
+    let status = match verdict {
+        Verdict::Yes => 200,
+        Verdict::NotNow => 503,
+        Verdict::Unknown => 400,
+        Verdict::Conflict => 409,
+    };
+    Response::text(status, format!("{text}{end}"))
+}
+
 fn no(status: u16, text: &str) -> Response {
     Response { keep_alive: false, ..Response::text(status, text) }
 }
@@ -92,9 +93,9 @@
         Operators { shared: Rc::default(), patience, pause, inputs }
     }
 
-    pub fn respond(&self, id: RequestId, response: Response) {
+    pub fn answer(&self, id: RequestId, verdict: Verdict, text: &str) {
         if let Some(waiting) = self.shared.waiting.borrow_mut().remove(&id) {
-            let _ = waiting.send(response);
+            let _ = waiting.send(response(verdict, text));
         }
     }
 
@@ -127,7 +128,13 @@
             no(503, "too many calls at once\n")
         } else {
             match timeout(self.patience, connection.next()).await {
-                Ok(Some(Ok(request))) => self.answer(request).await,
+                Ok(Some(Ok(request))) => match read(&request) {
+                    Ok(operation) => self.ask(operation).await,
+                    Err(response) => {
+                        self.inputs.send(Input::BadOps);
+                        response
+                    }
+                },
                 Ok(Some(Err(fault))) => {
                     self.inputs.send(Input::BadOps);
                     no(fault.status(), &format!("{fault}\n"))
@@ -143,13 +150,13 @@
         let _ = timeout(self.patience, connection.send(response)).await;
     }
 
-    async fn answer(&self, request: Request) -> Response {
+    async fn ask(&self, operation: Operation) -> Response {
         let shared = &self.shared;
         shared.last.set(shared.last.get() + 1);
         let id = RequestId(shared.last.get());
         let (answer, answered) = oneshot::channel();
         shared.waiting.borrow_mut().insert(id, answer);
-        self.inputs.send(Input::Ops { id, request });
+        self.inputs.send(Input::Operation { id, operation });
         let response = timeout(self.patience, answered).await;
         shared.waiting.borrow_mut().remove(&id);
         match response {
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -6,8 +6,9 @@
 
 use tokio::net::UdpSocket;
 
+use pewterseam_node::io::Input;
+
 use crate::inputs::Inputs;
-use crate::io::Input;
 
 /// Longest datagram that may be sent.
 pub const MOST_BYTES: usize = 256;
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -16,21 +16,25 @@
 use tokio::task::{LocalSet, spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until};
 
+use pewterseam_durable::replay::History;
+use pewterseam_node::change::Change;
+use pewterseam_node::io::{Effect, Input, Level, Step};
+use pewterseam_node::notice::Notice;
+use pewterseam_node::reducer::{Reducer, Room};
+
 use crate::clients::{self, Clients};
 use crate::clock::Clock;
-use crate::config::{Change, Config};
+use crate::config::Config;
 use crate::discovery::{self, Watch};
 use crate::hosts::Hosts;
 use crate::inputs::Inputs;
-use crate::io::{Effect, Input, Level, Step};
-use crate::journal::{History, Journal};
+use crate::journal::Journal;
 use crate::learnt;
 use crate::limits::Budget;
 use crate::maintenance;
-use crate::notices::{self, Notice};
+use crate::notices;
 use crate::ops::{self, Operators};
 use crate::peers::Peers;
-use crate::reducer::{Reducer, Room};
 use crate::sockets;
 
 /// Why a relay can't start.
@@ -184,8 +188,9 @@
         }
         tokio::select! {
             Some(input) = incoming.recv() => {
-                if let Input::Ops { id, request } = input {
-                    operators.respond(id, ops::waiting(&request));
+                if let Input::Operation { id, operation } = input {
+                    let (verdict, text) = ops::waiting(&operation);
+                    operators.answer(id, verdict, text);
                 }
             }
             () = sleep(Duration::from_micros(waits::PAUSE) / 5) => {}
@@ -332,8 +337,8 @@
 
     fn carry_out_effect(&mut self, effect: Effect) {
         match effect {
-            Effect::Respond { id, response } => self.clients.respond(id, response),
-            Effect::Answer { id, response } => self.operators.respond(id, response),
+            Effect::Answer { id, answer } => self.clients.answer(id, answer),
+            Effect::Tell { id, verdict, text } => self.operators.answer(id, verdict, &text),
             Effect::Standby(on) => self.clients.standby(on),
             Effect::KeepMaintenance(names) => {
                 if let Err(error) = maintenance::write(&self.folder, &names) {
@@ -348,7 +353,7 @@
             Effect::Notify(notice) => {
                 let _ = self.notices.send(notice);
             }
-            Effect::Tell { to, bytes } => {
+            Effect::Gossip { to, bytes } => {
                 if let Some(peers) = &self.peers {
                     peers.tell(to, &bytes);
                 }
@@ -391,8 +396,9 @@
 
 #[cfg(test)]
 mod tests {
+    use pewterseam_node::operator::{Operation, Verdict};
+
     use super::*;
-    use crate::http::Request;
 
     #[tokio::test]
     async fn a_second_process_waits_for_the_folder_and_says_yes_meanwhile() {
@@ -416,11 +422,7 @@
                 assert!(!folder.path().join(NEXT).exists());
             })
             .await;
-        let status = Request::get("/status");
-        assert_eq!(ops::waiting(&status).status, 200);
-        assert_eq!(
-            ops::waiting(&Request { method: "POST".to_owned(), ..Request::get("/standby") }).status,
-            503
-        );
+        assert_eq!(ops::waiting(&Operation::Status).0, Verdict::Yes);
+        assert_eq!(ops::waiting(&Operation::Standby).0, Verdict::NotNow);
     }
 }
--- a/crates/relay/tests/crash.rs
+++ b/crates/relay/tests/crash.rs
@@ -10,15 +10,14 @@
 use bytes::Bytes;
 use common::settings;
 use pewterseam::interface::{Micros, Outcome};
-use pewterseam_relay::clients::RequestId;
-use pewterseam_relay::discovery::List;
-use pewterseam_relay::hosts::{Call, Reply};
-use pewterseam_relay::http::{Headers, Request};
-use pewterseam_relay::io::{Effect, Input, Step};
+use pewterseam_node::call::{Call, Reply};
+use pewterseam_node::client::{Answer, Offer, RequestId};
+use pewterseam_node::io::{Effect, Input, Step};
+use pewterseam_node::list::List;
+use pewterseam_node::notice::Notice;
+use pewterseam_node::pool::ConnectionId;
+use pewterseam_node::reducer::{Reducer, Room};
 use pewterseam_relay::journal::Journal;
-use pewterseam_relay::notices::Notice;
-use pewterseam_relay::pool::ConnectionId;
-use pewterseam_relay::reducer::{Reducer, Room};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use serde_json::json;
@@ -102,8 +101,7 @@
     }
 
     fn of(&mut self, call: &Call) -> &mut Known {
-        let id = call.request.headers.text("Request-Id").expect("an id").to_owned();
-        self.known.get_mut(&id).expect("handed in")
+        self.known.get_mut(&call.message).expect("handed in")
     }
 
     /// Has the relay take a step; it dies after `cut` effects if the step has more.
@@ -132,13 +130,13 @@
 
     fn see(&mut self, effect: Effect) {
         match effect {
-            Effect::Respond { id, response } => {
+            Effect::Answer { id, answer } => {
                 let asked = self.asked.remove(&id).expect("answered once");
-                self.known.get_mut(&asked).expect("handed in").taken = response.status == 202;
+                self.known.get_mut(&asked).expect("handed in").taken = answer == Answer::Taken;
             }
             Effect::Call(call) => {
                 let out = self.calls.iter().any(|(other, _)| other.id == call.id);
-                let id = call.request.headers.text("Request-Id").expect("an id").to_owned();
+                let id = call.message.clone();
                 let known = &self.known[&id];
                 assert!(!out, "two copies of {id}");
                 assert!(!known.noticed, "{id} is sent after its notice");
@@ -166,19 +164,20 @@
         let class = usize::from(choice) % CLASSES.len();
         let key = (class == 1).then_some(choice / 9 % 2);
         let id = format!("m{:05}", self.known.len());
-        let mut headers = Headers::default()
-            .with("Request-Id", id.clone())
-            .with("Request-Class", CLASSES[class])
-            .with("Tenant", "acme")
-            .with("Request-Timeout", if choice > 200 { "2" } else { "20" })
-            .with("X-Envelope", format!("dest={}", choice / 3 % 3));
-        if let Some(key) = key {
-            headers = headers.with("Cookie", format!("about={key}"));
-        }
         let request = RequestId(self.known.len() as u64);
         self.asked.insert(request, id.clone());
-        self.known.insert(id, Known { class, key, ..Known::default() });
-        Input::Request { id: request, request: Request::post("/api", headers, Bytes::from(vec![choice; 9])) }
+        self.known.insert(id.clone(), Known { class, key, ..Known::default() });
+        let offer = Offer {
+            id,
+            class: CLASSES[class].to_owned(),
+            tenant: "acme".to_owned(),
+            key: key.map(|key| key.to_string()),
+            destination: u32::from(choice / 3 % 3),
+            lifetime: if choice > 200 { 2_000 } else { 20_000 } * MILLI,
+            idempotency_key: None,
+            body: Bytes::from(vec![choice; 9]),
+        };
+        Input::Offer { id: request, offer }
     }
 
     /// A connection that was asked for opens, or does not.
--- a/crates/relay/tests/deploy.rs
+++ b/crates/relay/tests/deploy.rs
@@ -32,7 +32,8 @@
 
 /// The program that a command line replaces its shell by.
 fn replaced_by(command: &str) -> &str {
-    let program = command.strip_prefix("exec ").and_then(|rest| rest.split(' ').next()).expect("exec PROGRAM");
+    let program =
+        command.strip_prefix("exec ").and_then(|rest| rest.split(' ').next()).expect("exec PROGRAM");
     assert!(!command.contains(['&', '|', ';', '`', '$', '(']), "more than one process: {command}");
     program.strip_prefix("target/release/").expect("a program of the build")
 }
--- a/crates/relay/tests/journal.rs
+++ b/crates/relay/tests/journal.rs
@@ -4,8 +4,10 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use pewterseam_relay::journal::{History, Journal, Over, Past, Record, Restored, footprint, read};
-use pewterseam_relay::message::{End, Message};
+use pewterseam_durable::message::{End, Message};
+use pewterseam_durable::record::{Over, Past, Record, footprint};
+use pewterseam_durable::replay::{History, Restored};
+use pewterseam_relay::journal::{Journal, read};
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
--- a/crates/relay/tests/operators.rs
+++ b/crates/relay/tests/operators.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use pewterseam_relay::http::Response;
+use pewterseam_node::io::Input;
+use pewterseam_node::operator::{Operation, Verdict};
 use pewterseam_relay::inputs::Inputs;
-use pewterseam_relay::io::Input;
 use pewterseam_relay::ops::Operators;
 use pewterseam_relay::sockets;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -39,8 +39,9 @@
         spawn_local(async move {
             while let Some(input) = incoming.recv().await {
                 match input {
-                    Input::Ops { id, request } => {
-                        answering.respond(id, Response::text(200, format!("{}\n", request.path)));
+                    Input::Operation { id, operation } => {
+                        assert_eq!(operation, Operation::Status);
+                        answering.answer(id, Verdict::Yes, "serving");
                     }
                     Input::BadOps => counted.set(counted.get() + 1),
                     _ => {}
@@ -60,11 +61,20 @@
         assert!(began.elapsed() < Duration::from_millis(400), "{:?}", began.elapsed());
         let answer = ask(address, b"\x16\x03\x01 no http at all\r\n\r\n").await;
         assert!(answer.starts_with("HTTP/1.1 4"), "{answer}");
+        for (line, status) in [
+            ("GET /nothing", 404),
+            ("POST /status", 405),
+            ("GET /standby", 405),
+            ("POST /maintenance/enter", 400),
+        ] {
+            let answer = ask(address, format!("{line} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).await;
+            assert!(answer.starts_with(&format!("HTTP/1.1 {status}")), "{line}: {answer}");
+        }
         let mut rest = Vec::new();
         let read = timeout(Duration::from_secs(3), half.read_to_end(&mut rest)).await;
         let rest = String::from_utf8_lossy(&rest.clone()).into_owned();
         assert!(read.is_ok() && rest.starts_with("HTTP/1.1 408"), "{rest}");
-        assert!(bad.get() >= 2, "{}", bad.get());
+        assert!(bad.get() >= 6, "{}", bad.get());
         drop(silent);
     });
 }
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -11,15 +11,17 @@
 use bytes::Bytes;
 use common::*;
 use pewterseam::interface::{HostId, MessageId, Micros, Outcome};
+use pewterseam_durable::message::End;
+use pewterseam_node::call::{Call, Reply};
+use pewterseam_node::io::Input;
+use pewterseam_node::notice::Notice;
+use pewterseam_node::pool::ConnectionId;
 use pewterseam_relay::discovery::{self, Watch};
-use pewterseam_relay::hosts::{Call, Hosts, Reply};
-use pewterseam_relay::http::{Headers, MOST_BODY, Request};
+use pewterseam_relay::hosts::Hosts;
+use pewterseam_relay::http::MOST_BODY;
 use pewterseam_relay::inputs::Inputs;
-use pewterseam_relay::io::Input;
-use pewterseam_relay::message::End;
-use pewterseam_relay::notices::{self, Notice, Pace};
+use pewterseam_relay::notices::{self, Pace};
 use pewterseam_relay::peers::Peers;
-use pewterseam_relay::pool::ConnectionId;
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::sync::watch;
@@ -69,10 +71,9 @@
             Some(place) => self.idle.remove(place).1,
             None => self.open(address).await?,
         };
-        let headers = Headers::default().with("Request-Id", format!("m{}", self.last));
-        let request = Request::post("/v1/messages", headers, Bytes::copy_from_slice(body));
         let (id, host) = (MessageId(self.last), HostId(u64::from(address.port())));
-        let call = Call { connection, id, attempt: 0, host, request, timeout };
+        let (message, body) = (format!("m{}", self.last), Bytes::copy_from_slice(body));
+        let call = Call { connection, id, attempt: 0, host, message, idempotency_key: None, body, timeout };
         self.call = Some((address, call.clone()));
         self.hosts.call(call);
         Some(connection)
