A wait outlasts a process that made no call at its route

The lines: State::learnt keeps routes that were used, and since the fold a route counts as used with a call only, no longer while messages wait for it; a process that heeds an inherited wait makes none and forgot it at its own end. Ruled out: a file not written (its line would be logged). A route that waits is kept now; the test fails without it.

--- a/crates/node/tests/reducer.rs
+++ b/crates/node/tests/reducer.rs
@@ -811,6 +811,9 @@
     };
     let mut relay = begin(START + 3 * SECOND);
     assert_eq!(calls(&relay.hand_in("m1", "balance", None)), []);
+    // Danger: of two upgrades in a wait, the second forgets it, as the process between them made no call there.
+    let waits: Vec<_> = relay.reducer.learnt().routes.iter().map(|route| route.wait_until).collect();
+    assert_eq!(waits, [START + 3 * SECOND]);
     assert_eq!(calls(&relay.pass(2 * SECOND)), [], "not before the wait is over");
     assert_eq!(calls(&relay.pass(3 * SECOND)).len(), 1);
     let mut relay = begin(0);
--- a/src/state.rs
+++ b/src/state.rs
@@ -439,7 +439,7 @@
         }
     }
 
-    /// What has been learnt of hosts: of each route that was used, and which of them are open.
+    /// What has been learnt of hosts: of each route that was used or waits, and which of them are open.
     pub fn learnt(&self, at: Micros) -> Learnt {
         let route = |((destination, host), route): (&RouteId, &Route)| LearntRoute {
             destination: *destination,
@@ -451,7 +451,9 @@
             deviation: route.deviation,
             wait_until: route.wait_until,
         };
-        let used = self.routes.iter().filter(|(_, route)| route.active_at > 0);
+        // Danger: a wait that an earlier sender was told is forgotten by one that made no call there.
+        let known = |route: &Route| route.active_at > 0 || route.wait_until > at;
+        let used = self.routes.iter().filter(|(_, route)| known(route));
         let open = self.hosts.iter().filter(|(_, host)| host.is_open());
         let out = open.map(|(id, host)| (*id, host.bad_since)).collect();
         Learnt { at, routes: used.map(route).collect(), out }
