Shares settle as a home's sums come, and a wait told by a peer has them bind

The fractions that relays held summed to 0.33, then 2.3, with a period of fourteen seconds. One is `close_round`: it put the sums a home had told a round earlier beside the report of the present round, a loop with a delay of two rounds; 100 senders on paper grow from 2.0 to 0.17 to 10.8 in thirty rounds, where sums applied as they come rest at 1.00 after four. The other is the ageing of those sums in `Route::others`: one lost message made 99 senders idle, and whoever missed it took half of the pool (share 0.502 in `R 0 ... share 0.50268 tok 63.63`). Ruled out: peer messages lost in number (sums come 1.9 s old every round), the limit told wrongly (answers say 165 to 173).

A second one: a wait was told to all, but only those refused themselves were paced; the rest came at its end, each at once. At a limit of 39 a second 65 calls came in 0.6 s after a wait of 0.758 s, 9 were served and 55 refused, and refused calls use the limit up.

Now a sender settles the sums with the report that asked for them, when they come; without them its share stays for the round. A told wait has shares bind, with part of a permit at hand by chance.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 const REGROWTH: f64 = 1.12;
 /// Part of its source below which the pool never is: refusals there have another reason, or a limit rose.
 const LEAST_POOL_PART: f64 = 0.75;
-/// Least pool (calls a second), so that a route never seen to serve is tried at all.
+/// Least pool (calls a second): a route never seen to serve is tried.
 const LEAST_POOL: f64 = 1.0;
 /// Part of an even slice that a sender keeps whatever it used, so that its next message need not wait long.
 const LEAST_SHARE: f64 = 0.25;
@@ -29,9 +29,9 @@
 const HOMES: u16 = 3;
 /// A round that used this part of the pool tests it; less tells nothing of its size.
 const WELL_USED: f64 = 0.7;
-/// Part of an underuser's surplus that passes on each round; half, so that one quiet round costs little.
+/// Part of an underuser's surplus that passes on each round, so that one quiet round costs little.
 const PASSED_ON: f64 = 0.5;
-/// Permits that may be saved up while idle (us of the own pace).
+/// Permits saved up while idle (us of the own pace).
 const BURST: Micros = 1_000_000;
 /// Share of a limit that is left from which calls are not refused for it, even by late news.
 const SHUT_FROM: f64 = 0.8;
@@ -41,8 +41,8 @@
 const PATIENCE: f64 = 5.0;
 /// Least and most silence that opens a host (us): longer than a brief stall, shorter than most aims.
 const PATIENCE_BOUNDS: (Micros, Micros) = (800_000, 2_500_000);
-/// Time-out of a call that may be repeated, in units of the above; the factor for each earlier attempt and
-/// for one that may not. Danger: lost calls hold slots. Harm: work done twice, so a second has much more.
+/// Time-out of a call in units of the above; the factor for each earlier attempt and for one that must not
+/// be repeated. Danger: lost calls hold slots. Harm: work done twice.
 const NEXT_PATIENCE: Micros = 2;
 const LAST_PATIENCE: Micros = 8;
 /// Trouble at which a host is opened: failures in a row, most calls failing, or senders that tell of some.
@@ -64,12 +64,10 @@
 /// Factors on the time for which idle connections are kept: after a call lost on one, and each round.
 const KEEP_CUT: f64 = 0.5;
 const KEEP_REGROWTH: f64 = 1.1;
-/// How long tables of a kind count as full after one was seen to be, or told of, and age at which that is
-/// told anew (us): longer than idle connections usually last, and no more words than needed.
+/// How long tables of a kind count as full, longer than connections idle, and when that is told anew (us).
 const CROWDED: Micros = 30_000_000;
 const CROWDED_ANEW: Micros = CROWDED / 2;
-/// Calls that a sender should have for a host while a connection idles, at the host's limit, for it to be
-/// kept: what is used is a third of that on quiet days.
+/// Calls a sender should have for a host, at its limit, while a connection idles for it to be kept.
 const OFTEN: f64 = 3.0;
 /// Time between looks at what is held (us).
 const LOOK: Micros = 25_000;
@@ -95,8 +93,8 @@
     actions: Vec<Action>,
 }
 
-/// The reallocation that every sender runs alike: a fraction is the sender's part of all designated permits;
-/// underusers pass on part of their surplus, which those that used all theirs split by fraction.
+/// The reallocation that every sender runs alike: a fraction is the sender's part of all designated permits,
+/// and part of the underusers' surplus goes to those that used all theirs, by fraction.
 pub fn reallocate(mine: &Report, all: &Report) -> f64 {
     let passed = if all.full > 0.0 { PASSED_ON } else { 0.0 };
     let gained = all.spare * mine.full / all.full.max(f64::MIN_POSITIVE);
@@ -135,11 +133,24 @@
     route.share * route.pool + route.slack
 }
 
-/// Closes a round: fresh reports and the own one decide pool, slack and share. Tells whether all was refused.
+/// Closes a round; tells whether all was refused. Danger: sums met by a later round's report are a round old,
+/// and the fractions of many senders swing ever more: they settle as they come, with the report that asked.
 fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> bool {
-    let senders = f64::from(settings.senders);
     route.fill(pace(route), seconds(BURST), now);
     let mine = report(route, waits);
+    route.asked = Some(mine).filter(|_| route.bound && !route.is_home);
+    let later = route.asked.is_some() && route.hears(EXPIRY, now);
+    let all = if later { mine } else { settle(route, mine, settings, now) };
+    // Danger: a clump turned away at some senders passes for an outage. Only a home knows, after two rounds.
+    let barren = all.used - all.refused <= 0.0 && all.refused > TRIP;
+    route.barren = if barren { route.barren + 1 } else { 0 };
+    route.start_round();
+    route.is_home && route.barren > 1
+}
+
+/// Decides pool, slack and share by the reports at hand and the own one; tells their sum.
+fn settle(route: &mut Route, mine: Report, settings: &Settings, now: Micros) -> Report {
+    let senders = f64::from(settings.senders);
     let all = route.others(settings.me, FRESH, EXPIRY, now) + mine;
     let (used, refused) = (all.used / seconds(ROUND), all.refused / seconds(ROUND));
     let served = (used - refused).max(0.0);
@@ -154,18 +165,13 @@
         }
         route.pool = route.pool.max(source(route) * LEAST_POOL_PART);
         // One that hears nothing of the others takes an even slice.
-        let told = route.is_home || route.rest.is_some_and(|(at, _)| at + EXPIRY > now);
-        let slack = if refused > 0.0 || !told { 0.0 } else { (route.pool - used).max(0.0) };
+        let hears = route.hears(EXPIRY, now);
+        let slack = if refused > 0.0 || !hears { 0.0 } else { (route.pool - used).max(0.0) };
         route.slack = slack / all.senders.max(1.0);
-        let share = if told { reallocate(&mine, &all) } else { even_slice(route, senders) };
+        let share = if hears { reallocate(&mine, &all) } else { even_slice(route, senders) };
         route.share = share.max(LEAST_SHARE / senders);
     }
-    // Danger: a clump turned away at one sender, or at some whose rounds end before those of the served,
-    // passes for an outage. Only a home knows, and only over two rounds.
-    let barren = served == 0.0 && all.refused > TRIP;
-    route.barren = if barren { route.barren + 1 } else { 0 };
-    route.start_round();
-    route.is_home && route.barren > 1
+    all
 }
 
 /// Has shares bind. No permit is at hand: many senders must not all come again together.
@@ -178,8 +184,7 @@
     (route.tokens, route.filled_at) = (0.0, now);
 }
 
-/// The pause after the last of so many refusals, by chance half as long to half as long again. Danger: all
-/// that a clump or an outage turned away come again in step.
+/// The pause after so many refusals, by chance half to one and a half as long: not all come again in step.
 fn pause(refusals: u32, now: Micros, seed: u64) -> Micros {
     let pause = (FULL_PAUSE << (refusals - 1).min(3)).min(ROUND);
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
@@ -267,8 +272,7 @@
     }
 
     fn close_rounds(&mut self) {
-        // Apart from the peers' rounds.
-        self.agenda.round_at = (self.now / ROUND + 1) * ROUND + self.seed % ROUND;
+        self.agenda.round_at = (self.now / ROUND + 1) * ROUND + self.seed % ROUND; // apart from the peers'
         self.tell_round();
         let mut shut = Vec::new();
         for (id, route) in &mut self.state.routes {
@@ -285,8 +289,6 @@
         self.state.end_round(2.0 * SAMPLE, self.now);
     }
 
-    // ---- Intake, worth and shedding
-
     /// Danger: what no host is ever listed for holds its place to its deadline. Danger: a restart forgets
     /// an outage, and what is on hand rushes at a destination that comes back cold, if it was out for long.
     fn take_on(&mut self, request: Request) {
@@ -302,8 +304,7 @@
         self.state.accept(request, &self.settings);
     }
 
-    /// Worth of a message answered at `at`. Traffic beyond a tenant's share counts for little, and which
-    /// message is beyond it can't be known here, so all of that tenant's weigh less.
+    /// Worth of a message answered at `at`. Which is beyond its tenant's share is not known: all weigh less.
     fn worth(&self, message: &Message, at: Micros) -> f64 {
         let tenant = message.request.tenant;
         let weight = self.settings.tenants.get(tenant).map_or(1.0, |quota| {
@@ -332,8 +333,7 @@
         self.outlook.get(&message.request.destination).copied().unwrap_or(ROUND)
     }
 
-    /// Danger: the room fills with messages for a destination that can't take them, and the door then turns
-    /// away better ones. Whatever fills it, those worth least when their turn may come go first.
+    /// Danger: the room fills, and the door turns away better ones. Those worth least in their turn go first.
     fn shed(&mut self) {
         let room = self.settings.most_held as f64 * (1.0 - RESERVE);
         let excess = self.state.held().count().saturating_sub(room as usize);
@@ -356,8 +356,7 @@
         self.state.give_up(id, self.settings.ends_by_notice, self.now);
     }
 
-    /// Answers what can't be served any more: a message at its deadline, a waiting one already when the usual
-    /// answer would come too late, one without attempts left, one that would run twice.
+    /// Answers what can't be served any more: too late, without attempts left, or it would run twice.
     fn expire(&mut self) {
         let hopeless = |message: &&Message| {
             let (waits, class) = (message.out.is_none(), self.class(message));
@@ -377,8 +376,6 @@
         }
     }
 
-    // ---- Dispatch
-
     /// Sends what may go, first what would lose most by going last: permits and slots are scarce.
     fn dispatch(&mut self) {
         self.fill();
@@ -424,8 +421,7 @@
         hosts.min_by_key(|(id, host)| rank(*id, host)).map(|(id, _)| id)
     }
 
-    /// Whether nothing forbids a message at a host, whatever there is to send it with: drain, wait, stop,
-    /// zone, window, deadline.
+    /// Whether nothing forbids a message at a host: drain, wait, stop, zone, window, deadline.
     fn allows(&self, host: &Host, message: &Message) -> bool {
         let (route, class) = (&self.state.routes[&host.route], self.class(message));
         // Danger: a stop cuts off a call that might have run, and what must not run twice is lost.
@@ -462,8 +458,7 @@
         if spent || self.now < host.shut_until || (route.bound && route.tokens < 1.0) {
             return false;
         }
-        // Danger: a message that must not run twice dies with a failed call. It waits for a sign of health,
-        // though not for ever. Covers silence, errors, resets; harms where only such messages come.
+        // Danger: one that must not run twice dies with a failed call. It waits for health, up to its aim.
         let precious = class.effect == Effect::SingleShot && message.age(class, self.now) < class.aim;
         match host.health {
             Health::Open => !precious && !host.trial && host.cold_tokens >= 1.0,
@@ -537,9 +532,8 @@
         }
     }
 
-    /// Danger: something between drops idle connections unseen, and what is put on one is lost. Where a call
-    /// that failed so is soon followed by one served on a new connection, all are kept for less time, if none
-    /// idle for longer was of use since: a call may be lost by chance. Harms: handshakes.
+    /// Danger: something between drops idle connections unseen. Where a call lost on one is soon followed by
+    /// one served on a new one, all are kept for less time, if none was of use after longer.
     fn learn_keep(&mut self, id: HostId, outcome: Outcome, idle_for: Option<Micros>) {
         let (Some(host), now) = (self.state.hosts.get_mut(&id), self.now) else { return };
         let (keep, proven) = (&mut self.keep[host.kind], &mut self.proven[host.kind]);
@@ -615,8 +609,7 @@
             // A connect that failed at once may have met a full table.
             Outcome::ConnectFailed => {
                 let slow = now > sent_at + PATIENCE_BOUNDS.0;
-                // Danger: tried again at once, a full table takes all attempts of a message. The call never
-                // came to the limit, and its permit is not used.
+                // Danger: tried again at once, a full table takes all attempts. No permit is used.
                 route.give_back();
                 if !slow {
                     host.unmet += 1;
@@ -630,8 +623,7 @@
         self.state.mark(id, !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot));
     }
 
-    /// Books trouble that began at `since`; too much opens the host. A host that fails most calls lets some
-    /// through: spells less than the overload rule's window apart are one.
+    /// Books trouble since `since`; too much opens the host. Spells less than the window apart are one.
     fn ail(&mut self, id: HostId, weight: f64, since: Micros, what: &str) {
         let Some(host) = self.state.hosts.get_mut(&id) else { return };
         host.ail(weight, since, self.now, self.settings.overload_window);
@@ -666,9 +658,8 @@
         self.turn(id, health, how, "answers again");
     }
 
-    /// Danger: a destination that takes calls and answers none eats slots and every message that must not be
-    /// repeated. Covers hangs, lost machines and broken paths alike; harms where all calls are slow. One
-    /// unanswered call says less than several.
+    /// Danger: one that answers nothing eats slots and what must not be repeated. Covers hangs, lost hosts,
+    /// broken paths; harms where all calls are slow. One unanswered call says less than several.
     fn watch_health(&mut self) {
         if self.keep.iter().any(|keep| *keep < self.settings.idle_close as f64) {
             let old = self.state.close_idle(&self.keep, self.now).into_iter();
@@ -683,8 +674,6 @@
         }
     }
 
-    // ---- Registry
-
     fn learn(&mut self, news: RegistryNews) {
         let whole = matches!(news, RegistryNews::Whole(_));
         let (RegistryNews::Whole(entries) | RegistryNews::Changes(entries)) = news else {
@@ -694,9 +683,8 @@
             return (self.agenda.ask_pause, self.agenda.ask_at) = (pause, ask_at);
         };
         self.agenda.ask_pause = 0;
-        let (me, senders) = (self.settings.me, self.settings.senders);
         let new = |id: RouteId| Route {
-            is_home: homes(id.0, senders, 0).contains(&me),
+            is_home: homes(id.0, self.settings.senders, 0).contains(&self.settings.me),
             answer_time: FIRST_GUESS,
             deviation: FIRST_GUESS,
             ..Route::default()
@@ -712,8 +700,7 @@
         self.state.learnt(self.now)
     }
 
-    /// Takes over what an earlier sender had learnt and means the same still: limits that destinations told,
-    /// answer times, and outages that are news yet, as one may return cold. All else starts afresh.
+    /// Takes over what an earlier sender had learnt: told limits, answer times, outages that are news yet.
     fn recall(&mut self, learnt: &Learnt) {
         let (now, apart) = (self.now, self.settings.overload_window);
         let kept = learnt.routes.iter().filter(|old| self.state.recall(old)).count();
@@ -723,8 +710,8 @@
             (host.bad_since, host.failed) = (*since.min(&now), true);
             self.turn(*id, Health::Open, "open", "was out before the restart");
         }
-        let text = format!("learnt before the restart: {kept} of {} routes kept", learnt.routes.len());
-        self.actions.push(Action::Log(text));
+        let of = learnt.routes.len();
+        self.actions.push(Action::Log(format!("learnt before the restart: {kept} of {of} routes kept")));
     }
 
     /// Tells the homes of the routes in use of the round that ends; one of them, in turn, is asked for sums.
@@ -763,8 +750,8 @@
         }
     }
 
-    /// Danger: a wait is broken. Danger: where refused calls use up a limit, each that comes in a wait makes
-    /// it longer, and hardly one in two is told; who is told of a `limited` route's wait tells all.
+    /// Danger: where refused calls use up a limit, each in a wait makes it longer, and hardly one in two is
+    /// told: who is told of a `limited` route's wait tells all.
     fn heed_wait(&mut self, id: RouteId, wait: Micros, limited: bool) {
         let Some(route) = self.state.routes.get_mut(&id) else { return };
         let until = self.now + wait + LOOK;
@@ -796,15 +783,27 @@
                 }
             }
             // Bounded, as a peer's bytes are not to be trusted.
-            (Purpose::Wait, None, Some(route)) => hold_apart(route, told.wait().min(EXPIRY), now, self.seed),
-            (Purpose::Sums, None, Some(route)) => route.rest = Some((now, told.report)),
+            (Purpose::Wait, None, Some(route)) => {
+                // Danger: unpaced, all that only heard of the wait come at its end, and far too many.
+                if !route.bound {
+                    bind(route, f64::from(senders), now);
+                    route.tokens = chance(now, self.seed);
+                }
+                hold_apart(route, told.wait().min(EXPIRY), now, self.seed);
+            }
+            (Purpose::Sums, None, Some(route)) => {
+                route.rest = Some((now, told.report));
+                if let Some(mine) = route.asked.take() {
+                    route.fill(pace(route), seconds(BURST), now);
+                    settle(route, mine, &self.settings, now);
+                }
+            }
             _ => {}
         }
     }
 
-    /// At a home: what peers tell of a host. Danger: with many senders each has few calls at a host, and each
-    /// would lose some to learn of an outage and of its end. Covers outages of all kinds; harms where a host
-    /// fails only some senders. One slow call is no outage: a quorum is asked for.
+    /// At a home: what peers tell of a host. Danger: each of many senders would lose calls to learn of an
+    /// outage and its end. Harms where a host fails only some. One slow call is none: a quorum is asked for.
     fn weigh(&mut self, from: u16, id: HostId, up: bool) {
         let (me, now) = (self.settings.me, self.now);
         let Some((host, route)) = self.state.host_and_route(id) else { return };
--- a/src/state.rs
+++ b/src/state.rs
@@ -197,11 +197,18 @@
     pub active_at: Micros,
     /// Last report of each peer and when it came; at the route's homes.
     pub reports: BTreeMap<u16, (Micros, Report)>,
+    /// The own report of the round that closed last, until a home has told the sums to settle it with.
+    pub asked: Option<Report>,
     /// What a home last told of all other senders together, and when.
     pub rest: Option<(Micros, Report)>,
 }
 
 impl Route {
+    /// Whether it is known what the other senders did: their own reports, or sums that are not too old.
+    pub fn hears(&self, expiry: Micros, now: Micros) -> bool {
+        self.is_home || self.rest.is_some_and(|(at, _)| at + expiry > now)
+    }
+
     /// Books what the destination told of its limit, if it did; a new word has this weight in the mean.
     pub fn tell_limit(&mut self, limit: Option<Allowance>, weight: f64) {
         if let Some(Allowance { rate, .. }) = limit {
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -67,6 +67,56 @@
     answer(sender, out) + served(sender, span)
 }
 
+/// Senders that share one destination of 40 calls a second and swap peer messages, each with rounds of its own.
+struct Fleet {
+    senders: Vec<Sender>,
+    /// Peer messages on their way: when they come, from whom, to whom, what.
+    post: Vec<(Micros, u16, u16, Vec<u8>)>,
+}
+
+impl Fleet {
+    fn new(count: u16) -> Self {
+        let sender = |me: u16| {
+            let mut settings = settings();
+            (settings.me, settings.senders) = (me, count);
+            (settings.slots, settings.most_held) = (50, 500);
+            let seed = u64::from(me + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            Sender::seeded(seed, settings, &[listed(1, 1, 40.0)])
+        };
+        Fleet { senders: (0..count).map(sender).collect(), post: Vec::new() }
+    }
+
+    /// Has a sender take events; what it tells its peers comes after 20 ms.
+    fn step(&mut self, me: u16, events: Vec<Event>) -> Vec<Action> {
+        let actions = self.senders[usize::from(me)].step(events);
+        let (at, count) = (self.senders[0].now + 20 * MILLI, self.senders.len() as u16);
+        for action in &actions {
+            if let Action::Tell { to, bytes } = action {
+                let to = to.map_or(0..count, |to| to..to + 1).filter(|to| *to != me);
+                self.post.extend(to.map(|to| (at, me, to, bytes.clone())));
+            }
+        }
+        actions
+    }
+
+    /// Lets 10 ms pass and gives the calls that were sent, by sender.
+    fn pass(&mut self) -> Vec<(u16, Sent)> {
+        self.senders.iter_mut().for_each(|sender| sender.now += 10 * MILLI);
+        let now = self.senders[0].now;
+        let (due, post) = std::mem::take(&mut self.post).into_iter().partition(|(at, ..)| *at <= now);
+        self.post = post;
+        let due: Vec<_> = due;
+        let mut sent = Vec::new();
+        for me in 0..self.senders.len() as u16 {
+            let mine = due.iter().filter(|(_, _, to, _)| *to == me);
+            let mut events = vec![Event::Timer];
+            events.extend(mine.map(|(_, from, _, bytes)| Event::Peer { from: *from, bytes: bytes.clone() }));
+            sent.extend(sends(&self.step(me, events)).into_iter().map(|sent| (me, sent)));
+        }
+        sent
+    }
+}
+
 // ---- The reallocation
 
 /// The fractions that senders with these reports take.
@@ -144,6 +194,35 @@
     assert!(counts[0] > counts[1], "{counts:?}");
 }
 
+// Danger: each settles sums a round after they were told, and the fleet's shares swing between a third and
+// three times the pool, ever more.
+#[test]
+fn the_shares_of_many_senders_come_to_rest_at_the_pool() {
+    let mut fleet = Fleet::new(60);
+    let (mut calls, mut room) = (vec![0; 20], 20.0f64);
+    for (round, step) in (0..20).flat_map(|round| (0..200).map(move |step| (round, step))) {
+        let mut out = Vec::new();
+        for me in (0..60).filter(|_| step % 50 == 0) {
+            let request = fleet.senders[usize::from(me)].request(FREE, 1);
+            let actions = fleet.step(me, vec![Event::Message(request)]);
+            out.extend(sends(&actions).into_iter().map(|sent| (me, sent)));
+        }
+        out.extend(fleet.pass());
+        room = (room + 0.4).min(20.0);
+        while let Some((me, sent)) = out.pop() {
+            let (outcome, used) = if room < 1.0 { (Outcome::Full { wait: 0 }, 0) } else { (Outcome::Ok, 1) };
+            calls[round] += used;
+            room -= f64::from(used);
+            for attempt in 0..6 {
+                let actions = fleet.step(me, vec![Sent { attempt, ..sent }.ended(outcome)]);
+                out.extend(sends(&actions).into_iter().map(|sent| (me, sent)));
+            }
+        }
+    }
+    // 80 a round are the limit; more than a fifth of it lies idle in no round.
+    assert!(calls[2..].iter().all(|count| *count >= 64), "{calls:?}");
+}
+
 #[test]
 fn a_clump_at_a_trimmed_sender_draws_on_slack() {
     // The peer holds most of the pool by its reports and uses none of it.
@@ -701,6 +780,17 @@
     assert!(starts.len() >= 5, "all at once: {starts:?}");
 }
 
+// Danger: those that only heard of a wait come unpaced at its end, and all of them are refused again.
+#[test]
+fn a_wait_told_by_a_peer_has_shares_bind() {
+    let mut sender = one_of_many(50);
+    sender.step(vec![wait_word(500.0)]);
+    let held = clump(&mut sender, 6).len();
+    let sent = sends(&sender.pass(3 * SECOND));
+    assert_eq!(held, 0);
+    assert!((1..=3).contains(&sent.len()), "{} calls by one of many in three seconds", sent.len());
+}
+
 #[test]
 fn a_wait_told_by_a_peer_is_bounded_and_ends_no_wait_of_the_own() {
     let mut sender = one_of_many(7);
