An overloaded discovery is asked in turns and for changes; a told limit counts at once

No relay heard of the endpoints that the release brought: `D /catalog/members after 13.5ms: Ok((503, ""))`. The largest destination was refused by its old endpoint from 18 s on and met closed ports from 24 s on (110 connects failed in 2 s, 6 served, of 280 wanted). At fault: `learn` in the module asked at one pace for ever (ask_within is 0 on sockets), `follow` in crates/relay/src/discovery.rs asked for the whole list where changes would do, and gave calls up after 0.5 s that discovery had in its line (`after 500.98ms: Err(NoAnswer)`). Ruled out: discovery down (it answers), a lost version (the index is taken).

Now a 503 is told apart from silence. Turned away, all senders in sum ask ten times a second, each by chance half to one and a half as late, and twice as late with each further refusal, up to ten rounds; a watch goes on from the version that is known; after the first question half of the watch's wait is given to an answer. Silence is asked again as before, so that a drain is heard of soon after an outage of discovery. Counter list_refusals.

A word of the limit now weighs half, and a pool never stands above an exact source.

--- a/crates/node/src/counters.rs
+++ b/crates/node/src/counters.rs
@@ -49,6 +49,7 @@
     peer_messages_dropped,
     lists,
     list_failures,
+    list_refusals,
     list_entries_dropped,
     configurations,
     configurations_rejected,
--- a/crates/node/src/io.rs
+++ b/crates/node/src/io.rs
@@ -59,6 +59,8 @@
     },
     Listed(List),
     ListFailed,
+    /// Discovery turned the question away: it has too many.
+    ListRefused,
     Peer {
         from: u16,
         bytes: Vec<u8>,
--- a/crates/node/src/reducer.rs
+++ b/crates/node/src/reducer.rs
@@ -363,6 +363,11 @@
                 self.begin(None, events);
                 events.push(Event::Registry(RegistryNews::Failed));
             }
+            Input::ListRefused => {
+                self.counters.list_refusals += 1;
+                self.begin(None, events);
+                events.push(Event::Registry(RegistryNews::Refused));
+            }
             Input::Peer { from, bytes } => {
                 self.counters.peer_messages_in += 1;
                 events.push(Event::Peer { from, bytes });
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -14,6 +14,8 @@
 
 /// Where the whole list is.
 const WHOLE: &str = "/catalog/members";
+/// Answered while discovery has more calls than it can take.
+const TURNED_AWAY: u16 = 503;
 
 /// What is asked for, and how long the answer may take.
 #[derive(Clone, Copy, Debug)]
@@ -30,26 +32,40 @@
     address: watch::Receiver<SocketAddr>, mut asked: mpsc::UnboundedReceiver<Watch>, inputs: Inputs,
 ) {
     let mut agent = Agent::new(address);
+    // The version that the relay has, as long as discovery is sure to know it: changes since then will do.
+    let mut known: Option<u64> = None;
+    let mut first = true;
     while let Some(watch) = asked.recv().await {
-        let whole = || (WHOLE.to_owned(), watch.patience);
-        let (mut path, mut limit) = whole();
-        loop {
-            let list = match agent.ask(Request::get(&path), limit).await {
-                Ok(response) => read(&response),
-                Err(Silence::NoAnswer) => None,
-                // The new one is asked for all, since its versions may be others.
-                Err(Silence::Moved) => {
-                    (path, limit) = whole();
-                    continue;
+        // Danger: in the line of an overloaded discovery a call takes longer than a start may wait, and each
+        // that is given up there was work for nothing.
+        let patience = if first { watch.patience } else { watch.wait / 2 };
+        first = false;
+        let end = loop {
+            let (path, limit) = match known {
+                Some(rev) => {
+                    let wait = watch.wait.as_millis();
+                    (format!("{WHOLE}?index={rev}&wait={wait}"), watch.wait + patience)
                 }
+                None => (WHOLE.to_owned(), patience),
             };
-            let Some(list) = list else { break };
-            path = format!("{WHOLE}?index={}&wait={}", list.rev, watch.wait.as_millis());
-            limit = watch.wait + watch.patience;
-            inputs.send(Input::Listed(list));
+            match agent.ask(Request::get(&path), limit).await {
+                // Danger: a whole list costs an overloaded discovery most, and it has all relays to answer.
+                Ok(response) if response.status == TURNED_AWAY => break Input::ListRefused,
+                Ok(response) => {
+                    let Some(list) = read(&response) else { break Input::ListFailed };
+                    known = Some(list.rev);
+                    inputs.send(Input::Listed(list));
+                }
+                Err(Silence::NoAnswer) => break Input::ListFailed,
+                // The new one is asked for all, since its versions may be others.
+                Err(Silence::Moved) => known = None,
+            }
+        };
+        if matches!(end, Input::ListFailed) {
+            known = None;
         }
         agent.hang_up();
-        inputs.send(Input::ListFailed);
+        inputs.send(end);
     }
 }
 
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -477,6 +477,29 @@
     });
 }
 
+// Danger: a whole list costs an overloaded discovery most, and all relays ask it.
+#[test]
+fn a_watch_that_is_turned_away_is_asked_for_again_from_the_version_that_is_known() {
+    run(async {
+        let host = free_address();
+        let platform = StandIn::start(move |heard| match heard.line.contains("index=") {
+            true => answer(503, "", ""),
+            false => answer(200, "", &list(host, "Ready").to_string()),
+        });
+        let Follower { address: _address, asks, mut incoming } = follow(platform.address);
+        let rev = match incoming.recv().await {
+            Some(Input::Listed(list)) => list.rev,
+            other => panic!("{other:?}"),
+        };
+        assert!(matches!(incoming.recv().await, Some(Input::ListRefused)));
+        asks.send(WATCH).expect("listening");
+        assert!(matches!(incoming.recv().await, Some(Input::ListRefused)));
+        let lines: Vec<String> = platform.heard().into_iter().map(|heard| heard.line).collect();
+        let watch = format!("GET /catalog/members?index={rev}&wait=100 HTTP/1.1");
+        assert_eq!(lines[1..], [watch.clone(), watch]);
+    });
+}
+
 #[test]
 fn a_list_that_can_not_be_had_or_read_is_a_failure() {
     run(async {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -55,6 +55,8 @@
 const ROUGH: f64 = 1.5;
 /// Weight of a new sample in a mean.
 const SAMPLE: f64 = 0.15;
+/// Weight of a destination's newest word of its limit: noisy, and a change is to count within a few calls.
+const NEWS: f64 = 0.5;
 /// Answer time taken for a route that has not answered yet (us).
 const FIRST_GUESS: f64 = 300_000.0;
 /// Part of the room for messages kept free, so that this module and not the door picks what is turned away.
@@ -73,6 +75,8 @@
 const LOOK: Micros = 25_000;
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
+/// One that turns calls away: a sender's turn (us), ten calls a second by all in sum, and the longest pause.
+const ASK_APART: (Micros, Micros) = (100_000, 10 * ROUND);
 
 /// The decisions of one sender.
 pub struct Brain {
@@ -127,21 +131,19 @@
     Report { senders: 1.0, designated, full, spare, used: route.used, refused: route.refused }
 }
 
-/// A sender's pace in calls a second. Departure: slack that nobody used last round is lent evenly, so that a
-/// clump at a sender trimmed before need not wait. Harm: all may draw on it at once, for a round at most.
+/// A sender's pace in calls a second. Departure: slack that nobody used is lent evenly, for a round.
 fn pace(route: &Route) -> f64 {
     route.share * route.pool + route.slack
 }
 
-/// Closes a round; tells whether all was refused. Danger: sums met by a later round's report are a round old,
-/// and the fractions of many senders swing ever more: they settle as they come, with the report that asked.
+/// Closes a round; tells a home whether all was refused for two. Danger: sums met by a later round's report
+/// are a round old, and the fractions of many senders swing ever more: they settle as they come.
 fn close_round(route: &mut Route, waits: bool, settings: &Settings, now: Micros) -> bool {
     route.fill(pace(route), seconds(BURST), now);
     let mine = report(route, waits);
     route.asked = Some(mine).filter(|_| route.bound && !route.is_home);
     let later = route.asked.is_some() && route.hears(EXPIRY, now);
     let all = if later { mine } else { settle(route, mine, settings, now) };
-    // Danger: a clump turned away at some senders passes for an outage. Only a home knows, after two rounds.
     let barren = all.used - all.refused <= 0.0 && all.refused > TRIP;
     route.barren = if barren { route.barren + 1 } else { 0 };
     route.start_round();
@@ -159,13 +161,12 @@
         if refused > 0.0 && served > 0.0 {
             route.pool = (route.pool * CUT).max(served);
         } else if refused == 0.0 && used > route.pool * WELL_USED {
-            let exact = settings.listing == Listing::Nominal || route.told.is_some();
-            let most = if exact { source(route) } else { f64::MAX };
-            route.pool = (route.pool * REGROWTH).min(most.max(route.pool));
+            route.pool *= REGROWTH;
         }
-        route.pool = route.pool.max(source(route) * LEAST_POOL_PART);
-        // One that hears nothing of the others takes an even slice.
-        let hears = route.hears(EXPIRY, now);
+        let rough = settings.listing != Listing::Nominal && route.told.is_none();
+        let source = source(route);
+        route.pool = route.pool.clamp(source * LEAST_POOL_PART, if rough { f64::MAX } else { source });
+        let hears = route.hears(EXPIRY, now); // nothing: an even slice
         let slack = if refused > 0.0 || !hears { 0.0 } else { (route.pool - used).max(0.0) };
         route.slack = slack / all.senders.max(1.0);
         let share = if hears { reallocate(&mine, &all) } else { even_slice(route, senders) };
@@ -190,8 +191,7 @@
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
-/// Holds a route for a wait that all were told, by chance for longer. What is owed there is what was refused,
-/// so that the wait says how many come again; each further refusal says that they were more.
+/// Holds a route for a wait that all were told, by chance for longer, the more so with refusals of its own.
 fn hold_apart(route: &mut Route, wait: Micros, now: Micros, seed: u64) {
     let longer = wait as f64 * chance(now, seed) * f64::from(1 + route.fulls);
     route.hold(now + wait + LOOK + longer as Micros);
@@ -431,8 +431,7 @@
         !stops && !over && !waits && State::may_reach(message, class, host)
     }
 
-    /// The second look, at the moment of writing. Danger: a connection takes long to open, or bytes to go,
-    /// and what was decided before that breaks a wait, a drain or a window of which the sender knows by now.
+    /// The second look, at the moment of writing: what was decided may break a wait or a drain told since.
     fn look_again(&mut self, id: MessageId, attempt: u32) {
         if self.may_still_go(id) {
             self.state.write(id, self.now);
@@ -468,8 +467,7 @@
         }
     }
 
-    /// Counts the permits of what is waited for. Danger: what a cold host is sent in the rule's window passes
-    /// a multiple of what it can do; each sender plans for its share of a part of that.
+    /// Counts the permits of what is waited for. Danger: all together send a cold host more than it can do.
     fn fill(&mut self) {
         let (now, senders, settings) = (self.now, f64::from(self.settings.senders), &self.settings);
         let wanted = self.state.waiting_counts();
@@ -562,8 +560,7 @@
         }
     }
 
-    /// Danger: those that hold the idle connections which fill a host's table are not those that get none.
-    /// What one sees of a kind of host it tells all, once. Harms: handshakes, where the host was just down.
+    /// Danger: those whose idle connections fill a host's table are not those that get none: all are told.
     fn crowd(&mut self, id: HostId, seen: bool) {
         let Some(Host { kind, route, .. }) = self.state.hosts.get(&id) else { return };
         let (kind, destination, now) = (*kind, route.0, self.now);
@@ -580,7 +577,7 @@
     fn judge(&mut self, id: HostId, outcome: Outcome, sent_at: Micros, limit: Option<Allowance>) {
         let now = self.now;
         let Some((host, route)) = self.state.host_and_route(id) else { return };
-        route.tell_limit(limit, SAMPLE);
+        route.tell_limit(limit, NEWS);
         let silent = host.heard_at <= sent_at;
         host.heard_at = if outcome.is_heard() { now } else { host.heard_at };
         match outcome {
@@ -677,9 +674,14 @@
     fn learn(&mut self, news: RegistryNews) {
         let whole = matches!(news, RegistryNews::Whole(_));
         let (RegistryNews::Whole(entries) | RegistryNews::Changes(entries)) = news else {
-            // Danger: asking a list that is down in a loop keeps it down.
-            let pause = (2 * self.agenda.ask_pause).clamp(ASK_PAUSE, self.settings.ask_within.max(ASK_PAUSE));
-            let ask_at = self.settings.ask_registry.then_some(self.now + pause);
+            // Danger: many that ask an overloaded list at one pace keep it so: calls wait till given up.
+            let (apart, senders) = (matches!(news, RegistryNews::Refused), u64::from(self.settings.senders));
+            let most = if apart { ASK_APART.1 } else { self.settings.ask_within };
+            let least = if apart { ASK_APART.0 * senders } else { ASK_PAUSE };
+            let part = if apart { chance(self.now, self.seed) } else { 0.5 };
+            let pause = (2 * self.agenda.ask_pause).max(least).min(most).max(ASK_PAUSE);
+            let ask_at = self.now + (pause as f64 * (0.5 + part)) as Micros;
+            let ask_at = self.settings.ask_registry.then_some(ask_at);
             return (self.agenda.ask_pause, self.agenda.ask_at) = (pause, ask_at);
         };
         self.agenda.ask_pause = 0;
@@ -710,8 +712,8 @@
             (host.bad_since, host.failed) = (*since.min(&now), true);
             self.turn(*id, Health::Open, "open", "was out before the restart");
         }
-        let of = learnt.routes.len();
-        self.actions.push(Action::Log(format!("learnt before the restart: {kept} of {of} routes kept")));
+        let text = format!("learnt before the restart: {kept} of {} routes kept", learnt.routes.len());
+        self.actions.push(Action::Log(text));
     }
 
     /// Tells the homes of the routes in use of the round that ends; one of them, in turn, is asked for sums.
@@ -750,8 +752,7 @@
         }
     }
 
-    /// Danger: where refused calls use up a limit, each in a wait makes it longer, and hardly one in two is
-    /// told: who is told of a `limited` route's wait tells all.
+    /// Danger: calls refused in a wait make it longer: who is told of a `limited` route's wait tells all.
     fn heed_wait(&mut self, id: RouteId, wait: Micros, limited: bool) {
         let Some(route) = self.state.routes.get_mut(&id) else { return };
         let until = self.now + wait + LOOK;
@@ -782,9 +783,8 @@
                     self.post(Some(from), Purpose::Sums, Record { report, asks: false, ..told });
                 }
             }
-            // Bounded, as a peer's bytes are not to be trusted.
             (Purpose::Wait, None, Some(route)) => {
-                // Danger: unpaced, all that only heard of the wait come at its end, and far too many.
+                // Bounded: bytes are not trusted. Danger: unpaced, all that only heard of it come at its end.
                 if !route.bound {
                     bind(route, f64::from(senders), now);
                     route.tokens = chance(now, self.seed);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -175,6 +175,8 @@
     Changes(Vec<Listed>),
     /// A call failed or a subscription broke; the list stays as it was.
     Failed,
+    /// The same, since the registry has more calls than it can answer.
+    Refused,
 }
 
 /// How an attempt ended.
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -598,6 +598,37 @@
     assert!(low <= 16 * 4 && high >= 40, "{low} and {high}");
 }
 
+// Danger: a limit is lowered for a while, and each sender finds that out by refusals of its own, which use it up.
+#[test]
+fn a_limit_that_is_told_lower_is_paced_to_within_a_few_calls() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 40.0)]);
+    bind(&mut sender);
+    let mut calls_in = |rate: f64, messages: u64, pause: Micros| {
+        let mut calls = 0;
+        for _ in 0..messages {
+            let (_, mut actions) = sender.hand_in(FREE, 1);
+            actions.extend(sender.pass(pause));
+            let mut out = sends(&actions);
+            while let Some(sent) = out.pop() {
+                calls += 1;
+                for attempt in 0..6 {
+                    let Event::Ended(ended) = Sent { attempt, ..sent }.ended(Outcome::Ok) else {
+                        unreachable!()
+                    };
+                    let limit = Some(Allowance { rate, left: None });
+                    out.extend(sends(&sender.step(vec![Event::Ended(Ended { limit, ..ended })])));
+                }
+            }
+        }
+        calls
+    };
+    calls_in(40.0, 100, 20 * MILLI);
+    assert!(calls_in(8.0, 6, 500 * MILLI) >= 6);
+    let calls = calls_in(8.0, 200, 20 * MILLI);
+    // A round at the old pace of 20 a second at the most, then an even slice of eight.
+    assert!(calls <= 48, "{calls} calls in four seconds");
+}
+
 // Danger: a host is preferred for an idle connection that was closed in fact.
 #[test]
 fn a_connection_that_was_not_kept_counts_for_nothing() {
@@ -1040,6 +1071,31 @@
     assert!(pauses.iter().all(|pause| *pause <= settings.ask_within + 20 * MILLI));
 }
 
+// Danger: the registry has more calls than it can answer. All ask again at one pace, each call waits in line until
+// it is given up, and for the whole day nobody has an answer.
+#[test]
+fn a_registry_that_turns_calls_away_is_asked_ever_more_seldom_and_not_by_all_at_once() {
+    let mut asked = vec![Vec::new(); 50];
+    for (seed, asked) in asked.iter_mut().enumerate() {
+        let settings = Settings { ask_registry: true, ask_within: 0, senders: 50, ..settings() };
+        let mut sender = Sender::seeded((1 + seed as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15), settings, &[]);
+        for _ in 0..6000 {
+            sender.now += 10 * MILLI;
+            let refused = Event::Registry(RegistryNews::Refused);
+            if asked.is_empty() || sender.step(vec![Event::Timer]).contains(&Action::Subscribe) {
+                asked.push(sender.now);
+                sender.step(vec![refused]);
+            }
+        }
+    }
+    // 5 s in the mean, then twice that, then 20 s.
+    let in_last_half: usize =
+        asked.iter().map(|at| at.iter().filter(|at| **at > START + 30 * SECOND).count()).sum();
+    assert!((50..=125).contains(&in_last_half), "{in_last_half} calls by 50 in 30 s");
+    let turns: std::collections::BTreeSet<_> = asked.iter().map(|at| at[2] / (100 * MILLI)).collect();
+    assert!(turns.len() > 10, "the third call of 50 comes in {} tenths of a second", turns.len());
+}
+
 // Danger: a destination's number comes from outside, and the greatest one has none after it.
 #[test]
 fn the_greatest_destination_number_is_one_like_others() {
