No permit is saved up in a told wait, and a limit told to one is believed by the fleet

At a limit of 170 a second 214 calls went in the first second, 21 were refused, and the destination then stood idle for a second: a told wait of 0.76 s lasted 1.4 s in the mean, as each relay stretched it by chance (`hold_apart`). Ruled out: shares (their sum rests at 1.0 to 1.1), waits (none then), refusals (none then).

Now no permit is gained in a told wait, which ends for all at once; they come at the sum of their paces, and `hold_apart` goes. Reports carry what answers told of the limit in the round (version 3 of the peer messages; others are dropped), the mean is believed, and a pool is the same part of a limit before and after it moves, as the design's fractions mean it.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -128,7 +128,9 @@
     let designated = if route.bound { route.share * route.pool * seconds(ROUND) } else { route.used };
     let is_full = waits || (route.used > 0.0 && route.used + 1.0 > designated); // whole permits
     let (full, spare) = if is_full { (designated, 0.0) } else { (0.0, designated - route.used) };
-    Report { senders: 1.0, designated, full, spare, used: route.used, refused: route.refused }
+    let (limits, tellers) = route.read.map_or((0.0, 0.0), |rate| (rate, 1.0));
+    let (used, refused) = (route.used, route.refused);
+    Report { senders: 1.0, designated, full, spare, used, refused, limits, tellers }
 }
 
 /// A sender's pace in calls a second. Departure: slack that nobody used is lent evenly, for a round.
@@ -154,6 +156,8 @@
 fn settle(route: &mut Route, mine: Report, settings: &Settings, now: Micros) -> Report {
     let senders = f64::from(settings.senders);
     let all = route.others(settings.me, FRESH, EXPIRY, now) + mine;
+    // Danger: a limit moves, and senders that call it once a round learn so in many, or by refusals.
+    all.limit().filter(|rate| *rate >= LEAST_POOL).into_iter().for_each(|rate| route.believe(rate, 1.0));
     let (used, refused) = (all.used / seconds(ROUND), all.refused / seconds(ROUND));
     let served = (used - refused).max(0.0);
     route.peak = served.max(route.peak / FADE);
@@ -191,12 +195,6 @@
     (pause as f64 * (0.5 + chance(now, seed))) as Micros
 }
 
-/// Holds a route for a wait that all were told, by chance for longer, the more so with refusals of its own.
-fn hold_apart(route: &mut Route, wait: Micros, now: Micros, seed: u64) {
-    let longer = wait as f64 * chance(now, seed) * f64::from(1 + route.fulls);
-    route.hold(now + wait + LOOK + longer as Micros);
-}
-
 /// How long no sign of life from a route's host is borne.
 fn patience(route: &Route) -> Micros {
     let bound = (route.answer_time + PATIENCE * route.deviation) as Micros;
@@ -760,7 +758,7 @@
             return route.hold(until);
         }
         let news = until > route.wait_until + FULL_PAUSE;
-        hold_apart(route, wait, self.now, self.seed);
+        route.rest(until);
         if news {
             self.post(None, Purpose::Wait, Record::of_wait(id, wait));
         }
@@ -789,7 +787,7 @@
                     bind(route, f64::from(senders), now);
                     route.tokens = chance(now, self.seed);
                 }
-                hold_apart(route, told.wait().min(EXPIRY), now, self.seed);
+                route.rest(now + told.wait().min(EXPIRY) + LOOK);
             }
             (Purpose::Sums, None, Some(route)) => {
                 route.rest = Some((now, told.report));
--- a/src/memo.rs
+++ b/src/memo.rs
@@ -6,10 +6,12 @@
 use crate::interface::{DestinationId, HostId, Micros};
 use crate::state::{Report, RouteId};
 
-const VERSION: u8 = 2;
+const VERSION: u8 = 3;
 /// Bytes of the longest number taken.
 const LONGEST: usize = 4;
 const PER_PERMIT: f64 = 100.0;
+/// Steps in which a limit is told, to a call a second.
+const PER_CALL: f64 = 10.0;
 
 /// What is told of one route.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -105,6 +107,8 @@
             spare: take(bytes)? / PER_PERMIT,
             used: take(bytes)?,
             refused: take(bytes)?,
+            limits: take(bytes)? / PER_CALL,
+            tellers: take(bytes)?,
         };
     }
     Some(record)
@@ -121,7 +125,8 @@
     bytes.extend(record.host.iter().flat_map(|host| host.0.to_be_bytes()));
     let report = record.report;
     let permits = [report.designated, report.full, report.spare].map(|permits| permits * PER_PERMIT);
-    let figures = [report.senders].into_iter().chain(permits).chain([report.used, report.refused]);
+    let rest = [report.used, report.refused, report.limits * PER_CALL, report.tellers];
+    let figures = [report.senders].into_iter().chain(permits).chain(rest);
     for figure in figures.filter(|_| !up) {
         put(&mut bytes, figure);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -129,9 +129,17 @@
     pub spare: f64,
     pub used: f64,
     pub refused: f64,
+    /// Limits that answers told in the round, in calls a second, and how many senders were told of one.
+    pub limits: f64,
+    pub tellers: f64,
 }
 
 impl Report {
+    /// What the senders were told of the limit, in the mean.
+    pub fn limit(&self) -> Option<f64> {
+        (self.tellers > 0.0).then(|| self.limits / self.tellers)
+    }
+
     /// What a sender that leaves reports: it used its permits, and has none any more.
     pub fn parting(self) -> Self {
         Report { used: self.used, refused: self.refused, ..Report::default() }
@@ -139,7 +147,8 @@
 
     /// What a sender without a newer report has done since.
     pub fn idle(self) -> Self {
-        Report { full: 0.0, spare: self.designated, used: 0.0, refused: 0.0, ..self }
+        let Report { senders, designated, .. } = self;
+        Report { senders, designated, spare: designated, ..Report::default() }
     }
 }
 
@@ -154,6 +163,8 @@
             spare: self.spare + other.spare,
             used: self.used + other.used,
             refused: self.refused + other.refused,
+            limits: self.limits + other.limits,
+            tellers: self.tellers + other.tellers,
         }
     }
 }
@@ -164,6 +175,8 @@
     /// Calls a second by the registry's list and by the destination's own answers.
     pub listed: Option<f64>,
     pub told: Option<f64>,
+    /// What an answer told in this round, as it was.
+    pub read: Option<f64>,
     /// Hosts that share it.
     pub hosts: f64,
     /// This sender gathers its reports.
@@ -209,19 +222,34 @@
         self.is_home || self.rest.is_some_and(|(at, _)| at + expiry > now)
     }
 
-    /// Books what the destination told of its limit, if it did; a new word has this weight in the mean.
+    /// Books what the destination told of its limit, if it did; a new word has this weight in the mean. The pool
+    /// is so much of the limit as before.
     pub fn tell_limit(&mut self, limit: Option<Allowance>, weight: f64) {
         if let Some(Allowance { rate, .. }) = limit {
-            let told = self.told.get_or_insert(rate);
-            *told += (rate - *told) * weight;
+            self.read = Some(rate);
+            self.believe(rate, weight);
         }
     }
 
+    /// Takes over a limit of which this sender or others were told.
+    pub fn believe(&mut self, rate: f64, weight: f64) {
+        let told = self.told.get_or_insert(rate);
+        let before = std::mem::replace(told, *told + (rate - *told) * weight);
+        self.pool *= if before > 0.0 { *told / before } else { 1.0 };
+    }
+
     /// Holds all calls back until then, at the least.
     pub fn hold(&mut self, until: Micros) {
         self.wait_until = self.wait_until.max(until);
     }
 
+    /// The same for a wait that all heed. Danger: each sender saves up a permit meanwhile, and all of them come
+    /// together at its end.
+    pub fn rest(&mut self, until: Micros) {
+        self.hold(until);
+        self.filled_at = self.filled_at.max(self.wait_until);
+    }
+
     /// Takes back the permit of a call that never came to the limit.
     pub fn give_back(&mut self) {
         (self.used, self.tokens) = ((self.used - 1.0).max(0.0), self.tokens + 1.0);
@@ -233,7 +261,7 @@
             report.used -= report.refused;
             report.refused = 0.0;
         }
-        (self.used, self.refused) = (0.0, 0.0);
+        (self.used, self.refused, self.read) = (0.0, 0.0, None);
     }
 
     /// What the peers but one reported, added up. A report counts until it is `fresh` no more, and then tells
@@ -254,9 +282,9 @@
 
     /// Counts permits up to now at `pace`; as many are saved up as it gives in `burst` seconds, one at least.
     pub fn fill(&mut self, pace: f64, burst: f64, now: Micros) {
-        let gained = pace * seconds(now - self.filled_at);
+        let gained = pace * seconds(now.saturating_sub(self.filled_at));
         self.tokens = (self.tokens + gained).min((pace * burst).max(1.0));
-        self.filled_at = now;
+        self.filled_at = self.filled_at.max(now);
     }
 }
 
