The wait for later list answers stands in waits.rs; the hold that gains no permit has its own name

Half of the watch's wait was worked out in the discovery driver, where no tuned value belongs: it is waits::LIST_ANSWER now, 2.5 s as before, and Watch names the first answer's wait apart. Route had a field and a method called rest, of which the method had nothing to do with the field: it is hold_paced.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -22,7 +22,8 @@
 pub struct Watch {
     /// How long discovery may hold an answer back while nothing changes.
     pub wait: Duration,
-    /// How long it may take beyond that.
+    /// How long it may take beyond that: the first, for which a start waits, and any later one.
+    pub first: Duration,
     pub patience: Duration,
 }
 
@@ -38,7 +39,7 @@
     while let Some(watch) = asked.recv().await {
         // Danger: in the line of an overloaded discovery a call takes longer than a start may wait, and each
         // that is given up there was work for nothing.
-        let patience = if first { watch.patience } else { watch.wait / 2 };
+        let patience = if first { watch.first } else { watch.patience };
         first = false;
         let end = loop {
             let (path, limit) = match known {
--- a/crates/relay/src/serve.rs
+++ b/crates/relay/src/serve.rs
@@ -360,8 +360,9 @@
             }
             Effect::Follow => {
                 let wait = Duration::from_micros(waits::LIST);
-                let patience = Duration::from_micros(waits::ANSWER);
-                let _ = self.follow.send(Watch { wait, patience });
+                let first = Duration::from_micros(waits::ANSWER);
+                let patience = Duration::from_micros(waits::LIST_ANSWER);
+                let _ = self.follow.send(Watch { wait, first, patience });
             }
             Effect::Move(address) => {
                 self.discovery.send_replace(address);
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -433,7 +433,11 @@
     incoming: UnboundedReceiver<Input>,
 }
 
-const WATCH: Watch = Watch { wait: Duration::from_millis(100), patience: Duration::from_secs(2) };
+const WATCH: Watch = Watch {
+    wait: Duration::from_millis(100),
+    first: Duration::from_secs(2),
+    patience: Duration::from_millis(50),
+};
 
 fn follow(address: SocketAddr) -> Follower {
     let (inputs, incoming) = Inputs::new();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -758,7 +758,7 @@
             return route.hold(until);
         }
         let news = until > route.wait_until + FULL_PAUSE;
-        route.rest(until);
+        route.hold_paced(until);
         if news {
             self.post(None, Purpose::Wait, Record::of_wait(id, wait));
         }
@@ -787,7 +787,7 @@
                     bind(route, f64::from(senders), now);
                     route.tokens = chance(now, self.seed);
                 }
-                route.rest(now + told.wait().min(EXPIRY) + LOOK);
+                route.hold_paced(now + told.wait().min(EXPIRY) + LOOK);
             }
             (Purpose::Sums, None, Some(route)) => {
                 route.rest = Some((now, told.report));
--- a/src/state.rs
+++ b/src/state.rs
@@ -245,7 +245,7 @@
 
     /// The same for a wait that all heed. Danger: each sender saves up a permit meanwhile, and all of them come
     /// together at its end.
-    pub fn rest(&mut self, until: Micros) {
+    pub fn hold_paced(&mut self, until: Micros) {
         self.hold(until);
         self.filled_at = self.filled_at.max(self.wait_until);
     }
--- a/src/waits.rs
+++ b/src/waits.rs
@@ -5,7 +5,9 @@
 
 /// For news of the list: what discovery may hold an answer back for while nothing changes.
 pub const LIST: Micros = 5_000_000;
-/// For an answer about the list or to a notice, and for the rest of any answer that has begun.
+/// For an answer about the list after the first: an overloaded discovery has a call in line for 2 s.
+pub const LIST_ANSWER: Micros = 2_500_000;
+/// For the first answer about the list or one to a notice, and for the rest of any answer that has begun.
 pub const ANSWER: Micros = 500_000;
 /// Before what failed is tried again, and for the last bytes on a connection that closes.
 pub const PAUSE: Micros = 100_000;
