Tests share one end with a told limit, and the project's own scattering of seeds

Two tests had the same loop over attempt numbers that ends a call and tells a limit; two spelt out the factor that state::scattered has; the fleet of the tests split its post by hand. Same seeds, same assertions.

--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -6,7 +6,7 @@
 use pewterseam::brain::reallocate;
 use pewterseam::interface::*;
 use pewterseam::memo::{self, Memo, Purpose, Record};
-use pewterseam::state::Report;
+use pewterseam::state::{Report, scattered};
 
 fn report(designated: f64, used: f64) -> Report {
     let full = if used + 1.0 > designated { designated } else { 0.0 };
@@ -40,6 +40,16 @@
     (0..6).flat_map(|attempt| sender.outcome(&Sent { attempt, ..sent }, outcome)).collect()
 }
 
+/// The same, with the destination's limit told.
+fn end_telling(sender: &mut Sender, sent: Sent, outcome: Outcome, rate: f64) -> Vec<Action> {
+    let limit = Some(Allowance { rate, left: None });
+    let told = |attempt| {
+        let Event::Ended(ended) = Sent { attempt, ..sent }.ended(outcome) else { unreachable!() };
+        sender.step(vec![Event::Ended(Ended { limit, ..ended })])
+    };
+    (0..6).flat_map(told).collect()
+}
+
 /// Has calls, and those that follow at once, answered well, and counts them.
 fn answer(sender: &mut Sender, mut out: Vec<Sent>) -> usize {
     let mut count = 0;
@@ -80,7 +90,7 @@
             let mut settings = settings();
             (settings.me, settings.senders) = (me, count);
             (settings.slots, settings.most_held) = (50, 500);
-            let seed = u64::from(me + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            let seed = scattered(u64::from(me + 1), 0);
             Sender::seeded(seed, settings, &[listed(1, 1, 40.0)])
         };
         Fleet { senders: (0..count).map(sender).collect(), post: Vec::new() }
@@ -103,9 +113,7 @@
     fn pass(&mut self) -> Vec<(u16, Sent)> {
         self.senders.iter_mut().for_each(|sender| sender.now += 10 * MILLI);
         let now = self.senders[0].now;
-        let (due, post) = std::mem::take(&mut self.post).into_iter().partition(|(at, ..)| *at <= now);
-        self.post = post;
-        let due: Vec<_> = due;
+        let due: Vec<_> = self.post.extract_if(.., |(at, ..)| *at <= now).collect();
         let mut sent = Vec::new();
         for me in 0..self.senders.len() as u16 {
             let mine = due.iter().filter(|(_, _, to, _)| *to == me);
@@ -581,14 +589,7 @@
                     let outcome = if room > 0 { Outcome::Ok } else { Outcome::Full { wait: 0 } };
                     served += room.min(1);
                     room = room.saturating_sub(1);
-                    for attempt in 0..6 {
-                        let Event::Ended(ended) = Sent { attempt, ..sent }.ended(outcome) else {
-                            unreachable!()
-                        };
-                        let ended =
-                            Ended { limit: Some(Allowance { rate: limit as f64, left: None }), ..ended };
-                        out.extend(sends(&sender.step(vec![Event::Ended(ended)])));
-                    }
+                    out.extend(sends(&end_telling(&mut sender, sent, outcome, limit as f64)));
                 }
             }
         }
@@ -611,13 +612,7 @@
             let mut out = sends(&actions);
             while let Some(sent) = out.pop() {
                 calls += 1;
-                for attempt in 0..6 {
-                    let Event::Ended(ended) = Sent { attempt, ..sent }.ended(Outcome::Ok) else {
-                        unreachable!()
-                    };
-                    let limit = Some(Allowance { rate, left: None });
-                    out.extend(sends(&sender.step(vec![Event::Ended(Ended { limit, ..ended })])));
-                }
+                out.extend(sends(&end_telling(&mut sender, sent, Outcome::Ok, rate)));
             }
         }
         calls
@@ -1104,7 +1099,7 @@
     let mut asked = vec![Vec::new(); 50];
     for (seed, asked) in asked.iter_mut().enumerate() {
         let settings = Settings { ask_registry: true, ask_within: 0, senders: 50, ..settings() };
-        let mut sender = Sender::seeded((1 + seed as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15), settings, &[]);
+        let mut sender = Sender::seeded(scattered(1 + seed as u64, 0), settings, &[]);
         for _ in 0..6000 {
             sender.now += 10 * MILLI;
             let refused = Event::Registry(RegistryNews::Refused);
