--- a/src/brain/shares.rs
+++ b/src/brain/shares.rs
@@ -93,7 +93,7 @@
         let slack = if refused > 0.0 || !hears { 0.0 } else { (route.pool - used).max(0.0) };
         route.slack = slack / all.senders.max(1.0);
         let share = if hears { reallocate(&mine, &all) } else { even_slice(route, senders) };
-        // Danger: refused calls use a limit up, nobody tells of it, all come again, and none is served all day.
+        // Danger: refused calls use a limit up, nobody tells of it, all come again, and none is served.
         let gained = if served * mine.full > 0.0 { LEAST_SHARE / senders } else { 0.0 };
         let found = if refused > 0.0 { route.share * CUT } else { route.share + gained };
         route.share = if alone { found } else { share }.max(LEAST_SHARE / senders);
