--- a/src/brain/list.rs
+++ b/src/brain/list.rs
@@ -4,7 +4,7 @@
 
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// One that turns calls away: a sender's turn (us), and the longest pause; 1.5 of it are under the 6 s of news.
+/// One that turns calls away: a sender's turn (us), and the longest pause; 1.5 of it are less than news' 6 s.
 const ASK_APART: (Micros, Micros) = (100_000, 3_500_000);
 
 impl Brain {
--- a/src/brain/shares.rs
+++ b/src/brain/shares.rs
@@ -30,7 +30,7 @@
 }
 
 /// An even slice. Departure: with many senders it would be less than a permit a round, for a route that few
-/// of them use; it is a permit a round at the least. Harm: an overspent pool until reports are in, if any are.
+/// of them use; it is a permit a round at the least. Harm: an overspent pool until reports are in.
 fn even_slice(route: &Route, senders: f64) -> f64 {
     let least = if route.finds_alone() { 0.0 } else { 1.0 / (route.pool * seconds(ROUND)) };
     (1.0 / senders).max(least).min(1.0)
