What a restart finds taken on and untried is still tried when the first list lacks its destination

Seen by reading, then forced on a real process: a message taken on and never tried, a kill, and a first list without a host of its destination (a release replaces them just then): given up at once by a notice, without a call (held 0, returned 1). Cause: room.rs take_on refuses at once what no host was ever listed for if its history is empty, and that of a restored message that was never tried is as empty as a new one's (start.rs restore). Ruled out: a start before the first list (State::knows says yes then), messages with an attempt behind them. Change: a restored message says so (History::restored); it waits for a host while its time lasts. Tests: that one, which fails without the change.

--- a/crates/node/src/reducer/start.rs
+++ b/crates/node/src/reducer/start.rs
@@ -59,7 +59,7 @@
         let failed_at = failed_at.or(failed.then_some(0));
         let zone = ran_in.and_then(|zone| self.names.zone(zone));
         let ran = ran.map(|at| Ran { at, zone });
-        let history = History { attempts, ran, failed_at, cut_at, over: closing.is_some() };
+        let history = History { restored: true, attempts, ran, failed_at, cut_at, over: closing.is_some() };
         order.map(|order| Event::Message(Order { history, ..order }))
     }
 }
--- a/crates/relay/tests/closing.rs
+++ b/crates/relay/tests/closing.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::future::Future;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 use std::thread;
@@ -17,7 +16,6 @@
 use pewterseam_relay::limits::Budget;
 use pewterseam_relay::sockets;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::LocalSet;
 
 const PACE: Pace = Pace {
     patience: Duration::from_secs(10),
@@ -27,12 +25,6 @@
 };
 const BUDGET: Budget = Budget { clients: 4, leaving: 4, idle: 4, held: 1_000_000 };
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let whole = async { tokio::time::timeout(PATIENCE, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, whole);
-}
-
 fn serve() -> (Clients, std::net::SocketAddr, UnboundedReceiver<Input>) {
     let address = free_address();
     let listener = sockets::listen(address).expect("bound");
@@ -42,12 +34,6 @@
     (clients, address, incoming)
 }
 
-async fn until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
 // Danger: the process ends while a connection is being closed, with bytes of its client unread. The system resets it
 // then, and the last answer is lost on its way.
 #[test]
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -181,6 +181,20 @@
     }
 }
 
+/// Runs what a test does in tasks, within its patience.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let whole = async { tokio::time::timeout(PATIENCE, test).await.expect("in time") };
+    tokio::task::LocalSet::new().block_on(&runtime, whole);
+}
+
+/// Lets tasks go on until something becomes true.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
 /// A relay's folder and configuration; processes come and go.
 pub struct Place {
     pub folder: tempfile::TempDir,
--- a/crates/relay/tests/connections.rs
+++ b/crates/relay/tests/connections.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
 use std::thread;
 
@@ -18,17 +17,10 @@
 use pewterseam_relay::inputs::Inputs;
 use serde_json::from_value;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::task::LocalSet;
 
 const START: Micros = 1_700_000_000_000_000;
 const SECOND: Micros = 1_000_000;
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let whole = async { tokio::time::timeout(PATIENCE, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, whole);
-}
-
 /// A reducer whose connections are real, and whose clock stands still.
 struct Driven {
     reducer: Reducer,
--- a/crates/relay/tests/discovery.rs
+++ b/crates/relay/tests/discovery.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::future::Future;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -16,20 +15,6 @@
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
-
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let whole = async { tokio::time::timeout(PATIENCE, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, whole);
-}
-
-/// Lets tasks go on until something becomes true.
-async fn until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
 
 struct Follower {
     address: watch::Sender<SocketAddr>,
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -2,7 +2,6 @@
 
 mod common;
 
-use std::future::Future;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::thread;
@@ -24,24 +23,10 @@
 use serde_json::json;
 use tokio::sync::mpsc::{self, UnboundedReceiver};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
 
 const SECOND: Micros = 1_000_000;
 const ANSWER_PATIENCE: Micros = 200_000;
 
-fn run(test: impl Future<Output = ()>) {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let whole = async { tokio::time::timeout(PATIENCE, test).await.expect("in time") };
-    LocalSet::new().block_on(&runtime, whole);
-}
-
-/// Lets tasks go on until something becomes true.
-async fn until(condition: impl Fn() -> bool) {
-    while !condition() {
-        tokio::time::sleep(Duration::from_millis(5)).await;
-    }
-}
-
 // ---- Hosts
 
 struct Caller {
--- a/crates/relay/tests/restart.rs
+++ b/crates/relay/tests/restart.rs
@@ -174,6 +174,34 @@
     assert_eq!(notices(&platform), []);
 }
 
+// Danger: the list has no host of a destination just as a relay starts again, and what it had taken on for it and never
+// tried is given up at once, without a call.
+#[test]
+fn what_was_never_tried_before_a_restart_waits_for_a_host_that_the_first_list_lacks() {
+    let platform = platform(free_address());
+    let place = Place::new(platform.address);
+    let relay = place.start();
+    assert_eq!(relay.hand_in(&message("m1", "transfer", None, b"")), 202);
+    relay.kill();
+    let host = StandIn::start(|_| answer(200, "", ""));
+    let other = host.address;
+    let without = move |heard: &Heard| {
+        let mut list = list(other, "Ready");
+        (list["targets"][0]["uid"], list["targets"][0]["pod_group"]) = (json!("s-2"), json!(8));
+        if heard.line.contains("index=") { None } else { answer(200, "", &list.to_string()) }
+    };
+    platform.behave(
+        move |heard| {
+            if heard.line.starts_with("POST") { answer(204, "", "") } else { without(heard) }
+        },
+    );
+    let relay = place.start();
+    assert_eq!((relay.counter("held"), relay.counter("returned")), (1, 0));
+    platform.behave(move |heard| platform_answer(heard, other));
+    wait_for("delivered", || relay.counter("held") == 0);
+    assert_eq!((host.ids(), notices(&platform)), (vec!["m1".to_owned()], vec![]));
+}
+
 #[test]
 fn a_journal_that_ends_in_half_a_record_is_read_up_to_there() {
     let host = StandIn::start(|_| None);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -245,6 +245,8 @@
 /// handed in before all others, in the order in which they were first taken.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct History {
+    /// It was taken on by an earlier sender: its end is owed, whatever is known of its destination yet.
+    pub restored: bool,
     pub attempts: u32,
     /// The first attempt that may have run.
     pub ran: Option<Ran>,
