--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -86,7 +86,7 @@
                 let (attempts, ran) = (known.attempts, known.ran);
                 let failed_at = (known.attempts > 1).then_some(0);
                 let (cut_at, over) = (cut.map(|_| now), known.answered);
-                let history = History { attempts, ran, failed_at, cut_at, over };
+                let history = History { restored: true, attempts, ran, failed_at, cut_at, over };
                 events.push(Event::Message(Request { history, ..known.request }));
             }
         }
