--- a/src/brain/list.rs
+++ b/src/brain/list.rs
@@ -4,8 +4,8 @@
 
 /// First pause before the registry is asked again (us), doubled with each failure.
 const ASK_PAUSE: Micros = 500_000;
-/// One that turns calls away: a sender's turn (us), and the longest pause; 1.5 of it are less than news' 6 s.
-const ASK_APART: (Micros, Micros) = (100_000, 3_500_000);
+/// One that turns calls away: a sender's turn (us), and the longest pause; 1.25 of it are less than 6 s.
+const ASK_APART: (Micros, Micros) = (100_000, 4_300_000);
 
 impl Brain {
     pub(super) fn learn(&mut self, news: RegistryNews) {
@@ -15,7 +15,7 @@
             let (apart, senders) = (matches!(news, RegistryNews::Refused), u64::from(self.settings.senders));
             let most = if apart { ASK_APART.1 } else { self.settings.ask_within };
             let least = if apart { ASK_APART.0 * senders } else { ASK_PAUSE };
-            let part = if apart { chance(self.now, self.seed) } else { 0.5 };
+            let part = if apart { 0.25 + chance(self.now, self.seed) / 2.0 } else { 0.5 };
             let pause = (2 * self.agenda.ask_pause).max(least).min(most).max(ASK_PAUSE);
             let ask_at = self.now + (pause as f64 * (0.5 + part)) as Micros;
             let ask_at = Some(ask_at).filter(|_| self.settings.ask_registry);
--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -1115,7 +1115,7 @@
         assert!(longest.is_some_and(|pause| pause < 5_500 * MILLI), "{longest:?} of {senders}");
         let last_half = |at: &Vec<Micros>| at.iter().filter(|at| **at > START + 30 * SECOND).count();
         let in_last_half: usize = asked.iter().map(last_half).sum();
-        // At its longest a pause is 3.5 s in the mean.
+        // At its longest a pause is 4.3 s in the mean.
         assert!(in_last_half <= usize::from(senders) * 10, "{in_last_half} calls by {senders} in 30 s");
         let turns: std::collections::BTreeSet<_> = asked.iter().map(|at| at[2] / (100 * MILLI)).collect();
         assert!(
--- a/tests/same_actions.rs
+++ b/tests/same_actions.rs
@@ -15,7 +15,7 @@
 use world::World;
 
 /// All actions of all worlds, with their times.
-const SAME: u64 = 0x85b1_d9ed_f4f1_45a0;
+const SAME: u64 = 0x3c06_85b4_fa23_caa5;
 
 #[test]
 fn the_same_events_bring_the_same_actions() {
