Shared identities, records, placement and frames of the system

Cause: the system's planes need typed messages that they share before they can be written side by side.

--- /dev/null
+++ b/crates/wire/src/store.rs
@@ -0,0 +1,101 @@
+//! What relays and stores say to each other over the message log.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::identity::Owner;
+use crate::placement::{Partition, PlacementEpoch, StoreId};
+use crate::record::{End, Fact, MessageName, Record};
+
+/// A request to a store. Each is answered by one [`StoreResponse`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreRequest {
+    /// Keep a record. `Done` once it is synced. A record that is there already is acknowledged again.
+    Append { epoch: PlacementEpoch, record: Record },
+    /// Which messages of an ordering key are open? Answered by `OpenMessages`.
+    ListOpen { epoch: PlacementEpoch, partition: Partition, ordering_key: Arc<str> },
+    /// Keep facts, also about messages whose record is not here. `Done` once those that are ends are synced.
+    Settle { facts: Vec<Fact> },
+    /// What is known of these messages? Answered by `Statuses`, in the same order.
+    Look { names: Vec<MessageName> },
+    /// The record of a message with its body, open or dead. Answered by `Found`.
+    Fetch { name: MessageName },
+    /// These messages have this owner from now on; later owners replace earlier ones by `claim`. Answered by `Done`.
+    Claim { names: Vec<MessageName>, owner: Owner, claim: u32 },
+    /// A relay that stops gives these up: the stores offer them to other relays at once. `Done` when taken.
+    Release { names: Vec<MessageName>, owner: Owner },
+    /// A store that is new to partitions asks for all that is known of them, in pieces: `after` is the last message
+    /// name of the previous piece. Answered by `Contents`.
+    Pull { epoch: PlacementEpoch, partitions: Vec<Partition>, after: Option<MessageName> },
+}
+
+/// A store's answer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreResponse {
+    Done { store: StoreId },
+    OpenMessages { store: StoreId, names: Vec<MessageName> },
+    Statuses { store: StoreId, statuses: Vec<Status> },
+    Found { store: StoreId, record: Option<Record> },
+    Contents { store: StoreId, messages: Vec<StoredMessage>, is_last: bool },
+    /// Nothing was done, and why.
+    Declined { store: StoreId, reason: Decline },
+}
+
+/// Why a store did nothing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Decline {
+    /// The request rests on an older placement than the store's; ask for the newest.
+    StalePlacement,
+    /// The store is not in the group, or has not yet copied what it must know to answer.
+    NotInGroup,
+    /// The disk is full or failed.
+    Disk,
+    /// Too much is waiting.
+    Busy,
+}
+
+/// What a store knows of a message.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Status {
+    Unknown,
+    Open { owner: Owner, claim: u32, failures: u32 },
+    Ended(End),
+}
+
+/// A message as one store hands it to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredMessage {
+    pub name: MessageName,
+    /// None where only facts are known.
+    pub record: Option<Record>,
+    pub owner: Option<Owner>,
+    pub claim: u32,
+    pub failures: u32,
+    pub end: Option<End>,
+}
+
+/// What a store tells a relay unasked. Lost ones are told again for as long as they hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StoreNotice {
+    /// The owner of these messages is gone or gave them up, and the relay is the one to take them over. The store
+    /// repeats it about once a second until they are claimed or ended.
+    TakeOver { messages: Vec<OrphanMessage> },
+    /// A message has ended that messages of this relay wait for.
+    PredecessorEnded { name: MessageName },
+}
+
+/// A message without a live owner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrphanMessage {
+    pub record: Record,
+    /// The claim that the next owner makes is above this.
+    pub claim: u32,
+    pub failures: u32,
+    /// How long ago the store took the record, by its steady clock since, or by the time of day over a restart.
+    pub age_ms: u64,
+}
+
+/// A body alone, for callers that hold the rest.
+pub type Body = Bytes;
