--- /dev/null
+++ b/crates/queue/src/accept.rs
@@ -0,0 +1,260 @@
+//! Taking a message: which messages of its key are open, the record on a write quorum, the client's answer.
+
+use std::collections::BTreeSet;
+
+use pewterseam_wire::placement::{Group, Partition, StoreId};
+use pewterseam_wire::record::{MessageName, Record};
+use pewterseam_wire::store::StoreRequest;
+use pewterseam_wire::{Micros, WallMicros};
+
+use crate::calls::Purpose;
+use crate::clock::Timer;
+use crate::io::{Answer, ClientToken, Effect, MessageKey, NewMessage};
+use crate::machine::Queue;
+use crate::message::{Message, Stage};
+
+/// Part of the client's patience after which it is answered, whatever is known.
+const PATIENCE_PART: f64 = 0.9;
+/// When a client is told to come back while the stores cannot be reached.
+const RETRY_AFTER_STORES_MS: u64 = 1_000;
+/// When a client is told to come back while too much is held.
+const RETRY_AFTER_FULL_MS: u64 = 500;
+/// Open messages of one key that a new one may have as predecessors.
+const MOST_PREDECESSORS: usize = 400;
+/// Time added to `retentionS`, so that steps of the time of day never end a message early.
+const RETENTION_MARGIN: Micros = 5_000_000;
+
+const MILLISECOND: Micros = 1_000;
+
+impl Queue {
+    /// A client hands in a message.
+    pub fn accept(&mut self, now: Micros, wall: WallMicros, new: NewMessage) -> Vec<Effect> {
+        self.now = now;
+        let partition = Partition::of(new.ordering_key.as_deref().unwrap_or(&new.request_id));
+        let policy = self.routes.routes.get(&new.route);
+        let retention_ms = policy.map_or(0, |policy| policy.retention_ms);
+        if policy.is_none() || !self.has_room(new.body.len()) {
+            self.answer(new.token, Answer::Declined { retry_after_ms: RETRY_AFTER_FULL_MS });
+        } else if !self.stores.can_write(partition) {
+            self.answer(new.token, Answer::Declined { retry_after_ms: RETRY_AFTER_STORES_MS });
+        } else {
+            self.take(new, partition, retention_ms, wall);
+        }
+        self.take_effects()
+    }
+
+    fn has_room(&self, bytes: usize) -> bool {
+        self.messages.len() < self.settings.most_messages
+            && self.body_bytes + bytes <= self.settings.most_body_bytes
+    }
+
+    fn take(&mut self, new: NewMessage, partition: Partition, retention_ms: u64, wall: WallMicros) {
+        let patience = (new.patience_ms as f64 * PATIENCE_PART) as Micros * MILLISECOND;
+        let (token, delay, is_ordered) = (new.token, new.delay_ms * MILLISECOND, new.ordering_key.is_some());
+        let record = Record {
+            name: MessageName::new(&new.request_id, partition),
+            partition,
+            ordering_key: new.ordering_key,
+            predecessors: Vec::new(),
+            owner: self.settings.owner.clone(),
+            accepted_at: wall,
+            delay_ms: new.delay_ms,
+            retention_ms,
+            config_version: self.routes.version,
+            route: new.route,
+            host: new.host,
+            method: new.method,
+            target: new.target,
+            headers: new.headers,
+            body: new.body,
+        };
+        let stage = if is_ordered {
+            Stage::Listing { answered: BTreeSet::new(), found: BTreeSet::new() }
+        } else {
+            Stage::Writing
+        };
+        let mut message = Message::new(record, stage, self.now);
+        message.client = Some(token);
+        message.due_at = self.now + delay;
+        message.expires_at = self.now + retention_ms * MILLISECOND + RETENTION_MARGIN;
+        let Some(key) = self.insert(message) else {
+            self.answer(token, Answer::Declined { retry_after_ms: RETRY_AFTER_FULL_MS });
+            return;
+        };
+        self.clock.set(self.now + patience, Timer::Patience(key));
+        if is_ordered { self.list_open(key) } else { self.write(key) }
+    }
+
+    pub(crate) fn answer(&mut self, token: ClientToken, answer: Answer) {
+        self.effects.push(Effect::Answer { token, answer });
+    }
+
+    fn answer_client(&mut self, key: MessageKey, answer: Answer) {
+        let client = self.messages.get_mut(&key).and_then(|message| message.client.take());
+        if let Some(token) = client {
+            self.answer(token, answer);
+        }
+    }
+
+    /// Nothing was written anywhere: the message is forgotten and the client may come back.
+    fn decline(&mut self, key: MessageKey) {
+        self.answer_client(key, Answer::Declined { retry_after_ms: RETRY_AFTER_STORES_MS });
+        self.remove(key);
+    }
+
+    /// The client's patience is over.
+    pub(crate) fn patience_over(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        if message.client.is_none() {
+            return;
+        }
+        match message.stage {
+            Stage::Listing { .. } => self.decline(key),
+            _ if !message.may_have_copy() => self.decline(key),
+            // It may run: no promise can be made.
+            _ => self.answer_client(key, Answer::Unknown),
+        }
+    }
+
+    // Which messages of the key are open.
+
+    pub(crate) fn list_open(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let stores = self.stores.first_choice(message.record.partition, self.now, Group::read_quorum);
+        for store in stores {
+            self.ask_open(key, &store);
+        }
+        self.set_hedge(key);
+    }
+
+    fn ask_open(&mut self, key: MessageKey, store: &StoreId) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        let Some(ordering_key) = message.record.ordering_key.clone() else { return };
+        let partition = message.record.partition;
+        message.asked.insert(store.clone());
+        let request = StoreRequest::ListOpen { epoch: self.stores.placement.epoch, partition, ordering_key };
+        self.ask(store, Purpose::List(key), request);
+    }
+
+    pub(crate) fn listed(&mut self, key: MessageKey, store: StoreId, names: Vec<MessageName>) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        let Stage::Listing { answered, found } = &mut message.stage else { return };
+        answered.insert(store);
+        found.extend(names);
+        if !self.stores.placement.is_read(message.record.partition, answered) {
+            return;
+        }
+        let mut found = std::mem::take(found);
+        found.remove(&message.record.name);
+        if found.len() > MOST_PREDECESSORS {
+            self.decline(key);
+            return;
+        }
+        message.record.predecessors = found.iter().cloned().collect();
+        message.blockers = found;
+        message.asked.clear();
+        message.stage = Stage::Writing;
+        self.write(key);
+    }
+
+    pub(crate) fn listing_failed(&mut self, key: MessageKey, _store: &StoreId) {
+        if self.messages.get(&key).is_some_and(|message| matches!(message.stage, Stage::Listing { .. })) {
+            self.ask_further(key);
+        }
+    }
+
+    // The record on a write quorum.
+
+    pub(crate) fn write(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        for store in self.stores.first_choice(message.record.partition, self.now, Group::write_quorum) {
+            self.append(key, &store);
+        }
+        self.set_hedge(key);
+    }
+
+    fn append(&mut self, key: MessageKey, store: &StoreId) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        message.asked.insert(store.clone());
+        message.declined.remove(store);
+        let request =
+            StoreRequest::Append { epoch: self.stores.placement.epoch, record: message.record.clone() };
+        self.ask(store, Purpose::Append(key), request);
+    }
+
+    pub(crate) fn appended(&mut self, key: MessageKey, store: StoreId) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        message.written.insert(store);
+        let is_written = self.stores.placement.is_written(message.record.partition, &message.written);
+        if message.stage == Stage::Writing && is_written {
+            let name = message.record.name.clone();
+            self.answer_client(key, Answer::Accepted { name });
+            self.begin_waiting(key);
+        }
+    }
+
+    pub(crate) fn append_declined(&mut self, key: MessageKey, store: StoreId) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        message.declined.insert(store);
+        self.append_failed(key);
+    }
+
+    pub(crate) fn append_failed(&mut self, key: MessageKey) {
+        if self.messages.get(&key).is_some_and(|message| message.stage == Stage::Writing) {
+            self.ask_further(key);
+        }
+    }
+
+    // A further store.
+
+    fn set_hedge(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let after = self.stores.hedge_after(&message.asked);
+        self.clock.set(self.now + after, Timer::Hedge(key));
+    }
+
+    pub(crate) fn hedge(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        if matches!(message.stage, Stage::Listing { .. } | Stage::Writing) {
+            self.ask_further(key);
+            self.set_hedge(key);
+        }
+    }
+
+    /// Asks the best store that was not asked yet; when all were asked, the best that has not answered and is not
+    /// being waited for is asked again by the next hedge.
+    fn ask_further(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let ranked = self.stores.ranked(message.record.partition, self.now);
+        let fresh = ranked.iter().find(|store| !message.asked.contains(store)).cloned();
+        let again = || {
+            let missing = |store: &&StoreId| self.stores.is_live(store) && message.declined.contains(store);
+            ranked.iter().find(missing).cloned()
+        };
+        let is_listing = matches!(message.stage, Stage::Listing { .. });
+        let Some(store) = fresh.or_else(again) else { return };
+        if is_listing { self.ask_open(key, &store) } else { self.append(key, &store) }
+    }
+
+    /// The stores changed: what is on its way is asked anew where a quorum is missing.
+    pub(crate) fn ask_again(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        match &mut message.stage {
+            Stage::Listing { answered, found } => {
+                answered.clear();
+                found.clear();
+                message.asked.clear();
+                self.list_open(key);
+            }
+            Stage::Writing => {
+                let written = message.written.clone();
+                let wanted =
+                    self.stores.first_choice(message.record.partition, self.now, Group::write_quorum);
+                for store in wanted.iter().filter(|store| !written.contains(store)) {
+                    self.append(key, store);
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/src/calls.rs
@@ -0,0 +1,116 @@
+//! Requests to stores that are out.
+
+use std::collections::HashMap;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::StoreId;
+use pewterseam_wire::record::MessageName;
+use pewterseam_wire::store::{StoreRequest, StoreResponse};
+
+use crate::clock::Timer;
+use crate::io::{CallId, Effect, MessageKey};
+use crate::machine::Queue;
+
+/// Time after which a store that has not answered counts as failing.
+const CALL_TIMEOUT: Micros = 1_000_000;
+
+/// What a request was for.
+#[derive(Clone, Debug)]
+pub(crate) enum Purpose {
+    List(MessageKey),
+    Append(MessageKey),
+    Settle(Vec<MessageKey>),
+    /// Predecessors of a message, in the order asked.
+    Check(MessageKey, Vec<MessageName>),
+    /// Orphans, in the order asked.
+    Adopt(Vec<MessageKey>),
+    Claim,
+    Release,
+}
+
+#[derive(Clone, Debug)]
+struct Call {
+    store: StoreId,
+    purpose: Purpose,
+    at: Micros,
+}
+
+/// The requests that are out.
+#[derive(Debug, Default)]
+pub(crate) struct Calls {
+    last: u64,
+    open: HashMap<CallId, Call>,
+}
+
+impl Calls {
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+}
+
+impl Queue {
+    pub(crate) fn ask(&mut self, store: &StoreId, purpose: Purpose, request: StoreRequest) {
+        self.calls.last += 1;
+        let call = CallId(self.calls.last);
+        self.calls.open.insert(call, Call { store: store.clone(), purpose, at: self.now });
+        self.clock.set(self.now + CALL_TIMEOUT, Timer::CallTimeout(call));
+        self.effects.push(Effect::Ask { store: store.clone(), call, request: Box::new(request) });
+    }
+
+    /// A store answered a request.
+    pub fn store_answered(&mut self, now: Micros, call: CallId, response: StoreResponse) -> Vec<Effect> {
+        self.now = now;
+        if let Some(call) = self.calls.open.remove(&call) {
+            if let StoreResponse::Declined { .. } = response {
+                self.stores.failed(&call.store, now);
+                self.call_declined(call.store, call.purpose);
+            } else {
+                self.stores.answered(&call.store, now.saturating_sub(call.at));
+                self.call_answered(call.store, call.purpose, response);
+            }
+        }
+        self.take_effects()
+    }
+
+    /// A request could not be sent, or its connection broke.
+    pub fn store_failed(&mut self, now: Micros, call: CallId) -> Vec<Effect> {
+        self.now = now;
+        self.fail_call(call);
+        self.take_effects()
+    }
+
+    pub(crate) fn fail_call(&mut self, call: CallId) {
+        let Some(call) = self.calls.open.remove(&call) else { return };
+        self.stores.failed(&call.store, self.now);
+        match call.purpose {
+            Purpose::List(key) => self.listing_failed(key, &call.store),
+            Purpose::Append(key) => self.append_failed(key),
+            Purpose::Settle(keys) => self.settle_failed(&keys),
+            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim | Purpose::Release => {}
+        }
+    }
+
+    fn call_answered(&mut self, store: StoreId, purpose: Purpose, response: StoreResponse) {
+        match (purpose, response) {
+            (Purpose::List(key), StoreResponse::OpenMessages { names, .. }) => self.listed(key, store, names),
+            (Purpose::Append(key), StoreResponse::Done { .. }) => self.appended(key, store),
+            (Purpose::Settle(keys), StoreResponse::Done { .. }) => self.settled(&keys, &store),
+            (Purpose::Check(key, names), StoreResponse::Statuses { statuses, .. }) => {
+                self.predecessors_checked(key, store, names, statuses);
+            }
+            (Purpose::Adopt(keys), StoreResponse::Statuses { statuses, .. }) => {
+                self.orphans_checked(&keys, &store, statuses);
+            }
+            _ => {}
+        }
+    }
+
+    fn call_declined(&mut self, store: StoreId, purpose: Purpose) {
+        match purpose {
+            Purpose::List(key) => self.listing_failed(key, &store),
+            Purpose::Append(key) => self.append_declined(key, store),
+            Purpose::Settle(keys) => self.settle_failed(&keys),
+            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim | Purpose::Release => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/src/io.rs
@@ -0,0 +1,113 @@
+//! What goes into the queue and what comes out of it.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pewterseam_wire::identity::Owner;
+use pewterseam_wire::placement::StoreId;
+use pewterseam_wire::record::MessageName;
+use pewterseam_wire::store::StoreRequest;
+
+/// A message in this process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct MessageKey(pub u64);
+
+/// A request to a store that is not answered yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A client that waits for an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientToken(pub u64);
+
+/// What a queue is told at its start.
+#[derive(Clone, Debug)]
+pub struct QueueSettings {
+    pub owner: Owner,
+    pub zone: Arc<str>,
+    /// Bytes of bodies that may be held; beyond that, messages are declined.
+    pub most_body_bytes: usize,
+    /// Messages that may be held.
+    pub most_messages: usize,
+}
+
+/// A request that a client hands in.
+#[derive(Clone, Debug)]
+pub struct NewMessage {
+    pub token: ClientToken,
+    pub request_id: Arc<str>,
+    pub route: Arc<str>,
+    pub host: Arc<str>,
+    pub method: Arc<str>,
+    pub target: Arc<str>,
+    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    pub body: Bytes,
+    pub ordering_key: Option<Arc<str>>,
+    pub delay_ms: u64,
+    /// How long the client waits.
+    pub patience_ms: u64,
+}
+
+/// What a client is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// The message is kept.
+    Accepted { name: MessageName },
+    /// It was not taken and never will run; it may be sent again after this many milliseconds.
+    Declined { retry_after_ms: u64 },
+    /// Whether it was taken is not known.
+    Unknown,
+}
+
+/// What a route asks of its messages.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutePolicy {
+    pub service: Arc<str>,
+    pub priority: u8,
+    pub timeout_ms: u64,
+    pub schedule_target_ms: u64,
+    pub max_attempts: u32,
+    pub retention_ms: u64,
+}
+
+/// The routes in force, by name.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    pub version: u64,
+    pub routes: HashMap<Arc<str>, RoutePolicy>,
+}
+
+/// A message that is to run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submission {
+    pub service: Arc<str>,
+    pub priority: u8,
+    pub timeout_ms: u64,
+    pub schedule_target_ms: u64,
+    pub retention_ms: u64,
+    pub failures: u32,
+}
+
+/// What became of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RunResult {
+    Completed {
+        signature: Arc<str>,
+    },
+    /// The host answered 500.
+    Failed,
+    /// The host answered 422.
+    Refused,
+    /// It has not run, and the runner wants it back.
+    NotRun,
+}
+
+/// What the driver is to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Effect {
+    Ask { store: StoreId, call: CallId, request: Box<StoreRequest> },
+    Answer { token: ClientToken, answer: Answer },
+    Submit { key: MessageKey, submission: Submission },
+    Withdraw { key: MessageKey },
+}
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,31 @@
+//! The life of messages at the relay that owns them: taken, written to the stores, due, running, ended, handed over.
+//!
+//! [`Queue`] is a state machine without I/O. It asks stores through [`Effect::Ask`] and is told what they said; it has
+//! messages run through [`Effect::Submit`] and is told what became of the run. What it promises:
+//!
+//! - A message is accepted only when the stores of its partition have synced it on a write quorum.
+//! - A message that may have left a copy at a store is never declined with a promise that it will not run.
+//! - A message of an ordering key starts only when every message that it names as predecessor is known to have ended,
+//!   or is known never to have been accepted.
+//! - A message that is taken over is run only after a read quorum was asked for facts about it.
+
+mod accept;
+mod adopt;
+mod calls;
+mod clock;
+mod io;
+mod machine;
+mod message;
+mod predecessors;
+mod quorum_read;
+mod run;
+mod settle;
+mod stop;
+mod stores;
+
+pub use io::{
+    Answer, CallId, ClientToken, Effect, MessageKey, NewMessage, QueueSettings, RoutePolicy, RouteTable,
+    RunResult, Submission,
+};
+pub use machine::Queue;
+pub use quorum_read::{BodyRead, StatusRead, StatusResult};
--- /dev/null
+++ b/crates/queue/src/machine.rs
@@ -0,0 +1,193 @@
+//! The queue's state, its clock and its inputs.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::{Placement, StoreId};
+use pewterseam_wire::record::{MessageName, Record};
+
+use crate::calls::Calls;
+use crate::clock::{Clock, Timer};
+use crate::io::{Effect, MessageKey, QueueSettings, RouteTable};
+use crate::message::{Message, Stage};
+use crate::settle::Outbox;
+use crate::stores::Stores;
+
+/// A process that has not run for this long may have lost its messages to other owners.
+const STANDSTILL: Micros = 1_500_000;
+
+/// The messages that a relay owns.
+pub struct Queue {
+    pub(crate) settings: QueueSettings,
+    pub(crate) now: Micros,
+    last_run: Micros,
+    last_key: u64,
+    pub(crate) messages: HashMap<MessageKey, Message>,
+    pub(crate) by_name: HashMap<MessageName, MessageKey>,
+    /// Messages that wait for a predecessor, by the predecessor's name.
+    pub(crate) successors: HashMap<MessageName, BTreeSet<MessageKey>>,
+    pub(crate) body_bytes: usize,
+    pub(crate) routes: Arc<RouteTable>,
+    pub(crate) stores: Stores,
+    pub(crate) calls: Calls,
+    pub(crate) clock: Clock,
+    pub(crate) outbox: Outbox,
+    /// No message is started any more.
+    pub(crate) is_stopping: bool,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Queue {
+    pub fn new(settings: QueueSettings, now: Micros) -> Self {
+        Queue {
+            stores: Stores::new(settings.zone.clone()),
+            settings,
+            now,
+            last_run: now,
+            last_key: 0,
+            messages: HashMap::new(),
+            by_name: HashMap::new(),
+            successors: HashMap::new(),
+            body_bytes: 0,
+            routes: Arc::default(),
+            calls: Calls::default(),
+            clock: Clock::default(),
+            outbox: Outbox::default(),
+            is_stopping: false,
+            effects: Vec::new(),
+        }
+    }
+
+    /// When [`Queue::tick`] is wanted next.
+    pub fn wake_at(&self) -> Option<Micros> {
+        self.clock.next()
+    }
+
+    /// Does all that is due.
+    pub fn tick(&mut self, now: Micros) -> Vec<Effect> {
+        self.now = now;
+        if now > self.last_run + STANDSTILL && self.last_run > 0 && !self.clock_was_idle(now) {
+            self.verify_ownership();
+        }
+        self.last_run = now;
+        while let Some(timer) = self.clock.pop_due(now) {
+            self.fire(timer);
+        }
+        self.take_effects()
+    }
+
+    /// Nothing was due for the whole time: the process simply had nothing to do.
+    fn clock_was_idle(&self, now: Micros) -> bool {
+        self.clock.next().is_none_or(|at| at + STANDSTILL > now)
+    }
+
+    fn fire(&mut self, timer: Timer) {
+        match timer {
+            Timer::Hedge(key) => self.hedge(key),
+            Timer::Patience(key) => self.patience_over(key),
+            Timer::Due(key) | Timer::RetryRun(key) => self.start_if_due(key),
+            Timer::CheckPredecessors(key) => self.check_predecessors(key),
+            Timer::RetryAdoption(key) => self.retry_adoption(key),
+            Timer::Expire(key) => self.expire(key),
+            Timer::CallTimeout(call) => self.fail_call(call),
+            Timer::Flush => self.flush(),
+            Timer::RetrySettle(key) => self.retry_settle(key),
+        }
+    }
+
+    /// A new placement is in force.
+    pub fn set_placement(&mut self, now: Micros, placement: Arc<Placement>) -> Vec<Effect> {
+        self.now = now;
+        if placement.epoch != self.stores.placement.epoch {
+            self.stores.set_placement(placement);
+            for key in self.keys(|stage| matches!(stage, Stage::Listing { .. } | Stage::Writing)) {
+                self.ask_again(key);
+            }
+        }
+        self.take_effects()
+    }
+
+    /// Membership's view of the stores changed.
+    pub fn set_live_stores(&mut self, live: BTreeSet<StoreId>) {
+        self.stores.set_live(live);
+    }
+
+    /// Whether enough stores of the placement live for every partition to be written.
+    pub fn can_accept(&self, partition: pewterseam_wire::placement::Partition) -> bool {
+        self.stores.can_write(partition)
+    }
+
+    /// A configuration is in force. Messages whose route it dropped have ended.
+    pub fn set_routes(&mut self, now: Micros, routes: Arc<RouteTable>) -> Vec<Effect> {
+        self.now = now;
+        self.routes = routes;
+        let dropped: Vec<MessageKey> = self
+            .messages
+            .iter()
+            .filter(|(_, message)| !self.routes.routes.contains_key(&message.record.route))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in dropped {
+            self.route_dropped(key);
+        }
+        self.take_effects()
+    }
+
+    /// The record of a message that is held here.
+    pub fn record(&self, key: MessageKey) -> Option<&Record> {
+        self.messages.get(&key).map(|message| &message.record)
+    }
+
+    /// Messages held, whatever their stage.
+    pub fn len(&self) -> usize {
+        self.messages.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.messages.is_empty()
+    }
+
+    pub(crate) fn keys(&self, fits: impl Fn(&Stage) -> bool) -> Vec<MessageKey> {
+        let mut keys: Vec<MessageKey> =
+            self.messages.iter().filter(|(_, message)| fits(&message.stage)).map(|(key, _)| *key).collect();
+        keys.sort();
+        keys
+    }
+
+    /// Takes a message up under a new key, unless one of its name is held.
+    pub(crate) fn insert(&mut self, message: Message) -> Option<MessageKey> {
+        if self.by_name.contains_key(&message.record.name) {
+            return None;
+        }
+        self.last_key += 1;
+        let key = MessageKey(self.last_key);
+        self.body_bytes += message.record.body.len();
+        self.by_name.insert(message.record.name.clone(), key);
+        self.clock.set(message.expires_at, Timer::Expire(key));
+        self.messages.insert(key, message);
+        Some(key)
+    }
+
+    pub(crate) fn remove(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.remove(&key) else { return };
+        self.body_bytes -= message.record.body.len();
+        self.by_name.remove(&message.record.name);
+        for blocker in &message.blockers {
+            self.forget_successor(blocker, key);
+        }
+    }
+
+    pub(crate) fn forget_successor(&mut self, blocker: &MessageName, key: MessageKey) {
+        if let Some(waiting) = self.successors.get_mut(blocker) {
+            waiting.remove(&key);
+            if waiting.is_empty() {
+                self.successors.remove(blocker);
+            }
+        }
+    }
+
+    pub(crate) fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+}
--- /dev/null
+++ b/crates/queue/src/message.rs
@@ -0,0 +1,87 @@
+//! A message at its owner.
+
+use std::collections::BTreeSet;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::StoreId;
+use pewterseam_wire::record::{End, MessageName, Record};
+
+use crate::io::ClientToken;
+
+/// Where a message is in its life.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Stage {
+    /// The stores are asked which messages of its key are open. Nothing is written yet.
+    Listing { answered: BTreeSet<StoreId>, found: BTreeSet<MessageName> },
+    /// The record is on its way to the stores.
+    Writing,
+    /// Facts are asked for before a message of another owner is run.
+    Adopting { answered: BTreeSet<StoreId>, claim: u32 },
+    /// Kept; not running.
+    Waiting,
+    /// Handed to the runner.
+    Running,
+    /// Ended; the stores are told.
+    Ending(End),
+}
+
+/// A message at its owner.
+#[derive(Clone, Debug)]
+pub(crate) struct Message {
+    pub record: Record,
+    pub stage: Stage,
+    /// The client that waits, until it is answered.
+    pub client: Option<ClientToken>,
+    /// Stores that were sent the record or the question of this stage.
+    pub asked: BTreeSet<StoreId>,
+    /// Stores that have synced the record.
+    pub written: BTreeSet<StoreId>,
+    /// Stores that said that they did not take the record.
+    pub declined: BTreeSet<StoreId>,
+    /// Stores that have synced the end.
+    pub settled: BTreeSet<StoreId>,
+    /// Predecessors not known to have ended.
+    pub blockers: BTreeSet<MessageName>,
+    /// Stores that answered the present check of predecessors, and the blockers that each knows to be open.
+    pub checked: BTreeSet<StoreId>,
+    pub seen_open: BTreeSet<MessageName>,
+    pub failures: u32,
+    pub due_at: Micros,
+    /// No run before then: the pause after a failed one.
+    pub pause_until: Micros,
+    pub expires_at: Micros,
+    /// When the present stage began.
+    pub since: Micros,
+}
+
+impl Message {
+    pub fn new(record: Record, stage: Stage, now: Micros) -> Self {
+        Message {
+            record,
+            stage,
+            client: None,
+            asked: BTreeSet::new(),
+            written: BTreeSet::new(),
+            declined: BTreeSet::new(),
+            settled: BTreeSet::new(),
+            blockers: BTreeSet::new(),
+            checked: BTreeSet::new(),
+            seen_open: BTreeSet::new(),
+            failures: 0,
+            due_at: now,
+            pause_until: 0,
+            expires_at: Micros::MAX,
+            since: now,
+        }
+    }
+
+    /// A store may hold the record although it has not said so.
+    pub fn may_have_copy(&self) -> bool {
+        self.asked.iter().any(|store| !self.declined.contains(store))
+    }
+
+    /// The moment from which it may run.
+    pub fn runs_from(&self) -> Micros {
+        self.due_at.max(self.pause_until)
+    }
+}
--- /dev/null
+++ b/crates/queue/src/settle.rs
@@ -0,0 +1,141 @@
+//! Ends and attempts are told to the stores in batches.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::StoreId;
+use pewterseam_wire::record::{End, Fact, MessageName};
+use pewterseam_wire::store::StoreRequest;
+
+use crate::calls::Purpose;
+use crate::clock::Timer;
+use crate::io::MessageKey;
+use crate::machine::Queue;
+use crate::message::Stage;
+
+/// How long facts wait for others to travel with.
+const BATCH: Micros = 10_000;
+/// Facts in one request.
+const MOST_FACTS: usize = 256;
+/// When an end that too few stores have acknowledged is told again.
+const SETTLE_AGAIN: Micros = 1_200_000;
+/// Names of ended messages that are remembered, so that successors taken since need not ask.
+const MOST_REMEMBERED: usize = 2_048;
+
+/// Names of ended messages, the latest ones.
+#[derive(Debug, Default)]
+pub(crate) struct Ended {
+    names: BTreeSet<MessageName>,
+    order: VecDeque<MessageName>,
+}
+
+impl Ended {
+    pub fn contains(&self, name: &MessageName) -> bool {
+        self.names.contains(name)
+    }
+
+    fn remember(&mut self, name: MessageName) {
+        if self.names.insert(name.clone()) {
+            self.order.push_back(name);
+        }
+        if self.order.len() > MOST_REMEMBERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.names.remove(&oldest);
+        }
+    }
+}
+
+/// Facts on their way.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    waiting: BTreeMap<StoreId, Vec<(Option<MessageKey>, Fact)>>,
+    is_flush_set: bool,
+    pub ended: Ended,
+}
+
+impl Outbox {
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
+impl Queue {
+    /// The message has ended: successors go on, the stores are told.
+    pub(crate) fn end(&mut self, key: MessageKey, end: End) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        message.stage = Stage::Ending(end);
+        message.since = self.now;
+        let blockers = std::mem::take(&mut message.blockers);
+        let name = message.record.name.clone();
+        for blocker in &blockers {
+            self.forget_successor(blocker, key);
+        }
+        self.outbox.ended.remember(name.clone());
+        self.send_end(key);
+        self.unblock_successors(&name);
+    }
+
+    /// Tells the end to every store that may hold the record, and to enough others.
+    pub(crate) fn send_end(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let Stage::Ending(end) = &message.stage else { return };
+        let fact = Fact::Ended { name: message.record.name.clone(), end: end.clone() };
+        let mut targets: BTreeSet<StoreId> = message.written.union(&message.asked).cloned().collect();
+        let live = |store: &StoreId| self.stores.is_live(store);
+        targets.retain(live);
+        if !self.stores.placement.is_written(message.record.partition, &targets) {
+            targets.extend(self.stores.placement.stores(message.record.partition).into_iter().filter(live));
+        }
+        targets.retain(|store| !message.settled.contains(store));
+        for store in targets {
+            self.post_to(&store, Some(key), fact.clone());
+        }
+        self.clock.set(self.now + SETTLE_AGAIN, Timer::RetrySettle(key));
+    }
+
+    pub(crate) fn retry_settle(&mut self, key: MessageKey) {
+        self.send_end(key);
+    }
+
+    /// Tells a fact that needs no acknowledgement.
+    pub(crate) fn post(&mut self, stores: &BTreeSet<StoreId>, fact: &Fact) {
+        for store in stores {
+            self.post_to(store, None, fact.clone());
+        }
+    }
+
+    pub(crate) fn post_to(&mut self, store: &StoreId, key: Option<MessageKey>, fact: Fact) {
+        self.outbox.waiting.entry(store.clone()).or_default().push((key, fact));
+        if !self.outbox.is_flush_set {
+            self.outbox.is_flush_set = true;
+            self.clock.set(self.now + BATCH, Timer::Flush);
+        }
+    }
+
+    pub(crate) fn flush(&mut self) {
+        self.outbox.is_flush_set = false;
+        for (store, mut waiting) in std::mem::take(&mut self.outbox.waiting) {
+            while !waiting.is_empty() {
+                let rest = waiting.split_off(waiting.len().min(MOST_FACTS));
+                let (keys, facts): (Vec<_>, Vec<_>) = waiting.into_iter().unzip();
+                let keys = keys.into_iter().flatten().collect();
+                self.ask(&store, Purpose::Settle(keys), StoreRequest::Settle { facts });
+                waiting = rest;
+            }
+        }
+    }
+
+    pub(crate) fn settled(&mut self, keys: &[MessageKey], store: &StoreId) {
+        for key in keys {
+            let Some(message) = self.messages.get_mut(key) else { continue };
+            message.settled.insert(store.clone());
+            if self.stores.placement.is_written(message.record.partition, &message.settled) {
+                self.remove(*key);
+            }
+        }
+    }
+
+    /// The next retry tells them again.
+    pub(crate) fn settle_failed(&mut self, _keys: &[MessageKey]) {}
+}
--- /dev/null
+++ b/crates/queue/src/stop.rs
@@ -0,0 +1,50 @@
+//! A relay that stops finishes what runs and hands the rest to others through the stores.
+
+use std::collections::BTreeMap;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::StoreId;
+use pewterseam_wire::record::MessageName;
+use pewterseam_wire::store::StoreRequest;
+
+use crate::calls::Purpose;
+use crate::io::{Effect, MessageKey};
+use crate::machine::Queue;
+use crate::message::Stage;
+
+impl Queue {
+    /// Nothing is started from now on; what waits is given up to other relays.
+    pub fn stop(&mut self, now: Micros) -> Vec<Effect> {
+        self.now = now;
+        self.is_stopping = true;
+        let waiting = self.keys(|stage| matches!(stage, Stage::Waiting | Stage::Adopting { .. }));
+        self.release(&waiting);
+        self.take_effects()
+    }
+
+    /// Gives messages up: every store that may hold them is told, and offers them to other relays.
+    pub(crate) fn release(&mut self, keys: &[MessageKey]) {
+        let mut by_store: BTreeMap<StoreId, Vec<MessageName>> = BTreeMap::new();
+        for key in keys {
+            let Some(message) = self.messages.get(key) else { continue };
+            for store in self.stores.placement.stores(message.record.partition) {
+                by_store.entry(store).or_default().push(message.record.name.clone());
+            }
+            self.remove(*key);
+        }
+        for (store, names) in by_store {
+            let request = StoreRequest::Release { names, owner: self.settings.owner.clone() };
+            self.ask(&store, Purpose::Release, request);
+        }
+    }
+
+    /// Everything is ended or handed over, and the stores know it.
+    pub fn is_drained(&self) -> bool {
+        self.messages.is_empty() && self.calls.is_empty() && self.outbox.is_empty()
+    }
+
+    /// Messages with a run under way.
+    pub fn running(&self) -> usize {
+        self.messages.values().filter(|message| message.stage == Stage::Running).count()
+    }
+}
