--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::record::MessageName;
+use pewterseam_wire::record::{Headers, MessageName};
 use pewterseam_wire::store::StoreRequest;
 
 /// A message in this process.
@@ -41,7 +41,7 @@
     pub host: Arc<str>,
     pub method: Arc<str>,
     pub target: Arc<str>,
-    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    pub headers: Headers,
     pub body: Bytes,
     pub ordering_key: Option<Arc<str>>,
     pub delay_ms: u64,
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -40,6 +40,9 @@
     }
 }
 
+/// Headers in order, names in lower case.
+pub type Headers = Vec<(Arc<str>, Arc<str>)>;
+
 /// An accepted request. It never changes once it is written.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -63,7 +66,7 @@
     /// Path and query.
     pub target: Arc<str>,
     /// Headers to pass on, in order.
-    pub headers: Vec<(Arc<str>, Arc<str>)>,
+    pub headers: Headers,
     pub body: Bytes,
 }
 
