--- /dev/null
+++ b/crates/queue/tests/common/mod.rs
@@ -0,0 +1,247 @@
+//! A queue among stores that answer from memory, without a network: tests decide when each call is answered.
+
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pewterseam_queue::{
+    Answer, CallId, ClientToken, Effect, MessageKey, NewMessage, Queue, QueueSettings, RoutePolicy,
+    RouteTable, RunResult,
+};
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::{DiskId, Life, NodeName, Owner};
+use pewterseam_wire::placement::{Placement, PlacementEpoch, StoreEntry, StoreId};
+use pewterseam_wire::record::{End, Fact, MessageName, Record};
+use pewterseam_wire::store::{Status, StoreRequest, StoreResponse};
+
+pub const MILLISECOND: Micros = 1_000;
+
+/// One store's memory.
+#[derive(Default)]
+pub struct FakeStore {
+    pub records: BTreeMap<MessageName, Record>,
+    pub ends: BTreeMap<MessageName, End>,
+    pub owners: BTreeMap<MessageName, (Owner, u32)>,
+    pub failures: BTreeMap<MessageName, u32>,
+    pub released: BTreeSet<MessageName>,
+}
+
+/// A queue, its stores and what came of it.
+pub struct World {
+    pub now: Micros,
+    pub queue: Queue,
+    pub stores: BTreeMap<StoreId, FakeStore>,
+    /// Stores that answer nothing.
+    pub silent: BTreeSet<StoreId>,
+    /// Calls that wait for a silent store.
+    pub unanswered: Vec<(StoreId, CallId, StoreRequest)>,
+    pub answers: HashMap<ClientToken, Answer>,
+    pub submitted: Vec<MessageKey>,
+    pub withdrawn: Vec<MessageKey>,
+    next_token: u64,
+}
+
+pub fn owner(name: &str) -> Owner {
+    Owner { name: NodeName::new(name), life: Life(1) }
+}
+
+fn entry(number: u64) -> StoreEntry {
+    let id = StoreId { name: NodeName::new(&format!("store-{number}")), disk: DiskId(number) };
+    StoreEntry { id, zone: Arc::from(format!("zone-{number}")) }
+}
+
+fn policy() -> RoutePolicy {
+    RoutePolicy {
+        service: Arc::from("service"),
+        priority: 1,
+        timeout_ms: 500,
+        schedule_target_ms: 500,
+        max_attempts: 2,
+        retention_ms: 90_000,
+    }
+}
+
+pub fn routes(version: u64, names: &[&str]) -> Arc<RouteTable> {
+    let routes = names.iter().map(|name| (Arc::from(*name), policy())).collect();
+    Arc::new(RouteTable { version, routes })
+}
+
+impl World {
+    /// Four stores in four zones, one of which may be lost.
+    pub fn new() -> Self {
+        let settings = QueueSettings {
+            owner: owner("relay-1"),
+            zone: Arc::from("zone-0"),
+            most_body_bytes: 1 << 20,
+            most_messages: 1_000,
+        };
+        let entries: Vec<StoreEntry> = (0..4).map(entry).collect();
+        let stores: BTreeMap<StoreId, FakeStore> =
+            entries.iter().map(|entry| (entry.id.clone(), FakeStore::default())).collect();
+        let mut queue = Queue::new(settings, MILLISECOND);
+        queue.set_live_stores(stores.keys().cloned().collect());
+        let placement = Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries] };
+        assert!(queue.set_placement(MILLISECOND, Arc::new(placement)).is_empty());
+        assert!(queue.set_routes(MILLISECOND, routes(1, &["plain", "ordered"])).is_empty());
+        World {
+            now: MILLISECOND,
+            queue,
+            stores,
+            silent: BTreeSet::new(),
+            unanswered: Vec::new(),
+            answers: HashMap::new(),
+            submitted: Vec::new(),
+            withdrawn: Vec::new(),
+            next_token: 0,
+        }
+    }
+
+    pub fn message(&mut self, id: &str, key: Option<&str>) -> NewMessage {
+        self.next_token += 1;
+        NewMessage {
+            token: ClientToken(self.next_token),
+            request_id: Arc::from(id),
+            route: Arc::from(if key.is_some() { "ordered" } else { "plain" }),
+            host: Arc::from("host.example"),
+            method: Arc::from("POST"),
+            target: Arc::from("/path"),
+            headers: Vec::new(),
+            body: Bytes::from_static(b"body"),
+            ordering_key: key.map(Arc::from),
+            delay_ms: 0,
+            patience_ms: 500,
+        }
+    }
+
+    pub fn accept(&mut self, new: NewMessage) -> ClientToken {
+        let token = new.token;
+        let effects = self.queue.accept(self.now, 0, new);
+        self.carry_out(effects);
+        token
+    }
+
+    pub fn ran(&mut self, key: MessageKey, result: RunResult) {
+        let effects = self.queue.ran(self.now, key, result);
+        self.carry_out(effects);
+    }
+
+    pub fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Ask { store, call, request } => self.ask(store, call, *request),
+                Effect::Answer { token, answer } => {
+                    assert!(self.answers.insert(token, answer).is_none(), "a client is answered once");
+                }
+                Effect::Submit { key, .. } => self.submitted.push(key),
+                Effect::Withdraw { key } => self.withdrawn.push(key),
+            }
+        }
+    }
+
+    fn ask(&mut self, store: StoreId, call: CallId, request: StoreRequest) {
+        if self.silent.contains(&store) {
+            self.unanswered.push((store, call, request));
+            return;
+        }
+        self.deliver(store, call, request);
+    }
+
+    /// The store takes the request and its answer arrives.
+    pub fn deliver(&mut self, store: StoreId, call: CallId, request: StoreRequest) {
+        let response = self.process(&store, request);
+        let effects = self.queue.store_answered(self.now, call, response);
+        self.carry_out(effects);
+    }
+
+    pub fn process(&mut self, id: &StoreId, request: StoreRequest) -> StoreResponse {
+        let store = self.stores.get_mut(id).expect("a known store");
+        let done = StoreResponse::Done { store: id.clone() };
+        match request {
+            StoreRequest::Append { record, .. } => {
+                store.owners.entry(record.name.clone()).or_insert((record.owner.clone(), 0));
+                store.records.insert(record.name.clone(), record);
+                done
+            }
+            StoreRequest::ListOpen { ordering_key, .. } => {
+                let open = |record: &&Record| {
+                    record.ordering_key.as_ref() == Some(&ordering_key)
+                        && !store.ends.contains_key(&record.name)
+                };
+                let names = store.records.values().filter(open).map(|record| record.name.clone()).collect();
+                StoreResponse::OpenMessages { store: id.clone(), names }
+            }
+            StoreRequest::Settle { facts } => {
+                for fact in facts {
+                    match fact {
+                        Fact::Ended { name, end } => drop(store.ends.insert(name, end)),
+                        Fact::Attempted { name, failures } => drop(store.failures.insert(name, failures)),
+                    }
+                }
+                done
+            }
+            StoreRequest::Look { names } => {
+                let statuses = names.iter().map(|name| store.status(name)).collect();
+                StoreResponse::Statuses { store: id.clone(), statuses }
+            }
+            StoreRequest::Claim { names, owner, claim } => {
+                for name in names {
+                    store.owners.insert(name, (owner.clone(), claim));
+                }
+                done
+            }
+            StoreRequest::Release { names, .. } => {
+                store.released.extend(names);
+                done
+            }
+            StoreRequest::Fetch { name } => {
+                StoreResponse::Found { store: id.clone(), record: store.records.get(&name).cloned() }
+            }
+            StoreRequest::Pull { .. } => done,
+        }
+    }
+
+    /// Lets time pass, timer by timer.
+    pub fn run_for(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(at) = self.queue.wake_at().filter(|at| *at <= until) {
+            self.now = at.max(self.now);
+            let effects = self.queue.tick(self.now);
+            self.carry_out(effects);
+        }
+        self.now = until;
+    }
+
+    pub fn group(&self, name: &MessageName) -> Vec<StoreId> {
+        let entries: Vec<StoreEntry> = (0..4).map(entry).collect();
+        let placement = Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries] };
+        placement.groups(name.partition().expect("a partition"))[0].stores.clone()
+    }
+
+    /// Stores that hold a record.
+    pub fn holders(&self, name: &MessageName) -> usize {
+        self.stores.values().filter(|store| store.records.contains_key(name)).count()
+    }
+
+    /// Stores that know an end.
+    pub fn ends(&self, name: &MessageName) -> usize {
+        self.stores.values().filter(|store| store.ends.contains_key(name)).count()
+    }
+}
+
+impl FakeStore {
+    fn status(&self, name: &MessageName) -> Status {
+        if let Some(end) = self.ends.get(name) {
+            return Status::Ended(end.clone());
+        }
+        match self.owners.get(name) {
+            Some((owner, claim)) => Status::Open {
+                owner: owner.clone(),
+                claim: *claim,
+                failures: self.failures.get(name).copied().unwrap_or(0),
+            },
+            None => Status::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/crates/queue/tests/life.rs
@@ -0,0 +1,212 @@
+//! The life of a message: accepted when durable, run in order, ended on enough stores.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::{MILLISECOND, World, routes};
+use pewterseam_queue::{Answer, RunResult};
+use pewterseam_wire::placement::Partition;
+use pewterseam_wire::record::{End, MessageName};
+
+fn completed() -> RunResult {
+    RunResult::Completed { signature: Arc::from("signature") }
+}
+
+// Danger: 202 before the second sync loses the message with the first disk.
+#[test]
+fn it_is_accepted_only_when_two_stores_have_it() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let group = world.group(&name);
+    world.silent.extend(group[1..].iter().cloned());
+    let new = world.message("a", None);
+    let token = world.accept(new);
+    assert_eq!(world.answers.get(&token), None);
+    let (store, call, request) = world.unanswered.remove(0);
+    world.deliver(store, call, request);
+    assert_eq!(world.answers.get(&token), Some(&Answer::Accepted { name: name.clone() }));
+    assert_eq!(world.holders(&name), 2);
+    assert_eq!(world.submitted.len(), 1);
+}
+
+// Danger: one frozen store holds up every message of its partitions.
+#[test]
+fn a_silent_store_is_passed_over() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let first = world.group(&name)[0].clone();
+    world.silent.insert(first);
+    let new = world.message("a", None);
+    let token = world.accept(new);
+    world.run_for(60 * MILLISECOND);
+    assert_eq!(world.answers.get(&token), Some(&Answer::Accepted { name }));
+}
+
+// Danger: 503 promises that it never runs, while a store may hold it.
+#[test]
+fn no_promise_is_given_while_a_store_may_hold_it() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    world.silent.extend(world.group(&name));
+    let new = world.message("a", None);
+    let token = world.accept(new);
+    world.run_for(500 * MILLISECOND);
+    assert_eq!(world.answers.get(&token), Some(&Answer::Unknown));
+}
+
+// Danger: a client that could go elsewhere waits in vain.
+#[test]
+fn it_is_declined_at_once_when_too_few_stores_live() {
+    let mut world = World::new();
+    world.queue.set_live_stores(Default::default());
+    let new = world.message("a", None);
+    let token = world.accept(new);
+    assert!(matches!(world.answers.get(&token), Some(Answer::Declined { .. })));
+    assert!(world.queue.is_empty());
+}
+
+// Danger: nothing was written when the question about the key went unanswered, and the client is not told.
+#[test]
+fn an_ordered_message_that_was_not_written_is_declined() {
+    let mut world = World::new();
+    world.silent.extend(world.stores.keys().cloned().collect::<Vec<_>>());
+    let new = world.message("a", Some("key"));
+    let token = world.accept(new);
+    world.run_for(500 * MILLISECOND);
+    assert!(matches!(world.answers.get(&token), Some(Answer::Declined { .. })));
+    assert!(world.queue.is_empty());
+}
+
+// Danger: the second message of a key starts before the first has ended.
+#[test]
+fn a_key_runs_one_after_the_other() {
+    let mut world = World::new();
+    let first = world.message("a", Some("key"));
+    world.accept(first);
+    let second = world.message("b", Some("key"));
+    world.accept(second);
+    assert_eq!(world.submitted.len(), 1);
+    let running = world.submitted[0];
+    world.ran(running, RunResult::Failed);
+    world.run_for(100 * MILLISECOND);
+    assert_eq!(world.submitted.len(), 2, "the first runs again, the second still waits");
+    assert_eq!(world.submitted[1], running);
+    world.ran(running, completed());
+    assert_eq!(world.submitted.len(), 3);
+}
+
+// Danger: a predecessor of another relay is overtaken, or waited for after its end.
+#[test]
+fn a_predecessor_elsewhere_holds_it_until_a_store_knows_its_end() {
+    let mut world = World::new();
+    let partition = Partition::of("key");
+    let earlier = MessageName::new("earlier", partition);
+    let new = world.message("earlier", Some("key"));
+    world.accept(new);
+    // The record stays at the stores while this relay forgets it, as if another relay owned it.
+    let effects = world.queue.stop(world.now);
+    world.carry_out(effects);
+    let running = world.submitted[0];
+    world.ran(running, RunResult::NotRun);
+    assert!(world.queue.is_empty());
+    let mut other = World::new();
+    other.stores = world.stores;
+    let new = other.message("later", Some("key"));
+    other.accept(new);
+    other.run_for(3_000 * MILLISECOND);
+    assert!(other.submitted.is_empty());
+    for store in other.stores.values_mut() {
+        store.ends.insert(earlier.clone(), End::Refused);
+    }
+    other.run_for(1_000 * MILLISECOND);
+    assert_eq!(other.submitted.len(), 1);
+}
+
+// Danger: a message that was never accepted, and whose only copy is lost, blocks its key for ever.
+#[test]
+fn a_predecessor_that_a_read_quorum_does_not_know_is_none() {
+    let mut world = World::new();
+    let new = world.message("lost", Some("key"));
+    world.accept(new);
+    let mut other = World::new();
+    other.stores = std::mem::take(&mut world.stores);
+    let new = other.message("later", Some("key"));
+    other.accept(new);
+    assert!(other.submitted.is_empty());
+    for store in other.stores.values_mut() {
+        store.records.retain(|name, _| name.request_id() != "lost");
+        store.owners.retain(|name, _| name.request_id() != "lost");
+    }
+    other.run_for(1_500 * MILLISECOND);
+    assert_eq!(other.submitted.len(), 1);
+}
+
+// Danger: an end that one store alone knows is lost with it, and the message runs again.
+#[test]
+fn an_end_is_told_until_a_write_quorum_has_it() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let new = world.message("a", None);
+    world.accept(new);
+    let holders: Vec<_> = world
+        .stores
+        .iter()
+        .filter(|(_, store)| store.records.contains_key(&name))
+        .map(|(id, _)| id.clone())
+        .collect();
+    world.silent.insert(holders[0].clone());
+    world.ran(world.submitted[0], completed());
+    world.run_for(20 * MILLISECOND);
+    assert_eq!(world.ends(&name), 1);
+    assert_eq!(world.queue.len(), 1, "it is kept until the end is safe");
+    world.silent.clear();
+    world.run_for(5_000 * MILLISECOND);
+    assert_eq!(world.ends(&name), 2);
+    assert!(world.queue.is_empty());
+}
+
+// Danger: 'dead_letter' is told of a message that may still run.
+#[test]
+fn failed_attempts_end_it_only_when_all_are_used() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let new = world.message("a", None);
+    world.accept(new);
+    let key = world.submitted[0];
+    world.ran(key, RunResult::Failed);
+    world.run_for(100 * MILLISECOND);
+    assert_eq!(world.ends(&name), 0);
+    world.ran(key, RunResult::Failed);
+    world.run_for(100 * MILLISECOND);
+    let ends: Vec<_> = world.stores.values().filter_map(|store| store.ends.get(&name)).collect();
+    assert_eq!(ends, [&End::AttemptsUsed, &End::AttemptsUsed]);
+}
+
+// Danger: a delayed message runs early.
+#[test]
+fn a_delay_is_waited_for() {
+    let mut world = World::new();
+    let mut new = world.message("a", None);
+    new.delay_ms = 1_500;
+    world.accept(new);
+    world.run_for(1_499 * MILLISECOND);
+    assert!(world.submitted.is_empty());
+    world.run_for(2 * MILLISECOND);
+    assert_eq!(world.submitted.len(), 1);
+}
+
+// Danger: a message of a dropped route runs on under an older configuration.
+#[test]
+fn a_dropped_route_ends_its_messages() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let mut new = world.message("a", None);
+    new.delay_ms = 1_500;
+    world.accept(new);
+    let effects = world.queue.set_routes(world.now, routes(2, &["ordered"]));
+    world.carry_out(effects);
+    world.run_for(3_000 * MILLISECOND);
+    assert!(world.submitted.is_empty());
+    assert_eq!(world.ends(&name), 2);
+}
