--- /dev/null
+++ b/crates/membership/src/machine.rs
@@ -0,0 +1,334 @@
+//! The state machine: this process's own entry, the table, and what arrives.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::{Life, NodeInfo, NodeName, Owner};
+
+use crate::change::{Effect, MemberChange};
+use crate::message::{Body, Datagram, MembershipError, Rumor};
+use crate::probing::Probing;
+use crate::random::Random;
+use crate::rumors::Rumors;
+use crate::settings::MembershipSettings;
+use crate::table::{Member, Merge, Status, Table};
+
+/// A leaving member tells so many others at once.
+const LEAVE_FANOUT: usize = 16;
+
+/// Room that the head of a datagram takes beside its rumors.
+const HEAD_BYTES: usize = 160;
+
+/// SWIM membership of one process.
+pub struct Membership {
+    pub(crate) settings: MembershipSettings,
+    pub(crate) own: Member,
+    pub(crate) table: Table,
+    pub(crate) rumors: Rumors,
+    pub(crate) probing: Probing,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) random: Random,
+    /// Members whose suspicion runs.
+    pub(crate) suspects: Vec<NodeName>,
+    pub(crate) next_compare: Micros,
+    pub(crate) next_seed: Micros,
+    pub(crate) catching_up: bool,
+    pub(crate) answered: bool,
+    pub(crate) wake: Micros,
+}
+
+impl Membership {
+    /// A process that starts. `info.life` should be above all its earlier lives, such as the time of day in
+    /// milliseconds. `seeds` are the peer addresses of the seeds; its own is passed over. Call [`Membership::tick`]
+    /// at once.
+    pub fn new(
+        now: Micros, info: NodeInfo, seeds: Vec<SocketAddr>, settings: MembershipSettings, seed: u64,
+    ) -> Self {
+        let own =
+            Member { info: Arc::new(info), incarnation: 0, status: Status::Alive, deadline: 0, digest: 0 };
+        let mut random = Random::new(seed);
+        let first_probe = now + random.next() % settings.probe_period.max(1);
+        let next_compare = now + settings.catch_up_period;
+        Membership {
+            settings,
+            own,
+            table: Table::default(),
+            rumors: Rumors::default(),
+            probing: Probing::new(first_probe),
+            seeds,
+            random,
+            suspects: Vec::new(),
+            next_compare,
+            next_seed: now,
+            catching_up: true,
+            answered: false,
+            wake: now,
+        }
+    }
+
+    /// What this process tells of itself.
+    pub fn own(&self) -> &Arc<NodeInfo> {
+        &self.own.info
+    }
+
+    /// What is known of another member, dead or alive.
+    pub fn get(&self, name: &NodeName) -> Option<(&Arc<NodeInfo>, Status)> {
+        self.table.get(name).map(|member| (&member.info, member.status))
+    }
+
+    /// The other members that are alive or only suspected.
+    pub fn live(&self) -> impl Iterator<Item = &Arc<NodeInfo>> {
+        self.table.live().map(|member| &member.info)
+    }
+
+    /// The number of [`Membership::live`].
+    pub fn live_count(&self) -> usize {
+        self.table.live_count()
+    }
+
+    /// Whether this life of this node is not known to have ended. True for this process itself.
+    pub fn is_alive(&self, owner: &Owner) -> bool {
+        if owner.name == self.own.info.name {
+            return owner.life == self.own.info.life;
+        }
+        let member = self.table.get(&owner.name);
+        member.is_some_and(|member| member.status.is_live() && member.info.life == owner.life)
+    }
+
+    /// Whether any other member has ever answered.
+    pub fn has_joined(&self) -> bool {
+        self.answered
+    }
+
+    /// When [`Membership::tick`] is due.
+    pub fn next_wake(&self) -> Micros {
+        self.wake
+    }
+
+    /// The digest that goes out with each datagram from now on.
+    pub fn set_digest(&mut self, digest: u64) {
+        self.own.digest = digest;
+    }
+
+    /// Seeds of a new settings file, tried from now on.
+    pub fn set_seeds(&mut self, now: Micros, seeds: Vec<SocketAddr>) -> Vec<Effect> {
+        self.seeds = seeds;
+        self.next_seed = now;
+        let mut effects = Vec::new();
+        self.schedule(&mut effects);
+        effects
+    }
+
+    /// Tells the others whether this process takes new work.
+    pub fn set_ready(&mut self, now: Micros, ready: bool) -> Vec<Effect> {
+        if self.own.info.ready == ready {
+            return Vec::new();
+        }
+        Arc::make_mut(&mut self.own.info).ready = ready;
+        self.announce(self.own.incarnation + 1);
+        let mut effects = Vec::new();
+        self.spread(&mut effects);
+        self.schedule_from(now, &mut effects);
+        effects
+    }
+
+    /// This process goes. Some members are told at once, and the word spreads among them.
+    pub fn leave(&mut self) -> Vec<Effect> {
+        self.own.status = Status::Left;
+        self.announce(self.own.incarnation);
+        let mut effects = Vec::new();
+        self.spread(&mut effects);
+        effects
+    }
+
+    /// A datagram arrived. One that cannot be read changes nothing.
+    pub fn datagram(
+        &mut self, now: Micros, from: SocketAddr, bytes: &[u8],
+    ) -> Result<Vec<Effect>, MembershipError> {
+        let datagram = Datagram::read(bytes)?;
+        let mut effects = Vec::new();
+        if datagram.sender == self.own.info.name && datagram.life == self.own.info.life {
+            return Ok(effects);
+        }
+        self.answered = true;
+        let mut news = false;
+        for encoded in &datagram.rumors {
+            if let Ok(rumor) = Rumor::read(encoded) {
+                news |= self.rumor(now, rumor, &mut effects);
+            }
+        }
+        self.heard(from, &datagram, &mut effects);
+        match datagram.body {
+            Body::Gossip => {}
+            Body::Ping { number, target } => self.ping(from, number, &target, &mut effects),
+            Body::Ack { number } => self.ack(number, &mut effects),
+            Body::PingRequest { number, target, address } => {
+                self.ping_request(now, (from, number), target, address, &mut effects);
+            }
+            Body::Compare { buckets, answer } => self.compare(now, from, &buckets, answer, &mut effects),
+        }
+        if news && self.own.status == Status::Alive && self.catching_up {
+            self.next_compare = self.next_compare.min(now + self.settings.catch_up_period);
+        }
+        self.schedule_from(now, &mut effects);
+        Ok(effects)
+    }
+
+    /// The time has come that [`Membership::next_wake`] told. May be called at any time.
+    pub fn tick(&mut self, now: Micros) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.own.status == Status::Left {
+            return effects;
+        }
+        let late = now.saturating_sub(self.wake);
+        if late > self.settings.stall {
+            self.postpone(late);
+        }
+        self.probe(now, &mut effects);
+        self.end_suspicions(now, &mut effects);
+        self.reach_out(now, &mut effects);
+        self.schedule_from(now, &mut effects);
+        effects
+    }
+
+    /// This process stood still: what was not answered meanwhile may lie unread.
+    fn postpone(&mut self, late: Micros) {
+        self.probing.postpone(late);
+        for name in &self.suspects {
+            if let Some(member) = self.table.get_mut(name) {
+                member.deadline += late;
+            }
+        }
+    }
+
+    /// Takes in what another member knows. Returns whether it was new.
+    pub(crate) fn rumor(&mut self, now: Micros, rumor: Rumor, effects: &mut Vec<Effect>) -> bool {
+        if rumor.info.name == self.own.info.name {
+            self.rumor_of_self(&rumor, effects);
+            return false;
+        }
+        let deadline = match rumor.status {
+            Status::Suspect => now + self.settings.suspicion_for(self.table.live_count() + 1),
+            Status::Dead | Status::Left => now + self.settings.forget_after,
+            Status::Alive => 0,
+        };
+        let Merge::Newer { before } = self.table.merge(&rumor, deadline) else { return false };
+        self.rumors.add(rumor.info.name.clone(), rumor.write());
+        if rumor.status == Status::Suspect {
+            self.suspected(now, &rumor.info, effects);
+        }
+        report(before, &rumor, effects);
+        true
+    }
+
+    fn suspected(&mut self, now: Micros, info: &Arc<NodeInfo>, effects: &mut Vec<Effect>) {
+        if !self.suspects.contains(&info.name) {
+            self.suspects.push(info.name.clone());
+        }
+        self.check_suspect(now, info, effects);
+    }
+
+    /// Another member holds something wrong of this process: that is overridden.
+    fn rumor_of_self(&mut self, rumor: &Rumor, effects: &mut Vec<Effect>) {
+        if self.own.status == Status::Left {
+            return;
+        }
+        if rumor.info.life > self.own.info.life {
+            let life = Life(rumor.info.life.0.saturating_add(1));
+            Arc::make_mut(&mut self.own.info).life = life;
+            effects.push(Effect::Restarted { life });
+            self.announce(0);
+            self.spread(effects);
+        } else if rumor.info.life == self.own.info.life {
+            let refuted = rumor.status != Status::Alive && rumor.incarnation >= self.own.incarnation;
+            if refuted || rumor.incarnation > self.own.incarnation {
+                self.announce(rumor.incarnation.saturating_add(1));
+                self.spread(effects);
+            }
+        }
+    }
+
+    /// Learns from a datagram that its sender lives, and which digest it has.
+    fn heard(&mut self, from: SocketAddr, datagram: &Datagram, effects: &mut Vec<Effect>) {
+        let Some(member) = self.table.get_mut(&datagram.sender) else {
+            return self.ask_stranger(from, &datagram.body, effects);
+        };
+        if member.info.life < datagram.life {
+            return self.ask_stranger(from, &datagram.body, effects);
+        }
+        if member.info.life > datagram.life {
+            let rumor = member.rumor().write();
+            return self.send_rumors(from, Body::Gossip, vec![rumor], effects);
+        }
+        if datagram.digest > member.digest {
+            member.digest = datagram.digest;
+            effects.push(Effect::PeerDigest { name: datagram.sender.clone(), digest: datagram.digest });
+        }
+        if member.status != Status::Alive {
+            let rumor = member.rumor().write();
+            self.send_rumors(from, Body::Gossip, vec![rumor], effects);
+        }
+    }
+
+    /// Gives this process's entry a new incarnation and queues it.
+    fn announce(&mut self, incarnation: u32) {
+        self.own.incarnation = incarnation;
+        self.rumors.add(self.own.info.name.clone(), self.own.rumor().write());
+    }
+
+    /// Sends waiting rumors to some members at once.
+    fn spread(&mut self, effects: &mut Vec<Effect>) {
+        for address in self.random_members(LEAVE_FANOUT) {
+            self.send(address, Body::Gossip, effects);
+        }
+    }
+
+    pub(crate) fn random_members(&mut self, count: usize) -> Vec<SocketAddr> {
+        let mut addresses: Vec<SocketAddr> =
+            self.table.live().map(|member| member.info.peer_address).collect();
+        addresses.sort_unstable();
+        self.random.shuffle(&mut addresses);
+        addresses.truncate(count);
+        addresses
+    }
+
+    pub(crate) fn send(&mut self, to: SocketAddr, body: Body, effects: &mut Vec<Effect>) {
+        self.send_rumors(to, body, Vec::new(), effects);
+    }
+
+    /// Sends a datagram with these rumors and as many of the waiting ones as there is room for.
+    pub(crate) fn send_rumors(
+        &mut self, to: SocketAddr, body: Body, mut rumors: Vec<serde_bytes::ByteBuf>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if to == self.own.info.peer_address {
+            return;
+        }
+        let taken: usize = rumors.iter().map(|rumor| rumor.len() + 3).sum();
+        let buckets = if let Body::Compare { buckets, .. } = &body { buckets.len() } else { 0 };
+        let room = crate::MOST_DATAGRAM_BYTES.saturating_sub(HEAD_BYTES + taken + buckets);
+        rumors.extend(self.rumors.take(room, self.table.live_count()));
+        let sender = self.own.info.name.clone();
+        let datagram = Datagram { sender, life: self.own.info.life, digest: self.own.digest, body, rumors };
+        effects.push(Effect::Send { to, datagram: datagram.write() });
+    }
+}
+
+/// Tells what a newer rumor changed.
+fn report(before: Option<(Arc<NodeInfo>, Status)>, rumor: &Rumor, effects: &mut Vec<Effect>) {
+    let (was_live, same_life, same_info) = match &before {
+        Some((info, status)) => (status.is_live(), info.life == rumor.info.life, *info == rumor.info),
+        None => (false, true, false),
+    };
+    let is_live = rumor.status.is_live();
+    if let Some((info, _)) = before.filter(|_| was_live && (!same_life || !is_live)) {
+        let left = same_life && rumor.status == Status::Left;
+        effects.push(Effect::Changed(MemberChange::Down { info, left }));
+    }
+    if is_live && (!was_live || !same_life) {
+        effects.push(Effect::Changed(MemberChange::Up(rumor.info.clone())));
+    } else if is_live && !same_info {
+        effects.push(Effect::Changed(MemberChange::Updated(rumor.info.clone())));
+    }
+}
