Message log: the store's state machine

Cause: messages need replicated records whose owners may die. Change: crates/message-log with Store, its recovery, offers to heirs, copying between stores and cleaning.

--- /dev/null
+++ b/crates/message-log/src/entry.rs
@@ -0,0 +1,55 @@
+//! The entries of a store's log.
+//!
+//! Entries may be applied in any order and more than once: what a store knows is their union. The field and variant
+//! names are short, as they are written out; they must not change.
+
+use bytes::Bytes;
+use pewterseam_wire::WallMicros;
+use pewterseam_wire::frame::{self, FrameError};
+use pewterseam_wire::identity::Owner;
+use pewterseam_wire::record::{End, MessageName};
+use pewterseam_wire::store::StoredMessage;
+use serde::{Deserialize, Serialize};
+
+/// One entry.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum LogEntry {
+    /// All that was known of a message.
+    #[serde(rename = "m")]
+    Message(Box<KeptMessage>),
+    #[serde(rename = "e")]
+    Ended { name: MessageName, end: End, at: WallMicros },
+    #[serde(rename = "a")]
+    Attempted { name: MessageName, failures: u32, at: WallMicros },
+    #[serde(rename = "c")]
+    Claimed { names: Vec<MessageName>, owner: Owner, claim: u32 },
+    #[serde(rename = "r")]
+    Released { names: Vec<MessageName>, owner: Owner },
+    /// The store holds all that it must for this set of stores.
+    #[serde(rename = "s")]
+    CopiedSet { set: u64 },
+    /// Nothing; written to find out whether the disk takes entries again.
+    #[serde(rename = "p")]
+    Probe,
+}
+
+/// A message with what a store alone knows of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct KeptMessage {
+    pub stored: StoredMessage,
+    /// When this store took the record, or first heard of the message.
+    pub taken: WallMicros,
+    /// When this store learnt of the end; only meant where there is one.
+    pub ended: WallMicros,
+    pub is_released: bool,
+}
+
+impl LogEntry {
+    pub fn encode(&self) -> Result<Bytes, FrameError> {
+        frame::encode(self).map(Bytes::from)
+    }
+
+    pub fn decode(payload: &[u8]) -> Result<Self, FrameError> {
+        frame::decode(payload)
+    }
+}
--- /dev/null
+++ b/crates/message-log/src/lib.rs
@@ -0,0 +1,25 @@
+//! The message log of a store: replicated records of messages, the facts about them, and who is to deliver them.
+//!
+//! [`Store`] is a state machine without I/O. A driver feeds it [`Input`]s with the time and carries out the
+//! [`Effect`]s that it returns: answers and notices go to sockets, entries to a `pewterseam_storage::LogWriter`.
+
+mod cleaning;
+mod contents;
+mod copying;
+mod entry;
+mod gathering;
+mod interface;
+mod message;
+mod messages;
+mod offers;
+mod owners;
+mod persistence;
+mod placement_view;
+mod recovery;
+mod requests;
+mod store;
+mod successors;
+
+pub use interface::{Effect, Input, Members, Now, StoreSettings};
+pub use recovery::{RecoverError, StoreRecovery};
+pub use store::Store;
--- /dev/null
+++ b/crates/message-log/src/messages.rs
@@ -0,0 +1,340 @@
+//! All messages of a store with the indexes over them.
+
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::sync::Arc;
+
+use pewterseam_storage::Position;
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::Owner;
+use pewterseam_wire::placement::Partition;
+use pewterseam_wire::record::{End, MessageName};
+
+use crate::message::{HeldRecord, Message, Moment};
+
+/// Names may wait in the queue of records in memory beyond those that are there.
+const RESIDENT_SLACK: usize = 1024;
+
+/// The open messages of an owner.
+#[derive(Debug, Default)]
+pub(crate) struct Owned {
+    pub names: HashSet<MessageName>,
+    pub first_seen: Micros,
+    /// The owner's life is over.
+    pub is_over: bool,
+}
+
+/// The messages by name, and the open ones by key, owner and predecessor.
+#[derive(Debug, Default)]
+pub(crate) struct Messages {
+    by_name: BTreeMap<MessageName, Message>,
+    by_key: HashMap<Arc<str>, Vec<MessageName>>,
+    pub by_owner: HashMap<Owner, Owned>,
+    successors: HashMap<MessageName, Vec<MessageName>>,
+    /// Ended messages, and those of which only facts are known, in the order in which they are forgotten.
+    expiring: VecDeque<(Moment, MessageName)>,
+    /// Open messages with their record in memory, oldest first; others may be among them.
+    resident: VecDeque<MessageName>,
+    resident_count: usize,
+    resident_bytes: usize,
+    live_bytes: u64,
+}
+
+impl Messages {
+    pub fn get(&self, name: &MessageName) -> Option<&Message> {
+        self.by_name.get(name)
+    }
+
+    pub fn record_mut(&mut self, name: &MessageName) -> Option<&mut HeldRecord> {
+        self.by_name.get_mut(name)?.record.as_deref_mut()
+    }
+
+    /// The messages after a name, in order.
+    pub fn after(&self, name: Option<&MessageName>) -> impl Iterator<Item = (&MessageName, &Message)> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        self.by_name.range((name.map_or(Unbounded, Excluded), Unbounded))
+    }
+
+    /// Bytes that the log would take if it held only what is needed.
+    pub fn live_bytes(&self) -> u64 {
+        self.live_bytes
+    }
+
+    /// Changes something that is neither a record's place in an index nor an end.
+    pub fn update<T>(&mut self, name: &MessageName, change: impl FnOnce(&mut Message) -> T) -> Option<T> {
+        self.by_name.get_mut(name).map(change)
+    }
+
+    /// The open messages of a key.
+    pub fn open_of_key(&self, key: &str, partition: Partition) -> Vec<MessageName> {
+        let names = self.by_key.get(key).map(Vec::as_slice).unwrap_or_default();
+        let is_in = |name: &&MessageName| {
+            self.get(name).and_then(Message::open_record).is_some_and(|record| record.partition == partition)
+        };
+        names.iter().filter(is_in).cloned().collect()
+    }
+
+    /// The open messages that wait for this one.
+    pub fn successors(&self, name: &MessageName) -> Vec<MessageName> {
+        self.successors.get(name).cloned().unwrap_or_default()
+    }
+
+    /// Puts a record to a message that has none. Strings that other messages share are shared here too.
+    pub fn insert_record(&mut self, name: &MessageName, mut record: HeldRecord, now: Micros) {
+        if let Some((known, _)) = self.by_owner.get_key_value(&record.owner) {
+            record.owner = known.clone();
+        }
+        if let Some(key) = &record.ordering_key
+            && let Some((known, _)) = self.by_key.get_key_value(key)
+        {
+            record.ordering_key = Some(known.clone());
+        }
+        let message = self.by_name.entry(name.clone()).or_insert_with(|| {
+            self.live_bytes += crate::message::FACT_BYTES;
+            Message::new(now as Moment)
+        });
+        let is_open = message.end.is_none();
+        self.live_bytes += record.bytes();
+        if let Some(payload) = &record.payload {
+            self.resident_bytes += payload.len();
+            self.resident_count += 1;
+            self.resident.push_back(name.clone());
+        }
+        if is_open {
+            Self::index(&mut self.by_key, &mut self.by_owner, &mut self.successors, name, &record, now);
+        }
+        message.record = Some(Box::new(record));
+    }
+
+    fn index(
+        by_key: &mut HashMap<Arc<str>, Vec<MessageName>>, by_owner: &mut HashMap<Owner, Owned>,
+        successors: &mut HashMap<MessageName, Vec<MessageName>>, name: &MessageName, record: &HeldRecord,
+        now: Micros,
+    ) {
+        if let Some(key) = &record.ordering_key {
+            by_key.entry(key.clone()).or_default().push(name.clone());
+        }
+        let owned = by_owner
+            .entry(record.owner.clone())
+            .or_insert_with(|| Owned { first_seen: now, ..Owned::default() });
+        owned.names.insert(name.clone());
+        for predecessor in &record.predecessors {
+            successors.entry(predecessor.clone()).or_default().push(name.clone());
+        }
+    }
+
+    /// Takes an open message out of the indexes.
+    fn remove_from_indexes(&mut self, name: &MessageName) {
+        let Some(record) = self.by_name.get(name).and_then(|message| message.record.as_deref()) else {
+            return;
+        };
+        if let Some(key) = &record.ordering_key {
+            remove_name(&mut self.by_key, key, name);
+        }
+        if let Some(owned) = self.by_owner.get_mut(&record.owner) {
+            owned.names.remove(name);
+            if owned.names.is_empty() {
+                self.by_owner.remove(&record.owner);
+            }
+        }
+        for predecessor in &record.predecessors {
+            remove_name(&mut self.successors, predecessor, name);
+        }
+    }
+
+    /// Gives an open message another owner.
+    pub fn change_owner(&mut self, name: &MessageName, owner: &Owner, claim: u32, now: Micros) {
+        let Some(record) = self.by_name.get_mut(name).and_then(|message| message.record.as_deref_mut())
+        else {
+            return;
+        };
+        if let Some(owned) = self.by_owner.get_mut(&record.owner) {
+            owned.names.remove(name);
+            if owned.names.is_empty() {
+                self.by_owner.remove(&record.owner);
+            }
+        }
+        let shared =
+            self.by_owner.get_key_value(owner).map_or_else(|| owner.clone(), |(known, _)| known.clone());
+        record.owner = shared.clone();
+        record.claim = claim;
+        record.is_released = false;
+        let owned =
+            self.by_owner.entry(shared).or_insert_with(|| Owned { first_seen: now, ..Owned::default() });
+        owned.names.insert(name.clone());
+    }
+
+    /// Notes that so many attempts have failed. Tells whether that is news.
+    pub fn note_failures(&mut self, name: &MessageName, failures: u32, at: Moment) -> bool {
+        if let Some(message) = self.by_name.get_mut(name) {
+            let is_news = failures > message.failures;
+            message.failures = message.failures.max(failures);
+            return is_news;
+        }
+        let mut message = Message::new(at);
+        message.failures = failures;
+        self.insert_facts(name, message);
+        true
+    }
+
+    fn insert_facts(&mut self, name: &MessageName, message: Message) {
+        self.live_bytes += message.log_bytes();
+        self.expiring.push_back((message.noted_at, name.clone()));
+        self.by_name.insert(name.clone(), message);
+    }
+
+    /// Notes an end, written with this ticket, unless a better one is known. The record goes after a success, and
+    /// leaves memory otherwise once it is in the log.
+    pub fn note_end(&mut self, name: &MessageName, end: &End, at: Moment, ticket: u64) -> bool {
+        let Some(message) = self.by_name.get(name) else {
+            let mut message = Message::new(at);
+            message.end = Some(end.clone());
+            message.end_ticket = ticket;
+            self.insert_facts(name, message);
+            return true;
+        };
+        if !message.is_better_end(end) {
+            return false;
+        }
+        let is_first = message.end.is_none();
+        if is_first && message.record.is_some() {
+            self.remove_from_indexes(name);
+        }
+        if let Some(message) = self.by_name.get_mut(name) {
+            message.end = Some(end.clone());
+            message.end_ticket = ticket;
+            if is_first {
+                message.noted_at = at;
+                self.expiring.push_back((at, name.clone()));
+            }
+        }
+        if matches!(end, End::Completed { .. }) {
+            self.drop_record(name);
+        } else {
+            self.leave_memory(name);
+        }
+        true
+    }
+
+    /// Drops the record of a message, and the message if nothing else is known of it.
+    pub fn drop_record(&mut self, name: &MessageName) {
+        let Some(message) = self.by_name.get(name) else { return };
+        if message.is_open() {
+            self.remove_from_indexes(name);
+        }
+        let Some(message) = self.by_name.get_mut(name) else { return };
+        if let Some(record) = message.record.take() {
+            self.live_bytes = self.live_bytes.saturating_sub(record.bytes());
+            if let Some(payload) = &record.payload {
+                self.resident_bytes -= payload.len();
+                self.resident_count -= 1;
+            }
+        }
+        if message.end.is_none() {
+            if message.failures == 0 {
+                self.forget(name);
+            } else {
+                let noted_at = message.noted_at;
+                self.expiring.push_back((noted_at, name.clone()));
+            }
+        }
+    }
+
+    fn forget(&mut self, name: &MessageName) {
+        if let Some(message) = self.by_name.remove(name) {
+            self.live_bytes = self.live_bytes.saturating_sub(message.log_bytes());
+            if let Some(payload) = message.record.and_then(|record| record.payload) {
+                self.resident_bytes -= payload.len();
+                self.resident_count -= 1;
+            }
+        }
+    }
+
+    /// When the first message of those that will be forgotten was noted.
+    pub fn first_expiring(&self) -> Option<Moment> {
+        self.expiring.front().map(|(noted_at, _)| *noted_at)
+    }
+
+    /// Forgets messages that ended, or were only heard of, before a moment.
+    pub fn forget_before(&mut self, moment: Moment) {
+        while let Some((noted_at, name)) = self.expiring.front() {
+            if *noted_at > moment {
+                return;
+            }
+            let is_over =
+                self.get(name).is_some_and(|message| message.noted_at <= moment && !message.is_open());
+            if let Some((_, name)) = self.expiring.pop_front()
+                && is_over
+            {
+                self.forget(&name);
+            }
+        }
+    }
+
+    /// Puts the queue of what is forgotten in order after a recovery.
+    pub fn sort_expiring(&mut self) {
+        self.expiring.make_contiguous().sort();
+    }
+
+    /// Notes where the entry with the record of a message lies.
+    pub fn note_position(&mut self, name: &MessageName, position: Position) {
+        let Some(message) = self.by_name.get_mut(name) else { return };
+        let is_ended = message.end.is_some();
+        let Some(record) = message.record.as_deref_mut() else { return };
+        let before = record.bytes();
+        record.position = Some(position);
+        self.live_bytes = (self.live_bytes + record.bytes()).saturating_sub(before);
+        if is_ended {
+            self.leave_memory(name);
+        }
+    }
+
+    /// Takes a synced record out of memory; it can be read back.
+    fn leave_memory(&mut self, name: &MessageName) -> bool {
+        let Some(record) = self.record_mut(name) else { return false };
+        if record.position.is_none() {
+            return false;
+        }
+        let before = record.bytes();
+        let Some(payload) = record.payload.take() else { return false };
+        let after = record.bytes();
+        self.resident_bytes -= payload.len();
+        self.resident_count -= 1;
+        self.live_bytes = (self.live_bytes + after).saturating_sub(before);
+        true
+    }
+
+    /// Takes the oldest records out of memory until the rest fits.
+    pub fn fit_memory(&mut self, bytes: usize) {
+        while self.resident_bytes > bytes {
+            let Some(name) = self.resident.pop_front() else { return };
+            let is_synced = self
+                .get(&name)
+                .and_then(|message| message.record.as_ref())
+                .is_none_or(|record| record.payload.is_none() || record.position.is_some());
+            if !is_synced {
+                self.resident.push_front(name);
+                return;
+            }
+            self.leave_memory(&name);
+        }
+        if self.resident.len() > 2 * self.resident_count + RESIDENT_SLACK {
+            let by_name = &self.by_name;
+            self.resident.retain(|name| {
+                let record = by_name.get(name).and_then(|message| message.record.as_ref());
+                record.is_some_and(|record| record.payload.is_some())
+            });
+        }
+    }
+}
+
+fn remove_name<K>(index: &mut HashMap<K, Vec<MessageName>>, key: &K, name: &MessageName)
+where
+    K: std::hash::Hash + Eq,
+{
+    if let Some(names) = index.get_mut(key) {
+        names.retain(|other| other != name);
+        if names.is_empty() {
+            index.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-log/src/recovery.rs
@@ -0,0 +1,188 @@
+//! Rebuilds a store from its log.
+
+use pewterseam_storage::Position;
+use pewterseam_wire::WallMicros;
+use pewterseam_wire::frame::FrameError;
+use pewterseam_wire::record::{End, MessageName};
+
+use crate::entry::{KeptMessage, LogEntry};
+use crate::interface::{Now, StoreSettings};
+use crate::message::{HeldRecord, Message, Moment, NO_SEGMENT};
+use crate::persistence::{RECOVERED_TICKET, Written};
+use crate::store::Store;
+
+/// Why a store could not be rebuilt.
+#[derive(Debug)]
+pub enum RecoverError {
+    /// An entry is whole and yet cannot be understood: a newer program wrote it.
+    UnknownEntry { position: Position, error: FrameError },
+}
+
+impl std::fmt::Display for RecoverError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            RecoverError::UnknownEntry { position, error } => write!(
+                f,
+                "the entry at byte {} of segment {} is of no kind that this program knows; start the newer program \
+                 again ({error})",
+                position.offset, position.segment
+            ),
+        }
+    }
+}
+
+impl std::error::Error for RecoverError {}
+
+/// A store that is being rebuilt: each entry of its log in order, then [`StoreRecovery::finish`].
+pub struct StoreRecovery {
+    store: Store,
+    error: Option<RecoverError>,
+}
+
+impl StoreRecovery {
+    /// Begins with nothing. A store on an empty disk has no entries.
+    pub fn new(settings: StoreSettings, now: Now) -> Self {
+        StoreRecovery { store: Store::empty(settings, now), error: None }
+    }
+
+    /// Takes the next entry.
+    pub fn entry(&mut self, position: Position, payload: &[u8]) {
+        match LogEntry::decode(payload) {
+            Ok(entry) => self.apply(position, entry),
+            Err(error) => {
+                self.error.get_or_insert(RecoverError::UnknownEntry { position, error });
+            }
+        }
+    }
+
+    /// The store as the log left it.
+    pub fn finish(mut self) -> Result<Store, RecoverError> {
+        if let Some(error) = self.error {
+            return Err(error);
+        }
+        self.store.messages.sort_expiring();
+        self.store.note_ended_predecessors();
+        Ok(self.store)
+    }
+
+    fn apply(&mut self, position: Position, entry: LogEntry) {
+        let store = &mut self.store;
+        let written = match entry {
+            LogEntry::Message(kept) => {
+                let name = kept.stored.name.clone();
+                apply_message(store, position, *kept);
+                Written::Record(name)
+            }
+            LogEntry::Ended { name, end, at } => {
+                apply_end(store, &name, &end, at);
+                Written::End(name)
+            }
+            LogEntry::Attempted { name, failures, at } => {
+                let at = store.moment_of(at);
+                store.messages.note_failures(&name, failures, at);
+                let has_record = store.messages.get(&name).is_some_and(|message| message.record.is_some());
+                if has_record { Written::Other } else { Written::Facts(name) }
+            }
+            LogEntry::Claimed { names, owner, claim } => {
+                for name in names {
+                    store.change_owner(&name, &owner, claim);
+                }
+                Written::Other
+            }
+            LogEntry::Released { names, owner } => {
+                for name in names {
+                    if let Some(record) = store.messages.record_mut(&name)
+                        && record.owner == owner
+                    {
+                        record.is_released = true;
+                    }
+                    store.queue_orphan(&name);
+                }
+                Written::Other
+            }
+            LogEntry::CopiedSet { set } => {
+                store.view.note_copied(set);
+                Written::CopiedSet(set)
+            }
+            LogEntry::Probe => Written::Other,
+        };
+        store.note_written(&written, position);
+    }
+}
+
+fn apply_end(store: &mut Store, name: &MessageName, end: &End, at: WallMicros) {
+    let at = store.moment_of(at);
+    store.messages.note_end(name, end, at, RECOVERED_TICKET);
+}
+
+/// A copy of a message that is here already stands for all of it, as copies are written when more is known.
+fn apply_message(store: &mut Store, position: Position, kept: KeptMessage) {
+    let stored = kept.stored;
+    let name = stored.name;
+    if let Some(end) = &stored.end {
+        apply_end(store, &name, end, kept.ended);
+    }
+    store.messages.note_failures(&name, stored.failures, store.moment_of(kept.taken));
+    let taken_at = store.moment_of(kept.taken);
+    let is_needed = store.messages.get(&name).is_none_or(|message| {
+        message.record.is_none() && !matches!(message.end, Some(End::Completed { .. }))
+    });
+    match (stored.record, is_needed) {
+        (Some(record), true) => {
+            let held = HeldRecord {
+                payload: None,
+                position: Some(position),
+                ticket: RECOVERED_TICKET,
+                partition: record.partition,
+                ordering_key: record.ordering_key,
+                predecessors: record.predecessors.into_boxed_slice(),
+                owner: stored.owner.unwrap_or(record.owner),
+                claim: stored.claim,
+                is_released: kept.is_released,
+                taken_at,
+                is_queued: false,
+            };
+            store.messages.insert_record(&name, held, store.now.steady);
+            if kept.is_released {
+                store.queue_orphan(&name);
+            }
+        }
+        (_, false) => {
+            if let Some(owner) = &stored.owner {
+                store.change_owner(&name, owner, stored.claim);
+            }
+            store.messages.update(&name, |message: &mut Message| message.needed_from = NO_SEGMENT);
+        }
+        (None, true) => {}
+    }
+}
+
+impl Store {
+    /// The point in time of a time of day before now. Where the clock was set back, that is now.
+    pub(crate) fn moment_of(&self, wall: WallMicros) -> Moment {
+        let age = self.now.wall.saturating_sub(wall);
+        self.now.steady as Moment - age.min(Moment::MAX as u64 / 2) as Moment
+    }
+
+    /// The time of day of a point in time.
+    pub(crate) fn wall_of(&self, moment: Moment) -> WallMicros {
+        let age = (self.now.steady as Moment - moment).max(0) as u64;
+        self.now.wall.saturating_sub(age)
+    }
+
+    fn note_ended_predecessors(&mut self) {
+        let mut pairs = Vec::new();
+        for (name, message) in self.messages.after(None) {
+            let Some(record) = message.open_record() else { continue };
+            let is_ended = |predecessor: &&MessageName| {
+                self.messages.get(predecessor).is_some_and(|message| message.end.is_some())
+            };
+            pairs.extend(
+                record.predecessors.iter().filter(is_ended).map(|other| (name.clone(), other.clone())),
+            );
+        }
+        for (successor, predecessor) in pairs {
+            self.end_notices.add(successor, predecessor);
+        }
+    }
+}
--- /dev/null
+++ b/crates/message-log/src/requests.rs
@@ -0,0 +1,346 @@
+//! The requests of relays and other stores.
+
+use std::sync::Arc;
+
+use pewterseam_wire::identity::Owner;
+use pewterseam_wire::placement::Partition;
+use pewterseam_wire::record::{End, Fact, MessageName, Record};
+use pewterseam_wire::store::{Decline, Status, StoreRequest, StoreResponse, StoredMessage};
+
+use crate::entry::{KeptMessage, LogEntry};
+use crate::gathering::{Job, Purpose};
+use crate::interface::Effect;
+use crate::message::{HeldRecord, Message, Moment, NOT_WRITTEN};
+use crate::persistence::Written;
+use crate::placement_view::{EpochOrder, Standing};
+use crate::store::{Held, Store};
+
+/// What is to become of a request.
+enum Admission {
+    Now,
+    /// When the store knows a newer placement.
+    Later,
+    Declined(Decline),
+}
+
+impl Store {
+    pub(crate) fn handle(&mut self, token: u64, request: StoreRequest) {
+        match self.admit(&request) {
+            Admission::Now => self.answer(token, request),
+            Admission::Later => self.hold(Held { token, request, since: self.now.steady }),
+            Admission::Declined(reason) => self.decline(token, reason),
+        }
+    }
+
+    /// Looks at a request's epoch. A request of a newer placement is answered where this store is in the group by its
+    /// own: a write can do no harm, and a store that belongs to the older group knows all that it must.
+    fn admit(&mut self, request: &StoreRequest) -> Admission {
+        let (epoch, partition, needs) = match request {
+            StoreRequest::Append { epoch, record } => (*epoch, record.partition, Standing::Incomplete),
+            StoreRequest::ListOpen { epoch, partition, .. } => (*epoch, *partition, Standing::Complete),
+            StoreRequest::Pull { epoch, .. } => {
+                let is_ahead = self.view.order(*epoch) == EpochOrder::Newer;
+                return if is_ahead { Admission::Later } else { Admission::Now };
+            }
+            _ => return Admission::Now,
+        };
+        let standing = self.view.standing(partition);
+        let is_fit = match needs {
+            Standing::Complete => standing == Standing::Complete,
+            _ => standing != Standing::Outside,
+        };
+        match (self.view.order(epoch), is_fit) {
+            (EpochOrder::Older, _) => Admission::Declined(Decline::StalePlacement),
+            (EpochOrder::Newer, false) => Admission::Later,
+            (EpochOrder::Same, false) => Admission::Declined(Decline::NotInGroup),
+            (_, true) => Admission::Now,
+        }
+    }
+
+    fn answer(&mut self, token: u64, request: StoreRequest) {
+        match request {
+            StoreRequest::Append { record, .. } => self.append(token, record),
+            StoreRequest::ListOpen { partition, ordering_key, .. } => {
+                self.list_open(token, partition, &ordering_key);
+            }
+            StoreRequest::Settle { facts } => self.settle(token, facts),
+            StoreRequest::Look { names } => self.look(token, &names),
+            StoreRequest::Fetch { name } => self.gather(vec![name], Purpose::Fetch { token }),
+            StoreRequest::Claim { names, owner, claim } => self.claim(token, names, &owner, claim),
+            StoreRequest::Release { names, owner } => self.release(token, names, &owner),
+            StoreRequest::Pull { partitions, after, .. } => self.pull(token, &partitions, after.as_ref()),
+        }
+    }
+
+    pub(crate) fn respond(&mut self, token: u64, response: StoreResponse) {
+        self.out.push(Effect::Respond { token, response });
+    }
+
+    pub(crate) fn decline(&mut self, token: u64, reason: Decline) {
+        let store = self.settings.id.clone();
+        self.respond(token, StoreResponse::Declined { store, reason });
+    }
+
+    pub(crate) fn done(&mut self, token: u64) {
+        let store = self.settings.id.clone();
+        self.respond(token, StoreResponse::Done { store });
+    }
+
+    /// Answers `Done` once a write is synced.
+    fn done_after(&mut self, token: u64, ticket: u64) {
+        if self.persistence.is_synced(ticket) {
+            self.done(token);
+        } else if !self.persistence.wait(ticket, token) {
+            self.decline(token, Decline::Disk);
+        }
+    }
+
+    fn append(&mut self, token: u64, record: Record) {
+        if record.name.partition() != Some(record.partition) {
+            return self.decline(token, Decline::NotInGroup);
+        }
+        if let Some(message) = self.messages.get(&record.name) {
+            let known = match (&message.record, &message.end) {
+                (Some(held), _) => Some(held.ticket),
+                (None, Some(End::Completed { .. })) => Some(message.end_ticket),
+                (None, _) => None,
+            };
+            if let Some(ticket) = known {
+                return self.done_after(token, ticket);
+            }
+        }
+        if let Some(reason) = self.reason_to_decline() {
+            return self.decline(token, reason);
+        }
+        let owner = record.owner.clone();
+        let failures = self.messages.get(&record.name).map_or(0, |message| message.failures);
+        let stored = StoredMessage {
+            name: record.name.clone(),
+            record: Some(record),
+            owner: Some(owner),
+            claim: 0,
+            failures,
+            end: None,
+        };
+        match self.add_record(stored) {
+            Some(ticket) => self.done_after(token, ticket),
+            None => self.decline(token, Decline::Busy),
+        }
+    }
+
+    /// Why no record can be taken now.
+    fn reason_to_decline(&self) -> Option<Decline> {
+        let waiting = self.persistence.waiting_bytes();
+        let room = self.settings.disk_bytes - self.settings.disk_bytes / 8;
+        if self.persistence.failed_at.is_some() || self.log_map.bytes() + waiting as u64 >= room {
+            Some(Decline::Disk)
+        } else if waiting >= self.settings.waiting_bytes {
+            Some(Decline::Busy)
+        } else {
+            None
+        }
+    }
+
+    /// Takes a record that is not here yet, with what its sender knows of it, and returns the ticket of its write.
+    /// None where it cannot be written at all.
+    pub(crate) fn add_record(&mut self, mut stored: StoredMessage) -> Option<u64> {
+        let name = stored.name.clone();
+        let known_end = self.messages.get(&name).and_then(|message| message.end.clone());
+        if known_end.is_some() {
+            stored.end = known_end;
+        }
+        let noted_at = self.messages.get(&name).map_or(self.now.steady as Moment, |message| message.noted_at);
+        let record = stored.record.as_ref()?;
+        let mut held = HeldRecord {
+            payload: None,
+            position: None,
+            ticket: self.persistence.open_ticket(),
+            partition: record.partition,
+            ordering_key: record.ordering_key.clone(),
+            predecessors: record.predecessors.clone().into_boxed_slice(),
+            owner: stored.owner.clone().unwrap_or_else(|| record.owner.clone()),
+            claim: stored.claim,
+            is_released: false,
+            taken_at: self.now.steady as Moment,
+            is_queued: false,
+        };
+        let kept =
+            KeptMessage { stored, taken: self.now.wall, ended: self.wall_of(noted_at), is_released: false };
+        let entry = LogEntry::Message(Box::new(kept)).encode().ok()?;
+        if entry.len() > pewterseam_storage::MOST_PAYLOAD_BYTES {
+            return None;
+        }
+        held.payload = Some(entry.clone());
+        let ticket = self.persistence.add(entry, Written::Record(name.clone()));
+        self.messages.insert_record(&name, held, self.now.steady);
+        self.check_owner(&name);
+        self.tell_of_ended_predecessors(&name);
+        Some(ticket)
+    }
+
+    fn tell_of_ended_predecessors(&mut self, name: &MessageName) {
+        let Some(record) = self.messages.get(name).and_then(Message::open_record) else { return };
+        for predecessor in &record.predecessors {
+            if self.messages.get(predecessor).is_some_and(|message| message.end.is_some()) {
+                self.end_notices.add(name.clone(), predecessor.clone());
+            }
+        }
+    }
+
+    fn list_open(&mut self, token: u64, partition: Partition, key: &Arc<str>) {
+        let names = self.messages.open_of_key(key, partition);
+        let store = self.settings.id.clone();
+        self.respond(token, StoreResponse::OpenMessages { store, names });
+    }
+
+    fn settle(&mut self, token: u64, facts: Vec<Fact>) {
+        self.forward(&facts);
+        let mut ticket = None;
+        for fact in facts {
+            match fact {
+                Fact::Attempted { name, failures } => self.note_attempts(&name, failures),
+                Fact::Ended { name, end } => {
+                    let written = self.note_end(&name, end);
+                    ticket = ticket.max(Some(written));
+                }
+            }
+        }
+        match ticket {
+            Some(ticket) => self.done_after(token, ticket),
+            None => self.done(token),
+        }
+    }
+
+    pub(crate) fn note_attempts(&mut self, name: &MessageName, failures: u32) {
+        let now = self.now.steady;
+        if failures == 0 || !self.messages.note_failures(name, failures, now as Moment) {
+            return;
+        }
+        let has_record = self.messages.get(name).is_some_and(|message| message.record.is_some());
+        let written = if has_record { Written::Other } else { Written::Facts(name.clone()) };
+        let entry = LogEntry::Attempted { name: name.clone(), failures, at: self.now.wall };
+        self.write_lazily(&entry, written);
+    }
+
+    fn write_lazily(&mut self, entry: &LogEntry, written: Written) {
+        if let Ok(entry) = entry.encode() {
+            self.persistence.add_lazily(entry, written, self.now.steady);
+        }
+    }
+
+    /// Takes an end and returns the ticket of its write.
+    pub(crate) fn note_end(&mut self, name: &MessageName, end: End) -> u64 {
+        let ticket = self.persistence.open_ticket();
+        let at = self.now.steady as Moment;
+        if self.messages.note_end(name, &end, at, ticket) {
+            for successor in self.messages.successors(name) {
+                self.end_notices.add(successor, name.clone());
+            }
+            self.write_end(name, end);
+            return ticket;
+        }
+        let known = self.messages.get(name);
+        let known_ticket = known.map_or(NOT_WRITTEN, |message| message.end_ticket);
+        if known_ticket != NOT_WRITTEN {
+            return known_ticket;
+        }
+        self.rewrite_end(name);
+        ticket
+    }
+
+    /// Writes an end again whose write has failed.
+    pub(crate) fn rewrite_end(&mut self, name: &MessageName) {
+        let ticket = self.persistence.open_ticket();
+        let end = self.messages.update(name, |message| {
+            let is_unwritten = message.end_ticket == NOT_WRITTEN;
+            is_unwritten.then(|| message.end_ticket = ticket).and(message.end.clone())
+        });
+        if let Some(Some(end)) = end {
+            self.write_end(name, end);
+        }
+    }
+
+    fn write_end(&mut self, name: &MessageName, end: End) {
+        let entry = LogEntry::Ended { name: name.clone(), end, at: self.now.wall };
+        if let Ok(entry) = entry.encode() {
+            self.persistence.add(entry, Written::End(name.clone()));
+        }
+    }
+
+    /// A relay takes the end of a message from all but f stores. So one that has yet to copy may not answer.
+    fn look(&mut self, token: u64, names: &[MessageName]) {
+        let is_complete = names
+            .iter()
+            .filter_map(MessageName::partition)
+            .all(|partition| self.view.standing(partition) == Standing::Complete);
+        if !is_complete {
+            return self.decline(token, Decline::NotInGroup);
+        }
+        let statuses = names.iter().map(|name| self.status(name)).collect();
+        let store = self.settings.id.clone();
+        self.respond(token, StoreResponse::Statuses { store, statuses });
+    }
+
+    fn status(&self, name: &MessageName) -> Status {
+        let Some(message) = self.messages.get(name) else { return Status::Unknown };
+        match (&message.end, &message.record) {
+            (Some(end), _) => Status::Ended(end.clone()),
+            (None, Some(held)) => {
+                Status::Open { owner: held.owner.clone(), claim: held.claim, failures: message.failures }
+            }
+            (None, None) => Status::Unknown,
+        }
+    }
+
+    pub(crate) fn answer_fetch(&mut self, token: u64, job: &Job) {
+        if job.has_failed {
+            return self.decline(token, Decline::Disk);
+        }
+        let payload = job.payloads.first().and_then(Option::as_ref);
+        let record = job.names.first().and_then(|name| self.stored(name, payload)?.record);
+        let store = self.settings.id.clone();
+        self.respond(token, StoreResponse::Found { store, record });
+    }
+
+    /// Owners only decide who delivers, so nobody waits for these writes.
+    fn claim(&mut self, token: u64, names: Vec<MessageName>, owner: &Owner, claim: u32) {
+        let taken: Vec<MessageName> =
+            names.into_iter().filter(|name| self.change_owner(name, owner, claim)).collect();
+        if !taken.is_empty() {
+            let entry = LogEntry::Claimed { names: taken, owner: owner.clone(), claim };
+            self.write_lazily(&entry, Written::Other);
+        }
+        self.done(token);
+    }
+
+    /// Gives an open message an owner, unless a later one is known.
+    pub(crate) fn change_owner(&mut self, name: &MessageName, owner: &Owner, claim: u32) -> bool {
+        let Some(record) = self.messages.get(name).and_then(Message::open_record) else { return false };
+        if (claim, owner) <= (record.claim, &record.owner) {
+            return false;
+        }
+        self.messages.change_owner(name, owner, claim, self.now.steady);
+        self.check_owner(name);
+        true
+    }
+
+    fn release(&mut self, token: u64, names: Vec<MessageName>, owner: &Owner) {
+        let mut taken = Vec::new();
+        for name in names {
+            let record = self.messages.get(&name).and_then(Message::open_record);
+            if !record.is_some_and(|record| record.owner == *owner && !record.is_released) {
+                continue;
+            }
+            if let Some(record) = self.messages.record_mut(&name) {
+                record.is_released = true;
+            }
+            self.queue_orphan(&name);
+            taken.push(name);
+        }
+        if !taken.is_empty() {
+            let entry = LogEntry::Released { names: taken, owner: owner.clone() };
+            self.write_lazily(&entry, Written::Other);
+        }
+        self.done(token);
+    }
+}
--- /dev/null
+++ b/crates/message-log/src/store.rs
@@ -0,0 +1,239 @@
+//! The store: takes inputs, returns effects.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use pewterseam_storage::Position;
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::{Placement, StoreId};
+use pewterseam_wire::record::MessageName;
+use pewterseam_wire::store::{Decline, StoreRequest};
+
+use crate::cleaning::LogMap;
+use crate::copying::Copying;
+use crate::entry::LogEntry;
+use crate::gathering::Gathering;
+use crate::interface::{Effect, Input, Now, StoreSettings};
+use crate::message::Moment;
+use crate::messages::Messages;
+use crate::offers::Offers;
+use crate::owners::Owners;
+use crate::persistence::{Persistence, Written};
+use crate::placement_view::PlacementView;
+use crate::successors::EndNotices;
+
+/// A request of a newer placement waits this long for it.
+const HOLD_TIME: Micros = 1_000_000;
+
+/// Requests that wait at most.
+const MOST_HELD: usize = 1024;
+
+/// The disk is tried again so long after it refused.
+const DISK_RETRY: Micros = 1_000_000;
+
+/// No wake-up is asked for sooner than this.
+const SHORTEST_WAIT: Micros = 20_000;
+
+/// Ended messages are forgotten this much late, so that many go at once.
+const FORGET_SLACK: Micros = 1_000_000;
+
+/// A request that waits for a newer placement.
+#[derive(Debug)]
+pub(crate) struct Held {
+    pub token: u64,
+    pub request: StoreRequest,
+    pub since: Micros,
+}
+
+/// The message log of one store. See [`crate`].
+#[derive(Debug)]
+pub struct Store {
+    pub(crate) settings: StoreSettings,
+    pub(crate) now: Now,
+    pub(crate) messages: Messages,
+    pub(crate) persistence: Persistence,
+    pub(crate) log_map: LogMap,
+    pub(crate) view: PlacementView,
+    pub(crate) owners: Owners,
+    pub(crate) offers: Offers,
+    pub(crate) end_notices: EndNotices,
+    pub(crate) gathering: Gathering,
+    pub(crate) copying: Option<Copying>,
+    /// Ends whose write has failed.
+    pub(crate) unwritten_ends: Vec<MessageName>,
+    /// The token of the last request to another store.
+    pub(crate) last_request: u64,
+    pub(crate) out: Vec<Effect>,
+    held: VecDeque<Held>,
+    wake_at: Option<Micros>,
+}
+
+impl Store {
+    pub(crate) fn empty(settings: StoreSettings, now: Now) -> Self {
+        Store {
+            view: PlacementView::new(settings.id.clone()),
+            settings,
+            now,
+            messages: Messages::default(),
+            persistence: Persistence::new(),
+            log_map: LogMap::default(),
+            owners: Owners::default(),
+            offers: Offers::default(),
+            end_notices: EndNotices::default(),
+            gathering: Gathering::default(),
+            copying: None,
+            unwritten_ends: Vec::new(),
+            last_request: 0,
+            out: Vec::new(),
+            held: VecDeque::new(),
+            wake_at: None,
+        }
+    }
+
+    /// Who this store is.
+    pub fn id(&self) -> &StoreId {
+        &self.settings.id
+    }
+
+    /// Takes an input and returns what is to be done, in order. The steady clock may not go back between calls.
+    pub fn step(&mut self, now: Now, input: Input) -> Vec<Effect> {
+        self.now = now;
+        match input {
+            Input::Request { token, request } => self.handle(token, request),
+            Input::Placement(placement) => self.set_placement(placement),
+            Input::Members(members) => self.set_members(members),
+            Input::Persisted { through, positions } => self.persisted(through, positions),
+            Input::PersistFailed { through } => self.persist_failed(through),
+            Input::ReadBack { token, payload } => self.take_read(token, payload),
+            Input::PullAnswered { token, response } => self.take_pull_answer(token, response),
+            Input::Tick => {}
+        }
+        self.do_what_is_due();
+        if let Some(persist) = self.persistence.flush(self.now.steady) {
+            self.out.push(persist);
+        }
+        self.ask_to_wake();
+        std::mem::take(&mut self.out)
+    }
+
+    fn do_what_is_due(&mut self) {
+        self.release_held(false);
+        self.retry_disk();
+        self.messages.fit_memory(self.settings.memory_bytes);
+        self.send_end_notices();
+        self.make_offers();
+        self.drive_copying();
+        self.clean();
+        if self.forget_due().is_some_and(|due| due <= self.now.steady as Moment) {
+            self.messages.forget_before(self.now.steady as Moment - self.settings.status_ttl as Moment);
+        }
+    }
+
+    fn set_placement(&mut self, placement: Arc<Placement>) {
+        if self.view.set(placement) {
+            self.start_copying();
+            self.release_held(true);
+        }
+    }
+
+    pub(crate) fn hold(&mut self, held: Held) {
+        if self.held.len() >= MOST_HELD {
+            return self.decline(held.token, Decline::Busy);
+        }
+        self.held.push_back(held);
+    }
+
+    /// Looks again at requests that wait for a placement, if there is a new one, and declines those that have waited
+    /// long enough.
+    fn release_held(&mut self, is_new_placement: bool) {
+        let now = self.now.steady;
+        if is_new_placement {
+            for held in std::mem::take(&mut self.held) {
+                self.handle(held.token, held.request);
+            }
+            return;
+        }
+        while let Some(held) = self.held.pop_front_if(|held| held.since + HOLD_TIME <= now) {
+            self.decline(held.token, Decline::NotInGroup);
+        }
+    }
+
+    fn persisted(&mut self, through: u64, positions: Vec<Position>) {
+        self.persistence.failed_at = None;
+        let mut positions = positions.into_iter();
+        for batch in self.persistence.take_through(through) {
+            for (written, position) in batch.written.into_iter().zip(positions.by_ref()) {
+                self.note_written(&written, position);
+                if let Written::CopiedSet(set) = written {
+                    self.note_copied_set(set);
+                }
+            }
+            for token in batch.waiting {
+                self.done(token);
+            }
+        }
+    }
+
+    /// All that waits is declined: what was written with later tickets may rest on what failed.
+    fn persist_failed(&mut self, through: u64) {
+        self.persistence.failed_at = Some(self.now.steady);
+        let mut waiting = Vec::new();
+        for batch in self.persistence.take_through(through) {
+            for written in batch.written {
+                self.note_failed(written, batch.ticket);
+            }
+            waiting.extend(batch.waiting);
+        }
+        waiting.extend(self.persistence.take_waiting());
+        for token in waiting {
+            self.decline(token, Decline::Disk);
+        }
+        if self.copying.is_some() {
+            self.start_copying();
+        }
+    }
+
+    /// Writes again what has failed, or else an entry without meaning, to learn whether the disk takes anything.
+    fn retry_disk(&mut self) {
+        let Some(failed_at) = self.persistence.failed_at else { return };
+        if failed_at + DISK_RETRY > self.now.steady || !self.persistence.is_idle() {
+            return;
+        }
+        self.persistence.failed_at = Some(self.now.steady);
+        for name in std::mem::take(&mut self.unwritten_ends) {
+            self.rewrite_end(&name);
+        }
+        if !self.persistence.has_open_entries()
+            && let Ok(entry) = LogEntry::Probe.encode()
+        {
+            self.persistence.add(entry, Written::Other);
+        }
+    }
+
+    fn forget_due(&self) -> Option<Moment> {
+        let first = self.messages.first_expiring()?;
+        Some(first + self.settings.status_ttl as Moment + FORGET_SLACK as Moment)
+    }
+
+    /// Asks to be woken when the next thing is due, unless it did already.
+    fn ask_to_wake(&mut self) {
+        let dues = [
+            self.held.front().map(|held| held.since + HOLD_TIME),
+            self.persistence.failed_at.filter(|_| self.persistence.is_idle()).map(|at| at + DISK_RETRY),
+            self.persistence.lazy_due(),
+            self.end_notices.due(),
+            self.offers.due(),
+            self.offers.judge_at,
+            self.copying.as_ref().and_then(Copying::due),
+            self.forget_due().map(|due| due.max(0) as Micros),
+        ];
+        let now = self.now.steady;
+        let due = dues.into_iter().flatten().min().map(|due| due.max(now + SHORTEST_WAIT));
+        if let Some(due) = due
+            && self.wake_at.is_none_or(|at| at <= now || due < at)
+        {
+            self.wake_at = Some(due);
+            self.out.push(Effect::WakeAt(due));
+        }
+    }
+}
