Control: replicated configuration, core members and placement of stores, first version

Cause: the operator's configuration and the placement of stores need one agreed, durable history. Change: crates/control; a small generator of random numbers moved to crates/wire for both machines.

--- /dev/null
+++ b/crates/control/src/forward.rs
@@ -0,0 +1,154 @@
+//! Calls that this process took: passed on to the leader, and again to the next one, until they are answered.
+
+use std::collections::BTreeMap;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::NodeName;
+
+use crate::effect::Effect;
+use crate::machine::Control;
+use crate::message::ControlMessage;
+use crate::operator::{FIRST_OWN_TOKEN, OperatorRequest, Outcome, Token};
+
+/// A core member that knows no leader is asked again after this.
+const NO_LEADER_PAUSE: Micros = 100_000;
+
+/// An unanswered call goes out again after so many of the usual pauses if its receiver is alive.
+const PATIENCE: Micros = 3;
+
+/// Bytes of a body for which a call gets a millisecond more.
+const BYTES_PER_MILLISECOND: u64 = 1024;
+
+struct Call {
+    request: OperatorRequest,
+    deadline: Micros,
+    send_at: Micros,
+    sent_to: Option<NodeName>,
+}
+
+/// The calls under way.
+pub(crate) struct Forwarder {
+    calls: BTreeMap<Token, Call>,
+    next_own: u64,
+    /// Rises with each choice among core members where no leader is known.
+    turn: usize,
+}
+
+impl Default for Forwarder {
+    fn default() -> Self {
+        Forwarder { calls: BTreeMap::new(), next_own: FIRST_OWN_TOKEN, turn: 0 }
+    }
+}
+
+impl Forwarder {
+    pub(crate) fn next_wake(&self) -> Micros {
+        self.calls.values().map(|call| call.deadline.min(call.send_at)).min().unwrap_or(Micros::MAX)
+    }
+
+    pub(crate) fn own_token(&mut self) -> Token {
+        self.next_own += 1;
+        Token(self.next_own)
+    }
+}
+
+impl Control {
+    pub(crate) fn forward(&mut self, token: Token, request: OperatorRequest) {
+        let longer = request.size() as u64 / BYTES_PER_MILLISECOND * 1_000;
+        let deadline = self.now + self.settings.call_timeout + longer;
+        self.forwarder.calls.insert(token, Call { request, deadline, send_at: self.now, sent_to: None });
+    }
+
+    pub(crate) fn run_forwarder(&mut self) {
+        if self.forwarder.next_wake() > self.now {
+            return;
+        }
+        let now = self.now;
+        let over: Vec<Token> = self
+            .forwarder
+            .calls
+            .iter()
+            .filter(|(_, call)| call.deadline <= now)
+            .map(|(token, _)| *token)
+            .collect();
+        for token in over {
+            self.answered(token, Outcome::Unknown);
+        }
+        let due: Vec<Token> = self
+            .forwarder
+            .calls
+            .iter()
+            .filter(|(_, call)| call.send_at <= now)
+            .map(|(token, _)| *token)
+            .collect();
+        for token in due {
+            self.send_call(token);
+        }
+    }
+
+    /// The leader, or a core member that may know it.
+    fn receiver(&mut self) -> Option<NodeName> {
+        if self.is_leader() {
+            return Some(self.name.clone());
+        }
+        if let Some(leader) = self.leader_hint.clone().filter(|leader| self.peers.is_live(leader)) {
+            return Some(leader);
+        }
+        let core = self.live_core();
+        if core.is_empty() {
+            return None;
+        }
+        self.forwarder.turn += 1;
+        core.get(self.forwarder.turn % core.len()).cloned()
+    }
+
+    /// Core members other than this process that are alive; before any are known, nodes that could be.
+    pub(crate) fn live_core(&self) -> Vec<NodeName> {
+        let members = &self.replica.committed.members;
+        let could_be =
+            |name: &NodeName| members.is_empty() || members.iter().any(|member| member.name == *name);
+        let live =
+            self.peers.live().filter(|peer| peer.core_member().is_some()).map(|peer| peer.info.name.clone());
+        live.filter(|name| *name != self.name && could_be(name)).collect()
+    }
+
+    fn send_call(&mut self, token: Token) {
+        let receiver = self.receiver();
+        let Some(call) = self.forwarder.calls.get_mut(&token) else { return };
+        let Some(receiver) = receiver else {
+            call.send_at = self.now + NO_LEADER_PAUSE;
+            return;
+        };
+        call.send_at = self.now + self.settings.resend * PATIENCE;
+        call.sent_to = Some(receiver.clone());
+        let request = call.request.clone();
+        self.send(receiver, ControlMessage::Operator { token, request });
+    }
+
+    pub(crate) fn answered(&mut self, token: Token, outcome: Outcome) {
+        if self.forwarder.calls.remove(&token).is_none() {
+            return;
+        }
+        if token.0 < FIRST_OWN_TOKEN {
+            self.effects.push(Effect::Answer { token, outcome });
+        } else if let Outcome::Index(index) = outcome {
+            self.currency.learnt(index);
+            if let Some(leader) = self.leader_hint.clone() {
+                self.heard_of_index(index, leader);
+            }
+        }
+    }
+
+    /// The receiver does not lead. It may know who does.
+    pub(crate) fn not_leader(&mut self, from: &NodeName, token: Token, leader: Option<NodeName>) {
+        if self.leader_hint.as_ref() == Some(from) || self.leader_hint.is_none() {
+            self.leader_hint = leader.clone().filter(|leader| leader != from && *leader != self.name);
+        }
+        let now = self.now;
+        let Some(call) = self.forwarder.calls.get_mut(&token) else { return };
+        if call.sent_to.as_ref() != Some(from) {
+            return;
+        }
+        call.send_at = if leader.is_some() { now } else { now + NO_LEADER_PAUSE };
+        call.sent_to = None;
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,1 +1,37 @@
-//! x
+//! The replicated configuration, placement and core membership of the system, as a state machine without I/O.
+//!
+//! One state is agreed on at a time. It is named by a [`Stamp`]: the epoch of the leader that proposed it and its index.
+//! The core members (relays with a disk) accept states durably; a state is committed once a majority of its own members
+//! has synced it. A new leader takes an epoch with the promises of a majority, adopts the greatest state among them,
+//! commits an entry of its own epoch on top, and only then serves. All other processes learn committed states.
+//!
+//! Every process runs a [`Control`]. Its driver sends messages, syncs records, and passes on changes of membership.
+
+mod agreed;
+mod catch_up;
+mod core_members;
+mod currency;
+mod effect;
+mod election;
+mod entry;
+mod follower;
+mod formation;
+mod forward;
+mod leader;
+mod machine;
+mod message;
+mod operator;
+mod orders;
+mod peers;
+mod placement;
+mod replica;
+mod settings;
+mod storage;
+
+pub use agreed::Agreed;
+pub use effect::{ControlError, Effect};
+pub use entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
+pub use machine::Control;
+pub use message::{ControlMessage, FormationMessage};
+pub use operator::{OperatorRequest, Outcome, Token};
+pub use settings::ControlSettings;
--- /dev/null
+++ b/crates/control/src/machine.rs
@@ -0,0 +1,279 @@
+//! The machine: its parts, what comes in, and the order in which it is worked off.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pewterseam_config::Checker;
+use pewterseam_membership::MemberChange;
+use pewterseam_wire::Micros;
+use pewterseam_wire::control::ControlState;
+use pewterseam_wire::identity::{NodeInfo, NodeName};
+use pewterseam_wire::placement::{PlacementEpoch, StoreId};
+use pewterseam_wire::random::Random;
+
+use crate::catch_up::CatchUp;
+use crate::currency::Currency;
+use crate::effect::{ControlError, Effect};
+use crate::election::Role;
+use crate::entry::CoreMember;
+use crate::formation::Formation;
+use crate::forward::Forwarder;
+use crate::message::ControlMessage;
+use crate::operator::{OperatorRequest, Token};
+use crate::peers::{Peer, Peers};
+use crate::replica::Replica;
+use crate::settings::ControlSettings;
+use crate::storage::recover;
+
+/// Control in one process.
+pub struct Control {
+    pub(crate) name: NodeName,
+    pub(crate) identity: Option<CoreMember>,
+    pub(crate) settings: ControlSettings,
+    pub(crate) started: Micros,
+    pub(crate) now: Micros,
+    pub(crate) random: Random,
+    pub(crate) peers: Peers,
+    pub(crate) replica: Replica,
+    pub(crate) role: Role,
+    /// The highest epoch that was heard of.
+    pub(crate) highest_epoch: u64,
+    pub(crate) leader_hint: Option<NodeName>,
+    pub(crate) formation: Option<Formation>,
+    pub(crate) forwarder: Forwarder,
+    pub(crate) catch_up: CatchUp,
+    pub(crate) currency: Currency,
+    /// What the store of this process holds, until the placement goes on.
+    pub(crate) copied: Option<(StoreId, PlacementEpoch, Micros)>,
+    pub(crate) checker: Option<Checker>,
+    pub(crate) effects: Vec<Effect>,
+    /// Messages to this process itself.
+    inbox: VecDeque<ControlMessage>,
+    in_force: Arc<ControlState>,
+    wake: Micros,
+}
+
+impl Control {
+    /// A process that starts, with what its log holds. Call [`Control::tick`] at once.
+    pub fn new(
+        now: Micros, info: &NodeInfo, settings: ControlSettings, log: (Option<Bytes>, Vec<Bytes>), seed: u64,
+    ) -> Result<Self, ControlError> {
+        let recovered = recover(log.0.as_deref(), &log.1)?;
+        let own = Peer { info: Arc::new(info.clone()), is_live: true, since: now };
+        let identity = own.core_member();
+        let mut peers = Peers::default();
+        peers.change(now, &MemberChange::Up(own.info.clone()));
+        let mut random = Random::new(seed);
+        let is_seed = settings.bootstrap && settings.seeds.contains(&info.peer_address);
+        let formation = is_seed.then(|| Formation::new(now + settings.formation_delay, random.draw()));
+        let replica = Replica::new(identity.is_some(), recovered);
+        let mut control = Control {
+            name: info.name.clone(),
+            identity,
+            started: now,
+            now,
+            random,
+            peers,
+            replica,
+            role: Role::follower(Micros::MAX),
+            highest_epoch: 0,
+            leader_hint: None,
+            formation,
+            forwarder: Forwarder::default(),
+            catch_up: CatchUp::default(),
+            currency: Currency::new(now),
+            copied: None,
+            checker: None,
+            effects: Vec::new(),
+            inbox: VecDeque::new(),
+            in_force: Arc::new(ControlState::default()),
+            wake: now,
+            settings,
+        };
+        control.schedule_election_at_start();
+        Ok(control)
+    }
+
+    /// The newest committed state that this process knows.
+    pub fn state(&self) -> &Arc<ControlState> {
+        &self.in_force
+    }
+
+    /// The index of [`Control::state`], for membership's digest.
+    pub fn index(&self) -> u64 {
+        self.in_force.index
+    }
+
+    /// Whether this process knows a state that was proven the newest at or after its start.
+    pub fn is_current(&self) -> bool {
+        self.currency.is_current
+    }
+
+    /// Whether this process leads, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        matches!(self.role, Role::Leader(_))
+    }
+
+    /// The core's members, as of the newest committed state known here.
+    pub fn core(&self) -> &[CoreMember] {
+        &self.replica.committed.members
+    }
+
+    /// When [`Control::tick`] is due.
+    pub fn next_wake(&self) -> Micros {
+        self.wake
+    }
+
+    /// Time has come. May be called at any time.
+    pub fn tick(&mut self, now: Micros) -> Vec<Effect> {
+        self.enter(now);
+        self.finish()
+    }
+
+    /// A message arrived from a node.
+    pub fn message(&mut self, now: Micros, from: &NodeName, message: ControlMessage) -> Vec<Effect> {
+        self.enter(now);
+        self.handle(from, message);
+        self.finish()
+    }
+
+    /// Membership changed.
+    pub fn member(&mut self, now: Micros, change: &MemberChange) -> Vec<Effect> {
+        self.enter(now);
+        self.peers.change(now, change);
+        if let MemberChange::Down { info, .. } = change {
+            self.leader_may_be_gone(&info.name);
+        }
+        self.finish()
+    }
+
+    /// Membership told that a node knows this index.
+    pub fn peer_digest(&mut self, now: Micros, name: &NodeName, digest: u64) -> Vec<Effect> {
+        self.enter(now);
+        self.heard_of_index(digest, name.clone());
+        self.finish()
+    }
+
+    /// All records up to a sequence are synced.
+    pub fn persisted(&mut self, now: Micros, sequence: u64) -> Vec<Effect> {
+        self.enter(now);
+        self.replica.persisted(sequence);
+        self.finish()
+    }
+
+    /// An operator's call. It is answered by one [`Effect::Answer`].
+    pub fn operator(&mut self, now: Micros, token: Token, request: OperatorRequest) -> Vec<Effect> {
+        self.enter(now);
+        self.forward(token, request);
+        self.finish()
+    }
+
+    /// The store of this process holds all that the placement of this epoch asks for. It is told until it is heard.
+    pub fn copied(&mut self, now: Micros, store: StoreId, epoch: PlacementEpoch) -> Vec<Effect> {
+        self.enter(now);
+        self.copied = Some((store, epoch, now));
+        self.finish()
+    }
+
+    fn enter(&mut self, now: Micros) {
+        self.now = self.now.max(now);
+    }
+
+    /// Works off what is due and what this process told itself.
+    fn finish(&mut self) -> Vec<Effect> {
+        loop {
+            self.run_timers();
+            while let Some((to, message)) = self.replica.next_synced() {
+                self.send(to, message);
+            }
+            let Some(message) = self.inbox.pop_front() else { break };
+            let own = self.name.clone();
+            self.handle(&own, message);
+        }
+        self.publish();
+        self.schedule();
+        std::mem::take(&mut self.effects)
+    }
+
+    fn run_timers(&mut self) {
+        self.run_formation();
+        self.run_election();
+        self.run_leader();
+        self.run_forwarder();
+        self.run_catch_up();
+        self.run_currency();
+        self.tell_copied();
+    }
+
+    pub(crate) fn send(&mut self, to: NodeName, message: ControlMessage) {
+        if to == self.name {
+            self.inbox.push_back(message);
+        } else {
+            self.effects.push(Effect::Send { to, message });
+        }
+    }
+
+    /// Puts a newer committed state in force.
+    fn publish(&mut self) {
+        if self.replica.committed.stamp.index > self.in_force.index {
+            self.in_force = Arc::new(self.replica.committed.state.clone());
+            self.effects.push(Effect::InForce(self.in_force.clone()));
+        }
+        if self.currency.update(self.in_force.index) {
+            self.effects.push(Effect::Current);
+        }
+    }
+
+    fn schedule(&mut self) {
+        let copied = self.copied.as_ref().map_or(Micros::MAX, |(_, _, at)| *at);
+        let wakes = [
+            self.formation.as_ref().map_or(Micros::MAX, Formation::next_wake),
+            self.role.next_wake(),
+            self.forwarder.next_wake(),
+            self.catch_up.next_wake(),
+            self.currency.next_wake(),
+            copied,
+        ];
+        let wake = wakes.into_iter().fold(Micros::MAX, Micros::min).max(self.now + 1);
+        if wake != self.wake {
+            self.wake = wake;
+            self.effects.push(Effect::Wake(wake));
+        }
+    }
+
+    fn handle(&mut self, from: &NodeName, message: ControlMessage) {
+        match message {
+            ControlMessage::Formation(message) => self.formation_message(from, message),
+            ControlMessage::PreVote { epoch } => self.pre_vote(from, epoch),
+            ControlMessage::PreVoteAnswer { epoch, member, granted } => {
+                self.pre_vote_answer(epoch, member, granted)
+            }
+            ControlMessage::Prepare { epoch } => self.prepare(from, epoch),
+            ControlMessage::Promise { epoch, member, stamp } => self.promise(epoch, member, stamp),
+            ControlMessage::Refused { promised } => self.refused(promised),
+            ControlMessage::ReadAccepted { epoch } => self.read_accepted(from, epoch),
+            ControlMessage::AcceptedState { epoch, agreed } => self.accepted_state(epoch, agreed),
+            ControlMessage::Accept { epoch, entry, committed } => self.accept(from, epoch, entry, committed),
+            ControlMessage::Install { epoch, agreed, committed } => {
+                self.install(from, epoch, agreed, committed)
+            }
+            ControlMessage::AcceptAnswer { epoch, member, stamp } => self.accept_answer(epoch, member, stamp),
+            ControlMessage::NeedState { epoch } => self.need_state(from, epoch),
+            ControlMessage::Heartbeat { epoch, round, committed } => {
+                self.heartbeat(from, epoch, round, committed)
+            }
+            ControlMessage::HeartbeatAnswer { epoch, round, member, committed } => {
+                self.heartbeat_answer(epoch, round, member, committed);
+            }
+            ControlMessage::Push { entry } => self.push(from, entry),
+            ControlMessage::Fetch { have } => self.fetch(from, have),
+            ControlMessage::Entries { entries } => self.entries(entries),
+            ControlMessage::Committed { agreed } => self.committed(agreed),
+            ControlMessage::Operator { token, request } => self.order(from, token, request),
+            ControlMessage::OperatorAnswer { token, outcome } => self.answered(token, outcome),
+            ControlMessage::NotLeader { token, leader } => self.not_leader(from, token, leader),
+            ControlMessage::Copied { store, epoch } => self.store_copied(store, epoch),
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/message.rs
@@ -0,0 +1,141 @@
+//! What processes tell each other about control.
+
+use pewterseam_wire::identity::NodeName;
+use pewterseam_wire::placement::{PlacementEpoch, StoreId};
+use serde::{Deserialize, Serialize};
+
+use crate::agreed::Agreed;
+use crate::entry::{CoreMember, Entry, Stamp};
+use crate::operator::{OperatorRequest, Outcome, Token};
+
+/// A message of control. The driver tells the sender's name beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ControlMessage {
+    Formation(FormationMessage),
+    /// Would you promise this epoch? Changes nothing at the receiver.
+    PreVote {
+        epoch: u64,
+    },
+    PreVoteAnswer {
+        epoch: u64,
+        member: CoreMember,
+        granted: bool,
+    },
+    /// Promise to accept nothing of an earlier epoch.
+    Prepare {
+        epoch: u64,
+    },
+    /// Promised durably. `stamp` is that of the state accepted so far.
+    Promise {
+        epoch: u64,
+        member: CoreMember,
+        stamp: Stamp,
+    },
+    /// This higher epoch was promised already.
+    Refused {
+        promised: u64,
+    },
+    /// A candidate asks for the state that was accepted.
+    ReadAccepted {
+        epoch: u64,
+    },
+    AcceptedState {
+        epoch: u64,
+        agreed: Agreed,
+    },
+    /// Accept the state after this entry.
+    Accept {
+        epoch: u64,
+        entry: Entry,
+        committed: Stamp,
+    },
+    /// Accept this state, which the receiver lacks the base of.
+    Install {
+        epoch: u64,
+        agreed: Agreed,
+        committed: Stamp,
+    },
+    /// Accepted durably.
+    AcceptAnswer {
+        epoch: u64,
+        member: CoreMember,
+        stamp: Stamp,
+    },
+    /// The receiver of an `Accept` lacks the state before the entry.
+    NeedState {
+        epoch: u64,
+    },
+    Heartbeat {
+        epoch: u64,
+        round: u64,
+        committed: Stamp,
+    },
+    /// `committed` is the index of the newest committed state here.
+    HeartbeatAnswer {
+        epoch: u64,
+        round: u64,
+        member: CoreMember,
+        committed: u64,
+    },
+    /// A leader tells a process that is not of the core of a committed entry.
+    Push {
+        entry: Entry,
+    },
+    /// Asks for what was committed after this state.
+    Fetch {
+        have: Stamp,
+    },
+    /// Committed entries, in order.
+    Entries {
+        entries: Vec<Entry>,
+    },
+    /// A committed state.
+    Committed {
+        agreed: Agreed,
+    },
+    Operator {
+        token: Token,
+        request: OperatorRequest,
+    },
+    OperatorAnswer {
+        token: Token,
+        outcome: Outcome,
+    },
+    /// The call was not settled here.
+    NotLeader {
+        token: Token,
+        leader: Option<NodeName>,
+    },
+    /// A store holds all that its part of the placement of this epoch asks for.
+    Copied {
+        store: StoreId,
+        epoch: PlacementEpoch,
+    },
+}
+
+/// Agreement of the seeds on the first members of the core, by Paxos with one decree.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum FormationMessage {
+    Prepare {
+        ballot: u64,
+    },
+    Promise {
+        ballot: u64,
+        accepted: Option<(u64, Vec<CoreMember>)>,
+    },
+    Accept {
+        ballot: u64,
+        members: Vec<CoreMember>,
+    },
+    Accepted {
+        ballot: u64,
+    },
+    /// A higher ballot was promised.
+    Refused {
+        promised: u64,
+    },
+    /// Decided.
+    Formed {
+        members: Vec<CoreMember>,
+    },
+}
--- /dev/null
+++ b/crates/control/src/operator.rs
@@ -0,0 +1,76 @@
+//! Calls of the operator and their outcomes.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pewterseam_wire::control::ConfigDocument;
+use pewterseam_wire::identity::NodeName;
+use serde::{Deserialize, Serialize};
+
+use crate::entry::Change;
+
+/// Names a call within the relay that took it. Drivers choose numbers below 2^63.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Token(pub u64);
+
+/// The first token that a machine gives to requests of its own.
+pub(crate) const FIRST_OWN_TOKEN: u64 = 1 << 63;
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OperatorRequest {
+    /// `PUT` or `PATCH /-/config`.
+    Configure { if_match: u64, change: Change },
+    /// `GET /-/config`.
+    ReadConfig,
+    /// `POST /-/retire/NODE`.
+    Retire { node: NodeName },
+    /// `GET /-/retire/NODE`.
+    ReadRetire { node: NodeName },
+    /// A process asks for the newest index, to know whether it is current.
+    ReadIndex,
+}
+
+impl OperatorRequest {
+    /// `PUT /-/config`.
+    pub fn put(if_match: u64, body: Bytes) -> Self {
+        OperatorRequest::Configure { if_match, change: Change::Whole(body) }
+    }
+
+    /// `PATCH /-/config`.
+    pub fn patch(if_match: u64, body: Bytes) -> Self {
+        OperatorRequest::Configure { if_match, change: Change::Patch(body) }
+    }
+
+    pub(crate) fn size(&self) -> usize {
+        match self {
+            OperatorRequest::Configure { change, .. } => change.len(),
+            _ => 0,
+        }
+    }
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Outcome {
+    /// 200: this change is durable, now or long since.
+    Accepted { version: u64 },
+    /// 412: another version is current.
+    Conflict { current: u64 },
+    /// 400, with all that is wrong.
+    Invalid { errors: Vec<String> },
+    /// 200 with the newest configuration; version 0 and no text before the first.
+    Config(Arc<ConfigDocument>),
+    /// 200: the store is being emptied, or is empty.
+    Retiring,
+    /// 200: `completed` or `in_progress`.
+    RetireState { completed: bool },
+    /// 404.
+    UnknownStore,
+    /// 409: too few stores would be left.
+    TooFewStores,
+    /// The newest index.
+    Index(u64),
+    /// No clear answer may be given: the connection is closed, or 503.
+    Unknown,
+}
--- /dev/null
+++ b/crates/control/src/replica.rs
@@ -0,0 +1,228 @@
+//! The durable part of a core member, and the committed state of any process.
+
+use std::collections::VecDeque;
+
+use pewterseam_wire::identity::NodeName;
+
+use crate::agreed::Agreed;
+use crate::effect::{ControlError, Effect};
+use crate::entry::{Entry, Stamp};
+use crate::message::ControlMessage;
+use crate::storage::{Promised, Record, Recovered, Snapshot, encode};
+
+/// Bounds of the committed entries that are kept for processes that are a little behind.
+const HISTORY_ENTRIES: usize = 64;
+const HISTORY_BYTES: usize = 256 * 1024;
+
+/// A snapshot is written when the log is larger than this and than twice the state.
+const LOG_BYTES: usize = 512 * 1024;
+
+/// What this process has promised, accepted and knows as committed.
+pub(crate) struct Replica {
+    pub promised: Promised,
+    /// Not before `committed`.
+    pub accepted: Agreed,
+    pub committed: Agreed,
+    /// Entries from the committed state to the accepted one; empty where they are not all known.
+    tail: Vec<Entry>,
+    history: VecDeque<Entry>,
+    history_bytes: usize,
+    has_disk: bool,
+    /// The state that a replay of the log would lead to.
+    on_disk: Stamp,
+    log_bytes: usize,
+    sequence: u64,
+    synced: u64,
+    /// Messages that may go out once a sequence is synced.
+    waiting: VecDeque<(u64, NodeName, ControlMessage)>,
+}
+
+impl Replica {
+    pub(crate) fn new(has_disk: bool, recovered: Recovered) -> Self {
+        Replica {
+            promised: recovered.promised,
+            on_disk: recovered.accepted.stamp,
+            accepted: recovered.accepted,
+            committed: recovered.committed,
+            tail: Vec::new(),
+            history: VecDeque::new(),
+            history_bytes: 0,
+            has_disk,
+            log_bytes: 0,
+            sequence: 0,
+            synced: 0,
+            waiting: VecDeque::new(),
+        }
+    }
+
+    fn persist(&mut self, record: &Record, effects: &mut Vec<Effect>) {
+        let bytes = encode(record);
+        self.log_bytes += bytes.len();
+        self.sequence += 1;
+        effects.push(Effect::Persist { records: vec![bytes], sequence: self.sequence });
+    }
+
+    /// Promises an epoch. The answer waits for the disk.
+    pub(crate) fn promise(&mut self, epoch: u64, candidate: NodeName, effects: &mut Vec<Effect>) {
+        self.promised = Promised { epoch, candidate: Some(candidate) };
+        self.persist(&Record::Promised(self.promised.clone()), effects);
+    }
+
+    /// Whether a candidate may have the promise of this epoch.
+    pub(crate) fn may_promise(&self, epoch: u64, candidate: &NodeName) -> bool {
+        epoch > self.promised.epoch
+            || (epoch == self.promised.epoch && self.promised.candidate.as_ref() == Some(candidate))
+    }
+
+    /// Accepts the state after an entry.
+    pub(crate) fn accept(
+        &mut self, entry: Entry, leader: &NodeName, effects: &mut Vec<Effect>,
+    ) -> Result<(), ControlError> {
+        let next = self.accepted.apply(&entry)?;
+        self.raise(entry.stamp.epoch, leader);
+        if self.has_disk {
+            if self.on_disk == entry.previous {
+                self.persist(&Record::Entry(entry.clone()), effects);
+            } else {
+                self.persist(&Record::State(next.clone()), effects);
+            }
+            self.on_disk = next.stamp;
+        }
+        if self.tail.is_empty() && entry.previous != self.committed.stamp {
+            // The way from the committed state is not known.
+        } else {
+            self.tail.push(entry);
+        }
+        self.accepted = next;
+        Ok(())
+    }
+
+    /// Accepts a whole state. `epoch` is the leader's; one that is accepted already is made durable.
+    pub(crate) fn install(
+        &mut self, agreed: Agreed, epoch: u64, leader: &NodeName, effects: &mut Vec<Effect>,
+    ) {
+        self.raise(epoch, leader);
+        if self.has_disk && self.on_disk != agreed.stamp {
+            self.persist(&Record::State(agreed.clone()), effects);
+            self.on_disk = agreed.stamp;
+        }
+        if self.accepted.stamp != agreed.stamp {
+            self.tail.clear();
+            self.accepted = agreed;
+        }
+    }
+
+    fn raise(&mut self, epoch: u64, leader: &NodeName) {
+        if epoch > self.promised.epoch {
+            self.promised = Promised { epoch, candidate: Some(leader.clone()) };
+        }
+    }
+
+    /// The state with this stamp is committed. Returns whether that is known here now.
+    pub(crate) fn commit(&mut self, stamp: Stamp, effects: &mut Vec<Effect>) -> bool {
+        if stamp.index <= self.committed.stamp.index {
+            return true;
+        }
+        if self.accepted.stamp != stamp {
+            return false;
+        }
+        self.committed = self.accepted.clone();
+        let tail = std::mem::take(&mut self.tail);
+        self.remember(tail);
+        self.note_committed(effects);
+        true
+    }
+
+    /// Learns a committed entry that follows the committed state.
+    pub(crate) fn learn(&mut self, entry: Entry, effects: &mut Vec<Effect>) -> Result<(), ControlError> {
+        let next = self.committed.apply(&entry)?;
+        self.committed = next;
+        self.remember(vec![entry]);
+        self.follow_committed(effects);
+        Ok(())
+    }
+
+    /// Learns a later committed state.
+    pub(crate) fn learn_state(&mut self, agreed: Agreed, effects: &mut Vec<Effect>) {
+        self.committed = agreed;
+        self.history.clear();
+        self.history_bytes = 0;
+        self.follow_committed(effects);
+    }
+
+    /// What is committed may be taken as accepted where it is greater; it counts for nobody's majority.
+    fn follow_committed(&mut self, effects: &mut Vec<Effect>) {
+        if self.committed.stamp >= self.accepted.stamp {
+            self.accepted = self.committed.clone();
+            self.tail.clear();
+        }
+        self.note_committed(effects);
+    }
+
+    fn note_committed(&mut self, effects: &mut Vec<Effect>) {
+        if self.has_disk && self.on_disk == self.committed.stamp {
+            self.persist(&Record::Committed(self.committed.stamp), effects);
+        }
+        if self.has_disk && self.log_bytes > LOG_BYTES.max(2 * self.committed.state.config.text.len()) {
+            self.snapshot(effects);
+        }
+    }
+
+    fn snapshot(&mut self, effects: &mut Vec<Effect>) {
+        let accepted = (self.accepted.stamp != self.committed.stamp).then(|| self.accepted.clone());
+        let snapshot =
+            Snapshot { promised: self.promised.clone(), committed: self.committed.clone(), accepted };
+        self.sequence += 1;
+        self.log_bytes = 0;
+        self.on_disk = self.accepted.stamp;
+        effects.push(Effect::Snapshot { snapshot: encode(&snapshot), sequence: self.sequence });
+    }
+
+    /// Remembers committed entries; where some are missing in between, the older ones are of no use.
+    fn remember(&mut self, entries: Vec<Entry>) {
+        let follows = match (self.history.back(), entries.first()) {
+            (Some(last), Some(first)) => last.stamp == first.previous,
+            (_, None) => false,
+            (None, Some(_)) => true,
+        };
+        if !follows {
+            self.history.clear();
+            self.history_bytes = 0;
+        }
+        for entry in entries {
+            self.history_bytes += entry.size();
+            self.history.push_back(entry);
+        }
+        while self.history.len() > HISTORY_ENTRIES
+            || self.history_bytes > HISTORY_BYTES && self.history.len() > 1
+        {
+            if let Some(entry) = self.history.pop_front() {
+                self.history_bytes -= entry.size();
+            }
+        }
+    }
+
+    /// The last committed entries, as far as they go on from the state before `have`.
+    pub(crate) fn entries_after(&self, have: Stamp) -> Option<Vec<Entry>> {
+        let first = self.history.iter().position(|entry| entry.previous == have)?;
+        Some(self.history.iter().skip(first).cloned().collect())
+    }
+
+    /// Sends a message once all that was given to the disk so far is synced.
+    pub(crate) fn send_after_sync(&mut self, to: NodeName, message: ControlMessage) {
+        self.waiting.push_back((self.sequence, to, message));
+    }
+
+    pub(crate) fn persisted(&mut self, sequence: u64) {
+        self.synced = self.synced.max(sequence);
+    }
+
+    /// The next message whose records are synced.
+    pub(crate) fn next_synced(&mut self) -> Option<(NodeName, ControlMessage)> {
+        let (sequence, _, _) = self.waiting.front()?;
+        if *sequence > self.synced {
+            return None;
+        }
+        self.waiting.pop_front().map(|(_, to, message)| (to, message))
+    }
+}
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,7 +11,6 @@
 mod machine;
 mod message;
 mod probing;
-mod random;
 mod rumors;
 mod settings;
 mod table;
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -5,11 +5,11 @@
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::{Life, NodeInfo, NodeName, Owner};
+use pewterseam_wire::random::Random;
 
 use crate::change::{Effect, MemberChange};
 use crate::message::{Body, Datagram, MembershipError, Rumor};
 use crate::probing::Probing;
-use crate::random::Random;
 use crate::rumors::Rumors;
 use crate::settings::MembershipSettings;
 use crate::table::{Member, Merge, Status, Table};
@@ -48,7 +48,7 @@
         let own =
             Member { info: Arc::new(info), incarnation: 0, status: Status::Alive, deadline: 0, digest: 0 };
         let mut random = Random::new(seed);
-        let first_probe = now + random.next() % settings.probe_period.max(1);
+        let first_probe = now + random.draw() % settings.probe_period.max(1);
         let next_compare = now + settings.catch_up_period;
         Membership {
             settings,
