--- /dev/null
+++ b/crates/delivery/src/attempts.rs
@@ -0,0 +1,198 @@
+//! Attempts, from the decision to their end.
+
+use std::sync::Arc;
+
+use pewterseam::interface::{Carrier, Ended, Event, HostId, MessageId, Outcome as Seen};
+use pewterseam::state::chance;
+use pewterseam_permits::Permit;
+use pewterseam_wire::Micros;
+
+use crate::backoff::{AFTER_SILENCE, WHILE_RUNNING};
+use crate::delivery::Delivery;
+use crate::interface::{AttemptEnd, AttemptId, AttemptResult, Effect, HostKey, Outcome};
+use crate::judging::{Fate, Health, judge};
+
+/// A connection in the hands of the caller is idle at once again: the attempt was never made.
+const UNUSED: Carrier = Carrier { idle_for: None, kept: true };
+
+/// An attempt that is out.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    key: u64,
+    message: MessageId,
+    /// The decisions' number of it among those of its message.
+    number: u32,
+    host: HostId,
+    service: Arc<str>,
+    /// Not known to be sent yet.
+    permit: Option<Permit>,
+}
+
+impl Delivery {
+    /// Starts the attempt that the decisions chose. It is taken back at once where no permit is left or its message is
+    /// over.
+    pub(crate) fn start(&mut self, id: MessageId, host: HostId, connect_timeout: Micros) {
+        let Some(key) = self.messages.key(id) else { return };
+        let number = self.messages.next_number(key);
+        let (Some(held), Some(known)) = (self.messages.get(key), self.hosts.get(host)) else { return };
+        let (timeout, service, target) =
+            (held.submission.timeout, held.submission.service.clone(), known.target.clone());
+        self.last_attempt += 1;
+        let attempt = AttemptId(self.last_attempt);
+        let Ok(permit) = self.permit(&service) else {
+            self.hosts.hold(&service, true);
+            self.messages.set_out(key, true);
+            let waiting = Attempt { key, message: id, number, host, service, permit: None };
+            return self.take_back(&waiting);
+        };
+        let confirm = permit.is_some();
+        self.messages.set_out(key, true);
+        if let Some(host) = self.hosts.get_mut(host) {
+            host.calls += 1;
+        }
+        if permit.is_some() && self.permits.available(self.now, &service) == 0 {
+            self.hosts.hold(&service, true);
+        }
+        let made = Attempt { key, message: id, number, host, service: service.clone(), permit };
+        self.attempts.insert(attempt, made);
+        let connect_timeout = connect_timeout.min(timeout);
+        self.effects.push(Effect::Start { attempt, key, service, target, timeout, connect_timeout, confirm });
+    }
+
+    /// The decisions have booked an attempt that is not made: for them it never was.
+    fn take_back(&mut self, attempt: &Attempt) {
+        let Attempt { key, message, number, .. } = *attempt;
+        let ended = Ended {
+            id: message,
+            attempt: number,
+            outcome: Seen::Moot,
+            took: 0,
+            closed: false,
+            limit: None,
+            carrier: Some(UNUSED),
+        };
+        self.events.push(Event::Ended(ended));
+        self.messages.set_out(key, false);
+    }
+
+    /// A connection is open: the attempt goes if its host and its permit are still good.
+    pub(crate) fn opened(&mut self, attempt: AttemptId) {
+        let now = self.now;
+        let Some(made) = self.attempts.get_mut(&attempt) else {
+            return self.effects.push(Effect::Withhold { attempt });
+        };
+        let is_current = self.messages.get(made.key).is_some_and(|held| held.is_out(made.message));
+        let is_usable = self.hosts.get(made.host).is_some_and(|host| host.is_usable());
+        let is_permitted = made.permit.is_none_or(|permit| now < permit.expires_at);
+        if !(is_current && is_usable && is_permitted) {
+            self.effects.push(Effect::Withhold { attempt });
+            let end = AttemptEnd { result: AttemptResult::Unsent, took: 0, idle_for: None, kept: true };
+            return self.ended(attempt, &end);
+        }
+        if let Some(permit) = made.permit.take() {
+            self.permits.sent(&made.service, permit);
+        }
+        self.effects.push(Effect::Write { attempt });
+    }
+
+    /// Books the end of an attempt: for its message, its host and the decisions.
+    pub(crate) fn ended(&mut self, attempt: AttemptId, end: &AttemptEnd) {
+        let Some(made) = self.attempts.remove(&attempt) else { return };
+        if let Some(permit) = made.permit {
+            self.permits.put_back(&made.service, permit);
+        }
+        let (fate, health) = judge(&end.result);
+        let seen = self.book_host(&made, health);
+        if let Some(host) = self.hosts.get_mut(made.host) {
+            host.calls = host.calls.saturating_sub(1);
+        }
+        if !matches!(seen, Seen::Ok | Seen::Moot) {
+            self.check_at = self.check_at.or(Some(self.now));
+        }
+        let closed = self.settle(&made, fate);
+        let carrier = Some(Carrier { idle_for: end.idle_for, kept: end.kept });
+        let (id, number) = (made.message, made.number);
+        let ended =
+            Ended { id, attempt: number, outcome: seen, took: end.took, closed, limit: None, carrier };
+        self.events.push(Event::Ended(ended));
+    }
+
+    /// Books what an end says of the host; gives what the decisions are told.
+    fn book_host(&mut self, made: &Attempt, health: Health) -> Seen {
+        match health {
+            Health::Seen(seen) => seen,
+            Health::Mistaken => {
+                self.hosts.mistaken(made.host);
+                Seen::Moot
+            }
+            // The rate limit is the service's, a full table of work is the host's.
+            Health::Full { wait } if self.permits.is_limited(&made.service) => {
+                Seen::Full { wait: wait.unwrap_or(0) }
+            }
+            Health::Full { wait } => {
+                self.hosts.pause(made.host, wait, self.now, self.settings.seed);
+                Seen::Moot
+            }
+            // Some messages always fail: only where most do is it the host.
+            Health::Answered { failed } => {
+                let Some(host) = self.hosts.get_mut(made.host) else { return Seen::Moot };
+                host.answered(failed);
+                if failed && host.fails_mostly() { Seen::Error } else { Seen::Ok }
+            }
+        }
+    }
+
+    /// Books what an end says of the message; true where the decisions need not know it any more.
+    fn settle(&mut self, made: &Attempt, fate: Fate) -> bool {
+        let Some(held) = self.messages.get_mut(made.key).filter(|held| held.is_out(made.message)) else {
+            return true;
+        };
+        let spread = self.settings.seed ^ made.key;
+        let rest = match fate {
+            Fate::Finished(outcome) => {
+                self.finish(made.key, outcome);
+                return true;
+            }
+            Fate::Again => None,
+            Fate::Unknown => {
+                held.silences += 1;
+                let again = held.silences.checked_sub(1).filter(|times| *times > 0);
+                again.map(|times| AFTER_SILENCE.pause(times, self.now, spread))
+            }
+            Fate::Running => {
+                held.conflicts += 1;
+                Some(WHILE_RUNNING.pause(held.conflicts, self.now, spread))
+            }
+        };
+        match rest {
+            Some(pause) => self.messages.rest(made.key, self.now + pause),
+            None => self.messages.set_out(made.key, false),
+        }
+        rest.is_some()
+    }
+
+    fn finish(&mut self, key: u64, outcome: Outcome) {
+        self.messages.remove(key);
+        self.effects.push(Effect::Finished { key, outcome });
+    }
+
+    /// Closes the connection of an attempt that the decisions call off.
+    pub(crate) fn abort(&mut self, id: MessageId, number: u32) {
+        let found = self.attempts.iter().find(|(_, made)| (made.message, made.number) == (id, number));
+        self.effects.extend(found.map(|(attempt, _)| Effect::Abort { attempt: *attempt }));
+    }
+
+    /// A health check ended.
+    pub(crate) fn probed(&mut self, host: HostKey, healthy: bool) {
+        let host = HostId(host.0);
+        self.hosts.checked(host);
+        if healthy {
+            self.events.push(Event::Probed { host, outcome: Seen::Ok, limit: None });
+        }
+        let soon = self.now + (CHECKED_AGAIN as f64 * (0.5 + chance(self.now, self.settings.seed))) as Micros;
+        self.check_at = self.check_at.or(Some(soon));
+    }
+}
+
+/// After a check, when the decisions are asked again which hosts are out of order.
+const CHECKED_AGAIN: Micros = 200_000;
--- /dev/null
+++ b/crates/delivery/src/delivery.rs
@@ -0,0 +1,295 @@
+//! The machine: takes what happened, lets the decisions choose, and gives what is to be done.
+
+use std::collections::HashMap;
+
+use bytes::Bytes;
+use pewterseam::Brain;
+use pewterseam::interface::{Action, Event, History, HostId, MessageId, RegistryNews, Request};
+use pewterseam::memo::{self, Purpose};
+use pewterseam_permits::{Permit, PermitEffect, Permits, Settings as PermitSettings};
+use pewterseam_wire::Micros;
+use pewterseam_wire::frame;
+use pewterseam_wire::identity::NodeName;
+
+use crate::attempts::Attempt;
+use crate::backoff::{AFTER_FAILURE, AFTER_GIVING_UP};
+use crate::hosts::Hosts;
+use crate::interface::{AttemptId, Effect, Input, Submission};
+use crate::messages::Messages;
+use crate::numbering::destination;
+use crate::peers::{PeerMessage, Peers};
+use crate::services::Services;
+use crate::settings::{BrainSettings, DeliverySettings};
+
+/// Rounds of decisions in one step: each may make room for more.
+const MOST_ROUNDS: usize = 8;
+/// No wake is asked for sooner than this.
+const LEAST_SLEEP: Micros = 20_000;
+/// How often the decisions are asked which hosts are out of order, while any may be.
+const CHECK_EVERY: Micros = 500_000;
+
+/// Delivery of due messages by one relay.
+pub struct Delivery {
+    pub(crate) settings: DeliverySettings,
+    pub(crate) now: Micros,
+    pub(crate) brain: Brain,
+    brain_settings: BrainSettings,
+    /// What the decisions are told next, and when they want to be asked without news.
+    pub(crate) events: Vec<Event>,
+    brain_wake: Micros,
+    pub(crate) services: Services,
+    pub(crate) hosts: Hosts,
+    pub(crate) messages: Messages,
+    pub(crate) attempts: HashMap<AttemptId, Attempt>,
+    pub(crate) last_attempt: u64,
+    pub(crate) permits: Permits,
+    pub(crate) peers: Peers,
+    pub(crate) check_at: Option<Micros>,
+    stopping: bool,
+    pub(crate) effects: Vec<Effect>,
+}
+
+impl Delivery {
+    pub fn new(settings: DeliverySettings) -> Self {
+        let brain_settings = BrainSettings::new(&settings);
+        let brain = Brain::new(brain_settings.current.clone(), settings.seed);
+        let permits = Permits::new(PermitSettings {
+            me: settings.me.clone(),
+            life: settings.life,
+            window: settings.origin_window,
+            overshoot: settings.origin_overshoot,
+            bootstrap: settings.bootstrap,
+            core_lease: settings.core_lease,
+        });
+        Delivery {
+            now: 0,
+            brain,
+            brain_settings,
+            events: Vec::new(),
+            brain_wake: 0,
+            services: Services::default(),
+            hosts: Hosts::default(),
+            messages: Messages::default(),
+            attempts: HashMap::new(),
+            last_attempt: 0,
+            permits,
+            peers: Peers::new(settings.me.clone()),
+            check_at: None,
+            stopping: false,
+            effects: Vec::new(),
+            settings,
+        }
+    }
+
+    /// Messages on hand that have no attempt out, and attempts that are out.
+    pub fn load(&self) -> (usize, usize) {
+        (self.messages.len() - self.messages.out(), self.attempts.len())
+    }
+
+    /// Takes all that happened, then decides once.
+    pub fn step(&mut self, now: Micros, inputs: impl IntoIterator<Item = Input>) -> Vec<Effect> {
+        self.now = now;
+        inputs.into_iter().for_each(|input| self.take(input));
+        self.messages.wake(now);
+        self.check_hosts();
+        self.step_permits();
+        self.decide();
+        self.effects.extend(self.peers.flush());
+        let wakes = [self.messages.next_at(), self.hosts.next_at(), self.permits.next_at(now), self.check_at];
+        let next = wakes.into_iter().flatten().fold(self.brain_wake, Micros::min);
+        self.effects.push(Effect::Wake(next.max(now + LEAST_SLEEP)));
+        std::mem::take(&mut self.effects)
+    }
+
+    fn take(&mut self, input: Input) {
+        match input {
+            Input::Services(services) => {
+                let limited = services.iter().filter(|service| service.is_limited());
+                let limited: Vec<_> =
+                    limited.map(|service| (service.name.clone(), service.rate_per_s)).collect();
+                self.services.replace(services);
+                self.hosts.refresh(&self.services);
+                self.permits.set_services(self.now, limited);
+            }
+            Input::Hosts(instances) => self.hosts.set_list(instances, &self.services),
+            Input::Relays(relays) => self.set_relays(relays),
+            Input::Submit(submission) => self.submit(submission),
+            Input::Withdraw { key } => self.forget(key),
+            Input::Opened { attempt } => self.opened(attempt),
+            Input::Ended { attempt, end } => self.ended(attempt, &end),
+            Input::Probed { host, healthy } => self.probed(host, healthy),
+            Input::Peer { from, bytes } => self.hear(&from, &bytes),
+            Input::CoreLease { until } => self.permits.set_core_lease(until),
+            Input::Stop { by } => {
+                self.stopping = true;
+                self.events.push(Event::Stop { by });
+            }
+            Input::Tick => {}
+        }
+    }
+
+    fn set_relays(&mut self, relays: Vec<NodeName>) {
+        self.peers.set_relays(relays);
+        let relays = self.peers.relays();
+        self.permits.set_relays(self.now, relays);
+        let (count, me) = (relays.len(), self.peers.rank(&self.settings.me));
+        self.brain_settings.rank(me.unwrap_or(0), count as u16);
+        self.hosts.set_relays(count, &self.services);
+    }
+
+    fn submit(&mut self, submission: Submission) {
+        let failures = submission.failures;
+        let pause = || AFTER_FAILURE.pause(failures, self.now, self.settings.seed ^ submission.key);
+        let rest_until = (failures > 0).then(|| self.now + pause());
+        self.messages.add(submission, rest_until);
+    }
+
+    /// Forgets a message; an attempt that is out runs on.
+    pub(crate) fn forget(&mut self, key: u64) {
+        if let Some(id) = self.messages.remove(key) {
+            self.events.push(Event::Withdrawn(id));
+        }
+    }
+
+    fn hear(&mut self, from: &NodeName, bytes: &Bytes) {
+        let Ok(message) = frame::decode::<PeerMessage>(bytes) else { return };
+        match message {
+            PeerMessage::Permits(message) => self.permits.receive(self.now, from, message),
+            PeerMessage::Decisions(memos) => self.hear_decisions(from, &memos),
+            PeerMessage::Spread { ref root, ref memos } => {
+                self.hear_decisions(root, memos);
+                self.peers.pass_on(root, &message);
+            }
+        }
+    }
+
+    fn hear_decisions(&mut self, from: &NodeName, memos: &[Bytes]) {
+        let Some(from) = self.peers.rank(from) else { return };
+        self.events.extend(memos.iter().map(|memo| Event::Peer { from, bytes: memo.to_vec() }));
+    }
+
+    /// Lets permits come and go, and holds back services that lack one.
+    pub(crate) fn step_permits(&mut self) {
+        let limited = self.services.all().filter(|service| service.is_limited());
+        let names: Vec<_> = limited.map(|service| service.name.clone()).collect();
+        for name in &names {
+            self.permits.set_demand(name, self.messages.demand(name));
+        }
+        for PermitEffect::Send { to, message } in self.permits.step(self.now) {
+            self.peers.send(to, &PeerMessage::Permits(message));
+        }
+        for name in &names {
+            let held = self.permits.available(self.now, name) == 0;
+            self.hosts.hold(name, held);
+        }
+    }
+
+    /// Has the decisions choose until nothing more follows.
+    fn decide(&mut self) {
+        for _ in 0..MOST_ROUNDS {
+            self.hand_on();
+            let (listed, gone) = self.hosts.changes(&self.services, self.now);
+            self.effects.extend(gone.into_iter().map(|target| Effect::CloseIdle { address: target.address }));
+            let mut events = Vec::with_capacity(self.events.len() + 2);
+            if std::mem::take(&mut self.brain_settings.changed) {
+                events.push(Event::Retuned(self.brain_settings.current.clone()));
+            }
+            if !listed.is_empty() {
+                events.push(Event::Registry(RegistryNews::Changes(listed)));
+            }
+            events.append(&mut self.events);
+            if events.is_empty() && self.now < self.brain_wake {
+                return;
+            }
+            if events.is_empty() {
+                events.push(Event::Timer);
+            }
+            self.brain_wake = if self.brain_wake <= self.now { Micros::MAX } else { self.brain_wake };
+            for action in self.brain.step(self.now, events) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn hand_on(&mut self) {
+        if self.stopping {
+            return;
+        }
+        for (id, key) in self.messages.hand_on() {
+            let Some(held) = self.messages.get(key) else { continue };
+            let Submission { schedule_target, priority, due_at, ref service, .. } = held.submission;
+            let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at);
+            let history = History { restored: true, ..History::default() };
+            let destination = destination(service);
+            let request = Request { id, class, destination, tenant: 0, key: None, deadline, history };
+            self.events.push(Event::Message(request));
+        }
+        // Classes are known before the first message of theirs.
+        if std::mem::take(&mut self.brain_settings.changed) {
+            self.events.insert(0, Event::Retuned(self.brain_settings.current.clone()));
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, host, connect, .. } => self.start(id, host, connect),
+            // Whether an opened connection is written to is settled in `opened`; the decisions are not asked.
+            Action::Write { .. } | Action::Withhold { .. } => {}
+            Action::Cancel { id, attempt } => self.abort(id, attempt),
+            Action::Refuse { id, .. } | Action::Fail(id) => self.given_up(id),
+            Action::Probe(_) | Action::Subscribe | Action::Log(_) => {}
+            Action::CloseIdle(host) => {
+                let address = self.hosts.get(host).map(|host| host.target.address);
+                self.effects.extend(address.map(|address| Effect::CloseIdle { address }));
+            }
+            Action::Tell { to, bytes } => self.tell(to, bytes),
+            Action::Wake(at) => self.brain_wake = at,
+        }
+    }
+
+    /// The decisions never have the last word on a message: it comes before them again.
+    fn given_up(&mut self, id: MessageId) {
+        let Some(key) = self.messages.key(id) else { return };
+        let pause = AFTER_GIVING_UP.pause(1, self.now, self.settings.seed ^ key);
+        self.messages.rest(key, self.now + pause);
+    }
+
+    /// Reports of rounds are of use only for services with a limit.
+    fn tell(&mut self, to: Option<u16>, bytes: Vec<u8>) {
+        let is_needed = memo::decode(&bytes).is_some_and(|memo| {
+            let service =
+                self.services.name(memo.record.destination).and_then(|name| self.services.get(name));
+            memo.purpose != Purpose::Round || service.is_some_and(|service| service.is_limited())
+        });
+        if is_needed {
+            self.peers.tell(to, bytes);
+        }
+    }
+
+    /// Has hosts that are out of order checked now and then.
+    fn check_hosts(&mut self) {
+        if self.check_at.take_if(|at| *at <= self.now).is_none() {
+            return;
+        }
+        let out: Vec<HostId> = self.brain.learnt().out.into_iter().map(|(id, _)| id).collect();
+        self.hosts.out_of_order(&out, self.now, self.settings.seed);
+        for (host, target, service) in self.hosts.due_checks(self.now) {
+            let Some(service) = self.services.get(&service) else { continue };
+            let (path, timeout) = (service.health_path.clone(), self.settings.connect_timeout);
+            self.effects.push(Effect::Probe { host, target, path, timeout });
+        }
+        self.check_at = (!out.is_empty()).then_some(self.now + CHECK_EVERY);
+    }
+
+    /// A permit for an attempt, where its service needs one; an error where there is none.
+    pub(crate) fn permit(&mut self, service: &str) -> Result<Option<Permit>, NoPermit> {
+        if !self.permits.is_limited(service) {
+            return Ok(None);
+        }
+        self.permits.take(self.now, service).map(Some).ok_or(NoPermit)
+    }
+}
+
+/// A limited service has no permit in hand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct NoPermit;
--- /dev/null
+++ b/crates/delivery/src/hosts.rs
@@ -0,0 +1,268 @@
+//! The hosts of all services, and which of them the decisions may use now.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use pewterseam::interface::{HostId, Lifecycle, Listed};
+use pewterseam_wire::Micros;
+
+use crate::backoff::{HOST_FULL, PROBE};
+use crate::interface::{HostKey, Instance, Target};
+use crate::numbering::{destination, listed_host, static_host};
+use crate::services::Services;
+
+/// Connections beyond an even part of what a host accepts from all relays.
+const EXTRA_CONNECTIONS: usize = 1;
+/// Answers of a host that are looked at together, and how many there must be before it is judged by them.
+const ANSWERS: u32 = 8;
+const LEAST_ANSWERS: u32 = 4;
+
+/// A host as it is used by this relay.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub(crate) service: Arc<str>,
+    pub(crate) target: Target,
+    /// The list says that it takes new messages.
+    is_ready: bool,
+    /// It answered that it is another one.
+    is_mistaken: bool,
+    /// Attempts out, and the most of them.
+    pub(crate) calls: usize,
+    limit: usize,
+    paused_until: Micros,
+    refusals: u32,
+    /// The last answers, newest in the lowest bit: set where a message failed.
+    failures: u8,
+    answers: u32,
+    /// Since the decisions found it out of order: checks made, and when the next one is due.
+    checks: u32,
+    check_at: Option<Micros>,
+    is_checked: bool,
+    /// What the decisions were told.
+    told: Option<Lifecycle>,
+}
+
+impl Host {
+    /// Whether most of its answers fail, so that it is not for the messages.
+    pub(crate) fn fails_mostly(&self) -> bool {
+        self.answers >= LEAST_ANSWERS && self.failures.count_ones() * 2 > self.answers.min(ANSWERS)
+    }
+
+    pub(crate) fn answered(&mut self, failed: bool) {
+        self.failures = self.failures << 1 | u8::from(failed);
+        self.answers = (self.answers + 1).min(ANSWERS);
+        self.refusals = 0;
+    }
+
+    /// New messages may go there, as far as the list tells.
+    pub(crate) fn is_usable(&self) -> bool {
+        self.is_ready && !self.is_mistaken
+    }
+
+    fn takes_now(&self, now: Micros) -> bool {
+        self.is_usable() && self.calls < self.limit && self.paused_until <= now
+    }
+}
+
+/// The hosts of all services.
+#[derive(Debug, Default)]
+pub(crate) struct Hosts {
+    hosts: BTreeMap<HostId, Host>,
+    by_service: BTreeMap<Arc<str>, BTreeSet<HostId>>,
+    instances: Vec<Instance>,
+    /// Hosts of which the decisions are to be told something.
+    changed: BTreeSet<HostId>,
+    paused: BTreeSet<(Micros, HostId)>,
+    /// Limited services without a permit.
+    held: BTreeSet<Arc<str>>,
+    relays: usize,
+}
+
+impl Hosts {
+    pub(crate) fn get(&self, id: HostId) -> Option<&Host> {
+        self.hosts.get(&id)
+    }
+
+    /// A host, of which the decisions are told anew if that changes what they may do.
+    pub(crate) fn get_mut(&mut self, id: HostId) -> Option<&mut Host> {
+        self.changed.insert(id);
+        self.hosts.get_mut(&id)
+    }
+
+    pub(crate) fn of_service(&self, service: &str) -> impl Iterator<Item = HostId> {
+        self.by_service.get(service).into_iter().flatten().copied()
+    }
+
+    pub(crate) fn set_list(&mut self, instances: Vec<Instance>, services: &Services) {
+        self.instances = instances;
+        self.refresh(services);
+    }
+
+    pub(crate) fn set_relays(&mut self, relays: usize, services: &Services) {
+        self.relays = relays;
+        self.refresh(services);
+    }
+
+    /// Has the hosts follow the list and the configuration.
+    pub(crate) fn refresh(&mut self, services: &Services) {
+        let mut seen = BTreeSet::new();
+        for instance in std::mem::take(&mut self.instances) {
+            let service = services.get(&instance.service).filter(|service| service.static_address.is_none());
+            if let Some(service) = service {
+                let id = listed_host(&instance);
+                let target = Target { address: instance.address, instance: Some(instance.id.clone()) };
+                let slots = if instance.slots > 0 { instance.slots as usize } else { usize::MAX };
+                let limit = self.connections(service.max_connections).min(slots);
+                self.put(id, &service.name, target, instance.ready, limit);
+                seen.insert(id);
+            }
+            self.instances.push(instance);
+        }
+        for service in services.all() {
+            if let Some((address, id)) = service.static_address.zip(static_host(service)) {
+                let limit = self.connections(service.max_connections);
+                self.put(id, &service.name, Target { address, instance: None }, true, limit);
+                seen.insert(id);
+            }
+        }
+        for (id, host) in self.hosts.iter_mut().filter(|(id, _)| !seen.contains(id)) {
+            host.is_ready = false;
+            host.told = host.told.filter(|told| *told == Lifecycle::Gone);
+            self.changed.insert(*id);
+            if let Some(ids) = self.by_service.get_mut(&host.service) {
+                ids.remove(id);
+            }
+        }
+        self.by_service.retain(|_, ids| !ids.is_empty());
+    }
+
+    /// This relay's part of the connections that a host accepts.
+    fn connections(&self, most: u32) -> usize {
+        if most == 0 {
+            return usize::MAX;
+        }
+        (most as usize / self.relays.max(1)).max(1) + EXTRA_CONNECTIONS
+    }
+
+    fn put(&mut self, id: HostId, service: &Arc<str>, target: Target, is_ready: bool, limit: usize) {
+        let new = || Host {
+            service: service.clone(),
+            target: target.clone(),
+            is_ready,
+            is_mistaken: false,
+            calls: 0,
+            limit,
+            paused_until: 0,
+            refusals: 0,
+            failures: 0,
+            answers: 0,
+            checks: 0,
+            check_at: None,
+            is_checked: false,
+            told: None,
+        };
+        let host = self.hosts.entry(id).or_insert_with(new);
+        if host.told != Some(Lifecycle::Gone)
+            && (host.is_ready, host.limit) == (is_ready, limit)
+            && host.told.is_some()
+        {
+            return;
+        }
+        (host.is_ready, host.limit) = (is_ready, limit);
+        self.by_service.entry(service.clone()).or_default().insert(id);
+        self.changed.insert(id);
+    }
+
+    /// It turned a message away as full: it rests, longer each time.
+    pub(crate) fn pause(&mut self, id: HostId, wait: Option<Micros>, now: Micros, seed: u64) {
+        let Some(host) = self.get_mut(id) else { return };
+        host.refusals += 1;
+        let pause =
+            HOST_FULL.pause(host.refusals, now, seed ^ id.0).max(wait.unwrap_or(0).min(HOST_FULL.longest));
+        host.paused_until = now + pause;
+        self.paused.insert((now + pause, id));
+    }
+
+    /// It is not the host that was listed.
+    pub(crate) fn mistaken(&mut self, id: HostId) {
+        if let Some(host) = self.get_mut(id) {
+            host.is_mistaken = true;
+        }
+    }
+
+    /// Holds back a limited service that has no permit, or lets it go on.
+    pub(crate) fn hold(&mut self, service: &Arc<str>, held: bool) {
+        let changed = if held { self.held.insert(service.clone()) } else { self.held.remove(service) };
+        if changed {
+            let ids: Vec<_> = self.of_service(service).collect();
+            self.changed.extend(ids);
+        }
+    }
+
+    /// What the decisions are to be told of hosts, and the addresses that are of no use any more.
+    pub(crate) fn changes(&mut self, services: &Services, now: Micros) -> (Vec<Listed>, Vec<Target>) {
+        while let Some((at, id)) = self.paused.first().copied().filter(|(at, _)| *at <= now) {
+            self.paused.remove(&(at, id));
+            self.changed.insert(id);
+        }
+        let (mut listed, mut gone) = (Vec::new(), Vec::new());
+        for id in std::mem::take(&mut self.changed) {
+            let Some(host) = self.hosts.get_mut(&id) else { continue };
+            let is_listed = self.by_service.get(&host.service).is_some_and(|ids| ids.contains(&id));
+            let lifecycle = match host {
+                _ if !is_listed => Lifecycle::Gone,
+                _ if host.takes_now(now) && !self.held.contains(&host.service) => Lifecycle::Ready,
+                _ => Lifecycle::Draining,
+            };
+            if host.told != Some(lifecycle) {
+                host.told = Some(lifecycle);
+                let weight = services.get(&host.service).map_or(1.0, |service| service.weight());
+                let destination = destination(&host.service);
+                listed.push(Listed { host: id, zone: 0, kind: 0, destination, lifecycle, weight });
+            }
+            if !is_listed && host.calls == 0 {
+                gone.extend(self.hosts.remove(&id).map(|host| host.target));
+            }
+        }
+        (listed, gone)
+    }
+
+    /// Notes which hosts the decisions found out of order; those are checked.
+    pub(crate) fn out_of_order(&mut self, out: &[HostId], now: Micros, seed: u64) {
+        for id in out {
+            if let Some(host) =
+                self.hosts.get_mut(id).filter(|host| host.check_at.is_none() && host.is_usable())
+            {
+                host.checks += 1;
+                host.check_at = Some(now + PROBE.pause(host.checks, now, seed ^ id.0));
+            }
+        }
+        for (id, host) in self.hosts.iter_mut().filter(|(_, host)| host.checks > 0) {
+            if !out.contains(id) {
+                (host.checks, host.check_at) = (0, None);
+            }
+        }
+    }
+
+    /// The hosts to be checked now.
+    pub(crate) fn due_checks(&mut self, now: Micros) -> Vec<(HostKey, Target, Arc<str>)> {
+        let is_due = |host: &Host| host.check_at.is_some_and(|at| at <= now) && !host.is_checked;
+        let due = self.hosts.iter_mut().filter(|(_, host)| is_due(host));
+        let check = |(id, host): (&HostId, &mut Host)| {
+            host.is_checked = true;
+            (HostKey(id.0), host.target.clone(), host.service.clone())
+        };
+        due.map(check).collect()
+    }
+
+    pub(crate) fn checked(&mut self, id: HostId) {
+        if let Some(host) = self.hosts.get_mut(&id) {
+            (host.is_checked, host.check_at) = (false, None);
+        }
+    }
+
+    /// When a pause ends.
+    pub(crate) fn next_at(&self) -> Option<Micros> {
+        self.paused.first().map(|(at, _)| *at)
+    }
+}
--- /dev/null
+++ b/crates/delivery/src/judging.rs
@@ -0,0 +1,60 @@
+//! What the end of an attempt says of its message and of its host.
+
+use pewterseam::interface::Outcome as Seen;
+use pewterseam_wire::Micros;
+
+use crate::interface::{Answer, AttemptResult, Outcome};
+
+/// What follows for the message.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Fate {
+    Finished(Outcome),
+    /// It may go again at once; nothing ran.
+    Again,
+    /// It may have run; it goes again, after a pause that grows.
+    Unknown,
+    /// It runs elsewhere just now.
+    Running,
+}
+
+/// What follows for the host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Health {
+    /// It served, or failed at a message of its own accord.
+    Answered { failed: bool },
+    /// It has no room.
+    Full { wait: Option<Micros> },
+    /// It is another host than the one that was listed.
+    Mistaken,
+    /// Seen as the decisions see it.
+    Seen(Seen),
+}
+
+/// Reads the end of an attempt.
+pub(crate) fn judge(result: &AttemptResult) -> (Fate, Health) {
+    match result {
+        AttemptResult::Answered(answer) => judge_answer(answer),
+        AttemptResult::ConnectFailed => (Fate::Again, Health::Seen(Seen::ConnectFailed)),
+        AttemptResult::Broken => (Fate::Unknown, Health::Seen(Seen::Reset)),
+        AttemptResult::TimedOut => (Fate::Unknown, Health::Seen(Seen::Timeout)),
+        AttemptResult::Unsent => (Fate::Again, Health::Seen(Seen::Moot)),
+    }
+}
+
+fn judge_answer(answer: &Answer) -> (Fate, Health) {
+    let full = Health::Full { wait: answer.retry_after };
+    match (answer.status, answer.not_executed, &answer.signature) {
+        (421, ..) => (Fate::Again, Health::Mistaken),
+        (200..=299, false, Some(signature)) => {
+            let signature = signature.clone();
+            (Fate::Finished(Outcome::Completed { signature }), Health::Answered { failed: false })
+        }
+        (422, ..) => (Fate::Finished(Outcome::Refused), Health::Answered { failed: false }),
+        (409, true, _) => (Fate::Running, Health::Answered { failed: false }),
+        (429 | 503, true, _) => (Fate::Again, full),
+        (_, true, _) => (Fate::Unknown, Health::Answered { failed: true }),
+        (500, ..) => (Fate::Finished(Outcome::Failed), Health::Answered { failed: true }),
+        // No promise that it did not run: 504 at the deadline, success without a signature, anything unusual.
+        _ => (Fate::Unknown, Health::Answered { failed: true }),
+    }
+}
--- /dev/null
+++ b/crates/outbound/src/connection.rs
@@ -0,0 +1,66 @@
+//! Opening a connection to a host.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{Builder, SendRequest};
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// The most that is read or kept to be written at a time.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// An open connection, in the hands of one request or idle. It is closed when this goes.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// None while it never carried a request.
+    pub(crate) idle_since: Option<Instant>,
+    driver: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// Why no connection was opened.
+#[derive(Debug)]
+pub(crate) enum ConnectError {
+    TimedOut,
+    Io(io::Error),
+    Http(hyper::Error),
+}
+
+impl std::fmt::Display for ConnectError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            ConnectError::TimedOut => f.write_str("no connection in time"),
+            ConnectError::Io(error) => write!(f, "no connection: {error}"),
+            ConnectError::Http(error) => write!(f, "no HTTP on a connection: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ConnectError {}
+
+/// Opens a connection; a peer that says nothing for `silence` to what was sent has it broken by the system.
+pub(crate) async fn connect(
+    address: SocketAddr, within: Duration, silence: Duration,
+) -> Result<Connection, ConnectError> {
+    let opening = tokio::time::timeout(within, TcpStream::connect(address)).await;
+    let stream = opening.map_err(|_| ConnectError::TimedOut)?.map_err(ConnectError::Io)?;
+    stream.set_nodelay(true).map_err(ConnectError::Io)?;
+    SockRef::from(&stream).set_tcp_user_timeout(Some(silence)).map_err(ConnectError::Io)?;
+    let handshake = Builder::new().max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(ConnectError::Http)?;
+    // Its end shows in the sender.
+    let driver = tokio::spawn(async move { drop(connection.await) }).abort_handle();
+    Ok(Connection { sender, idle_since: None, driver })
+}
--- /dev/null
+++ b/crates/outbound/src/lib.rs
@@ -0,0 +1,16 @@
+//! Calls to hosts and to the platform's list, over HTTP/1.1 on a small pool of connections.
+//!
+//! [`Outbound`] carries out the effects of `pewterseam-delivery` and tells what became of them; [`PlatformList`] those
+//! of `pewterseam-discovery`. Both need a tokio runtime; nothing is decided here.
+
+mod answer;
+mod attempt;
+mod connection;
+mod list;
+mod outbound;
+mod pool;
+mod request;
+
+pub use list::{ListEvent, PlatformList};
+pub use outbound::{Outbound, OutboundEvent, OutboundSettings};
+pub use request::DeliveryRequest;
--- /dev/null
+++ b/crates/outbound/src/list.rs
@@ -0,0 +1,148 @@
+//! Calls to the platform's list.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt, Full};
+use pewterseam_discovery::{CallFailure, CallId, Input, ListedInstance, Page};
+use serde::Deserialize;
+use tokio::sync::Mutex;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::connection::{Connection, connect};
+
+/// A call that takes longer has failed.
+const TIMEOUT: Duration = Duration::from_secs(1);
+/// The largest page that is read.
+const MOST_BYTES: usize = 4 * 1024 * 1024;
+
+/// What became of a call.
+#[derive(Clone, Debug)]
+pub enum ListEvent {
+    Paged { call: CallId, page: Page },
+    CallFailed { call: CallId, failure: CallFailure },
+}
+
+impl From<ListEvent> for Input {
+    fn from(event: ListEvent) -> Input {
+        match event {
+            ListEvent::Paged { call, page } => Input::Paged { call, page },
+            ListEvent::CallFailed { call, failure } => Input::CallFailed { call, failure },
+        }
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WirePage {
+    instances: Vec<WireInstance>,
+    next_token: Option<Arc<str>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct WireInstance {
+    id: Arc<str>,
+    backend: Arc<str>,
+    address: SocketAddr,
+    #[serde(default)]
+    zone: Option<Arc<str>>,
+    #[serde(default)]
+    slots: u32,
+    state: WireState,
+    #[serde(default)]
+    cold_remaining_ms: f64,
+}
+
+#[derive(Deserialize, PartialEq)]
+#[serde(rename_all = "lowercase")]
+enum WireState {
+    Ready,
+    /// Whatever else it is, it takes nothing new.
+    #[serde(other)]
+    Draining,
+}
+
+impl From<WireInstance> for ListedInstance {
+    fn from(wire: WireInstance) -> Self {
+        ListedInstance {
+            id: wire.id,
+            service: wire.backend,
+            address: wire.address,
+            zone: wire.zone.unwrap_or_default(),
+            slots: wire.slots,
+            ready: wire.state == WireState::Ready,
+            cold_remaining_ms: wire.cold_remaining_ms.max(0.0) as u64,
+        }
+    }
+}
+
+/// Calls to the platform's list.
+#[derive(Clone, Debug)]
+pub struct PlatformList {
+    address: SocketAddr,
+    events: UnboundedSender<ListEvent>,
+    /// The connection of the last call, if it may carry another.
+    idle: Arc<Mutex<Option<Connection>>>,
+}
+
+impl PlatformList {
+    pub fn new(address: SocketAddr, events: UnboundedSender<ListEvent>) -> Self {
+        PlatformList { address, events, idle: Arc::default() }
+    }
+
+    /// Makes the call of `Effect::Ask`.
+    pub fn ask(&self, call: CallId, page_token: Option<&str>) {
+        let (list, path) = (self.clone(), path(page_token));
+        tokio::spawn(async move {
+            let asking = tokio::time::timeout(TIMEOUT, list.get(&path)).await;
+            let event = match asking.unwrap_or(Err(CallFailure::Failed)) {
+                Ok(page) => ListEvent::Paged { call, page },
+                Err(failure) => ListEvent::CallFailed { call, failure },
+            };
+            // Nobody hears it where the receiver is gone: the process ends.
+            drop(list.events.send(event));
+        });
+    }
+
+    async fn get(&self, path: &str) -> Result<Page, CallFailure> {
+        let idle = self.idle.lock().await.take().filter(|connection| connection.sender.is_ready());
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => connect(self.address, TIMEOUT, TIMEOUT).await.map_err(|_| CallFailure::Failed)?,
+        };
+        let request = Request::get(path).header("host", self.address.to_string());
+        let request = request.body(Full::<Bytes>::default()).map_err(|_| CallFailure::Failed)?;
+        let response = connection.sender.send_request(request).await.map_err(|_| CallFailure::Failed)?;
+        let status = response.status();
+        let body = http_body_util::Limited::new(response.into_body(), MOST_BYTES);
+        let body = body.collect().await.map_err(|_| CallFailure::Failed)?.to_bytes();
+        *self.idle.lock().await = Some(connection);
+        match status {
+            StatusCode::OK => {
+                let page: WirePage = serde_json::from_slice(&body).map_err(|_| CallFailure::Failed)?;
+                let instances = page.instances.into_iter().map(ListedInstance::from).collect();
+                Ok(Page { instances, next_token: page.next_token })
+            }
+            StatusCode::TOO_MANY_REQUESTS => Err(CallFailure::Refused),
+            _ => Err(CallFailure::Failed),
+        }
+    }
+}
+
+fn path(page_token: Option<&str>) -> String {
+    let Some(token) = page_token else { return "/instances".to_owned() };
+    let mut path = "/instances?pageToken=".to_owned();
+    for byte in token.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                path.push(char::from(byte))
+            }
+            _ => path.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    path
+}
--- /dev/null
+++ b/crates/outbound/src/outbound.rs
@@ -0,0 +1,171 @@
+//! The calls to hosts that are under way.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use pewterseam_delivery::{AttemptEnd, AttemptId, Effect, HostKey, Input, Target};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
+use tokio::task::AbortHandle;
+
+use crate::attempt::{self, Plan};
+use crate::pool::Pool;
+use crate::request::DeliveryRequest;
+
+/// What the calls need to know.
+#[derive(Clone, Copy, Debug)]
+pub struct OutboundSettings {
+    /// How long a host is given beyond the time in which it stops work itself, for its answer to come.
+    pub answer_grace: Duration,
+    /// How long a connection may idle whose host does not tell.
+    pub idle_close: Duration,
+}
+
+impl Default for OutboundSettings {
+    fn default() -> Self {
+        OutboundSettings { answer_grace: Duration::from_millis(250), idle_close: Duration::from_secs(4) }
+    }
+}
+
+/// What became of a call.
+#[derive(Clone, Debug)]
+pub enum OutboundEvent {
+    Opened { attempt: AttemptId },
+    Ended { attempt: AttemptId, end: AttemptEnd },
+    Probed { host: HostKey, healthy: bool },
+}
+
+impl From<OutboundEvent> for Input {
+    fn from(event: OutboundEvent) -> Input {
+        match event {
+            OutboundEvent::Opened { attempt } => Input::Opened { attempt },
+            OutboundEvent::Ended { attempt, end } => Input::Ended { attempt, end },
+            OutboundEvent::Probed { host, healthy } => Input::Probed { host, healthy },
+        }
+    }
+}
+
+/// Whether an attempt is written on the connection that was opened for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Word {
+    Write,
+    Withhold,
+}
+
+#[derive(Debug)]
+struct Running {
+    word: Option<oneshot::Sender<Word>>,
+    abort: Option<oneshot::Sender<()>>,
+}
+
+/// What all calls share.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pool: Mutex<Pool>,
+    pub(crate) settings: OutboundSettings,
+    pub(crate) events: UnboundedSender<OutboundEvent>,
+}
+
+impl Shared {
+    pub(crate) fn pool(&self) -> MutexGuard<'_, Pool> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Nobody hears it where the receiver is gone: the process ends.
+    pub(crate) fn tell(&self, event: OutboundEvent) {
+        drop(self.events.send(event));
+    }
+}
+
+/// The calls to hosts.
+#[derive(Debug)]
+pub struct Outbound {
+    shared: Arc<Shared>,
+    running: HashMap<AttemptId, Running>,
+}
+
+impl Outbound {
+    /// Calls tell of themselves over `events`; hand each to [`Outbound::heard`] and then to the machine.
+    pub fn new(settings: OutboundSettings, events: UnboundedSender<OutboundEvent>) -> Self {
+        let shared = Shared { pool: Mutex::new(Pool::default()), settings, events };
+        Outbound { shared: Arc::new(shared), running: HashMap::new() }
+    }
+
+    /// Books an event of a call; to be called before the machine takes it.
+    pub fn heard(&mut self, event: &OutboundEvent) {
+        if let OutboundEvent::Ended { attempt, .. } = event {
+            self.running.remove(attempt);
+        }
+    }
+
+    /// Makes an attempt: `Effect::Start` with the message it names.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start(
+        &mut self, attempt: AttemptId, target: Target, message: Arc<DeliveryRequest>, timeout: Duration,
+        connect_timeout: Duration, confirm: bool,
+    ) {
+        let ((word, heard_word), (abort, aborted)) = (oneshot::channel(), oneshot::channel());
+        self.running.insert(attempt, Running { word: Some(word), abort: Some(abort) });
+        let plan = Plan { attempt, target, message, timeout, connect_timeout, confirm };
+        let shared = self.shared.clone();
+        tokio::spawn(attempt::run(shared, plan, heard_word, aborted));
+    }
+
+    /// Carries out all effects but `Start`, `Finished`, `Tell` and `Wake`, which are the caller's.
+    pub fn carry_out(&mut self, effect: &Effect) {
+        match effect {
+            Effect::Write { attempt } => self.say(*attempt, Word::Write),
+            Effect::Withhold { attempt } => {
+                self.say(*attempt, Word::Withhold);
+                self.running.remove(attempt);
+            }
+            Effect::Abort { attempt } => {
+                let abort = self.running.get_mut(attempt).and_then(|running| running.abort.take());
+                if let Some(abort) = abort {
+                    // One that has just ended needs no abort.
+                    let _ = abort.send(());
+                }
+            }
+            Effect::Probe { host, target, path, timeout } => {
+                let timeout = Duration::from_micros(*timeout);
+                self.probe(*host, target.clone(), path.clone(), timeout);
+            }
+            Effect::CloseIdle { address } => self.shared.pool().close(*address),
+            Effect::Start { .. } | Effect::Finished { .. } | Effect::Tell { .. } | Effect::Wake(_) => {}
+        }
+    }
+
+    fn say(&mut self, attempt: AttemptId, word: Word) {
+        let running = self.running.get_mut(&attempt).and_then(|running| running.word.take());
+        if let Some(to) = running {
+            // An attempt that has ended meanwhile hears nothing.
+            let _ = to.send(word);
+        }
+    }
+
+    fn probe(&self, host: HostKey, target: Target, path: Arc<str>, timeout: Duration) -> AbortHandle {
+        let shared = self.shared.clone();
+        let probing = async move {
+            let healthy = attempt::probe(&shared, &target, &path, timeout).await;
+            shared.tell(OutboundEvent::Probed { host, healthy });
+        };
+        tokio::spawn(probing).abort_handle()
+    }
+
+    /// Closes idle connections whose time is over; of use now and then in quiet times.
+    pub fn sweep(&self) {
+        self.shared.pool().sweep(Instant::now());
+    }
+
+    /// Connections that idle.
+    pub fn idle(&self) -> usize {
+        self.shared.pool().len()
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn close_idle(&self, address: SocketAddr) {
+        self.shared.pool().close(address);
+    }
+}
--- /dev/null
+++ b/crates/permits/src/budget.rs
@@ -0,0 +1,128 @@
+//! How many permits may be handed out, so that no window sees more requests than the limit.
+
+use std::collections::{BTreeMap, HashMap};
+
+use pewterseam_wire::Micros;
+
+use crate::{MARGIN, VALIDITY};
+
+/// Requests beyond rate x window x overshoot that the home allows in a window; the rule allows five.
+const ALLOWANCE: f64 = 3.0;
+/// Times are rounded up to this.
+const STEP: Micros = 10_000;
+/// Time between looks for grants that were never settled.
+const SWEEP: Micros = 1_000_000;
+/// Permits saved up while nobody asks, in seconds of the rate, and the least of them.
+const BURST_S: f64 = 0.1;
+const LEAST_BURST: f64 = 2.0;
+
+/// The permits of one service that may count in a window that has not ended.
+#[derive(Debug)]
+pub(crate) struct Budget {
+    rate: f64,
+    window: Micros,
+    capacity: u32,
+    /// Until when how many permits may count in a window.
+    releases: BTreeMap<Micros, u32>,
+    occupied: u32,
+    /// Grants that may still be used: where in `releases` they stand, and how many permits.
+    open: HashMap<u64, (Micros, u32)>,
+    tokens: f64,
+    filled_at: Micros,
+    swept_at: Micros,
+}
+
+impl Budget {
+    pub(crate) fn new(rate: f64, window: Micros, overshoot: f64, now: Micros) -> Self {
+        let capacity = (rate * window as f64 / 1e6 * overshoot + ALLOWANCE).floor() as u32;
+        let (releases, open) = (BTreeMap::new(), HashMap::new());
+        Budget {
+            rate,
+            window,
+            capacity,
+            releases,
+            occupied: 0,
+            open,
+            tokens: 1.0,
+            filled_at: now,
+            swept_at: now,
+        }
+    }
+
+    fn burst(&self) -> f64 {
+        (self.rate * BURST_S).max(LEAST_BURST)
+    }
+
+    /// Books what an earlier home may have granted: all that its pace let it, up to `until`.
+    pub(crate) fn assume_predecessor(&mut self, until: Micros) {
+        let (steps, step_s) = (self.window / STEP, STEP as f64 / 1e6);
+        let mut booked = 0.0;
+        for step in 0..=steps {
+            let before = self.burst() + self.rate * step_s * step as f64;
+            let count = (before - booked).ceil().max(0.0);
+            booked += count;
+            let used_at = until.saturating_sub(step * STEP);
+            self.occupy(used_at + self.window + MARGIN, count as u32);
+        }
+    }
+
+    fn occupy(&mut self, until: Micros, count: u32) -> Micros {
+        let until = until.div_ceil(STEP) * STEP;
+        *self.releases.entry(until).or_default() += count;
+        self.occupied += count;
+        until
+    }
+
+    fn release(&mut self, until: Micros, count: u32) {
+        if let Some(booked) = self.releases.get_mut(&until) {
+            let count = count.min(*booked);
+            *booked -= count;
+            self.occupied -= count;
+        }
+    }
+
+    /// Forgets what no window can hold any more, and counts the pace.
+    pub(crate) fn advance(&mut self, now: Micros) {
+        while let Some(entry) = self.releases.first_entry().filter(|entry| *entry.key() <= now) {
+            self.occupied -= entry.remove();
+        }
+        if now >= self.swept_at + SWEEP {
+            self.swept_at = now;
+            self.open.retain(|_, (until, _)| *until > now);
+        }
+        let gained = now.saturating_sub(self.filled_at) as f64 / 1e6 * self.rate;
+        self.tokens = (self.tokens + gained).min(self.burst());
+        self.filled_at = now;
+    }
+
+    /// Permits that may be handed out now.
+    pub(crate) fn available(&self) -> u32 {
+        (self.tokens as u32).min(self.capacity.saturating_sub(self.occupied))
+    }
+
+    /// When one more may be handed out, if none may now.
+    pub(crate) fn next_at(&self, now: Micros) -> Micros {
+        let paced = ((1.0 - self.tokens).max(0.0) / self.rate.max(1e-3) * 1e6) as Micros;
+        let free = self.occupied < self.capacity;
+        let room = if free { now } else { *self.releases.keys().next().unwrap_or(&now) };
+        (now + paced).max(room)
+    }
+
+    /// Books a grant; its permits count from now on.
+    pub(crate) fn grant(&mut self, number: u64, count: u32, now: Micros) {
+        self.tokens -= f64::from(count);
+        let until = self.occupy(now + VALIDITY + MARGIN + self.window + MARGIN, count);
+        self.open.insert(number, (until, count));
+    }
+
+    /// Books that nothing of a grant is left, and that so many of its permits were used up to now.
+    pub(crate) fn settle(&mut self, number: u64, used: u32, now: Micros) {
+        let Some((until, count)) = self.open.remove(&number) else { return };
+        let used = used.min(count);
+        self.release(until, count);
+        self.tokens = (self.tokens + f64::from(count - used)).min(self.burst());
+        if used > 0 {
+            self.occupy(now + self.window + MARGIN, used);
+        }
+    }
+}
--- /dev/null
+++ b/crates/permits/src/home.rs
@@ -0,0 +1,101 @@
+//! The home of one service: it grants permits while it may.
+
+use std::sync::Arc;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::NodeName;
+
+use crate::budget::Budget;
+use crate::message::{GrantId, PermitMessage, Settled};
+use crate::shares::Shares;
+use crate::{MARGIN, VALIDITY};
+
+/// The longest time for which a request that could not be met at once is kept.
+const PATIENCE: Micros = VALIDITY / 2;
+
+/// A service's permits at their home.
+#[derive(Debug)]
+pub(crate) struct Home {
+    service: Arc<str>,
+    budget: Budget,
+    shares: Shares,
+    rate: f64,
+    /// Nothing is granted before.
+    opens_at: Micros,
+}
+
+impl Home {
+    /// A home that begins to grant at `opens_at`; what an earlier one granted up to then is allowed for if `follows`.
+    pub(crate) fn new(
+        service: Arc<str>, rate: f64, window: Micros, overshoot: f64, opens_at: Micros, follows: bool,
+        now: Micros,
+    ) -> Self {
+        let mut budget = Budget::new(rate, window, overshoot, now);
+        if follows {
+            budget.assume_predecessor(opens_at);
+        }
+        Home { service, budget, shares: Shares::default(), rate, opens_at }
+    }
+
+    /// The home before this one has stopped; what it granted may be used for as long as permits are good.
+    pub(crate) fn predecessor_stopped(&mut self, now: Micros) {
+        self.opens_at = self.opens_at.min(now + VALIDITY + MARGIN);
+    }
+
+    /// Another relay may be the home: whatever it grants up to `until` has to be past before this one begins.
+    pub(crate) fn wait_until(&mut self, until: Micros) {
+        self.opens_at = self.opens_at.max(until);
+    }
+
+    /// Whether all that earlier homes granted is past.
+    pub(crate) fn is_open(&self, now: Micros) -> bool {
+        now >= self.opens_at
+    }
+
+    pub(crate) fn settle(&mut self, life: u64, settled: &[Settled], now: Micros) {
+        for Settled { grant, used } in settled.iter().filter(|settled| settled.grant.home_life == life) {
+            self.budget.settle(grant.number, *used, now);
+        }
+    }
+
+    pub(crate) fn ask(&mut self, from: &NodeName, life: u64, sent_at: Micros, wanted: u32, now: Micros) {
+        self.shares.ask(from, life, sent_at, wanted, now);
+    }
+
+    /// Grants what may be granted now; gives each grant with its receiver.
+    pub(crate) fn grant(
+        &mut self, home_life: u64, last_grant: &mut u64, now: Micros,
+    ) -> Vec<(NodeName, PermitMessage)> {
+        self.budget.advance(now);
+        self.shares.expire(PATIENCE, now);
+        self.shares.end_round(self.rate, now);
+        let mut grants: Vec<(NodeName, PermitMessage)> = Vec::new();
+        if !self.is_open(now) {
+            return grants;
+        }
+        let mut counts = std::collections::BTreeMap::<NodeName, (u64, Micros, u32)>::new();
+        let mut available = self.budget.available();
+        while available > 0
+            && let Some((name, asker)) = self.shares.next()
+        {
+            available -= 1;
+            counts.entry(name.clone()).or_insert((asker.life, asker.sent_at, 0)).2 += 1;
+            Shares::give(asker, 1);
+        }
+        self.shares.leave_waiting();
+        for (name, (life, sent_at, count)) in counts {
+            *last_grant += 1;
+            self.budget.grant(*last_grant, count, now);
+            let grant = GrantId { home_life, number: *last_grant };
+            let service = self.service.clone();
+            grants.push((name, PermitMessage::Grant { service, life, sent_at, grant, count }));
+        }
+        grants
+    }
+
+    /// When there is something to do again.
+    pub(crate) fn next_at(&self, now: Micros) -> Option<Micros> {
+        let waits = self.shares.wants();
+        waits.then(|| self.budget.next_at(now).max(self.opens_at))
+    }
+}
--- /dev/null
+++ b/crates/permits/src/message.rs
@@ -0,0 +1,42 @@
+//! What relays tell each other about permits.
+
+use std::sync::Arc;
+
+use pewterseam_wire::Micros;
+use serde::{Deserialize, Serialize};
+
+/// The name of a grant, unique over all homes and their lives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct GrantId {
+    pub home_life: u64,
+    pub number: u64,
+}
+
+/// A grant of which nothing is left, and how many of its permits were used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Settled {
+    pub grant: GrantId,
+    pub used: u32,
+}
+
+/// What relays tell each other about permits. Any of them may be lost, late or doubled.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitMessage {
+    /// To the home: so many permits are wanted now, beside those in hand. Replaces earlier ones.
+    Request {
+        service: Arc<str>,
+        /// The life of the asking process, and its own clock.
+        life: u64,
+        sent_at: Micros,
+        wanted: u32,
+        settled: Vec<Settled>,
+    },
+    /// From the home: permits for the request that was sent then.
+    Grant { service: Arc<str>, life: u64, sent_at: Micros, grant: GrantId, count: u32 },
+    /// From a relay that has become home, to those that may have been it before.
+    Claim { service: Arc<str>, life: u64 },
+    /// From the home so far: it grants nothing from now on. Its own time as home had begun in good order.
+    Yield { service: Arc<str>, life: u64 },
+    /// From a relay that goes before the claiming one: its claim rests on a list that lacks this relay.
+    Deny { service: Arc<str>, life: u64 },
+}
--- /dev/null
+++ b/crates/permits/src/permits.rs
@@ -0,0 +1,278 @@
+//! The permits of one relay: those that it holds, and those that it hands out where it is the home.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::NodeName;
+use pewterseam_wire::placement::hash;
+
+use crate::holder::{Holder, Permit};
+use crate::home::Home;
+use crate::message::PermitMessage;
+use crate::{MARGIN, VALIDITY};
+
+/// At the first start of everything, how long the list of relays must have stood.
+const SETTLING: Micros = 1_000_000;
+/// Relays that a new home asks whether they have been it, and how often.
+const CLAIMED_FROM: usize = 3;
+const CLAIM_AGAIN: Micros = 250_000;
+
+/// What the permits of a relay need to know.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub me: NodeName,
+    /// The life of this process; a later one is higher.
+    pub life: u64,
+    /// `originWindowS` and `originOvershoot`.
+    pub window: Micros,
+    pub overshoot: f64,
+    /// No process of the system ran before.
+    pub bootstrap: bool,
+    /// The longest time for which a relay that was cut off may hold the core's word.
+    pub core_lease: Micros,
+}
+
+/// What to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PermitEffect {
+    Send { to: NodeName, message: PermitMessage },
+}
+
+struct Service {
+    rate: f64,
+    holder: Holder,
+    home: Option<NodeName>,
+    /// Where this relay is the home.
+    granting: Option<Home>,
+    claim_at: Option<Micros>,
+}
+
+/// The permits of one relay.
+pub struct Permits {
+    settings: Settings,
+    services: BTreeMap<Arc<str>, Service>,
+    /// Candidates for homes, sorted.
+    relays: Vec<NodeName>,
+    core_until: Micros,
+    last_grant: u64,
+    /// No home was named before, in a system without predecessors.
+    is_first: bool,
+    effects: Vec<PermitEffect>,
+}
+
+impl Permits {
+    pub fn new(settings: Settings) -> Self {
+        let is_first = settings.bootstrap;
+        let (services, relays, effects) = (BTreeMap::new(), Vec::new(), Vec::new());
+        Permits { settings, services, relays, core_until: 0, last_grant: 0, is_first, effects }
+    }
+
+    /// The limited services with their rates, in place of those before.
+    pub fn set_services(&mut self, now: Micros, services: impl IntoIterator<Item = (Arc<str>, f64)>) {
+        let mut before = std::mem::take(&mut self.services);
+        for (name, rate) in services.into_iter().filter(|(_, rate)| *rate > 0.0) {
+            let kept = before.remove(&name).filter(|service| service.rate == rate);
+            let new =
+                || Service { rate, holder: Holder::default(), home: None, granting: None, claim_at: None };
+            self.services.insert(name, kept.unwrap_or_else(new));
+        }
+        self.choose_homes(now);
+    }
+
+    /// The relays that may be homes.
+    pub fn set_relays(&mut self, now: Micros, relays: &[NodeName]) {
+        self.relays = relays.to_vec();
+        self.relays.sort();
+        self.relays.dedup();
+        self.choose_homes(now);
+    }
+
+    /// The core's word to this relay holds until then.
+    pub fn set_core_lease(&mut self, until: Micros) {
+        self.core_until = until;
+    }
+
+    /// How many messages wait for permits of a service.
+    pub fn set_demand(&mut self, service: &str, demand: usize) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.holder.set_demand(demand);
+        }
+    }
+
+    /// Whether a service's requests need permits.
+    pub fn is_limited(&self, service: &str) -> bool {
+        self.services.contains_key(service)
+    }
+
+    /// Permits in hand.
+    pub fn available(&self, now: Micros, service: &str) -> usize {
+        self.services.get(service).map_or(0, |service| service.holder.available(now))
+    }
+
+    /// Uses a permit, if one is in hand.
+    pub fn take(&mut self, now: Micros, service: &str) -> Option<Permit> {
+        self.services.get_mut(service)?.holder.take(now)
+    }
+
+    /// Books that the request of a permit is sent now; its permit was good until now.
+    pub fn sent(&mut self, service: &str, permit: Permit) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.holder.sent(permit);
+        }
+    }
+
+    /// Gives back a permit for which nothing was sent.
+    pub fn put_back(&mut self, service: &str, permit: Permit) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.holder.put_back(permit);
+        }
+    }
+
+    /// Takes what another relay told.
+    pub fn receive(&mut self, now: Micros, from: &NodeName, message: PermitMessage) {
+        let has_word = self.has_word(now);
+        let me = &self.settings;
+        match message {
+            PermitMessage::Request { service, life, sent_at, wanted, settled } => {
+                let Some(home) = self.services.get_mut(&service).and_then(|s| s.granting.as_mut()) else {
+                    return;
+                };
+                home.settle(me.life, &settled, now);
+                home.ask(from, life, sent_at, wanted, now);
+            }
+            PermitMessage::Grant { service, life, sent_at, grant, count } => {
+                let Some(service) = self.services.get_mut(&service).filter(|_| life == me.life) else {
+                    return;
+                };
+                service.holder.receive(sent_at, grant, count, now);
+            }
+            PermitMessage::Claim { service, life } => {
+                let Some(entry) = self.services.get_mut(&service) else { return };
+                let goes_first = rank(&service, from) > rank(&service, &me.me);
+                if !goes_first && entry.home.as_ref() == Some(&me.me) {
+                    let message = PermitMessage::Deny { service, life };
+                    self.effects.push(PermitEffect::Send { to: from.clone(), message });
+                    return;
+                }
+                let was_home = entry.granting.take().is_some_and(|home| home.is_open(now) && has_word);
+                entry.home = Some(from.clone());
+                entry.claim_at = None;
+                entry.holder.change_home();
+                if was_home {
+                    let message = PermitMessage::Yield { service, life };
+                    self.effects.push(PermitEffect::Send { to: from.clone(), message });
+                }
+            }
+            PermitMessage::Yield { service, life } => {
+                let Some(service) = self.services.get_mut(&service).filter(|_| life == me.life) else {
+                    return;
+                };
+                if let Some(home) = &mut service.granting {
+                    home.predecessor_stopped(now);
+                    service.claim_at = None;
+                }
+            }
+            PermitMessage::Deny { service, life } => {
+                let until = now + me.core_lease + VALIDITY + MARGIN;
+                let service = self.services.get_mut(&service).filter(|_| life == me.life);
+                if let Some(home) = service.and_then(|service| service.granting.as_mut()) {
+                    home.wait_until(until);
+                }
+            }
+        }
+    }
+
+    /// Does what is due; call it after each of the above, and at [`Permits::next_at`].
+    pub fn step(&mut self, now: Micros) -> Vec<PermitEffect> {
+        let has_word = self.has_word(now);
+        let (me, life) = (&self.settings.me, self.settings.life);
+        for (name, service) in &mut self.services {
+            if let Some(home) = &service.home
+                && let Some(request) = service.holder.ask(name, life, now)
+            {
+                match (&mut service.granting, request) {
+                    (Some(home), PermitMessage::Request { sent_at, wanted, settled, .. }) => {
+                        home.settle(life, &settled, now);
+                        home.ask(me, life, sent_at, wanted, now);
+                    }
+                    (_, message) => self.effects.push(PermitEffect::Send { to: home.clone(), message }),
+                }
+            }
+            let Some(home) = service.granting.as_mut().filter(|_| has_word) else { continue };
+            for (to, message) in home.grant(life, &mut self.last_grant, now) {
+                match message {
+                    PermitMessage::Grant { sent_at, grant, count, .. } if to == *me => {
+                        service.holder.receive(sent_at, grant, count, now);
+                    }
+                    message => self.effects.push(PermitEffect::Send { to, message }),
+                }
+            }
+            if service.claim_at.is_some_and(|at| at <= now) {
+                let open = home.is_open(now);
+                service.claim_at = (!open).then_some(now + CLAIM_AGAIN);
+                let ranked = ranked(&self.relays, name).into_iter().filter(|other| *other != me);
+                for to in ranked.take(CLAIMED_FROM).filter(|_| !open) {
+                    let message = PermitMessage::Claim { service: name.clone(), life };
+                    self.effects.push(PermitEffect::Send { to: to.clone(), message });
+                }
+            }
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// When [`Permits::step`] is due.
+    pub fn next_at(&self, now: Micros) -> Option<Micros> {
+        let has_word = self.has_word(now);
+        let of_service = |service: &Service| {
+            let grants = service.granting.as_ref().filter(|_| has_word).and_then(|home| home.next_at(now));
+            [service.holder.next_at(), grants, service.claim_at].into_iter().flatten().min()
+        };
+        self.services.values().filter_map(of_service).min()
+    }
+
+    fn has_word(&self, now: Micros) -> bool {
+        now < self.core_until
+    }
+
+    /// Finds the home of each service anew.
+    fn choose_homes(&mut self, now: Micros) {
+        let Settings { me, window, overshoot, core_lease, .. } = &self.settings;
+        let named = !self.relays.is_empty() && !self.services.is_empty();
+        for (name, service) in &mut self.services {
+            let home = ranked(&self.relays, name).first().map(|home| (*home).clone());
+            if home == service.home {
+                continue;
+            }
+            service.holder.change_home();
+            service.granting = None;
+            service.claim_at = None;
+            if home.as_ref() == Some(me) {
+                let follows = !self.is_first;
+                let wait = if follows { core_lease + VALIDITY + MARGIN } else { SETTLING };
+                let home =
+                    Home::new(name.clone(), service.rate, *window, *overshoot, now + wait, follows, now);
+                service.granting = Some(home);
+                service.claim_at = Some(now);
+            }
+            service.home = home;
+        }
+        // Danger: lists of relays grow at the first start; only the first home of a list that stands is without
+        // predecessors.
+        if named {
+            self.is_first = false;
+        }
+    }
+}
+
+/// The relays by their rank for a service; the first is its home.
+fn ranked<'a>(relays: &'a [NodeName], service: &str) -> Vec<&'a NodeName> {
+    let mut ranked: Vec<_> = relays.iter().collect();
+    ranked.sort_by_key(|relay| std::cmp::Reverse(rank(service, relay)));
+    ranked
+}
+
+/// The rank of a relay for a service by rendezvous hashing; the name settles what is equal.
+fn rank<'a>(service: &str, relay: &'a NodeName) -> (u64, &'a NodeName) {
+    (hash(relay.0.as_bytes(), hash(service.as_bytes(), 0)), relay)
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod placement;
 pub mod record;
 pub mod store;
+pub mod tree;
 
 /// A point in time of the local steady clock, or a span, in microseconds.
 pub type Micros = u64;
