--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod random;
 pub mod record;
 pub mod store;
+pub mod tree;
 
 /// A point in time of the local steady clock, or a span, in microseconds.
 pub type Micros = u64;
