--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use pewterseam_wire::Micros;
+use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::{Placement, StoreId};
 use pewterseam_wire::record::{MessageName, Record};
 
@@ -96,6 +97,11 @@
         }
     }
 
+    /// The owner's name in the system is another one than it was started with. Only for one that owns nothing yet.
+    pub fn set_owner(&mut self, owner: Owner) {
+        self.settings.owner = owner;
+    }
+
     /// A new placement is in force.
     pub fn set_placement(&mut self, now: Micros, placement: Arc<Placement>) -> Vec<Effect> {
         self.now = now;
--- a/crates/queue/src/stop.rs
+++ b/crates/queue/src/stop.rs
@@ -43,6 +43,11 @@
         self.messages.is_empty() && self.calls.is_empty() && self.outbox.is_empty()
     }
 
+    /// Messages with a run under way, oldest first.
+    pub fn running_keys(&self) -> Vec<MessageKey> {
+        self.keys(|stage| *stage == Stage::Running)
+    }
+
     /// Messages with a run under way.
     pub fn running(&self) -> usize {
         self.messages.values().filter(|message| message.stage == Stage::Running).count()
--- a/crates/relay/src/failure.rs
+++ b/crates/relay/src/failure.rs
@@ -7,6 +7,7 @@
 use pewterseam_errors::Advice;
 use pewterseam_relay::serve::Fault;
 use pewterseam_relay::unusable::Unusable;
+use pewterseam_system::error::SystemError;
 use thiserror::Error;
 
 #[derive(Debug, Error)]
@@ -32,6 +33,8 @@
     Journal { folder: PathBuf, error: io::Error },
     #[error("nothing can be printed: {0}")]
     Output(io::Error),
+    #[error(transparent)]
+    System(#[from] SystemError),
 }
 
 impl Advice for Failure {
@@ -47,6 +50,7 @@
             Failure::Answered { .. } => "command-answered",
             Failure::Journal { .. } => "command-journal",
             Failure::Output(_) => "command-output",
+            Failure::System(_) => "system-process",
         }
     }
 
@@ -62,6 +66,7 @@
             Failure::Answered { .. } => "see that it is a relay that listens there",
             Failure::Journal { .. } => "name a relay's state folder that this user may read",
             Failure::Output(_) => "see where the output goes to",
+            Failure::System(_) => "see docs/system.md for what a process of the system needs",
         };
         text.to_owned()
     }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -37,8 +37,20 @@
     Counters(Counters),
     Journal(Journal),
     Version(Version),
+    Relay(SystemRelay),
+    Store(SystemStore),
 }
 
+/// Run a relay of the whole system (settings: $PEWTERSEAM_NODE_FILE)
+#[derive(FromArgs)]
+#[argh(subcommand, name = "relay")]
+struct SystemRelay {}
+
+/// Run a store of the whole system (settings: $PEWTERSEAM_NODE_FILE)
+#[derive(FromArgs)]
+#[argh(subcommand, name = "store")]
+struct SystemStore {}
+
 /// Run a relay in the foreground.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
@@ -129,6 +141,8 @@
         Command::Check(Check { config, operator }) => check(config.as_deref(), operator),
         Command::Counters(Counters { address }) => counters(address),
         Command::Journal(Journal { folder, records }) => print_journal(&folder, records),
+        Command::Relay(_) => Ok(pewterseam_system::run_relay()?),
+        Command::Store(_) => Ok(pewterseam_system::run_store()?),
         Command::Version(_) => print(&format!("pewterseam {}\n", env!("CARGO_PKG_VERSION"))),
     }
 }
--- a/crates/system/src/error.rs
+++ b/crates/system/src/error.rs
@@ -17,14 +17,28 @@
 #[derive(Debug)]
 pub enum SystemError {
     NoSettings,
-    ReadSettings { path: PathBuf, error: io::Error },
-    Settings { path: PathBuf, errors: Vec<SettingsError> },
+    ReadSettings {
+        path: PathBuf,
+        error: io::Error,
+    },
+    Settings {
+        path: PathBuf,
+        errors: Vec<SettingsError>,
+    },
     /// The settings lack something that this role needs.
-    Missing { what: &'static str },
-    Bind { address: SocketAddr, error: io::Error },
+    Missing {
+        what: &'static str,
+    },
+    Bind {
+        address: SocketAddr,
+        error: io::Error,
+    },
     Front(FrontError),
     Transport(TransportError),
-    Folder { path: PathBuf, error: io::Error },
+    Folder {
+        path: PathBuf,
+        error: io::Error,
+    },
     Storage(StorageError),
     Recover(RecoverError),
     Control(ControlError),
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -8,7 +8,7 @@
 
 use pewterseam_config::settings::Settings;
 use pewterseam_control::{Control, ControlMessage, Effect as ControlEffect, OperatorRequest, Outcome, Token};
-use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings};
+use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings, Status};
 use pewterseam_storage::WriterEvent;
 use pewterseam_transport::{Transport, TransportEvent};
 use pewterseam_wire::Micros;
@@ -136,7 +136,8 @@
     /// Where a store with this disk is reached, if it lives.
     pub fn address_of_store(&self, id: &StoreId) -> Option<SocketAddr> {
         let (info, status) = self.membership.get(&id.name)?;
-        (status.is_live() && info.disk == Some(id.disk)).then_some(info.peer_address)
+        let is_live = matches!(status, Status::Alive | Status::Suspect);
+        (is_live && info.disk == Some(id.disk)).then_some(info.peer_address)
     }
 
     /// Sends a message to a node, if it is known to live.
@@ -246,7 +247,12 @@
         self.members_changed = true;
         match change {
             MemberChange::Down { info, left } => {
-                log::info!("{} in life {} is {}", info.name, info.life.0, if *left { "gone" } else { "dead" });
+                log::info!(
+                    "{} in life {} is {}",
+                    info.name,
+                    info.life.0,
+                    if *left { "gone" } else { "dead" }
+                );
                 self.ended.add(Owner { name: info.name.clone(), life: info.life });
                 self.transport.hang_up(info.peer_address);
             }
--- /dev/null
+++ b/crates/system/src/relay/configuration.rs
@@ -0,0 +1,101 @@
+//! Agreed state coming in force, and settings that change.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use pewterseam_config::settings::Settings;
+use pewterseam_config::{CompiledConfig, Route, Service};
+use pewterseam_delivery::{Input as DeliveryInput, ServiceConfig};
+use pewterseam_queue::{RoutePolicy, RouteTable};
+use pewterseam_wire::control::ControlState;
+
+use super::planes;
+use super::process::RelayProcess;
+use crate::error::SystemError;
+
+const MILLISECONDS_A_SECOND: f64 = 1_000.0;
+/// The path that hosts are checked at where a service does not say.
+const DEFAULT_HEALTH_PATH: &str = "/health";
+
+impl RelayProcess {
+    /// Agreed state is in force: the sets of stores, and the configuration if it is another one.
+    pub(super) fn in_force(&mut self, state: &Arc<ControlState>) {
+        let effects = self.planes.queue.set_placement(self.node.now(), state.placement.clone());
+        self.queue_effects.extend(effects);
+        if state.config.version != self.config.load().version {
+            self.configure(state);
+        }
+    }
+
+    fn configure(&mut self, state: &ControlState) {
+        let compiled = match CompiledConfig::compile(&state.config.text) {
+            Ok(compiled) => Arc::new(compiled),
+            Err(errors) => {
+                let reasons: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                log::error!("configuration {} cannot be used: {}", state.config.version, reasons.join("; "));
+                return;
+            }
+        };
+        log::info!("configuration {} is in force", compiled.version);
+        let services = compiled.services().map(|service| service_config(service)).collect();
+        self.delivery_inputs.push(DeliveryInput::Services(services));
+        let table = Arc::new(route_table(&compiled));
+        self.config.store(compiled);
+        let effects = self.planes.queue.set_routes(self.node.now(), table);
+        self.queue_effects.extend(effects);
+    }
+
+    /// The settings file was read again.
+    pub(super) fn reload(&mut self, read: Result<Settings, SystemError>) {
+        let settings = match read {
+            Ok(settings) => settings,
+            Err(error) => {
+                log::error!("the settings stay as they are: {error}");
+                return;
+            }
+        };
+        if settings.seeds != self.settings.seeds {
+            self.node.set_seeds(&settings);
+        }
+        if settings.cloud_api != self.settings.cloud_api {
+            self.planes.platform = planes::platform(&settings, &self.planes.list_events);
+        }
+        self.settings = settings;
+    }
+
+    /// Now and then: settings that changed without a signal, connections that idle too long.
+    pub(super) fn tend(&mut self) {
+        if let Some(read) = self.file.read_if_changed() {
+            self.reload(read);
+        }
+        self.planes.hosts.sweep();
+    }
+}
+
+fn service_config(service: &Service) -> ServiceConfig {
+    ServiceConfig {
+        name: service.name.clone(),
+        rate_per_s: service.rate_per_s,
+        max_connections: service.max_conns,
+        static_address: service.static_address.as_ref().and_then(|address| address.parse().ok()),
+        idempotent: service.idempotent,
+        health_path: service.health_path.clone().unwrap_or_else(|| Arc::from(DEFAULT_HEALTH_PATH)),
+    }
+}
+
+fn route_table(config: &CompiledConfig) -> RouteTable {
+    let routes: HashMap<_, _> =
+        config.routes().map(|route| (route.name.clone(), route_policy(route))).collect();
+    RouteTable { version: config.version, routes }
+}
+
+fn route_policy(route: &Route) -> RoutePolicy {
+    RoutePolicy {
+        service: route.backend.clone(),
+        priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
+        timeout_ms: route.timeout_ms.ceil() as u64,
+        schedule_target_ms: route.schedule_target_ms.ceil() as u64,
+        max_attempts: route.max_attempts,
+        retention_ms: route.retention_s.map_or(u64::MAX / 2_000_000, |s| (s * MILLISECONDS_A_SECOND) as u64),
+    }
+}
--- /dev/null
+++ b/crates/system/src/relay/planes.rs
@@ -0,0 +1,109 @@
+//! The state machines of a relay beside its node.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use pewterseam_config::settings::Settings;
+use pewterseam_delivery::{Delivery, DeliverySettings};
+use pewterseam_discovery::{Discovery, DiscoverySettings};
+use pewterseam_outbound::{ListEvent, Outbound, OutboundEvent, OutboundSettings, PlatformList};
+use pewterseam_queue::{Queue, QueueSettings};
+use pewterseam_wire::Micros;
+use pewterseam_wire::placement::hash;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::clock;
+use crate::node::Node;
+
+/// Part of the memory that bodies may take.
+const BODY_PART: f64 = 0.3;
+const BYTES_A_MEGABYTE: f64 = 1024.0 * 1024.0;
+/// Memory that a held message takes beside its body.
+const MESSAGE_BYTES: f64 = 4096.0;
+/// Part of the memory that held messages may take.
+const MESSAGE_PART: f64 = 0.2;
+/// Part of the descriptors that calls to hosts may take.
+const CALL_FILES_PART: f64 = 0.3;
+const CONNECT_TIMEOUT: Micros = 1_000_000;
+const IDLE_CLOSE: Micros = 4_000_000;
+/// The longest time for which a relay that was cut off may take itself for a member.
+const CORE_LEASE: Micros = 3_000_000;
+const DEFAULT_LIST_RATE: f64 = 10.0;
+
+/// The state machines and what carries out their effects.
+pub struct Planes {
+    pub queue: Queue,
+    pub delivery: Delivery,
+    pub delivery_wake: Micros,
+    pub hosts: Outbound,
+    /// Attempts that are out, with the message of each.
+    pub attempts: HashMap<pewterseam_delivery::AttemptId, u64>,
+    pub discovery: Discovery,
+    pub discovery_wake: Micros,
+    pub platform: Option<PlatformList>,
+    pub list_events: UnboundedSender<ListEvent>,
+}
+
+impl Planes {
+    pub fn new(
+        node: &Node, settings: &Settings, hosts: UnboundedSender<OutboundEvent>,
+        list_events: UnboundedSender<ListEvent>,
+    ) -> Self {
+        let platform = platform(settings, &list_events);
+        Planes {
+            queue: Queue::new(queue_settings(node, settings), node.now()),
+            delivery: Delivery::new(delivery_settings(node, settings)),
+            delivery_wake: 0,
+            hosts: Outbound::new(OutboundSettings::default(), hosts),
+            attempts: HashMap::new(),
+            discovery: Discovery::new(discovery_settings(node, settings)),
+            discovery_wake: 0,
+            platform,
+            list_events,
+        }
+    }
+}
+
+/// The caller of the platform's list, where the settings name one.
+pub fn platform(settings: &Settings, events: &UnboundedSender<ListEvent>) -> Option<PlatformList> {
+    settings.cloud_api.map(|api| PlatformList::new(api.address, events.clone()))
+}
+
+fn queue_settings(node: &Node, settings: &Settings) -> QueueSettings {
+    let memory = settings.limits.memory_mb * BYTES_A_MEGABYTE;
+    QueueSettings {
+        owner: node.owner(),
+        zone: Arc::from(settings.zone.as_str()),
+        most_body_bytes: (memory * BODY_PART) as usize,
+        most_messages: (memory * MESSAGE_PART / MESSAGE_BYTES) as usize,
+    }
+}
+
+/// A number that differs between processes.
+fn seed(node: &Node) -> u64 {
+    hash(node.info().name.0.as_bytes(), clock::wall())
+}
+
+fn delivery_settings(node: &Node, settings: &Settings) -> DeliverySettings {
+    DeliverySettings {
+        me: node.info().name.clone(),
+        life: node.info().life.0,
+        seed: seed(node),
+        slots: (settings.limits.max_files as f64 * CALL_FILES_PART) as usize,
+        connect_timeout: CONNECT_TIMEOUT,
+        idle_close: IDLE_CLOSE,
+        origin_window: settings.bounds.origin_window().as_micros() as Micros,
+        origin_overshoot: settings.bounds.origin_overshoot(),
+        bootstrap: settings.bootstrap,
+        core_lease: CORE_LEASE,
+    }
+}
+
+fn discovery_settings(node: &Node, settings: &Settings) -> DiscoverySettings {
+    DiscoverySettings {
+        me: node.info().name.clone(),
+        life: node.info().life.0,
+        seed: seed(node),
+        rate_per_s: settings.cloud_api.map_or(DEFAULT_LIST_RATE, |api| api.rate_per_s),
+    }
+}
--- /dev/null
+++ b/crates/system/src/relay/start.rs
@@ -0,0 +1,94 @@
+//! Assembles a relay and opens its doors.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use arc_swap::ArcSwap;
+use pewterseam_config::CompiledConfig;
+use pewterseam_config::settings::Settings;
+use pewterseam_ingress::{Front, FrontSettings, RouteChoice, Router, Stopper};
+use pewterseam_wire::identity::Role;
+use tokio::sync::mpsc;
+
+use super::RelayInputs;
+use super::planes::Planes;
+use super::process::RelayProcess;
+use crate::disk;
+use crate::error::SystemError;
+use crate::node::{Node, NodeInputs};
+use crate::operator;
+use crate::settings_file::SettingsFile;
+
+/// Part of the descriptors that clients' connections may take.
+const CLIENT_FILES_PART: f64 = 0.4;
+
+pub fn start(mut file: SettingsFile) -> Result<(RelayProcess, NodeInputs, RelayInputs), SystemError> {
+    let settings = file.read()?;
+    let disk = match &settings.data_dir {
+        Some(path) => Some(disk::disk_id(&mut disk::open_folder(path)?)?),
+        None => None,
+    };
+    let (node, node_inputs) = Node::start(&settings, Role::Relay, disk)?;
+    let config = Arc::new(ArcSwap::from_pointee(CompiledConfig::default()));
+    let (front_requests, front) = mpsc::unbounded_channel();
+    let (operator_calls, operators) = mpsc::unbounded_channel();
+    let (host_events, hosts) = mpsc::unbounded_channel();
+    let (list_events, list) = mpsc::unbounded_channel();
+    let stopper = Stopper::default();
+    let is_ready = Arc::new(AtomicBool::new(false));
+    let door = Front::new(front_requests, router(config.clone()), stopper.clone());
+    let failure = Rc::default();
+    open_doors(&settings, &door, operator_calls, &is_ready, &failure)?;
+    let planes = Planes::new(&node, &settings, host_events, list_events);
+    let process = RelayProcess::new(node, planes, settings, file, config, door, stopper, is_ready, failure);
+    Ok((process, node_inputs, RelayInputs { front, hosts, list, operators }))
+}
+
+/// An error of a door that could not open, which ends the process.
+pub type DoorFailure = Rc<RefCell<Option<SystemError>>>;
+
+fn open_doors(
+    settings: &Settings, door: &Front, calls: mpsc::UnboundedSender<operator::OperatorCall>,
+    is_ready: &Arc<AtomicBool>, failure: &DoorFailure,
+) -> Result<(), SystemError> {
+    let address = settings.bind.front.ok_or(SystemError::Missing { what: "bindAddrs.front" })?;
+    let most_connections = (settings.limits.max_files as f64 * CLIENT_FILES_PART) as usize;
+    let door = door.clone();
+    let serving =
+        async move { door.serve(FrontSettings { address, most_connections }).await.map_err(Into::into) };
+    open(serving, failure.clone());
+    if let Some(address) = settings.bind.readiness {
+        open(operator::serve_readiness(address, is_ready.clone()), failure.clone());
+    }
+    if let Some(address) = settings.bind.control {
+        open(operator::serve(address, calls), failure.clone());
+    }
+    Ok(())
+}
+
+fn open(door: impl Future<Output = Result<(), SystemError>> + 'static, failure: DoorFailure) {
+    tokio::task::spawn_local(async move {
+        if let Err(error) = door.await {
+            log::error!("{error}");
+            failure.borrow_mut().get_or_insert(error);
+        }
+    });
+}
+
+/// Finds routes in the configuration in force.
+fn router(config: Arc<ArcSwap<CompiledConfig>>) -> Router {
+    Rc::new(move |host, path| {
+        let config = config.load();
+        if config.version == 0 {
+            return RouteChoice::NotConfigured;
+        }
+        let Some(route) = config.route(host, path) else { return RouteChoice::NoRoute };
+        RouteChoice::Route {
+            name: route.name.clone(),
+            is_ordered: route.fifo,
+            most_body_bytes: config.limits.max_body_bytes as usize,
+        }
+    })
+}
