--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -112,6 +112,7 @@
             self.delivery_inputs.push(DeliveryInput::Tick);
         }
         if self.planes.discovery_wake <= now {
+            self.planes.discovery_wake = Micros::MAX;
             self.discover(pewterseam_discovery::Input::Tick);
         }
         self.expire_reads(now);
--- a/crates/system/src/store/process.rs
+++ b/crates/system/src/store/process.rs
@@ -79,6 +79,7 @@
             }
         }
         if self.node.now() >= self.store_wake {
+            self.store_wake = Micros::MAX;
             self.step(Input::Tick);
         }
     }
