Permits: the bound holds in a simulated network of relays; a home without the core's word begins anew

Ruled out: the pace, the way of permits over slow connections, and homes that change (all in the property as well).

Change: a home whose word from the core has lapsed waits as a new one does. A permit taken and not sent before it expired counts as unused. Tests: property over losses, doubles, cuts, freezes, deaths and joins; a planted fault that it finds; use of the rate under pressure; waits with room.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -119,7 +119,7 @@
             Input::Ended { attempt, end } => self.ended(attempt, &end),
             Input::Probed { host, healthy } => self.probed(host, healthy),
             Input::Peer { from, bytes } => self.hear(&from, &bytes),
-            Input::CoreLease { until } => self.permits.set_core_lease(until),
+            Input::CoreLease { until } => self.permits.set_core_lease(self.now, until),
             Input::Stop { by } => {
                 self.stopping = true;
                 self.events.push(Event::Stop { by });
--- a/crates/permits/src/holder.rs
+++ b/crates/permits/src/holder.rs
@@ -92,11 +92,11 @@
         }
     }
 
-    /// Books grants of which nothing is left to use.
+    /// Books grants of which nothing is left to use. A permit that was taken and not sent before it expired never is.
     fn settle(&mut self, now: Micros) {
         let over = |batch: &Batch| (batch.left == 0 && batch.taken == 0) || batch.expires_at <= now;
         for (grant, batch) in self.batches.extract_if(.., |_, batch| over(batch)) {
-            self.settled.push(Settled { grant, used: batch.used + batch.taken });
+            self.settled.push(Settled { grant, used: batch.used });
             self.settled_at.get_or_insert(now);
         }
     }
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -88,9 +88,15 @@
         self.choose_homes(now);
     }
 
-    /// The core's word to this relay holds until then.
-    pub fn set_core_lease(&mut self, until: Micros) {
-        self.core_until = until;
+    /// The core's word to this relay holds until then. Danger: without the word for a while, a home does not know
+    /// whether another one has begun meanwhile; it begins anew.
+    pub fn set_core_lease(&mut self, now: Micros, until: Micros) {
+        let has_lapsed = self.core_until > 0 && self.core_until <= now;
+        self.core_until = self.core_until.max(until);
+        if has_lapsed {
+            self.services.values_mut().for_each(|service| service.home = None);
+            self.choose_homes(now);
+        }
     }
 
     /// How many messages wait for permits of a service.
--- /dev/null
+++ b/crates/permits/tests/ceiling.rs
@@ -0,0 +1,67 @@
+//! All relays together keep a service's rate, whatever is lost; and they come near it in calm times.
+
+mod network;
+
+use network::{CALM, Network, SECOND, Troubles};
+use quickcheck::{QuickCheck, TestResult};
+
+const ALL: Troubles =
+    Troubles { lost: 0.1, doubled: 0.1, cut: 0.05, frozen: 0.05, killed: 0.03, keeps_sending: false };
+
+fn keeps_the_bound(seed: u64, rate: f64, count: usize, troubles: Troubles) -> Result<(), String> {
+    let mut network = Network::new(seed, count, rate, rate * 2.0, troubles);
+    network.run(60 * SECOND);
+    let (most, allowed) = network.worst_window();
+    if most as f64 > allowed {
+        return Err(format!(
+            "seed {seed}, {count} relays, rate {rate}: {most} requests in a window, {allowed} allowed"
+        ));
+    }
+    Ok(())
+}
+
+/// Guards against a window with more requests than the rule allows, through losses, doubles, cuts, freezes, deaths,
+/// joins, and homes that change with them.
+#[test]
+fn no_window_passes_the_bound_whatever_is_lost() {
+    fn property(seed: u64) -> TestResult {
+        let rates = [1.0, 7.0, 39.0, 200.0];
+        let count = 1 + (seed % 12) as usize;
+        match keeps_the_bound(seed, rates[(seed >> 8) as usize % rates.len()], count, ALL) {
+            Ok(()) => TestResult::passed(),
+            Err(error) => TestResult::error(error),
+        }
+    }
+    QuickCheck::new().tests(150).quickcheck(property as fn(u64) -> TestResult);
+}
+
+/// Guards against a test above that would pass whatever the relays do: one that goes on when it is cut off is found.
+#[test]
+fn a_relay_that_sends_on_without_permits_is_found() {
+    let faulty = Troubles { keeps_sending: true, cut: 0.2, ..ALL };
+    let found = (0..20).filter(|seed| keeps_the_bound(*seed, 7.0, 8, faulty).is_err()).count();
+    assert!(found >= 15, "found with {found} of 20 seeds");
+}
+
+/// Guards against permits that keep much of the rate unused while more is wanted.
+#[test]
+fn under_pressure_most_of_the_rate_is_used() {
+    for (rate, count) in [(10.0, 60), (39.0, 12), (39.0, 60), (300.0, 20)] {
+        let mut network = Network::new(7, count, rate, rate * 1.5, CALM);
+        network.run(40 * SECOND);
+        let used = network.sent.len() as f64 / (rate * 38.0);
+        assert!(used > 0.9, "rate {rate}, {count} relays: {used:.2} of the rate used");
+        let (most, allowed) = network.worst_window();
+        assert!(most as f64 <= allowed, "rate {rate}: {most} in a window, {allowed} allowed");
+    }
+}
+
+/// Guards against messages that wait although the rate is not used up: permits take a round trip, not a turn.
+#[test]
+fn with_room_a_message_waits_for_a_round_trip_only() {
+    let mut network = Network::new(11, 60, 39.0, 25.0, CALM);
+    network.run(60 * SECOND);
+    let mean_ms = network.waited as f64 / network.sent.len() as f64 / 1e3;
+    assert!(mean_ms < 150.0, "{mean_ms:.0} ms in the mean");
+    assert!(network.waiting() < 30, "{} wait", network.waiting());
+}
--- /dev/null
+++ b/crates/permits/tests/network/mod.rs
@@ -0,0 +1,306 @@
+//! Relays with the real permits on a simulated network: losses, delays, doubles, cuts, freezes, deaths and joins.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use pewterseam_permits::{Permit, PermitEffect, PermitMessage, Permits, Settings};
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::NodeName;
+
+pub const MILLISECOND: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+/// The simulation goes on in steps of this.
+const STEP: Micros = 10 * MILLISECOND;
+/// Relays learn within this who lives, and the core's word holds for so long.
+const VIEW_LAG: Micros = SECOND;
+pub const CORE_LEASE: Micros = 2 * SECOND;
+const SERVICE: &str = "limited";
+
+/// Pseudo-random numbers from a seed (splitmix64).
+pub struct Random(pub u64);
+
+impl Random {
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut value = self.0;
+        value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (value ^ (value >> 31)) % bound.max(1)
+    }
+
+    pub fn chance(&mut self, part: f64) -> bool {
+        (self.below(1_000_000) as f64) < part * 1e6
+    }
+}
+
+/// What goes wrong, as chances for each relay and second, and for each message.
+#[derive(Clone, Copy, Debug)]
+pub struct Troubles {
+    pub lost: f64,
+    pub doubled: f64,
+    pub cut: f64,
+    pub frozen: f64,
+    pub killed: f64,
+    /// A relay that is cut off goes on at the pace that it last had, without permits: a planted fault.
+    pub keeps_sending: bool,
+}
+
+pub const CALM: Troubles =
+    Troubles { lost: 0.0, doubled: 0.0, cut: 0.0, frozen: 0.0, killed: 0.0, keeps_sending: false };
+
+struct Relay {
+    name: NodeName,
+    permits: Permits,
+    /// Messages that wait.
+    waiting: u32,
+    in_use: VecDeque<(Permit, Micros)>,
+    inbox: VecDeque<(NodeName, PermitMessage)>,
+    cut_until: Micros,
+    frozen_until: Micros,
+    /// Up from then on.
+    up_at: Micros,
+    viewed_at: Micros,
+    is_up: bool,
+    life: u64,
+    /// Times of its last sends.
+    sent: VecDeque<Micros>,
+}
+
+pub struct Network {
+    pub now: Micros,
+    random: Random,
+    relays: Vec<Relay>,
+    flying: BTreeMap<(Micros, u64), (usize, usize, PermitMessage)>,
+    last_message: u64,
+    pub rate: f64,
+    pub window: Micros,
+    pub overshoot: f64,
+    /// All requests that went out, in order.
+    pub sent: Vec<Micros>,
+    /// How long messages waited, summed, and how many of them went.
+    pub waited: Micros,
+    arrivals_per_s: f64,
+    troubles: Troubles,
+}
+
+fn permits(name: &NodeName, life: u64, window: Micros, overshoot: f64, bootstrap: bool) -> Permits {
+    let me = name.clone();
+    Permits::new(Settings { me, life, window, overshoot, bootstrap, core_lease: CORE_LEASE })
+}
+
+impl Network {
+    pub fn new(seed: u64, count: usize, rate: f64, arrivals_per_s: f64, troubles: Troubles) -> Self {
+        let (window, overshoot) = (5 * SECOND, 1.1);
+        let names: Vec<_> = (0..count).map(|number| NodeName::new(&format!("relay-{number}"))).collect();
+        let relay = |name: &NodeName| Relay {
+            name: name.clone(),
+            permits: permits(name, 1, window, overshoot, true),
+            waiting: 0,
+            in_use: VecDeque::new(),
+            inbox: VecDeque::new(),
+            cut_until: 0,
+            frozen_until: 0,
+            up_at: 0,
+            viewed_at: 0,
+            is_up: true,
+            life: 1,
+            sent: VecDeque::new(),
+        };
+        let relays = names.iter().map(relay).collect();
+        let mut network = Network {
+            now: SECOND,
+            random: Random(seed),
+            relays,
+            flying: BTreeMap::new(),
+            last_message: 0,
+            rate,
+            window,
+            overshoot,
+            sent: Vec::new(),
+            waited: 0,
+            arrivals_per_s,
+            troubles,
+        };
+        for index in 0..count {
+            network.relays[index].permits.set_relays(SECOND, &names);
+            network.configure(index);
+        }
+        network
+    }
+
+    fn configure(&mut self, index: usize) {
+        let services = [(Arc::from(SERVICE), self.rate)];
+        self.relays[index].permits.set_services(self.now, services);
+        self.relays[index].permits.set_core_lease(self.now, self.now + CORE_LEASE);
+    }
+
+    /// Runs for a span of time.
+    pub fn run(&mut self, span: Micros) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += STEP;
+            self.trouble();
+            self.deliver();
+            self.arrive();
+            for index in 0..self.relays.len() {
+                self.tell_views(index);
+                self.act(index);
+            }
+        }
+    }
+
+    fn trouble(&mut self) {
+        let part = STEP as f64 / SECOND as f64;
+        let Troubles { cut, frozen, killed, .. } = self.troubles;
+        for index in 0..self.relays.len() {
+            let span = 200 * MILLISECOND + self.random.below(6 * SECOND);
+            let relay = &mut self.relays[index];
+            if self.random.chance(cut * part) {
+                relay.cut_until = self.now + span;
+            }
+            if self.random.chance(frozen * part) {
+                relay.frozen_until = self.now + span;
+            }
+            if relay.is_up && self.random.chance(killed * part) {
+                (relay.is_up, relay.up_at) = (false, self.now + span / 4);
+                (relay.waiting, relay.life) = (0, relay.life + 1);
+                relay.in_use.clear();
+                relay.inbox.clear();
+            }
+            if !relay.is_up && relay.up_at <= self.now {
+                (relay.is_up, relay.viewed_at) = (true, 0);
+                relay.permits = permits(&relay.name, relay.life, self.window, self.overshoot, false);
+                self.configure(index);
+            }
+        }
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let is_cut = |index: usize| self.relays[index].cut_until > self.now;
+        from == to || !(is_cut(from) || is_cut(to))
+    }
+
+    /// A relay's list of the living lags behind by up to [`VIEW_LAG`], and the core's word comes twice a second.
+    fn tell_views(&mut self, index: usize) {
+        let relay = &self.relays[index];
+        if !relay.is_up || relay.frozen_until > self.now {
+            return;
+        }
+        if self.random.chance(STEP as f64 / VIEW_LAG as f64 * 4.0) || relay.viewed_at + VIEW_LAG <= self.now {
+            let alive = |other: &usize| {
+                let other_relay = &self.relays[*other];
+                *other == index
+                    || (other_relay.is_up
+                        && other_relay.frozen_until <= self.now
+                        && self.reaches(index, *other))
+            };
+            let names: Vec<_> =
+                (0..self.relays.len()).filter(alive).map(|other| self.relays[other].name.clone()).collect();
+            let has_core = names.len() * 2 > self.relays.len();
+            let now = self.now;
+            let relay = &mut self.relays[index];
+            relay.viewed_at = now;
+            relay.permits.set_relays(now, &names);
+            if has_core {
+                relay.permits.set_core_lease(now, now + CORE_LEASE);
+            }
+        }
+    }
+
+    fn arrive(&mut self) {
+        let each = self.arrivals_per_s * STEP as f64 / SECOND as f64;
+        let count = each as u64 + u64::from(self.random.chance(each.fract()));
+        for _ in 0..count {
+            let index = self.random.below(self.relays.len() as u64) as usize;
+            self.relays[index].waiting += u32::from(self.relays[index].is_up);
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.flying.first_entry().filter(|entry| entry.key().0 <= self.now) {
+            let (from, to, message) = entry.remove();
+            if self.reaches(from, to) && self.relays[to].is_up {
+                let name = self.relays[from].name.clone();
+                self.relays[to].inbox.push_back((name, message));
+            }
+        }
+    }
+
+    fn act(&mut self, index: usize) {
+        let now = self.now;
+        let relay = &mut self.relays[index];
+        if !relay.is_up || relay.frozen_until > now {
+            return;
+        }
+        while let Some((from, message)) = relay.inbox.pop_front() {
+            relay.permits.receive(now, &from, message);
+        }
+        relay.permits.set_demand(SERVICE, relay.waiting as usize);
+        let effects = relay.permits.step(now);
+        self.waited += STEP * u64::from(relay.waiting);
+        while relay.waiting > 0
+            && let Some(permit) = relay.permits.take(now, SERVICE)
+        {
+            relay.waiting -= 1;
+            // The connection may have to open.
+            let opens_at =
+                now + [0, 0, 0, 300 * MILLISECOND, 1_200 * MILLISECOND][self.random.below(5) as usize];
+            relay.in_use.push_back((permit, opens_at));
+        }
+        for _ in 0..relay.in_use.len() {
+            let Some((permit, opens_at)) = relay.in_use.pop_front() else { break };
+            if opens_at > now {
+                relay.in_use.push_back((permit, opens_at));
+            } else if now < permit.expires_at {
+                relay.permits.sent(SERVICE, permit);
+                relay.sent.push_back(now);
+                self.sent.push(now);
+            } else {
+                relay.permits.put_back(SERVICE, permit);
+                relay.waiting += 1;
+            }
+        }
+        relay.sent.retain(|at| *at + 2 * SECOND > now);
+        let is_cut = relay.cut_until > now;
+        if self.troubles.keeps_sending && is_cut && relay.waiting > 0 {
+            relay.waiting -= 1;
+            self.sent.push(now);
+        }
+        for PermitEffect::Send { to, message } in effects {
+            self.send(index, &to, message);
+        }
+    }
+
+    fn send(&mut self, from: usize, to: &NodeName, message: PermitMessage) {
+        let Some(to) = self.relays.iter().position(|relay| relay.name == *to) else { return };
+        let copies = if self.random.chance(self.troubles.lost) {
+            0
+        } else {
+            1 + u32::from(self.random.chance(self.troubles.doubled))
+        };
+        for _ in 0..copies {
+            let slow = if self.random.chance(self.troubles.lost) { SECOND } else { 30 * MILLISECOND };
+            let at = self.now + MILLISECOND + self.random.below(slow);
+            self.last_message += 1;
+            self.flying.insert((at, self.last_message), (from, to, message.clone()));
+        }
+    }
+
+    /// The most requests in any window, and how many the rule allows.
+    pub fn worst_window(&self) -> (usize, f64) {
+        let allowed = self.rate * self.window as f64 / 1e6 * self.overshoot + 5.0;
+        let mut first = 0;
+        let mut most = 0;
+        for (last, at) in self.sent.iter().enumerate() {
+            while self.sent[first] + self.window < *at {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        (most, allowed)
+    }
+
+    pub fn waiting(&self) -> u32 {
+        self.relays.iter().map(|relay| relay.waiting).sum()
+    }
+}
--- a/src/brain/mod.rs
+++ b/src/brain/mod.rs
@@ -98,7 +98,7 @@
                 Event::Peer { from, bytes } => self.hear(from, &bytes),
                 Event::Learnt(learnt) => self.recall(&learnt),
                 Event::Placed(placements) => self.state.place(placements),
-                Event::Retuned(settings) => self.settings = settings,
+                Event::Retuned(settings) => self.settings = self.state.retuned(settings, homes),
             }
         }
         if self.agenda.ask_at.take_if(|at| *at <= now).is_some() {
--- a/src/state/listing.rs
+++ b/src/state/listing.rs
@@ -88,6 +88,18 @@
         changed.into_iter().for_each(|destination| self.count_hosts(destination));
     }
 
+    /// Gives new settings back once each route is a home where `homes` says so among the senders that there are now.
+    /// Danger: one that no longer is takes all for itself, as it hears of no others.
+    pub fn retuned(
+        &mut self, settings: Settings, homes: impl Fn(DestinationId, u16, Micros) -> Vec<u16>,
+    ) -> Settings {
+        for (id, route) in &mut self.routes {
+            route.is_home = homes(id.0, settings.senders, 0).contains(&settings.me);
+            route.is_alone = !settings.may_tell && settings.senders > 1;
+        }
+        settings
+    }
+
     /// Has a host that was never used take over the trouble of its route's others, if all of them are open.
     pub fn inherit(&mut self, id: HostId, tokens: f64, now: Micros) {
         let Some(host) = self.hosts.get(&id) else { return };
