Delivery: tests with simulated hosts; limits of hosts hold within one round of decisions

Cause: found by the new tests. The decisions choose several messages for a host in one step, so that its slots and its part of connections were passed (26 at once at a host of 3 slots). A message that waited for over an hour was given up by the decisions each time that it came before them.

--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -37,23 +37,27 @@
         let (Some(held), Some(known)) = (self.messages.get(key), self.hosts.get(host)) else { return };
         let (timeout, service, target) =
             (held.submission.timeout, held.submission.service.clone(), known.target.clone());
-        self.last_attempt += 1;
-        let attempt = AttemptId(self.last_attempt);
+        let has_room = known.has_room();
+        self.messages.set_out(key, true);
+        let mut made = Attempt { key, message: id, number, host, service: service.clone(), permit: None };
+        // Danger: the decisions choose several at a time, and only the first of them find the host as it was told.
+        if !has_room {
+            return self.take_back(&made);
+        }
         let Ok(permit) = self.permit(&service) else {
             self.hosts.hold(&service, true);
-            self.messages.set_out(key, true);
-            let waiting = Attempt { key, message: id, number, host, service, permit: None };
-            return self.take_back(&waiting);
+            return self.take_back(&made);
         };
+        made.permit = permit;
+        self.last_attempt += 1;
+        let attempt = AttemptId(self.last_attempt);
         let confirm = permit.is_some();
-        self.messages.set_out(key, true);
         if let Some(host) = self.hosts.get_mut(host) {
             host.calls += 1;
         }
-        if permit.is_some() && self.permits.available(self.now, &service) == 0 {
+        if confirm && self.permits.available(self.now, &service) == 0 {
             self.hosts.hold(&service, true);
         }
-        let made = Attempt { key, message: id, number, host, service: service.clone(), permit };
         self.attempts.insert(attempt, made);
         let connect_timeout = connect_timeout.min(timeout);
         self.effects.push(Effect::Start { attempt, key, service, target, timeout, connect_timeout, confirm });
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -97,6 +97,7 @@
         self.effects.extend(self.peers.flush());
         let wakes = [self.messages.next_at(), self.hosts.next_at(), self.permits.next_at(now), self.check_at];
         let next = wakes.into_iter().flatten().fold(self.brain_wake, Micros::min);
+        let next = if self.events.is_empty() { next } else { now };
         self.effects.push(Effect::Wake(next.max(now + LEAST_SLEEP)));
         std::mem::take(&mut self.effects)
     }
@@ -218,7 +219,7 @@
         for (id, key) in self.messages.hand_on() {
             let Some(held) = self.messages.get(key) else { continue };
             let Submission { schedule_target, priority, due_at, ref service, .. } = held.submission;
-            let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at);
+            let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at, self.now);
             let history = History { restored: true, ..History::default() };
             let destination = destination(service);
             let request = Request { id, class, destination, tenant: 0, key: None, deadline, history };
--- a/crates/delivery/src/hosts.rs
+++ b/crates/delivery/src/hosts.rs
@@ -59,8 +59,13 @@
         self.is_ready && !self.is_mistaken
     }
 
+    /// Another call may be out to it.
+    pub(crate) fn has_room(&self) -> bool {
+        self.calls < self.limit
+    }
+
     fn takes_now(&self, now: Micros) -> bool {
-        self.is_usable() && self.calls < self.limit && self.paused_until <= now
+        self.is_usable() && self.has_room() && self.paused_until <= now
     }
 }
 
--- a/crates/delivery/src/settings.rs
+++ b/crates/delivery/src/settings.rs
@@ -88,12 +88,17 @@
         BrainSettings { keys: Vec::new(), current, changed: false }
     }
 
-    /// The class of a message, and the deadline that has its worth fall from `due_at` on.
-    pub(crate) fn class(&mut self, aim: Micros, priority: u8, due_at: Micros) -> (usize, Micros) {
+    /// The class of a message, and the deadline that has its worth fall from `due_at` on. Danger: a message of which the
+    /// decisions have given up is given up again at once; it counts as new then.
+    pub(crate) fn class(
+        &mut self, aim: Micros, priority: u8, due_at: Micros, now: Micros,
+    ) -> (usize, Micros) {
         let key = ClassKey { aim: aim.max(LEAST_AIM), priority };
         let found = self.keys.iter().position(|known| *known == key);
         let index = found.unwrap_or_else(|| self.add(key));
-        (index, due_at + self.current.classes[index].deadline)
+        let class = &self.current.classes[index];
+        let due_at = if due_at + class.deadline > now + class.aim { due_at } else { now };
+        (index, due_at + class.deadline)
     }
 
     fn add(&mut self, key: ClassKey) -> usize {
--- /dev/null
+++ b/crates/delivery/tests/world/mod.rs
@@ -0,0 +1,381 @@
+//! Relays with the real machine, and simulated hosts, on one clock.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pewterseam_delivery::{
+    Answer, AttemptEnd, AttemptId, AttemptResult, Delivery, DeliverySettings, Effect, HostKey, Input,
+    Instance, Outcome, ServiceConfig, Submission, Target,
+};
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::NodeName;
+
+pub const MILLISECOND: Micros = 1_000;
+pub const SECOND: Micros = 1_000_000;
+/// Time from a relay to a host, and between relays.
+const WAY: Micros = MILLISECOND;
+const OPENING: Micros = 2 * MILLISECOND;
+
+/// How a host answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Behaviour {
+    Serve {
+        took: Micros,
+    },
+    /// 500 for keys that are divisible by this, success for others.
+    FailMultiplesOf(u64),
+    Hang,
+    /// 503 with `X-Not-Executed`.
+    Full,
+    /// 409 with `X-Not-Executed` before this time, success after.
+    RunsElsewhereUntil(Micros),
+    Break,
+    /// Connections are refused.
+    Down,
+    /// 422.
+    Refuse,
+}
+
+pub struct SimulatedHost {
+    pub instance: Option<Arc<str>>,
+    pub behaviour: Behaviour,
+}
+
+/// A request that came to a host.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Micros,
+    pub relay: usize,
+    pub key: u64,
+    pub service: Arc<str>,
+    pub address: SocketAddr,
+    /// It was turned away since it was meant for another instance.
+    pub mistaken: bool,
+}
+
+enum Happening {
+    Input(usize, Input),
+    Connected(usize, AttemptId),
+    Arrive(usize, AttemptId),
+    Ended(usize, AttemptId, AttemptEnd),
+    Wake(usize),
+}
+
+struct Call {
+    key: u64,
+    service: Arc<str>,
+    target: Target,
+    timeout: Micros,
+    connect_timeout: Micros,
+    started_at: Micros,
+    is_new: bool,
+}
+
+pub struct Relay {
+    pub name: NodeName,
+    pub machine: Delivery,
+    calls: HashMap<AttemptId, Call>,
+    idle: HashMap<SocketAddr, usize>,
+    wake_at: Micros,
+    /// The most attempts that were out to one host, and in all.
+    pub most_to_a_host: usize,
+    pub most_out: usize,
+    pub finished: BTreeMap<u64, (Micros, Outcome)>,
+}
+
+pub struct World {
+    pub now: Micros,
+    pub relays: Vec<Relay>,
+    pub hosts: HashMap<SocketAddr, SimulatedHost>,
+    pub arrivals: Vec<Arrival>,
+    pub probes: Vec<(Micros, SocketAddr)>,
+    pub withheld: usize,
+    pub aborts: usize,
+    /// New connections take so long.
+    pub opening: Micros,
+    agenda: BTreeMap<(Micros, u64), Happening>,
+    last: u64,
+}
+
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], number))
+}
+
+pub fn service(name: &str) -> ServiceConfig {
+    ServiceConfig {
+        name: Arc::from(name),
+        rate_per_s: 0.0,
+        max_connections: 0,
+        static_address: None,
+        idempotent: true,
+        health_path: Arc::from("/health"),
+    }
+}
+
+pub fn instance(id: &str, service: &str, port: u16, slots: u32) -> Instance {
+    Instance {
+        id: Arc::from(id),
+        service: Arc::from(service),
+        address: address(port),
+        zone: Arc::from("a"),
+        slots,
+        ready: true,
+        cold_remaining_ms: 0,
+    }
+}
+
+pub fn submission(key: u64, service: &str, due_at: Micros) -> Submission {
+    Submission {
+        key,
+        service: Arc::from(service),
+        priority: 1,
+        timeout: 600 * MILLISECOND,
+        due_at,
+        schedule_target: 600 * MILLISECOND,
+        failures: 0,
+    }
+}
+
+fn settings(name: &NodeName, number: u64, slots: usize) -> DeliverySettings {
+    DeliverySettings {
+        me: name.clone(),
+        life: 1,
+        seed: number.wrapping_mul(0x9e37_79b9) + 17,
+        slots,
+        connect_timeout: SECOND,
+        idle_close: 4 * SECOND,
+        origin_window: 5 * SECOND,
+        origin_overshoot: 1.1,
+        bootstrap: true,
+        core_lease: 2 * SECOND,
+    }
+}
+
+impl World {
+    pub fn new(count: usize, slots: usize) -> Self {
+        let names: Vec<_> = (0..count).map(|number| NodeName::new(&format!("relay-{number}"))).collect();
+        let relay = |(number, name): (usize, &NodeName)| Relay {
+            name: name.clone(),
+            machine: Delivery::new(settings(name, number as u64, slots)),
+            calls: HashMap::new(),
+            idle: HashMap::new(),
+            wake_at: 0,
+            most_to_a_host: 0,
+            most_out: 0,
+            finished: BTreeMap::new(),
+        };
+        let mut world = World {
+            now: SECOND,
+            relays: names.iter().enumerate().map(relay).collect(),
+            hosts: HashMap::new(),
+            arrivals: Vec::new(),
+            probes: Vec::new(),
+            withheld: 0,
+            aborts: 0,
+            opening: OPENING,
+            agenda: BTreeMap::new(),
+            last: 0,
+        };
+        world.tell_all(&Input::CoreLease { until: Micros::MAX });
+        world.tell_all(&Input::Relays(names));
+        world
+    }
+
+    /// Adds a host and gives its line on the list.
+    pub fn host(&mut self, listed: &Instance, behaviour: Behaviour) {
+        let instance = Some(listed.id.clone());
+        self.hosts.insert(listed.address, SimulatedHost { instance, behaviour });
+    }
+
+    pub fn static_host(&mut self, port: u16, behaviour: Behaviour) {
+        self.hosts.insert(address(port), SimulatedHost { instance: None, behaviour });
+    }
+
+    pub fn tell_all(&mut self, input: &Input) {
+        for relay in 0..self.relays.len() {
+            self.tell(relay, input.clone());
+        }
+    }
+
+    pub fn tell(&mut self, relay: usize, input: Input) {
+        self.tell_many(relay, vec![input]);
+    }
+
+    pub fn tell_many(&mut self, relay: usize, inputs: Vec<Input>) {
+        let effects = self.relays[relay].machine.step(self.now, inputs);
+        effects.into_iter().for_each(|effect| self.carry_out(relay, effect));
+    }
+
+    fn at(&mut self, at: Micros, happening: Happening) {
+        self.last += 1;
+        self.agenda.insert((at, self.last), happening);
+    }
+
+    pub fn run(&mut self, span: Micros) {
+        let until = self.now + span;
+        while let Some(entry) = self.agenda.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((at, _), happening) = entry.remove_entry();
+            self.now = at;
+            self.happen(happening);
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        match happening {
+            Happening::Input(relay, input) => self.tell(relay, input),
+            Happening::Connected(relay, attempt) => {
+                if self.relays[relay].calls.contains_key(&attempt) {
+                    self.tell(relay, Input::Opened { attempt });
+                }
+            }
+            Happening::Arrive(relay, attempt) => self.arrive(relay, attempt),
+            Happening::Ended(relay, attempt, end) => {
+                if let Some(call) = self.relays[relay].calls.remove(&attempt) {
+                    *self.relays[relay].idle.entry(call.target.address).or_default() += usize::from(end.kept);
+                    self.tell(relay, Input::Ended { attempt, end });
+                }
+            }
+            Happening::Wake(relay) => {
+                if self.relays[relay].wake_at <= self.now {
+                    self.relays[relay].wake_at = Micros::MAX;
+                    self.tell(relay, Input::Tick);
+                }
+            }
+        }
+    }
+
+    fn carry_out(&mut self, relay: usize, effect: Effect) {
+        match effect {
+            Effect::Start { attempt, key, service, target, timeout, connect_timeout, confirm } => {
+                self.start(relay, attempt, key, service, target, timeout, connect_timeout, confirm);
+            }
+            Effect::Write { attempt } => self.at(self.now + WAY, Happening::Arrive(relay, attempt)),
+            Effect::Withhold { attempt } => {
+                self.withheld += 1;
+                if let Some(call) = self.relays[relay].calls.remove(&attempt) {
+                    *self.relays[relay].idle.entry(call.target.address).or_default() += 1;
+                }
+            }
+            Effect::Abort { attempt } => {
+                self.aborts += 1;
+                self.end(relay, attempt, AttemptResult::Broken, false, self.now);
+            }
+            Effect::Finished { key, outcome } => {
+                let before = self.relays[relay].finished.insert(key, (self.now, outcome));
+                assert!(before.is_none(), "message {key} ends twice");
+            }
+            Effect::Probe { host, target, .. } => self.probe(relay, host, &target),
+            Effect::CloseIdle { address } => {
+                self.relays[relay].idle.remove(&address);
+            }
+            Effect::Tell { to, bytes } => {
+                let from = self.relays[relay].name.clone();
+                if let Some(to) = self.relays.iter().position(|relay| relay.name == to) {
+                    self.at(self.now + WAY, Happening::Input(to, Input::Peer { from, bytes }));
+                }
+            }
+            Effect::Wake(at) => {
+                assert!(at > self.now, "a wake in the past");
+                self.relays[relay].wake_at = at;
+                self.at(at, Happening::Wake(relay));
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn start(
+        &mut self, relay: usize, attempt: AttemptId, key: u64, service: Arc<str>, target: Target,
+        timeout: Micros, connect_timeout: Micros, confirm: bool,
+    ) {
+        let (now, opening) = (self.now, self.opening);
+        let of = &mut self.relays[relay];
+        assert!(of.calls.values().all(|call| call.key != key), "two attempts of message {key} are out");
+        let idle = of.idle.entry(target.address).or_default();
+        let is_new = *idle == 0;
+        *idle = idle.saturating_sub(1);
+        let (to, started_at) = (target.address, now);
+        of.calls.insert(attempt, Call { key, service, target, timeout, connect_timeout, started_at, is_new });
+        of.most_out = of.most_out.max(of.calls.len());
+        of.most_to_a_host =
+            of.most_to_a_host.max(of.calls.values().filter(|call| call.target.address == to).count());
+        let behaviour = self.hosts.get(&to).map_or(Behaviour::Down, |host| host.behaviour);
+        if is_new && behaviour == Behaviour::Down {
+            self.end(relay, attempt, AttemptResult::ConnectFailed, false, now + WAY);
+        } else if is_new && opening > connect_timeout {
+            self.end(relay, attempt, AttemptResult::ConnectFailed, false, now + connect_timeout);
+        } else if is_new || confirm {
+            let wait = if is_new { opening } else { 1 };
+            self.at(now + wait, Happening::Connected(relay, attempt));
+        } else {
+            self.at(now + WAY, Happening::Arrive(relay, attempt));
+        }
+    }
+
+    /// Has an attempt end at a time to come; it is out until then.
+    fn end(&mut self, relay: usize, attempt: AttemptId, result: AttemptResult, kept: bool, at: Micros) {
+        let Some(call) = self.relays[relay].calls.get(&attempt) else { return };
+        let took = at - call.started_at;
+        let idle_for = (!call.is_new).then_some(100 * MILLISECOND);
+        let end = AttemptEnd { result, took, idle_for, kept };
+        self.at(at, Happening::Ended(relay, attempt, end));
+    }
+
+    fn arrive(&mut self, relay: usize, attempt: AttemptId) {
+        let Some(call) = self.relays[relay].calls.get(&attempt) else { return };
+        let (key, timeout, to) = (call.key, call.timeout, call.target.address);
+        let meant = call.target.instance.clone();
+        let (instance, behaviour) = self
+            .hosts
+            .get(&to)
+            .map_or((None, Behaviour::Down), |host| (host.instance.clone(), host.behaviour));
+        let mistaken = meant.is_some() && meant != instance;
+        let (at, service) = (self.now, call.service.clone());
+        self.arrivals.push(Arrival { at, relay, key, service, address: to, mistaken });
+        let answer = |status: u16, not_executed: bool| {
+            let signature = (status == 200).then(|| Arc::from(format!("signature-{key}")));
+            AttemptResult::Answered(Answer { status, not_executed, signature, retry_after: None })
+        };
+        let soon = self.now + 5 * MILLISECOND;
+        let (result, ends_at) = match behaviour {
+            _ if mistaken => (answer(421, true), soon),
+            Behaviour::Serve { took } if took >= timeout => (AttemptResult::TimedOut, self.now + timeout),
+            Behaviour::Serve { took } => (answer(200, false), self.now + took),
+            Behaviour::FailMultiplesOf(number) if key.is_multiple_of(number) => (answer(500, false), soon),
+            Behaviour::FailMultiplesOf(_) => (answer(200, false), soon),
+            Behaviour::Hang => (AttemptResult::TimedOut, self.now + timeout),
+            Behaviour::Full => (answer(503, true), soon),
+            Behaviour::RunsElsewhereUntil(until) if self.now < until => (answer(409, true), soon),
+            Behaviour::RunsElsewhereUntil(_) => (answer(200, false), soon),
+            Behaviour::Break | Behaviour::Down => (AttemptResult::Broken, soon),
+            Behaviour::Refuse => (answer(422, false), soon),
+        };
+        let kept = matches!(result, AttemptResult::Answered(_));
+        self.end(relay, attempt, result, kept, ends_at);
+    }
+
+    fn probe(&mut self, relay: usize, host: HostKey, target: &Target) {
+        self.probes.push((self.now, target.address));
+        let host_there = self.hosts.get(&target.address);
+        let healthy = host_there.is_some_and(|there| {
+            let serves = !matches!(there.behaviour, Behaviour::Hang | Behaviour::Down | Behaviour::Break);
+            serves && (target.instance.is_none() || target.instance == there.instance)
+        });
+        self.at(self.now + 5 * MILLISECOND, Happening::Input(relay, Input::Probed { host, healthy }));
+    }
+
+    pub fn submit(&mut self, relay: usize, submissions: impl IntoIterator<Item = Submission>) {
+        let inputs = submissions.into_iter().map(Input::Submit).collect();
+        self.tell_many(relay, inputs);
+    }
+
+    pub fn finished(&self) -> usize {
+        self.relays.iter().map(|relay| relay.finished.len()).sum()
+    }
+
+    pub fn arrivals_at(&self, port: u16) -> impl Iterator<Item = &Arrival> {
+        self.arrivals.iter().filter(move |arrival| arrival.address == address(port))
+    }
+}
