--- a/tests/brain.rs
+++ b/tests/brain.rs
@@ -202,6 +202,16 @@
     assert!(counts[0] > counts[1], "{counts:?}");
 }
 
+// Danger: senders join while it runs, it gathers no reports any more, and by its own alone the whole pool is its share.
+#[test]
+fn one_that_is_no_home_any_more_takes_no_more_than_an_even_slice() {
+    let mut sender = Sender::new(settings(), &[listed(1, 1, 60.0)]);
+    sender.step(vec![Event::Retuned(Settings { me: 30, senders: 60, ..settings() })]);
+    bind(&mut sender);
+    let count = flood(&mut sender, 50, 10 * SECOND);
+    assert!(count <= 20, "{count} in 10 s, of a pool of 60 a second for 60 senders");
+}
+
 // Danger: each settles sums a round after they were told, and the fleet's shares swing between a third and
 // three times the pool, ever more.
 #[test]
