--- a/crates/discovery/src/discovery.rs
+++ b/crates/discovery/src/discovery.rs
@@ -24,8 +24,9 @@
 const CALL_TIMEOUT: Micros = 1_000_000;
 /// The first read comes by chance within this, as all relays start at once.
 const FIRST_READ: (Micros, Micros) = (100_000, 1_000_000);
-/// Before the whole list is asked for again.
-const WANTED_AGAIN: Micros = 200_000;
+/// A relay without word for so long, or that heard of a list which it lacks, asks another relay, and again after this.
+const ASKS_AFTER: Micros = 900_000;
+const ASKS_AGAIN: Micros = 200_000;
 const READER_SEED: u64 = 0x7265_6164;
 
 /// What the machine is told at its start.
@@ -59,7 +60,9 @@
     rest_until: Micros,
     /// When this relay reads for itself unless it hears something.
     own_turn_at: Option<Micros>,
-    wanted: Option<(u64, Micros)>,
+    /// A list was heard of that this relay lacks.
+    lacks: bool,
+    asked_at: Micros,
     last_call: u64,
     sequence: u64,
     effects: Vec<Effect>,
@@ -79,7 +82,8 @@
             pace,
             rest_until: 0,
             own_turn_at: None,
-            wanted: None,
+            lacks: false,
+            asked_at: 0,
             last_call: 0,
             sequence: 0,
             effects: Vec::new(),
@@ -114,6 +118,7 @@
             self.give_up(false);
         }
         self.begin_if_due();
+        self.ask_another_if_due();
         let wake = self.next_at();
         self.effects.push(Effect::Wake(wake));
         std::mem::take(&mut self.effects)
@@ -128,8 +133,8 @@
         self.relays = relays;
     }
 
-    /// The relay that reads for all, by rendezvous hashing.
-    fn is_reader(&self) -> bool {
+    /// Whether this relay reads for all, by rendezvous hashing.
+    pub fn is_reader(&self) -> bool {
         let rank = |name: &NodeName| (hash(name.0.as_bytes(), READER_SEED), name.clone());
         self.relays.iter().max_by_key(|name| rank(name)) == Some(&self.settings.me)
     }
@@ -173,7 +178,31 @@
 
     fn next_at(&mut self) -> Micros {
         let read = self.read.as_ref().map(|read| read.expires_at);
-        read.unwrap_or_else(|| self.read_at()).max(self.now + 1)
+        let read = read.unwrap_or_else(|| self.read_at());
+        read.min(self.ask_another_at().unwrap_or(Micros::MAX)).max(self.now + 1)
+    }
+
+    /// When another relay is asked for its list.
+    fn ask_another_at(&self) -> Option<Micros> {
+        let due = if self.lacks { 0 } else { self.fresh_at + ASKS_AFTER };
+        let asks = self.relays.len() > 1 && !self.is_reader() && (self.lacks || self.list.is_some());
+        asks.then(|| due.max(self.asked_at + ASKS_AGAIN))
+    }
+
+    fn ask_another_if_due(&mut self) {
+        if self.ask_another_at().is_some_and(|at| at <= self.now) {
+            let mut others = self.relays.iter().filter(|name| **name != self.settings.me);
+            let which = (self.pace.chance() * (self.relays.len() - 1) as f64) as usize;
+            if let Some(to) = others.nth(which).cloned() {
+                self.ask_another(&to);
+            }
+        }
+    }
+
+    fn ask_another(&mut self, to: &NodeName) {
+        self.asked_at = self.now;
+        let (age, digest) = (self.age(self.now), self.list.as_ref().map(|list| list.digest()));
+        self.send(to, &ListMessage::Ask { asked_at: self.now, age, digest });
     }
 
     fn paged(&mut self, call: CallId, page: Page) {
@@ -222,7 +251,7 @@
     }
 
     fn adopt(&mut self, list: List, fresh_at: Micros) {
-        self.fresh_at = self.fresh_at.max(fresh_at);
+        (self.fresh_at, self.lacks) = (self.fresh_at.max(fresh_at), false);
         if self.list.as_ref().is_none_or(|before| **before != list) {
             let list = Arc::new(list);
             self.list = Some(list.clone());
@@ -247,25 +276,43 @@
             Ok(ListMessage::News { read, age, digest, change }) => {
                 self.hear_news(from, read, age, digest, change)
             }
-            Ok(ListMessage::Wanted { digest }) => {
-                if let Some(list) = self.list.as_ref().filter(|list| list.digest() == digest) {
-                    let instances = list.instances().cloned().collect();
-                    let age = self.now.saturating_sub(self.fresh_at);
-                    self.send(from, &ListMessage::Whole { age, instances });
+            Ok(ListMessage::Ask { asked_at, age, digest }) => self.answer(from, asked_at, age, digest),
+            Ok(ListMessage::Same { asked_at, age, digest }) => {
+                let is_mine = self.list.as_ref().is_some_and(|list| list.digest() == digest);
+                if let Some(read_at) = self.told_at(asked_at, age).filter(|_| is_mine) {
+                    (self.fresh_at, self.lacks) = (read_at, false);
                 }
             }
-            Ok(ListMessage::Whole { age, instances }) => {
-                let list = List::new(instances);
-                let is_wanted = self.wanted.is_some_and(|(digest, _)| digest == list.digest());
-                if is_wanted {
-                    self.wanted = None;
-                    self.adopt(list, self.now.saturating_sub(age));
+            Ok(ListMessage::Whole { asked_at, age, instances }) => {
+                if let Some(read_at) = self.told_at(asked_at, age) {
+                    self.adopt(List::new(instances), read_at);
                 }
             }
             Err(_) => {}
         }
     }
 
+    fn answer(&mut self, from: &NodeName, asked_at: Micros, age: Option<Micros>, digest: Option<u64>) {
+        let Some(list) = self.list.clone() else { return };
+        let mine = self.now.saturating_sub(self.fresh_at);
+        if age.is_some_and(|age| age <= mine) {
+            return;
+        }
+        let answer = if digest == Some(list.digest()) {
+            ListMessage::Same { asked_at, age: mine, digest: list.digest() }
+        } else {
+            ListMessage::Whole { asked_at, age: mine, instances: list.instances().cloned().collect() }
+        };
+        self.send(from, &answer);
+    }
+
+    /// When the list of an answer was read at the latest, if that is later than for the own one. Danger: an answer that
+    /// was long on its way passes an old list off as new; it is taken to be as old as it can be.
+    fn told_at(&self, asked_at: Micros, age: Micros) -> Option<Micros> {
+        let read_at = asked_at.checked_sub(age).filter(|_| asked_at <= self.now)?;
+        (self.list.is_none() || read_at > self.fresh_at).then_some(read_at)
+    }
+
     fn hear_news(
         &mut self, from: &NodeName, read: ReadId, age: Micros, digest: u64, change: Option<(u64, Difference)>,
     ) {
@@ -287,7 +334,7 @@
         }
         let before = self.list.clone().unwrap_or_default();
         if self.list.is_some() && before.digest() == digest {
-            self.fresh_at = read_at;
+            (self.fresh_at, self.lacks) = (read_at, false);
             return;
         }
         if let Some((_, difference)) = change.filter(|(base, _)| *base == before.digest()) {
@@ -296,10 +343,9 @@
                 return self.adopt(list, read_at);
             }
         }
-        let is_asked = |(wanted, at): (u64, Micros)| wanted == digest && at + WANTED_AGAIN > self.now;
-        if !self.wanted.is_some_and(is_asked) {
-            self.wanted = Some((digest, self.now));
-            self.send(from, &ListMessage::Wanted { digest });
+        self.lacks = true;
+        if self.asked_at + ASKS_AGAIN <= self.now {
+            self.ask_another(from);
         }
     }
 }
--- a/crates/discovery/src/message.rs
+++ b/crates/discovery/src/message.rs
@@ -29,8 +29,10 @@
         /// What changed since the list with the digest before it; none where nothing did.
         change: Option<(u64, Difference)>,
     },
-    /// The whole list is wanted, if it has this digest.
-    Wanted { digest: u64 },
-    /// The whole list; time since it was read.
-    Whole { age: Micros, instances: Vec<Arc<ListedInstance>> },
+    /// Is there a later list than this one? Only a relay that has one answers.
+    Ask { asked_at: Micros, age: Option<Micros>, digest: Option<u64> },
+    /// To that: the list is still the same.
+    Same { asked_at: Micros, age: Micros, digest: u64 },
+    /// To that: the whole list.
+    Whole { asked_at: Micros, age: Micros, instances: Vec<Arc<ListedInstance>> },
 }
