Delivery: relays use hosts in turns from even places on a ring

Ruled out: choosing all hosts in turns by every relay; connections are priced, and those of relays that send little would close before they are used again.

Hosts that the decisions found out of order are taken out of the ring until a health check brings them back; found by reading: that was noticed a step late. Tests: even use, few hosts for a relay that sends little.

--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -52,9 +52,7 @@
         self.last_attempt += 1;
         let attempt = AttemptId(self.last_attempt);
         let confirm = permit.is_some();
-        if let Some(host) = self.hosts.get_mut(host) {
-            host.calls += 1;
-        }
+        self.hosts.began(host);
         if confirm && self.permits.available(self.now, &service) == 0 {
             self.hosts.hold(&service, true);
         }
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -20,6 +20,7 @@
 use crate::peers::{PeerMessage, Peers};
 use crate::services::Services;
 use crate::settings::{BrainSettings, DeliverySettings};
+use crate::spread::Place;
 
 /// Rounds of decisions in one step: each may make room for more.
 const MOST_ROUNDS: usize = 8;
@@ -91,9 +92,11 @@
         self.now = now;
         inputs.into_iter().for_each(|input| self.take(input));
         self.messages.wake(now);
-        self.check_hosts();
         self.step_permits();
         self.decide();
+        if self.check_hosts() {
+            self.decide();
+        }
         self.effects.extend(self.peers.flush());
         let wakes = [self.messages.next_at(), self.hosts.next_at(), self.permits.next_at(now), self.check_at];
         let next = wakes.into_iter().flatten().fold(self.brain_wake, Micros::min);
@@ -135,7 +138,8 @@
         self.permits.set_relays(self.now, relays);
         let (count, me) = (relays.len(), self.peers.rank(&self.settings.me));
         self.brain_settings.rank(me.unwrap_or(0), count as u16);
-        self.hosts.set_relays(count, &self.services);
+        let rank = usize::from(me.unwrap_or(0));
+        self.hosts.set_place(Place { rank, relays: count }, &self.services);
     }
 
     fn submit(&mut self, submission: Submission) {
@@ -189,7 +193,7 @@
     fn decide(&mut self) {
         for _ in 0..MOST_ROUNDS {
             self.hand_on();
-            let (listed, gone) = self.hosts.changes(&self.services, self.now);
+            let (listed, gone) = self.hosts.changes(&self.services, &self.messages, self.now);
             self.effects.extend(gone.into_iter().map(|target| Effect::CloseIdle { address: target.address }));
             let mut events = Vec::with_capacity(self.events.len() + 2);
             if std::mem::take(&mut self.brain_settings.changed) {
@@ -238,7 +242,9 @@
             Action::Write { .. } | Action::Withhold { .. } => {}
             Action::Cancel { id, attempt } => self.abort(id, attempt),
             Action::Refuse { id, .. } | Action::Fail(id) => self.given_up(id),
-            Action::Probe(_) | Action::Subscribe | Action::Log(_) => {}
+            // What they log is that they changed their mind of a host.
+            Action::Log(_) => self.check_at = Some(self.now),
+            Action::Probe(_) | Action::Subscribe => {}
             Action::CloseIdle(host) => {
                 let address = self.hosts.get(host).map(|host| host.target.address);
                 self.effects.extend(address.map(|address| Effect::CloseIdle { address }));
@@ -267,10 +273,11 @@
         }
     }
 
-    /// Has hosts that are out of order checked now and then.
-    fn check_hosts(&mut self) {
+    /// Takes over which hosts the decisions found out of order, and has those checked now and then; false where nothing
+    /// was to be done.
+    fn check_hosts(&mut self) -> bool {
         if self.check_at.take_if(|at| *at <= self.now).is_none() {
-            return;
+            return false;
         }
         let out: Vec<HostId> = self.brain.learnt().out.into_iter().map(|(id, _)| id).collect();
         self.hosts.out_of_order(&out, self.now, self.settings.seed);
@@ -280,6 +287,7 @@
             self.effects.push(Effect::Probe { host, target, path, timeout });
         }
         self.check_at = (!out.is_empty()).then_some(self.now + CHECK_EVERY);
+        true
     }
 
     /// A permit for an attempt, where its service needs one; an error where there is none.
--- a/crates/delivery/src/hosts.rs
+++ b/crates/delivery/src/hosts.rs
@@ -8,8 +8,10 @@
 
 use crate::backoff::{HOST_FULL, PROBE};
 use crate::interface::{HostKey, Instance, Target};
+use crate::messages::Messages;
 use crate::numbering::{destination, listed_host, static_host};
 use crate::services::Services;
+use crate::spread::{Candidate, Place, Spread};
 
 /// Connections beyond an even part of what a host accepts from all relays.
 const EXTRA_CONNECTIONS: usize = 1;
@@ -22,7 +24,8 @@
 pub(crate) struct Host {
     pub(crate) service: Arc<str>,
     pub(crate) target: Target,
-    /// The list says that it takes new messages.
+    /// It stands on the list, or is the endpoint of a service, and takes new messages by that.
+    is_listed: bool,
     is_ready: bool,
     /// It answered that it is another one.
     is_mistaken: bool,
@@ -38,6 +41,8 @@
     checks: u32,
     check_at: Option<Micros>,
     is_checked: bool,
+    /// The decisions found it out of order.
+    is_out: bool,
     /// What the decisions were told.
     told: Option<Lifecycle>,
 }
@@ -73,14 +78,24 @@
 #[derive(Debug, Default)]
 pub(crate) struct Hosts {
     hosts: BTreeMap<HostId, Host>,
-    by_service: BTreeMap<Arc<str>, BTreeSet<HostId>>,
+    by_service: BTreeMap<Arc<str>, OfService>,
     instances: Vec<Instance>,
     /// Hosts of which the decisions are to be told something.
     changed: BTreeSet<HostId>,
+    /// Services of which what may be chosen is to be settled anew.
+    unsettled: BTreeSet<Arc<str>>,
     paused: BTreeSet<(Micros, HostId)>,
     /// Limited services without a permit.
     held: BTreeSet<Arc<str>>,
-    relays: usize,
+    place: Place,
+}
+
+/// The hosts of one service.
+#[derive(Debug, Default)]
+struct OfService {
+    /// By zone and id, so that relays and hosts that are named by their zones mostly meet.
+    ring: BTreeSet<(Arc<str>, HostId)>,
+    spread: Spread,
 }
 
 impl Hosts {
@@ -95,7 +110,8 @@
     }
 
     pub(crate) fn of_service(&self, service: &str) -> impl Iterator<Item = HostId> {
-        self.by_service.get(service).into_iter().flatten().copied()
+        let ring = self.by_service.get(service).into_iter().flat_map(|of| &of.ring);
+        ring.map(|(_, id)| *id)
     }
 
     pub(crate) fn set_list(&mut self, instances: Vec<Instance>, services: &Services) {
@@ -103,9 +119,11 @@
         self.refresh(services);
     }
 
-    pub(crate) fn set_relays(&mut self, relays: usize, services: &Services) {
-        self.relays = relays;
+    /// Where this relay stands among all.
+    pub(crate) fn set_place(&mut self, place: Place, services: &Services) {
+        self.place = place;
         self.refresh(services);
+        self.changed.extend(self.hosts.keys());
     }
 
     /// Has the hosts follow the list and the configuration.
@@ -118,27 +136,29 @@
                 let target = Target { address: instance.address, instance: Some(instance.id.clone()) };
                 let slots = if instance.slots > 0 { instance.slots as usize } else { usize::MAX };
                 let limit = self.connections(service.max_connections).min(slots);
-                self.put(id, &service.name, target, instance.ready, limit);
+                self.put(id, &service.name, &instance.zone, target, instance.ready, limit);
                 seen.insert(id);
             }
             self.instances.push(instance);
         }
+        let no_zone = Arc::from("");
         for service in services.all() {
             if let Some((address, id)) = service.static_address.zip(static_host(service)) {
                 let limit = self.connections(service.max_connections);
-                self.put(id, &service.name, Target { address, instance: None }, true, limit);
+                let target = Target { address, instance: None };
+                self.put(id, &service.name, &no_zone, target, true, limit);
                 seen.insert(id);
             }
         }
         for (id, host) in self.hosts.iter_mut().filter(|(id, _)| !seen.contains(id)) {
-            host.is_ready = false;
+            (host.is_ready, host.is_listed) = (false, false);
             host.told = host.told.filter(|told| *told == Lifecycle::Gone);
             self.changed.insert(*id);
-            if let Some(ids) = self.by_service.get_mut(&host.service) {
-                ids.remove(id);
+            if let Some(of) = self.by_service.get_mut(&host.service) {
+                of.ring.retain(|(_, other)| other != id);
             }
         }
-        self.by_service.retain(|_, ids| !ids.is_empty());
+        self.by_service.retain(|_, of| !of.ring.is_empty());
     }
 
     /// This relay's part of the connections that a host accepts.
@@ -146,13 +166,17 @@
         if most == 0 {
             return usize::MAX;
         }
-        (most as usize / self.relays.max(1)).max(1) + EXTRA_CONNECTIONS
+        (most as usize / self.place.relays.max(1)).max(1) + EXTRA_CONNECTIONS
     }
 
-    fn put(&mut self, id: HostId, service: &Arc<str>, target: Target, is_ready: bool, limit: usize) {
+    fn put(
+        &mut self, id: HostId, service: &Arc<str>, zone: &Arc<str>, target: Target, is_ready: bool,
+        limit: usize,
+    ) {
         let new = || Host {
             service: service.clone(),
             target: target.clone(),
+            is_listed: true,
             is_ready,
             is_mistaken: false,
             calls: 0,
@@ -164,6 +188,7 @@
             checks: 0,
             check_at: None,
             is_checked: false,
+            is_out: false,
             told: None,
         };
         let host = self.hosts.entry(id).or_insert_with(new);
@@ -173,8 +198,8 @@
         {
             return;
         }
-        (host.is_ready, host.limit) = (is_ready, limit);
-        self.by_service.entry(service.clone()).or_default().insert(id);
+        (host.is_ready, host.limit, host.is_listed) = (is_ready, limit, true);
+        self.by_service.entry(service.clone()).or_default().ring.insert((zone.clone(), id));
         self.changed.insert(id);
     }
 
@@ -205,35 +230,88 @@
     }
 
     /// What the decisions are to be told of hosts, and the addresses that are of no use any more.
-    pub(crate) fn changes(&mut self, services: &Services, now: Micros) -> (Vec<Listed>, Vec<Target>) {
+    /// That of a service nobody waits for comes later.
+    pub(crate) fn changes(
+        &mut self, services: &Services, messages: &Messages, now: Micros,
+    ) -> (Vec<Listed>, Vec<Target>) {
         while let Some((at, id)) = self.paused.first().copied().filter(|(at, _)| *at <= now) {
             self.paused.remove(&(at, id));
             self.changed.insert(id);
         }
         let (mut listed, mut gone) = (Vec::new(), Vec::new());
         for id in std::mem::take(&mut self.changed) {
-            let Some(host) = self.hosts.get_mut(&id) else { continue };
-            let is_listed = self.by_service.get(&host.service).is_some_and(|ids| ids.contains(&id));
-            let lifecycle = match host {
-                _ if !is_listed => Lifecycle::Gone,
-                _ if host.takes_now(now) && !self.held.contains(&host.service) => Lifecycle::Ready,
-                _ => Lifecycle::Draining,
-            };
-            if host.told != Some(lifecycle) {
-                host.told = Some(lifecycle);
-                let weight = services.get(&host.service).map_or(1.0, |service| service.weight());
-                let destination = destination(&host.service);
-                listed.push(Listed { host: id, zone: 0, kind: 0, destination, lifecycle, weight });
+            let Some(host) = self.hosts.get(&id) else { continue };
+            // What is chosen among changes with each of its service.
+            if !self.unsettled.contains(&host.service) {
+                self.unsettled.insert(host.service.clone());
             }
-            if !is_listed && host.calls == 0 {
+            if self.is_listed(id) {
+                continue;
+            }
+            listed.extend(self.tell(id, Lifecycle::Gone, services));
+            if self.hosts.get(&id).is_some_and(|host| host.calls == 0) {
                 gone.extend(self.hosts.remove(&id).map(|host| host.target));
             }
         }
+        let wanted = |service: &Arc<str>| messages.demand(service) > 0;
+        for service in self.unsettled.extract_if(.., wanted).collect::<Vec<_>>() {
+            let chosen = self.choose(&service, now);
+            let ids: Vec<_> = self.of_service(&service).collect();
+            for id in ids {
+                let lifecycle = if chosen.contains(&id) { Lifecycle::Ready } else { Lifecycle::Draining };
+                listed.extend(self.tell(id, lifecycle, services));
+            }
+        }
         (listed, gone)
     }
 
+    fn is_listed(&self, id: HostId) -> bool {
+        let host = self.hosts.get(&id);
+        host.is_some_and(|host| host.is_listed)
+    }
+
+    /// The hosts of a service that the decisions may use now.
+    fn choose(&mut self, service: &Arc<str>, now: Micros) -> BTreeSet<HostId> {
+        let (is_held, hosts) = (self.held.contains(service), &self.hosts);
+        let Some(of) = self.by_service.get_mut(service).filter(|_| !is_held) else { return BTreeSet::new() };
+        let candidate = |(_, id): &(Arc<str>, HostId)| {
+            let host = hosts.get(id)?;
+            Some(Candidate {
+                id: *id,
+                takes_now: host.takes_now(now),
+                is_out: host.is_out,
+                calls: host.calls,
+            })
+        };
+        let ring: Vec<_> = of.ring.iter().filter_map(candidate).collect();
+        of.spread.choose(&ring, self.place)
+    }
+
+    /// The line that the decisions are told of a host, if it is news.
+    fn tell(&mut self, id: HostId, lifecycle: Lifecycle, services: &Services) -> Option<Listed> {
+        let host = self.hosts.get_mut(&id).filter(|host| host.told != Some(lifecycle))?;
+        host.told = Some(lifecycle);
+        let weight = services.get(&host.service).map_or(1.0, |service| service.weight());
+        let destination = destination(&host.service);
+        Some(Listed { host: id, zone: 0, kind: 0, destination, lifecycle, weight })
+    }
+
+    /// Books that a call to a host begins.
+    pub(crate) fn began(&mut self, id: HostId) {
+        let Some(host) = self.get_mut(id) else { return };
+        host.calls += 1;
+        let service = host.service.clone();
+        if let Some(of) = self.by_service.get_mut(&service) {
+            of.spread.began(id);
+        }
+    }
+
     /// Notes which hosts the decisions found out of order; those are checked.
     pub(crate) fn out_of_order(&mut self, out: &[HostId], now: Micros, seed: u64) {
+        for (id, host) in self.hosts.iter_mut().filter(|(id, host)| host.is_out != out.contains(id)) {
+            host.is_out = !host.is_out;
+            self.changed.insert(*id);
+        }
         for id in out {
             if let Some(host) =
                 self.hosts.get_mut(id).filter(|host| host.check_at.is_none() && host.is_usable())
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod services;
 mod settings;
+mod spread;
 
 pub use delivery::Delivery;
 pub use interface::*;
--- a/crates/delivery/tests/world/mod.rs
+++ b/crates/delivery/tests/world/mod.rs
@@ -26,6 +26,11 @@
     },
     /// 500 for keys that are divisible by this, success for others.
     FailMultiplesOf(u64),
+    /// Works on so many messages at a time, queues half as many more, and turns others away.
+    Slots {
+        took: Micros,
+        slots: usize,
+    },
     Hang,
     /// 503 with `X-Not-Executed`.
     Full,
@@ -39,6 +44,8 @@
 }
 
 pub struct SimulatedHost {
+    /// Ends of the work that was taken on.
+    pub work: Vec<Micros>,
     pub instance: Option<Arc<str>>,
     pub behaviour: Behaviour,
 }
@@ -92,6 +99,9 @@
     pub arrivals: Vec<Arrival>,
     pub probes: Vec<(Micros, SocketAddr)>,
     pub withheld: usize,
+    /// At hosts with slots: how long messages waited there for one, and how many were turned away.
+    pub start_delays: Vec<Micros>,
+    pub refused: usize,
     pub aborts: usize,
     /// New connections take so long.
     pub opening: Micros,
@@ -173,6 +183,8 @@
             arrivals: Vec::new(),
             probes: Vec::new(),
             withheld: 0,
+            start_delays: Vec::new(),
+            refused: 0,
             aborts: 0,
             opening: OPENING,
             agenda: BTreeMap::new(),
@@ -186,11 +198,11 @@
     /// Adds a host and gives its line on the list.
     pub fn host(&mut self, listed: &Instance, behaviour: Behaviour) {
         let instance = Some(listed.id.clone());
-        self.hosts.insert(listed.address, SimulatedHost { instance, behaviour });
+        self.hosts.insert(listed.address, SimulatedHost { work: Vec::new(), instance, behaviour });
     }
 
     pub fn static_host(&mut self, port: u16, behaviour: Behaviour) {
-        self.hosts.insert(address(port), SimulatedHost { instance: None, behaviour });
+        self.hosts.insert(address(port), SimulatedHost { work: Vec::new(), instance: None, behaviour });
     }
 
     pub fn tell_all(&mut self, input: &Input) {
@@ -341,6 +353,10 @@
         let soon = self.now + 5 * MILLISECOND;
         let (result, ends_at) = match behaviour {
             _ if mistaken => (answer(421, true), soon),
+            Behaviour::Slots { took, slots } => match self.take_slot(to, took, slots) {
+                Some(ends_at) => (answer(200, false), ends_at),
+                None => (answer(503, true), soon),
+            },
             Behaviour::Serve { took } if took >= timeout => (AttemptResult::TimedOut, self.now + timeout),
             Behaviour::Serve { took } => (answer(200, false), self.now + took),
             Behaviour::FailMultiplesOf(number) if key.is_multiple_of(number) => (answer(500, false), soon),
@@ -356,6 +372,21 @@
         self.end(relay, attempt, result, kept, ends_at);
     }
 
+    /// Takes work on at a host with slots; gives its end.
+    fn take_slot(&mut self, to: SocketAddr, took: Micros, slots: usize) -> Option<Micros> {
+        let (now, host) = (self.now, self.hosts.get_mut(&to)?);
+        host.work.retain(|end| *end > now);
+        host.work.sort_unstable();
+        let begins = if host.work.len() < slots { now } else { host.work[host.work.len() - slots] };
+        if host.work.len() >= slots + slots / 2 {
+            self.refused += 1;
+            return None;
+        }
+        host.work.push(begins + took);
+        self.start_delays.push(begins - now);
+        Some(begins + took)
+    }
+
     fn probe(&mut self, relay: usize, host: HostKey, target: &Target) {
         self.probes.push((self.now, target.address));
         let host_there = self.hosts.get(&target.address);
