Delivery: a refusal for a service's rate delays its message only

Cause: told of a 429, the decisions bind the route and pace each relay to its fraction.

Ruled out: passing refusals to the decisions and resting the message as well.

Change: permits keep the limit, with the same reallocation, and the decisions are not told of refusals for it; such a message rests 25 to 75 ms, twice as long each further time.

--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -7,7 +7,7 @@
 use pewterseam_permits::Permit;
 use pewterseam_wire::Micros;
 
-use crate::backoff::{AFTER_SILENCE, WHILE_RUNNING};
+use crate::backoff::{AFTER_LIMIT, AFTER_SILENCE, WHILE_RUNNING};
 use crate::delivery::Delivery;
 use crate::interface::{AttemptEnd, AttemptId, AttemptResult, Effect, HostKey, Outcome};
 use crate::judging::{Fate, Health, judge};
@@ -127,10 +127,9 @@
                 self.hosts.mistaken(made.host);
                 Seen::Moot
             }
-            // The rate limit is the service's, a full table of work is the host's.
-            Health::Full { wait } if self.permits.is_limited(&made.service) => {
-                Seen::Full { wait: wait.unwrap_or(0) }
-            }
+            // The limit is the service's, and permits keep it. Danger: told of it, the decisions pace each relay to a
+            // fixed part of the limit from then on, and messages wait while other parts lie idle.
+            Health::Full { .. } if self.permits.is_limited(&made.service) => Seen::Moot,
             Health::Full { wait } => {
                 self.hosts.pause(made.host, wait, self.now, self.settings.seed);
                 Seen::Moot
@@ -156,6 +155,12 @@
                 return true;
             }
             Fate::Again => None,
+            // Another host may have room; a limit is the same everywhere.
+            Fate::TurnedAway if !self.permits.is_limited(&made.service) => None,
+            Fate::TurnedAway => {
+                held.conflicts += 1;
+                Some(AFTER_LIMIT.pause(held.conflicts, self.now, spread))
+            }
             Fate::Unknown => {
                 held.silences += 1;
                 let again = held.silences.checked_sub(1).filter(|times| *times > 0);
--- a/crates/delivery/src/backoff.rs
+++ b/crates/delivery/src/backoff.rs
@@ -14,6 +14,8 @@
 pub(crate) const AFTER_SILENCE: Backoff = Backoff { first: 50_000, longest: 2_000_000 };
 /// After a failed attempt (500).
 pub(crate) const AFTER_FAILURE: Backoff = Backoff { first: 100_000, longest: 2_000_000 };
+/// After a refusal for the service's rate.
+pub(crate) const AFTER_LIMIT: Backoff = Backoff { first: 50_000, longest: 1_000_000 };
 /// While the message runs elsewhere (409).
 pub(crate) const WHILE_RUNNING: Backoff = Backoff { first: 150_000, longest: 1_500_000 };
 /// Where the decisions gave a message up.
--- a/crates/delivery/src/judging.rs
+++ b/crates/delivery/src/judging.rs
@@ -11,6 +11,8 @@
     Finished(Outcome),
     /// It may go again at once; nothing ran.
     Again,
+    /// Turned away unseen, as the host or the service's limit has no room.
+    TurnedAway,
     /// It may have run; it goes again, after a pause that grows.
     Unknown,
     /// It runs elsewhere just now.
@@ -51,7 +53,7 @@
         }
         (422, ..) => (Fate::Finished(Outcome::Refused), Health::Answered { failed: false }),
         (409, true, _) => (Fate::Running, Health::Answered { failed: false }),
-        (429 | 503, true, _) => (Fate::Again, full),
+        (429 | 503, true, _) => (Fate::TurnedAway, full),
         (_, true, _) => (Fate::Unknown, Health::Answered { failed: true }),
         (500, ..) => (Fate::Finished(Outcome::Failed), Health::Answered { failed: true }),
         // No promise that it did not run: 504 at the deadline, success without a signature, anything unusual.
--- a/crates/delivery/src/messages.rs
+++ b/crates/delivery/src/messages.rs
@@ -30,7 +30,7 @@
 pub(crate) struct Held {
     pub(crate) submission: Submission,
     pub(crate) place: Place,
-    /// Attempts without a clear answer, and answers that it runs elsewhere.
+    /// Attempts without a clear answer, and answers that it runs elsewhere or that a rate is used up.
     pub(crate) silences: u32,
     pub(crate) conflicts: u32,
     /// Attempts since it was last handed to the decisions, as they count them.
--- a/crates/delivery/tests/ceiling.rs
+++ b/crates/delivery/tests/ceiling.rs
@@ -60,3 +60,32 @@
     let late = late.count();
     assert!(late < 10, "{late} of 200 went later than 100 ms");
 }
+
+/// Guards against a refusal for the rate, which bursts bring about now and then, slowing a service down for good.
+#[test]
+fn a_refusal_for_the_rate_delays_few_messages() {
+    for count in [12, 60] {
+        let mut world = World::new(count, 200);
+        world.static_host(1, Behaviour::Limited { per_s: 30 });
+        let slow = ServiceConfig { static_address: Some(address(1)), rate_per_s: 30.0, ..service("slow") };
+        world.tell_all(&Input::Services(vec![slow]));
+        world.run(2 * SECOND);
+        let (mut due, mut random, end) = (Vec::new(), 12_345u64, world.now + 30 * SECOND);
+        while world.now < end {
+            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            let part = ((random >> 20) & 0xffff) as f64 / 65_536.0;
+            let now = world.now;
+            world.submit((random >> 33) as usize % count, [submission(due.len() as u64, "slow", now)]);
+            due.push(now);
+            world.run((-(1.0 - part).ln() * 1e6 / 25.0) as u64);
+        }
+        world.run(SECOND);
+        assert!(world.refused > 0);
+        let ended = world.relays.iter().flat_map(|relay| &relay.finished);
+        let mut took: Vec<_> = ended.map(|(key, (at, _))| at - due[*key as usize]).collect();
+        took.sort_unstable();
+        assert_eq!(took.len(), due.len());
+        let late = took[took.len() * 95 / 100];
+        assert!(late < 600 * MILLISECOND, "{count} relays: {late} us");
+    }
+}
--- a/crates/delivery/tests/world/mod.rs
+++ b/crates/delivery/tests/world/mod.rs
@@ -26,6 +26,10 @@
     },
     /// 500 for keys that are divisible by this, success for others.
     FailMultiplesOf(u64),
+    /// 429 with `X-Not-Executed` beyond this number in a second.
+    Limited {
+        per_s: usize,
+    },
     /// Works on so many messages at a time, queues half as many more, and turns others away.
     Slots {
         took: Micros,
@@ -353,6 +357,17 @@
         let soon = self.now + 5 * MILLISECOND;
         let (result, ends_at) = match behaviour {
             _ if mistaken => (answer(421, true), soon),
+            Behaviour::Limited { per_s } => {
+                let host = self.hosts.get_mut(&to).expect("it is there");
+                host.work.retain(|at| *at + SECOND > self.now);
+                if host.work.len() < per_s {
+                    host.work.push(self.now);
+                    (answer(200, false), soon)
+                } else {
+                    self.refused += 1;
+                    (answer(429, true), soon)
+                }
+            }
             Behaviour::Slots { took, slots } => match self.take_slot(to, took, slots) {
                 Some(ends_at) => (answer(200, false), ends_at),
                 None => (answer(503, true), soon),
