Permits: a home that joins takes over what the one before it granted, and begins at once

Cause: with each relay that joined and ranked first, a limited service stood still for the time that permits are good and more.

Ruled out: beginning at once on what the earlier home may have granted; under pressure that fills the window.

Change: the home so far tells for how long how many of its permits may count, under the number of the claim; a denied or lapsed home begins anew with another number. Limited services are sent no health checks, since they might count. Test: gaps after joins and deaths; the property still holds.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -282,7 +282,10 @@
         let out: Vec<HostId> = self.brain.learnt().out.into_iter().map(|(id, _)| id).collect();
         self.hosts.out_of_order(&out, self.now, self.settings.seed);
         for (host, target, service) in self.hosts.due_checks(self.now) {
-            let Some(service) = self.services.get(&service) else { continue };
+            // A limited service is sent nothing beyond its permits.
+            let Some(service) = self.services.get(&service).filter(|service| !service.is_limited()) else {
+                continue;
+            };
             let (path, timeout) = (service.health_path.clone(), self.settings.connect_timeout);
             self.effects.push(Effect::Probe { host, target, path, timeout });
         }
--- a/crates/permits/src/budget.rs
+++ b/crates/permits/src/budget.rs
@@ -10,6 +10,8 @@
 const ALLOWANCE: f64 = 3.0;
 /// Times are rounded up to this.
 const STEP: Micros = 10_000;
+/// Steps of time in which one home tells the next of its permits.
+const LEDGER_STEP: Micros = 100_000;
 /// Time between looks for grants that were never settled.
 const SWEEP: Micros = 1_000_000;
 /// Permits saved up while nobody asks, in seconds of the rate, and the least of them.
@@ -66,10 +68,34 @@
         }
     }
 
+    /// For how many milliseconds more how many permits may count in a window.
+    pub(crate) fn ledger(&self, now: Micros) -> Vec<(u32, u32)> {
+        let mut ledger: Vec<(u32, u32)> = Vec::new();
+        for (until, count) in &self.releases {
+            let left = until.saturating_sub(now).div_ceil(LEDGER_STEP) * LEDGER_STEP / 1000;
+            match ledger.last_mut().filter(|(last, _)| u64::from(*last) == left) {
+                Some((_, booked)) => *booked += count,
+                None => ledger.push((left as u32, *count)),
+            }
+        }
+        ledger
+    }
+
+    /// Books what an earlier home told of its permits, in place of what it may have granted.
+    pub(crate) fn take_over(&mut self, ledger: &[(u32, u32)], now: Micros) {
+        self.releases.clear();
+        self.open.clear();
+        self.occupied = 0;
+        for (left, count) in ledger {
+            self.occupy(now + u64::from(*left) * 1000, *count);
+        }
+    }
+
     fn occupy(&mut self, until: Micros, count: u32) -> Micros {
         let until = until.div_ceil(STEP) * STEP;
-        *self.releases.entry(until).or_default() += count;
-        self.occupied += count;
+        let booked = self.releases.entry(until).or_default();
+        *booked = booked.saturating_add(count);
+        self.occupied = self.occupied.saturating_add(count);
         until
     }
 
@@ -77,14 +103,14 @@
         if let Some(booked) = self.releases.get_mut(&until) {
             let count = count.min(*booked);
             *booked -= count;
-            self.occupied -= count;
+            self.occupied = self.occupied.saturating_sub(count);
         }
     }
 
     /// Forgets what no window can hold any more, and counts the pace.
     pub(crate) fn advance(&mut self, now: Micros) {
         while let Some(entry) = self.releases.first_entry().filter(|entry| *entry.key() <= now) {
-            self.occupied -= entry.remove();
+            self.occupied = self.occupied.saturating_sub(entry.remove());
         }
         if now >= self.swept_at + SWEEP {
             self.swept_at = now;
--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -5,18 +5,29 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 
+use crate::VALIDITY;
 use crate::budget::Budget;
-use crate::message::{GrantId, PermitMessage, Settled};
+use crate::message::{ClaimId, GrantId, PermitMessage, Settled};
 use crate::shares::Shares;
-use crate::{MARGIN, VALIDITY};
 
 /// The longest time for which a request that could not be met at once is kept.
 const PATIENCE: Micros = VALIDITY / 2;
 
+/// When a home begins.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Opening {
+    pub(crate) now: Micros,
+    pub(crate) opens_at: Micros,
+    /// Another may have granted up to then.
+    pub(crate) follows: bool,
+}
+
 /// A service's permits at their home.
 #[derive(Debug)]
 pub(crate) struct Home {
     service: Arc<str>,
+    /// Names this time as home.
+    pub(crate) claim: ClaimId,
     budget: Budget,
     shares: Shares,
     rate: f64,
@@ -27,24 +38,30 @@
 impl Home {
     /// A home that begins to grant at `opens_at`; what an earlier one granted up to then is allowed for if `follows`.
     pub(crate) fn new(
-        service: Arc<str>, rate: f64, window: Micros, overshoot: f64, opens_at: Micros, follows: bool,
-        now: Micros,
+        service: Arc<str>, claim: ClaimId, rate: f64, bounds: (Micros, f64), span: Opening,
     ) -> Self {
+        let (window, overshoot) = bounds;
+        let Opening { now, opens_at, follows } = span;
         let mut budget = Budget::new(rate, window, overshoot, now);
         if follows {
             budget.assume_predecessor(opens_at);
         }
-        Home { service, budget, shares: Shares::default(), rate, opens_at }
+        Home { service, claim, budget, shares: Shares::default(), rate, opens_at }
     }
 
-    /// The home before this one has stopped; what it granted may be used for as long as permits are good.
-    pub(crate) fn predecessor_stopped(&mut self, now: Micros) {
-        self.opens_at = self.opens_at.min(now + VALIDITY + MARGIN);
+    /// The home before this one has stopped, and told of its permits. Only before this one has begun: its own grants
+    /// are not in that word.
+    pub(crate) fn take_over(&mut self, ledger: &[(u32, u32)], now: Micros) {
+        if !self.is_open(now) {
+            self.budget.take_over(ledger, now);
+            self.opens_at = now;
+        }
     }
 
-    /// Another relay may be the home: whatever it grants up to `until` has to be past before this one begins.
-    pub(crate) fn wait_until(&mut self, until: Micros) {
-        self.opens_at = self.opens_at.max(until);
+    /// What the next home has to know.
+    pub(crate) fn ledger(&mut self, now: Micros) -> Vec<(u32, u32)> {
+        self.budget.advance(now);
+        self.budget.ledger(now)
     }
 
     /// Whether all that earlier homes granted is past.
--- a/crates/permits/src/message.rs
+++ b/crates/permits/src/message.rs
@@ -12,6 +12,13 @@
     pub number: u64,
 }
 
+/// A time as home that a relay begins: none answers for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimId {
+    pub life: u64,
+    pub number: u64,
+}
+
 /// A grant of which nothing is left, and how many of its permits were used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settled {
@@ -34,9 +41,10 @@
     /// From the home: permits for the request that was sent then.
     Grant { service: Arc<str>, life: u64, sent_at: Micros, grant: GrantId, count: u32 },
     /// From a relay that has become home, to those that may have been it before.
-    Claim { service: Arc<str>, life: u64 },
-    /// From the home so far: it grants nothing from now on. Its own time as home had begun in good order.
-    Yield { service: Arc<str>, life: u64 },
+    Claim { service: Arc<str>, claim: ClaimId },
+    /// From the home so far: it grants nothing from now on. For how many milliseconds more how many of its permits may
+    /// count in a window.
+    Yield { service: Arc<str>, claim: ClaimId, ledger: Vec<(u32, u32)> },
     /// From a relay that goes before the claiming one: its claim rests on a list that lacks this relay.
-    Deny { service: Arc<str>, life: u64 },
+    Deny { service: Arc<str>, claim: ClaimId },
 }
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -8,8 +8,8 @@
 use pewterseam_wire::placement::hash;
 
 use crate::holder::{Holder, Permit};
-use crate::home::Home;
-use crate::message::PermitMessage;
+use crate::home::{Home, Opening};
+use crate::message::{ClaimId, PermitMessage};
 use crate::{MARGIN, VALIDITY};
 
 /// At the first start of everything, how long the list of relays must have stood.
@@ -46,6 +46,21 @@
     /// Where this relay is the home.
     granting: Option<Home>,
     claim_at: Option<Micros>,
+    yielded: Option<Yielded>,
+}
+
+/// A place as home that was given up, and what the next home was told of its permits.
+struct Yielded {
+    to: NodeName,
+    claim: ClaimId,
+    ledger: Vec<(u32, u32)>,
+}
+
+impl Service {
+    fn new(rate: f64) -> Self {
+        let (holder, home, granting) = (Holder::default(), None, None);
+        Service { rate, holder, home, granting, claim_at: None, yielded: None }
+    }
 }
 
 /// The permits of one relay.
@@ -56,6 +71,7 @@
     relays: Vec<NodeName>,
     core_until: Micros,
     last_grant: u64,
+    last_claim: u64,
     /// No home was named before, in a system without predecessors.
     is_first: bool,
     effects: Vec<PermitEffect>,
@@ -65,7 +81,7 @@
     pub fn new(settings: Settings) -> Self {
         let is_first = settings.bootstrap;
         let (services, relays, effects) = (BTreeMap::new(), Vec::new(), Vec::new());
-        Permits { settings, services, relays, core_until: 0, last_grant: 0, is_first, effects }
+        Permits { settings, services, relays, core_until: 0, last_grant: 0, last_claim: 0, is_first, effects }
     }
 
     /// The limited services with their rates, in place of those before.
@@ -73,8 +89,7 @@
         let mut before = std::mem::take(&mut self.services);
         for (name, rate) in services.into_iter().filter(|(_, rate)| *rate > 0.0) {
             let kept = before.remove(&name).filter(|service| service.rate == rate);
-            let new =
-                || Service { rate, holder: Holder::default(), home: None, granting: None, claim_at: None };
+            let new = || Service::new(rate);
             self.services.insert(name, kept.unwrap_or_else(new));
         }
         self.choose_homes(now);
@@ -153,37 +168,42 @@
                 };
                 service.holder.receive(sent_at, grant, count, now);
             }
-            PermitMessage::Claim { service, life } => {
+            PermitMessage::Claim { service, claim } => {
                 let Some(entry) = self.services.get_mut(&service) else { return };
                 let goes_first = rank(&service, from) > rank(&service, &me.me);
                 if !goes_first && entry.home.as_ref() == Some(&me.me) {
-                    let message = PermitMessage::Deny { service, life };
+                    let message = PermitMessage::Deny { service, claim };
                     self.effects.push(PermitEffect::Send { to: from.clone(), message });
                     return;
                 }
-                let was_home = entry.granting.take().is_some_and(|home| home.is_open(now) && has_word);
-                entry.home = Some(from.clone());
-                entry.claim_at = None;
-                entry.holder.change_home();
-                if was_home {
-                    let message = PermitMessage::Yield { service, life };
+                let was_home = entry.granting.take().filter(|home| home.is_open(now) && has_word);
+                if let Some(mut home) = was_home {
+                    entry.yielded = Some(Yielded { to: from.clone(), claim, ledger: home.ledger(now) });
+                }
+                if entry.home.as_ref() != Some(from) {
+                    entry.holder.change_home();
+                }
+                (entry.home, entry.claim_at) = (Some(from.clone()), None);
+                // Its first word may be lost; told later, the same is too much at worst.
+                let told = entry.yielded.as_ref().filter(|told| (&told.to, told.claim) == (from, claim));
+                if let Some(Yielded { ledger, .. }) = told {
+                    let message = PermitMessage::Yield { service, claim, ledger: ledger.clone() };
                     self.effects.push(PermitEffect::Send { to: from.clone(), message });
                 }
             }
-            PermitMessage::Yield { service, life } => {
-                let Some(service) = self.services.get_mut(&service).filter(|_| life == me.life) else {
-                    return;
-                };
-                if let Some(home) = &mut service.granting {
-                    home.predecessor_stopped(now);
+            PermitMessage::Yield { service, claim, ledger } => {
+                let Some(service) = self.services.get_mut(&service) else { return };
+                if let Some(home) = service.granting.as_mut().filter(|home| home.claim == claim) {
+                    home.take_over(&ledger, now);
                     service.claim_at = None;
                 }
             }
-            PermitMessage::Deny { service, life } => {
-                let until = now + me.core_lease + VALIDITY + MARGIN;
-                let service = self.services.get_mut(&service).filter(|_| life == me.life);
-                if let Some(home) = service.and_then(|service| service.granting.as_mut()) {
-                    home.wait_until(until);
+            PermitMessage::Deny { service, claim } => {
+                let Some(service) = self.services.get_mut(&service) else { return };
+                // Danger: what the other one grants meanwhile is not in this one's budget.
+                if service.granting.as_ref().is_some_and(|home| home.claim == claim) {
+                    service.home = None;
+                    self.choose_homes(now);
                 }
             }
         }
@@ -219,7 +239,7 @@
                 service.claim_at = (!open).then_some(now + CLAIM_AGAIN);
                 let ranked = ranked(&self.relays, name).into_iter().filter(|other| *other != me);
                 for to in ranked.take(CLAIMED_FROM).filter(|_| !open) {
-                    let message = PermitMessage::Claim { service: name.clone(), life };
+                    let message = PermitMessage::Claim { service: name.clone(), claim: home.claim };
                     self.effects.push(PermitEffect::Send { to: to.clone(), message });
                 }
             }
@@ -243,7 +263,7 @@
 
     /// Finds the home of each service anew.
     fn choose_homes(&mut self, now: Micros) {
-        let Settings { me, window, overshoot, core_lease, .. } = &self.settings;
+        let Settings { me, life, window, overshoot, core_lease, .. } = &self.settings;
         let named = !self.relays.is_empty() && !self.services.is_empty();
         for (name, service) in &mut self.services {
             let home = ranked(&self.relays, name).first().map(|home| (*home).clone());
@@ -256,8 +276,10 @@
             if home.as_ref() == Some(me) {
                 let follows = !self.is_first;
                 let wait = if follows { core_lease + VALIDITY + MARGIN } else { SETTLING };
-                let home =
-                    Home::new(name.clone(), service.rate, *window, *overshoot, now + wait, follows, now);
+                self.last_claim += 1;
+                let claim = ClaimId { life: *life, number: self.last_claim };
+                let (bounds, span) = ((*window, *overshoot), Opening { now, opens_at: now + wait, follows });
+                let home = Home::new(name.clone(), claim, service.rate, bounds, span);
                 service.granting = Some(home);
                 service.claim_at = Some(now);
             }
--- a/crates/permits/tests/ceiling.rs
+++ b/crates/permits/tests/ceiling.rs
@@ -65,3 +65,26 @@
     assert!(mean_ms < 150.0, "{mean_ms:.0} ms in the mean");
     assert!(network.waiting() < 30, "{} wait", network.waiting());
 }
+
+/// Guards against a service that stands still whenever a relay joins and becomes its home, and against one that stands
+/// still for longer than the core's word and permits last when its home dies.
+#[test]
+fn a_home_that_joins_takes_over_at_once_and_one_that_dies_is_followed() {
+    let mut network = Network::new(3, 8, 39.0, 60.0, CALM);
+    network.run(10 * SECOND);
+    let mut longest = 0;
+    for index in 0..8 {
+        let died_at = network.now;
+        network.kill(index, died_at + 8 * SECOND);
+        network.run(8 * SECOND);
+        longest = longest.max(network.longest_gap(died_at));
+        let joined_at = network.now;
+        network.run(4 * SECOND);
+        let gap = network.longest_gap(joined_at);
+        assert!(gap < SECOND, "{gap} us without a request after relay {index} joined");
+    }
+    // Of eight relays one was the home.
+    assert!((2 * SECOND..6 * SECOND).contains(&longest), "{longest} us without a request");
+    let (most, allowed) = network.worst_window();
+    assert!(most as f64 <= allowed, "{most} in a window, {allowed} allowed");
+}
--- a/crates/permits/tests/network/mod.rs
+++ b/crates/permits/tests/network/mod.rs
@@ -162,11 +162,9 @@
                 relay.frozen_until = self.now + span;
             }
             if relay.is_up && self.random.chance(killed * part) {
-                (relay.is_up, relay.up_at) = (false, self.now + span / 4);
-                (relay.waiting, relay.life) = (0, relay.life + 1);
-                relay.in_use.clear();
-                relay.inbox.clear();
+                self.kill(index, self.now + span / 4);
             }
+            let relay = &mut self.relays[index];
             if !relay.is_up && relay.up_at <= self.now {
                 (relay.is_up, relay.viewed_at) = (true, 0);
                 relay.permits = permits(&relay.name, relay.life, self.window, self.overshoot, false);
@@ -286,6 +284,21 @@
         }
     }
 
+    /// Has a relay's process end, to start again at a time to come.
+    pub fn kill(&mut self, index: usize, until: Micros) {
+        let relay = &mut self.relays[index];
+        (relay.is_up, relay.up_at, relay.waiting, relay.life) = (false, until, 0, relay.life + 1);
+        relay.in_use.clear();
+        relay.inbox.clear();
+    }
+
+    /// The longest time without a request since then.
+    pub fn longest_gap(&self, since: Micros) -> Micros {
+        let times = self.sent.iter().copied().filter(|at| *at >= since);
+        let times: Vec<_> = [since].into_iter().chain(times).chain([self.now]).collect();
+        times.windows(2).map(|pair| pair[1] - pair[0]).max().unwrap_or(0)
+    }
+
     /// The most requests in any window, and how many the rule allows.
     pub fn worst_window(&self) -> (usize, f64) {
         let allowed = self.rate * self.window as f64 / 1e6 * self.overshoot + 5.0;
