Delivery: a host that is slow since it has just started counts as busier

Cause: the list tells how long a host is slow, and that was not used.

Ruled out: leaving cold hosts out; with others busy or gone they are better than waiting.

Change: a cold host counts one call more in the choice. The list as the deliveries take it is made in pewterseam-outbound.

--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -115,7 +115,7 @@
                 self.hosts.refresh(&self.services);
                 self.permits.set_services(self.now, limited);
             }
-            Input::Hosts(instances) => self.hosts.set_list(instances, &self.services),
+            Input::Hosts(instances) => self.hosts.set_list(instances, &self.services, self.now),
             Input::Relays(relays) => self.set_relays(relays),
             Input::Submit(submission) => self.submit(submission),
             Input::Withdraw { key } => self.forget(key),
--- a/crates/delivery/src/hosts.rs
+++ b/crates/delivery/src/hosts.rs
@@ -29,6 +29,8 @@
     is_ready: bool,
     /// It answered that it is another one.
     is_mistaken: bool,
+    /// It is slow until then, having just started.
+    cold_until: Micros,
     /// Attempts out, and the most of them.
     pub(crate) calls: usize,
     limit: usize,
@@ -114,9 +116,17 @@
         ring.map(|(_, id)| *id)
     }
 
-    pub(crate) fn set_list(&mut self, instances: Vec<Instance>, services: &Services) {
+    pub(crate) fn set_list(&mut self, instances: Vec<Instance>, services: &Services, now: Micros) {
+        let cold: Vec<_> =
+            instances.iter().map(|of| (listed_host(of), of.cold_remaining_ms * 1000)).collect();
         self.instances = instances;
         self.refresh(services);
+        for (id, left) in cold {
+            // The word is of when the list first showed it.
+            if let Some(host) = self.hosts.get_mut(&id).filter(|host| left == 0 || host.cold_until == 0) {
+                host.cold_until = if left > 0 { now + left } else { 0 };
+            }
+        }
     }
 
     /// Where this relay stands among all.
@@ -179,6 +189,7 @@
             is_listed: true,
             is_ready,
             is_mistaken: false,
+            cold_until: 0,
             calls: 0,
             limit,
             paused_until: 0,
@@ -276,12 +287,9 @@
         let Some(of) = self.by_service.get_mut(service).filter(|_| !is_held) else { return BTreeSet::new() };
         let candidate = |(_, id): &(Arc<str>, HostId)| {
             let host = hosts.get(id)?;
-            Some(Candidate {
-                id: *id,
-                takes_now: host.takes_now(now),
-                is_out: host.is_out,
-                calls: host.calls,
-            })
+            // A slow one counts as busier than it is.
+            let calls = host.calls + usize::from(now < host.cold_until);
+            Some(Candidate { id: *id, takes_now: host.takes_now(now), is_out: host.is_out, calls })
         };
         let ring: Vec<_> = of.ring.iter().filter_map(candidate).collect();
         of.spread.choose(&ring, self.place)
--- a/crates/delivery/tests/hosts.rs
+++ b/crates/delivery/tests/hosts.rs
@@ -151,6 +151,28 @@
     assert_eq!(world.finished(), 1);
 }
 
+/// Guards against messages at a host that is slow since it has just started, while another one is idle.
+#[test]
+fn a_cold_host_is_used_only_when_others_are_busier() {
+    let (mut world, mut list) = with_hosts(&[SERVE; 3], 10);
+    list[0].cold_remaining_ms = 4000;
+    world.tell_all(&Input::Hosts(list.clone()));
+    for key in 1..=60 {
+        let now = world.now;
+        world.submit(0, [submission(key, "mail", now)]);
+        world.run(60 * MILLISECOND);
+    }
+    assert_eq!(world.arrivals_at(1).count(), 0);
+    list[0].cold_remaining_ms = 0;
+    world.tell_all(&Input::Hosts(list));
+    for key in 61..=120 {
+        let now = world.now;
+        world.submit(0, [submission(key, "mail", now)]);
+        world.run(60 * MILLISECOND);
+    }
+    assert!(world.arrivals_at(1).count() > 10, "{}", world.arrivals_at(1).count());
+}
+
 /// Guards against more connections to a host than this relay's part of those that it accepts.
 #[test]
 fn connections_to_a_host_stay_within_this_relays_part() {
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -11,6 +11,6 @@
 mod pool;
 mod request;
 
-pub use list::{ListEvent, PlatformList};
+pub use list::{ListEvent, PlatformList, instances};
 pub use outbound::{Outbound, OutboundEvent, OutboundSettings};
 pub use request::DeliveryRequest;
--- a/crates/outbound/src/list.rs
+++ b/crates/outbound/src/list.rs
@@ -7,7 +7,8 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt, Full};
-use pewterseam_discovery::{CallFailure, CallId, Input, ListedInstance, Page};
+use pewterseam_delivery::Instance;
+use pewterseam_discovery::{CallFailure, CallId, Input, List, ListedInstance, Page};
 use serde::Deserialize;
 use tokio::sync::Mutex;
 use tokio::sync::mpsc::UnboundedSender;
@@ -80,6 +81,20 @@
     }
 }
 
+/// The list as the deliveries take it.
+pub fn instances(list: &List) -> Vec<Instance> {
+    let instance = |listed: &Arc<ListedInstance>| Instance {
+        id: listed.id.clone(),
+        service: listed.service.clone(),
+        address: listed.address,
+        zone: listed.zone.clone(),
+        slots: listed.slots,
+        ready: listed.ready,
+        cold_remaining_ms: listed.cold_remaining_ms,
+    };
+    list.instances().map(instance).collect()
+}
+
 /// Calls to the platform's list.
 #[derive(Clone, Debug)]
 pub struct PlatformList {
