--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -7,7 +7,7 @@
 use pewterseam_permits::Permit;
 use pewterseam_wire::Micros;
 
-use crate::backoff::{AFTER_SILENCE, WHILE_RUNNING};
+use crate::backoff::{AFTER_LIMIT, AFTER_SILENCE, WHILE_RUNNING};
 use crate::delivery::Delivery;
 use crate::interface::{AttemptEnd, AttemptId, AttemptResult, Effect, HostKey, Outcome};
 use crate::judging::{Fate, Health, judge};
@@ -37,23 +37,25 @@
         let (Some(held), Some(known)) = (self.messages.get(key), self.hosts.get(host)) else { return };
         let (timeout, service, target) =
             (held.submission.timeout, held.submission.service.clone(), known.target.clone());
-        self.last_attempt += 1;
-        let attempt = AttemptId(self.last_attempt);
+        let has_room = known.has_room();
+        self.messages.set_out(key, true);
+        let mut made = Attempt { key, message: id, number, host, service: service.clone(), permit: None };
+        // Danger: the decisions choose several at a time, and only the first of them find the host as it was told.
+        if !has_room {
+            return self.take_back(&made);
+        }
         let Ok(permit) = self.permit(&service) else {
             self.hosts.hold(&service, true);
-            self.messages.set_out(key, true);
-            let waiting = Attempt { key, message: id, number, host, service, permit: None };
-            return self.take_back(&waiting);
+            return self.take_back(&made);
         };
+        made.permit = permit;
+        self.last_attempt += 1;
+        let attempt = AttemptId(self.last_attempt);
         let confirm = permit.is_some();
-        self.messages.set_out(key, true);
-        if let Some(host) = self.hosts.get_mut(host) {
-            host.calls += 1;
-        }
-        if permit.is_some() && self.permits.available(self.now, &service) == 0 {
+        self.hosts.began(host);
+        if confirm && self.permits.available(self.now, &service) == 0 {
             self.hosts.hold(&service, true);
         }
-        let made = Attempt { key, message: id, number, host, service: service.clone(), permit };
         self.attempts.insert(attempt, made);
         let connect_timeout = connect_timeout.min(timeout);
         self.effects.push(Effect::Start { attempt, key, service, target, timeout, connect_timeout, confirm });
@@ -125,10 +127,9 @@
                 self.hosts.mistaken(made.host);
                 Seen::Moot
             }
-            // The rate limit is the service's, a full table of work is the host's.
-            Health::Full { wait } if self.permits.is_limited(&made.service) => {
-                Seen::Full { wait: wait.unwrap_or(0) }
-            }
+            // The limit is the service's, and permits keep it. Danger: told of it, the decisions pace each relay to a
+            // fixed part of the limit from then on, and messages wait while other parts lie idle.
+            Health::Full { .. } if self.permits.is_limited(&made.service) => Seen::Moot,
             Health::Full { wait } => {
                 self.hosts.pause(made.host, wait, self.now, self.settings.seed);
                 Seen::Moot
@@ -154,6 +155,12 @@
                 return true;
             }
             Fate::Again => None,
+            // Another host may have room; a limit is the same everywhere.
+            Fate::TurnedAway if !self.permits.is_limited(&made.service) => None,
+            Fate::TurnedAway => {
+                held.conflicts += 1;
+                Some(AFTER_LIMIT.pause(held.conflicts, self.now, spread))
+            }
             Fate::Unknown => {
                 held.silences += 1;
                 let again = held.silences.checked_sub(1).filter(|times| *times > 0);
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -20,6 +20,7 @@
 use crate::peers::{PeerMessage, Peers};
 use crate::services::Services;
 use crate::settings::{BrainSettings, DeliverySettings};
+use crate::spread::Place;
 
 /// Rounds of decisions in one step: each may make room for more.
 const MOST_ROUNDS: usize = 8;
@@ -91,12 +92,15 @@
         self.now = now;
         inputs.into_iter().for_each(|input| self.take(input));
         self.messages.wake(now);
-        self.check_hosts();
         self.step_permits();
         self.decide();
+        if self.check_hosts() {
+            self.decide();
+        }
         self.effects.extend(self.peers.flush());
         let wakes = [self.messages.next_at(), self.hosts.next_at(), self.permits.next_at(now), self.check_at];
         let next = wakes.into_iter().flatten().fold(self.brain_wake, Micros::min);
+        let next = if self.events.is_empty() { next } else { now };
         self.effects.push(Effect::Wake(next.max(now + LEAST_SLEEP)));
         std::mem::take(&mut self.effects)
     }
@@ -111,7 +115,7 @@
                 self.hosts.refresh(&self.services);
                 self.permits.set_services(self.now, limited);
             }
-            Input::Hosts(instances) => self.hosts.set_list(instances, &self.services),
+            Input::Hosts(instances) => self.hosts.set_list(instances, &self.services, self.now),
             Input::Relays(relays) => self.set_relays(relays),
             Input::Submit(submission) => self.submit(submission),
             Input::Withdraw { key } => self.forget(key),
@@ -119,7 +123,7 @@
             Input::Ended { attempt, end } => self.ended(attempt, &end),
             Input::Probed { host, healthy } => self.probed(host, healthy),
             Input::Peer { from, bytes } => self.hear(&from, &bytes),
-            Input::CoreLease { until } => self.permits.set_core_lease(until),
+            Input::CoreLease { until } => self.permits.set_core_lease(self.now, until),
             Input::Stop { by } => {
                 self.stopping = true;
                 self.events.push(Event::Stop { by });
@@ -134,7 +138,8 @@
         self.permits.set_relays(self.now, relays);
         let (count, me) = (relays.len(), self.peers.rank(&self.settings.me));
         self.brain_settings.rank(me.unwrap_or(0), count as u16);
-        self.hosts.set_relays(count, &self.services);
+        let rank = usize::from(me.unwrap_or(0));
+        self.hosts.set_place(Place { rank, relays: count }, &self.services);
     }
 
     fn submit(&mut self, submission: Submission) {
@@ -188,7 +193,7 @@
     fn decide(&mut self) {
         for _ in 0..MOST_ROUNDS {
             self.hand_on();
-            let (listed, gone) = self.hosts.changes(&self.services, self.now);
+            let (listed, gone) = self.hosts.changes(&self.services, &self.messages, self.now);
             self.effects.extend(gone.into_iter().map(|target| Effect::CloseIdle { address: target.address }));
             let mut events = Vec::with_capacity(self.events.len() + 2);
             if std::mem::take(&mut self.brain_settings.changed) {
@@ -218,7 +223,7 @@
         for (id, key) in self.messages.hand_on() {
             let Some(held) = self.messages.get(key) else { continue };
             let Submission { schedule_target, priority, due_at, ref service, .. } = held.submission;
-            let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at);
+            let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at, self.now);
             let history = History { restored: true, ..History::default() };
             let destination = destination(service);
             let request = Request { id, class, destination, tenant: 0, key: None, deadline, history };
@@ -237,7 +242,9 @@
             Action::Write { .. } | Action::Withhold { .. } => {}
             Action::Cancel { id, attempt } => self.abort(id, attempt),
             Action::Refuse { id, .. } | Action::Fail(id) => self.given_up(id),
-            Action::Probe(_) | Action::Subscribe | Action::Log(_) => {}
+            // What they log is that they changed their mind of a host.
+            Action::Log(_) => self.check_at = Some(self.now),
+            Action::Probe(_) | Action::Subscribe => {}
             Action::CloseIdle(host) => {
                 let address = self.hosts.get(host).map(|host| host.target.address);
                 self.effects.extend(address.map(|address| Effect::CloseIdle { address }));
@@ -266,19 +273,24 @@
         }
     }
 
-    /// Has hosts that are out of order checked now and then.
-    fn check_hosts(&mut self) {
+    /// Takes over which hosts the decisions found out of order, and has those checked now and then; false where nothing
+    /// was to be done.
+    fn check_hosts(&mut self) -> bool {
         if self.check_at.take_if(|at| *at <= self.now).is_none() {
-            return;
+            return false;
         }
         let out: Vec<HostId> = self.brain.learnt().out.into_iter().map(|(id, _)| id).collect();
         self.hosts.out_of_order(&out, self.now, self.settings.seed);
         for (host, target, service) in self.hosts.due_checks(self.now) {
-            let Some(service) = self.services.get(&service) else { continue };
+            // A limited service is sent nothing beyond its permits.
+            let Some(service) = self.services.get(&service).filter(|service| !service.is_limited()) else {
+                continue;
+            };
             let (path, timeout) = (service.health_path.clone(), self.settings.connect_timeout);
             self.effects.push(Effect::Probe { host, target, path, timeout });
         }
         self.check_at = (!out.is_empty()).then_some(self.now + CHECK_EVERY);
+        true
     }
 
     /// A permit for an attempt, where its service needs one; an error where there is none.
