--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -5,7 +5,6 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
-use pewterseam_wire::random::Random;
 
 use crate::agreed::Agreed;
 use crate::entry::{CoreMember, Stamp};
