--- /dev/null
+++ b/crates/control/tests/cluster.rs
@@ -0,0 +1,180 @@
+//! Whole clusters: formation, changes, failover, and random trouble.
+
+mod simulation;
+
+use pewterseam_control::{OperatorRequest, Outcome, Token};
+use simulation::cluster::{Cluster, MS, Planted, document};
+use simulation::faults::Faults;
+use simulation::operators::{Operator, run};
+
+/// Random runs, and how many run side by side. Overridden by CONTROL_RUNS and CONTROL_SEED.
+const RUNS: u64 = 400;
+const THREADS: u64 = 4;
+
+fn formed(seed: u64, core: usize, relays: usize, stores: usize) -> Cluster {
+    let mut cluster = Cluster::new(seed, core, relays, stores);
+    cluster.run(4_000 * MS);
+    cluster.bootstrap = false;
+    cluster
+}
+
+fn call(cluster: &mut Cluster, node: usize, token: u64, request: OperatorRequest) -> Option<Outcome> {
+    assert!(cluster.operator(node, Token(token), request));
+    for _ in 0..200 {
+        cluster.run(10 * MS);
+        let found = cluster.answers.iter().position(|(_, answered, _)| answered.0 == token);
+        if let Some(found) = found {
+            return Some(cluster.answers.remove(found).2);
+        }
+    }
+    None
+}
+
+/// Guards against a system that does not come up: no core, no leader, no placement, or processes never current.
+#[test]
+fn first_start_forms_core_and_places_stores() {
+    for seed in 0..20 {
+        let cluster = formed(seed, 4, 3, 4);
+        assert!(cluster.leader().is_some(), "seed {seed}: no leader");
+        for index in 0..cluster.nodes.len() {
+            let control = cluster.control(index).expect("runs");
+            assert!(control.is_current(), "seed {seed}: node {index} is not current");
+            assert_eq!(control.core().len(), 4, "seed {seed}: node {index}");
+            assert_eq!(control.state().placement.sets.len(), 1, "seed {seed}: node {index}");
+            assert_eq!(control.state().placement.sets[0].len(), 4, "seed {seed}: node {index}");
+        }
+    }
+}
+
+/// Guards against changes that do not reach every process, or wrong answers on the calm path.
+#[test]
+fn changes_are_checked_committed_and_spread() {
+    let mut cluster = formed(7, 4, 3, 3);
+    let first = document(3, "first");
+    assert_eq!(
+        call(&mut cluster, 5, 1, OperatorRequest::put(0, first.clone())),
+        Some(Outcome::Accepted { version: 3 })
+    );
+    assert_eq!(
+        call(&mut cluster, 6, 2, OperatorRequest::put(0, document(4, "other"))),
+        Some(Outcome::Conflict { current: 3 })
+    );
+    assert!(matches!(
+        call(&mut cluster, 4, 3, OperatorRequest::put(3, document(3, "same version"))),
+        Some(Outcome::Invalid { .. })
+    ));
+    let change = simulation::cluster::patch(9, 77);
+    assert_eq!(
+        call(&mut cluster, 0, 4, OperatorRequest::patch(3, change)),
+        Some(Outcome::Accepted { version: 9 })
+    );
+    assert_eq!(
+        call(&mut cluster, 1, 5, OperatorRequest::put(0, first)),
+        Some(Outcome::Accepted { version: 3 })
+    );
+    let Some(Outcome::Config(config)) = call(&mut cluster, 2, 6, OperatorRequest::ReadConfig) else {
+        panic!("no configuration")
+    };
+    assert_eq!(config.version, 9);
+    cluster.run(300 * MS);
+    for index in 0..cluster.nodes.len() {
+        assert_eq!(cluster.control(index).expect("runs").state().config, config, "node {index}");
+    }
+}
+
+/// One run with trouble. Returns what broke, and how many orders were completed.
+fn trouble(seed: u64, planted: Planted) -> (Vec<String>, usize) {
+    let core = 3 + (seed % 3) as usize;
+    let mut cluster = formed(seed, core, 2, 3);
+    cluster.planted = planted;
+    let mut operators = [Operator::new(1, core + 2), Operator::new(2, core + 2)];
+    let mut faults = Faults { core, disks: 1 };
+    for _ in 0..8 {
+        faults.strike(&mut cluster);
+        let pause = (100 + cluster.random.below(1_500) as u64) * MS;
+        run(&mut cluster, &mut operators, pause);
+    }
+    cluster.heal();
+    for operator in &mut operators {
+        operator.is_stopping = true;
+    }
+    run(&mut cluster, &mut operators, 10_000 * MS);
+    let mut broken = std::mem::take(&mut cluster.checks.broken);
+    if operators.iter().any(|operator| !operator.is_idle()) {
+        broken.push("an order was not settled within 10 s of calm".to_owned());
+    }
+    cluster.checks.finish();
+    broken.append(&mut cluster.checks.broken);
+    for index in 0..cluster.nodes.len() {
+        let newest = cluster.checks.newest_acknowledged();
+        if cluster
+            .control(index)
+            .is_none_or(|control| control.state().config.version < newest || !control.is_current())
+        {
+            broken.push(format!("node {index} does not know version {newest} after 10 s of calm"));
+        }
+    }
+    (broken, operators.iter().map(|operator| operator.completed).sum())
+}
+
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Runs seeds side by side. Returns what broke with its seed.
+fn many(planted: Planted, runs: u64) -> (Vec<(u64, String)>, usize) {
+    let first = number("CONTROL_SEED", 1);
+    let worker = |thread: u64| {
+        let mut found = (Vec::new(), 0);
+        for seed in (first..first + runs).filter(|seed| seed % THREADS == thread) {
+            let (broken, completed) = trouble(seed, planted);
+            found.0.extend(broken.into_iter().map(|text| (seed, text)));
+            found.1 += completed;
+        }
+        found
+    };
+    std::thread::scope(|scope| {
+        let workers: Vec<_> = (0..THREADS).map(|thread| scope.spawn(move || worker(thread))).collect();
+        workers.into_iter().map(|worker| worker.join().expect("the run ends")).fold(
+            (Vec::new(), 0),
+            |mut all, found| {
+                all.0.extend(found.0);
+                (all.0, all.1 + found.1)
+            },
+        )
+    })
+}
+
+/// Guards against lost acknowledgements, two changes on one version, steps backwards and stale reads, under drops, cuts,
+/// freezes, kills, losses of power and of a disk; and against a core that does not recover.
+#[test]
+fn random_trouble_breaks_nothing() {
+    let runs = number("CONTROL_RUNS", RUNS);
+    let (broken, completed) = many(Planted::Nothing, runs);
+    println!("{runs} runs, {completed} orders completed, {} broken", broken.len());
+    for (seed, text) in broken.iter().take(20) {
+        println!("seed {seed}: {text}");
+    }
+    assert!(broken.is_empty());
+    assert!(completed as u64 > runs * 4, "the operators got hardly anything done");
+}
+
+/// Guards against checks that see nothing: a candidate that does not read a majority must be found out.
+#[test]
+fn a_leader_that_reads_no_majority_is_found() {
+    let (broken, _) = many(Planted::NoMajorityRead, 2_000);
+    assert!(
+        broken.iter().any(|(_, text)| text.contains("acknowledged") || text.contains("index")),
+        "not found"
+    );
+}
+
+/// Guards against checks that see nothing: promises and entries that are not synced must be found out.
+#[test]
+fn a_disk_that_does_not_sync_is_found() {
+    let (broken, _) = many(Planted::LyingDisk, 150);
+    assert!(
+        broken.iter().any(|(_, text)| text.contains("acknowledged") || text.contains("index")),
+        "not found"
+    );
+}
--- /dev/null
+++ b/crates/control/tests/simulation/checks.rs
@@ -0,0 +1,92 @@
+//! What must hold, whatever happens.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use pewterseam_wire::control::ControlState;
+
+/// Gathers what was seen and what broke.
+#[derive(Default)]
+pub struct Checks {
+    /// The committed states that any process put in force, by index.
+    states: BTreeMap<u64, (u64, Bytes)>,
+    /// The index in force at each node in its life.
+    last: BTreeMap<usize, u64>,
+    /// Accepted changes: what each was made on top of.
+    accepted: BTreeMap<u64, (u64, Bytes)>,
+    pub broken: Vec<String>,
+    pub currents: usize,
+    newest_acknowledged: u64,
+}
+
+impl Checks {
+    pub fn started(&mut self, node: usize) {
+        self.last.remove(&node);
+    }
+
+    pub fn current(&mut self) {
+        self.currents += 1;
+    }
+
+    pub fn in_force(&mut self, node: usize, state: &ControlState) {
+        let seen = (state.config.version, state.config.text.clone());
+        let known = self.states.entry(state.index).or_insert_with(|| seen.clone());
+        if *known != seen {
+            self.broken.push(format!("index {} is version {} and version {}", state.index, known.0, seen.0));
+        }
+        let last = self.last.insert(node, state.index).unwrap_or(0);
+        if last >= state.index {
+            self.broken.push(format!("node {node} went from index {last} to {}", state.index));
+        }
+    }
+
+    /// A change was acknowledged to an operator.
+    pub fn acknowledged(&mut self, if_match: u64, version: u64, change: &Bytes) {
+        let entry = self.accepted.entry(if_match).or_insert_with(|| (version, change.clone()));
+        if *entry != (version, change.clone()) {
+            self.broken.push(format!(
+                "versions {} and {version} were both acknowledged on top of {if_match}",
+                entry.0
+            ));
+        }
+        self.newest_acknowledged = self.newest_acknowledged.max(version);
+        if !self.states.values().any(|(known, _)| *known == version) {
+            self.broken.push(format!("version {version} was acknowledged and is in no committed state"));
+        }
+    }
+
+    /// An order that had been acknowledged was refused.
+    pub fn refused_again(&mut self, version: u64) {
+        self.broken.push(format!("version {version} was acknowledged before and refused now"));
+    }
+
+    /// A read that began when this version had been acknowledged.
+    pub fn read(&mut self, acknowledged_before: u64, version: u64) {
+        if version < acknowledged_before {
+            self.broken
+                .push(format!("version {version} was read after {acknowledged_before} was acknowledged"));
+        }
+    }
+
+    pub fn newest_acknowledged(&self) -> u64 {
+        self.newest_acknowledged
+    }
+
+    /// At the end: versions rise with the index, each with one text, and the newest acknowledged one is there.
+    pub fn finish(&mut self) {
+        let mut last = 0;
+        let mut texts: BTreeMap<u64, Bytes> = BTreeMap::new();
+        for (index, (version, text)) in &self.states {
+            if *version < last {
+                self.broken.push(format!("index {index} has version {version} after {last}"));
+            }
+            if texts.entry(*version).or_insert_with(|| text.clone()) != text {
+                self.broken.push(format!("version {version} has two texts"));
+            }
+            last = last.max(*version);
+        }
+        if last < self.newest_acknowledged {
+            self.broken.push(format!("version {} was acknowledged and is lost", self.newest_acknowledged));
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/simulation/cluster.rs
@@ -0,0 +1,471 @@
+//! The cluster: nodes, links, time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
+use pewterseam_membership::MemberChange;
+use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
+use pewterseam_wire::placement::StoreId;
+use pewterseam_wire::random::Random;
+
+use super::checks::Checks;
+use super::disk::Disk;
+
+pub const MS: u64 = 1_000;
+
+/// Membership looks at links this often, and holds a node dead or alive after so long.
+const LOOK: u64 = 100 * MS;
+const DEAD_AFTER: u64 = 2_000 * MS;
+const ALIVE_AFTER: u64 = 100 * MS;
+/// A store has copied what it must after so long.
+const COPY: u64 = 400 * MS;
+
+/// Faults of the simulated program, to show that the checks find them.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Planted {
+    Nothing,
+    /// A candidate takes itself for promised by everybody, whatever they hold.
+    NoMajorityRead,
+    /// The disk says that it synced, and did not.
+    LyingDisk,
+}
+
+enum Event {
+    Message { from: usize, to: usize, life: u64, message: ControlMessage },
+    Wake { node: usize, life: u64 },
+    Synced { node: usize, life: u64, sequence: u64 },
+    Start { node: usize },
+    Thaw { node: usize },
+    Copied { node: usize, life: u64, epoch: u64 },
+    Look,
+}
+
+pub struct Node {
+    pub info: NodeInfo,
+    pub control: Option<Control>,
+    pub disk: Disk,
+    pub life: u64,
+    pub frozen: bool,
+    held: Vec<Event>,
+    /// What this node's membership holds of each other: whether it is live, and since when links say otherwise.
+    view: BTreeMap<usize, (u64, Option<u64>)>,
+    wake: u64,
+    told_digest: BTreeMap<usize, u64>,
+}
+
+pub struct Cluster {
+    pub now: u64,
+    pub random: Random,
+    pub nodes: Vec<Node>,
+    /// Links that carry nothing, by direction.
+    pub cuts: BTreeSet<(usize, usize)>,
+    pub drop_percent: usize,
+    pub answers: Vec<(usize, Token, Outcome)>,
+    pub checks: Checks,
+    pub planted: Planted,
+    pub bootstrap: bool,
+    pub messages: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    links: BTreeMap<(usize, usize), u64>,
+    order: u64,
+    next_disk: u64,
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7240))
+}
+
+impl Cluster {
+    /// A cluster of `core` relays with a disk, `relays` without, and `stores`. The seeds are the first three relays, of
+    /// which the last may have no disk.
+    pub fn new(seed: u64, core: usize, relays: usize, stores: usize) -> Self {
+        let mut cluster = Cluster {
+            now: 1_000_000,
+            random: Random::new(seed),
+            nodes: Vec::new(),
+            cuts: BTreeSet::new(),
+            drop_percent: 0,
+            answers: Vec::new(),
+            checks: Checks::default(),
+            planted: Planted::Nothing,
+            bootstrap: true,
+            messages: 0,
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            links: BTreeMap::new(),
+            order: 0,
+            next_disk: 100,
+        };
+        for index in 0..core + relays + stores {
+            let (role, disk) = match index {
+                index if index < core => (Role::Relay, true),
+                index if index < core + relays => (Role::Relay, false),
+                _ => (Role::Store, true),
+            };
+            cluster.add(role, disk);
+        }
+        for index in 0..cluster.nodes.len() {
+            let delay = cluster.random.below(300) as u64 * MS;
+            cluster.schedule(delay, Event::Start { node: index });
+        }
+        cluster.schedule(LOOK, Event::Look);
+        cluster
+    }
+
+    /// Adds a machine that does not run yet.
+    pub fn add(&mut self, role: Role, disk: bool) -> usize {
+        let index = self.nodes.len();
+        self.next_disk += 1;
+        let info = NodeInfo {
+            name: NodeName::new(&format!("node-{index}")),
+            life: Life(0),
+            role,
+            peer_address: address(index),
+            zone: Arc::from(format!("zone-{}", index % 3)),
+            region: Arc::from("region"),
+            disk: disk.then_some(DiskId(self.next_disk)),
+            counts_for_quorum: disk,
+            ready: true,
+        };
+        self.nodes.push(Node {
+            info,
+            control: None,
+            disk: Disk::default(),
+            life: 0,
+            frozen: false,
+            held: Vec::new(),
+            view: BTreeMap::new(),
+            wake: 0,
+            told_digest: BTreeMap::new(),
+        });
+        index
+    }
+
+    fn schedule(&mut self, delay: u64, event: Event) {
+        self.schedule_at(self.now + delay, event);
+    }
+
+    fn schedule_at(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order)));
+        self.events.insert(self.order, event);
+    }
+
+    pub fn start_after(&mut self, node: usize, delay: u64) {
+        self.schedule(delay, Event::Start { node });
+    }
+
+    /// Runs until a time has passed.
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some(Reverse((at, order))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            if let Some(event) = self.events.remove(&order) {
+                self.happen(event);
+            }
+        }
+        self.now = end;
+    }
+
+    fn is_running(&self, node: usize, life: u64) -> bool {
+        self.nodes[node].life == life && self.nodes[node].control.is_some()
+    }
+
+    fn happen(&mut self, event: Event) {
+        let place = match &event {
+            Event::Message { to, life, .. } => Some((*to, *life)),
+            Event::Wake { node, life }
+            | Event::Synced { node, life, .. }
+            | Event::Copied { node, life, .. } => Some((*node, *life)),
+            Event::Start { .. } | Event::Thaw { .. } | Event::Look => None,
+        };
+        if let Some((node, life)) = place {
+            if !self.is_running(node, life) {
+                return;
+            }
+            if self.nodes[node].frozen {
+                return self.nodes[node].held.push(event);
+            }
+        }
+        match event {
+            Event::Message { from, to, message, .. } => {
+                if self.cuts.contains(&(from, to)) {
+                    return;
+                }
+                let name = self.nodes[from].info.name.clone();
+                self.step(to, |control, now| control.message(now, &name, message));
+            }
+            Event::Wake { node, .. } => {
+                if self.nodes[node].wake <= self.now {
+                    self.step(node, |control, now| control.tick(now));
+                }
+            }
+            Event::Synced { node, sequence, .. } => {
+                if self.planted != Planted::LyingDisk {
+                    self.nodes[node].disk.sync(sequence);
+                }
+                self.step(node, |control, now| control.persisted(now, sequence));
+            }
+            Event::Start { node } => self.start(node),
+            Event::Thaw { node } => self.thaw(node),
+            Event::Copied { node, epoch, .. } => self.copied(node, epoch),
+            Event::Look => {
+                self.look();
+                self.schedule(LOOK, Event::Look);
+            }
+        }
+    }
+
+    fn start(&mut self, index: usize) {
+        if self.nodes[index].control.is_some() {
+            return;
+        }
+        let settings = ControlSettings {
+            bootstrap: self.bootstrap,
+            seeds: (0..3).map(|seed| address(if seed == 2 { self.first_diskless() } else { seed })).collect(),
+            ..ControlSettings::default()
+        };
+        let seed = self.random.draw();
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.life += 1;
+        node.view.clear();
+        node.told_digest.clear();
+        let control = Control::new(now, &node.info, settings, node.disk.log(), seed);
+        node.control = Some(control.expect("the log can be read"));
+        self.checks.started(index);
+        self.step(index, |control, now| control.tick(now));
+    }
+
+    /// A relay without a disk, or the third node.
+    fn first_diskless(&self) -> usize {
+        let is_diskless = |node: &Node| node.info.role == Role::Relay && node.info.disk.is_none();
+        self.nodes.iter().position(is_diskless).unwrap_or(2)
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].control = None;
+        self.nodes[index].frozen = false;
+        self.nodes[index].held.clear();
+        self.nodes[index].disk.kill();
+    }
+
+    pub fn lose_power(&mut self, index: usize) {
+        let kept = self.random.below(3);
+        self.nodes[index].disk.lose_power(if kept == 2 { self.random.below(4) } else { 0 });
+        self.kill(index);
+    }
+
+    pub fn lose_disk(&mut self, index: usize) {
+        self.kill(index);
+        self.nodes[index].disk.lose();
+        self.next_disk += 1;
+        let disk = DiskId(self.next_disk);
+        self.nodes[index].info.disk = self.nodes[index].info.disk.map(|_| disk);
+    }
+
+    pub fn freeze(&mut self, index: usize, span: u64) {
+        if self.nodes[index].control.is_some() && !self.nodes[index].frozen {
+            self.nodes[index].frozen = true;
+            self.schedule(span, Event::Thaw { node: index });
+        }
+    }
+
+    fn thaw(&mut self, index: usize) {
+        if !std::mem::replace(&mut self.nodes[index].frozen, false) {
+            return;
+        }
+        for event in std::mem::take(&mut self.nodes[index].held) {
+            self.happen(event);
+        }
+        self.step(index, |control, now| control.tick(now));
+    }
+
+    pub fn operator(&mut self, index: usize, token: Token, request: OperatorRequest) -> bool {
+        let is_up = self.nodes[index].control.is_some() && !self.nodes[index].frozen;
+        if is_up {
+            self.step(index, |control, now| control.operator(now, token, request));
+        }
+        is_up
+    }
+
+    fn copied(&mut self, index: usize, epoch: u64) {
+        let info = self.nodes[index].info.clone();
+        let Some(disk) = info.disk else { return };
+        let store = StoreId { name: info.name, disk };
+        let epoch = pewterseam_wire::placement::PlacementEpoch(epoch);
+        self.step(index, |control, now| control.copied(now, store, epoch));
+    }
+
+    /// Hands one input to a machine and does what it wants done.
+    fn step(&mut self, index: usize, input: impl FnOnce(&mut Control, u64) -> Vec<Effect>) {
+        let now = self.now;
+        let Some(control) = self.nodes[index].control.as_mut() else { return };
+        let effects = input(control, now);
+        for effect in effects {
+            self.effect(index, effect);
+        }
+    }
+
+    fn effect(&mut self, index: usize, effect: Effect) {
+        let life = self.nodes[index].life;
+        match effect {
+            Effect::Send { to, message } => self.send(index, &to, message),
+            Effect::Persist { records, sequence } => {
+                self.nodes[index].disk.append(sequence, records);
+                self.sync_later(index, sequence);
+            }
+            Effect::Snapshot { snapshot, sequence } => {
+                self.nodes[index].disk.replace(sequence, snapshot);
+                self.sync_later(index, sequence);
+            }
+            Effect::InForce(state) => {
+                self.checks.in_force(index, &state);
+                let is_store = self.nodes[index].info.role == Role::Store;
+                if is_store && state.placement.sets.len() > 1 {
+                    let epoch = state.placement.epoch.0;
+                    self.schedule(COPY, Event::Copied { node: index, life, epoch });
+                }
+            }
+            Effect::Current => self.checks.current(),
+            Effect::Answer { token, outcome } => self.answers.push((index, token, outcome)),
+            Effect::Wake(at) => {
+                self.nodes[index].wake = at;
+                self.schedule_at(at.max(self.now), Event::Wake { node: index, life });
+            }
+        }
+    }
+
+    fn sync_later(&mut self, index: usize, sequence: u64) {
+        let life = self.nodes[index].life;
+        let delay = 500 + self.random.below(3_000) as u64;
+        self.schedule(delay, Event::Synced { node: index, life, sequence });
+    }
+
+    fn send(&mut self, from: usize, to: &NodeName, message: ControlMessage) {
+        let Some(to) = self.nodes.iter().position(|node| node.info.name == *to) else { return };
+        self.messages += 1;
+        if self.planted == Planted::NoMajorityRead
+            && let ControlMessage::Prepare { epoch } = &message
+        {
+            self.forge_promise(from, to, *epoch);
+        }
+        let is_dropped = self.random.below(100) < self.drop_percent;
+        let delay = 500 + self.random.below(4_000) as u64;
+        let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(self.now + delay);
+        self.links.insert((from, to), at);
+        if is_dropped || self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let life = self.nodes[to].life;
+        self.schedule_at(at, Event::Message { from, to, life, message });
+    }
+
+    /// The candidate hears a promise that nobody gave.
+    fn forge_promise(&mut self, candidate: usize, member: usize, epoch: u64) {
+        let info = &self.nodes[member].info;
+        let Some(disk) = info.disk else { return };
+        let member_id = pewterseam_control::CoreMember { name: info.name.clone(), disk };
+        let stamp = pewterseam_control::Stamp::default();
+        let message = ControlMessage::Promise { epoch, member: member_id, stamp };
+        let life = self.nodes[candidate].life;
+        self.schedule(MS, Event::Message { from: member, to: candidate, life, message });
+    }
+
+    fn is_reachable(&self, from: usize, to: usize) -> bool {
+        let other = &self.nodes[to];
+        let open = !self.cuts.contains(&(from, to)) && !self.cuts.contains(&(to, from));
+        other.control.is_some() && !other.frozen && open
+    }
+
+    /// What membership would find: later lives, deaths, and indexes that others know.
+    fn look(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].control.is_none() || self.nodes[index].frozen {
+                continue;
+            }
+            for other in 0..self.nodes.len() {
+                if other != index {
+                    self.look_at(index, other);
+                }
+            }
+        }
+    }
+
+    fn look_at(&mut self, index: usize, other: usize) {
+        let reachable = self.is_reachable(index, other);
+        let mut info = self.nodes[other].info.clone();
+        info.life = Life(self.nodes[other].life);
+        let (now, life) = (self.now, info.life.0);
+        let entry = self.nodes[index].view.entry(other).or_insert((0, None));
+        let was = entry.0;
+        if reachable && was != life {
+            let since = *entry.1.get_or_insert(now);
+            if now >= since + ALIVE_AFTER {
+                *entry = (life, None);
+                self.step(index, |control, now| control.member(now, &MemberChange::Up(Arc::new(info))));
+            }
+        } else if reachable {
+            entry.1 = None;
+            let digest = self.nodes[other].control.as_ref().map_or(0, Control::index);
+            let told = self.nodes[index].told_digest.entry(other).or_insert(0);
+            if digest > *told {
+                *told = digest;
+                let name = info.name;
+                self.step(index, |control, now| control.peer_digest(now, &name, digest));
+            }
+        } else if was != 0 {
+            let since = *entry.1.get_or_insert(now);
+            if now >= since + DEAD_AFTER {
+                *entry = (0, None);
+                info.life = Life(was);
+                self.nodes[index].told_digest.remove(&other);
+                let change = MemberChange::Down { info: Arc::new(info), left: false };
+                self.step(index, |control, now| control.member(now, &change));
+            }
+        }
+    }
+
+    pub fn control(&self, index: usize) -> Option<&Control> {
+        self.nodes[index].control.as_ref()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| node.control.as_ref().is_some_and(Control::is_leader))
+    }
+
+    /// All links are whole, all processes run.
+    pub fn heal(&mut self) {
+        self.cuts.clear();
+        self.drop_percent = 0;
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].frozen {
+                self.thaw(index);
+            }
+            self.start(index);
+        }
+    }
+}
+
+/// A small configuration.
+pub fn document(version: u64, note: &str) -> Bytes {
+    Bytes::from(format!(
+        r#"{{"version":{version},"routes":[{{"name":"r","hostname":"h.example","pathPrefix":"/a/","type":"async","timeoutMs":600,"backend":"b"}}],"backends":[{{"name":"b"}}],"note":"{note}"}}"#
+    ))
+}
+
+/// A change to one.
+pub fn patch(version: u64, timeout: u64) -> Bytes {
+    Bytes::from(format!(
+        r#"{{"version":{version},"upsert":{{"routes":[{{"name":"r","hostname":"h.example","pathPrefix":"/a/","type":"async","timeoutMs":{timeout},"backend":"b"}}]}}}}"#
+    ))
+}
--- /dev/null
+++ b/crates/control/tests/simulation/faults.rs
@@ -0,0 +1,78 @@
+//! Trouble, drawn at random.
+
+use super::cluster::{Cluster, MS};
+
+/// What may be done to a cluster whose first `core` nodes are its core.
+pub struct Faults {
+    pub core: usize,
+    /// Disks of the core that may be lost in all.
+    pub disks: usize,
+}
+
+impl Faults {
+    /// Does one thing.
+    pub fn strike(&mut self, cluster: &mut Cluster) {
+        let nodes = cluster.nodes.len();
+        let victim = cluster.random.below(nodes);
+        let member = cluster
+            .leader()
+            .filter(|_| cluster.random.below(2) == 0)
+            .unwrap_or(cluster.random.below(self.core));
+        let pause = (200 + cluster.random.below(2_500) as u64) * MS;
+        match cluster.random.below(10) {
+            0 => cluster.drop_percent = 5,
+            1 => self.cut(cluster, true),
+            2 => self.cut(cluster, false),
+            3 => {
+                cluster.cuts.clear();
+                cluster.drop_percent = 0;
+            }
+            4 => cluster.freeze(member, pause),
+            5 => {
+                cluster.kill(victim);
+                cluster.start_after(victim, pause);
+            }
+            6 => {
+                cluster.lose_power(member);
+                cluster.start_after(member, pause);
+            }
+            7 if self.disks > 0 => {
+                self.disks -= 1;
+                cluster.lose_disk(member);
+                cluster.start_after(member, pause);
+            }
+            8 => self.all(cluster, false),
+            9 => self.all(cluster, true),
+            _ => {}
+        }
+    }
+
+    /// Cuts some nodes from the others, in both directions or in one.
+    fn cut(&self, cluster: &mut Cluster, both: bool) {
+        let nodes = cluster.nodes.len();
+        let side: Vec<bool> = (0..nodes).map(|_| cluster.random.below(3) == 0).collect();
+        for from in 0..nodes {
+            for to in 0..nodes {
+                if side[from] && !side[to] {
+                    cluster.cuts.insert((from, to));
+                    if both {
+                        cluster.cuts.insert((to, from));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Every process of the core ends at the same moment.
+    fn all(&self, cluster: &mut Cluster, power: bool) {
+        for member in 0..self.core {
+            if power {
+                cluster.lose_power(member);
+            } else {
+                cluster.kill(member);
+            }
+            let pause = (100 + cluster.random.below(900) as u64) * MS;
+            cluster.start_after(member, pause);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/tests/simulation/mod.rs
@@ -0,0 +1,8 @@
+//! A whole cluster of control machines in one process, on a simulated clock, network, membership and disks.
+//! Everything follows from one seed.
+
+pub mod checks;
+pub mod cluster;
+pub mod disk;
+pub mod faults;
+pub mod operators;
