Changes apply to configurations without reading the whole again

Ruled out: a second format for the text (the operator's bytes stay as they are). Change: LiveConfig keeps the places of items and the compiled form; a property test holds it against compiling the whole text.

--- a/crates/config/examples/large.rs
+++ b/crates/config/examples/large.rs
@@ -3,7 +3,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use pewterseam_config::{Checker, CompiledConfig, apply_patch};
+use pewterseam_config::{Checker, CompiledConfig, LiveConfig, apply_patch};
 
 const ROUTES: usize = 5_000;
 
@@ -23,8 +23,14 @@
     println!("{} bytes", text.len());
     let checker = measure("compile the schema", Checker::new).expect("the schema compiles");
     let _ = measure("check a whole configuration", || checker.check(&text, 0)).expect("valid");
-    let _ = measure("check a change", || checker.check_patch(&text, patch.as_bytes(), 7)).expect("valid");
-    let _ = measure("apply a change", || apply_patch(&text, patch.as_bytes())).expect("applies");
+    let live = measure("find the items", || LiveConfig::read(text.clone())).expect("valid");
+    let _ = measure("apply a change without the compiled form", || live.patched(patch.as_bytes()))
+        .expect("applies");
+    let _ = measure("first compile", || live.compiled()).expect("valid");
+    let _ = measure("check a change", || checker.check_patch(&live, patch.as_bytes(), 7)).expect("valid");
+    let _ =
+        measure("apply a change with the compiled form", || live.patched(patch.as_bytes())).expect("applies");
+    let _ = measure("apply a change to a text", || apply_patch(&text, patch.as_bytes())).expect("applies");
     let compiled = measure("compile", || CompiledConfig::compile(&text)).expect("valid");
     let _ = measure("route", || compiled.route("lode17.example", "/vobo4997/x").cloned()).expect("routed");
 }
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -10,9 +10,9 @@
 use serde_json::value::RawValue;
 use serde_json::{Map, Value, json};
 
-use crate::compiled::CompiledConfig;
-use crate::document::{BACKENDS, Fields, Patch, ROUTES, apply_patch, name_of, read_raw};
+use crate::document::{BACKENDS, Fields, Patch, ROUTES, name_of, read_raw};
 use crate::error::ConfigError;
+use crate::live::LiveConfig;
 
 const SCHEMA: &str = include_str!("../schema/config.schema.json");
 
@@ -37,14 +37,6 @@
 
 impl std::error::Error for SchemaError {}
 
-/// A valid configuration.
-#[derive(Clone, Debug)]
-pub struct Checked {
-    /// The whole document.
-    pub text: Bytes,
-    pub compiled: CompiledConfig,
-}
-
 /// The compiled schema. It takes some memory; make it where configurations are checked, once.
 pub struct Checker {
     document: Validator,
@@ -75,7 +67,7 @@
     }
 
     /// Checks a whole configuration that is to follow the version in place. At most 20 faults are told.
-    pub fn check(&self, text: &Bytes, current: u64) -> Result<Checked, Vec<ConfigError>> {
+    pub fn check(&self, text: &Bytes, current: u64) -> Result<LiveConfig, Vec<ConfigError>> {
         let fields = Fields::read(text).map_err(|error| vec![error])?;
         let mut errors = Vec::new();
         self.check_outside(&fields, &mut errors);
@@ -88,13 +80,13 @@
         if !errors.is_empty() {
             return Err(capped(errors));
         }
-        finish(text.clone(), current)
+        finish(LiveConfig::read(text.clone()).map_err(|error| vec![error])?, current)
     }
 
     /// Checks a change, and makes the document that it leads to.
     pub fn check_patch(
-        &self, document: &[u8], patch: &[u8], current: u64,
-    ) -> Result<Checked, Vec<ConfigError>> {
+        &self, config: &LiveConfig, patch: &[u8], current: u64,
+    ) -> Result<LiveConfig, Vec<ConfigError>> {
         let value: Value =
             serde_json::from_slice(patch).map_err(|error| vec![ConfigError::unreadable(&error)])?;
         let mut errors = Vec::new();
@@ -106,10 +98,8 @@
         if !errors.is_empty() {
             return Err(capped(errors));
         }
-        let base: &[u8] =
-            if document.is_empty() { br#"{"version":0,"routes":[],"backends":[]}"# } else { document };
-        let text = apply_patch(base, patch).map_err(|error| vec![error])?;
-        finish(text, current)
+        config.compiled()?;
+        finish(config.patched(patch)?, current)
     }
 
     /// Checks all but the items of the lists.
@@ -171,12 +161,12 @@
 }
 
 /// The rules between items, and the version.
-fn finish(text: Bytes, current: u64) -> Result<Checked, Vec<ConfigError>> {
-    let compiled = CompiledConfig::compile(&text).map_err(capped)?;
-    if compiled.version <= current {
-        return Err(vec![ConfigError::VersionNotAbove { version: compiled.version, current }]);
+fn finish(config: LiveConfig, current: u64) -> Result<LiveConfig, Vec<ConfigError>> {
+    let version = config.compiled().map_err(capped)?.version;
+    if version <= current {
+        return Err(vec![ConfigError::VersionNotAbove { version, current }]);
     }
-    Ok(Checked { text, compiled })
+    Ok(config)
 }
 
 fn capped(mut errors: Vec<ConfigError>) -> Vec<ConfigError> {
--- a/crates/config/src/compiled.rs
+++ b/crates/config/src/compiled.rs
@@ -99,15 +99,16 @@
 
 /// The routes of one host, sorted by prefix. The longest prefix of a path is the last entry that does not sort after
 /// it, or one of that entry's parents.
-#[derive(Clone, Debug, Default)]
-struct HostRoutes {
-    routes: Vec<Arc<Route>>,
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct HostRoutes {
+    pub routes: Vec<Arc<Route>>,
     /// The entry with the longest prefix that is a proper prefix of this entry's.
     parents: Vec<Option<usize>>,
 }
 
 impl HostRoutes {
-    fn link(&mut self) {
+    /// Sorts the routes, and tells which have the same prefix.
+    pub(crate) fn link(&mut self, errors: &mut Vec<ConfigError>) {
         self.routes.sort_by(|a, b| a.path_prefix.cmp(&b.path_prefix));
         self.parents = Vec::with_capacity(self.routes.len());
         for index in 0..self.routes.len() {
@@ -121,6 +122,10 @@
             }
             self.parents.push(parent);
         }
+        for pair in self.routes.windows(2).filter(|pair| pair[0].path_prefix == pair[1].path_prefix) {
+            let (route, other) = (pair[1].name.to_string(), pair[0].name.to_string());
+            errors.push(ConfigError::SharedPrefix { route, other });
+        }
     }
 
     fn find(&self, path: &str) -> Option<&Arc<Route>> {
@@ -136,13 +141,13 @@
 }
 
 /// A configuration in force.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct CompiledConfig {
     pub version: u64,
     pub limits: Limits,
-    services: HashMap<Arc<str>, Arc<Service>>,
-    hosts: HashMap<Box<str>, HostRoutes>,
-    names: HashMap<Arc<str>, Arc<Route>>,
+    pub(crate) services: HashMap<Arc<str>, Arc<Service>>,
+    pub(crate) hosts: HashMap<Arc<str>, Arc<HostRoutes>>,
+    pub(crate) names: HashMap<Arc<str>, Arc<Route>>,
 }
 
 impl CompiledConfig {
@@ -185,17 +190,11 @@
             }
         }
         for host in self.hosts.values_mut() {
-            host.link();
-            for pair in host.routes.windows(2) {
-                if pair[0].path_prefix == pair[1].path_prefix {
-                    let (route, other) = (pair[1].name.to_string(), pair[0].name.to_string());
-                    errors.push(ConfigError::SharedPrefix { route, other });
-                }
-            }
+            Arc::make_mut(host).link(errors);
         }
     }
 
-    fn add_route(&mut self, mut route: Route, errors: &mut Vec<ConfigError>) {
+    pub(crate) fn add_route(&mut self, mut route: Route, errors: &mut Vec<ConfigError>) {
         let name = route.name.to_string();
         if route.timeout_ms.is_nan() || route.timeout_ms <= 0.0 {
             errors.push(ConfigError::Field {
@@ -212,12 +211,15 @@
             }
         }
         let host = normal_host(&route.hostname);
-        route.hostname = Arc::from(&*host);
+        // One allocation for all routes of a host.
+        let host =
+            self.hosts.get_key_value(&*host).map_or_else(|| Arc::from(host), |(known, _)| known.clone());
+        route.hostname = host.clone();
         let route = Arc::new(route);
         if self.names.insert(route.name.clone(), route.clone()).is_some() {
             errors.push(ConfigError::DuplicateName { list: ROUTES, name });
         }
-        self.hosts.entry(host).or_default().routes.push(route);
+        Arc::make_mut(self.hosts.entry(host).or_default()).routes.push(route);
     }
 
     /// The route with the longest prefix of the path. `host` is a `Host` header: case and port do not matter.
--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::fmt;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::Deserialize;
@@ -84,7 +85,7 @@
 pub(crate) struct Patch<'a> {
     pub version: u64,
     pub upsert: Option<Fields<'a>>,
-    delete: HashMap<String, HashSet<String>>,
+    pub delete: HashMap<String, HashSet<String>>,
 }
 
 impl<'a> Patch<'a> {
@@ -104,105 +105,169 @@
 /// The document that a change makes of another. Items that are replaced keep their place, new ones follow at the end.
 /// Deleting a name that is not there changes nothing. Nothing else is checked.
 pub fn apply_patch(document: &[u8], patch: &[u8]) -> Result<Bytes, ConfigError> {
-    let patch = Patch::read(patch)?;
-    let fields = Fields::read(document)?;
-    let mut text = Vec::with_capacity(document.len() + 1024);
-    text.push(b'{');
-    for (key, value) in &fields.0 {
-        write_key(&mut text, key);
-        if key == VERSION {
-            text.extend_from_slice(patch.version.to_string().as_bytes());
-        } else {
-            write_value(&mut text, key, Some(value), &patch)?;
-        }
-    }
-    for (key, _) in patch.upsert.iter().flat_map(|upsert| &upsert.0) {
-        if fields.get(key).is_none() && key != VERSION {
-            write_key(&mut text, key);
-            write_value(&mut text, key, None, &patch)?;
-        }
-    }
-    text.push(b'}');
-    Ok(Bytes::from(text))
+    let document = Document::read(Bytes::copy_from_slice(document))?;
+    Ok(document.patched(&Patch::read(patch)?)?.text)
 }
 
-fn write_key(text: &mut Vec<u8>, key: &str) {
-    if text.len() > 1 {
-        text.push(b',');
-    }
-    text.extend_from_slice(serde_json::Value::from(key).to_string().as_bytes());
-    text.push(b':');
-}
-
-/// Writes one field of the document as the change leaves it.
-fn write_value(
-    text: &mut Vec<u8>, key: &str, old: Option<&RawValue>, patch: &Patch<'_>,
-) -> Result<(), ConfigError> {
-    let new = patch.upsert.as_ref().and_then(|upsert| upsert.get(key));
-    let deleted = patch.delete.get(key);
-    let is_list = |value: &RawValue| value.get().starts_with('[');
-    match (old, new) {
-        (Some(old), None) if deleted.is_none() => text.extend_from_slice(old.get().as_bytes()),
-        (_, Some(new)) if !is_list(new) => text.extend_from_slice(new.get().as_bytes()),
-        (Some(old), _) if !is_list(old) => text.extend_from_slice(new.unwrap_or(old).get().as_bytes()),
-        _ => write_list(text, old, new, deleted)?,
-    }
-    Ok(())
-}
-
-fn write_list(
-    text: &mut Vec<u8>, old: Option<&RawValue>, new: Option<&RawValue>, deleted: Option<&HashSet<String>>,
-) -> Result<(), ConfigError> {
-    let old: Vec<&RawValue> = old.map(read_raw).transpose()?.unwrap_or_default();
-    let new: Vec<&RawValue> = new.map(read_raw).transpose()?.unwrap_or_default();
-    let mut added: Vec<(String, &RawValue)> = Vec::with_capacity(new.len());
-    let mut place: HashMap<String, usize> = HashMap::with_capacity(new.len());
-    for item in new {
-        let name = name_of(item)?;
-        place.insert(name.clone(), added.len());
-        added.push((name, item));
-    }
-    let mut used = vec![false; added.len()];
-    let mut items = ListWriter::new(text);
-    for item in old {
-        let name = name_of(item)?;
-        if let Some(index) = place.get(&name) {
-            if !std::mem::replace(&mut used[*index], true) {
-                items.push(added[*index].1);
-            }
-        } else if deleted.is_none_or(|deleted| !deleted.contains(&name)) {
-            items.push(item);
+/// What a change is applied to before there is a configuration.
+const EMPTY_DOCUMENT: &[u8] = br#"{"version":0,"routes":[],"backends":[]}"#;
+
+/// A part of a document's text. Documents are far below 4 GiB.
+#[derive(Clone, Copy, Debug)]
+struct Span {
+    start: u32,
+    end: u32,
+}
+
+/// An item of a list, by name.
+#[derive(Clone, Debug)]
+struct Item {
+    name: Arc<str>,
+    span: Span,
+}
+
+#[derive(Clone, Debug)]
+enum Value {
+    List(Vec<Item>),
+    Other(Span),
+}
+
+/// A document with the places of its items, so that a change need not read the whole text again.
+#[derive(Clone, Debug)]
+pub(crate) struct Document {
+    pub text: Bytes,
+    fields: Vec<(Box<str>, Value)>,
+}
+
+impl Document {
+    /// Finds the items. An empty text stands for a document without items.
+    pub(crate) fn read(text: Bytes) -> Result<Self, ConfigError> {
+        let text = if text.is_empty() { Bytes::from_static(EMPTY_DOCUMENT) } else { text };
+        let fields = Fields::read(&text)?;
+        let span = |value: &RawValue| span_in(&text, value);
+        let mut found = Vec::with_capacity(fields.0.len());
+        for (key, value) in &fields.0 {
+            let value = if value.get().starts_with('[') {
+                let items: Vec<&RawValue> = read_raw(value)?;
+                let item = |item: &&RawValue| Ok(Item { name: Arc::from(name_of(item)?), span: span(item) });
+                match items.iter().map(item).collect::<Result<Vec<Item>, ConfigError>>() {
+                    Ok(items) => Value::List(items),
+                    Err(error) if key == ROUTES || key == BACKENDS => return Err(error),
+                    Err(_) => Value::Other(span(value)),
+                }
+            } else {
+                Value::Other(span(value))
+            };
+            found.push((key.as_str().into(), value));
         }
+        drop(fields);
+        Ok(Document { text, fields: found })
     }
-    for (index, (name, item)) in added.iter().enumerate() {
-        if !used[index] && place.get(name) == Some(&index) {
-            items.push(item);
+
+    /// The document after a change.
+    pub(crate) fn patched(&self, patch: &Patch<'_>) -> Result<Document, ConfigError> {
+        let mut writer = Writer { text: Vec::with_capacity(self.text.len() + 1024), old: &self.text };
+        let mut fields = Vec::with_capacity(self.fields.len() + 1);
+        writer.text.push(b'{');
+        for (key, value) in &self.fields {
+            writer.key(key);
+            let value = if &**key == VERSION {
+                Value::Other(writer.write(patch.version.to_string().as_bytes()))
+            } else {
+                writer.value(key, Some(value), patch)?
+            };
+            fields.push((key.clone(), value));
+        }
+        for (key, _) in patch.upsert.iter().flat_map(|upsert| &upsert.0) {
+            if key != VERSION && self.fields.iter().all(|(known, _)| **known != **key) {
+                writer.key(key);
+                fields.push((key.as_str().into(), writer.value(key, None, patch)?));
+            }
         }
+        writer.text.push(b'}');
+        Ok(Document { text: Bytes::from(writer.text), fields })
     }
-    items.end();
-    Ok(())
 }
 
-/// Writes items with commas between them.
-struct ListWriter<'a> {
-    text: &'a mut Vec<u8>,
-    is_first: bool,
+/// Where a value stands in the text that it was read from.
+fn span_in(text: &[u8], value: &RawValue) -> Span {
+    let start = value.get().as_ptr() as usize - text.as_ptr() as usize;
+    Span { start: start as u32, end: (start + value.get().len()) as u32 }
+}
+
+/// Writes the text of a new document from pieces of the old one and of a change.
+struct Writer<'a> {
+    text: Vec<u8>,
+    old: &'a [u8],
 }
 
-impl<'a> ListWriter<'a> {
-    fn new(text: &'a mut Vec<u8>) -> Self {
-        text.push(b'[');
-        ListWriter { text, is_first: true }
+impl Writer<'_> {
+    fn write(&mut self, bytes: &[u8]) -> Span {
+        let start = self.text.len() as u32;
+        self.text.extend_from_slice(bytes);
+        Span { start, end: self.text.len() as u32 }
     }
 
-    fn push(&mut self, item: &RawValue) {
-        if !std::mem::replace(&mut self.is_first, false) {
+    fn copy(&mut self, span: Span) -> Span {
+        let old = self.old.get(span.start as usize..span.end as usize).unwrap_or_default();
+        self.write(old)
+    }
+
+    fn key(&mut self, key: &str) {
+        if self.text.len() > 1 {
             self.text.push(b',');
         }
-        self.text.extend_from_slice(item.get().as_bytes());
+        self.text.extend_from_slice(serde_json::Value::from(key).to_string().as_bytes());
+        self.text.push(b':');
+    }
+
+    /// Writes one field as the change leaves it.
+    fn value(&mut self, key: &str, old: Option<&Value>, patch: &Patch<'_>) -> Result<Value, ConfigError> {
+        let new = patch.upsert.as_ref().and_then(|upsert| upsert.get(key));
+        let is_list = |value: &RawValue| value.get().starts_with('[');
+        let deleted = patch.delete.get(key);
+        Ok(match (old, new) {
+            (_, Some(new)) if !is_list(new) => Value::Other(self.write(new.get().as_bytes())),
+            (Some(Value::Other(_)), Some(new)) => Value::Other(self.write(new.get().as_bytes())),
+            (Some(Value::Other(span)), None) => Value::Other(self.copy(*span)),
+            (Some(Value::List(items)), new) => Value::List(self.list(items, new, deleted)?),
+            (None, new) => Value::List(self.list(&[], new, deleted)?),
+        })
     }
 
-    fn end(self) {
+    fn list(
+        &mut self, old: &[Item], new: Option<&RawValue>, deleted: Option<&HashSet<String>>,
+    ) -> Result<Vec<Item>, ConfigError> {
+        let new: Vec<&RawValue> = new.map(read_raw).transpose()?.unwrap_or_default();
+        let mut added: HashMap<Arc<str>, usize> = HashMap::with_capacity(new.len());
+        for (index, item) in new.iter().enumerate() {
+            added.insert(Arc::from(name_of(item)?), index);
+        }
+        let mut items = Vec::with_capacity(old.len() + new.len());
+        self.text.push(b'[');
+        for item in old {
+            if let Some(index) = added.remove(&item.name) {
+                self.separate(&items);
+                items.push(Item { name: item.name.clone(), span: self.write(new[index].get().as_bytes()) });
+            } else if deleted.is_none_or(|deleted| !deleted.contains(&*item.name)) {
+                self.separate(&items);
+                items.push(Item { name: item.name.clone(), span: self.copy(item.span) });
+            }
+        }
+        let mut added: Vec<(usize, Arc<str>)> =
+            added.into_iter().map(|(name, index)| (index, name)).collect();
+        added.sort_unstable();
+        for (index, name) in added {
+            self.separate(&items);
+            items.push(Item { name, span: self.write(new[index].get().as_bytes()) });
+        }
         self.text.push(b']');
+        Ok(items)
+    }
+
+    fn separate(&mut self, items: &[Item]) {
+        if !items.is_empty() {
+            self.text.push(b',');
+        }
     }
 }
--- a/crates/config/tests/config.rs
+++ b/crates/config/tests/config.rs
@@ -1,7 +1,9 @@
 //! Configurations: what is valid, what a change leads to, and which route a request takes.
 
+use std::sync::Arc;
+
 use bytes::Bytes;
-use pewterseam_config::{Checker, CompiledConfig, ConfigError, apply_patch};
+use pewterseam_config::{Checker, CompiledConfig, ConfigError, LiveConfig, apply_patch};
 use quickcheck::quickcheck;
 
 fn route(name: &str, host: &str, prefix: &str, backend: &str) -> String {
@@ -17,9 +19,13 @@
     ))
 }
 
-fn check(text: &str) -> Result<CompiledConfig, Vec<ConfigError>> {
+fn live(text: &[u8]) -> LiveConfig {
+    LiveConfig::read(Bytes::copy_from_slice(text)).expect("valid")
+}
+
+fn check(text: &str) -> Result<Arc<CompiledConfig>, Vec<ConfigError>> {
     let checker = Checker::new().expect("the schema compiles");
-    checker.check(&Bytes::from(text.to_owned()), 0).map(|checked| checked.compiled)
+    checker.check(&Bytes::from(text.to_owned()), 0)?.compiled()
 }
 
 /// Guards against valid configurations that are refused or read wrongly.
@@ -107,25 +113,26 @@
         route("u", "h", "/d/", "c"),
         route("s", "h", "/e/", "c")
     );
-    let checked = checker.check_patch(base.as_bytes(), patch.as_bytes(), 7).expect("valid");
-    assert_eq!(checked.text, apply_patch(base.as_bytes(), patch.as_bytes()).expect("applies"));
-    let text = std::str::from_utf8(&checked.text).expect("text");
+    let checked = checker.check_patch(&live(base.as_bytes()), patch.as_bytes(), 7).expect("valid");
+    assert_eq!(*checked.text(), apply_patch(base.as_bytes(), patch.as_bytes()).expect("applies"));
+    let compiled = checked.compiled().expect("valid");
+    let text = std::str::from_utf8(checked.text()).expect("text");
     assert!(text.starts_with(r#"{"note":{"kept":[1, 2]},"version":9,"#), "{text}");
     let places: Vec<usize> =
         ["s", "t", "u"].iter().filter_map(|name| text.find(&format!(r#"{{"name":"{name}""#))).collect();
     assert!(places.len() == 3 && places.is_sorted(), "{text}");
-    assert!(checked.compiled.route("h", "/a/x").is_none());
-    assert_eq!(checked.compiled.route("h", "/e/x").map(|route| &*route.backend), Some("c"));
+    assert!(compiled.route("h", "/a/x").is_none());
+    assert_eq!(compiled.route("h", "/e/x").map(|route| &*route.backend), Some("c"));
     let dropped = br#"{"version":9,"delete":{"backends":["c"]}}"#;
-    assert!(checker.check_patch(base.as_bytes(), dropped, 7).is_err());
+    assert!(checker.check_patch(&live(base.as_bytes()), dropped, 7).is_err());
     let older = br#"{"version":7,"upsert":{}}"#;
-    assert!(checker.check_patch(base.as_bytes(), older, 7).is_err());
+    assert!(checker.check_patch(&live(base.as_bytes()), older, 7).is_err());
     let twice = format!(
         r#"{{"version":9,"upsert":{{"routes":[{},{}]}}}}"#,
         route("u", "h", "/d/", "c"),
         route("u", "h", "/e/", "c")
     );
-    assert!(checker.check_patch(base.as_bytes(), twice.as_bytes(), 7).is_err());
+    assert!(checker.check_patch(&live(base.as_bytes()), twice.as_bytes(), 7).is_err());
 }
 
 quickcheck! {
@@ -142,6 +149,37 @@
         compiled.route("h", &path).map(|route| route.path_prefix.to_string()) == wanted.cloned()
     }
 
+    /// Guards against a change whose compiled form is not that of the text it leads to.
+    fn a_change_compiles_to_what_its_text_does(old: Vec<(u8, u8, bool)>, new: Vec<(u8, u8, bool)>, gone: Vec<u8>) -> bool {
+        let routes = |items: &[(u8, u8, bool)]| {
+            let mut names = std::collections::BTreeSet::new();
+            let distinct = items.iter().filter(|(name, _, _)| names.insert(name % 16));
+            distinct.map(|(name, place, other)| {
+                let host = if *other { "h" } else { "i" };
+                route(&format!("r{}", name % 16), host, &format!("/{}/", place % 32), if *other { "b" } else { "c" })
+            }).collect::<Vec<String>>()
+        };
+        let base = document(2, &routes(&old));
+        let deleted: Vec<String> = gone.iter().map(|name| format!("\"r{}\"", name % 16)).collect();
+        let backends = if gone.len() % 5 == 1 { "\"c\"" } else { "" };
+        let patch = format!(
+            r#"{{"version":3,"upsert":{{"routes":[{}],"limits":{{"maxBodyBytes":5}}}},"delete":{{"routes":[{}],"backends":[{backends}]}}}}"#,
+            routes(&new).join(","), deleted.join(",")
+        );
+        let base = live(&base);
+        if base.compiled().is_err() {
+            return true;
+        }
+        let text = apply_patch(base.text(), patch.as_bytes()).expect("applies");
+        match (base.patched(patch.as_bytes()), CompiledConfig::compile(&text)) {
+            (Ok(patched), Ok(compiled)) => {
+                *patched.text() == text && patched.compiled().is_ok_and(|patched| *patched == compiled)
+            }
+            (Err(_), Err(_)) => true,
+            _ => false,
+        }
+    }
+
     /// Guards against panics on anything that arrives from outside.
     fn any_bytes_are_answered(bytes: Vec<u8>, cut: usize) -> bool {
         let checker = Checker::new().expect("the schema compiles");
@@ -149,7 +187,7 @@
         let part = &whole[..cut % whole.len()];
         checker.check(&Bytes::from(bytes.clone()), 0).is_err()
             && checker.check(&Bytes::copy_from_slice(part), 0).is_err()
-            && checker.check_patch(&whole, &bytes, 0).is_err()
-            && checker.check_patch(&whole, part, 0).is_err()
+            && checker.check_patch(&live(&whole), &bytes, 0).is_err()
+            && checker.check_patch(&live(&whole), part, 0).is_err()
     }
 }
--- a/crates/control/src/agreed.rs
+++ b/crates/control/src/agreed.rs
@@ -1,9 +1,9 @@
 //! The agreed state, and how entries change it.
 
 use std::collections::VecDeque;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
-use pewterseam_config::apply_patch;
+use pewterseam_config::LiveConfig;
 use pewterseam_wire::control::{ConfigDocument, ControlState};
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
@@ -33,8 +33,23 @@
     /// What all processes use. Its index is the stamp's.
     pub state: ControlState,
     changes: Arc<VecDeque<AcceptedChange>>,
+    /// The configuration in a form that changes apply to; made where it is needed.
+    #[serde(skip)]
+    live: Live,
 }
 
+/// What follows from the text of a configuration. It does not count when states are compared.
+#[derive(Clone, Debug, Default)]
+struct Live(OnceLock<Arc<LiveConfig>>);
+
+impl PartialEq for Live {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Live {}
+
 impl Agreed {
     /// The first state of a system whose core has these members.
     pub(crate) fn formed(members: Vec<CoreMember>) -> Self {
@@ -71,32 +86,44 @@
                 next.state.retired.clone_from(retired);
             }
             Command::Configure { request, version, digest, change } => {
-                let text = self.changed_text(change)?;
+                let live = self.changed(change)?;
+                let text = live.text().clone();
                 if hash(&text, 0) != *digest {
                     return Err(ControlError::WrongDigest { index: entry.stamp.index });
                 }
                 next.state.config = Arc::new(ConfigDocument { version: *version, text });
-                let changes = Arc::make_mut(&mut next.changes);
-                changes.push_back(AcceptedChange { request: *request, version: *version });
-                if changes.len() > REMEMBERED_CHANGES {
-                    changes.pop_front();
-                }
+                next.live = Live(OnceLock::from(live));
+                next.remember(AcceptedChange { request: *request, version: *version });
             }
         }
         Ok(next)
     }
 
-    fn changed_text(&self, change: &Change) -> Result<bytes::Bytes, ControlError> {
-        match change {
-            Change::Whole(text) => Ok(text.clone()),
-            Change::Patch(patch) => {
-                let base: &[u8] = &self.state.config.text;
-                let base = if base.is_empty() { EMPTY_DOCUMENT } else { base };
-                apply_patch(base, patch).map_err(ControlError::Config)
-            }
+    fn remember(&mut self, change: AcceptedChange) {
+        let changes = Arc::make_mut(&mut self.changes);
+        changes.push_back(change);
+        if changes.len() > REMEMBERED_CHANGES {
+            changes.pop_front();
         }
     }
-}
 
-/// What a change is applied to before there is a configuration.
-const EMPTY_DOCUMENT: &[u8] = br#"{"version":0,"routes":[],"backends":[]}"#;
+    /// The configuration in a form that changes apply to.
+    pub(crate) fn live(&self) -> Result<Arc<LiveConfig>, ControlError> {
+        if let Some(live) = self.live.0.get() {
+            return Ok(live.clone());
+        }
+        let live = LiveConfig::read(self.state.config.text.clone())
+            .map_err(|error| ControlError::Config(vec![error]))?;
+        let live = Arc::new(live);
+        Ok(self.live.0.get_or_init(|| live).clone())
+    }
+
+    /// The configuration after a change.
+    fn changed(&self, change: &Change) -> Result<Arc<LiveConfig>, ControlError> {
+        let live = match change {
+            Change::Whole(text) => LiveConfig::read(text.clone()).map_err(|error| vec![error]),
+            Change::Patch(patch) => self.live()?.patched(patch),
+        };
+        live.map(Arc::new).map_err(ControlError::Config)
+    }
+}
--- a/crates/control/src/effect.rs
+++ b/crates/control/src/effect.rs
@@ -37,15 +37,11 @@
 #[derive(Debug)]
 pub enum ControlError {
     /// An entry does not follow the state that is held.
-    OutOfOrder {
-        have: Stamp,
-        wanted: Stamp,
-    },
+    OutOfOrder { have: Stamp, wanted: Stamp },
     /// A change led to another text here than at the leader.
-    WrongDigest {
-        index: u64,
-    },
-    Config(ConfigError),
+    WrongDigest { index: u64 },
+    /// A configuration cannot be read, or a change not be applied.
+    Config(Vec<ConfigError>),
     /// A record on the disk cannot be read.
     Record(FrameError),
 }
@@ -59,7 +55,10 @@
             ControlError::WrongDigest { index } => {
                 write!(f, "entry {index} led to a text with another digest")
             }
-            ControlError::Config(error) => write!(f, "a change cannot be applied: {error}"),
+            ControlError::Config(errors) => {
+                let errors: Vec<String> = errors.iter().map(ToString::to_string).collect();
+                write!(f, "a configuration cannot be used: {}", errors.join("; "))
+            }
             ControlError::Record(error) => write!(f, "a record of control cannot be read: {error}"),
         }
     }
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_config::Checker;
+use pewterseam_config::{Checker, CompiledConfig};
 use pewterseam_membership::MemberChange;
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ControlState;
@@ -100,6 +100,12 @@
         &self.in_force
     }
 
+    /// The configuration of [`Control::state`] in the form in which it is in force. It is made at the first call; after
+    /// that, changes carry it on at little cost.
+    pub fn config(&self) -> Result<Arc<CompiledConfig>, ControlError> {
+        self.replica.committed.live()?.compiled().map_err(ControlError::Config)
+    }
+
     /// The index of [`Control::state`], for membership's digest.
     pub fn index(&self) -> u64 {
         self.in_force.index
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -121,14 +121,18 @@
         if if_match != current {
             return Decision::Refuse(Outcome::Conflict { current });
         }
-        let document = newest.state.config.text.clone();
-        let checked = self.checker().and_then(|checker| match change {
-            Change::Whole(text) => checker.check(text, current),
-            Change::Patch(patch) => checker.check_patch(&document, patch, current),
+        let live = newest.live();
+        let checked = self.checker().and_then(|checker| match (change, live) {
+            (Change::Whole(text), _) => checker.check(text, current),
+            (Change::Patch(patch), Ok(live)) => checker.check_patch(&live, patch, current),
+            (Change::Patch(_), Err(error)) => {
+                Err(vec![ConfigError::Unreadable { reason: error.to_string() }])
+            }
         });
+        let checked = checked.and_then(|config| config.compiled().map(|compiled| (config, compiled.version)));
         match checked {
-            Ok(checked) => {
-                let (version, digest) = (checked.compiled.version, hash(&checked.text, 0));
+            Ok((config, version)) => {
+                let digest = hash(config.text(), 0);
                 let command = Command::Configure { request: id, version, digest, change: change.clone() };
                 Decision::Propose(command, Some((id, version)))
             }
