--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -68,7 +68,7 @@
     let mut cluster = formed(seed, core, 2, 3);
     cluster.planted = planted;
     let mut operators = [Operator::new(1, core + 2), Operator::new(2, core + 2)];
-    let mut faults = Faults { core, disks: 1 };
+    let mut faults = Faults { core, disks: 1, spares: 1 };
     for _ in 0..8 {
         faults.strike(&mut cluster);
         let pause = (100 + cluster.random.below(1_500) as u64) * MS;
@@ -86,6 +86,9 @@
     cluster.checks.finish();
     broken.append(&mut cluster.checks.broken);
     for index in 0..cluster.nodes.len() {
+        if cluster.nodes[index].is_removed {
+            continue;
+        }
         let newest = cluster.checks.newest_acknowledged();
         if cluster
             .control(index)
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod cluster;
+mod formation;
 mod simulation;
 
 use pewterseam_control::{OperatorRequest, Outcome, Token};
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -50,6 +50,8 @@
     pub disk: Disk,
     pub life: u64,
     pub frozen: bool,
+    /// It never starts again.
+    pub is_removed: bool,
     held: Vec<Event>,
     /// What this node's membership holds of each other: whether it is live, and since when links say otherwise.
     view: BTreeMap<usize, (u64, Option<u64>)>,
@@ -138,6 +140,7 @@
             disk: Disk::default(),
             life: 0,
             frozen: false,
+            is_removed: false,
             held: Vec::new(),
             view: BTreeMap::new(),
             wake: 0,
@@ -226,7 +229,7 @@
     }
 
     fn start(&mut self, index: usize) {
-        if self.nodes[index].control.is_some() {
+        if self.nodes[index].control.is_some() || self.nodes[index].is_removed {
             return;
         }
         let settings = ControlSettings {
--- a/crates/control/tests/control/simulation/faults.rs
+++ b/crates/control/tests/control/simulation/faults.rs
@@ -1,5 +1,7 @@
 //! Trouble, drawn at random.
 
+use pewterseam_wire::identity::Role;
+
 use super::cluster::{Cluster, MS};
 
 /// What may be done to a cluster whose first `core` nodes are its core.
@@ -7,6 +9,8 @@
     pub core: usize,
     /// Disks of the core that may be lost in all.
     pub disks: usize,
+    /// Machines that may be replaced by new ones.
+    pub spares: usize,
 }
 
 impl Faults {
@@ -19,7 +23,7 @@
             .filter(|_| cluster.random.below(2) == 0)
             .unwrap_or(cluster.random.below(self.core));
         let pause = (200 + cluster.random.below(2_500) as u64) * MS;
-        match cluster.random.below(10) {
+        match cluster.random.below(12) {
             0 => cluster.drop_percent = 5,
             1 => self.cut(cluster, true),
             2 => self.cut(cluster, false),
@@ -37,12 +41,19 @@
                 cluster.start_after(member, pause);
             }
             7 if self.disks > 0 => {
+                // At most one disk at a time is lost, and never with a machine that went for good.
+                self.spares = 0;
                 self.disks -= 1;
                 cluster.lose_disk(member);
                 cluster.start_after(member, pause);
             }
-            8 => self.all(cluster, false),
-            9 => self.all(cluster, true),
+            8 if self.spares > 0 && self.disks > 0 => self.replace(cluster, victim, pause),
+            9 if cluster.nodes[victim].info.role == Role::Store => {
+                cluster.lose_disk(victim);
+                cluster.start_after(victim, pause);
+            }
+            10 => self.all(cluster, false),
+            11 => self.all(cluster, true),
             _ => {}
         }
     }
@@ -63,6 +74,17 @@
         }
     }
 
+    /// A machine ends for good, and another comes.
+    fn replace(&mut self, cluster: &mut Cluster, victim: usize, pause: u64) {
+        self.spares -= 1;
+        self.disks = 0;
+        let (role, disk) = (cluster.nodes[victim].info.role, cluster.nodes[victim].info.disk.is_some());
+        cluster.kill(victim);
+        cluster.nodes[victim].is_removed = true;
+        let spare = cluster.add(role, disk);
+        cluster.start_after(spare, pause);
+    }
+
     /// Every process of the core ends at the same moment.
     fn all(&self, cluster: &mut Cluster, power: bool) {
         for member in 0..self.core {
