A refused connection makes a death known at once; calm machines hardly wake

Cause: a killed process refuses connections at once, while silence takes two seconds to tell. Change: Membership::connection_refused, a suspicion of 300 ms with a probe. Tests that count wake-ups and messages in calm.

--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -5,6 +5,7 @@
 use crate::simulation::operators::{Operator, run};
 use crate::{call, formed};
 use pewterseam_control::{OperatorRequest, Outcome};
+use pewterseam_wire::identity::Role;
 
 /// Random runs, and how many run side by side. Overridden by CONTROL_RUNS and CONTROL_SEED.
 const RUNS: u64 = 400;
@@ -62,6 +63,22 @@
     }
 }
 
+/// Guards against timers that spin: what a machine does in calm is a few wake-ups a second.
+#[test]
+fn calm_machines_rarely_wake() {
+    let mut cluster = formed(3, 4, 4, 3);
+    cluster.run(2_000 * MS);
+    let (before, messages) =
+        (cluster.nodes.iter().map(|node| node.wakes).collect::<Vec<u64>>(), cluster.messages);
+    cluster.run(10_000 * MS);
+    for (node, before) in cluster.nodes.iter().zip(before) {
+        let wakes = node.wakes - before;
+        let is_core = node.info.disk.is_some() && node.info.role == Role::Relay;
+        assert!(wakes <= if is_core { 80 } else { 0 }, "{}: {wakes} in 10 s", node.info.name);
+    }
+    assert!(cluster.messages - messages < 200, "{} messages in 10 s", cluster.messages - messages);
+}
+
 /// One run with trouble. Returns what broke, and how many orders were completed.
 fn trouble(seed: u64, planted: Planted) -> (Vec<String>, usize) {
     let core = 3 + (seed % 3) as usize;
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -7,7 +7,6 @@
 
 use bytes::Bytes;
 use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
-use pewterseam_membership::MemberChange;
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::random::Random;
@@ -17,10 +16,8 @@
 
 pub const MS: u64 = 1_000;
 
-/// Membership looks at links this often, and holds a node dead or alive after so long.
+/// Membership looks at links this often.
 const LOOK: u64 = 100 * MS;
-const DEAD_AFTER: u64 = 2_000 * MS;
-const ALIVE_AFTER: u64 = 100 * MS;
 /// A store has copied what it must after so long.
 const COPY: u64 = 400 * MS;
 
@@ -53,10 +50,11 @@
     /// It never starts again.
     pub is_removed: bool,
     held: Vec<Event>,
+    pub wakes: u64,
     /// What this node's membership holds of each other: whether it is live, and since when links say otherwise.
-    view: BTreeMap<usize, (u64, Option<u64>)>,
+    pub view: BTreeMap<usize, (u64, Option<u64>)>,
     wake: u64,
-    told_digest: BTreeMap<usize, u64>,
+    pub told_digest: BTreeMap<usize, u64>,
 }
 
 pub struct Cluster {
@@ -142,6 +140,7 @@
             frozen: false,
             is_removed: false,
             held: Vec::new(),
+            wakes: 0,
             view: BTreeMap::new(),
             wake: 0,
             told_digest: BTreeMap::new(),
@@ -209,6 +208,7 @@
             }
             Event::Wake { node, .. } => {
                 if self.nodes[node].wake <= self.now {
+                    self.nodes[node].wakes += 1;
                     self.step(node, |control, now| control.tick(now));
                 }
             }
@@ -310,7 +310,7 @@
     }
 
     /// Hands one input to a machine and does what it wants done.
-    fn step(&mut self, index: usize, input: impl FnOnce(&mut Control, u64) -> Vec<Effect>) {
+    pub fn step(&mut self, index: usize, input: impl FnOnce(&mut Control, u64) -> Vec<Effect>) {
         let now = self.now;
         let Some(control) = self.nodes[index].control.as_mut() else { return };
         let effects = input(control, now);
@@ -384,60 +384,6 @@
         self.schedule(MS, Event::Message { from: member, to: candidate, life, message });
     }
 
-    fn is_reachable(&self, from: usize, to: usize) -> bool {
-        let other = &self.nodes[to];
-        let open = !self.cuts.contains(&(from, to)) && !self.cuts.contains(&(to, from));
-        other.control.is_some() && !other.frozen && open
-    }
-
-    /// What membership would find: later lives, deaths, and indexes that others know.
-    fn look(&mut self) {
-        for index in 0..self.nodes.len() {
-            if self.nodes[index].control.is_none() || self.nodes[index].frozen {
-                continue;
-            }
-            for other in 0..self.nodes.len() {
-                if other != index {
-                    self.look_at(index, other);
-                }
-            }
-        }
-    }
-
-    fn look_at(&mut self, index: usize, other: usize) {
-        let reachable = self.is_reachable(index, other);
-        let mut info = self.nodes[other].info.clone();
-        info.life = Life(self.nodes[other].life);
-        let (now, life) = (self.now, info.life.0);
-        let entry = self.nodes[index].view.entry(other).or_insert((0, None));
-        let was = entry.0;
-        if reachable && was != life {
-            let since = *entry.1.get_or_insert(now);
-            if now >= since + ALIVE_AFTER {
-                *entry = (life, None);
-                self.step(index, |control, now| control.member(now, &MemberChange::Up(Arc::new(info))));
-            }
-        } else if reachable {
-            entry.1 = None;
-            let digest = self.nodes[other].control.as_ref().map_or(0, Control::index);
-            let told = self.nodes[index].told_digest.entry(other).or_insert(0);
-            if digest > *told {
-                *told = digest;
-                let name = info.name;
-                self.step(index, |control, now| control.peer_digest(now, &name, digest));
-            }
-        } else if was != 0 {
-            let since = *entry.1.get_or_insert(now);
-            if now >= since + DEAD_AFTER {
-                *entry = (0, None);
-                info.life = Life(was);
-                self.nodes[index].told_digest.remove(&other);
-                let change = MemberChange::Down { info: Arc::new(info), left: false };
-                self.step(index, |control, now| control.member(now, &change));
-            }
-        }
-    }
-
     pub fn control(&self, index: usize) -> Option<&Control> {
         self.nodes[index].control.as_ref()
     }
--- a/crates/control/tests/control/simulation/mod.rs
+++ b/crates/control/tests/control/simulation/mod.rs
@@ -6,3 +6,4 @@
 pub mod disk;
 pub mod faults;
 pub mod operators;
+pub mod view;
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pewterseam_wire::Micros;
-use pewterseam_wire::identity::{NodeInfo, NodeName};
+use pewterseam_wire::identity::{NodeInfo, NodeName, Owner};
 
 use crate::change::Effect;
 use crate::machine::Membership;
@@ -87,6 +87,24 @@
         effects
     }
 
+    /// The port of a member refused a connection: its process has ended. It is dead soon unless it refutes.
+    pub fn connection_refused(&mut self, now: Micros, owner: &Owner) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.is_alive(owner) && owner.name != self.own.info.name {
+            let info = self.table.get(&owner.name).map(|member| member.info.clone());
+            if let Some(info) = info {
+                self.suspect(now, &info, &mut effects);
+                self.start_probe(now, info, &mut effects);
+            }
+            let deadline = now + self.settings.refused_suspicion;
+            if let Some(member) = self.table.get_mut(&owner.name) {
+                member.deadline = member.deadline.min(deadline);
+            }
+            self.schedule_from(now, &mut effects);
+        }
+        effects
+    }
+
     /// Starts the probe of each period, and acts on those that were not answered.
     pub(crate) fn probe(&mut self, now: Micros, effects: &mut Vec<Effect>) {
         self.follow_up(now, effects);
--- a/crates/membership/src/settings.rs
+++ b/crates/membership/src/settings.rs
@@ -17,6 +17,8 @@
     pub indirect_probes: usize,
     /// The shortest suspicion, for about 20 members. It grows with the logarithm of their number.
     pub suspicion: Micros,
+    /// The suspicion of a member whose port refused a connection: nothing runs there.
+    pub refused_suspicion: Micros,
     /// Between two bursts of fresh rumors.
     pub gossip_period: Micros,
     /// Members that a burst goes to.
@@ -43,6 +45,7 @@
             probe_timeout: 350 * MILLISECOND,
             indirect_probes: 3,
             suspicion: 900 * MILLISECOND,
+            refused_suspicion: 300 * MILLISECOND,
             gossip_period: 150 * MILLISECOND,
             gossip_fanout: 2,
             compare_period: 10_000 * MILLISECOND,
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -63,6 +63,21 @@
     assert!(tenth <= USUAL_DEATH);
 }
 
+/// Guards against a refused connection that tells nothing, and against one that ends a life that goes on.
+#[test]
+fn a_refused_connection_makes_a_death_known_at_once() {
+    let mut members = Members::new(4, 20);
+    members.run(3_000 * MS);
+    let refused = |node: usize| Owner { name: name(node), life: Life(1_000 + node as u64) };
+    members.step(3, |machine, now| machine.connection_refused(now, &refused(9)));
+    members.run(2_000 * MS);
+    assert_eq!(members.downs().count(), 0);
+    members.kill(7);
+    members.step(3, |machine, now| machine.connection_refused(now, &refused(7)));
+    members.run(1_000 * MS);
+    assert_eq!(members.downs().count(), 19);
+}
+
 /// Guards against a restart that is not seen: the old life is gone as soon as the new one is heard of.
 #[test]
 fn a_restart_ends_the_old_life_at_once() {
