--- a/crates/control/tests/control/changes.rs
+++ b/crates/control/tests/control/changes.rs
@@ -211,3 +211,44 @@
     assert_eq!(cluster.control(0).expect("runs").state().config.version, 59);
     assert_whole(&mut cluster);
 }
+
+fn large_route(number: usize, timeout: u64) -> String {
+    format!(
+        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":{timeout},"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
+        number % 20
+    )
+}
+
+/// Guards against large configurations that travel whole with every change, or are in force wrongly after it.
+#[test]
+fn changes_of_large_configurations_travel_as_changes() {
+    let mut cluster = formed(5, 4, 4, 3);
+    let routes: Vec<String> = (0..5_000).map(|number| large_route(number, 600)).collect();
+    let text = format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, routes.join(","));
+    let accepted = call(&mut cluster, 5, 1, OperatorRequest::put(0, text.into()));
+    assert_eq!(accepted, Some(Outcome::Accepted { version: 1 }));
+    cluster.run(1_000 * MS);
+    for node in 0..8 {
+        assert!(cluster.control(node).expect("runs").config().is_ok());
+    }
+    cluster.counts_bytes = true;
+    for version in 2..32 {
+        let upsert = large_route(version as usize * 7, 600 + version);
+        let patch = format!(r#"{{"version":{version},"upsert":{{"routes":[{upsert}]}}}}"#);
+        let accepted = call(&mut cluster, 6, version, OperatorRequest::patch(version - 1, patch.into()));
+        assert_eq!(accepted, Some(Outcome::Accepted { version }));
+    }
+    cluster.run(500 * MS);
+    let bytes = cluster.bytes / 30;
+    println!("{bytes} bytes for each change, in all");
+    assert!(bytes < 50_000);
+    for node in 0..8 {
+        let config = cluster.control(node).expect("runs").config().expect("compiled");
+        assert_eq!(config.version, 31, "node {node}");
+        assert_eq!(
+            config.route("h17.example", "/p217/x").map(|route| route.timeout_ms),
+            Some(631.0),
+            "node {node}"
+        );
+    }
+}
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -69,6 +69,9 @@
     pub planted: Planted,
     pub bootstrap: bool,
     pub messages: u64,
+    /// Whether the bytes of messages are counted, which takes time.
+    pub counts_bytes: bool,
+    pub bytes: usize,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     links: BTreeMap<(usize, usize), u64>,
@@ -95,6 +98,8 @@
             planted: Planted::Nothing,
             bootstrap: true,
             messages: 0,
+            counts_bytes: false,
+            bytes: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -357,6 +362,9 @@
     fn send(&mut self, from: usize, to: &NodeName, message: ControlMessage) {
         let Some(to) = self.nodes.iter().position(|node| node.info.name == *to) else { return };
         self.messages += 1;
+        if self.counts_bytes {
+            self.bytes += pewterseam_wire::frame::encode(&message).map_or(0, |bytes| bytes.len());
+        }
         if self.planted == Planted::NoMajorityRead
             && let ControlMessage::Prepare { epoch } = &message
         {
