--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_config::Checker;
+use pewterseam_config::{Checker, CompiledConfig};
 use pewterseam_membership::MemberChange;
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ControlState;
@@ -60,7 +60,7 @@
         now: Micros, info: &NodeInfo, settings: ControlSettings, log: (Option<Bytes>, Vec<Bytes>), seed: u64,
     ) -> Result<Self, ControlError> {
         let recovered = recover(log.0.as_deref(), &log.1)?;
-        let own = Peer { info: Arc::new(info.clone()), is_live: true, since: now };
+        let own = Peer { info: Arc::new(info.clone()), is_live: true, since: now, first_seen: now };
         let identity = own.core_member();
         let mut peers = Peers::default();
         peers.change(now, &MemberChange::Up(own.info.clone()));
@@ -100,6 +100,12 @@
         &self.in_force
     }
 
+    /// The configuration of [`Control::state`] in the form in which it is in force. It is made at the first call; after
+    /// that, changes carry it on at little cost.
+    pub fn config(&self) -> Result<Arc<CompiledConfig>, ControlError> {
+        self.replica.committed.live()?.compiled().map_err(ControlError::Config)
+    }
+
     /// The index of [`Control::state`], for membership's digest.
     pub fn index(&self) -> u64 {
         self.in_force.index
@@ -148,6 +154,13 @@
         self.finish()
     }
 
+    /// A connection to a node was refused or broke: calls that went there are sent elsewhere, or again.
+    pub fn unreachable(&mut self, now: Micros, name: &NodeName) -> Vec<Effect> {
+        self.enter(now);
+        self.lost_contact(name);
+        self.finish()
+    }
+
     /// Membership told that a node knows this index.
     pub fn peer_digest(&mut self, now: Micros, name: &NodeName, digest: u64) -> Vec<Effect> {
         self.enter(now);
--- a/crates/membership/src/probing.rs
+++ b/crates/membership/src/probing.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pewterseam_wire::Micros;
-use pewterseam_wire::identity::{NodeInfo, NodeName};
+use pewterseam_wire::identity::{NodeInfo, NodeName, Owner};
 
 use crate::change::Effect;
 use crate::machine::Membership;
@@ -87,13 +87,33 @@
         effects
     }
 
+    /// The port of a member refused a connection: its process has ended. It is dead soon unless it refutes.
+    pub fn connection_refused(&mut self, now: Micros, owner: &Owner) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.is_alive(owner) && owner.name != self.own.info.name {
+            let info = self.table.get(&owner.name).map(|member| member.info.clone());
+            if let Some(info) = info {
+                self.suspect(now, &info, &mut effects);
+                self.start_probe(now, info, &mut effects);
+            }
+            let deadline = now + self.settings.refused_suspicion;
+            if let Some(member) = self.table.get_mut(&owner.name) {
+                member.deadline = member.deadline.min(deadline);
+            }
+            self.schedule_from(now, &mut effects);
+        }
+        effects
+    }
+
     /// Starts the probe of each period, and acts on those that were not answered.
     pub(crate) fn probe(&mut self, now: Micros, effects: &mut Vec<Effect>) {
         self.follow_up(now, effects);
         if now >= self.probing.next_period {
             self.probing.next_period = now + self.settings.probe_period;
-            if let Some(target) = self.next_target() {
-                self.start_probe(now, target, effects);
+            for _ in 0..self.settings.probes_per_period.min(self.table.live_count()) {
+                if let Some(target) = self.next_target() {
+                    self.start_probe(now, target, effects);
+                }
             }
         }
         self.probing.relayed.retain(|relayed| relayed.deadline > now);
@@ -107,7 +127,6 @@
                 }
             }
             let mut order: Vec<NodeName> = self.table.live().map(|member| member.info.name.clone()).collect();
-            order.sort_unstable();
             self.random.shuffle(&mut order);
             self.probing.order = order;
         }
@@ -167,7 +186,7 @@
         let Some(member) = self.table.get(&target.name) else { return };
         if member.status == Status::Alive && member.info.life == target.life {
             let rumor = Rumor { status: Status::Suspect, ..member.rumor() };
-            self.rumor(now, rumor, effects);
+            self.rumor(now, rumor, true, effects);
         }
     }
 
@@ -191,7 +210,7 @@
                 continue;
             }
             let rumor = Rumor { status: Status::Dead, ..member.rumor() };
-            self.rumor(now, rumor, effects);
+            self.rumor(now, rumor, true, effects);
         }
     }
 
