--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -15,6 +15,8 @@
     UnknownVersion { file: String, version: u16 },
     /// A payload is empty or over the largest size.
     PayloadSize(usize),
+    /// Segments of a log with snapshots are removed by snapshots only.
+    HasSnapshot,
     /// No record begins at this place, or it was removed.
     NoRecord { file: String, offset: u64 },
 }
@@ -52,6 +54,9 @@
                 "{file} has format version {version}, which this program does not know. Start the newer program again"
             ),
             StorageError::PayloadSize(length) => write!(f, "a payload of {length} bytes cannot be logged"),
+            StorageError::HasSnapshot => {
+                f.write_str("this log has a snapshot, so only a newer snapshot may stand for its segments")
+            }
             StorageError::NoRecord { file, offset } => {
                 write!(f, "no whole record lies at byte {offset} of {file}")
             }
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -63,6 +63,7 @@
     batch: u32,
     /// The last segment takes no more records.
     is_sealed: bool,
+    has_snapshot: bool,
     /// The last segment may hold bytes after its synced length.
     needs_repair: bool,
     buffer: Vec<u8>,
@@ -83,6 +84,7 @@
             next_segment: found.next_segment,
             batch: found.batch,
             is_sealed: found.is_sealed,
+            has_snapshot: found.has_snapshot,
             needs_repair: false,
             buffer: Vec::new(),
         })
@@ -199,7 +201,12 @@
     /// Removes all segments with lower numbers, except the one that is written to.
     ///
     /// Each removal is synced before the next, so that after a loss of power no segment is missing between two others.
+    /// This is for callers that write what they still need again. A log is made shorter either in this way or by
+    /// snapshots, as after a snapshot all later segments must be there.
     pub fn remove_before(&mut self, segment: u64) -> Result<(), StorageError> {
+        if self.has_snapshot {
+            return Err(StorageError::HasSnapshot);
+        }
         while self.segments.len() > 1 && self.segments.front().is_some_and(|first| first.number < segment) {
             self.remove_first()?;
         }
@@ -227,6 +234,7 @@
         I: IntoIterator<Item = Bytes>,
     {
         let covers = covers.min(self.last_sequence());
+        self.has_snapshot = true;
         snapshot::write(&mut self.files, covers, self.next_segment, payloads)?;
         snapshot::remove_older(&mut self.files, covers)?;
         while self.end_of_first() <= Some(covers) && !self.segments.is_empty() {
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -34,6 +34,7 @@
     pub next_segment: u64,
     pub batch: u32,
     pub is_sealed: bool,
+    pub has_snapshot: bool,
 }
 
 /// How a segment ended.
@@ -77,7 +78,14 @@
     numbers.sort_unstable();
     let segments = read_segment_headers(files, &numbers)?;
     let segments = drop_covered(files, segments, newest)?;
-    let mut found = Found { segments, next_sequence: covered + 1, next_segment, batch: 0, is_sealed: false };
+    let mut found = Found {
+        segments,
+        next_sequence: covered + 1,
+        next_segment,
+        batch: 0,
+        is_sealed: false,
+        has_snapshot: newest.is_some(),
+    };
     read_segments(files, &mut found, newest, visit)?;
     // What a process wrote and did not sync may be in the cache only; names likewise.
     if let Some(last) = found.segments.back() {
