--- /dev/null
+++ b/crates/message-log/tests/owners.rs
@@ -0,0 +1,264 @@
+//! Who delivers: claims, releases, offers to heirs, and word to those who wait.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::*;
+use pewterseam_message_log::Input;
+use pewterseam_wire::identity::{NodeName, Owner};
+use pewterseam_wire::record::{End, MessageName};
+use pewterseam_wire::store::{Status, StoreNotice, StoreRequest};
+
+fn claim(name: &MessageName, owner: &Owner, claim: u32) -> StoreRequest {
+    StoreRequest::Claim { names: vec![name.clone()], owner: owner.clone(), claim }
+}
+
+fn offered(node: &mut Node) -> Vec<(NodeName, MessageName)> {
+    let offers = node.take_offers().into_iter();
+    offers.flat_map(|(to, messages)| messages.into_iter().map(move |m| (to.clone(), m.record.name))).collect()
+}
+
+/// Guards against messages that are handed to a second relay while the first one lives, and against those of a dead
+/// one that nobody is told of.
+#[test]
+fn offered_only_after_the_owner_is_dead() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.input(Input::Members(members(&[relay("a", 1), relay("b", 1)], &[])));
+    node.ask(append(1, &first));
+    node.advance(30 * SECOND);
+    assert!(node.take_offers().is_empty(), "the owner lives");
+    node.input(Input::Members(members(&[relay("b", 1)], &[owner("a", 1)])));
+    node.advance(SECOND / 2);
+    let offers = node.take_offers();
+    assert_eq!(offers.len(), 1);
+    let (to, messages) = &offers[0];
+    assert_eq!(*to, NodeName::new("b"));
+    assert_eq!(messages[0].record, first);
+    assert!((30_000..31_000).contains(&messages[0].age_ms));
+    node.advance(5 * SECOND);
+    assert!((4..=6).contains(&offered(&mut node).len()), "about once a second until it is claimed");
+    node.ask(claim(&first.name, &owner("b", 1), 1));
+    node.advance(10 * SECOND);
+    assert!(node.take_offers().is_empty(), "claimed");
+    assert_eq!(node.look(&first.name), Some(Status::Open { owner: owner("b", 1), claim: 1, failures: 0 }));
+    node.input(Input::Members(members(&[relay("c", 1)], &[owner("b", 1)])));
+    node.advance(SECOND / 2);
+    assert_eq!(offered(&mut node), [(NodeName::new("c"), first.name.clone())], "the heir died as well");
+    node.ask(ended(&first.name, End::Expired));
+    node.advance(5 * SECOND);
+    assert!(node.take_offers().is_empty(), "ended");
+}
+
+/// Guards against an earlier life of a relay that started again and has forgotten its messages.
+#[test]
+fn an_earlier_life_is_over() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.ask(append(1, &first));
+    node.input(Input::Members(members(&[relay("a", 2)], &[])));
+    node.advance(SECOND / 2);
+    assert_eq!(offered(&mut node), [(NodeName::new("a"), first.name)]);
+}
+
+/// Guards against a relay of which membership does not know yet that is taken for dead, and against one that is gone
+/// and never judged.
+#[test]
+fn unknown_owners_get_time() {
+    let mut node = Node::in_first_placement("s1");
+    let (first, second) = (record("first"), record("second"));
+    node.ask(append(1, &first));
+    node.advance(60 * SECOND);
+    assert!(node.take_offers().is_empty(), "membership is not known");
+    node.input(Input::Members(members(&[relay("b", 1)], &[])));
+    node.advance(1_900 * MILLISECOND);
+    assert!(node.take_offers().is_empty(), "known for less than two seconds");
+    node.advance(1_100 * MILLISECOND);
+    assert_eq!(offered(&mut node), [(NodeName::new("b"), first.name.clone())]);
+    let new_owner = Owner { name: NodeName::new("new"), ..owner("a", 1) };
+    node.ask(append(1, &pewterseam_wire::record::Record { owner: new_owner, ..second.clone() }));
+    node.ask(claim(&first.name, &owner("b", 1), 1));
+    node.advance(1_900 * MILLISECOND);
+    assert!(node.take_offers().is_empty(), "first heard of less than two seconds ago");
+    node.input(Input::Members(members(&[relay("b", 1), relay("new", 1)], &[])));
+    node.advance(10 * SECOND);
+    assert!(node.take_offers().is_empty());
+}
+
+/// Guards against stores that hand one message to several relays: all must choose the same heir, whatever the order
+/// of their members, and spread messages over all.
+#[test]
+fn all_stores_choose_the_same_heir() {
+    let relays: Vec<_> = ["b", "c", "d", "e"].iter().map(|name| relay(name, 1)).collect();
+    let mut heirs = Vec::new();
+    for (name, is_reversed) in [("s1", false), ("s2", true)] {
+        let mut node = Node::in_first_placement(name);
+        let mut relays = relays.clone();
+        let mut stopping = relay("f", 1);
+        stopping.ready = false;
+        relays.push(stopping);
+        if is_reversed {
+            relays.reverse();
+        }
+        for number in 0..40 {
+            node.ask(append(1, &record(&format!("r{number}"))));
+        }
+        node.input(Input::Members(members(&relays, &[owner("a", 1)])));
+        node.advance(900 * MILLISECOND);
+        heirs.push(offered(&mut node).into_iter().collect::<BTreeSet<_>>());
+    }
+    assert_eq!(heirs[0].len(), 40);
+    assert_eq!(heirs[0], heirs[1]);
+    let used: BTreeSet<_> = heirs[0].iter().map(|(to, _)| to.clone()).collect();
+    assert_eq!(used.len(), 4, "all that are ready, and only they");
+}
+
+/// Guards against messages of a stopping relay that wait until it is dead, or are handed back to it.
+#[test]
+fn released_messages_are_offered_at_once() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.input(Input::Members(members(&[relay("a", 1), relay("b", 1), store_node("s1")], &[])));
+    node.ask(append(1, &first));
+    let release = |owner| StoreRequest::Release { names: vec![first.name.clone()], owner };
+    assert!(is_done(&node.ask(release(owner("b", 1)))));
+    assert!(node.take_offers().is_empty(), "b does not own it");
+    assert!(is_done(&node.ask(release(owner("a", 1)))));
+    assert_eq!(offered(&mut node), [(NodeName::new("b"), first.name.clone())]);
+    node.advance(2 * SECOND);
+    node.files.lose_power(0);
+    node.restart();
+    node.input(Input::Members(members(&[relay("a", 1), relay("b", 1)], &[])));
+    node.advance(SECOND / 2);
+    assert_eq!(offered(&mut node), [(NodeName::new("b"), first.name.clone())], "remembered");
+    node.ask(claim(&first.name, &owner("b", 1), 1));
+    node.advance(5 * SECOND);
+    assert!(node.take_offers().is_empty());
+}
+
+/// Guards against a release without any other relay that is forgotten, or handed to nobody.
+#[test]
+fn offers_wait_for_a_relay() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.input(Input::Members(members(&[relay("a", 1)], &[])));
+    node.ask(append(1, &first));
+    node.ask(StoreRequest::Release { names: vec![first.name.clone()], owner: owner("a", 1) });
+    node.advance(5 * SECOND);
+    assert!(node.take_offers().is_empty());
+    node.input(Input::Members(members(&[relay("a", 1), relay("b", 1)], &[])));
+    node.advance(2 * SECOND);
+    assert_eq!(offered(&mut node).first(), Some(&(NodeName::new("b"), first.name)));
+}
+
+/// Guards against claims that go back to an earlier owner, or differ by the order in which stores hear them.
+#[test]
+fn claims_have_an_order() {
+    let (b, c) = (owner("b", 1), owner("c", 1));
+    for order in [[0, 1, 2, 3], [3, 2, 1, 0], [2, 0, 3, 1]] {
+        let mut node = Node::in_first_placement("s1");
+        let first = record("first");
+        node.ask(append(1, &first));
+        let claims = [
+            claim(&first.name, &b, 1),
+            claim(&first.name, &c, 2),
+            claim(&first.name, &b, 2),
+            claim(&first.name, &c, 1),
+        ];
+        for index in order {
+            assert!(is_done(&node.ask(claims[index].clone())));
+        }
+        let expected = Some(Status::Open { owner: c.clone(), claim: 2, failures: 0 });
+        assert_eq!(node.look(&first.name), expected);
+        node.advance(2 * SECOND);
+        node.files.lose_power(0);
+        node.restart();
+        node.input(Input::Placement(placement(1, &[&["s1", "s2", "s3"]])));
+        assert_eq!(node.look(&first.name), expected, "after a restart");
+    }
+}
+
+/// Guards against a store that pours all messages of a dead relay into one notice, or that offers with all the other
+/// stores of a group at the same time.
+#[test]
+fn offers_are_paced_and_take_turns() {
+    let live = [relay("b", 1), store_node("s1"), store_node("s2"), store_node("s3")];
+    let mut first_times = Vec::new();
+    for name in ["s1", "s2", "s3"] {
+        let mut node = Node::in_first_placement(name);
+        for number in 0..2_000 {
+            node.ask(append(1, &keyed(&format!("r{number}"), "one key", &[])));
+        }
+        node.input(Input::Members(members(&live, &[owner("a", 1)])));
+        let mut names = BTreeSet::new();
+        let mut first = None;
+        for time in 0..200 {
+            let offers = node.take_offers();
+            assert!(offers.len() <= 4, "{}", offers.len());
+            for (_, messages) in offers {
+                assert!(messages.len() <= 64);
+                first.get_or_insert(time * 10);
+                names.extend(messages.into_iter().map(|message| message.record.name));
+            }
+            node.advance(10 * MILLISECOND);
+        }
+        assert_eq!(names.len(), 2_000, "{name}");
+        first_times.push(first.unwrap_or(u64::MAX));
+    }
+    first_times.sort_unstable();
+    assert_eq!(first_times, [0, 150, 300]);
+}
+
+/// Guards against a message that is offered in spite of its end while its body was read back.
+#[test]
+fn large_messages_go_in_pieces() {
+    let mut node = Node::in_first_placement("s1");
+    node.settings.memory_bytes = 0;
+    node.restart();
+    node.input(Input::Placement(placement(1, &[&["s1", "s2", "s3"]])));
+    for number in 0..8 {
+        let mut record = record(&format!("r{number}"));
+        record.body = vec![number; 100_000].into();
+        node.ask(append(1, &record));
+    }
+    node.input(Input::Members(members(&[relay("b", 1)], &[owner("a", 1)])));
+    node.advance(900 * MILLISECOND);
+    let offers = node.take_offers();
+    assert!(offers.iter().all(|(_, messages)| messages.len() <= 3), "256 KB in one notice");
+    assert_eq!(offers.iter().map(|(_, messages)| messages.len()).sum::<usize>(), 8);
+    assert!(
+        offers.iter().flat_map(|(_, messages)| messages).all(|message| message.record.body.len() == 100_000)
+    );
+}
+
+/// Guards against a message that waits for ever because nobody told its owner that the one before it has ended.
+#[test]
+fn owners_hear_of_predecessors() {
+    let mut node = Node::in_first_placement("s1");
+    let first = keyed("first", "key", &[]);
+    let mut second = keyed("second", "key", &[&first.name]);
+    second.owner = owner("b", 1);
+    node.input(Input::Members(members(&[relay("a", 1), relay("b", 1)], &[])));
+    node.ask(append(1, &first));
+    node.ask(append(1, &second));
+    assert!(node.notices.is_empty());
+    node.ask(ended(&first.name, completed("x")));
+    let notice = (NodeName::new("b"), StoreNotice::PredecessorEnded { name: first.name.clone() });
+    assert_eq!(node.notices, std::slice::from_ref(&notice));
+    node.advance(3_500 * MILLISECOND);
+    assert_eq!(node.notices.len(), 4, "again each second while the message is open");
+    node.advance(60 * SECOND);
+    assert_eq!(node.notices.len(), 5, "and at most five times");
+    let mut third = keyed("third", "key", &[&first.name]);
+    third.owner = owner("b", 1);
+    node.ask(append(1, &third));
+    assert_eq!(node.notices.len(), 6, "also when it had ended before");
+    node.ask(ended(&third.name, completed("x")));
+    node.advance(10 * SECOND);
+    assert_eq!(node.notices.len(), 6, "ended messages wait for nothing");
+    node.restart();
+    node.input(Input::Members(members(&[relay("a", 1), relay("b", 1)], &[])));
+    node.advance(SECOND / 2);
+    assert_eq!(node.notices, [notice], "also after a restart");
+}
