Message log: a copy counts for its epoch only; all messages of an owner found dead are offered

Cause: a set that was copied once, left and taken up again would have counted as complete, although writes in between went elsewhere. An owner found dead by the arrival of one message left its others unoffered. Held requests had no bound in bytes. Ruled out: noting only sets. Change: notes of copies carry the epoch and go on over consecutive placements.

--- a/crates/message-log/src/cleaning.rs
+++ b/crates/message-log/src/cleaning.rs
@@ -101,7 +101,7 @@
                 self.messages.update(name, |message| message.needed_from = message.needed_from.min(segment));
                 self.log_map.note_message(segment, name.clone());
             }
-            Written::CopiedSet(_) => self.log_map.note_copied_set(segment),
+            Written::CopiedSet { .. } => self.log_map.note_copied_set(segment),
             Written::Other => {}
         }
     }
@@ -135,7 +135,7 @@
                 self.log_map.put_back(name);
                 self.log_map.cleaning = None;
             }
-            Written::Facts(_) | Written::CopiedSet(_) | Written::Other => {}
+            Written::Facts(_) | Written::CopiedSet { .. } | Written::Other => {}
         }
     }
 
@@ -197,9 +197,7 @@
 
     fn copy_sets_forward(&mut self) {
         self.log_map.copied_in = None;
-        for set in self.view.copied_in_use() {
-            self.write_copied_set(set);
-        }
+        self.write_copied_sets();
         if let Some(cleaning) = &mut self.log_map.cleaning {
             cleaning.ticket = RECOVERED_TICKET;
             if self.persistence.has_open_entries() {
@@ -208,9 +206,17 @@
         }
     }
 
+    /// Writes which sets were copied for the placement in force.
+    pub(crate) fn write_copied_sets(&mut self) {
+        for set in self.view.copied_sets() {
+            self.write_copied_set(set);
+        }
+    }
+
     pub(crate) fn write_copied_set(&mut self, set: u64) {
-        if let Ok(entry) = (LogEntry::CopiedSet { set }).encode() {
-            self.persistence.add(entry, Written::CopiedSet(set));
+        let epoch = self.view.epoch();
+        if let Ok(entry) = (LogEntry::CopiedSet { set, epoch }).encode() {
+            self.persistence.add(entry, Written::CopiedSet { set, epoch });
         }
     }
 
--- a/crates/message-log/src/copying.rs
+++ b/crates/message-log/src/copying.rs
@@ -196,11 +196,11 @@
     }
 
     /// The note that a set was copied is synced.
-    pub(crate) fn note_copied_set(&mut self, set: u64) {
-        self.view.note_copied(set);
-        if self.copying.as_ref().is_some_and(|copying| copying.set == set) {
+    pub(crate) fn note_copied_set(&mut self, set: u64, epoch: PlacementEpoch) {
+        self.view.note_copied(set, epoch);
+        if self.copying.as_ref().is_some_and(|copying| copying.set == set && copying.epoch == epoch) {
             self.copying = None;
-            self.out.push(Effect::Copied { epoch: self.view.epoch() });
+            self.out.push(Effect::Copied { epoch });
         }
     }
 
--- a/crates/message-log/src/entry.rs
+++ b/crates/message-log/src/entry.rs
@@ -7,6 +7,7 @@
 use pewterseam_wire::WallMicros;
 use pewterseam_wire::frame::{self, FrameError};
 use pewterseam_wire::identity::Owner;
+use pewterseam_wire::placement::PlacementEpoch;
 use pewterseam_wire::record::{End, MessageName};
 use pewterseam_wire::store::StoredMessage;
 use serde::{Deserialize, Serialize};
@@ -25,9 +26,9 @@
     Claimed { names: Vec<MessageName>, owner: Owner, claim: u32 },
     #[serde(rename = "r")]
     Released { names: Vec<MessageName>, owner: Owner },
-    /// The store holds all that it must for this set of stores.
+    /// The store holds all that members of this set of stores must, under the placement of this epoch.
     #[serde(rename = "s")]
-    CopiedSet { set: u64 },
+    CopiedSet { set: u64, epoch: PlacementEpoch },
     /// Nothing; written to find out whether the disk takes entries again.
     #[serde(rename = "p")]
     Probe,
@@ -46,7 +47,10 @@
 
 impl LogEntry {
     pub fn encode(&self) -> Result<Bytes, FrameError> {
-        frame::encode(self).map(Bytes::from)
+        let mut bytes = frame::encode(self)?;
+        // Records stay in memory for as long as their messages are open.
+        bytes.shrink_to_fit();
+        Ok(Bytes::from(bytes))
     }
 
     pub fn decode(payload: &[u8]) -> Result<Self, FrameError> {
--- a/crates/message-log/src/offers.rs
+++ b/crates/message-log/src/offers.rs
@@ -94,12 +94,12 @@
     /// Queues a message that is new here or has a new owner, if that owner is gone.
     pub(crate) fn check_owner(&mut self, name: &MessageName) {
         let Some(owner) = self.open_owner(name) else { return };
-        let Some(owned) = self.messages.by_owner.get_mut(&owner) else { return };
-        let judgement = self.owners.judge(&owner, owned.first_seen, self.now.steady);
-        owned.is_over = judgement == Judgement::Over;
-        match judgement {
+        let Some(owned) = self.messages.by_owner.get(&owner) else { return };
+        match self.owners.judge(&owner, owned.first_seen, self.now.steady) {
             Judgement::Alive => {}
-            Judgement::Over => self.queue_orphan(name),
+            Judgement::Over if owned.is_over => self.queue_orphan(name),
+            // News also for the owner's other messages.
+            Judgement::Over => self.judge_owners(),
             Judgement::Unknown => {
                 self.offers.judge_at.get_or_insert(self.now.steady + JUDGE_AGAIN_AFTER);
             }
--- a/crates/message-log/src/persistence.rs
+++ b/crates/message-log/src/persistence.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use pewterseam_wire::Micros;
+use pewterseam_wire::placement::PlacementEpoch;
 use pewterseam_wire::record::MessageName;
 
 use crate::interface::Effect;
@@ -25,7 +26,10 @@
     Facts(MessageName),
     /// A message that was copied from an old segment.
     Copy(MessageName),
-    CopiedSet(u64),
+    CopiedSet {
+        set: u64,
+        epoch: PlacementEpoch,
+    },
     Other,
 }
 
--- a/crates/message-log/src/placement_view.rs
+++ b/crates/message-log/src/placement_view.rs
@@ -32,8 +32,8 @@
     store: StoreId,
     placement: Arc<Placement>,
     set_hashes: Vec<u64>,
-    /// Sets for which everything was copied.
-    copied: Vec<u64>,
+    /// Sets for which everything was copied, and the placement under which that holds.
+    copied: Vec<(u64, PlacementEpoch)>,
     /// Filled as partitions are asked for.
     standings: Vec<Option<Standing>>,
 }
@@ -71,26 +71,31 @@
         {
             return false;
         }
+        // A set that the very next placement keeps was written to without a break. Of a later one nobody knows.
+        let (before, after) = (self.placement.epoch, placement.epoch);
+        let is_next = after.0 == before.0 + 1;
+        for (_, epoch) in self.copied.iter_mut().filter(|(_, epoch)| is_next && *epoch == before) {
+            *epoch = after;
+        }
         self.set_hashes = placement.sets.iter().map(|set| set_hash(set)).collect();
         self.placement = placement;
+        self.copied.retain(|(set, epoch)| *epoch == after && self.set_hashes.contains(set));
         self.standings.fill(None);
         true
     }
 
     /// Notes that everything was copied that members of a set must know.
-    pub fn note_copied(&mut self, set: u64) {
-        if !self.copied.contains(&set) {
-            self.copied.push(set);
+    pub fn note_copied(&mut self, set: u64, epoch: PlacementEpoch) {
+        if !self.copied.contains(&(set, epoch)) {
+            self.copied.push((set, epoch));
         }
         self.standings.fill(None);
     }
 
-    /// The noted sets that still occur in the placement; the others are dropped.
-    pub fn copied_in_use(&mut self) -> Vec<u64> {
-        if !self.set_hashes.is_empty() {
-            self.copied.retain(|set| self.set_hashes.contains(set));
-        }
-        self.copied.clone()
+    /// The sets of the placement in force, but for the first, that were copied under it.
+    pub fn copied_sets(&self) -> Vec<u64> {
+        let later = self.set_hashes.iter().skip(1).copied();
+        later.filter(|set| self.copied.contains(&(*set, self.placement.epoch))).collect()
     }
 
     /// The hash of the set that messages are moving to.
@@ -126,7 +131,7 @@
             if !group.stores.contains(&self.store) {
                 continue;
             }
-            if index == 0 || self.copied.contains(&self.set_hashes[index]) {
+            if index == 0 || self.copied.contains(&(self.set_hashes[index], self.placement.epoch)) {
                 return Standing::Complete;
             }
             standing = Standing::Incomplete;
--- a/crates/message-log/src/recovery.rs
+++ b/crates/message-log/src/recovery.rs
@@ -100,9 +100,9 @@
                 }
                 Written::Other
             }
-            LogEntry::CopiedSet { set } => {
-                store.view.note_copied(set);
-                Written::CopiedSet(set)
+            LogEntry::CopiedSet { set, epoch } => {
+                store.view.note_copied(set, epoch);
+                Written::CopiedSet { set, epoch }
             }
             LogEntry::Probe => Written::Other,
         };
--- a/crates/message-log/src/store.rs
+++ b/crates/message-log/src/store.rs
@@ -45,6 +45,15 @@
     pub since: Micros,
 }
 
+impl Held {
+    fn body_bytes(&self) -> usize {
+        match &self.request {
+            StoreRequest::Append { record, .. } => record.body.len(),
+            _ => 0,
+        }
+    }
+}
+
 /// The message log of one store. See [`crate`].
 #[derive(Debug)]
 pub struct Store {
@@ -131,13 +140,15 @@
 
     fn set_placement(&mut self, placement: Arc<Placement>) {
         if self.view.set(placement) {
+            self.write_copied_sets();
             self.start_copying();
             self.release_held(true);
         }
     }
 
     pub(crate) fn hold(&mut self, held: Held) {
-        if self.held.len() >= MOST_HELD {
+        let bytes: usize = self.held.iter().map(|held| held.body_bytes()).sum();
+        if self.held.len() >= MOST_HELD || bytes >= self.settings.waiting_bytes {
             return self.decline(held.token, Decline::Busy);
         }
         self.held.push_back(held);
@@ -164,8 +175,8 @@
         for batch in self.persistence.take_through(through) {
             for (written, position) in batch.written.into_iter().zip(positions.by_ref()) {
                 self.note_written(&written, position);
-                if let Written::CopiedSet(set) = written {
-                    self.note_copied_set(set);
+                if let Written::CopiedSet { set, epoch } = written {
+                    self.note_copied_set(set, epoch);
                 }
             }
             for token in batch.waiting {
--- a/crates/message-log/tests/copying.rs
+++ b/crates/message-log/tests/copying.rs
@@ -334,3 +334,45 @@
     }
     assert!(new.files.content("segment-0000000000000001").is_none(), "the first segment was cleaned");
 }
+
+/// Guards against a store that takes itself for complete because it copied the same set once before: what was written
+/// while that set was out of force is missing.
+#[test]
+fn an_earlier_copy_of_the_same_set_does_not_count() {
+    for is_restarted in [false, true] {
+        let first = keyed("first", "key", &[]);
+        let mut nodes = stores(&["s1", "s2", "s3", "s4"], 2, &[OLD, NEW]);
+        deliver(&mut nodes);
+        assert_eq!(node(&mut nodes, "s4").copied, [PlacementEpoch(2)]);
+        for name in OLD {
+            let node = node(&mut nodes, name);
+            node.input(Input::Placement(placement(3, &[OLD])));
+            node.ask(append(3, &first));
+        }
+        if is_restarted {
+            node(&mut nodes, "s4").restart();
+        }
+        for node in &mut nodes {
+            node.input(Input::Placement(placement(4, &[OLD, NEW])));
+        }
+        let new = node(&mut nodes, "s4");
+        assert!(!matches!(new.ask(list_open(4, "key")), Some(StoreResponse::OpenMessages { .. })));
+        deliver(&mut nodes);
+        assert_eq!(node(&mut nodes, "s4").open_names(4, "key"), [first.name]);
+    }
+}
+
+/// Guards against a copy that is done again when the next placement keeps its set.
+#[test]
+fn a_copy_counts_on_under_the_next_placement() {
+    const NEWEST: &[&str] = &["s1", "s4", "s5"];
+    let mut nodes = stores(&["s1", "s2", "s3", "s4"], 2, &[OLD, NEW]);
+    deliver(&mut nodes);
+    let new = node(&mut nodes, "s4");
+    new.input(Input::Placement(placement(3, &[OLD, NEW, NEWEST])));
+    assert_eq!(new.open_names(3, "key"), []);
+    new.files.lose_power(0);
+    new.restart();
+    new.input(Input::Placement(placement(3, &[OLD, NEW, NEWEST])));
+    assert_eq!(new.open_names(3, "key"), [], "also after a restart");
+}
--- a/crates/message-log/tests/owners.rs
+++ b/crates/message-log/tests/owners.rs
@@ -86,6 +86,20 @@
     assert!(node.take_offers().is_empty());
 }
 
+/// Guards against the other messages of an owner that is found dead when one more of its messages comes: they must be
+/// offered as well.
+#[test]
+fn all_messages_of_a_dead_owner_are_offered() {
+    let mut node = Node::in_first_placement("s1");
+    node.input(Input::Members(members(&[relay("b", 1)], &[])));
+    node.ask(append(1, &record("first")));
+    node.now += 10 * SECOND;
+    node.ask(append(1, &record("second")));
+    node.advance(SECOND / 2);
+    let names: BTreeSet<_> = offered(&mut node).into_iter().map(|(_, name)| name).collect();
+    assert_eq!(names, BTreeSet::from([record("first").name, record("second").name]));
+}
+
 /// Guards against stores that hand one message to several relays: all must choose the same heir, whatever the order
 /// of their members, and spread messages over all.
 #[test]
