--- a/crates/message-log/src/cleaning.rs
+++ b/crates/message-log/src/cleaning.rs
@@ -3,7 +3,7 @@
 //! This takes the place of whole snapshots. It goes in small pieces, needs no second copy of all data on the disk, and
 //! after a loss of power at any point the log is whole, as entries may be there twice.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 
 use pewterseam_storage::{FRAME_HEADER_BYTES, Position};
 use pewterseam_wire::Micros;
@@ -27,6 +27,8 @@
 #[derive(Debug)]
 struct Cleaning {
     segment: u64,
+    /// Messages that are still to be copied.
+    names: Vec<MessageName>,
     /// The last piece; cleaning goes on when it is synced.
     ticket: u64,
     /// Records of the next piece are being read.
@@ -38,8 +40,6 @@
 pub(crate) struct LogMap {
     /// Bytes by segment.
     segments: BTreeMap<u64, u64>,
-    /// The messages of all entries that are more than a passing remark, in log order.
-    order: VecDeque<(u64, MessageName)>,
     /// Where the noted copied sets lie.
     copied_in: Option<u64>,
     cleaning: Option<Cleaning>,
@@ -53,10 +53,6 @@
         *bytes = (*bytes).max(end);
     }
 
-    pub fn note_message(&mut self, segment: u64, name: MessageName) {
-        self.order.push_back((segment, name));
-    }
-
     pub fn note_copied_set(&mut self, segment: u64) {
         self.copied_in = Some(segment);
     }
@@ -65,12 +61,6 @@
     pub fn bytes(&self) -> u64 {
         self.segments.values().sum()
     }
-
-    /// A message that was to be copied is to be copied again.
-    fn put_back(&mut self, name: MessageName) {
-        let first = self.segments.keys().next().copied().unwrap_or(0);
-        self.order.push_front((first, name));
-    }
 }
 
 impl Store {
@@ -86,7 +76,6 @@
                     let holds_all = is_copy || message.needed_from == NO_SEGMENT;
                     message.needed_from = if holds_all { segment } else { message.needed_from.min(segment) };
                 });
-                self.log_map.note_message(segment, name.clone());
             }
             Written::End(name) => {
                 self.messages.update(name, |message| {
@@ -95,11 +84,9 @@
                         message.needed_from = segment;
                     }
                 });
-                self.log_map.note_message(segment, name.clone());
             }
             Written::Facts(name) => {
                 self.messages.update(name, |message| message.needed_from = message.needed_from.min(segment));
-                self.log_map.note_message(segment, name.clone());
             }
             Written::CopiedSet { .. } => self.log_map.note_copied_set(segment),
             Written::Other => {}
@@ -131,8 +118,8 @@
                     self.unwritten_ends.push(name);
                 }
             }
-            Written::Copy(name) => {
-                self.log_map.put_back(name);
+            Written::Copy(_) => {
+                // The segment is looked through again.
                 self.log_map.cleaning = None;
             }
             Written::Facts(_) | Written::CopiedSet { .. } | Written::Other => {}
@@ -156,7 +143,9 @@
                 return;
             }
             let Some(segment) = self.log_map.segments.keys().next().copied() else { return };
-            self.log_map.cleaning = Some(Cleaning { segment, ticket: RECOVERED_TICKET, is_reading: false });
+            let names = self.messages.needing(segment);
+            let cleaning = Cleaning { segment, names, ticket: RECOVERED_TICKET, is_reading: false };
+            self.log_map.cleaning = Some(cleaning);
         }
         let Some(cleaning) = &mut self.log_map.cleaning else { return };
         if cleaning.is_reading || !self.persistence.is_synced(cleaning.ticket) {
@@ -178,16 +167,16 @@
         }
     }
 
-    /// Messages of which something lies in this segment or before and nowhere else.
+    /// The next messages of which something lies in this segment or before and nowhere else.
     fn next_to_copy(&mut self, segment: u64) -> Vec<MessageName> {
         let mut names = Vec::new();
         let mut bytes = 0;
         while names.len() < PIECE_MESSAGES && bytes < PIECE_BYTES {
-            let Some((_, name)) = self.log_map.order.pop_front_if(|(place, _)| *place <= segment) else {
+            let Some(name) = self.log_map.cleaning.as_mut().and_then(|cleaning| cleaning.names.pop()) else {
                 break;
             };
             let Some(message) = self.messages.get(&name) else { continue };
-            if message.needed_from <= segment && !names.contains(&name) {
+            if message.needed_from <= segment {
                 bytes += message.log_bytes();
                 names.push(name);
             }
@@ -226,9 +215,6 @@
             cleaning.is_reading = false;
         }
         if job.has_failed {
-            for name in job.names.iter().rev() {
-                self.log_map.put_back(name.clone());
-            }
             self.log_map.cleaning = None;
             self.log_map.not_before = self.now.steady + REST;
             return;
--- a/crates/message-log/src/messages.rs
+++ b/crates/message-log/src/messages.rs
@@ -54,6 +54,15 @@
         self.by_name.range((name.map_or(Unbounded, Excluded), Unbounded))
     }
 
+    /// The messages of which something lies in this segment or before and nowhere else.
+    ///
+    /// This looks at all messages. It is asked once for each segment that is removed, so it costs less than a list of
+    /// what lies where would take in memory.
+    pub fn needing(&self, segment: u64) -> Vec<MessageName> {
+        let needing = self.by_name.iter().filter(|(_, message)| message.needed_from <= segment);
+        needing.map(|(name, _)| name.clone()).collect()
+    }
+
     /// Bytes that the log would take if it held only what is needed.
     pub fn live_bytes(&self) -> u64 {
         self.live_bytes
