--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -99,8 +99,10 @@
 impl Group {
     fn of(set: &[StoreEntry], partition: Partition, tolerated: u16) -> Self {
         let size = (2 * usize::from(tolerated) + 1).min(set.len());
-        let mut ranked: Vec<(u64, &StoreEntry)> =
-            set.iter().map(|entry| (hash(entry.id.name.0.as_bytes(), u64::from(partition.0)), entry)).collect();
+        let mut ranked: Vec<(u64, &StoreEntry)> = set
+            .iter()
+            .map(|entry| (hash(entry.id.name.0.as_bytes(), u64::from(partition.0)), entry))
+            .collect();
         ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
         let mut zones = BTreeSet::new();
         let (first, rest): (Vec<_>, Vec<_>) =
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -102,8 +102,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fact {
     /// So many answers of 500 in all.
-    Attempted { name: MessageName, failures: u32 },
-    Ended { name: MessageName, end: End },
+    Attempted {
+        name: MessageName,
+        failures: u32,
+    },
+    Ended {
+        name: MessageName,
+        end: End,
+    },
 }
 
 impl Fact {
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -38,13 +38,31 @@
 )]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreResponse {
-    Done { store: StoreId },
-    OpenMessages { store: StoreId, names: Vec<MessageName> },
-    Statuses { store: StoreId, statuses: Vec<Status> },
-    Found { store: StoreId, record: Option<Record> },
-    Contents { store: StoreId, messages: Vec<StoredMessage>, is_last: bool },
+    Done {
+        store: StoreId,
+    },
+    OpenMessages {
+        store: StoreId,
+        names: Vec<MessageName>,
+    },
+    Statuses {
+        store: StoreId,
+        statuses: Vec<Status>,
+    },
+    Found {
+        store: StoreId,
+        record: Option<Record>,
+    },
+    Contents {
+        store: StoreId,
+        messages: Vec<StoredMessage>,
+        is_last: bool,
+    },
     /// Nothing was done, and why.
-    Declined { store: StoreId, reason: Decline },
+    Declined {
+        store: StoreId,
+        reason: Decline,
+    },
 }
 
 /// Why a store did nothing.
