Messages are taken over by a claim that a write quorum grants

A claim replaced any earlier one of an equal number. Ruled out: a message that its first owner still ran; an end that was not synced before the release. Change: stores grant the first claim of a number and sync it before they say so; an heir runs a message only with the grant of a write quorum, gives the record to further stores where too few hold it, and gives up what it was granted when it is refused. A live owner's word elsewhere ends the adoption.

--- a/crates/message-log/src/offers.rs
+++ b/crates/message-log/src/offers.rs
@@ -183,6 +183,7 @@
             let Some(record) = stored.record else { continue };
             messages.push(OrphanMessage {
                 record,
+                owner: held.owner.clone(),
                 claim: stored.claim,
                 failures: stored.failures,
                 age_ms: age as u64 / 1_000,
--- a/crates/message-log/src/requests.rs
+++ b/crates/message-log/src/requests.rs
@@ -285,9 +285,12 @@
         let Some(message) = self.messages.get(name) else { return Status::Unknown };
         match (&message.end, &message.record) {
             (Some(end), _) => Status::Ended(end.clone()),
-            (None, Some(held)) => {
-                Status::Open { owner: held.owner.clone(), claim: held.claim, failures: message.failures }
-            }
+            (None, Some(held)) => Status::Open {
+                owner: held.owner.clone(),
+                claim: held.claim,
+                failures: message.failures,
+                released: held.is_released,
+            },
             (None, None) => Status::Unknown,
         }
     }
@@ -302,15 +305,28 @@
         self.respond(token, StoreResponse::Found { store, record });
     }
 
-    /// Owners only decide who delivers, so nobody waits for these writes.
+    /// The first claim of a number is granted, so that no two relays are granted the same one by a write quorum.
+    /// Danger: a claim that is forgotten over a restart lets a second relay run the message. It is synced.
     fn claim(&mut self, token: u64, names: Vec<MessageName>, owner: &Owner, claim: u32) {
-        let taken: Vec<MessageName> =
-            names.into_iter().filter(|name| self.change_owner(name, owner, claim)).collect();
-        if !taken.is_empty() {
-            let entry = LogEntry::Claimed { names: taken, owner: owner.clone(), claim };
-            self.write_lazily(&entry, Written::Other);
+        let (granted, refused): (Vec<_>, Vec<_>) =
+            names.into_iter().partition(|name| self.may_claim(name, owner, claim));
+        let mut ticket = None;
+        if !granted.is_empty() {
+            for name in &granted {
+                self.change_owner(name, owner, claim);
+            }
+            let entry = LogEntry::Claimed { names: granted, owner: owner.clone(), claim };
+            ticket = entry.encode().ok().map(|entry| self.persistence.add(entry, Written::Other));
         }
-        self.done(token);
+        match ticket {
+            Some(ticket) if refused.is_empty() => self.done_after(token, ticket),
+            _ => self.decline(token, Decline::AlreadyClaimed),
+        }
+    }
+
+    fn may_claim(&self, name: &MessageName, owner: &Owner, claim: u32) -> bool {
+        let record = self.messages.get(name).and_then(Message::open_record);
+        record.is_some_and(|record| claim > record.claim || (claim == record.claim && *owner == record.owner))
     }
 
     /// Gives an open message an owner, unless a later one is known.
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -173,7 +173,7 @@
         self.set_hedge(key);
     }
 
-    fn append(&mut self, key: MessageKey, store: &StoreId) {
+    pub(crate) fn append(&mut self, key: MessageKey, store: &StoreId) {
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.asked.insert(store.clone());
         message.declined.remove(store);
--- a/crates/queue/src/adopt.rs
+++ b/crates/queue/src/adopt.rs
@@ -19,6 +19,16 @@
 const RETENTION_MARGIN: Micros = 5_000_000;
 const MILLISECOND: Micros = 1_000;
 
+/// What a store's word on an orphan means.
+enum Verdict {
+    /// More answers are needed.
+    Unsure,
+    /// It may be claimed.
+    Free,
+    /// Another live relay owns it.
+    Taken,
+}
+
 impl Queue {
     /// A store tells something unasked.
     pub fn notice(&mut self, now: Micros, notice: StoreNotice) -> Vec<Effect> {
@@ -36,17 +46,28 @@
         }
         let mut keys = Vec::new();
         for orphan in orphans {
-            if let Some(key) = self.insert_orphan(orphan) {
-                keys.push(key);
+            match self.by_name.get(&orphan.record.name) {
+                Some(key) => self.assert_ownership(*key, orphan.claim),
+                None => keys.extend(self.insert_orphan(orphan)),
             }
         }
         self.ask_facts(&keys);
     }
 
+    /// A store offers a message that is owned here: it has missed the claim or the end.
+    fn assert_ownership(&mut self, key: MessageKey, claim: u32) {
+        let Some(message) = self.messages.get(&key) else { return };
+        match message.stage {
+            Stage::Waiting | Stage::Running => self.send_claims(key, claim + 1),
+            Stage::Ending(_) => self.send_end(key),
+            _ => {}
+        }
+    }
+
     fn insert_orphan(&mut self, orphan: OrphanMessage) -> Option<MessageKey> {
         let (delay, age) = (orphan.record.delay_ms * MILLISECOND, orphan.age_ms * MILLISECOND);
         let left = orphan.record.retention_ms * MILLISECOND + RETENTION_MARGIN;
-        let stage = Stage::Adopting { answered: BTreeSet::new(), claim: orphan.claim };
+        let stage = Stage::Adopting { answered: BTreeSet::new(), from: orphan.owner, claim: orphan.claim };
         let mut message = Message::new(orphan.record, stage, self.now);
         message.blockers = message.record.predecessors.iter().cloned().collect();
         message.failures = orphan.failures;
@@ -72,50 +93,57 @@
         }
     }
 
+    /// Facts or claims are still missing: both are asked for anew.
     pub(crate) fn retry_adoption(&mut self, key: MessageKey) {
-        let is_open =
-            self.messages.get(&key).is_some_and(|message| matches!(message.stage, Stage::Adopting { .. }));
-        if is_open {
-            self.ask_facts(&[key]);
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        if message.since + ADOPT_AGAIN > self.now {
+            return;
         }
+        match &mut message.stage {
+            Stage::Adopting { answered, .. } => answered.clear(),
+            Stage::Claiming { claim, .. } => {
+                let (from, claim) = (self.settings.owner.clone(), *claim);
+                message.stage = Stage::Adopting { answered: BTreeSet::new(), from, claim };
+            }
+            _ => return,
+        }
+        self.ask_facts(&[key]);
     }
 
     pub(crate) fn orphans_checked(&mut self, keys: &[MessageKey], store: &StoreId, statuses: Vec<Status>) {
-        let mut adopted = Vec::new();
         for (key, status) in keys.iter().zip(statuses) {
-            if self.orphan_checked(*key, store, status) {
-                adopted.push(*key);
+            match self.orphan_checked(*key, store, status) {
+                Verdict::Unsure => {}
+                Verdict::Taken => self.remove(*key),
+                Verdict::Free => self.claim(*key),
             }
         }
-        self.claim(&adopted);
-        for key in adopted {
-            self.begin_waiting(key);
-        }
     }
 
-    /// Takes one store's word on an orphan; whether all needed facts are known now.
-    fn orphan_checked(&mut self, key: MessageKey, store: &StoreId, status: Status) -> bool {
-        let Some(message) = self.messages.get_mut(&key) else { return false };
-        let Stage::Adopting { answered, claim } = &mut message.stage else { return false };
+    /// Takes one store's word on an orphan.
+    fn orphan_checked(&mut self, key: MessageKey, store: &StoreId, status: Status) -> Verdict {
+        let Some(message) = self.messages.get_mut(&key) else { return Verdict::Unsure };
+        let Stage::Adopting { answered, from, claim } = &mut message.stage else { return Verdict::Unsure };
         answered.insert(store.clone());
         match status {
             Status::Unknown => {}
-            Status::Open { owner, claim: known, failures } => {
+            Status::Open { owner, claim: known, failures, released } => {
                 message.written.insert(store.clone());
                 message.failures = message.failures.max(failures);
-                if known > *claim && owner != self.settings.owner {
-                    self.remove(key); // Another relay was quicker.
-                    return false;
+                let is_other = owner != *from && owner != self.settings.owner;
+                if is_other && !released && self.live_relays.contains(&owner) {
+                    return Verdict::Taken;
                 }
                 *claim = known.max(*claim);
             }
             Status::Ended(end) => {
                 let name = message.record.name.clone();
                 self.spread_end(key, Fact::Ended { name, end });
-                return false;
+                return Verdict::Unsure;
             }
         }
-        self.stores.placement.is_read(message.record.partition, answered)
+        let is_read = self.stores.placement.is_read(message.record.partition, answered);
+        if is_read { Verdict::Free } else { Verdict::Unsure }
     }
 
     /// Some store knows the end: the others are told, and nothing is run.
@@ -128,18 +156,65 @@
         self.unblock_successors(&name);
     }
 
-    fn claim(&mut self, keys: &[MessageKey]) {
-        let mut by_store: BTreeMap<(StoreId, u32), Vec<MessageName>> = BTreeMap::new();
-        for key in keys {
-            let Some(message) = self.messages.get(key) else { continue };
-            let Stage::Adopting { claim, .. } = message.stage else { continue };
-            for store in self.stores.placement.stores(message.record.partition) {
-                by_store.entry((store, claim + 1)).or_default().push(message.record.name.clone());
+    /// Asks for ownership. It is had when a write quorum has granted it, so that no two relays have the same claim.
+    fn claim(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        let Stage::Adopting { claim, .. } = message.stage else { return };
+        let claim = claim + 1;
+        message.stage = Stage::Claiming { granted: BTreeSet::new(), claim };
+        message.since = self.now;
+        self.clock.set(self.now + ADOPT_AGAIN, Timer::RetryAdoption(key));
+        self.send_claims(key, claim);
+    }
+
+    /// Sends a claim to the stores that hold the record. Where these are too few, others are given the record first.
+    fn send_claims(&mut self, key: MessageKey, claim: u32) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let (name, partition) = (message.record.name.clone(), message.record.partition);
+        let is_live = |store: &StoreId| self.stores.is_live(store);
+        let mut targets: BTreeSet<StoreId> =
+            message.written.iter().filter(|id| is_live(id)).cloned().collect();
+        let ranked = self.stores.ranked(partition, self.now);
+        let mut further = Vec::new();
+        for store in ranked.into_iter().filter(is_live) {
+            if !self.stores.placement.is_written(partition, &targets) && targets.insert(store.clone()) {
+                further.push(store);
             }
         }
-        for ((store, claim), names) in by_store {
-            let request = StoreRequest::Claim { names, owner: self.settings.owner.clone(), claim };
-            self.ask(&store, Purpose::Claim, request);
+        for store in further {
+            self.append(key, &store);
+        }
+        for store in targets {
+            let owner = self.settings.owner.clone();
+            let request = StoreRequest::Claim { names: vec![name.clone()], owner, claim };
+            self.ask(&store, Purpose::Claim(key, name.clone()), request);
+        }
+    }
+
+    pub(crate) fn claim_granted(&mut self, key: MessageKey, name: MessageName, store: StoreId) {
+        let Some(message) = self.messages.get_mut(&key) else {
+            // It was given up meanwhile, or has ended; in the latter case the store finds out when it is offered.
+            let request = StoreRequest::Release { names: vec![name], owner: self.settings.owner.clone() };
+            self.ask(&store, Purpose::Release, request);
+            return;
+        };
+        message.written.insert(store.clone());
+        let Stage::Claiming { granted, .. } = &mut message.stage else { return };
+        granted.insert(store);
+        if self.stores.placement.is_written(message.record.partition, granted) {
+            self.begin_waiting(key);
+        }
+    }
+
+    /// Another relay has an equal or higher claim: what was granted here is given up.
+    pub(crate) fn claim_refused(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let Stage::Claiming { granted, .. } = &message.stage else { return };
+        let (granted, names) = (granted.clone(), vec![message.record.name.clone()]);
+        self.remove(key);
+        for store in granted {
+            let request = StoreRequest::Release { names: names.clone(), owner: self.settings.owner.clone() };
+            self.ask(&store, Purpose::Release, request);
         }
     }
 
@@ -147,9 +222,12 @@
     /// before it is started.
     pub(crate) fn verify_ownership(&mut self) {
         let keys = self.keys(|stage| *stage == Stage::Waiting);
+        let from = self.settings.owner.clone();
         for key in &keys {
             if let Some(message) = self.messages.get_mut(key) {
-                message.stage = Stage::Adopting { answered: BTreeSet::new(), claim: 0 };
+                let answered = BTreeSet::new();
+                message.stage = Stage::Adopting { answered, from: from.clone(), claim: 0 };
+                message.since = self.now;
             }
         }
         self.ask_facts(&keys);
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -5,7 +5,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::record::MessageName;
-use pewterseam_wire::store::{StoreRequest, StoreResponse};
+use pewterseam_wire::store::{Decline, StoreRequest, StoreResponse};
 
 use crate::clock::Timer;
 use crate::io::{CallId, Effect, MessageKey};
@@ -24,7 +24,7 @@
     Check(MessageKey, Vec<MessageName>),
     /// Orphans, in the order asked.
     Adopt(Vec<MessageKey>),
-    Claim,
+    Claim(MessageKey, MessageName),
     Release,
 }
 
@@ -61,9 +61,11 @@
     pub fn store_answered(&mut self, now: Micros, call: CallId, response: StoreResponse) -> Vec<Effect> {
         self.now = now;
         if let Some(call) = self.calls.open.remove(&call) {
-            if let StoreResponse::Declined { .. } = response {
-                self.stores.failed(&call.store, now);
-                self.call_declined(call.store, call.purpose);
+            if let StoreResponse::Declined { reason, .. } = response {
+                if reason != Decline::AlreadyClaimed {
+                    self.stores.failed(&call.store, now);
+                }
+                self.call_declined(call.store, call.purpose, reason);
             } else {
                 self.stores.answered(&call.store, now.saturating_sub(call.at));
                 self.call_answered(call.store, call.purpose, response);
@@ -86,7 +88,7 @@
             Purpose::List(key) => self.listing_failed(key, &call.store),
             Purpose::Append(key) => self.append_failed(key),
             Purpose::Settle(keys) => self.settle_failed(&keys),
-            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim | Purpose::Release => {}
+            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim(..) | Purpose::Release => {}
         }
     }
 
@@ -101,16 +103,18 @@
             (Purpose::Adopt(keys), StoreResponse::Statuses { statuses, .. }) => {
                 self.orphans_checked(&keys, &store, statuses);
             }
+            (Purpose::Claim(key, name), StoreResponse::Done { .. }) => self.claim_granted(key, name, store),
             _ => {}
         }
     }
 
-    fn call_declined(&mut self, store: StoreId, purpose: Purpose) {
+    fn call_declined(&mut self, store: StoreId, purpose: Purpose, reason: Decline) {
         match purpose {
             Purpose::List(key) => self.listing_failed(key, &store),
             Purpose::Append(key) => self.append_declined(key, store),
             Purpose::Settle(keys) => self.settle_failed(&keys),
-            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim | Purpose::Release => {}
+            Purpose::Claim(key, _) if reason == Decline::AlreadyClaimed => self.claim_refused(key),
+            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim(..) | Purpose::Release => {}
         }
     }
 }
--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -34,6 +34,8 @@
     pub(crate) calls: Calls,
     pub(crate) clock: Clock,
     pub(crate) outbox: Outbox,
+    /// Relays that live, as far as membership tells.
+    pub(crate) live_relays: BTreeSet<Owner>,
     /// No message is started any more.
     pub(crate) is_stopping: bool,
     pub(crate) effects: Vec<Effect>,
@@ -55,6 +57,7 @@
             calls: Calls::default(),
             clock: Clock::default(),
             outbox: Outbox::default(),
+            live_relays: BTreeSet::new(),
             is_stopping: false,
             effects: Vec::new(),
         }
@@ -119,6 +122,11 @@
         self.stores.set_live(live);
     }
 
+    /// Membership's view of the relays changed.
+    pub fn set_live_relays(&mut self, live: BTreeSet<Owner>) {
+        self.live_relays = live;
+    }
+
     /// Whether enough stores of the placement live for every partition to be written.
     pub fn can_accept(&self, partition: pewterseam_wire::placement::Partition) -> bool {
         self.stores.can_write(partition)
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use pewterseam_wire::Micros;
+use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::record::{End, MessageName, Record};
 
@@ -15,8 +16,11 @@
     Listing { answered: BTreeSet<StoreId>, found: BTreeSet<MessageName> },
     /// The record is on its way to the stores.
     Writing,
-    /// Facts are asked for before a message of another owner is run.
-    Adopting { answered: BTreeSet<StoreId>, claim: u32 },
+    /// Facts are asked for before a message of another owner is run. `from` is the owner that is gone, `claim` the
+    /// highest one that was heard of.
+    Adopting { answered: BTreeSet<StoreId>, from: Owner, claim: u32 },
+    /// Stores are asked to make this relay the owner.
+    Claiming { granted: BTreeSet<StoreId>, claim: u32 },
     /// Kept; not running.
     Waiting,
     /// Handed to the runner.
--- a/crates/queue/src/stop.rs
+++ b/crates/queue/src/stop.rs
@@ -17,7 +17,8 @@
     pub fn stop(&mut self, now: Micros) -> Vec<Effect> {
         self.now = now;
         self.is_stopping = true;
-        let waiting = self.keys(|stage| matches!(stage, Stage::Waiting | Stage::Adopting { .. }));
+        let waiting = self
+            .keys(|stage| matches!(stage, Stage::Waiting | Stage::Adopting { .. } | Stage::Claiming { .. }));
         self.release(&waiting);
         self.take_effects()
     }
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -1,5 +1,6 @@
 //! The queue's effects, and the stores' answers to its requests.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -7,6 +8,7 @@
 use pewterseam_queue::{CallId, Effect as QueueEffect, MessageKey, Submission};
 use pewterseam_transport::Origin;
 use pewterseam_wire::Micros;
+use pewterseam_wire::identity::{Owner, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
@@ -81,8 +83,8 @@
 
     /// Membership changed: who can be asked, and who shares the work.
     pub(super) fn members_changed(&mut self) {
-        use pewterseam_wire::identity::Role;
         let (mut stores, mut relays, mut neighbours) = (Vec::new(), Vec::new(), Vec::new());
+        let mut owners = BTreeSet::new();
         let region = Arc::clone(&self.node.info().region);
         for info in self.node.live() {
             match (info.role, info.disk) {
@@ -90,6 +92,7 @@
                 (Role::Store, None) => {}
                 (Role::Relay, _) => {
                     relays.push(info.name.clone());
+                    owners.insert(Owner { name: info.name.clone(), life: info.life });
                     if info.region == region {
                         neighbours.push(info.name.clone());
                     }
@@ -97,6 +100,7 @@
             }
         }
         self.planes.queue.set_live_stores(stores.into_iter().collect());
+        self.planes.queue.set_live_relays(owners);
         self.delivery_inputs.push(DeliveryInput::Relays(relays));
         self.discover(pewterseam_discovery::Input::Relays(neighbours));
     }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -22,7 +22,8 @@
     Look { names: Vec<MessageName> },
     /// The record of a message with its body, open or dead. Answered by `Found`.
     Fetch { name: MessageName },
-    /// These messages have this owner from now on; later owners replace earlier ones by `claim`. Answered by `Done`.
+    /// These messages are to have this owner. Granted where `claim` is above every claim that was granted before;
+    /// `Done` once all are granted and synced, else `Declined` with `AlreadyClaimed`.
     Claim { names: Vec<MessageName>, owner: Owner, claim: u32 },
     /// A relay that stops gives these up: the stores offer them to other relays at once. `Done` when taken.
     Release { names: Vec<MessageName>, owner: Owner },
@@ -76,13 +77,21 @@
     Disk,
     /// Too much is waiting.
     Busy,
+    /// An equal or higher claim was granted, or the message has ended.
+    AlreadyClaimed,
 }
 
 /// What a store knows of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Status {
     Unknown,
-    Open { owner: Owner, claim: u32, failures: u32 },
+    /// `released`: the owner gave it up.
+    Open {
+        owner: Owner,
+        claim: u32,
+        failures: u32,
+        released: bool,
+    },
     Ended(End),
 }
 
@@ -112,6 +121,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OrphanMessage {
     pub record: Record,
+    /// The owner that is gone or gave it up.
+    pub owner: Owner,
     /// The claim that the next owner makes is above this.
     pub claim: u32,
     pub failures: u32,
