Each relay keeps its part of the connections that hosts accept

Cause: with 58 relays and hosts that accept 18 connections, each relay kept connections to three or more of six hosts, and one more than its part to each; hosts reset 18,835 connections, were taken for out of order, and messages waited 21 s. Ruled out: slots (44% used), the permits of outside endpoints. Change: a relay uses and keeps open at most four fifths of an even part of what the hosts of a service accept together; the connection that was not used for longest is closed. With fewer connections than relays none is kept. The new tests saw 29 connections to a host of 18, and 58 to one of 29, without the change.

--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -108,6 +108,9 @@
         if let Some(host) = self.hosts.get_mut(made.host) {
             host.calls = host.calls.saturating_sub(1);
         }
+        if end.kept {
+            self.keep_connection(&made);
+        }
         if !matches!(seen, Seen::Ok | Seen::Moot) {
             self.check_at = self.check_at.or(Some(self.now));
         }
@@ -119,6 +122,16 @@
         self.events.push(Event::Ended(ended));
     }
 
+    /// A connection idles: the one that was not used for longest is closed where there are too many.
+    fn keep_connection(&mut self, made: &Attempt) {
+        let Some(host) = self.hosts.get(made.host) else { return };
+        let address = host.target.address;
+        let accepted = self.services.get(&made.service).map_or(0, |service| service.max_connections);
+        let most = self.hosts.most_connections(&made.service, accepted);
+        let closed = self.idle.kept(&made.service, address, most);
+        self.effects.extend(closed.into_iter().map(|address| Effect::CloseIdle { address }));
+    }
+
     /// Books what an end says of the host; gives what the decisions are told.
     fn book_host(&mut self, made: &Attempt, health: Health) -> Seen {
         match health {
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -13,6 +13,7 @@
 
 use crate::attempts::Attempt;
 use crate::backoff::{AFTER_FAILURE, AFTER_GIVING_UP};
+use crate::connections::IdleConnections;
 use crate::hosts::Hosts;
 use crate::interface::{AttemptId, Effect, Input, Submission};
 use crate::messages::Messages;
@@ -45,6 +46,7 @@
     pub(crate) last_attempt: u64,
     pub(crate) permits: Permits,
     pub(crate) peers: Peers,
+    pub(crate) idle: IdleConnections,
     pub(crate) check_at: Option<Micros>,
     stopping: bool,
     pub(crate) effects: Vec<Effect>,
@@ -75,6 +77,7 @@
             last_attempt: 0,
             permits,
             peers: Peers::new(settings.me.clone()),
+            idle: IdleConnections::default(),
             check_at: None,
             stopping: false,
             effects: Vec::new(),
@@ -113,6 +116,7 @@
                     limited.map(|service| (service.name.clone(), service.rate_per_s)).collect();
                 self.services.replace(services);
                 self.hosts.refresh(&self.services);
+                self.idle.retain(|name| self.services.get(name).is_some());
                 self.permits.set_services(self.now, limited);
             }
             Input::Hosts(instances) => self.hosts.set_list(instances, &self.services, self.now),
--- a/crates/delivery/src/hosts.rs
+++ b/crates/delivery/src/hosts.rs
@@ -7,14 +7,13 @@
 use pewterseam_wire::Micros;
 
 use crate::backoff::{HOST_FULL, PROBE};
+use crate::connections::{to_one_host, to_service};
 use crate::interface::{HostKey, Instance, Target};
 use crate::messages::Messages;
 use crate::numbering::{destination, listed_host, static_host};
 use crate::services::Services;
 use crate::spread::{Candidate, Place, Spread};
 
-/// Connections beyond an even part of what a host accepts from all relays.
-const EXTRA_CONNECTIONS: usize = 1;
 /// Answers of a host that are looked at together, and how many there must be before it is judged by them.
 const ANSWERS: u32 = 8;
 const LEAST_ANSWERS: u32 = 4;
@@ -147,7 +146,7 @@
                 let id = listed_host(&instance);
                 let target = Target { address: instance.address, instance: Some(instance.id.clone()) };
                 let slots = if instance.slots > 0 { instance.slots as usize } else { usize::MAX };
-                let limit = self.connections(service.max_connections).min(slots);
+                let limit = to_one_host(service.max_connections, self.place.relays).min(slots);
                 self.put(id, &service.name, &instance.zone, target, instance.ready, limit);
                 seen.insert(id);
             }
@@ -156,7 +155,7 @@
         let no_zone = Arc::from("");
         for service in services.all() {
             if let Some((address, id)) = service.static_address.zip(static_host(service)) {
-                let limit = self.connections(service.max_connections);
+                let limit = to_one_host(service.max_connections, self.place.relays);
                 let target = Target { address, instance: None };
                 self.put(id, &service.name, &no_zone, target, true, limit);
                 seen.insert(id);
@@ -173,12 +172,10 @@
         self.by_service.retain(|_, of| !of.ring.is_empty());
     }
 
-    /// This relay's part of the connections that a host accepts.
-    fn connections(&self, most: u32) -> usize {
-        if most == 0 {
-            return usize::MAX;
-        }
-        (most as usize / self.place.relays.max(1)).max(1) + EXTRA_CONNECTIONS
+    /// How many connections to the hosts of a service may be kept open.
+    pub(crate) fn most_connections(&self, service: &str, accepted: u32) -> usize {
+        let hosts = self.by_service.get(service).map_or(0, |of| of.ring.len());
+        to_service(accepted, hosts, self.place.relays)
     }
 
     fn put(
@@ -274,7 +271,8 @@
         }
         let wanted = |service: &Arc<str>| messages.demand(service) > 0;
         for service in self.unsettled.extract_if(.., wanted).collect::<Vec<_>>() {
-            let chosen = self.choose(&service, now);
+            let accepted = services.get(&service).map_or(0, |service| service.max_connections);
+            let chosen = self.choose(&service, accepted, now);
             let ids: Vec<_> = self.of_service(&service).collect();
             for id in ids {
                 let lifecycle = if chosen.contains(&id) { Lifecycle::Ready } else { Lifecycle::Draining };
@@ -290,7 +288,8 @@
     }
 
     /// The hosts of a service that the decisions may use now.
-    fn choose(&mut self, service: &Arc<str>, now: Micros) -> BTreeSet<HostId> {
+    fn choose(&mut self, service: &Arc<str>, accepted: u32, now: Micros) -> BTreeSet<HostId> {
+        let most = self.most_connections(service, accepted).max(1);
         let (is_held, hosts) = (self.is_closed || self.held.contains(service), &self.hosts);
         let Some(of) = self.by_service.get_mut(service).filter(|_| !is_held) else { return BTreeSet::new() };
         let candidate = |(_, id): &(Arc<str>, HostId)| {
@@ -300,7 +299,7 @@
             Some(Candidate { id: *id, takes_now: host.takes_now(now), is_out: host.is_out, calls })
         };
         let ring: Vec<_> = of.ring.iter().filter_map(candidate).collect();
-        of.spread.choose(&ring, self.place)
+        of.spread.choose(&ring, self.place, most)
     }
 
     /// The line that the decisions are told of a host, if it is news.
--- a/crates/delivery/src/lib.rs
+++ b/crates/delivery/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempts;
 mod backoff;
+mod connections;
 mod delivery;
 mod hosts;
 mod interface;
--- a/crates/delivery/src/spread.rs
+++ b/crates/delivery/src/spread.rs
@@ -35,14 +35,15 @@
         self.used.insert(id);
     }
 
-    /// The hosts that are to be chosen among now; `ring` holds all of the service in the order that all relays have.
-    pub(crate) fn choose(&mut self, ring: &[Candidate], place: Place) -> BTreeSet<HostId> {
+    /// The hosts that are to be chosen among now, `most` at the most; `ring` holds all of the service in the order that
+    /// all relays have.
+    pub(crate) fn choose(&mut self, ring: &[Candidate], place: Place, most: usize) -> BTreeSet<HostId> {
         let first = ring.len() * place.rank / place.relays.max(1);
         let from_here = || ring.iter().cycle().skip(first).take(ring.len()).filter(|host| host.takes_now);
         let healthy = from_here().any(|host| !host.is_out);
         let in_order = || from_here().filter(|host| host.is_out != healthy);
         let Some(fewest) = in_order().map(|host| host.calls).min() else { return BTreeSet::new() };
-        let count = (LEAST_RELAYS * ring.len()).div_ceil(place.relays.max(1)).max(LEAST_HOSTS);
+        let count = (LEAST_RELAYS * ring.len()).div_ceil(place.relays.max(1)).max(LEAST_HOSTS).min(most);
         let near: BTreeSet<_> =
             in_order().filter(|host| host.calls == fewest).take(count).map(|host| host.id).collect();
         if near.is_subset(&self.used) {
--- a/crates/delivery/tests/world/mod.rs
+++ b/crates/delivery/tests/world/mod.rs
@@ -421,6 +421,15 @@
         self.relays.iter().map(|relay| relay.finished.len()).sum()
     }
 
+    /// Connections of all relays to a host, used and idle.
+    #[allow(dead_code)]
+    pub fn connections_to(&self, port: u16) -> usize {
+        let to = address(port);
+        let used = |relay: &Relay| relay.calls.values().filter(|call| call.target.address == to).count();
+        let idle = |relay: &Relay| relay.idle.get(&to).copied().unwrap_or(0);
+        self.relays.iter().map(|relay| used(relay) + idle(relay)).sum()
+    }
+
     pub fn arrivals_at(&self, port: u16) -> impl Iterator<Item = &Arrival> {
         self.arrivals.iter().filter(move |arrival| arrival.address == address(port))
     }
