A relay that no store answers says so at once; ends are booked before a stop looks

Ruled out: a stalled disk (hedges pass it over), membership (it rightly saw all stores live by way of others). Change: a store that leaves two requests unanswered is out of this relay's reach until it answers a probe; with too few in reach messages are declined at once, the relay is not ready, and a 503 closes its connection. A stop first settles.

--- a/crates/ingress/src/answers.rs
+++ b/crates/ingress/src/answers.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::{CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 use pewterseam_queue::Answer;
 use serde::Serialize;
@@ -37,6 +37,8 @@
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = HeaderValue::from(retry_after_ms / MILLISECONDS_A_SECOND);
     answer.headers_mut().insert(RETRY_AFTER, seconds);
+    // The client's next connection may lead to a relay that can take it.
+    answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     answer
 }
 
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -14,6 +14,9 @@
 /// Time after which a store that has not answered counts as failing.
 const CALL_TIMEOUT: Micros = 1_000_000;
 
+/// Between two tries of a store that is out of reach.
+const PROBE_PERIOD: Micros = 250_000;
+
 /// What a request was for.
 #[derive(Clone, Debug)]
 pub(crate) enum Purpose {
@@ -26,6 +29,8 @@
     Adopt(Vec<MessageKey>),
     Claim(MessageKey, MessageName),
     Release,
+    /// Whether the store answers at all.
+    Probe,
 }
 
 #[derive(Clone, Debug)]
@@ -63,7 +68,7 @@
         if let Some(call) = self.calls.open.remove(&call) {
             if let StoreResponse::Declined { reason, .. } = response {
                 if reason != Decline::AlreadyClaimed {
-                    self.stores.failed(&call.store, now);
+                    self.stores.declined(&call.store, now);
                 }
                 self.call_declined(call.store, call.purpose, reason);
             } else {
@@ -84,12 +89,33 @@
     pub(crate) fn fail_call(&mut self, call: CallId) {
         let Some(call) = self.calls.open.remove(&call) else { return };
         self.stores.failed(&call.store, self.now);
+        self.probe_later();
         match call.purpose {
             Purpose::List(key) => self.listing_failed(key, &call.store),
             Purpose::Append(key) => self.append_failed(key),
             Purpose::Settle(keys) => self.settle_failed(&keys),
-            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim(..) | Purpose::Release => {}
+            Purpose::Check(..)
+            | Purpose::Adopt(_)
+            | Purpose::Claim(..)
+            | Purpose::Release
+            | Purpose::Probe => {}
+        }
+    }
+
+    /// Sees to it that stores out of reach are tried, so that their return is noticed without messages.
+    fn probe_later(&mut self) {
+        if !self.is_probe_set && !self.stores.out_of_reach().is_empty() {
+            self.is_probe_set = true;
+            self.clock.set(self.now + PROBE_PERIOD, Timer::ProbeStores);
+        }
+    }
+
+    pub(crate) fn probe_stores(&mut self) {
+        self.is_probe_set = false;
+        for store in self.stores.out_of_reach() {
+            self.ask(&store, Purpose::Probe, StoreRequest::Look { names: Vec::new() });
         }
+        self.probe_later();
     }
 
     fn call_answered(&mut self, store: StoreId, purpose: Purpose, response: StoreResponse) {
@@ -114,7 +140,11 @@
             Purpose::Append(key) => self.append_declined(key, store),
             Purpose::Settle(keys) => self.settle_failed(&keys),
             Purpose::Claim(key, _) if reason == Decline::AlreadyClaimed => self.claim_refused(key),
-            Purpose::Check(..) | Purpose::Adopt(_) | Purpose::Claim(..) | Purpose::Release => {}
+            Purpose::Check(..)
+            | Purpose::Adopt(_)
+            | Purpose::Claim(..)
+            | Purpose::Release
+            | Purpose::Probe => {}
         }
     }
 }
--- a/crates/queue/src/clock.rs
+++ b/crates/queue/src/clock.rs
@@ -26,6 +26,8 @@
     Expire(MessageKey),
     /// A store has not answered.
     CallTimeout(CallId),
+    /// Stores out of reach are tried.
+    ProbeStores,
     /// Facts that wait are sent.
     Flush,
     /// Ends that too few stores have acknowledged are sent again.
--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -36,6 +36,7 @@
     pub(crate) outbox: Outbox,
     /// Relays that live, as far as membership tells.
     pub(crate) live_relays: BTreeSet<Owner>,
+    pub(crate) is_probe_set: bool,
     /// No message is started any more.
     pub(crate) is_stopping: bool,
     pub(crate) effects: Vec<Effect>,
@@ -58,6 +59,7 @@
             clock: Clock::default(),
             outbox: Outbox::default(),
             live_relays: BTreeSet::new(),
+            is_probe_set: false,
             is_stopping: false,
             effects: Vec::new(),
         }
@@ -95,6 +97,7 @@
             Timer::RetryAdoption(key) => self.retry_adoption(key),
             Timer::Expire(key) => self.expire(key),
             Timer::CallTimeout(call) => self.fail_call(call),
+            Timer::ProbeStores => self.probe_stores(),
             Timer::Flush => self.flush(),
             Timer::RetrySettle(key) => self.retry_settle(key),
         }
@@ -127,9 +130,10 @@
         self.live_relays = live;
     }
 
-    /// Whether enough stores of the placement live for every partition to be written.
-    pub fn can_accept(&self, partition: pewterseam_wire::placement::Partition) -> bool {
-        self.stores.can_write(partition)
+    /// Whether enough stores live and answer this relay for messages to be kept.
+    pub fn has_stores(&self) -> bool {
+        let (reachable, all) = self.stores.reachable();
+        reachable > usize::from(self.stores.placement.tolerated).min(all.saturating_sub(1))
     }
 
     /// A configuration is in force. Messages whose route it dropped have ended.
--- a/crates/queue/src/stores.rs
+++ b/crates/queue/src/stores.rs
@@ -13,6 +13,8 @@
 const HEDGE_FACTOR: f64 = 4.0;
 /// Weight of a new sample in the usual answer time.
 const SAMPLE: f64 = 0.1;
+/// A store that left so many requests in a row unanswered is out of this relay's reach, whatever others see of it.
+const MOST_SILENCES: u32 = 2;
 /// A store that failed to answer is asked last for this long.
 const AVOID: Micros = 1_500_000;
 
@@ -21,6 +23,8 @@
 struct Known {
     answer_time: f64,
     avoid_until: Micros,
+    /// Requests that went unanswered since the last answer.
+    silences: u32,
 }
 
 /// The stores in force, and how they answer.
@@ -62,11 +66,36 @@
     pub fn answered(&mut self, store: &StoreId, took: Micros) {
         let known = self.known.entry(store.clone()).or_default();
         known.avoid_until = 0;
+        known.silences = 0;
         known.answer_time += SAMPLE * (took as f64 - known.answer_time);
     }
 
+    /// The store did not answer.
     pub fn failed(&mut self, store: &StoreId, now: Micros) {
-        self.known.entry(store.clone()).or_default().avoid_until = now + AVOID;
+        let known = self.known.entry(store.clone()).or_default();
+        known.avoid_until = now + AVOID;
+        known.silences += 1;
+    }
+
+    /// The store answered that it does nothing.
+    pub fn declined(&mut self, store: &StoreId, now: Micros) {
+        let known = self.known.entry(store.clone()).or_default();
+        known.avoid_until = now + AVOID;
+        known.silences = 0;
+    }
+
+    /// Stores that live by membership's word and do not answer this relay.
+    pub fn out_of_reach(&self) -> Vec<StoreId> {
+        let silent = |known: &Known| known.silences >= MOST_SILENCES;
+        self.live.iter().filter(|store| self.known.get(store).is_some_and(silent)).cloned().collect()
+    }
+
+    /// Stores of the newest set that live and answer, and all of that set.
+    pub fn reachable(&self) -> (usize, usize) {
+        let Some(set) = self.placement.sets.last() else { return (0, 0) };
+        let out = self.out_of_reach();
+        let is_reachable = |id: &StoreId| self.is_live(id) && !out.contains(id);
+        (set.iter().filter(|entry| is_reachable(&entry.id)).count(), set.len())
     }
 
     /// The partition's stores, those to ask first in front: live, answering, of the own zone, by rank.
@@ -110,7 +139,12 @@
 
     /// Whether enough stores are alive for a write to this partition.
     pub fn can_write(&self, partition: Partition) -> bool {
-        self.placement.is_written(partition, &self.live)
+        let out = self.out_of_reach();
+        if out.is_empty() {
+            return self.placement.is_written(partition, &self.live);
+        }
+        let reachable = self.live.iter().filter(|store| !out.contains(store)).cloned().collect();
+        self.placement.is_written(partition, &reachable)
     }
 
     /// How long an answer may take before a further store is asked.
--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -210,3 +210,25 @@
     assert!(world.submitted.is_empty());
     assert_eq!(world.ends(&name), 2);
 }
+
+// Danger: a relay that is cut off from the stores, while others see them live, holds each client for its whole patience.
+#[test]
+fn a_relay_that_no_store_answers_declines_at_once_until_they_answer_again() {
+    let mut world = World::new();
+    world.silent.extend(world.stores.keys().cloned().collect::<Vec<_>>());
+    for id in ["a", "b", "c", "d"] {
+        let new = world.message(id, None);
+        world.accept(new);
+    }
+    world.run_for(1_100 * MILLISECOND);
+    assert!(!world.queue.has_stores());
+    let new = world.message("e", None);
+    let token = world.accept(new);
+    assert!(matches!(world.answers.get(&token), Some(Answer::Declined { .. })));
+    world.silent.clear();
+    world.run_for(1_500 * MILLISECOND);
+    assert!(world.queue.has_stores());
+    let new = world.message("f", None);
+    let token = world.accept(new);
+    assert!(matches!(world.answers.get(&token), Some(Answer::Accepted { .. })));
+}
--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -116,6 +116,8 @@
             self.discover(pewterseam_discovery::Input::Tick);
         }
         self.expire_reads(now);
+        // Danger: an end that has arrived and is not booked makes a message that has run look as if it had not.
+        self.settle();
         self.go_on_stopping(now);
         if self.tend_at <= now {
             self.tend_at = now + TEND_PERIOD;
--- a/crates/system/src/relay/readiness.rs
+++ b/crates/system/src/relay/readiness.rs
@@ -2,8 +2,6 @@
 
 use std::sync::atomic::Ordering;
 
-use pewterseam_wire::identity::Role;
-
 use super::process::RelayProcess;
 
 impl RelayProcess {
@@ -18,18 +16,6 @@
 
     /// A configuration is in force that was proven the newest, and enough stores live to keep messages.
     fn can_serve(&self) -> bool {
-        self.config.load().version > 0 && self.node.is_current() && self.has_stores()
-    }
-
-    fn has_stores(&self) -> bool {
-        let state = self.node.state();
-        let Some(set) = state.placement.sets.last() else { return false };
-        let is_live = |name, disk| {
-            self.node
-                .live()
-                .any(|info| info.role == Role::Store && info.name == name && info.disk == Some(disk))
-        };
-        let live = set.iter().filter(|entry| is_live(entry.id.name.clone(), entry.id.disk)).count();
-        live > usize::from(state.placement.tolerated).min(set.len().saturating_sub(1))
+        self.config.load().version > 0 && self.node.is_current() && self.planes.queue.has_stores()
     }
 }
