Cluster: whole clusters of the real state machines on a simulated network, disk and clock

Cause: no test had the planes together under kills, losses of power and cuts. Ruled out: running the processes themselves, as their timing cannot be replayed from a seed. Change: crates/cluster with relays, stores, hosts, clients, operators, faults and a judge; the same seed gives the same run.

--- /dev/null
+++ b/crates/cluster/src/calls.rs
@@ -0,0 +1,204 @@
+//! Calls of relays to hosts: connections, answers and time-outs, as `pewterseam-outbound` tells of them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use pewterseam_delivery::{AttemptEnd, AttemptId, AttemptResult, Input as DeliveryInput};
+use pewterseam_wire::Micros;
+
+use crate::configuration::LIMITED;
+use crate::event::{Event, Input, Life, StartCall};
+use crate::hosts::{Reaction, Run, answer};
+use crate::plan::{MILLISECOND, Planted, SECOND};
+use crate::world::World;
+
+/// An answer that is complete so long before the time-out counts as one in time.
+const IN_TIME: Micros = 50 * MILLISECOND;
+/// How long a connection was idle, as far as the decisions are told.
+const IDLE_FOR: Micros = 100 * MILLISECOND;
+/// A planted fault holds calls back for so long.
+const HELD_BACK: Micros = 4 * SECOND;
+
+/// A call of a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CallKey {
+    pub life: Life,
+    pub attempt: AttemptId,
+}
+
+/// A call that is out.
+pub struct Call {
+    start: StartCall,
+    started_at: Micros,
+    is_new: bool,
+    is_held_back: bool,
+    run: Option<u64>,
+}
+
+/// The calls that are out, and idle connections.
+#[derive(Default)]
+pub struct Calls {
+    open: BTreeMap<CallKey, Call>,
+    idle: BTreeMap<(Life, SocketAddr), usize>,
+}
+
+impl World {
+    pub(crate) fn start_call(&mut self, life: Life, start: StartCall) {
+        let key = CallKey { life, attempt: start.attempt };
+        let address = start.target.address;
+        let idle = self.calls.idle.entry((life, address)).or_default();
+        let is_new = *idle == 0;
+        *idle = idle.saturating_sub(1);
+        let (timeout, confirm) = (start.timeout, start.confirm);
+        let call = Call { start, started_at: self.now, is_new, is_held_back: false, run: None };
+        self.calls.open.insert(key, call);
+        let delay = self.network.delay();
+        if is_new && self.hosts.at(address).is_none() {
+            self.agenda.add(self.now + delay, Event::CallAnswered(key, AttemptResult::ConnectFailed));
+        } else if is_new || confirm {
+            self.agenda.add(self.now + delay, Event::CallOpened(key));
+        } else {
+            self.call_written(key);
+        }
+        self.agenda.add(self.now + timeout, Event::CallTimesOut(key));
+    }
+
+    pub(crate) fn call_written(&mut self, key: CallKey) {
+        let mut delay = self.network.delay();
+        if self.plan.planted == Some(Planted::LatePermits) && self.is_cut_off(key.life.machine) {
+            delay = HELD_BACK - self.now % HELD_BACK;
+            if let Some(call) = self.calls.open.get_mut(&key) {
+                call.is_held_back = true;
+            }
+        }
+        self.agenda.add(self.now + delay, Event::CallArrives(key));
+    }
+
+    pub(crate) fn call_opened(&mut self, key: CallKey) {
+        if self.calls.open.contains_key(&key) {
+            let input = Input::Host(DeliveryInput::Opened { attempt: key.attempt });
+            self.agenda.add(self.now, Event::Process(key.life, input));
+        }
+    }
+
+    pub(crate) fn withhold(&mut self, key: CallKey) {
+        if let Some(call) = self.calls.open.remove(&key) {
+            *self.calls.idle.entry((key.life, call.start.target.address)).or_default() += 1;
+        }
+    }
+
+    pub(crate) fn close_idle(&mut self, life: Life, address: SocketAddr) {
+        self.calls.idle.remove(&(life, address));
+    }
+
+    pub(crate) fn call_arrives(&mut self, key: CallKey) {
+        let Some(call) = self.calls.open.get(&key) else { return };
+        let (target, request_id) = (call.start.target.clone(), call.start.request_id.clone());
+        let delay = self.network.delay();
+        let Some(host) = self.hosts.at(target.address) else {
+            self.agenda.add(self.now + delay, Event::CallAnswered(key, AttemptResult::Broken));
+            return;
+        };
+        let service = self.hosts.all[host].service;
+        if service == LIMITED {
+            self.judge.arrived(self.now);
+        }
+        let body = call.start.body.clone();
+        match self.hosts.react(self.now, host, &target, &request_id) {
+            Reaction::Answers { status, not_executed } => {
+                let result = answer(status, not_executed, None);
+                self.agenda.add(self.now + delay, Event::CallAnswered(key, result));
+            }
+            Reaction::Resets => {
+                self.agenda.add(self.now + delay, Event::CallAnswered(key, AttemptResult::Broken));
+            }
+            Reaction::Runs { status, took, is_answer_lost } => {
+                self.judge.run_starts(self.now, &request_id, &body, key.life, service);
+                self.last_run += 1;
+                let run = Run { host, call: key, request_id, status, is_answer_lost };
+                self.runs.insert(self.last_run, run);
+                self.hosts.all[host].running += 1;
+                if let Some(call) = self.calls.open.get_mut(&key) {
+                    call.run = Some(self.last_run);
+                }
+                self.agenda.add(self.now + took, Event::RunEnds { run: self.last_run });
+            }
+        }
+    }
+
+    pub(crate) fn run_ends(&mut self, number: u64) {
+        let Some(run) = self.runs.remove(&number) else { return };
+        let host = &mut self.hosts.all[run.host];
+        host.running -= 1;
+        if !host.is_up {
+            self.agenda.add(self.now, Event::CallAnswered(run.call, AttemptResult::Broken));
+            return;
+        }
+        let signature = (run.status == 200).then(|| std::sync::Arc::from(format!("s-{number}")));
+        self.judge.run_ends(self.now, &run.request_id, run.status, signature.clone());
+        let delay = self.network.delay();
+        let result =
+            if run.is_answer_lost { AttemptResult::Broken } else { answer(run.status, false, signature) };
+        self.agenda.add(self.now + delay, Event::CallAnswered(run.call, result));
+    }
+
+    pub(crate) fn call_answered(&mut self, key: CallKey, result: AttemptResult) {
+        let Some(call) = self.calls.open.remove(&key) else { return };
+        let took = self.now - call.started_at;
+        if let AttemptResult::Answered(answer) = &result {
+            *self.calls.idle.entry((key.life, call.start.target.address)).or_default() += 1;
+            let is_running = self.is_running(key.life);
+            if answer.status == 200 && took + IN_TIME <= call.start.timeout && is_running {
+                self.judge.success_read(self.now, &call.start.request_id);
+            }
+        }
+        self.end_call(key, &call, result);
+    }
+
+    pub(crate) fn call_times_out(&mut self, key: CallKey) {
+        if self.calls.open.get(&key).is_none_or(|call| call.is_held_back) {
+            return;
+        }
+        if let Some(call) = self.calls.open.remove(&key) {
+            self.drop_run(&call);
+            self.end_call(key, &call, AttemptResult::TimedOut);
+        }
+    }
+
+    pub(crate) fn abort(&mut self, key: CallKey) {
+        if let Some(call) = self.calls.open.remove(&key) {
+            self.drop_run(&call);
+            self.end_call(key, &call, AttemptResult::Broken);
+        }
+    }
+
+    fn end_call(&mut self, key: CallKey, call: &Call, result: AttemptResult) {
+        let kept = matches!(result, AttemptResult::Answered(_));
+        let idle_for = (!call.is_new).then_some(IDLE_FOR);
+        let end = AttemptEnd { result, took: self.now - call.started_at, idle_for, kept };
+        let input = Input::Host(DeliveryInput::Ended { attempt: key.attempt, end });
+        self.agenda.add(self.now, Event::Process(key.life, input));
+    }
+
+    /// The host sees that the connection closed.
+    fn drop_run(&mut self, call: &Call) {
+        if let Some(number) = call.run
+            && self.hosts.drops_work()
+            && let Some(run) = self.runs.remove(&number)
+        {
+            self.hosts.all[run.host].running -= 1;
+            self.judge.run_dropped(self.now, &run.request_id);
+        }
+    }
+
+    /// The process of a life is gone, and its connections with it.
+    pub(crate) fn end_calls(&mut self, life: Life) {
+        let gone: Vec<CallKey> = self.calls.open.keys().filter(|key| key.life == life).copied().collect();
+        for key in gone {
+            if let Some(call) = self.calls.open.remove(&key) {
+                self.drop_run(&call);
+            }
+        }
+        self.calls.idle.retain(|(of, _), _| *of != life);
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/configuration.rs
@@ -0,0 +1,96 @@
+//! The configurations that operators send, and what relays make of them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use pewterseam_config::{CompiledConfig, Route, Service};
+use pewterseam_delivery::ServiceConfig;
+use pewterseam_queue::{RoutePolicy, RouteTable};
+
+/// Arrivals a second that the limited service allows.
+pub const RATE_PER_S: u32 = 8;
+/// Answers of 500 after which a message has ended.
+pub const MOST_ATTEMPTS: u32 = 4;
+/// Time of one attempt.
+pub const TIMEOUT_MS: u64 = 600;
+const RETENTION_S: f64 = 90.0;
+const MILLISECONDS_A_SECOND: f64 = 1_000.0;
+
+/// Routes of the configurations, each with its service.
+pub const PLAIN: &str = "plain";
+pub const ORDERED: &str = "ordered";
+pub const LIMITED: &str = "limited";
+
+/// The endpoint of the limited service.
+pub fn limited_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 3], 8_000))
+}
+
+fn route(name: &str, schedule_target_ms: u64) -> String {
+    let fifo = name == ORDERED;
+    format!(
+        r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{name}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{RETENTION_S},"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
+    )
+}
+
+fn service(name: &str) -> String {
+    let (rate, address) = match name {
+        LIMITED => (RATE_PER_S, format!("\"{}\"", limited_address())),
+        _ => (0, "null".to_owned()),
+    };
+    format!(
+        r#"{{"name":"{name}","healthPath":"/health","maxConns":60,"protocol":"h1","tls":false,"ratePerS":{rate}.0,"idempotent":false,"pullMode":false,"static":{address}}}"#
+    )
+}
+
+/// A whole configuration.
+pub fn document(version: u64, note: u64) -> Bytes {
+    let names = [PLAIN, ORDERED, LIMITED];
+    let routes = names.map(|name| route(name, 400 + note % 400)).join(",");
+    let services = names.map(service).join(",");
+    Bytes::from(format!(
+        r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"note":{note}}}"#
+    ))
+}
+
+/// A change to one.
+pub fn patch(version: u64, note: u64) -> Bytes {
+    let route = route(PLAIN, 400 + note % 400);
+    Bytes::from(format!(r#"{{"version":{version},"upsert":{{"routes":[{route}]}}}}"#))
+}
+
+/// What delivery is told of a configuration.
+pub fn services(config: &CompiledConfig) -> Vec<ServiceConfig> {
+    config.services().map(|service| service_config(service)).collect()
+}
+
+fn service_config(service: &Service) -> ServiceConfig {
+    ServiceConfig {
+        name: service.name.clone(),
+        rate_per_s: service.rate_per_s,
+        max_connections: service.max_conns,
+        static_address: service.static_address.as_ref().and_then(|address| address.parse().ok()),
+        idempotent: service.idempotent,
+        health_path: service.health_path.clone().unwrap_or_else(|| Arc::from("/health")),
+    }
+}
+
+/// What the queue is told of a configuration.
+pub fn route_table(config: &CompiledConfig) -> RouteTable {
+    let routes: HashMap<_, _> =
+        config.routes().map(|route| (route.name.clone(), route_policy(route))).collect();
+    RouteTable { version: config.version, routes }
+}
+
+fn route_policy(route: &Route) -> RoutePolicy {
+    RoutePolicy {
+        service: route.backend.clone(),
+        priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
+        timeout_ms: route.timeout_ms.ceil() as u64,
+        schedule_target_ms: route.schedule_target_ms.ceil() as u64,
+        max_attempts: route.max_attempts,
+        retention_ms: route.retention_s.map_or(u64::MAX / 2_000_000, |s| (s * MILLISECONDS_A_SECOND) as u64),
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/faults.rs
@@ -0,0 +1,243 @@
+//! Faults at random times, and the return of everything at the end of the traffic.
+
+use pewterseam_wire::Micros;
+use pewterseam_wire::identity::Role;
+
+use crate::disk::Ending;
+use crate::event::{Event, Input, Life};
+use crate::plan::{MILLISECOND, SECOND};
+use crate::world::World;
+
+const MOST_FAULTS: usize = 7;
+const MOST_CLOCK_STEP_MS: usize = 20_000;
+
+/// Trouble, or its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    Kill {
+        machine: usize,
+    },
+    LosePower {
+        machine: usize,
+    },
+    LosePowerEverywhere,
+    /// The process ends and the disk is replaced by an empty one.
+    LoseDisk {
+        machine: usize,
+    },
+    Start {
+        machine: usize,
+    },
+    /// SIGTERM.
+    Stop {
+        machine: usize,
+    },
+    Freeze {
+        machine: usize,
+        span: Micros,
+    },
+    /// Nothing goes from one machine to another.
+    CutOneWay {
+        from: usize,
+        to: usize,
+        span: Micros,
+    },
+    /// Nothing goes between a machine and all others.
+    Isolate {
+        machine: usize,
+        span: Micros,
+    },
+    ResetConnections {
+        machine: usize,
+    },
+    SlowDisk {
+        machine: usize,
+        span: Micros,
+    },
+    StallDisk {
+        machine: usize,
+        span: Micros,
+    },
+    FailSyncs {
+        machine: usize,
+    },
+    StepClock {
+        machine: usize,
+        by: i64,
+    },
+    LoseDatagrams {
+        span: Micros,
+    },
+}
+
+impl Fault {
+    /// Planned work counts as no trouble.
+    fn is_planned(self) -> bool {
+        matches!(self, Fault::Stop { .. } | Fault::Start { .. })
+    }
+}
+
+impl World {
+    /// Draws the faults of this run, all within the traffic.
+    pub(crate) fn draw_faults(&mut self) {
+        let count = self.random.below(MOST_FAULTS + 1);
+        let kinds = self.random.draw();
+        let mut may_lose_disk = true;
+        for _ in 0..count {
+            let span_of_traffic = (self.traffic_ends - self.traffic_begins) as usize;
+            let at = self.traffic_begins + self.random.below(span_of_traffic) as Micros;
+            let Some(fault) = self.draw_fault(kinds) else { continue };
+            if matches!(fault, Fault::LoseDisk { .. }) && !std::mem::take(&mut may_lose_disk) {
+                continue;
+            }
+            self.agenda.add(at, Event::Fault(fault));
+        }
+    }
+
+    /// One of the kinds of this run.
+    fn draw_fault(&mut self, kinds: u64) -> Option<Fault> {
+        let machine = self.random.below(self.machines.len());
+        let other = self.random.below(self.machines.len());
+        let span = (100 + self.random.below(3_500) as Micros) * MILLISECOND;
+        let kind = self.random.below(16);
+        if kinds >> kind & 1 == 0 {
+            return None;
+        }
+        let is_relay = self.machines[machine].role == Role::Relay;
+        Some(match kind {
+            0 | 1 => Fault::Kill { machine },
+            2 => Fault::LosePower { machine },
+            3 => Fault::LosePowerEverywhere,
+            4 if !is_relay => Fault::LoseDisk { machine },
+            4 | 5 => Fault::Stop { machine },
+            6 => Fault::Freeze { machine, span },
+            7 => Fault::CutOneWay { from: machine, to: other, span },
+            8 => Fault::Isolate { machine, span },
+            9 => Fault::ResetConnections { machine },
+            10 => Fault::SlowDisk { machine, span },
+            11 => Fault::StallDisk { machine, span },
+            12 => Fault::FailSyncs { machine },
+            13 => {
+                let by = self.random.below(2 * MOST_CLOCK_STEP_MS) as i64 - MOST_CLOCK_STEP_MS as i64;
+                Fault::StepClock { machine, by: by * MILLISECOND as i64 }
+            }
+            14 => Fault::LoseDatagrams { span },
+            _ => Fault::Stop { machine: self.random.below(5) },
+        })
+    }
+
+    pub(crate) fn fault(&mut self, fault: Fault) {
+        self.judge.fault(self.now, &fault);
+        if !fault.is_planned() {
+            self.judge.trouble(self.now, self.now);
+        }
+        match fault {
+            Fault::Kill { machine } => self.end_process(machine, Ending::Process, true),
+            Fault::LosePower { machine } => self.end_process(machine, Ending::Power, true),
+            Fault::LosePowerEverywhere => {
+                for machine in 0..self.machines.len() {
+                    self.end_process(machine, Ending::Power, true);
+                }
+            }
+            Fault::LoseDisk { machine } => {
+                self.end_process(machine, Ending::Power, true);
+                self.machines[machine].lose_disk();
+            }
+            Fault::Start { machine } => self.start_process(machine),
+            Fault::Stop { machine } => self.stop(machine),
+            Fault::Freeze { machine, span } => {
+                let until = (self.now + span).min(self.traffic_ends);
+                self.machines[machine].frozen_until = until;
+                self.judge.trouble(self.now, until);
+            }
+            Fault::CutOneWay { from, to, span } => self.cut(from, to, span),
+            Fault::Isolate { machine, span } => {
+                for other in 0..self.machines.len() {
+                    self.cut(machine, other, span);
+                    self.cut(other, machine, span);
+                }
+            }
+            Fault::ResetConnections { machine } => self.reset(machine),
+            Fault::SlowDisk { machine, span } => {
+                let until = self.now + span;
+                self.machines[machine].slow_until = until;
+                self.judge.trouble(self.now, until);
+            }
+            Fault::StallDisk { machine, span } => {
+                let until = (self.now + span).min(self.traffic_ends);
+                self.machines[machine].stalled_until = until;
+                self.judge.trouble(self.now, until);
+            }
+            Fault::FailSyncs { machine } => {
+                self.machines[machine].control_log.fail_syncs(1);
+                self.machines[machine].message_log.fail_syncs(1);
+            }
+            Fault::StepClock { machine, by } => self.machines[machine].clock_error += by,
+            Fault::LoseDatagrams { span } => {
+                self.network.lossy_until = self.now + span;
+                self.judge.trouble(self.now, self.now + span);
+            }
+        }
+    }
+
+    fn cut(&mut self, from: usize, to: usize, span: Micros) {
+        let until = (self.now + span).min(self.traffic_ends);
+        self.network.cut(from, to, until);
+        self.judge.trouble(self.now, until);
+    }
+
+    /// Whether this machine and another one cannot reach each other.
+    pub(crate) fn is_cut_off(&self, machine: usize) -> bool {
+        let is_cut = |other: &usize| self.network.cut_until(self.now, machine, *other).is_some();
+        (0..self.machines.len()).filter(is_cut).count() > 2
+    }
+
+    fn stop(&mut self, machine: usize) {
+        let life = self.life(machine);
+        self.agenda.add(self.now, Event::Process(life, Input::Stop));
+        // What has not ended by itself is killed.
+        let grace = 6 * SECOND;
+        if self.machines[machine].process.is_some() {
+            self.agenda.add(self.now + grace, Event::Fault(Fault::Start { machine }));
+        }
+    }
+
+    /// Ends a process. It is started again after a while if wanted.
+    pub(crate) fn end_process(&mut self, machine: usize, ending: Ending, starts_again: bool) {
+        if self.machines[machine].process.is_none() {
+            return;
+        }
+        let life = self.life(machine);
+        self.machines[machine].end(ending, &mut self.random);
+        self.end_calls(life);
+        self.close_connections(life, ending);
+        if starts_again {
+            let pause = (50 + self.random.below(3_000) as Micros) * MILLISECOND;
+            let at = (self.now + pause).min(self.traffic_ends.max(self.now));
+            self.agenda.add(at, Event::Fault(Fault::Start { machine }));
+        }
+    }
+
+    pub(crate) fn start_process(&mut self, machine: usize) {
+        if self.machines[machine].process.is_some() {
+            return;
+        }
+        let (seeds, seed) = (self.seeds.clone(), self.random.draw());
+        let is_first = self.machines[machine].life == 0;
+        self.machines[machine].start(self.now, &seeds, is_first, seed, self.plan.planted);
+        let life = self.life(machine);
+        self.agenda.add(self.now, Event::Process(life, Input::Wake));
+        let hosts = self.hosts.list();
+        let input = Input::Host(pewterseam_delivery::Input::Hosts(hosts));
+        self.agenda.add(self.now + 100 * MILLISECOND, Event::Process(life, input));
+    }
+
+    pub(crate) fn life(&self, machine: usize) -> Life {
+        Life { machine, number: self.machines[machine].life }
+    }
+
+    pub(crate) fn is_running(&self, life: Life) -> bool {
+        let machine = &self.machines[life.machine];
+        machine.process.is_some() && machine.life == life.number && machine.frozen_until <= self.now
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/lib.rs
@@ -0,0 +1,42 @@
+//! Whole clusters of the system's state machines in one process, on a simulated network, disk and clock, by seed.
+//!
+//! [`run`] plays one cluster from its first start to the end of its traffic and returns a [`Report`]: what broke a rule,
+//! and figures. The same [`Plan`] gives the same run. `docs/cluster.md` says what is covered.
+
+mod agenda;
+mod calls;
+mod clients;
+mod configuration;
+mod disk;
+mod event;
+mod faults;
+mod hash_seeds;
+mod hosts;
+mod judge;
+mod machine;
+mod message;
+mod network;
+mod node;
+mod operators;
+mod plan;
+mod process;
+mod reads;
+mod relay;
+mod stopping;
+mod store;
+mod world;
+
+pub use judge::{Breach, Report, Rule};
+pub use plan::{Plan, Planted};
+
+/// Plays a cluster on a thread of its own, so that its hash maps begin from the same keys each time.
+pub fn run(plan: Plan) -> Report {
+    let played = std::thread::spawn(move || {
+        hash_seeds::set(plan.seed);
+        world::World::new(plan).play()
+    });
+    match played.join() {
+        Ok(report) => report,
+        Err(panic) => std::panic::resume_unwind(panic),
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/plan.rs
@@ -0,0 +1,40 @@
+//! What a cluster is played with.
+
+use pewterseam_wire::Micros;
+
+/// One second of simulated time.
+pub const SECOND: Micros = 1_000_000;
+/// One millisecond of simulated time.
+pub const MILLISECOND: Micros = 1_000;
+
+/// A fault of the program that is planted in the driver, to show that the judge finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Planted {
+    /// Stores acknowledge records before they are synced.
+    EarlyAcknowledgement,
+    /// Relays take it that one store knows of no open messages of a key, without asking it.
+    OneStoreTooFew,
+    /// Relays that the others cannot reach hold back what they may send, and send it when its permits are over.
+    LatePermits,
+    /// Relays run what they take over without telling the stores.
+    NoClaims,
+}
+
+/// A run of a cluster. The same plan gives the same run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Plan {
+    pub seed: u64,
+    pub planted: Option<Planted>,
+}
+
+impl Plan {
+    /// A run of the program as it is.
+    pub fn of_seed(seed: u64) -> Self {
+        Plan { seed, planted: None }
+    }
+
+    /// A run with a planted fault.
+    pub fn planted(seed: u64, planted: Planted) -> Self {
+        Plan { seed, planted: Some(planted) }
+    }
+}
--- /dev/null
+++ b/crates/cluster/src/world.rs
@@ -0,0 +1,437 @@
+//! The cluster, its surroundings and the loop that plays them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pewterseam_control::{OperatorRequest, Token};
+use pewterseam_delivery::Input as DeliveryInput;
+use pewterseam_queue::StatusResult;
+use pewterseam_wire::Micros;
+use pewterseam_wire::control::ConfigDocument;
+use pewterseam_wire::identity::Role;
+use pewterseam_wire::random::Random;
+use pewterseam_wire::record::Record;
+
+use crate::agenda::Agenda;
+use crate::calls::{CallKey, Calls};
+use crate::clients::Client;
+use crate::disk::{Ending, LogName};
+use crate::event::{ConnectionId, Event, Input, Life, Origin, Output};
+use crate::hosts::{Hosts, Run};
+use crate::judge::{Judge, Report};
+use crate::machine::Machine;
+use crate::message::PeerMessage;
+use crate::network::{DIAL_TIMEOUT, Network};
+use crate::operators::Operator;
+use crate::plan::{MILLISECOND, Plan, SECOND};
+
+const CORE_RELAYS: usize = 3;
+const OTHER_RELAYS: usize = 2;
+const STORES: usize = 4;
+const TRAFFIC_BEGINS: Micros = 4 * SECOND;
+const LEAST_TRAFFIC_MS: usize = 3_000;
+const MORE_TRAFFIC_MS: usize = 4_000;
+const LEAST_CLIENTS: usize = 40;
+const MORE_CLIENTS: usize = 80;
+const LIST_PERIOD: Micros = 400 * MILLISECOND;
+/// From the end of the traffic, when everything is back, to the first reads.
+const CALM: Micros = 4 * SECOND;
+const READ_ROUNDS: usize = 5;
+const READ_ROUND: Micros = 1_700 * MILLISECOND;
+
+/// A cluster that is played.
+pub struct World {
+    pub(crate) plan: Plan,
+    pub(crate) now: Micros,
+    pub(crate) agenda: Agenda,
+    pub(crate) random: Random,
+    pub(crate) network: Network,
+    pub(crate) machines: Vec<Machine>,
+    pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) hosts: Hosts,
+    pub(crate) calls: Calls,
+    pub(crate) runs: BTreeMap<u64, Run>,
+    pub(crate) last_run: u64,
+    pub(crate) clients: Vec<Client>,
+    pub(crate) requests: BTreeMap<u64, (usize, Arc<str>)>,
+    pub(crate) last_request: u64,
+    pub(crate) operators: Vec<Operator>,
+    pub(crate) operator_calls: BTreeMap<u64, usize>,
+    pub(crate) last_token: u64,
+    pub(crate) final_config: Option<Arc<ConfigDocument>>,
+    states: BTreeMap<u64, StatusResult>,
+    bodies: BTreeMap<u64, Option<Record>>,
+    pub(crate) traffic_begins: Micros,
+    pub(crate) traffic_ends: Micros,
+    pub(crate) judge: Judge,
+}
+
+impl World {
+    pub fn new(plan: Plan) -> Self {
+        let mut random = Random::new(plan.seed.wrapping_mul(0x2545_f491_4f6c_dd1d));
+        let span = (LEAST_TRAFFIC_MS + random.below(MORE_TRAFFIC_MS)) as Micros * MILLISECOND;
+        let machines = machines();
+        let seeds = machines[..CORE_RELAYS].iter().map(|machine| machine.address).collect();
+        World {
+            plan,
+            now: SECOND,
+            agenda: Agenda::default(),
+            network: Network::new(random.draw()),
+            machines,
+            seeds,
+            hosts: Hosts::new(random.draw()),
+            calls: Calls::default(),
+            runs: BTreeMap::new(),
+            last_run: 0,
+            clients: Vec::new(),
+            requests: BTreeMap::new(),
+            last_request: 0,
+            operators: vec![Operator::default(), Operator::default()],
+            operator_calls: BTreeMap::new(),
+            last_token: 0,
+            final_config: None,
+            states: BTreeMap::new(),
+            bodies: BTreeMap::new(),
+            traffic_begins: TRAFFIC_BEGINS,
+            traffic_ends: TRAFFIC_BEGINS + span,
+            judge: Judge::default(),
+            random,
+        }
+    }
+
+    /// Plays from the first start to the last read.
+    pub fn play(mut self) -> Report {
+        for machine in 0..self.machines.len() {
+            self.start_process(machine);
+        }
+        self.let_operator_act(0, 3 * SECOND);
+        self.let_operator_act(1, self.traffic_begins);
+        self.agenda.add(self.now, Event::List);
+        self.draw_traffic();
+        self.draw_faults();
+        self.run_until(self.traffic_ends);
+        self.bring_back();
+        self.run_until(self.traffic_ends + CALM);
+        self.read_all();
+        self.judge.finish(self.plan.seed)
+    }
+
+    fn draw_traffic(&mut self) {
+        let span = (self.traffic_ends - self.traffic_begins) as usize;
+        for client in 0..LEAST_CLIENTS + self.random.below(MORE_CLIENTS) {
+            let drawn = Client::draw(&mut self.random);
+            self.clients.push(drawn);
+            let at = self.traffic_begins + self.random.below(span) as Micros;
+            self.agenda.add(at, Event::ClientSends { client });
+        }
+        for _ in 0..self.random.below(6) {
+            let at = self.traffic_begins + self.random.below(span) as Micros;
+            self.agenda.add(at, Event::HostsChange);
+        }
+    }
+
+    fn bring_back(&mut self) {
+        for machine in 0..self.machines.len() {
+            self.start_process(machine);
+        }
+    }
+
+    fn run_until(&mut self, until: Micros) {
+        while let Some((at, event)) = self.agenda.pop(until) {
+            self.now = at;
+            self.happen(event);
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Process(life, input) => self.step(life, input),
+            Event::Arrive { connection, at_dialer, message } => self.arrive(connection, at_dialer, message),
+            Event::Closed { connection, at_dialer } => self.closed(connection, at_dialer),
+            Event::DiskDone(life, name) => self.disk_done(life, name),
+            Event::Fault(fault) => self.fault(fault),
+            Event::ClientSends { client } => self.client_sends(client),
+            Event::ClientHears { client, request, answer } => self.client_hears(client, request, answer),
+            Event::OperatorActs { operator } => self.operator_acts(operator),
+            Event::OperatorHears { operator, token, outcome } => {
+                self.operator_hears(operator, token, outcome)
+            }
+            Event::List => self.pass_list_on(),
+            Event::CallOpened(key) => self.call_opened(key),
+            Event::CallArrives(key) => self.call_arrives(key),
+            Event::CallAnswered(key, result) => self.call_answered(key, result),
+            Event::CallTimesOut(key) => self.call_times_out(key),
+            Event::RunEnds { run } => self.run_ends(run),
+            Event::HostsChange => self.hosts.change(self.now),
+        }
+    }
+
+    /// Gives a process an input, unless that life is over. A frozen one takes it later.
+    fn step(&mut self, life: Life, input: Input) {
+        let (now, machine) = (self.now, &mut self.machines[life.machine]);
+        if machine.life != life.number {
+            return;
+        }
+        if machine.frozen_until > now {
+            self.agenda.add(machine.frozen_until, Event::Process(life, input));
+            return;
+        }
+        if matches!(input, Input::Wake) {
+            if machine.wake_at < now {
+                return;
+            }
+            machine.wake_at = Micros::MAX;
+        }
+        let wall = machine.wall(now);
+        let Some(process) = &mut machine.process else { return };
+        let outputs = process.step(now, wall, input);
+        let wake = process.next_wake().max(now + 1);
+        if wake < machine.wake_at {
+            machine.wake_at = wake;
+            self.agenda.add(wake, Event::Process(life, Input::Wake));
+        }
+        for output in outputs {
+            self.carry_out(life, output);
+        }
+    }
+
+    fn carry_out(&mut self, life: Life, output: Output) {
+        let key = |attempt| CallKey { life, attempt };
+        match output {
+            Output::Datagram { to, bytes } => self.send_datagram(life, to, bytes),
+            Output::Send { to, message } => self.send(life, to, message),
+            Output::Reply { origin: Origin::Dialed(to), message } => self.send(life, to, message),
+            Output::Reply { origin: Origin::Accepted(connection), message } => {
+                self.transmit(connection, true, message);
+            }
+            Output::HangUp { address } => self.hang_up(life, address),
+            Output::Disk(name, command) => {
+                let machine = &mut self.machines[life.machine];
+                if name == LogName::Control && (!machine.has_disk() || machine.role == Role::Store) {
+                    return;
+                }
+                machine.log(name).push(command);
+                self.begin_disk(life, name);
+            }
+            Output::Answer { token, answer } => {
+                if let Some((client, _)) = self.requests.get(&token) {
+                    let event = Event::ClientHears { client: *client, request: token, answer: Some(answer) };
+                    let at = self.now + self.network.delay();
+                    self.agenda.add(at, event);
+                }
+            }
+            Output::Status { read, result } => {
+                if let Some(result) = result {
+                    self.states.insert(read, result);
+                }
+            }
+            Output::Body { read, result } => {
+                if let Some(result) = result {
+                    self.bodies.insert(read, result);
+                }
+            }
+            Output::Operator { token, outcome } => self.operator_answered(token, outcome),
+            Output::Start(call) => self.start_call(life, call),
+            Output::Write(attempt) => self.call_written(key(attempt)),
+            Output::Withhold(attempt) => self.withhold(key(attempt)),
+            Output::Abort(attempt) => self.abort(key(attempt)),
+            Output::Probe { host, target } => {
+                let healthy = self.hosts.is_healthy(&target);
+                let input = Input::Host(DeliveryInput::Probed { host, healthy });
+                self.agenda.add(self.now + 5 * MILLISECOND, Event::Process(life, input));
+            }
+            Output::CloseIdle { address } => self.close_idle(life, address),
+            Output::InForce(state) => self.judge.in_force(life, &state),
+            Output::Exit => self.end_process(life.machine, Ending::Process, true),
+        }
+    }
+
+    fn machine_at(&self, address: SocketAddr) -> Option<usize> {
+        self.machines.iter().position(|machine| machine.address == address)
+    }
+
+    fn send_datagram(&mut self, life: Life, to: SocketAddr, bytes: Vec<u8>) {
+        let Some(to) = self.machine_at(to) else { return };
+        let delay = self.network.delay();
+        if self.network.is_datagram_lost(self.now, life.machine, to) {
+            return;
+        }
+        let from = self.machines[life.machine].address;
+        let event = Event::Process(self.life(to), Input::Datagram { from, bytes });
+        self.agenda.add(self.now + delay, event);
+    }
+
+    /// Sends on the connection that a process keeps to an address, dialing it if need be.
+    fn send(&mut self, life: Life, to: SocketAddr, message: PeerMessage) {
+        let Some(listener) = self.machine_at(to) else { return };
+        if let Some(connection) = self.network.find(life, listener) {
+            self.transmit(connection, false, message);
+            return;
+        }
+        let delay = self.network.delay();
+        let cut = self.network.cut_until(self.now, life.machine, listener);
+        let cut = cut.max(self.network.cut_until(self.now, listener, life.machine));
+        let ready_at = cut.unwrap_or(self.now) + 2 * delay;
+        if self.machines[listener].process.is_none() || ready_at > self.now + DIAL_TIMEOUT {
+            let at = if cut.is_some() { self.now + DIAL_TIMEOUT } else { self.now + delay };
+            self.agenda.add(at, Event::Process(life, Input::Lost(Origin::Dialed(to))));
+            return;
+        }
+        let connection = self.network.open(life, self.life(listener), ready_at);
+        self.transmit(connection, false, message);
+    }
+
+    fn transmit(&mut self, connection: ConnectionId, at_dialer: bool, message: PeerMessage) {
+        if self.network.get(connection).is_none_or(|connection| connection.is_closing) {
+            return;
+        }
+        if let Some(at) = self.network.arrival(self.now, connection, at_dialer) {
+            self.agenda.add(at, Event::Arrive { connection, at_dialer, message });
+        }
+    }
+
+    fn arrive(&mut self, id: ConnectionId, at_dialer: bool, message: PeerMessage) {
+        let Some(connection) = self.network.get(id) else { return };
+        let (dialer, listener) = (connection.dialer, connection.listener);
+        if at_dialer {
+            let origin = Origin::Dialed(self.machines[listener.machine].address);
+            self.step(dialer, Input::Message { origin, message });
+        } else {
+            self.step(listener, Input::Message { origin: Origin::Accepted(id), message });
+        }
+    }
+
+    fn hang_up(&mut self, life: Life, to: SocketAddr) {
+        let Some(listener) = self.machine_at(to) else { return };
+        if let Some(connection) = self.network.find(life, listener) {
+            self.close(connection, 0);
+        }
+    }
+
+    /// Both ends learn that a connection is gone, after what is on its way.
+    fn close(&mut self, id: ConnectionId, after: Micros) {
+        for at_dialer in [true, false] {
+            if let Some(at) = self.network.arrival(self.now + after, id, at_dialer) {
+                self.agenda.add(at + 1, Event::Closed { connection: id, at_dialer });
+            }
+        }
+        self.network.mark_closing(id);
+    }
+
+    fn closed(&mut self, id: ConnectionId, at_dialer: bool) {
+        let Some(connection) = self.network.get(id) else { return };
+        let (dialer, listener) = (connection.dialer, connection.listener);
+        if at_dialer {
+            let origin = Origin::Dialed(self.machines[listener.machine].address);
+            self.step(dialer, Input::Lost(origin));
+        } else {
+            self.step(listener, Input::Lost(Origin::Accepted(id)));
+        }
+    }
+
+    /// The process of a life is gone: those at the other ends of its connections learn of it.
+    pub(crate) fn close_connections(&mut self, life: Life, ending: Ending) {
+        let gone = self
+            .network
+            .open_connections(|connection| connection.dialer == life || connection.listener == life);
+        for connection in gone {
+            let silence = match ending {
+                Ending::Process => 0,
+                Ending::Power => (500 + self.random.below(2_500) as Micros) * MILLISECOND,
+            };
+            self.close(connection, silence);
+        }
+    }
+
+    /// All connections of a machine break.
+    pub(crate) fn reset(&mut self, machine: usize) {
+        let broken = self.network.open_connections(|connection| {
+            connection.dialer.machine == machine || connection.listener.machine == machine
+        });
+        for connection in broken {
+            self.close(connection, 0);
+        }
+    }
+
+    fn begin_disk(&mut self, life: Life, name: LogName) {
+        let (now, machine) = (self.now, &mut self.machines[life.machine]);
+        if !machine.log(name).begin() {
+            return;
+        }
+        let span = if now < machine.slow_until { 300_000 } else { 4_000 };
+        let took = 200 + self.random.below(span) as Micros;
+        let at = (now + took).max(machine.stalled_until);
+        self.agenda.add(at, Event::DiskDone(life, name));
+    }
+
+    fn disk_done(&mut self, life: Life, name: LogName) {
+        let machine = &mut self.machines[life.machine];
+        if machine.life != life.number || machine.process.is_none() {
+            return;
+        }
+        if let Some(event) = machine.log(name).finish() {
+            self.begin_disk(life, name);
+            self.step(life, Input::Disk(name, event));
+        }
+    }
+
+    fn pass_list_on(&mut self) {
+        let list = self.hosts.list();
+        for machine in 0..CORE_RELAYS + OTHER_RELAYS {
+            let lag = self.random.below(300) as Micros * MILLISECOND;
+            let input = Input::Host(DeliveryInput::Hosts(list.clone()));
+            self.agenda.add(self.now + lag, Event::Process(self.life(machine), input));
+        }
+        self.agenda.add(self.now + LIST_PERIOD, Event::List);
+    }
+
+    /// Reads the configuration, and the state and body of each accepted message, as clients do.
+    fn read_all(&mut self) {
+        let accepted = self.judge.accepted();
+        for round in 0..READ_ROUNDS {
+            let relay = self.life(round % (CORE_RELAYS + OTHER_RELAYS));
+            for (number, (id, name)) in accepted.iter().enumerate() {
+                let read = number as u64;
+                if !self.states.contains_key(&read) {
+                    let input = Input::ReadStatus { read, name: name.clone() };
+                    self.agenda.add(self.now, Event::Process(relay, input));
+                }
+                if !self.bodies.contains_key(&read) && !self.judge.is_ended(id) {
+                    let input = Input::ReadBody { read, name: name.clone() };
+                    self.agenda.add(self.now, Event::Process(relay, input));
+                }
+            }
+            if self.final_config.is_none() {
+                self.last_token += 1;
+                let request = OperatorRequest::ReadConfig;
+                let input = Input::Operator { token: Token(self.last_token), request };
+                self.agenda.add(self.now, Event::Process(relay, input));
+            }
+            self.run_until(self.now + READ_ROUND);
+            let has_all = (0..accepted.len() as u64).all(|read| self.states.contains_key(&read));
+            let has_bodies = accepted.iter().enumerate().all(|(number, (id, _))| {
+                self.judge.is_ended(id) || self.bodies.contains_key(&(number as u64))
+            });
+            if has_all && has_bodies && self.final_config.is_some() {
+                break;
+            }
+        }
+        for (number, (id, _)) in accepted.iter().enumerate() {
+            let read = number as u64;
+            self.judge.final_state(self.now, id, self.states.get(&read));
+            let body = self.bodies.get(&read).and_then(Option::as_ref).map(|record| &record.body);
+            self.judge.final_body(self.now, id, body);
+        }
+        self.judge.final_config(self.final_config.as_deref());
+    }
+}
+
+fn machines() -> Vec<Machine> {
+    let relays = CORE_RELAYS + OTHER_RELAYS;
+    let relay =
+        |index: usize| Machine::new(index, &format!("relay-{index}"), Role::Relay, index < CORE_RELAYS);
+    let store = |index: usize| Machine::new(relays + index, &format!("store-{index}"), Role::Store, true);
+    (0..relays).map(relay).chain((0..STORES).map(store)).collect()
+}
