--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -114,9 +114,9 @@
                 self.files.fail_syncs(u32::from(!is_synced));
                 // A failed sync leaves the bytes where a later loss of power may tear them.
                 let _ = log.append(&payloads);
-                self.files.fail_syncs(0);
             }
         }
+        self.files.fail_syncs(0);
         self.log = None;
         self.waiting.clear();
         if ending == Ending::Power {
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -132,15 +132,15 @@
             self.judge.trouble(self.now, self.now);
         }
         match fault {
-            Fault::Kill { machine } => self.end_process(machine, Ending::Process, true),
-            Fault::LosePower { machine } => self.end_process(machine, Ending::Power, true),
+            Fault::Kill { machine } => self.end_process(machine, Ending::Process, false),
+            Fault::LosePower { machine } => self.end_process(machine, Ending::Power, false),
             Fault::LosePowerEverywhere => {
                 for machine in 0..self.machines.len() {
-                    self.end_process(machine, Ending::Power, true);
+                    self.end_process(machine, Ending::Power, false);
                 }
             }
             Fault::LoseDisk { machine } => {
-                self.end_process(machine, Ending::Power, true);
+                self.end_process(machine, Ending::Power, false);
                 self.machines[machine].lose_disk();
             }
             Fault::Start { machine } => self.start_process(machine),
@@ -168,6 +168,7 @@
                 self.machines[machine].stalled_until = until;
                 self.judge.trouble(self.now, until);
             }
+            Fault::FailSyncs { machine } if self.machines[machine].process.is_none() => {}
             Fault::FailSyncs { machine } => {
                 self.machines[machine].control_log.fail_syncs(1);
                 self.machines[machine].message_log.fail_syncs(1);
@@ -202,8 +203,8 @@
         }
     }
 
-    /// Ends a process. It is started again after a while if wanted.
-    pub(crate) fn end_process(&mut self, machine: usize, ending: Ending, starts_again: bool) {
+    /// Ends a process, and starts it again after a while.
+    pub(crate) fn end_process(&mut self, machine: usize, ending: Ending, is_planned: bool) {
         if self.machines[machine].process.is_none() {
             return;
         }
@@ -211,11 +212,12 @@
         self.machines[machine].end(ending, &mut self.random);
         self.end_calls(life);
         self.close_connections(life, ending);
-        if starts_again {
-            let pause = (50 + self.random.below(3_000) as Micros) * MILLISECOND;
-            let at = (self.now + pause).min(self.traffic_ends.max(self.now));
-            self.agenda.add(at, Event::Fault(Fault::Start { machine }));
+        let pause = (50 + self.random.below(3_000) as Micros) * MILLISECOND;
+        let at = (self.now + pause).min(self.traffic_ends.max(self.now));
+        if !is_planned {
+            self.judge.trouble(self.now, at);
         }
+        self.agenda.add(at, Event::Fault(Fault::Start { machine }));
     }
 
     pub(crate) fn start_process(&mut self, machine: usize) {
--- a/crates/cluster/src/judge.rs
+++ b/crates/cluster/src/judge.rs
@@ -1,5 +1,6 @@
 //! Knows the rules, sees what clients, hosts and operators see, and keeps a trace of each message.
 
+use std::any::Any;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::Arc;
@@ -34,6 +35,8 @@
     Config,
     Early,
     Unasked,
+    /// A state machine panicked.
+    Panicked,
 }
 
 /// A rule that was broken.
@@ -69,6 +72,17 @@
     pub fingerprint: u64,
 }
 
+impl Report {
+    /// The report of a run that panicked.
+    pub(crate) fn of_panic(seed: u64, panic: &(dyn Any + Send)) -> Self {
+        let text = panic.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| panic.downcast_ref::<&str>().map(ToString::to_string));
+        let what = format!("seed {seed}: {}", text.unwrap_or_default());
+        let breaches = vec![Breach { rule: Rule::Panicked, what, trace: Vec::new() }];
+        Report { seed, breaches, ..Report::default() }
+    }
+}
+
 /// What a client was told of a try.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Told {
@@ -168,6 +182,13 @@
         self.note(now, id, line);
     }
 
+    /// Machines talk about a message.
+    pub fn passed(&mut self, now: Micros, name: &MessageName, from: usize, to: usize, what: &str) {
+        if let Some(message) = self.tries.get_mut(name.request_id()) {
+            message.trace.push((now, format!("{from} -> {to}: {what}")));
+        }
+    }
+
     /// A request arrives at the limited service.
     pub fn arrived(&mut self, now: Micros) {
         self.arrivals.push(now);
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -35,8 +35,5 @@
         hash_seeds::set(plan.seed);
         world::World::new(plan).play()
     });
-    match played.join() {
-        Ok(report) => report,
-        Err(panic) => std::panic::resume_unwind(panic),
-    }
+    played.join().unwrap_or_else(|panic| Report::of_panic(plan.seed, panic.as_ref()))
 }
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -295,6 +295,10 @@
     fn arrive(&mut self, id: ConnectionId, at_dialer: bool, message: PeerMessage) {
         let Some(connection) = self.network.get(id) else { return };
         let (dialer, listener) = (connection.dialer, connection.listener);
+        let (from, to) = if at_dialer { (listener, dialer) } else { (dialer, listener) };
+        for (name, what) in message.fates() {
+            self.judge.passed(self.now, name, from.machine, to.machine, &what);
+        }
         if at_dialer {
             let origin = Origin::Dialed(self.machines[listener.machine].address);
             self.step(dialer, Input::Message { origin, message });
