--- a/crates/cluster/src/judge.rs
+++ b/crates/cluster/src/judge.rs
@@ -24,6 +24,8 @@
 const CONTACT: Micros = 4 * SECOND;
 /// A sender that dies so soon after it read a success cannot have told it to stores that have synced it.
 const TELLING: Micros = 100 * MILLISECOND;
+/// The same while something is in trouble: two slow syncs.
+const TELLING_IN_TROUBLE: Micros = 700 * MILLISECOND;
 
 /// The rules that are judged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -155,7 +157,9 @@
     }
 
     fn is_excused(&self, (read_at, sender): (Micros, Life)) -> bool {
-        self.deaths.get(&sender).is_some_and(|died_at| *died_at <= read_at + TELLING)
+        let Some(died_at) = self.deaths.get(&sender).copied() else { return false };
+        let was_trouble = self.troubles.iter().any(|(from, until)| *from < died_at && *until >= read_at);
+        died_at <= read_at + if was_trouble { TELLING_IN_TROUBLE } else { TELLING }
     }
 
     /// A client sends a try.
