--- a/crates/cluster/src/judge.rs
+++ b/crates/cluster/src/judge.rs
@@ -1,8 +1,6 @@
 //! Knows the rules, sees what clients, hosts and operators see, and keeps a trace of each message.
 
-use std::any::Any;
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -16,6 +14,7 @@
 use crate::faults::Fault;
 use crate::operators::Change;
 use crate::plan::{MILLISECOND, SECOND};
+use crate::report::{Breach, Report, Rule};
 
 const ORIGIN_WINDOW: Micros = 5 * SECOND;
 const ORIGIN_OVERSHOOT: f64 = 1.1;
@@ -27,66 +26,6 @@
 /// The same while something is in trouble: two slow syncs.
 const TELLING_IN_TROUBLE: Micros = 700 * MILLISECOND;
 
-/// The rules that are judged.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Rule {
-    Lost,
-    Order,
-    Twice,
-    Refused,
-    Mixed,
-    Ceiling,
-    Config,
-    Early,
-    Unasked,
-    /// A state machine panicked.
-    Panicked,
-}
-
-/// A rule that was broken.
-#[derive(Clone, Debug)]
-pub struct Breach {
-    pub rule: Rule,
-    pub what: String,
-    /// What happened to the message concerned, and the faults of the run.
-    pub trace: Vec<String>,
-}
-
-impl fmt::Display for Breach {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        writeln!(f, "{:?}: {}", self.rule, self.what)?;
-        self.trace.iter().try_for_each(|line| writeln!(f, "  {line}"))
-    }
-}
-
-/// What came of a run.
-#[derive(Clone, Debug, Default)]
-pub struct Report {
-    pub seed: u64,
-    pub breaches: Vec<Breach>,
-    pub tries: usize,
-    pub accepted: usize,
-    pub declined: usize,
-    pub unclear: usize,
-    pub runs: usize,
-    pub ended: usize,
-    pub faults: usize,
-    pub acknowledged_changes: usize,
-    /// A hash of all that the judge saw, to compare runs.
-    pub fingerprint: u64,
-}
-
-impl Report {
-    /// The report of a run that panicked.
-    pub(crate) fn of_panic(seed: u64, panic: &(dyn Any + Send)) -> Self {
-        let text = panic.downcast_ref::<String>().cloned();
-        let text = text.or_else(|| panic.downcast_ref::<&str>().map(ToString::to_string));
-        let what = format!("seed {seed}: {}", text.unwrap_or_default());
-        let breaches = vec![Breach { rule: Rule::Panicked, what, trace: Vec::new() }];
-        Report { seed, breaches, ..Report::default() }
-    }
-}
-
 /// What a client was told of a try.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Told {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod clients;
 mod configuration;
+mod connections;
 mod disk;
 mod event;
 mod faults;
@@ -22,12 +23,13 @@
 mod process;
 mod reads;
 mod relay;
+mod report;
 mod stopping;
 mod store;
 mod world;
 
-pub use judge::{Breach, Report, Rule};
 pub use plan::{Plan, Planted};
+pub use report::{Breach, Report, Rule};
 
 /// Plays a cluster on a thread of its own, so that its hash maps begin from the same keys each time.
 pub fn run(plan: Plan) -> Report {
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -17,14 +17,14 @@
 use crate::calls::{CallKey, Calls};
 use crate::clients::Client;
 use crate::disk::{Ending, LogName};
-use crate::event::{ConnectionId, Event, Input, Life, Origin, Output};
+use crate::event::{Event, Input, Life, Origin, Output};
 use crate::hosts::{Hosts, Run};
-use crate::judge::{Judge, Report};
+use crate::judge::Judge;
 use crate::machine::Machine;
-use crate::message::PeerMessage;
-use crate::network::{DIAL_TIMEOUT, Network};
+use crate::network::Network;
 use crate::operators::Operator;
 use crate::plan::{MILLISECOND, Plan, SECOND};
+use crate::report::Report;
 
 const CORE_RELAYS: usize = 3;
 const OTHER_RELAYS: usize = 2;
@@ -174,7 +174,7 @@
     }
 
     /// Gives a process an input, unless that life is over. A frozen one takes it later.
-    fn step(&mut self, life: Life, input: Input) {
+    pub(crate) fn step(&mut self, life: Life, input: Input) {
         let (now, machine) = (self.now, &mut self.machines[life.machine]);
         if machine.life != life.number {
             return;
@@ -253,117 +253,6 @@
         }
     }
 
-    fn machine_at(&self, address: SocketAddr) -> Option<usize> {
-        self.machines.iter().position(|machine| machine.address == address)
-    }
-
-    fn send_datagram(&mut self, life: Life, to: SocketAddr, bytes: Vec<u8>) {
-        let Some(to) = self.machine_at(to) else { return };
-        let delay = self.network.delay();
-        if self.network.is_datagram_lost(self.now, life.machine, to) {
-            return;
-        }
-        let from = self.machines[life.machine].address;
-        let event = Event::Process(self.life(to), Input::Datagram { from, bytes });
-        self.agenda.add(self.now + delay, event);
-    }
-
-    /// Sends on the connection that a process keeps to an address, dialing it if need be.
-    fn send(&mut self, life: Life, to: SocketAddr, message: PeerMessage) {
-        let Some(listener) = self.machine_at(to) else { return };
-        if let Some(connection) = self.network.find(life, listener) {
-            self.transmit(connection, false, message);
-            return;
-        }
-        let delay = self.network.delay();
-        let cut = self.network.cut_until(self.now, life.machine, listener);
-        let cut = cut.max(self.network.cut_until(self.now, listener, life.machine));
-        let ready_at = cut.unwrap_or(self.now) + 2 * delay;
-        if self.machines[listener].process.is_none() || ready_at > self.now + DIAL_TIMEOUT {
-            let at = if cut.is_some() { self.now + DIAL_TIMEOUT } else { self.now + delay };
-            self.agenda.add(at, Event::Process(life, Input::Lost(Origin::Dialed(to))));
-            return;
-        }
-        let connection = self.network.open(life, self.life(listener), ready_at);
-        self.transmit(connection, false, message);
-    }
-
-    fn transmit(&mut self, connection: ConnectionId, at_dialer: bool, message: PeerMessage) {
-        if self.network.get(connection).is_none_or(|connection| connection.is_closing) {
-            return;
-        }
-        if let Some(at) = self.network.arrival(self.now, connection, at_dialer) {
-            self.agenda.add(at, Event::Arrive { connection, at_dialer, message });
-        }
-    }
-
-    fn arrive(&mut self, id: ConnectionId, at_dialer: bool, message: PeerMessage) {
-        let Some(connection) = self.network.get(id) else { return };
-        let (dialer, listener) = (connection.dialer, connection.listener);
-        let (from, to) = if at_dialer { (listener, dialer) } else { (dialer, listener) };
-        for (name, what) in message.fates() {
-            self.judge.passed(self.now, name, from.machine, to.machine, &what);
-        }
-        if at_dialer {
-            let origin = Origin::Dialed(self.machines[listener.machine].address);
-            self.step(dialer, Input::Message { origin, message });
-        } else {
-            self.step(listener, Input::Message { origin: Origin::Accepted(id), message });
-        }
-    }
-
-    fn hang_up(&mut self, life: Life, to: SocketAddr) {
-        let Some(listener) = self.machine_at(to) else { return };
-        if let Some(connection) = self.network.find(life, listener) {
-            self.close(connection, 0);
-        }
-    }
-
-    /// Both ends learn that a connection is gone, after what is on its way.
-    fn close(&mut self, id: ConnectionId, after: Micros) {
-        for at_dialer in [true, false] {
-            if let Some(at) = self.network.arrival(self.now + after, id, at_dialer) {
-                self.agenda.add(at + 1, Event::Closed { connection: id, at_dialer });
-            }
-        }
-        self.network.mark_closing(id);
-    }
-
-    fn closed(&mut self, id: ConnectionId, at_dialer: bool) {
-        let Some(connection) = self.network.get(id) else { return };
-        let (dialer, listener) = (connection.dialer, connection.listener);
-        if at_dialer {
-            let origin = Origin::Dialed(self.machines[listener.machine].address);
-            self.step(dialer, Input::Lost(origin));
-        } else {
-            self.step(listener, Input::Lost(Origin::Accepted(id)));
-        }
-    }
-
-    /// The process of a life is gone: those at the other ends of its connections learn of it.
-    pub(crate) fn close_connections(&mut self, life: Life, ending: Ending) {
-        let gone = self
-            .network
-            .open_connections(|connection| connection.dialer == life || connection.listener == life);
-        for connection in gone {
-            let silence = match ending {
-                Ending::Process => 0,
-                Ending::Power => (500 + self.random.below(2_500) as Micros) * MILLISECOND,
-            };
-            self.close(connection, silence);
-        }
-    }
-
-    /// All connections of a machine break.
-    pub(crate) fn reset(&mut self, machine: usize) {
-        let broken = self.network.open_connections(|connection| {
-            connection.dialer.machine == machine || connection.listener.machine == machine
-        });
-        for connection in broken {
-            self.close(connection, 0);
-        }
-    }
-
     fn begin_disk(&mut self, life: Life, name: LogName) {
         let (now, machine) = (self.now, &mut self.machines[life.machine]);
         if !machine.log(name).begin() {
