--- a/crates/hollow/src/experiments.rs
+++ b/crates/hollow/src/experiments.rs
@@ -9,7 +9,7 @@
 use crate::memory::resident_bytes;
 use crate::network::Network;
 use crate::site;
-use crate::usage::{PLANES, Usage};
+use crate::usage::{PLANES, Plane, Usage};
 
 const SECOND: Micros = 1_000_000;
 /// Members that start in one second at the first start.
@@ -22,11 +22,13 @@
 /// A member that restarts is away for so long.
 const AWAY: Micros = 2 * SECOND;
 const CALM: Micros = 10 * SECOND;
-/// So long the members settle before calm is measured.
-const SETTLE: Micros = 25 * SECOND;
+/// Before calm is measured, the rumors of the start are to be gone: datagrams are then shorter than this. They get so long
+/// for it at most.
+const SETTLED_BYTES: u64 = 150;
+const SETTLE_WINDOW: Micros = 2 * SECOND;
+const SETTLE_AT_MOST: Micros = 200 * SECOND;
 const REPEATS: usize = 3;
 const CUT_FOR: Micros = 15 * SECOND;
-const ZONE_MEMBERS: usize = 200;
 const MICROS_A_MILLISECOND: u64 = 1_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
 
@@ -98,7 +100,7 @@
 }
 
 /// Runs all experiments and prints their tables.
-pub fn run(network: &mut Network) -> Result<(), ControlError> {
+pub fn run(network: &mut Network, zone_members: usize) -> Result<(), ControlError> {
     let memory_before = resident_bytes();
     start_all(network)?;
     let memory = (resident_bytes() - memory_before) as f64 / network.len() as f64;
@@ -110,7 +112,9 @@
     changes(network);
     let victims = deaths(network);
     joins(network, &victims)?;
-    zone(network);
+    if zone_members > 0 {
+        zone(network, zone_members.min(network.len() / 5));
+    }
     println!("\nmemory of a member at the end: {:.0} KB", resident_bytes_each(network, memory_before));
     Ok(())
 }
@@ -169,8 +173,22 @@
     }
 }
 
+/// Waits until the rumors of what was before have been passed on as often as they are to be.
+fn settle(network: &mut Network) {
+    let start = network.now;
+    while network.now < start + SETTLE_AT_MOST {
+        let before = network.usage();
+        network.run_for(SETTLE_WINDOW);
+        let used = (network.usage() - before).of(Plane::Membership);
+        if used.bytes < SETTLED_BYTES * used.messages {
+            break;
+        }
+    }
+    println!("| (settled after {} s) | | | |", (network.now - start) / SECOND);
+}
+
 fn calm(network: &mut Network) {
-    network.run_for(SETTLE);
+    settle(network);
     let before = network.usage();
     network.run_for(CALM);
     print_usage("calm", network, before, CALM);
@@ -257,8 +275,7 @@
 }
 
 /// A zone is cut off and comes back.
-fn zone(network: &mut Network) {
-    let count = ZONE_MEMBERS.min(network.len() / 5);
+fn zone(network: &mut Network, count: usize) {
     let first = site::CORE + REPEATS + 1;
     network.cut_off = (first..first + count).collect();
     let cut = network.cut_off.clone();
--- a/crates/hollow/src/main.rs
+++ b/crates/hollow/src/main.rs
@@ -1,4 +1,5 @@
-//! `pewterseam-hollow --members N [--threads N] [--routes N] [--services N] [--instances N]`: runs the experiments and
+//! `pewterseam-hollow --members N [--threads N] [--routes N] [--services N] [--limited N] [--instances N]
+//! [--zone N]`: runs the experiments and
 //! prints their tables.
 
 use std::process::ExitCode;
@@ -13,14 +14,17 @@
     members: usize,
     threads: usize,
     size: SiteSize,
+    /// Members that are cut off at the end; none with 0.
+    zone: usize,
 }
 
 /// Fewer members than this leave nothing to cut off.
 const FEWEST_MEMBERS: usize = 60;
+const MOST_ZONE_MEMBERS: usize = 200;
 
 fn options() -> Result<Options, lexopt::Error> {
-    let size = SiteSize { routes: 500, services: 50, instances: 400 };
-    let mut options = Options { members: 300, threads: 3, size };
+    let size = SiteSize { routes: 500, services: 50, limited: 10, instances: 400 };
+    let mut options = Options { members: 300, threads: 3, size, zone: MOST_ZONE_MEMBERS };
     let mut arguments = lexopt::Parser::from_env();
     while let Some(argument) = arguments.next()? {
         match argument {
@@ -28,6 +32,8 @@
             Long("threads") => options.threads = arguments.value()?.parse()?,
             Long("routes") => options.size.routes = arguments.value()?.parse()?,
             Long("services") => options.size.services = arguments.value()?.parse()?,
+            Long("limited") => options.size.limited = arguments.value()?.parse()?,
+            Long("zone") => options.zone = arguments.value()?.parse()?,
             Long("instances") => options.size.instances = arguments.value()?.parse()?,
             _ => return Err(argument.unexpected()),
         }
@@ -50,7 +56,7 @@
     let start = Instant::now();
     println!("{} members, {:?}", options.members, options.size);
     let mut network = Network::new(options.members, options.threads, options.size);
-    if let Err(error) = experiments::run(&mut network) {
+    if let Err(error) = experiments::run(&mut network, options.zone) {
         eprintln!("{error}");
         return ExitCode::FAILURE;
     }
--- a/crates/hollow/src/site.rs
+++ b/crates/hollow/src/site.rs
@@ -16,14 +16,14 @@
 const NAME_PREFIX: &str = "relay-";
 /// Of a thousand hosts so many are not ready.
 const DOWN_PER_THOUSAND: usize = 22;
-/// Every so many services one has a limited rate.
-const LIMITED_EVERY: usize = 5;
 
 /// How large the configuration and the list are.
 #[derive(Clone, Copy, Debug)]
 pub struct SiteSize {
     pub routes: usize,
     pub services: usize,
+    /// Services with a limited rate among them.
+    pub limited: usize,
     pub instances: usize,
 }
 
@@ -79,7 +79,7 @@
 pub fn configuration(version: u64, size: SiteSize) -> Bytes {
     let routes: Vec<String> = (0..size.routes).map(|number| route(number, 600, size.services)).collect();
     let service = |number: usize| {
-        let rate = if number.is_multiple_of(LIMITED_EVERY) { 39.0 } else { 0.0 };
+        let rate = if number < size.limited { 39.0 } else { 0.0 };
         format!(r#"{{"name":"service-{number}","ratePerS":{rate}}}"#)
     };
     let services: Vec<String> = (0..size.services).map(service).collect();
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod frame;
 pub mod identity;
 pub mod placement;
+pub mod placement_table;
 pub mod random;
 pub mod record;
 pub mod store;
