--- a/crates/hollow/examples/store.rs
+++ b/crates/hollow/examples/store.rs
@@ -32,6 +32,9 @@
     machine: f64,
     disk: f64,
     syncs: usize,
+    /// Entries that wait for the next sync, and the last ticket among them.
+    waiting: Vec<Bytes>,
+    through: u64,
 }
 
 fn id() -> StoreId {
@@ -62,12 +65,11 @@
             let now = Now { steady: self.now, wall: WALL + self.now };
             let effects = self.store.step(now, input);
             self.machine += start.elapsed().as_secs_f64();
-            let (mut through, mut payloads) = (0, Vec::new());
             for effect in effects {
                 match effect {
                     Effect::Persist { ticket, entries } => {
-                        through = ticket;
-                        payloads.extend(entries);
+                        self.through = ticket;
+                        self.waiting.extend(entries);
                     }
                     Effect::Respond { response, .. } => {
                         self.done += usize::from(matches!(response, StoreResponse::Done { .. }));
@@ -76,26 +78,36 @@
                     _ => {}
                 }
             }
-            if !payloads.is_empty() {
-                let start = Instant::now();
-                let positions = self.log.append(&payloads)?;
-                self.disk += start.elapsed().as_secs_f64();
-                self.syncs += 1;
-                inputs.push(Input::Persisted { through, positions });
-            }
+        }
+        Ok(())
+    }
+
+    /// Writes and syncs what waits.
+    fn sync(&mut self) -> Result<(), Box<dyn Error>> {
+        while !self.waiting.is_empty() {
+            let payloads = std::mem::take(&mut self.waiting);
+            let start = Instant::now();
+            let positions = self.log.append(&payloads)?;
+            self.disk += start.elapsed().as_secs_f64();
+            self.syncs += 1;
+            self.input(Input::Persisted { through: self.through, positions })?;
         }
         Ok(())
     }
 
     fn phase(
-        &mut self, what: &str, count: usize, request: impl Fn(usize) -> StoreRequest,
+        &mut self, what: &str, count: usize, batch: usize, request: impl Fn(usize) -> StoreRequest,
     ) -> Result<(), Box<dyn Error>> {
         let (memory, bytes) = (resident_bytes(), self.log.bytes());
         (self.machine, self.disk, self.syncs, self.done) = (0.0, 0.0, 0, 0);
         for number in 0..count {
             self.token += 1;
             self.input(Input::Request { token: self.token, request: request(number) })?;
+            if (number + 1) % batch == 0 {
+                self.sync()?;
+            }
         }
+        self.sync()?;
         let each = |value: f64| value / count as f64;
         println!(
             "| {what} | {} | {:.2} | {:.2} | {} | {:.0} | {:.0} |",
@@ -152,19 +164,34 @@
     }
     std::fs::create_dir_all(FOLDER)?;
     let (store, log) = open(SECOND)?;
-    let mut bench = Bench { store, log, now: SECOND, token: 0, done: 0, machine: 0.0, disk: 0.0, syncs: 0 };
+    let mut bench = Bench {
+        store,
+        log,
+        now: SECOND,
+        token: 0,
+        done: 0,
+        machine: 0.0,
+        disk: 0.0,
+        syncs: 0,
+        waiting: Vec::new(),
+        through: 0,
+    };
     let entry = StoreEntry { id: id(), zone: Arc::from("zone-1") };
     let placement = Placement { epoch: PlacementEpoch(1), tolerated: 0, sets: vec![vec![entry]] };
     bench.input(Input::Placement(Arc::new(placement)))?;
+    bench.sync()?;
     println!("| work | done | machine, us each | disk, us each | syncs | log bytes each | memory each |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     let append = |number| StoreRequest::Append { epoch: PlacementEpoch(1), record: record(number, &body) };
     let singles = count.min(1_000);
-    bench.phase("append, one a sync", singles, append)?;
-    bench.phase("append, all that is left", count - singles, |number| append(number + singles))?;
+    bench.phase("append, one a sync", singles, 1, append)?;
+    bench.phase(&format!("append, {BATCH} a sync"), count - singles, BATCH, |number| {
+        append(number + singles)
+    })?;
     bench.phase(
         &format!("settle, {BATCH} ends a request (figures for a request)"),
         count / BATCH,
+        1,
         |number| settle(number * BATCH..(number + 1) * BATCH),
     )?;
     let now = bench.now;
