--- a/crates/hollow/src/experiments.rs
+++ b/crates/hollow/src/experiments.rs
@@ -244,14 +244,13 @@
         let (name, life, start) = (site::name(*joiner), network.life(*joiner), network.now);
         let others = network.running().count() - 1;
         let mut ready_at = None;
-        let took = observe(network, &mut times, |index, member| {
+        observe(network, &mut times, |index, member| {
             index == *joiner && member.membership.live_count() > 0
                 || member
                     .membership
                     .get(&name)
                     .is_some_and(|(info, status)| is_live(status) && info.life.0 == life)
         });
-        let _ = took;
         while ready_at.is_none() && network.now < start + GIVE_UP {
             let now = network.now;
             let is_ready = network.get_mut(*joiner).is_some_and(|member| {
@@ -283,7 +282,7 @@
     let (mut lost, mut back) = (Times::new(), Times::new());
     let others = network.len() - count;
     let rest = |index: usize| if cut.contains(&index) { count } else { others };
-    observe(network, &mut lost, |index, member| member.membership.live_count() + 1 <= rest(index));
+    observe(network, &mut lost, |index, member| member.membership.live_count() < rest(index));
     lost.print(&format!("{count} members that were cut off are dead to the rest, and the rest to them"));
     let so_far = network.now - start;
     network.run_for(CUT_FOR.saturating_sub(so_far));
--- a/crates/wire/tests/placement_table.rs
+++ b/crates/wire/tests/placement_table.rs
@@ -38,7 +38,7 @@
         sizes: (u8, u8), shift: u8, zones: u8, tolerated: u8, partition: u16, chosen: u32
     ) -> bool {
         let sets = [(0, u16::from(sizes.0 % 24)), (u16::from(shift % 24), u16::from(sizes.1 % 24))];
-        let sets = if shift % 3 == 0 { &sets[..1] } else { &sets[..] };
+        let sets = if shift.is_multiple_of(3) { &sets[..1] } else { &sets[..] };
         let placement = placement(sets, u16::from(zones % 6) + 1, u16::from(tolerated % 3));
         let partition = Partition(partition % PARTITIONS);
         let stores = placement.stores(partition).into_iter().enumerate();
