--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -1,6 +1,6 @@
 //! What every process has: membership and control, driven as `pewterseam_system::node` does it.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -9,6 +9,7 @@
     Control, ControlMessage, ControlSettings, Effect as ControlEffect, OperatorRequest, Outcome, Token,
 };
 use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings, Status};
+use pewterseam_storage::{AppendQueue, PendingWrite};
 use pewterseam_wire::control::ControlState;
 use pewterseam_wire::identity::{NodeInfo, NodeName, Owner};
 use pewterseam_wire::placement::{PlacementEpoch, StoreId};
@@ -20,6 +21,8 @@
 
 /// Where the steady clock of a process begins.
 pub const FIRST_MOMENT: Micros = 1_000_000;
+/// The pause before a failed write to the control log is tried again.
+const RETRY_AFTER: Micros = 250_000;
 
 /// What a process learns from its node.
 pub enum NodeEvent {
@@ -48,8 +51,9 @@
     control: Control,
     last_ticket: u64,
     last_record: u64,
-    sequences: BTreeMap<u64, u64>,
-    snapshots: Vec<u64>,
+    writes: AppendQueue,
+    running_records: u64,
+    retry_at: Option<Micros>,
     ended: BTreeSet<Owner>,
     members_changed: bool,
     events: Vec<NodeEvent>,
@@ -76,8 +80,9 @@
             control,
             last_ticket: 0,
             last_record: start.last_record,
-            sequences: BTreeMap::new(),
-            snapshots: Vec::new(),
+            writes: AppendQueue::default(),
+            running_records: 0,
+            retry_at: None,
             ended: BTreeSet::new(),
             members_changed: false,
             events: Vec::new(),
@@ -128,11 +133,15 @@
     }
 
     pub fn next_wake(&self) -> Micros {
-        self.membership.next_wake().min(self.control.next_wake())
+        let retry = self.retry_at.unwrap_or(Micros::MAX);
+        self.membership.next_wake().min(self.control.next_wake()).min(retry)
     }
 
     /// Does what is due, and tells what has happened since the last call.
     pub fn tick(&mut self) -> Vec<NodeEvent> {
+        if self.retry_at.take_if(|at| *at <= self.now).is_some() {
+            self.begin_write();
+        }
         if self.now >= self.membership.next_wake() {
             let effects = self.membership.tick(self.now);
             self.member_effects(effects);
@@ -159,24 +168,46 @@
     }
 
     pub fn control_log_event(&mut self, event: DiskEvent) {
-        let sequence = match event {
-            DiskEvent::Synced { through, .. } => {
-                let waiting = self.sequences.split_off(&(through + 1));
-                let synced = std::mem::replace(&mut self.sequences, waiting);
-                synced.into_values().next_back()
-            }
-            DiskEvent::Maintained { is_done } => {
-                let sequence = (!self.snapshots.is_empty()).then(|| self.snapshots.remove(0));
-                sequence.filter(|_| is_done)
-            }
-            DiskEvent::Failed { .. } | DiskEvent::Read { .. } => None,
+        let is_done = match event {
+            DiskEvent::Synced { .. } => true,
+            DiskEvent::Maintained { is_done } => is_done,
+            DiskEvent::Failed { .. } => false,
+            DiskEvent::Read { .. } => return,
         };
-        if let Some(sequence) = sequence {
+        if is_done {
+            self.last_record += self.running_records;
+        } else {
+            self.retry_at = Some(self.now + RETRY_AFTER);
+        }
+        let durable = self.writes.finish(is_done);
+        self.begin_write();
+        if let Some(sequence) = durable {
             let effects = self.control.persisted(self.now, sequence);
             self.control_effects(effects);
         }
     }
 
+    /// Begins the next write to the control log, as `pewterseam_system::node` does it.
+    fn begin_write(&mut self) {
+        if self.retry_at.is_some() {
+            return;
+        }
+        let Some(write) = self.writes.begin() else { return };
+        self.last_ticket += 1;
+        let (ticket, covers) = (self.last_ticket, self.last_record);
+        let command = match write {
+            PendingWrite::Append { records, .. } => {
+                self.running_records = records.len() as u64;
+                DiskCommand::Append { ticket, payloads: records }
+            }
+            PendingWrite::Snapshot { snapshot, .. } => {
+                self.running_records = 0;
+                DiskCommand::Snapshot { covers, payload: snapshot }
+            }
+        };
+        self.out.push(Output::Disk(LogName::Control, command));
+    }
+
     pub fn operator(&mut self, token: Token, request: OperatorRequest) {
         let effects = self.control.operator(self.now, token, request);
         self.control_effects(effects);
@@ -237,11 +268,13 @@
                     let from = self.membership.own().name.clone();
                     self.send(&to, PeerMessage::Control { from, message: Box::new(message) });
                 }
-                ControlEffect::Persist { records, sequence } => self.append(records, sequence),
+                ControlEffect::Persist { records, sequence } => {
+                    self.writes.push(PendingWrite::Append { records, sequence });
+                    self.begin_write();
+                }
                 ControlEffect::Snapshot { snapshot, sequence } => {
-                    self.snapshots.push(sequence);
-                    let command = DiskCommand::Snapshot { covers: self.last_record, payload: snapshot };
-                    self.out.push(Output::Disk(LogName::Control, command));
+                    self.writes.push(PendingWrite::Snapshot { snapshot, sequence });
+                    self.begin_write();
                 }
                 ControlEffect::InForce(state) => {
                     self.membership.set_digest(state.index);
@@ -255,12 +288,4 @@
             }
         }
     }
-
-    fn append(&mut self, payloads: Vec<Bytes>, sequence: u64) {
-        self.last_ticket += 1;
-        self.last_record += payloads.len() as u64;
-        self.sequences.insert(self.last_ticket, sequence);
-        let command = DiskCommand::Append { ticket: self.last_ticket, payloads };
-        self.out.push(Output::Disk(LogName::Control, command));
-    }
 }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -15,7 +15,7 @@
 };
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ControlState;
-use pewterseam_wire::identity::{NodeName, Role};
+use pewterseam_wire::identity::{NodeName, Owner, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
@@ -119,6 +119,7 @@
             self.delivery_inputs.push(DeliveryInput::Tick);
         }
         self.expire_reads();
+        self.settle();
         self.go_on_stopping(now);
         self.settle();
         self.update_readiness();
@@ -241,14 +242,19 @@
 
     fn members_changed(&mut self) {
         let (mut stores, mut relays) = (BTreeSet::new(), Vec::<NodeName>::new());
+        let mut owners = BTreeSet::new();
         for info in self.node.live() {
             match (info.role, info.disk) {
                 (Role::Store, Some(disk)) => drop(stores.insert(StoreId { name: info.name.clone(), disk })),
                 (Role::Store, None) => {}
-                (Role::Relay, _) => relays.push(info.name.clone()),
+                (Role::Relay, _) => {
+                    relays.push(info.name.clone());
+                    owners.insert(Owner { name: info.name.clone(), life: info.life });
+                }
             }
         }
         self.queue.set_live_stores(stores);
+        self.queue.set_live_relays(owners);
         self.delivery_inputs.push(DeliveryInput::Relays(relays));
     }
 
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`DataFolder`] on real files and [`SimulatedFiles`] in memory with power losses. [`LogWriter`] runs a log on a
 //! thread of its own for callers that may not wait for a disk. The format on disk is described in `docs/storage.md`.
 
+mod append_queue;
 mod data_folder;
 mod disk_id;
 mod error;
@@ -17,6 +18,7 @@
 mod snapshot;
 mod writer;
 
+pub use append_queue::{AppendQueue, PendingWrite};
 pub use data_folder::DataFolder;
 pub use disk_id::{DISK_ID_FILE, open_disk_id};
 pub use error::StorageError;
--- a/crates/system/src/node/control_log.rs
+++ b/crates/system/src/node/control_log.rs
@@ -1,12 +1,12 @@
 //! The control log on the disk of a core member.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
 use pewterseam_config::settings::Settings;
 use pewterseam_control::ControlSettings;
-use pewterseam_storage::{Log, LogOptions, LogWriter, RecoveredFrom, WriterEvent};
+use pewterseam_storage::{AppendQueue, Log, LogOptions, LogWriter, PendingWrite, RecoveredFrom, WriterEvent};
+use pewterseam_wire::Micros;
 use tokio::sync::mpsc;
 
 use crate::disk;
@@ -15,20 +15,23 @@
 /// The control log's folder in the data folder.
 const FOLDER: &str = "control";
 const SEGMENT_BYTES: u64 = 1024 * 1024;
+/// The pause before a failed write is tried again.
+const RETRY_AFTER: Micros = 250_000;
 
 /// A snapshot and the records after it.
 pub type Recovered = (Option<Bytes>, Vec<Bytes>);
 
-/// The writer of the control log. A process without one holds nothing durably, and is told that at once.
+/// The writer of the control log. A process without one is not of the core, and writes nothing.
 pub struct ControlLog {
     writer: Option<LogWriter>,
+    writes: AppendQueue,
     last_ticket: u64,
-    /// The log's own number of the newest record that was handed over.
+    /// The log's own number of the newest record that is durable.
     last_record: u64,
-    /// The machine's sequence for each ticket that is not synced.
-    sequences: BTreeMap<u64, u64>,
-    /// Snapshots that are being written: the machine's sequence of each.
-    snapshots: Vec<u64>,
+    /// Records of the append that is under way.
+    running_records: u64,
+    /// When a write that failed is tried again.
+    retry_at: Option<Micros>,
 }
 
 impl ControlLog {
@@ -52,58 +55,76 @@
         }
         let log = ControlLog {
             writer,
+            writes: AppendQueue::default(),
             last_ticket: 0,
             last_record,
-            sequences: BTreeMap::new(),
-            snapshots: Vec::new(),
+            running_records: 0,
+            retry_at: None,
         };
         Ok((log, recovered, received))
     }
 
     pub fn append(&mut self, records: Vec<Bytes>, sequence: u64) {
-        self.last_ticket += 1;
-        self.last_record += records.len() as u64;
-        self.sequences.insert(self.last_ticket, sequence);
-        if let Some(writer) = &self.writer
-            && let Err(error) = writer.append(self.last_ticket, records)
-        {
-            log::error!("the control log is not written any more: {error}");
-        }
+        self.writes.push(PendingWrite::Append { records, sequence });
+        self.begin();
     }
 
     pub fn snapshot(&mut self, snapshot: Bytes, sequence: u64) {
-        self.snapshots.push(sequence);
-        if let Some(writer) = &self.writer
-            && let Err(error) = writer.snapshot(self.last_record, vec![snapshot])
-        {
-            log::error!("the control log is not written any more: {error}");
+        self.writes.push(PendingWrite::Snapshot { snapshot, sequence });
+        self.begin();
+    }
+
+    /// When [`ControlLog::retry`] is due.
+    pub fn next_wake(&self) -> Micros {
+        self.retry_at.unwrap_or(Micros::MAX)
+    }
+
+    /// Tries a write again that failed, once its time has come.
+    pub fn retry(&mut self, now: Micros) {
+        if self.retry_at.take_if(|at| *at <= now).is_some() {
+            self.begin();
         }
     }
 
-    /// The highest sequence of the machine that is synced by now, if there is news of it.
-    pub fn event(&mut self, event: WriterEvent) -> Option<u64> {
-        match event {
-            WriterEvent::Synced { through, .. } => {
-                let waiting = self.sequences.split_off(&(through + 1));
-                let synced = std::mem::replace(&mut self.sequences, waiting);
-                synced.into_values().next_back()
-            }
-            WriterEvent::Failed { error, .. } => {
-                log::error!("the control log cannot be written: {error}");
-                None
+    /// Begins the next write, unless one is under way or is to be tried again later.
+    fn begin(&mut self) {
+        if self.retry_at.is_some() {
+            return;
+        }
+        let (Some(writer), Some(write)) = (&self.writer, self.writes.begin()) else { return };
+        self.last_ticket += 1;
+        let begun = match write {
+            PendingWrite::Append { records, .. } => {
+                self.running_records = records.len() as u64;
+                writer.append(self.last_ticket, records)
             }
-            WriterEvent::Maintained(result) => {
-                let sequence = (!self.snapshots.is_empty()).then(|| self.snapshots.remove(0));
-                match result {
-                    Ok(()) => sequence,
-                    Err(error) => {
-                        log::error!("a snapshot of the control log cannot be written: {error}");
-                        None
-                    }
-                }
+            PendingWrite::Snapshot { snapshot, .. } => {
+                self.running_records = 0;
+                writer.snapshot(self.last_record, vec![snapshot])
             }
-            WriterEvent::Read { .. } => None,
+        };
+        if let Err(error) = begun {
+            log::error!("the control log is not written any more: {error}");
+        }
+    }
+
+    /// The highest sequence of the machine that is durable by now, if there is news of it.
+    pub fn event(&mut self, now: Micros, event: WriterEvent) -> Option<u64> {
+        let result = match event {
+            WriterEvent::Synced { .. } => Ok(()),
+            WriterEvent::Failed { error, .. } => Err(error),
+            WriterEvent::Maintained(result) => result,
+            WriterEvent::Read { .. } => return None,
+        };
+        if let Err(error) = &result {
+            log::error!("the control log cannot be written, and is tried again: {error}");
+            self.retry_at = Some(now + RETRY_AFTER);
+        } else {
+            self.last_record += self.running_records;
         }
+        let durable = self.writes.finish(result.is_ok());
+        self.begin();
+        durable
     }
 }
 
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -155,12 +155,13 @@
 
     /// When [`Node::tick`] is due.
     pub fn next_wake(&self) -> Micros {
-        self.membership.next_wake().min(self.control.next_wake())
+        self.membership.next_wake().min(self.control.next_wake()).min(self.control_log.next_wake())
     }
 
     /// Does what is due, and tells what has happened since the last call.
     pub fn tick(&mut self) -> Vec<NodeEvent> {
         let now = self.now();
+        self.control_log.retry(now);
         if now >= self.membership.next_wake() {
             let effects = self.membership.tick(now);
             self.member_effects(effects);
@@ -190,7 +191,7 @@
 
     /// The control log has done something.
     pub fn control_log_event(&mut self, event: WriterEvent) {
-        if let Some(sequence) = self.control_log.event(event) {
+        if let Some(sequence) = self.control_log.event(self.now(), event) {
             let effects = self.control.persisted(self.now(), sequence);
             self.control_effects(effects);
         }
