--- a/crates/relay/src/failure.rs
+++ b/crates/relay/src/failure.rs
@@ -4,17 +4,19 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+use pewterseam_console::error::ConsoleError;
 use pewterseam_errors::Advice;
 use pewterseam_relay::serve::Fault;
 use pewterseam_relay::unusable::Unusable;
 use pewterseam_system::error::SystemError;
 use thiserror::Error;
 
+use crate::command::ArgumentsError;
+
 #[derive(Debug, Error)]
 pub enum Failure {
-    /// In the parser's own words.
     #[error("{0}")]
-    Arguments(String),
+    Arguments(ArgumentsError),
     #[error("no configuration is named")]
     NoConfiguration,
     #[error("no folder for the journal is named")]
@@ -35,6 +37,18 @@
     Output(io::Error),
     #[error(transparent)]
     System(#[from] SystemError),
+    #[error("{0}")]
+    Console(#[from] ConsoleError),
+}
+
+impl Failure {
+    /// Faults that take a line each, after the failure's own.
+    pub fn details(&self) -> Vec<String> {
+        match self {
+            Failure::Console(error) => error.details(),
+            _ => Vec::new(),
+        }
+    }
 }
 
 impl Advice for Failure {
@@ -51,6 +65,7 @@
             Failure::Journal { .. } => "command-journal",
             Failure::Output(_) => "command-output",
             Failure::System(_) => "system-process",
+            Failure::Console(error) => error.code(),
         }
     }
 
@@ -66,6 +81,7 @@
             Failure::Answered { .. } => "see that it is a relay that listens there",
             Failure::Journal { .. } => "name a relay's state folder that this user may read",
             Failure::Output(_) => "see where the output goes to",
+            Failure::Console(error) => error.help(),
             Failure::System(_) => "see docs/system.md for what a process of the system needs",
         };
         text.to_owned()
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -1,6 +1,8 @@
 //! The command line of the relay.
 
+mod command;
 mod failure;
+mod system;
 
 use std::env;
 use std::io::{self, Write};
@@ -9,7 +11,7 @@
 use std::process::ExitCode;
 use std::time::Duration;
 
-use argh::FromArgs;
+use command::Command;
 use failure::Failure;
 use pewterseam_errors::Told;
 use pewterseam_fleet::interface::Config as Member;
@@ -22,106 +24,17 @@
 use slog::{Drain, Logger, o};
 use tokio::sync::watch;
 
-/// Delivers outbound messages to other firms' systems.
-#[derive(FromArgs)]
-struct Arguments {
-    #[argh(subcommand)]
-    command: Command,
-}
-
-#[derive(FromArgs)]
-#[argh(subcommand)]
-enum Command {
-    Serve(Serve),
-    Check(Check),
-    Counters(Counters),
-    Journal(Journal),
-    Version(Version),
-    Relay(SystemRelay),
-    Store(SystemStore),
-}
-
-/// Run a relay of the whole system (settings: $PEWTERSEAM_NODE_FILE)
-#[derive(FromArgs)]
-#[argh(subcommand, name = "relay")]
-struct SystemRelay {}
-
-/// Run a store of the whole system (settings: $PEWTERSEAM_NODE_FILE)
-#[derive(FromArgs)]
-#[argh(subcommand, name = "store")]
-struct SystemStore {}
-
-/// Run a relay in the foreground.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "serve")]
-struct Serve {
-    /// configuration file (default: $NODE_CONFIG)
-    #[argh(option)]
-    config: Option<PathBuf>,
-    /// folder that outlasts the process (default: $NODE_STATE)
-    #[argh(option)]
-    state: Option<PathBuf>,
-    /// operator's file, which forms a fleet (default: $PEWTERSEAM_OPERATOR, else none)
-    #[argh(option)]
-    operator: Option<PathBuf>,
-}
-
-/// Read a configuration and say whether a relay could start with it.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "check")]
-struct Check {
-    /// configuration file (default: $NODE_CONFIG)
-    #[argh(option)]
-    config: Option<PathBuf>,
-    /// operator's file, which forms a fleet (default: $PEWTERSEAM_OPERATOR, else none)
-    #[argh(option)]
-    operator: Option<PathBuf>,
-}
-
-/// Print the counters of a running relay.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "counters")]
-struct Counters {
-    /// where the relay listens for clients
-    #[argh(positional)]
-    address: SocketAddr,
-}
-
-/// Print what a journal holds; the relay may run meanwhile.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "journal")]
-struct Journal {
-    /// folder of the journal
-    #[argh(positional)]
-    folder: PathBuf,
-    /// print each record, not only the messages on hand
-    #[argh(switch)]
-    records: bool,
-}
-
-/// Print the version.
-#[derive(FromArgs)]
-#[argh(subcommand, name = "version")]
-struct Version {}
-
 type Done = Result<(), Failure>;
 
 fn main() -> ExitCode {
-    let arguments: Vec<String> =
-        env::args_os().skip(1).map(|text| text.to_string_lossy().into_owned()).collect();
-    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
-    let done = match Arguments::from_args(&["pewterseam"], &arguments) {
-        Ok(arguments) => run(arguments.command),
-        Err(exit) if exit.status.is_ok() => print(&exit.output),
-        Err(exit) => {
-            let line = exit.output.lines().map(str::trim).filter(|line| !line.is_empty()).collect::<Vec<_>>();
-            Err(Failure::Arguments(line.join(" ")))
-        }
-    };
+    let done = command::parse(env::args_os().skip(1)).map_err(Failure::Arguments).and_then(run);
     match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("pewterseam: {}", Told(&error));
+            for detail in error.details() {
+                eprintln!("  {detail}");
+            }
             ExitCode::FAILURE
         }
     }
@@ -137,13 +50,21 @@
 
 fn run(command: Command) -> Done {
     match command {
-        Command::Serve(Serve { config, state, operator }) => serve(config.as_deref(), state, operator),
-        Command::Check(Check { config, operator }) => check(config.as_deref(), operator),
-        Command::Counters(Counters { address }) => counters(address),
-        Command::Journal(Journal { folder, records }) => print_journal(&folder, records),
-        Command::Relay(_) => Ok(pewterseam_system::run_relay()?),
-        Command::Store(_) => Ok(pewterseam_system::run_store()?),
-        Command::Version(_) => print(&format!("pewterseam {}\n", env!("CARGO_PKG_VERSION"))),
+        Command::Help(text) => print(text),
+        Command::Serve { config, state, operator } => serve(config.as_deref(), state, operator),
+        Command::Check { config, operator } => check(config.as_deref(), operator),
+        Command::Counters { address } => counters(address),
+        Command::Journal { folder, records } => print_journal(&folder, records),
+        Command::Version => print(&format!("pewterseam {}\n", env!("CARGO_PKG_VERSION"))),
+        Command::Relay => Ok(pewterseam_system::run_relay()?),
+        Command::Store => Ok(pewterseam_system::run_store()?),
+        Command::CheckSettings { file } => system::check_settings(&file),
+        Command::ConfigCheck { file } => system::check_configuration(&file),
+        Command::ConfigGet { address } => system::get_configuration(address),
+        Command::ConfigPut { address, file, on_top } => system::put_configuration(address, &file, on_top),
+        Command::Status { address } => system::status(address),
+        Command::Log { folder, names } => system::log(&folder, names),
+        Command::Local(options) => system::local(options),
     }
 }
 
--- /dev/null
+++ b/crates/relay/src/system.rs
@@ -0,0 +1,42 @@
+//! The commands for the whole system.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use pewterseam_console::status::Lines;
+use pewterseam_console::{configuration, log, settings, status as relay_status};
+
+use crate::command::LocalOptions;
+use crate::{Done, print, runtime};
+
+pub fn check_settings(file: &Path) -> Done {
+    print(&settings::check(file)?)
+}
+
+pub fn check_configuration(file: &Path) -> Done {
+    print(&configuration::check(file)?)
+}
+
+pub fn get_configuration(address: SocketAddr) -> Done {
+    let text = runtime()?.block_on(configuration::get(address))?;
+    print(&String::from_utf8_lossy(&text))
+}
+
+pub fn put_configuration(address: SocketAddr, file: &Path, on_top: Option<u64>) -> Done {
+    let version = runtime()?.block_on(configuration::put(address, file, on_top))?;
+    print(&format!("version {version} is in place\n"))
+}
+
+pub fn status(address: SocketAddr) -> Done {
+    let status = runtime()?.block_on(relay_status::read(address))?;
+    print(&Lines(&status).to_string())
+}
+
+pub fn log(folder: &Path, names: bool) -> Done {
+    print(&log::describe(folder, names)?)
+}
+
+pub fn local(options: LocalOptions) -> Done {
+    let _ = options;
+    Ok(())
+}
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod relay;
 pub mod settings_file;
 pub mod signals;
+pub mod status;
 pub mod store;
 pub mod wake;
 
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -2,6 +2,7 @@
 
 mod control_log;
 mod owners;
+mod report;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/system/src/operator.rs
+++ b/crates/system/src/operator.rs
@@ -13,6 +13,7 @@
 use warp::{Filter, Rejection, Reply};
 
 use crate::error::SystemError;
+use crate::status::RelayStatus;
 
 /// The largest configuration that is read.
 const MOST_CONFIG_BYTES: u64 = 32 * 1024 * 1024;
@@ -22,11 +23,23 @@
 /// What the operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OperatorRequest {
-    PutConfig { if_match: Option<u64>, text: Bytes },
-    PatchConfig { if_match: Option<u64>, text: Bytes },
+    PutConfig {
+        if_match: Option<u64>,
+        text: Bytes,
+    },
+    PatchConfig {
+        if_match: Option<u64>,
+        text: Bytes,
+    },
     ReadConfig,
-    Retire { node: String },
-    RetireState { node: String },
+    Retire {
+        node: String,
+    },
+    RetireState {
+        node: String,
+    },
+    /// What this relay knows, for people; never passed on.
+    ReadStatus,
 }
 
 /// What the operator is told.
@@ -37,6 +50,7 @@
         version: u64,
     },
     Config(Bytes),
+    Status(Box<RelayStatus>),
     RetireInProgress,
     RetireCompleted,
     /// The configuration is invalid, and why.
@@ -79,7 +93,9 @@
     let retire = warp::path!("-" / "retire" / String);
     let order = retire.and(warp::post()).map(|node| OperatorRequest::Retire { node });
     let state = retire.and(warp::get()).map(|node| OperatorRequest::RetireState { node });
+    let status = warp::path!("-" / "status").and(warp::get()).map(|| OperatorRequest::ReadStatus);
     let requests = put.or(patch).unify().or(read).unify().or(order).unify().or(state).unify();
+    let requests = requests.or(status).unify();
     let routes = requests.and(calls).then(answer).recover(rejected);
     warp::serve(routes).incoming(listener).run().await;
     Ok(())
@@ -105,6 +121,10 @@
             response(StatusCode::OK, Bytes::from(format!("{{\"version\":{version}}}")))
         }
         OperatorAnswer::Config(text) => response(StatusCode::OK, text),
+        OperatorAnswer::Status(status) => match serde_json::to_vec(&status) {
+            Ok(text) => response(StatusCode::OK, Bytes::from(text)),
+            Err(_) => response(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+        },
         OperatorAnswer::RetireInProgress => state("in_progress"),
         OperatorAnswer::RetireCompleted => state("completed"),
         OperatorAnswer::Invalid(reasons) => response(StatusCode::BAD_REQUEST, Bytes::from(reasons)),
--- a/crates/system/src/relay/operators.rs
+++ b/crates/system/src/relay/operators.rs
@@ -1,6 +1,7 @@
 //! Calls of the operator, decided by the control plane.
 
 use std::collections::HashMap;
+use std::sync::atomic::Ordering;
 
 use pewterseam_control::{OperatorRequest as ControlRequest, Outcome, Token};
 use pewterseam_wire::identity::NodeName;
@@ -8,6 +9,7 @@
 
 use super::process::RelayProcess;
 use crate::operator::{OperatorAnswer, OperatorCall, OperatorRequest};
+use crate::status::{MessageCounts, RelayStatus};
 
 /// Calls that wait for the control plane.
 #[derive(Default)]
@@ -41,6 +43,11 @@
             }
             OperatorRequest::ReadConfig => ControlRequest::ReadConfig,
             OperatorRequest::Retire { node } => ControlRequest::Retire { node: NodeName::new(&node) },
+            OperatorRequest::ReadStatus => {
+                // Danger: none. A caller that is gone hears nothing.
+                let _ = call.reply.send(OperatorAnswer::Status(Box::new(self.status())));
+                return;
+            }
             OperatorRequest::RetireState { node } => {
                 ControlRequest::ReadRetire { node: NodeName::new(&node) }
             }
@@ -50,6 +57,19 @@
     }
 }
 
+impl RelayProcess {
+    fn status(&self) -> RelayStatus {
+        let queue = &self.planes.queue;
+        RelayStatus {
+            node: self.node.report(),
+            ready: self.is_ready.load(Ordering::Relaxed),
+            stopping: self.stopping.is_some(),
+            config_version: self.config.load().version,
+            messages: MessageCounts { held: queue.len(), running: queue.running() },
+        }
+    }
+}
+
 fn answer(outcome: Outcome) -> OperatorAnswer {
     match outcome {
         Outcome::Accepted { version } => OperatorAnswer::Done { version },
