pewterseam local: three relays, three stores, the platform's list and two hosts on one machine

Cause: trying the system took six settings files and stand-ins by hand. A process that ends is started again.

--- a/crates/console/src/lib.rs
+++ b/crates/console/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod configuration;
 pub mod error;
+pub mod local;
 pub mod log;
 pub mod settings;
 pub mod status;
--- a/crates/relay/src/system.rs
+++ b/crates/relay/src/system.rs
@@ -1,8 +1,12 @@
 //! The commands for the whole system.
 
+use std::env;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::time::Duration;
 
+use pewterseam_console::error::ConsoleError;
+use pewterseam_console::local::{self as local_system, Options};
 use pewterseam_console::status::Lines;
 use pewterseam_console::{configuration, log, settings, status as relay_status};
 
@@ -37,6 +41,8 @@
 }
 
 pub fn local(options: LocalOptions) -> Done {
-    let _ = options;
-    Ok(())
+    let program = env::current_exe().map_err(|error| ConsoleError::read("this program", error))?;
+    let end_after = options.seconds.map(Duration::from_secs);
+    let options = Options { program, end_after, port: options.port, folder: options.folder };
+    Ok(runtime()?.block_on(local_system::run(options))?)
 }
