--- a/crates/console/src/local/mod.rs
+++ b/crates/console/src/local/mod.rs
@@ -17,6 +17,9 @@
 use crate::client::{self, Call};
 use crate::configuration;
 use crate::error::ConsoleError;
+use pewterseam_wire::placement::Partition;
+use pewterseam_wire::record::MessageName;
+
 use children::Children;
 use layout::{Layout, Node};
 
@@ -26,6 +29,8 @@
 const DEFAULT_PORT: u16 = 7300;
 /// The system is ready by then, or the start has failed.
 const START_LIMIT: Duration = Duration::from_secs(60);
+/// The request id of the message that is proposed for a try.
+const FIRST_MESSAGE: &str = "first-1";
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
 /// How the system is started.
@@ -111,10 +116,11 @@
     let (Some(first), Some(last)) = (relays.first(), relays.last()) else { return };
     println!("ready; hand a message in, then ask any relay what became of it:");
     println!(
-        "  curl -i http://{}/hello/1 -H 'Host: local.example' -H 'X-Request-Id: first-1' -d 'hello'",
+        "  curl -i http://{}/hello/1 -H 'Host: local.example' -H 'X-Request-Id: {FIRST_MESSAGE}' -d 'hello'",
         first.front()
     );
-    println!("  curl http://{}/-/message/first-1 -H 'Host: local.example'", last.front());
+    let name = MessageName::new(FIRST_MESSAGE, Partition::of(FIRST_MESSAGE));
+    println!("  curl http://{}/-/message/{} -H 'Host: local.example'", last.front(), name.0);
     println!("  pewterseam status {}", first.control());
 }
 
--- a/crates/console/src/log/messages.rs
+++ b/crates/console/src/log/messages.rs
@@ -3,12 +3,13 @@
 use std::collections::VecDeque;
 use std::fmt;
 use std::path::Path;
+use std::sync::Arc;
 
 use pewterseam_message_log::{Effect, Input, Now, Store, StoreRecovery, StoreSettings};
 use pewterseam_storage::{Log, SimulatedFiles};
 use pewterseam_wire::identity::{DiskId, NodeName};
-use pewterseam_wire::placement::{PARTITIONS, Partition, PlacementEpoch, StoreId};
-use pewterseam_wire::record::End;
+use pewterseam_wire::placement::{PARTITIONS, Partition, Placement, PlacementEpoch, StoreEntry, StoreId};
+use pewterseam_wire::record::{End, MessageName};
 use pewterseam_wire::store::{StoreRequest, StoreResponse, StoredMessage};
 
 use super::folder::{self, FolderReport};
@@ -104,9 +105,18 @@
     Ok((opened.report, MessagesReport { is_complete: true, messages }))
 }
 
+fn reader() -> StoreId {
+    StoreId { name: NodeName::new("reader"), disk: DiskId(0) }
+}
+
 fn settings() -> StoreSettings {
-    let id = StoreId { name: NodeName::new("reader"), disk: DiskId(0) };
-    StoreSettings { clean_above_bytes: FOREVER, ..StoreSettings::new(id, FOREVER, FOREVER) }
+    StoreSettings { clean_above_bytes: FOREVER, ..StoreSettings::new(reader(), FOREVER, FOREVER) }
+}
+
+/// All messages belong to the reader, so that it tells of all.
+fn own_placement() -> Placement {
+    let entry = StoreEntry { id: reader(), zone: Arc::from("") };
+    Placement { epoch: PlacementEpoch(FOREVER), tolerated: 0, sets: vec![vec![entry]] }
 }
 
 /// A store that is asked for everything, as another store would that copies from it.
@@ -119,11 +129,12 @@
 
 impl Reader {
     fn all(mut self) -> Vec<MessageLine> {
+        self.store.step(Now::default(), Input::Placement(Arc::new(own_placement())));
         let partitions: Vec<Partition> = (0..PARTITIONS).map(Partition).collect();
         let mut after = None;
         while !self.is_last {
             let request =
-                StoreRequest::Pull { epoch: PlacementEpoch(0), partitions: partitions.clone(), after };
+                StoreRequest::Pull { epoch: PlacementEpoch(FOREVER), partitions: partitions.clone(), after };
             let Some(last) = self.ask(request) else { break };
             after = Some(last);
         }
@@ -132,7 +143,7 @@
     }
 
     /// Asks for a piece and returns the name of its last message.
-    fn ask(&mut self, request: StoreRequest) -> Option<pewterseam_wire::record::MessageName> {
+    fn ask(&mut self, request: StoreRequest) -> Option<MessageName> {
         let mut inputs = VecDeque::from([Input::Request { token: 1, request }]);
         let mut last = None;
         while let Some(input) = inputs.pop_front() {
--- a/crates/relay/tests/cli.rs
+++ b/crates/relay/tests/cli.rs
@@ -53,6 +53,68 @@
     }
 }
 
+#[test]
+fn each_command_tells_its_arguments() {
+    let commands = [
+        "serve", "check", "counters", "journal", "version", "relay", "store", "config", "status", "log",
+        "local",
+    ];
+    let overview = out(&pewterseam(&["help"]));
+    for command in commands {
+        assert!(overview.contains(&format!("\n  {command} ")), "{command}: {overview}");
+        let help = pewterseam(&[command, "--help"]);
+        assert!(help.status.success(), "{command}");
+        assert!(out(&help).starts_with(&format!("Usage: pewterseam {command}")), "{}", out(&help));
+    }
+}
+
+#[test]
+fn what_is_wrong_with_the_words_is_told() {
+    let cases: &[(&[&str], &str)] = &[
+        (&["config"], "check, get or put is missing"),
+        (&["config", "burn"], "there is no command \"config burn\""),
+        (&["config", "put", "127.0.0.1:1"], "FILE is missing"),
+        (&["status"], "ADDRESS is missing"),
+        (&["status", "here"], "ADDRESS \"here\" is not an address"),
+        (&["log", "/nowhere"], "[console-no-log] /nowhere holds no log"),
+        (&["log", "a", "b"], "unexpected argument \"b\""),
+        (&["check", "--settings", "a", "--config", "b"], "--config does not go with --settings"),
+        (&["check", "--config", "a", "--config", "b"], "--config is given twice"),
+        (&["serve", "--state"], "missing argument for option '--state'"),
+        (&["local", "--for", "ever"], "--for \"ever\" is not a number of seconds"),
+        (&["config", "get", "127.0.0.1:1"], "[console-silent] 127.0.0.1:1 does not answer"),
+    ];
+    for (arguments, told) in cases {
+        let output = pewterseam(arguments);
+        let text = String::from_utf8(output.stderr).expect("text");
+        assert_eq!(output.status.code(), Some(1), "{arguments:?}: {text}");
+        assert_eq!(text.lines().count(), 1, "{arguments:?}: {text}");
+        assert!(text.starts_with("pewterseam: [") && text.contains(told), "{arguments:?}: {text}");
+    }
+}
+
+// Danger: who mends a file learns of its faults one start after the other.
+#[test]
+fn all_faults_of_a_file_are_told_at_once() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let path = folder.path().join("file");
+    let file = path.to_string_lossy().into_owned();
+    fs::write(&path, "ip = \"nowhere\"\nzone = \"a\"\nportRange = [2, 1]\n").expect("written");
+    let text = String::from_utf8(pewterseam(&["check", "--settings", &file]).stderr).expect("text");
+    let told: Vec<&str> = text.lines().skip(1).map(str::trim).collect();
+    assert_eq!(
+        told,
+        ["nodeName is missing", "ip is not an IP address", "portRange is not two ports"],
+        "{text}"
+    );
+    let route = json!({"name": "r", "backend": "x"});
+    fs::write(&path, json!({"version": 1, "routes": [route], "backends": []}).to_string()).expect("written");
+    let text = String::from_utf8(pewterseam(&["config", "check", &file]).stderr).expect("text");
+    for missing in ["hostname", "pathPrefix", "timeoutMs"] {
+        assert!(text.contains(missing), "{missing}: {text}");
+    }
+}
+
 // Danger: who is woken at night reads what is wrong, and not what to do about it.
 #[test]
 fn a_configuration_that_does_not_do_is_told_with_a_code_and_a_way_out() {
