--- a/crates/relay/tests/local.rs
+++ b/crates/relay/tests/local.rs
@@ -75,7 +75,7 @@
     fn signal(&self, name: &str, signal: Signal) {
         let (id, _) = self.processes()[name];
         kill_process(Pid::from_raw(id).expect("a process"), signal).expect("sent");
-        self.wait_for("started again", |_| self.processes()[name].0 != id);
+        wait_for("started again", || self.processes()[name].0 != id, || name.to_owned());
     }
 
     fn runs(&self, request: &str) -> usize {
