--- a/crates/storage/src/append_queue.rs
+++ b/crates/storage/src/append_queue.rs
@@ -46,7 +46,9 @@
     }
 
     fn join_appends(&mut self) {
-        while let [PendingWrite::Append { .. }, PendingWrite::Append { .. }, ..] = self.waiting.make_contiguous() {
+        while let [PendingWrite::Append { .. }, PendingWrite::Append { .. }, ..] =
+            self.waiting.make_contiguous()
+        {
             let Some(PendingWrite::Append { mut records, .. }) = self.waiting.pop_front() else { return };
             if let Some(PendingWrite::Append { records: next, .. }) = self.waiting.front_mut() {
                 records.append(next);
