Queue: a handler that did nothing, a wrapper and an unused argument go

Found on rereading the change. A failed settle is told again by the timer that its end has set; behaviour is as before. The queue's tests (21) pass, clippy is clean on the queue, the system and the cluster harness.

--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -157,7 +157,7 @@
         self.write(key);
     }
 
-    pub(crate) fn listing_failed(&mut self, key: MessageKey, _store: &StoreId) {
+    pub(crate) fn listing_failed(&mut self, key: MessageKey) {
         if self.messages.get(&key).is_some_and(|message| matches!(message.stage, Stage::Listing { .. })) {
             self.ask_further(key);
         }
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -91,9 +91,10 @@
         self.stores.failed(&call.store, self.now);
         self.probe_later();
         match call.purpose {
-            Purpose::List(key) => self.listing_failed(key, &call.store),
+            Purpose::List(key) => self.listing_failed(key),
             Purpose::Append(key) => self.append_failed(key),
-            Purpose::Settle(keys) => self.settle_failed(&keys),
+            // The timer that was set with an end tells it again.
+            Purpose::Settle(_) => {}
             Purpose::Check(..)
             | Purpose::Adopt(_)
             | Purpose::Claim(..)
@@ -136,10 +137,11 @@
 
     fn call_declined(&mut self, store: StoreId, purpose: Purpose, reason: Decline) {
         match purpose {
-            Purpose::List(key) => self.listing_failed(key, &store),
+            Purpose::List(key) => self.listing_failed(key),
             Purpose::Append(key) => self.append_declined(key, store),
-            Purpose::Settle(keys) => self.settle_failed(&keys),
             Purpose::Claim(key, _) if reason == Decline::AlreadyClaimed => self.claim_refused(key),
+            // The timer that was set with an end tells it again.
+            Purpose::Settle(_) => {}
             Purpose::Check(..)
             | Purpose::Adopt(_)
             | Purpose::Claim(..)
--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -99,7 +99,7 @@
             Timer::CallTimeout(call) => self.fail_call(call),
             Timer::ProbeStores => self.probe_stores(),
             Timer::Flush => self.flush(),
-            Timer::RetrySettle(key) => self.retry_settle(key),
+            Timer::RetrySettle(key) => self.send_end(key),
         }
     }
 
--- a/crates/queue/src/settle.rs
+++ b/crates/queue/src/settle.rs
@@ -94,10 +94,6 @@
         self.clock.set(self.now + SETTLE_AGAIN, Timer::RetrySettle(key));
     }
 
-    pub(crate) fn retry_settle(&mut self, key: MessageKey) {
-        self.send_end(key);
-    }
-
     /// Tells a fact that needs no acknowledgement.
     pub(crate) fn post(&mut self, stores: &BTreeSet<StoreId>, fact: &Fact) {
         for store in stores {
@@ -135,7 +131,4 @@
             }
         }
     }
-
-    /// The next retry tells them again.
-    pub(crate) fn settle_failed(&mut self, _keys: &[MessageKey]) {}
 }
