--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -64,6 +64,13 @@
     }
 
     pub(crate) fn call_written(&mut self, key: CallKey) {
+        let Some(call) = self.calls.open.get(&key) else { return };
+        if self.now >= call.started_at + call.start.write_within {
+            if let Some(call) = self.calls.open.remove(&key) {
+                self.end_call(key, &call, AttemptResult::Unsent);
+            }
+            return;
+        }
         let delay = self.network.delay();
         self.agenda.add(self.now + delay, Event::CallArrives(key));
         let is_limited = self.calls.open.get(&key).is_some_and(|call| call.start.target.instance.is_none());
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -106,6 +106,8 @@
     pub body: bytes::Bytes,
     pub timeout: Micros,
     pub confirm: bool,
+    /// Nothing is written later than this after the start.
+    pub write_within: Micros,
 }
 
 /// What happens, and to whom.
--- a/crates/cluster/src/message.rs
+++ b/crates/cluster/src/message.rs
@@ -40,6 +40,9 @@
             };
             facts.iter().map(|fact| (fact.name(), told(fact))).collect()
         }
+        StoreRequest::Confirm { names, owner } => {
+            names.iter().map(|name| (name, format!("is confirmed for {}", owner.name))).collect()
+        }
         StoreRequest::Claim { names, owner, claim } => {
             names.iter().map(|name| (name, format!("claim {claim} of {}", owner.name))).collect()
         }
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -16,8 +16,10 @@
     OneStoreTooFew,
     /// Relays that the others cannot reach go on using a permit when its time is over.
     LatePermits,
-    /// Relays run what they take over without telling the stores.
+    /// Relays run what they take over without telling or asking the stores.
     NoClaims,
+    /// Relays whose leases have lapsed send what they own without asking the stores.
+    NoConfirmation,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- a/crates/cluster/src/reads.rs
+++ b/crates/cluster/src/reads.rs
@@ -5,7 +5,7 @@
 use pewterseam_queue::{BodyRead, StatusRead, StatusResult};
 use pewterseam_wire::Micros;
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::record::MessageName;
+use pewterseam_wire::record::{Fact, MessageName};
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
 use crate::event::Output;
@@ -23,6 +23,7 @@
 
 struct OpenRead {
     number: u64,
+    name: MessageName,
     kind: Kind,
     deadline: Micros,
 }
@@ -39,10 +40,10 @@
         self.open.values().map(|open| open.deadline).min()
     }
 
-    fn add(&mut self, number: u64, kind: Kind, deadline: Micros) -> u64 {
+    fn add(&mut self, number: u64, name: &MessageName, kind: Kind, deadline: Micros) -> u64 {
         self.last_call += 1;
         let call = FIRST_READ_CALL + self.last_call;
-        self.open.insert(call, OpenRead { number, kind, deadline });
+        self.open.insert(call, OpenRead { number, name: name.clone(), kind, deadline });
         call
     }
 }
@@ -52,7 +53,7 @@
         let Some(partition) = name.partition() else { return };
         let read = StatusRead::new(self.node.state().placement.clone(), partition);
         let stores = read.stores();
-        let call = self.reads.add(number, Kind::Status(read), self.node.now + PATIENCE);
+        let call = self.reads.add(number, name, Kind::Status(read), self.node.now + PATIENCE);
         for store in stores {
             self.send_read(&store, call, StoreRequest::Look { names: vec![name.clone()] });
         }
@@ -62,7 +63,7 @@
         let Some(partition) = name.partition() else { return };
         let read = BodyRead::new(self.node.state().placement.clone(), partition);
         let stores = read.stores();
-        let call = self.reads.add(number, Kind::Body(read), self.node.now + PATIENCE);
+        let call = self.reads.add(number, name, Kind::Body(read), self.node.now + PATIENCE);
         for store in stores {
             self.send_read(&store, call, StoreRequest::Fetch { name: name.clone() });
         }
@@ -89,11 +90,24 @@
             _ => None,
         };
         if let Some(output) = done {
+            self.write_back(call);
             self.reads.open.remove(&call);
             self.node.out.push(output);
         }
     }
 
+    /// Tells an end that was read to the stores that lack it.
+    fn write_back(&mut self, call: u64) {
+        let Some(OpenRead { kind: Kind::Status(read), name, .. }) = self.reads.open.get(&call) else {
+            return;
+        };
+        let Some((end, stores)) = read.write_back() else { return };
+        let fact = Fact::Ended { name: name.clone(), end: end.clone() };
+        for store in stores.clone() {
+            self.send_read(&store, call, StoreRequest::Settle { facts: vec![fact.clone()] });
+        }
+    }
+
     pub(crate) fn expire_reads(&mut self) {
         let now = self.node.now;
         let expired = self.reads.open.iter().filter(|(_, open)| open.deadline <= now);
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -7,17 +7,17 @@
 use pewterseam_config::CompiledConfig;
 use pewterseam_delivery::{
     AttemptEnd, AttemptId, AttemptResult, Delivery, DeliverySettings, Effect, Input as DeliveryInput,
-    Outcome, Submission as DeliverySubmission,
+    Outcome, Submission as DeliverySubmission, Target,
 };
 use pewterseam_queue::{
-    Answer, CallId, ClientToken, Effect as QueueEffect, MessageKey, NewMessage, Queue, QueueSettings,
-    RunResult, Submission,
+    Answer, AttemptNumber, CallId, ClientToken, Effect as QueueEffect, MessageKey, NewMessage, Queue,
+    QueueSettings, RunResult, SendPermit, Submission,
 };
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ControlState;
 use pewterseam_wire::identity::{NodeName, Owner, Role};
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::store::{StoreRequest, StoreResponse};
+use pewterseam_wire::store::{Status, StoreRequest, StoreResponse};
 
 use crate::configuration::{route_table, services};
 use crate::disk::LogName;
@@ -35,6 +35,13 @@
 const IDLE_CLOSE: Micros = 4 * SECOND;
 const CORE_LEASE: Micros = 3 * SECOND;
 
+/// An attempt that waits for its permit to send.
+struct UnsentAttempt {
+    target: Target,
+    timeout: Micros,
+    confirm: bool,
+}
+
 /// A relay at work.
 pub struct RelayProcess {
     pub node: Node,
@@ -42,6 +49,7 @@
     delivery: Delivery,
     delivery_wake: Micros,
     pub(crate) attempts: BTreeMap<AttemptId, u64>,
+    unsent: BTreeMap<AttemptId, UnsentAttempt>,
     config: Arc<CompiledConfig>,
     pub(crate) clients: BTreeSet<u64>,
     pub(crate) reads: Reads,
@@ -78,6 +86,7 @@
             delivery: Delivery::new(delivery_settings),
             delivery_wake: 0,
             attempts: BTreeMap::new(),
+            unsent: BTreeMap::new(),
             config: Arc::new(CompiledConfig::default()),
             clients: BTreeSet::new(),
             reads: Reads::default(),
@@ -270,6 +279,8 @@
             QueueEffect::Withdraw { key } => {
                 self.delivery_inputs.push(DeliveryInput::Withdraw { key: key.0 });
             }
+            QueueEffect::Send { permit } => self.send(&permit),
+            QueueEffect::RefuseSend { attempt } => self.refuse_send(attempt),
         }
     }
 
@@ -313,6 +324,10 @@
             (Some(Planted::NoClaims), StoreRequest::Claim { .. }) => {
                 Some(StoreResponse::Done { store: store.clone() })
             }
+            (Some(Planted::NoConfirmation | Planted::NoClaims), StoreRequest::Confirm { names, .. }) => {
+                let statuses = vec![Status::Unknown; names.len()];
+                Some(StoreResponse::Statuses { store: store.clone(), statuses })
+            }
             _ => None,
         }
     }
@@ -320,17 +335,13 @@
     fn carry_out_delivery(&mut self, effect: Effect) {
         match effect {
             Effect::Start { attempt, key, target, timeout, confirm, .. } => {
-                let Some(record) = self.queue.record(MessageKey(key)) else {
-                    let end =
-                        AttemptEnd { result: AttemptResult::Unsent, took: 0, idle_for: None, kept: false };
-                    self.delivery_inputs.push(DeliveryInput::Ended { attempt, end });
-                    return;
-                };
-                self.attempts.insert(attempt, key);
-                let request_id = Arc::from(record.name.request_id());
-                let body = record.body.clone();
-                let call = StartCall { attempt, target, request_id, body, timeout, confirm };
-                self.node.out.push(Output::Start(call));
+                self.unsent.insert(attempt, UnsentAttempt { target, timeout, confirm });
+                let number = AttemptNumber(attempt.0);
+                let effects = self.queue.request_send(self.node.now, MessageKey(key), number);
+                self.queue_effects.extend(effects);
+            }
+            Effect::Abort { attempt } if self.unsent.contains_key(&attempt) => {
+                self.refuse_send(AttemptNumber(attempt.0));
             }
             Effect::Finished { key, outcome } => {
                 let result = match outcome {
@@ -357,6 +368,27 @@
         }
     }
 
+    fn send(&mut self, permit: &SendPermit) {
+        let attempt = AttemptId(permit.attempt().0);
+        let Some(UnsentAttempt { target, timeout, confirm }) = self.unsent.remove(&attempt) else { return };
+        let Some(record) = self.queue.record(permit.key()) else {
+            return self.delivery_inputs.push(not_sent(attempt));
+        };
+        self.attempts.insert(attempt, permit.key().0);
+        let request_id = Arc::from(record.name.request_id());
+        let write_within = permit.expires_at().saturating_sub(self.node.now);
+        let body = record.body.clone();
+        let call = StartCall { attempt, target, request_id, body, timeout, confirm, write_within };
+        self.node.out.push(Output::Start(call));
+    }
+
+    fn refuse_send(&mut self, attempt: AttemptNumber) {
+        let attempt = AttemptId(attempt.0);
+        if self.unsent.remove(&attempt).is_some() {
+            self.delivery_inputs.push(not_sent(attempt));
+        }
+    }
+
     fn update_readiness(&mut self) {
         let ready = self.stopping.is_none() && self.can_serve();
         if self.is_ready != ready {
@@ -382,3 +414,9 @@
         live > usize::from(placement.tolerated).min(set.len().saturating_sub(1))
     }
 }
+
+/// The end of an attempt that was never made.
+fn not_sent(attempt: AttemptId) -> DeliveryInput {
+    let end = AttemptEnd { result: AttemptResult::Unsent, took: 0, idle_for: None, kept: false };
+    DeliveryInput::Ended { attempt, end }
+}
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -35,3 +35,9 @@
 fn heirs_without_claims_are_found() {
     find(Planted::NoClaims, Rule::Twice, 400);
 }
+
+/// Guards that a relay that goes on after its leases have lapsed is found.
+#[test]
+fn sends_without_a_lease_are_found() {
+    find(Planted::NoConfirmation, Rule::Twice, 1_000);
+}
--- a/crates/hollow/examples/store.rs
+++ b/crates/hollow/examples/store.rs
@@ -182,7 +182,11 @@
     bench.sync()?;
     println!("| work | done | machine, us each | disk, us each | syncs | log bytes each | memory each |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
-    let append = |number| StoreRequest::Append { epoch: PlacementEpoch(1), record: record(number, &body) };
+    let append = |number| StoreRequest::Append {
+        epoch: PlacementEpoch(1),
+        record: record(number, &body),
+        renews_lease: true,
+    };
     let singles = count.min(1_000);
     bench.phase("append, one a sync", singles, 1, append)?;
     bench.phase(&format!("append, {BATCH} a sync"), count - singles, BATCH, |number| {
--- a/crates/message-log/src/lib.rs
+++ b/crates/message-log/src/lib.rs
@@ -9,6 +9,7 @@
 mod entry;
 mod gathering;
 mod interface;
+mod leases;
 mod message;
 mod messages;
 mod offers;
--- a/crates/message-log/src/owners.rs
+++ b/crates/message-log/src/owners.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Whether a later life of the owner's node is known: the process of this one is gone.
+    pub fn is_superseded(&self, owner: &Owner) -> bool {
+        let lives = [self.lives.get(&owner.name), self.ended.get(&owner.name)];
+        lives.into_iter().flatten().any(|life| *life > owner.life)
+    }
+
     /// The relay that takes a message over: the same at all stores with the same members. The owner that gave it up
     /// is left out.
     pub fn heir(&self, name: &MessageName, but: &Owner) -> Option<&Owner> {
--- a/crates/message-log/src/requests.rs
+++ b/crates/message-log/src/requests.rs
@@ -36,7 +36,7 @@
     /// own: a write can do no harm, and a store that belongs to the older group knows all that it must.
     fn admit(&mut self, request: &StoreRequest) -> Admission {
         let (epoch, partition, needs) = match request {
-            StoreRequest::Append { epoch, record } => (*epoch, record.partition, Standing::Incomplete),
+            StoreRequest::Append { epoch, record, .. } => (*epoch, record.partition, Standing::Incomplete),
             StoreRequest::ListOpen { epoch, partition, .. } => (*epoch, *partition, Standing::Complete),
             StoreRequest::Pull { epoch, .. } => {
                 let is_ahead = self.view.order(*epoch) == EpochOrder::Newer;
@@ -59,12 +59,21 @@
 
     fn answer(&mut self, token: u64, request: StoreRequest) {
         match request {
-            StoreRequest::Append { record, .. } => self.append(token, record),
+            StoreRequest::Append { record, renews_lease, .. } => {
+                if renews_lease {
+                    self.leases.renew(&record.owner, self.now.steady);
+                }
+                self.append(token, record);
+            }
             StoreRequest::ListOpen { partition, ordering_key, .. } => {
                 self.list_open(token, partition, &ordering_key);
             }
             StoreRequest::Settle { facts } => self.settle(token, facts),
             StoreRequest::Look { names } => self.look(token, &names),
+            StoreRequest::Confirm { owner, names } => {
+                self.leases.renew(&owner, self.now.steady);
+                self.look(token, &names);
+            }
             StoreRequest::Fetch { name } => self.gather(vec![name], Purpose::Fetch { token }),
             StoreRequest::Claim { names, owner, claim } => self.claim(token, names, &owner, claim),
             StoreRequest::Release { names, owner } => self.release(token, names, &owner),
@@ -308,8 +317,14 @@
     /// The first claim of a number is granted, so that no two relays are granted the same one by a write quorum.
     /// Danger: a claim that is forgotten over a restart lets a second relay run the message. It is synced.
     fn claim(&mut self, token: u64, names: Vec<MessageName>, owner: &Owner, claim: u32) {
-        let (granted, refused): (Vec<_>, Vec<_>) =
-            names.into_iter().partition(|name| self.may_claim(name, owner, claim));
+        let mut refusal = None;
+        let mut granted = Vec::new();
+        for name in names {
+            match self.reason_to_refuse(&name, owner, claim) {
+                Some(reason) => refusal = refusal.or(Some(reason)),
+                None => granted.push(name),
+            }
+        }
         let mut ticket = None;
         if !granted.is_empty() {
             for name in &granted {
@@ -318,15 +333,28 @@
             let entry = LogEntry::Claimed { names: granted, owner: owner.clone(), claim };
             ticket = entry.encode().ok().map(|entry| self.persistence.add(entry, Written::Other));
         }
-        match ticket {
-            Some(ticket) if refused.is_empty() => self.done_after(token, ticket),
-            _ => self.decline(token, Decline::AlreadyClaimed),
+        match (ticket, refusal) {
+            (Some(ticket), None) => self.done_after(token, ticket),
+            (_, refusal) => self.decline(token, refusal.unwrap_or(Decline::AlreadyClaimed)),
+        }
+    }
+
+    /// Why a claim is not granted.
+    fn reason_to_refuse(&self, name: &MessageName, owner: &Owner, claim: u32) -> Option<Decline> {
+        let Some(record) = self.messages.get(name).and_then(Message::open_record) else {
+            return Some(Decline::AlreadyClaimed);
+        };
+        if claim < record.claim || (claim == record.claim && *owner != record.owner) {
+            return Some(Decline::AlreadyClaimed);
         }
+        let may_take = record.is_released || record.owner == *owner || !self.holds_lease(&record.owner);
+        (!may_take).then_some(Decline::OwnerHoldsLease)
     }
 
-    fn may_claim(&self, name: &MessageName, owner: &Owner, claim: u32) -> bool {
-        let record = self.messages.get(name).and_then(Message::open_record);
-        record.is_some_and(|record| claim > record.claim || (claim == record.claim && *owner == record.owner))
+    /// Whether an owner may still be sending its messages to hosts. A process is certain to be gone once a later life
+    /// of its node is known.
+    fn holds_lease(&self, owner: &Owner) -> bool {
+        !self.owners.is_superseded(owner) && self.leases.is_held(owner, self.now.steady)
     }
 
     /// Gives an open message an owner, unless a later one is known.
--- a/crates/message-log/src/store.rs
+++ b/crates/message-log/src/store.rs
@@ -14,6 +14,7 @@
 use crate::entry::LogEntry;
 use crate::gathering::Gathering;
 use crate::interface::{Effect, Input, Now, StoreSettings};
+use crate::leases::OwnerLeases;
 use crate::message::Moment;
 use crate::messages::Messages;
 use crate::offers::Offers;
@@ -64,6 +65,7 @@
     pub(crate) log_map: LogMap,
     pub(crate) view: PlacementView,
     pub(crate) owners: Owners,
+    pub(crate) leases: OwnerLeases,
     pub(crate) offers: Offers,
     pub(crate) end_notices: EndNotices,
     pub(crate) gathering: Gathering,
@@ -87,6 +89,7 @@
             persistence: Persistence::new(),
             log_map: LogMap::default(),
             owners: Owners::default(),
+            leases: OwnerLeases::new(now.steady),
             offers: Offers::default(),
             end_notices: EndNotices::default(),
             gathering: Gathering::default(),
--- a/crates/message-log/tests/common/mod.rs
+++ b/crates/message-log/tests/common/mod.rs
@@ -106,7 +106,7 @@
 }
 
 pub fn append(epoch: u64, record: &Record) -> StoreRequest {
-    StoreRequest::Append { epoch: PlacementEpoch(epoch), record: record.clone() }
+    StoreRequest::Append { epoch: PlacementEpoch(epoch), record: record.clone(), renews_lease: true }
 }
 
 pub fn list_open(epoch: u64, key: &str) -> StoreRequest {
--- a/crates/message-log/tests/owners.rs
+++ b/crates/message-log/tests/owners.rs
@@ -7,8 +7,9 @@
 use common::*;
 use pewterseam_message_log::Input;
 use pewterseam_wire::identity::{NodeName, Owner};
+use pewterseam_wire::placement::PlacementEpoch;
 use pewterseam_wire::record::{End, MessageName};
-use pewterseam_wire::store::{Status, StoreNotice, StoreRequest};
+use pewterseam_wire::store::{Decline, OWNER_LEASE, Status, StoreNotice, StoreRequest, StoreResponse};
 
 fn claim(name: &MessageName, owner: &Owner, claim: u32) -> StoreRequest {
     StoreRequest::Claim { names: vec![name.clone()], owner: owner.clone(), claim }
@@ -184,6 +185,7 @@
         let mut node = Node::in_first_placement("s1");
         let first = record("first");
         node.ask(append(1, &first));
+        node.advance(OWNER_LEASE);
         let claims = [
             claim(&first.name, &b, 1),
             claim(&first.name, &c, 2),
@@ -203,6 +205,65 @@
     }
 }
 
+fn is_lease_held(response: &Option<StoreResponse>) -> bool {
+    matches!(response, Some(StoreResponse::Declined { reason: Decline::OwnerHoldsLease, .. }))
+}
+
+/// Guards against two relays that both may send a message: a relay that others take for dead goes on by its lease.
+#[test]
+fn a_claim_waits_for_the_lease_of_the_owner() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.ask(append(1, &first));
+    node.input(Input::Members(members(&[relay("b", 1)], &[owner("a", 1)])));
+    assert!(is_lease_held(&node.ask(claim(&first.name, &owner("b", 1), 1))), "just accepted");
+    node.advance(OWNER_LEASE - 1_000);
+    let names = vec![first.name.clone()];
+    let confirmed = node.ask(StoreRequest::Confirm { owner: owner("a", 1), names });
+    assert!(matches!(confirmed, Some(StoreResponse::Statuses { .. })));
+    node.advance(OWNER_LEASE - 1_000);
+    assert!(is_lease_held(&node.ask(claim(&first.name, &owner("b", 1), 1))), "renewed");
+    node.advance(1_000);
+    assert!(is_done(&node.ask(claim(&first.name, &owner("b", 1), 1))), "lapsed");
+}
+
+/// Guards against messages of a relay that has started again, or gave them up, that wait for a lease without need.
+#[test]
+fn no_lease_outlives_its_process() {
+    let mut node = Node::in_first_placement("s1");
+    let (first, second) = (record("first"), record("second"));
+    node.ask(append(1, &first));
+    node.ask(append(1, &second));
+    node.ask(StoreRequest::Release { names: vec![second.name.clone()], owner: owner("a", 1) });
+    assert!(is_done(&node.ask(claim(&second.name, &owner("b", 1), 1))), "given up");
+    assert!(is_lease_held(&node.ask(claim(&first.name, &owner("b", 1), 1))));
+    node.input(Input::Members(members(&[relay("a", 2), relay("b", 1)], &[])));
+    assert!(is_done(&node.ask(claim(&first.name, &owner("b", 1), 1))), "started again");
+}
+
+/// Guards against a store that starts, has forgotten who holds a lease, and grants a claim.
+#[test]
+fn a_store_that_starts_honours_leases_it_has_forgotten() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.ask(append(1, &first));
+    node.restart();
+    node.input(Input::Placement(placement(1, &[&["s1", "s2", "s3"]])));
+    assert!(is_lease_held(&node.ask(claim(&first.name, &owner("b", 1), 1))));
+    node.advance(OWNER_LEASE);
+    assert!(is_done(&node.ask(claim(&first.name, &owner("b", 1), 1))));
+}
+
+/// Guards against an heir whose copies of a record renew the lease of the dead owner that it names.
+#[test]
+fn a_copy_of_a_record_renews_no_lease() {
+    let mut node = Node::in_first_placement("s1");
+    let first = record("first");
+    node.advance(OWNER_LEASE);
+    node.ask(StoreRequest::Append { epoch: PlacementEpoch(1), record: first.clone(), renews_lease: false });
+    assert!(is_done(&node.ask(claim(&first.name, &owner("b", 1), 1))));
+}
+
 /// Guards against a store that pours all messages of a dead relay into one notice, or that offers with all the other
 /// stores of a group at the same time.
 #[test]
--- a/crates/message-log/tests/restart.rs
+++ b/crates/message-log/tests/restart.rs
@@ -7,8 +7,9 @@
 use common::*;
 use pewterseam_message_log::{Input, StoreSettings};
 use pewterseam_storage::{LogOptions, SimulatedFiles};
+use pewterseam_wire::placement::PlacementEpoch;
 use pewterseam_wire::record::{End, Fact};
-use pewterseam_wire::store::{Status, StoreRequest};
+use pewterseam_wire::store::{OWNER_LEASE, Status, StoreRequest};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 #[derive(Clone, Debug)]
@@ -162,7 +163,10 @@
         let node = &mut self.node;
         match step {
             Step::Append { message: number, size } => {
-                let token = node.send(append(1, &message(number, size)));
+                // Half of the records leave the owner without a lease, so that claims are granted.
+                let renews_lease = number % 2 == 0;
+                let (epoch, record) = (PlacementEpoch(1), message(number, size));
+                let token = node.send(StoreRequest::Append { epoch, record, renews_lease });
                 self.sent.insert(token, Sent::Append(number));
             }
             Step::End { message: number, end } => {
@@ -212,6 +216,7 @@
     let options = LogOptions { segment_bytes: 500 };
     let mut node = Node::on(settings, SimulatedFiles::new(), options, 0);
     place(&mut node);
+    node.advance(OWNER_LEASE);
     let mut run = Run { node, known: BTreeMap::new(), sent: BTreeMap::new() };
     for step in steps {
         let is_restart = matches!(step, Step::LosePower { .. } | Step::Restart);
@@ -338,6 +343,7 @@
     let dead = message(201, 500);
     node.ask(append(1, &kept));
     node.ask(append(1, &dead));
+    node.advance(OWNER_LEASE);
     node.ask(StoreRequest::Claim { names: vec![kept.name.clone()], owner: owner("b", 2), claim: 3 });
     node.ask(ended(&dead.name, End::Refused));
     let mut most = 0;
--- a/crates/outbound/src/attempt.rs
+++ b/crates/outbound/src/attempt.rs
@@ -22,6 +22,8 @@
     pub(crate) message: Arc<DeliveryRequest>,
     pub(crate) timeout: Duration,
     pub(crate) connect_timeout: Duration,
+    /// Nothing is written later.
+    pub(crate) write_by: Instant,
     pub(crate) confirm: bool,
 }
 
@@ -92,6 +94,11 @@
                 return None;
             }
         }
+        // Danger: a connection that was long in opening, or a process that stood still, outlives the right to send.
+        if Instant::now() >= plan.write_by {
+            let kept = Some((connection, shared.settings.idle_close));
+            return Some(Ended { result: AttemptResult::Unsent, idle_for, kept });
+        }
         match exchange(shared, plan, &mut connection, request).await {
             Exchange::Ended(result, keep_for) => {
                 let kept = keep_for.map(|span| (connection, span));
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -12,5 +12,5 @@
 mod request;
 
 pub use list::{ListEvent, PlatformList, instances};
-pub use outbound::{Outbound, OutboundEvent, OutboundSettings};
+pub use outbound::{CallTimes, Outbound, OutboundEvent, OutboundSettings};
 pub use request::DeliveryRequest;
--- a/crates/outbound/src/outbound.rs
+++ b/crates/outbound/src/outbound.rs
@@ -29,6 +29,16 @@
     }
 }
 
+/// The times of one call.
+#[derive(Clone, Copy, Debug)]
+pub struct CallTimes {
+    /// The host has so long for its answer.
+    pub timeout: Duration,
+    pub connect_timeout: Duration,
+    /// Nothing is written later than this after the start: the right to send is over then.
+    pub write_within: Duration,
+}
+
 /// What became of a call.
 #[derive(Clone, Debug)]
 pub enum OutboundEvent {
@@ -101,14 +111,15 @@
     }
 
     /// Makes an attempt: `Effect::Start` with the message it names.
-    #[allow(clippy::too_many_arguments)]
     pub fn start(
-        &mut self, attempt: AttemptId, target: Target, message: Arc<DeliveryRequest>, timeout: Duration,
-        connect_timeout: Duration, confirm: bool,
+        &mut self, attempt: AttemptId, target: Target, message: Arc<DeliveryRequest>, times: CallTimes,
+        confirm: bool,
     ) {
         let ((word, heard_word), (abort, aborted)) = (oneshot::channel(), oneshot::channel());
         self.running.insert(attempt, Running { word: Some(word), abort: Some(abort) });
-        let plan = Plan { attempt, target, message, timeout, connect_timeout, confirm };
+        let write_by = Instant::now() + times.write_within;
+        let (timeout, connect_timeout) = (times.timeout, times.connect_timeout);
+        let plan = Plan { attempt, target, message, timeout, connect_timeout, write_by, confirm };
         let shared = self.shared.clone();
         tokio::spawn(attempt::run(shared, plan, heard_word, aborted));
     }
--- a/crates/outbound/tests/calls.rs
+++ b/crates/outbound/tests/calls.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use pewterseam_delivery::{Answer, AttemptEnd, AttemptId, AttemptResult, Effect, HostKey, Target};
-use pewterseam_outbound::{DeliveryRequest, Outbound, OutboundEvent, OutboundSettings};
+use pewterseam_outbound::{CallTimes, DeliveryRequest, Outbound, OutboundEvent, OutboundSettings};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -114,7 +114,8 @@
     fn start(&mut self, address: SocketAddr, timeout: Duration) -> AttemptId {
         self.last += 1;
         let (attempt, target) = (AttemptId(self.last), Target { address, instance: Some(Arc::from("i-1")) });
-        self.outbound.start(attempt, target, message(), timeout, LONG, false);
+        let times = CallTimes { timeout, connect_timeout: LONG, write_within: LONG };
+        self.outbound.start(attempt, target, message(), times, false);
         attempt
     }
 
--- a/crates/outbound/tests/together.rs
+++ b/crates/outbound/tests/together.rs
@@ -9,13 +9,15 @@
 use pewterseam_delivery::{
     Delivery, DeliverySettings, Effect, Input, Instance, Outcome, ServiceConfig, Submission,
 };
-use pewterseam_outbound::{DeliveryRequest, Outbound, OutboundEvent, OutboundSettings};
+use pewterseam_outbound::{CallTimes, DeliveryRequest, Outbound, OutboundEvent, OutboundSettings};
 use pewterseam_wire::identity::NodeName;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::unbounded_channel;
 
 const SECOND: u64 = 1_000_000;
+/// Permits to send outlast the test.
+const WRITE_WITHIN: Duration = Duration::from_secs(60);
 
 /// A host that answers each request with success, or with 500 where the path says so.
 async fn host() -> SocketAddr {
@@ -112,7 +114,8 @@
             match effect {
                 Effect::Start { attempt, key, target, timeout, connect_timeout, confirm, .. } => {
                     let [timeout, connect] = [timeout, connect_timeout].map(Duration::from_micros);
-                    outbound.start(attempt, target, message(key), timeout, connect, confirm);
+                    let times = CallTimes { timeout, connect_timeout: connect, write_within: WRITE_WITHIN };
+                    outbound.start(attempt, target, message(key), times, confirm);
                 }
                 Effect::Finished { key, outcome } => assert!(finished.insert(key, outcome).is_none()),
                 Effect::Wake(at) => wake = at,
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -177,9 +177,10 @@
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.asked.insert(store.clone());
         message.declined.remove(store);
-        let request =
-            StoreRequest::Append { epoch: self.stores.placement.epoch, record: message.record.clone() };
-        self.ask(store, Purpose::Append(key), request);
+        let (epoch, record) = (self.stores.placement.epoch, message.record.clone());
+        let renews_lease = !message.is_adopted;
+        let purpose = if renews_lease { Purpose::Append(key) } else { Purpose::AppendCopy(key) };
+        self.ask(store, purpose, StoreRequest::Append { epoch, record, renews_lease });
     }
 
     pub(crate) fn appended(&mut self, key: MessageKey, store: StoreId) {
--- a/crates/queue/src/adopt.rs
+++ b/crates/queue/src/adopt.rs
@@ -69,6 +69,7 @@
         let left = orphan.record.retention_ms * MILLISECOND + RETENTION_MARGIN;
         let stage = Stage::Adopting { answered: BTreeSet::new(), from: orphan.owner, claim: orphan.claim };
         let mut message = Message::new(orphan.record, stage, self.now);
+        message.is_adopted = true;
         message.blockers = message.record.predecessors.iter().cloned().collect();
         message.failures = orphan.failures;
         message.due_at = self.now + delay.saturating_sub(age);
@@ -114,7 +115,7 @@
         for (key, status) in keys.iter().zip(statuses) {
             match self.orphan_checked(*key, store, status) {
                 Verdict::Unsure => {}
-                Verdict::Taken => self.remove(*key),
+                Verdict::Taken => self.release(&[*key]),
                 Verdict::Free => self.claim(*key),
             }
         }
@@ -147,7 +148,7 @@
     }
 
     /// Some store knows the end: the others are told, and nothing is run.
-    fn spread_end(&mut self, key: MessageKey, fact: Fact) {
+    pub(crate) fn spread_end(&mut self, key: MessageKey, fact: Fact) {
         let Some(message) = self.messages.get(&key) else { return };
         let stores = self.stores.placement.stores(message.record.partition);
         let name = message.record.name.clone();
@@ -194,14 +195,13 @@
     pub(crate) fn claim_granted(&mut self, key: MessageKey, name: MessageName, store: StoreId) {
         let Some(message) = self.messages.get_mut(&key) else {
             // It was given up meanwhile, or has ended; in the latter case the store finds out when it is offered.
-            let request = StoreRequest::Release { names: vec![name], owner: self.settings.owner.clone() };
-            self.ask(&store, Purpose::Release, request);
-            return;
+            return self.send_release(&store, vec![name]);
         };
         message.written.insert(store.clone());
-        let Stage::Claiming { granted, .. } = &mut message.stage else { return };
+        let Stage::Claiming { granted, claim } = &mut message.stage else { return };
         granted.insert(store);
         if self.stores.placement.is_written(message.record.partition, granted) {
+            message.claim = *claim;
             self.begin_waiting(key);
         }
     }
@@ -213,8 +213,7 @@
         let (granted, names) = (granted.clone(), vec![message.record.name.clone()]);
         self.remove(key);
         for store in granted {
-            let request = StoreRequest::Release { names: names.clone(), owner: self.settings.owner.clone() };
-            self.ask(&store, Purpose::Release, request);
+            self.send_release(&store, names.clone());
         }
     }
 
@@ -222,14 +221,22 @@
     /// before it is started.
     pub(crate) fn verify_ownership(&mut self) {
         let keys = self.keys(|stage| *stage == Stage::Waiting);
-        let from = self.settings.owner.clone();
         for key in &keys {
-            if let Some(message) = self.messages.get_mut(key) {
-                let answered = BTreeSet::new();
-                message.stage = Stage::Adopting { answered, from: from.clone(), claim: 0 };
-                message.since = self.now;
-            }
+            self.doubt_ownership(*key, 0);
         }
         self.ask_facts(&keys);
     }
+
+    /// Another relay may own a message: facts about it are asked for before it is run.
+    pub(crate) fn verify(&mut self, key: MessageKey, claim: u32) {
+        self.doubt_ownership(key, claim);
+        self.ask_facts(&[key]);
+    }
+
+    fn doubt_ownership(&mut self, key: MessageKey, claim: u32) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        let (answered, from) = (BTreeSet::new(), self.settings.owner.clone());
+        message.stage = Stage::Adopting { answered, from, claim };
+        message.since = self.now;
+    }
 }
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -8,7 +8,7 @@
 use pewterseam_wire::store::{Decline, StoreRequest, StoreResponse};
 
 use crate::clock::Timer;
-use crate::io::{CallId, Effect, MessageKey};
+use crate::io::{AttemptNumber, CallId, Effect, MessageKey};
 use crate::machine::Queue;
 
 /// Time after which a store that has not answered counts as failing.
@@ -22,13 +22,17 @@
 pub(crate) enum Purpose {
     List(MessageKey),
     Append(MessageKey),
+    /// The same for a message of another relay: it renews no lease.
+    AppendCopy(MessageKey),
     Settle(Vec<MessageKey>),
     /// Predecessors of a message, in the order asked.
     Check(MessageKey, Vec<MessageName>),
     /// Orphans, in the order asked.
     Adopt(Vec<MessageKey>),
     Claim(MessageKey, MessageName),
-    Release,
+    Release(Vec<MessageName>),
+    /// The message that is about to be sent.
+    Confirm(MessageKey, AttemptNumber),
     /// Whether the store answers at all.
     Probe,
 }
@@ -67,12 +71,15 @@
         self.now = now;
         if let Some(call) = self.calls.open.remove(&call) {
             if let StoreResponse::Declined { reason, .. } = response {
-                if reason != Decline::AlreadyClaimed {
+                if !matches!(reason, Decline::AlreadyClaimed | Decline::OwnerHoldsLease) {
                     self.stores.declined(&call.store, now);
                 }
                 self.call_declined(call.store, call.purpose, reason);
             } else {
                 self.stores.answered(&call.store, now.saturating_sub(call.at));
+                if matches!(call.purpose, Purpose::Append(_) | Purpose::Confirm(..)) {
+                    self.leases.renewed(&call.store, call.at, now);
+                }
                 self.call_answered(call.store, call.purpose, response);
             }
         }
@@ -93,12 +100,14 @@
         match call.purpose {
             Purpose::List(key) => self.listing_failed(key),
             Purpose::Append(key) => self.append_failed(key),
-            // The timer that was set with an end tells it again.
-            Purpose::Settle(_) => {}
-            Purpose::Check(..)
+            Purpose::Settle(keys) => self.settle_failed(&keys),
+            Purpose::Release(names) => self.release_failed(call.store, names),
+            // Timers that were set with these see to what is missing.
+            Purpose::AppendCopy(_)
+            | Purpose::Check(..)
             | Purpose::Adopt(_)
             | Purpose::Claim(..)
-            | Purpose::Release
+            | Purpose::Confirm(..)
             | Purpose::Probe => {}
         }
     }
@@ -122,7 +131,9 @@
     fn call_answered(&mut self, store: StoreId, purpose: Purpose, response: StoreResponse) {
         match (purpose, response) {
             (Purpose::List(key), StoreResponse::OpenMessages { names, .. }) => self.listed(key, store, names),
-            (Purpose::Append(key), StoreResponse::Done { .. }) => self.appended(key, store),
+            (Purpose::Append(key) | Purpose::AppendCopy(key), StoreResponse::Done { .. }) => {
+                self.appended(key, store);
+            }
             (Purpose::Settle(keys), StoreResponse::Done { .. }) => self.settled(&keys, &store),
             (Purpose::Check(key, names), StoreResponse::Statuses { statuses, .. }) => {
                 self.predecessors_checked(key, store, names, statuses);
@@ -130,6 +141,9 @@
             (Purpose::Adopt(keys), StoreResponse::Statuses { statuses, .. }) => {
                 self.orphans_checked(&keys, &store, statuses);
             }
+            (Purpose::Confirm(key, attempt), StoreResponse::Statuses { statuses, .. }) => {
+                self.confirmed(key, attempt, store, statuses.into_iter().next());
+            }
             (Purpose::Claim(key, name), StoreResponse::Done { .. }) => self.claim_granted(key, name, store),
             _ => {}
         }
@@ -140,12 +154,14 @@
             Purpose::List(key) => self.listing_failed(key),
             Purpose::Append(key) => self.append_declined(key, store),
             Purpose::Claim(key, _) if reason == Decline::AlreadyClaimed => self.claim_refused(key),
-            // The timer that was set with an end tells it again.
-            Purpose::Settle(_) => {}
-            Purpose::Check(..)
+            Purpose::Settle(keys) => self.settle_failed(&keys),
+            // Timers that were set with these see to what is missing.
+            Purpose::AppendCopy(_)
+            | Purpose::Check(..)
             | Purpose::Adopt(_)
             | Purpose::Claim(..)
-            | Purpose::Release
+            | Purpose::Release(_)
+            | Purpose::Confirm(..)
             | Purpose::Probe => {}
         }
     }
--- a/crates/queue/src/clock.rs
+++ b/crates/queue/src/clock.rs
@@ -5,7 +5,7 @@
 
 use pewterseam_wire::Micros;
 
-use crate::io::{CallId, MessageKey};
+use crate::io::{AttemptNumber, CallId, MessageKey};
 
 /// What is due. A timer that no longer fits its message does nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -30,6 +30,10 @@
     ProbeStores,
     /// Facts that wait are sent.
     Flush,
+    /// The stores have had their time to confirm the ownership of a message.
+    ConfirmTimeout(MessageKey, AttemptNumber),
+    /// Releases that stores have not taken are sent again.
+    RetryReleases,
     /// Ends that too few stores have acknowledged are sent again.
     RetrySettle(MessageKey),
 }
--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -9,6 +9,8 @@
 use pewterseam_wire::record::{Headers, MessageName};
 use pewterseam_wire::store::StoreRequest;
 
+use crate::sending::SendPermit;
+
 /// A message in this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct MessageKey(pub u64);
@@ -17,6 +19,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CallId(pub u64);
 
+/// An attempt to send a message, unique in the life of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptNumber(pub u64);
+
 /// A client that waits for an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ClientToken(pub u64);
@@ -104,10 +110,30 @@
 }
 
 /// What the driver is to do.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Debug, PartialEq)]
 pub enum Effect {
-    Ask { store: StoreId, call: CallId, request: Box<StoreRequest> },
-    Answer { token: ClientToken, answer: Answer },
-    Submit { key: MessageKey, submission: Submission },
-    Withdraw { key: MessageKey },
+    Ask {
+        store: StoreId,
+        call: CallId,
+        request: Box<StoreRequest>,
+    },
+    Answer {
+        token: ClientToken,
+        answer: Answer,
+    },
+    Submit {
+        key: MessageKey,
+        submission: Submission,
+    },
+    Withdraw {
+        key: MessageKey,
+    },
+    /// Send the message to the host that was chosen.
+    Send {
+        permit: SendPermit,
+    },
+    /// The attempt is not to be made; what follows for the message comes by itself.
+    RefuseSend {
+        attempt: AttemptNumber,
+    },
 }
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -8,24 +8,29 @@
 //! - A message of an ordering key starts only when every message that it names as predecessor is known to have ended,
 //!   or is known never to have been accepted.
 //! - A message that is taken over is run only after a read quorum was asked for facts about it.
+//! - A message is sent to a host only with a [`SendPermit`]: while no other relay can own it.
 
 mod accept;
 mod adopt;
 mod calls;
 mod clock;
 mod io;
+mod leases;
 mod machine;
 mod message;
 mod predecessors;
 mod quorum_read;
+mod releases;
 mod run;
+mod sending;
 mod settle;
 mod stop;
 mod stores;
 
 pub use io::{
-    Answer, CallId, ClientToken, Effect, MessageKey, NewMessage, QueueSettings, RoutePolicy, RouteTable,
-    RunResult, Submission,
+    Answer, AttemptNumber, CallId, ClientToken, Effect, MessageKey, NewMessage, QueueSettings, RoutePolicy,
+    RouteTable, RunResult, Submission,
 };
 pub use machine::Queue;
 pub use quorum_read::{BodyRead, StatusRead, StatusResult};
+pub use sending::SendPermit;
--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -11,7 +11,9 @@
 use crate::calls::Calls;
 use crate::clock::{Clock, Timer};
 use crate::io::{Effect, MessageKey, QueueSettings, RouteTable};
+use crate::leases::Leases;
 use crate::message::{Message, Stage};
+use crate::releases::Releases;
 use crate::settle::Outbox;
 use crate::stores::Stores;
 
@@ -31,6 +33,8 @@
     pub(crate) body_bytes: usize,
     pub(crate) routes: Arc<RouteTable>,
     pub(crate) stores: Stores,
+    pub(crate) leases: Leases,
+    pub(crate) releases: Releases,
     pub(crate) calls: Calls,
     pub(crate) clock: Clock,
     pub(crate) outbox: Outbox,
@@ -55,6 +59,8 @@
             successors: HashMap::new(),
             body_bytes: 0,
             routes: Arc::default(),
+            leases: Leases::default(),
+            releases: Releases::default(),
             calls: Calls::default(),
             clock: Clock::default(),
             outbox: Outbox::default(),
@@ -99,7 +105,9 @@
             Timer::CallTimeout(call) => self.fail_call(call),
             Timer::ProbeStores => self.probe_stores(),
             Timer::Flush => self.flush(),
-            Timer::RetrySettle(key) => self.send_end(key),
+            Timer::RetrySettle(key) => self.retry_end(key),
+            Timer::ConfirmTimeout(key, attempt) => self.confirm_timed_out(key, attempt),
+            Timer::RetryReleases => self.retry_releases(),
         }
     }
 
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -7,7 +7,7 @@
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::record::{End, MessageName, Record};
 
-use crate::io::ClientToken;
+use crate::io::{AttemptNumber, ClientToken};
 
 /// Where a message is in its life.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -29,6 +29,13 @@
     Ending(End),
 }
 
+/// The question to the stores whether a message is still owned here, before it is sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Confirmation {
+    pub attempt: AttemptNumber,
+    pub answered: BTreeSet<StoreId>,
+}
+
 /// A message at its owner.
 #[derive(Clone, Debug)]
 pub(crate) struct Message {
@@ -42,6 +49,8 @@
     pub written: BTreeSet<StoreId>,
     /// Stores that said that they did not take the record.
     pub declined: BTreeSet<StoreId>,
+    /// Stores that were told the end.
+    pub told_end: BTreeSet<StoreId>,
     /// Stores that have synced the end.
     pub settled: BTreeSet<StoreId>,
     /// Predecessors not known to have ended.
@@ -49,6 +58,14 @@
     /// Stores that answered the present check of predecessors, and the blockers that each knows to be open.
     pub checked: BTreeSet<StoreId>,
     pub seen_open: BTreeSet<MessageName>,
+    /// It was taken over from another relay.
+    pub is_adopted: bool,
+    /// The claim that a write quorum has granted this relay; 0 for a message that was taken here.
+    pub claim: u32,
+    /// When this relay was last certain to be the owner.
+    pub owned_since: Micros,
+    /// An attempt that waits for the stores' word.
+    pub confirmation: Option<Confirmation>,
     pub failures: u32,
     pub due_at: Micros,
     /// No run before then: the pause after a failed one.
@@ -67,10 +84,15 @@
             asked: BTreeSet::new(),
             written: BTreeSet::new(),
             declined: BTreeSet::new(),
+            told_end: BTreeSet::new(),
             settled: BTreeSet::new(),
             blockers: BTreeSet::new(),
             checked: BTreeSet::new(),
             seen_open: BTreeSet::new(),
+            is_adopted: false,
+            claim: 0,
+            owned_since: now,
+            confirmation: None,
             failures: 0,
             due_at: now,
             pause_until: 0,
--- a/crates/queue/src/quorum_read.rs
+++ b/crates/queue/src/quorum_read.rs
@@ -21,13 +21,14 @@
     placement: Arc<Placement>,
     partition: Partition,
     answered: BTreeSet<StoreId>,
-    is_open: bool,
+    /// Stores that know the message and no end of it.
+    open_at: BTreeSet<StoreId>,
     end: Option<End>,
 }
 
 impl StatusRead {
     pub fn new(placement: Arc<Placement>, partition: Partition) -> Self {
-        StatusRead { placement, partition, answered: BTreeSet::new(), is_open: false, end: None }
+        StatusRead { placement, partition, answered: BTreeSet::new(), open_at: BTreeSet::new(), end: None }
     }
 
     /// The stores to ask.
@@ -39,7 +40,7 @@
     pub fn answered(&mut self, store: StoreId, status: Status) -> Option<StatusResult> {
         match status {
             Status::Unknown => {}
-            Status::Open { .. } => self.is_open = true,
+            Status::Open { .. } => drop(self.open_at.insert(store.clone())),
             Status::Ended(end) => self.note_end(end),
         }
         self.answered.insert(store);
@@ -55,11 +56,17 @@
         }
     }
 
+    /// The end that is known, and the stores that are to be told of it. A reader that tells an end writes it back to a
+    /// quorum, so that no later reader finds the message open again.
+    pub fn write_back(&self) -> Option<(&End, &BTreeSet<StoreId>)> {
+        self.end.as_ref().map(|end| (end, &self.open_at)).filter(|(_, stores)| !stores.is_empty())
+    }
+
     /// What the answers so far say. An end or an open record is certain from any one of them.
     pub fn best(&self) -> StatusResult {
         match &self.end {
             Some(end) => StatusResult::Ended(end.clone()),
-            None if self.is_open => StatusResult::Pending,
+            None if !self.open_at.is_empty() => StatusResult::Pending,
             None => StatusResult::Unknown,
         }
     }
--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -27,6 +27,7 @@
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.stage = Stage::Waiting;
         message.since = self.now;
+        message.owned_since = self.now;
         if !self.routes.routes.contains_key(&message.record.route) && self.routes.version > 0 {
             self.end(key, End::RouteDropped);
             return;
@@ -97,6 +98,7 @@
     fn pause(&mut self, key: MessageKey, pause: Micros) {
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.stage = Stage::Waiting;
+        message.confirmation = None;
         message.pause_until = self.now + pause;
         self.clock.set(message.pause_until, Timer::RetryRun(key));
         if self.is_stopping {
--- a/crates/queue/src/settle.rs
+++ b/crates/queue/src/settle.rs
@@ -17,7 +17,9 @@
 const BATCH: Micros = 10_000;
 /// Facts in one request.
 const MOST_FACTS: usize = 256;
-/// When an end that too few stores have acknowledged is told again.
+/// When an end that too few stores have acknowledged is told to all the others of the group.
+const SETTLE_WIDER: Micros = 100_000;
+/// When it is told again.
 const SETTLE_AGAIN: Micros = 1_200_000;
 /// Names of ended messages that are remembered, so that successors taken since need not ask.
 const MOST_REMEMBERED: usize = 2_048;
@@ -76,24 +78,59 @@
         self.unblock_successors(&name);
     }
 
-    /// Tells the end to every store that may hold the record, and to enough others.
+    /// Tells the end to every store that may hold the record, or to the whole group where these are too few.
     pub(crate) fn send_end(&mut self, key: MessageKey) {
         let Some(message) = self.messages.get(&key) else { return };
+        let mut holders: BTreeSet<StoreId> = message.written.union(&message.asked).cloned().collect();
+        holders.retain(|store| self.stores.is_live(store));
+        if self.stores.placement.is_written(message.record.partition, &holders) {
+            self.tell_end(key, holders);
+            self.clock.set(self.now + SETTLE_WIDER, Timer::RetrySettle(key));
+        } else {
+            self.tell_end_widely(key);
+        }
+    }
+
+    fn tell_end(&mut self, key: MessageKey, stores: BTreeSet<StoreId>) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
         let Stage::Ending(end) = &message.stage else { return };
         let fact = Fact::Ended { name: message.record.name.clone(), end: end.clone() };
-        let mut targets: BTreeSet<StoreId> = message.written.union(&message.asked).cloned().collect();
-        let live = |store: &StoreId| self.stores.is_live(store);
-        targets.retain(live);
-        if !self.stores.placement.is_written(message.record.partition, &targets) {
-            targets.extend(self.stores.placement.stores(message.record.partition).into_iter().filter(live));
-        }
-        targets.retain(|store| !message.settled.contains(store));
-        for store in targets {
+        message.told_end.extend(stores.iter().cloned());
+        for store in stores {
             self.post_to(&store, Some(key), fact.clone());
         }
+    }
+
+    /// Tells the end to those of the group that were not told yet.
+    fn tell_end_widely(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get(&key) else { return };
+        let mut others = self.stores.placement.stores(message.record.partition);
+        others.retain(|store| self.stores.is_live(store) && !message.told_end.contains(store));
+        self.tell_end(key, others);
         self.clock.set(self.now + SETTLE_AGAIN, Timer::RetrySettle(key));
     }
 
+    /// Too few stores have acknowledged an end in time: the rest of the group is told, and later all once more.
+    pub(crate) fn retry_end(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        if !matches!(message.stage, Stage::Ending(_)) {
+            return;
+        }
+        if self.now >= message.since + SETTLE_AGAIN {
+            message.told_end.clone_from(&message.settled);
+        }
+        self.tell_end_widely(key);
+    }
+
+    /// A store did not take ends that it was told.
+    ///
+    /// Danger: where one store alone knows an end and its sender dies, a reader of a quorum can miss it.
+    pub(crate) fn settle_failed(&mut self, keys: &[MessageKey]) {
+        for key in keys {
+            self.tell_end_widely(*key);
+        }
+    }
+
     /// Tells a fact that needs no acknowledgement.
     pub(crate) fn post(&mut self, stores: &BTreeSet<StoreId>, fact: &Fact) {
         for store in stores {
--- a/crates/queue/src/stop.rs
+++ b/crates/queue/src/stop.rs
@@ -5,9 +5,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::record::MessageName;
-use pewterseam_wire::store::StoreRequest;
 
-use crate::calls::Purpose;
 use crate::io::{Effect, MessageKey};
 use crate::machine::Queue;
 use crate::message::Stage;
@@ -34,8 +32,7 @@
             self.remove(*key);
         }
         for (store, names) in by_store {
-            let request = StoreRequest::Release { names, owner: self.settings.owner.clone() };
-            self.ask(&store, Purpose::Release, request);
+            self.send_release(&store, names);
         }
     }
 
--- a/crates/queue/src/stores.rs
+++ b/crates/queue/src/stores.rs
@@ -59,6 +59,11 @@
         self.live = live;
     }
 
+    /// Whether the placement in force names the store.
+    pub fn is_placed(&self, store: &StoreId) -> bool {
+        self.zones.contains_key(store)
+    }
+
     pub fn is_live(&self, store: &StoreId) -> bool {
         self.live.contains(store)
     }
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -7,14 +7,14 @@
 
 use bytes::Bytes;
 use pewterseam_queue::{
-    Answer, CallId, ClientToken, Effect, MessageKey, NewMessage, Queue, QueueSettings, RoutePolicy,
-    RouteTable, RunResult,
+    Answer, AttemptNumber, CallId, ClientToken, Effect, MessageKey, NewMessage, Queue, QueueSettings,
+    RoutePolicy, RouteTable, RunResult, SendPermit,
 };
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::{DiskId, Life, NodeName, Owner};
-use pewterseam_wire::placement::{Placement, PlacementEpoch, StoreEntry, StoreId};
+use pewterseam_wire::placement::{Partition, Placement, PlacementEpoch, StoreEntry, StoreId};
 use pewterseam_wire::record::{End, Fact, MessageName, Record};
-use pewterseam_wire::store::{Decline, Status, StoreRequest, StoreResponse};
+use pewterseam_wire::store::{Decline, OrphanMessage, Status, StoreNotice, StoreRequest, StoreResponse};
 
 pub const MILLISECOND: Micros = 1_000;
 
@@ -40,9 +40,13 @@
     pub answers: HashMap<ClientToken, Answer>,
     pub submitted: Vec<MessageKey>,
     pub withdrawn: Vec<MessageKey>,
+    pub permits: Vec<SendPermit>,
+    pub refused: Vec<AttemptNumber>,
     /// Claims are on their way until [`World::answer_claims`].
     pub hold_claims: bool,
     held_claims: Vec<(StoreId, CallId, StoreRequest)>,
+    /// Requests to stores so far.
+    pub asked: usize,
     next_token: u64,
 }
 
@@ -97,8 +101,11 @@
             answers: HashMap::new(),
             submitted: Vec::new(),
             withdrawn: Vec::new(),
+            permits: Vec::new(),
+            refused: Vec::new(),
             hold_claims: false,
             held_claims: Vec::new(),
+            asked: 0,
             next_token: 0,
         }
     }
@@ -132,6 +139,15 @@
         self.carry_out(effects);
     }
 
+    /// Asks for the permit to send a message.
+    pub fn request_send(&mut self, key: MessageKey) -> AttemptNumber {
+        self.next_token += 1;
+        let attempt = AttemptNumber(self.next_token);
+        let effects = self.queue.request_send(self.now, key, attempt);
+        self.carry_out(effects);
+        attempt
+    }
+
     pub fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -141,11 +157,14 @@
                 }
                 Effect::Submit { key, .. } => self.submitted.push(key),
                 Effect::Withdraw { key } => self.withdrawn.push(key),
+                Effect::Send { permit } => self.permits.push(permit),
+                Effect::RefuseSend { attempt } => self.refused.push(attempt),
             }
         }
     }
 
     fn ask(&mut self, store: StoreId, call: CallId, request: StoreRequest) {
+        self.asked += 1;
         if self.hold_claims && matches!(request, StoreRequest::Claim { .. }) {
             self.held_claims.push((store, call, request));
             return;
@@ -198,7 +217,7 @@
                 }
                 done
             }
-            StoreRequest::Look { names } => {
+            StoreRequest::Look { names } | StoreRequest::Confirm { names, .. } => {
                 let statuses = names.iter().map(|name| store.status(name)).collect();
                 StoreResponse::Statuses { store: id.clone(), statuses }
             }
@@ -237,10 +256,14 @@
         self.now = until;
     }
 
-    pub fn group(&self, name: &MessageName) -> Vec<StoreId> {
+    /// The placement that all worlds use.
+    pub fn placement(&self) -> Arc<Placement> {
         let entries: Vec<StoreEntry> = (0..4).map(entry).collect();
-        let placement = Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries] };
-        placement.groups(name.partition().expect("a partition"))[0].stores.clone()
+        Arc::new(Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries] })
+    }
+
+    pub fn group(&self, name: &MessageName) -> Vec<StoreId> {
+        self.placement().groups(name.partition().expect("a partition"))[0].stores.clone()
     }
 
     /// Stores that hold a record.
@@ -275,3 +298,35 @@
         }
     }
 }
+
+/// A world whose stores hold one message of a relay that is gone.
+pub fn with_orphan() -> (World, MessageName, OrphanMessage) {
+    let mut before = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let new = before.message("a", None);
+    before.accept(new);
+    let mut world = World::new();
+    world.stores = before.stores;
+    let mut record = None;
+    for store in world.stores.values_mut() {
+        if let Some(kept) = store.records.get_mut(&name) {
+            kept.owner = owner("gone");
+            store.owners.insert(name.clone(), (owner("gone"), 0));
+            record = Some(kept.clone());
+        }
+    }
+    let orphan = OrphanMessage {
+        record: record.expect("a record"),
+        owner: owner("gone"),
+        claim: 0,
+        failures: 1,
+        age_ms: 10,
+    };
+    (world, name, orphan)
+}
+
+pub fn offer(world: &mut World, orphan: &OrphanMessage) {
+    let notice = StoreNotice::TakeOver { messages: vec![orphan.clone()] };
+    let effects = world.queue.notice(world.now, notice);
+    world.carry_out(effects);
+}
--- a/crates/queue/tests/handover.rs
+++ b/crates/queue/tests/handover.rs
@@ -4,43 +4,11 @@
 
 use std::sync::Arc;
 
-use common::{MILLISECOND, World, owner};
+use common::{MILLISECOND, World, offer, owner, with_orphan};
 use pewterseam_queue::{RunResult, StatusRead, StatusResult};
-use pewterseam_wire::placement::{Partition, Placement, PlacementEpoch, StoreEntry};
+use pewterseam_wire::placement::Partition;
 use pewterseam_wire::record::{End, MessageName};
-use pewterseam_wire::store::{OrphanMessage, Status, StoreNotice};
-
-/// A world whose stores hold one message of a relay that is gone.
-fn with_orphan() -> (World, MessageName, OrphanMessage) {
-    let mut before = World::new();
-    let name = MessageName::new("a", Partition::of("a"));
-    let new = before.message("a", None);
-    before.accept(new);
-    let mut world = World::new();
-    world.stores = before.stores;
-    let mut record = None;
-    for store in world.stores.values_mut() {
-        if let Some(kept) = store.records.get_mut(&name) {
-            kept.owner = owner("gone");
-            store.owners.insert(name.clone(), (owner("gone"), 0));
-            record = Some(kept.clone());
-        }
-    }
-    let orphan = OrphanMessage {
-        record: record.expect("a record"),
-        owner: owner("gone"),
-        claim: 0,
-        failures: 1,
-        age_ms: 10,
-    };
-    (world, name, orphan)
-}
-
-fn offer(world: &mut World, orphan: &OrphanMessage) {
-    let notice = StoreNotice::TakeOver { messages: vec![orphan.clone()] };
-    let effects = world.queue.notice(world.now, notice);
-    world.carry_out(effects);
-}
+use pewterseam_wire::store::Status;
 
 // Danger: nobody runs the messages of a relay that died.
 #[test]
@@ -145,16 +113,26 @@
     let world = World::new();
     let name = MessageName::new("a", Partition::of("a"));
     let group = world.group(&name);
-    let set: Vec<StoreEntry> = world
-        .stores
-        .keys()
-        .map(|id| StoreEntry { id: id.clone(), zone: Arc::from(format!("zone-{}", id.disk.0)) })
-        .collect();
-    let placement = Arc::new(Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![set] });
-    let mut read = StatusRead::new(placement, Partition::of("a"));
+    let mut read = StatusRead::new(world.placement(), Partition::of("a"));
     assert_eq!(read.answered(group[0].clone(), Status::Unknown), None);
     let end = End::Completed { signature: Arc::from("signature") };
     assert_eq!(read.answered(group[1].clone(), Status::Ended(end.clone())), Some(StatusResult::Ended(end)));
+    assert_eq!(read.write_back(), None, "no store has the message without its end");
+}
+
+// Danger: a caller is told of an end, and the next one that the message is pending.
+#[test]
+fn an_end_that_is_told_is_written_back() {
+    let world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let group = world.group(&name);
+    let mut read = StatusRead::new(world.placement(), Partition::of("a"));
+    let open = Status::Open { owner: owner("relay-1"), claim: 0, failures: 0, released: false };
+    assert_eq!(read.answered(group[0].clone(), open), None);
+    let end = End::Completed { signature: Arc::from("signature") };
+    let result = read.answered(group[1].clone(), Status::Ended(end.clone()));
+    assert_eq!(result, Some(StatusResult::Ended(end.clone())));
+    assert_eq!(read.write_back(), Some((&end, &[group[0].clone()].into())));
 }
 
 // Danger: two stores with different views offer a message to two relays, and both run it.
--- a/crates/system/src/relay/delivery.rs
+++ b/crates/system/src/relay/delivery.rs
@@ -3,14 +3,24 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pewterseam_delivery::{AttemptEnd, AttemptId, AttemptResult, Effect, Input, Outcome};
-use pewterseam_outbound::{DeliveryRequest, OutboundEvent};
-use pewterseam_queue::{MessageKey, RunResult};
+use pewterseam_delivery::{AttemptEnd, AttemptId, AttemptResult, Effect, Input, Outcome, Target};
+use pewterseam_outbound::{CallTimes, DeliveryRequest, OutboundEvent};
+use pewterseam_queue::{AttemptNumber, MessageKey, RunResult, SendPermit};
+use pewterseam_wire::Micros;
 use pewterseam_wire::record::Record;
 
 use super::process::RelayProcess;
 use crate::message::PeerMessage;
 
+/// An attempt that delivery has chosen and the queue has not permitted yet.
+#[derive(Debug)]
+pub struct UnsentAttempt {
+    target: Target,
+    timeout: Micros,
+    connect_timeout: Micros,
+    confirm: bool,
+}
+
 impl RelayProcess {
     /// Hands the delivery plane all that has happened for it.
     pub(super) fn step_delivery(&mut self) {
@@ -22,13 +32,22 @@
 
     fn carry_out_delivery(&mut self, effect: Effect) {
         match effect {
-            Effect::Start { .. } => self.start_attempt(effect),
+            Effect::Start { attempt, key, target, timeout, connect_timeout, confirm, .. } => {
+                let unsent = UnsentAttempt { target, timeout, connect_timeout, confirm };
+                self.planes.unsent.insert(attempt, unsent);
+                let number = AttemptNumber(attempt.0);
+                let effects = self.planes.queue.request_send(self.node.now(), MessageKey(key), number);
+                self.queue_effects.extend(effects);
+            }
             Effect::Finished { key, outcome } => self.finished(key, outcome),
             Effect::Tell { to, bytes } => {
                 let from = self.node.info().name.clone();
                 self.node.send(&to, &PeerMessage::Delivery { from, bytes });
             }
             Effect::Wake(at) => self.planes.delivery_wake = at,
+            Effect::Abort { attempt } if self.planes.unsent.contains_key(&attempt) => {
+                self.refuse_send(AttemptNumber(attempt.0));
+            }
             Effect::Withhold { attempt } => {
                 self.planes.attempts.remove(&attempt);
                 self.planes.hosts.carry_out(&effect);
@@ -39,18 +58,30 @@
         }
     }
 
-    fn start_attempt(&mut self, effect: Effect) {
-        let Effect::Start { attempt, key, target, timeout, connect_timeout, confirm, .. } = effect else {
-            return;
-        };
-        let Some(record) = self.planes.queue.record(MessageKey(key)) else {
-            self.delivery_inputs.push(unsent(attempt));
+    /// Sends a message to a host. Nothing else does, and each permit is used up by it.
+    pub(super) fn send(&mut self, permit: SendPermit) {
+        let attempt = AttemptId(permit.attempt().0);
+        let Some(unsent) = self.planes.unsent.remove(&attempt) else { return };
+        let Some(record) = self.planes.queue.record(permit.key()) else {
+            self.delivery_inputs.push(not_sent(attempt));
             return;
         };
         let request = Arc::new(delivery_request(record));
-        self.planes.attempts.insert(attempt, key);
-        let (timeout, connect) = (Duration::from_micros(timeout), Duration::from_micros(connect_timeout));
-        self.planes.hosts.start(attempt, target, request, timeout, connect, confirm);
+        self.planes.attempts.insert(attempt, permit.key().0);
+        let times = CallTimes {
+            timeout: Duration::from_micros(unsent.timeout),
+            connect_timeout: Duration::from_micros(unsent.connect_timeout),
+            write_within: Duration::from_micros(permit.expires_at().saturating_sub(self.node.now())),
+        };
+        self.planes.hosts.start(attempt, unsent.target, request, times, unsent.confirm);
+    }
+
+    /// An attempt is not to be made.
+    pub(super) fn refuse_send(&mut self, attempt: AttemptNumber) {
+        let attempt = AttemptId(attempt.0);
+        if self.planes.unsent.remove(&attempt).is_some() {
+            self.delivery_inputs.push(not_sent(attempt));
+        }
     }
 
     fn finished(&mut self, key: u64, outcome: Outcome) {
@@ -74,7 +105,7 @@
 }
 
 /// The end of an attempt that was never made.
-fn unsent(attempt: AttemptId) -> Input {
+fn not_sent(attempt: AttemptId) -> Input {
     let end = AttemptEnd { result: AttemptResult::Unsent, took: 0, idle_for: None, kept: false };
     Input::Ended { attempt, end }
 }
--- a/crates/system/src/relay/planes.rs
+++ b/crates/system/src/relay/planes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pewterseam_config::settings::Settings;
-use pewterseam_delivery::{Delivery, DeliverySettings};
+use pewterseam_delivery::{AttemptId, Delivery, DeliverySettings};
 use pewterseam_discovery::{Discovery, DiscoverySettings};
 use pewterseam_outbound::{ListEvent, Outbound, OutboundEvent, OutboundSettings, PlatformList};
 use pewterseam_queue::{Queue, QueueSettings};
@@ -12,6 +12,7 @@
 use pewterseam_wire::placement::hash;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::delivery::UnsentAttempt;
 use crate::clock;
 use crate::node::Node;
 
@@ -37,7 +38,9 @@
     pub delivery_wake: Micros,
     pub hosts: Outbound,
     /// Attempts that are out, with the message of each.
-    pub attempts: HashMap<pewterseam_delivery::AttemptId, u64>,
+    pub attempts: HashMap<AttemptId, u64>,
+    /// Attempts that wait for their permit to send.
+    pub unsent: HashMap<AttemptId, UnsentAttempt>,
     pub discovery: Discovery,
     pub discovery_wake: Micros,
     pub platform: Option<PlatformList>,
@@ -56,6 +59,7 @@
             delivery_wake: 0,
             hosts: Outbound::new(OutboundSettings::default(), hosts),
             attempts: HashMap::new(),
+            unsent: HashMap::new(),
             discovery: Discovery::new(discovery_settings(node, settings)),
             discovery_wake: 0,
             platform,
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -32,6 +32,8 @@
             QueueEffect::Withdraw { key } => {
                 self.delivery_inputs.push(DeliveryInput::Withdraw { key: key.0 });
             }
+            QueueEffect::Send { permit } => self.send(permit),
+            QueueEffect::RefuseSend { attempt } => self.refuse_send(attempt),
         }
     }
 
--- a/crates/system/src/relay/reads.rs
+++ b/crates/system/src/relay/reads.rs
@@ -7,7 +7,7 @@
 use pewterseam_queue::{BodyRead, StatusRead, StatusResult};
 use pewterseam_wire::Micros;
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::record::{End, MessageName};
+use pewterseam_wire::record::{End, Fact, MessageName};
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 use tokio::sync::oneshot;
 
@@ -26,6 +26,7 @@
 }
 
 struct OpenRead {
+    name: MessageName,
     read: Read,
     deadline: Micros,
 }
@@ -42,10 +43,10 @@
         self.open.values().map(|open| open.deadline).min()
     }
 
-    fn add(&mut self, read: Read, deadline: Micros) -> u64 {
+    fn add(&mut self, name: MessageName, read: Read, deadline: Micros) -> u64 {
         self.last_call += 1;
         let call = FIRST_READ_CALL + self.last_call;
-        self.open.insert(call, OpenRead { read, deadline });
+        self.open.insert(call, OpenRead { name, read, deadline });
         call
     }
 }
@@ -59,7 +60,7 @@
         };
         let read = StatusRead::new(self.node.state().placement.clone(), partition);
         let stores = read.stores();
-        let call = self.reads.add(Read::Status { read, reply }, self.node.now() + PATIENCE);
+        let call = self.reads.add(name.clone(), Read::Status { read, reply }, self.node.now() + PATIENCE);
         for store in stores {
             self.send_read(&store, call, StoreRequest::Look { names: vec![name.clone()] });
         }
@@ -73,7 +74,7 @@
         };
         let read = BodyRead::new(self.node.state().placement.clone(), partition);
         let stores = read.stores();
-        let call = self.reads.add(Read::Body { read, reply }, self.node.now() + PATIENCE);
+        let call = self.reads.add(name.clone(), Read::Body { read, reply }, self.node.now() + PATIENCE);
         for store in stores {
             self.send_read(&store, call, StoreRequest::Fetch { name: name.clone() });
         }
@@ -92,6 +93,7 @@
             (Read::Status { read, .. }, StoreResponse::Statuses { store, statuses }) => {
                 let Some(status) = statuses.into_iter().next() else { return };
                 if let Some(result) = read.answered(store, status) {
+                    self.write_back(call);
                     self.finish_status(call, status_answer(result));
                 }
             }
@@ -105,6 +107,18 @@
         }
     }
 
+    /// Tells an end that was read to the stores that lack it. Their answers are not waited for.
+    fn write_back(&self, call: u64) {
+        let Some(OpenRead { read: Read::Status { read, .. }, name, .. }) = self.reads.open.get(&call) else {
+            return;
+        };
+        let Some((end, stores)) = read.write_back() else { return };
+        for store in stores {
+            let facts = vec![Fact::Ended { name: name.clone(), end: end.clone() }];
+            self.send_read(store, call, StoreRequest::Settle { facts });
+        }
+    }
+
     fn finish_status(&mut self, call: u64, answer: StatusAnswer) {
         if let Some(OpenRead { read: Read::Status { reply, .. }, .. }) = self.reads.open.remove(&call) {
             let _ = reply.send(answer);
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -5,25 +5,37 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::Micros;
 use crate::identity::Owner;
 use crate::placement::{Partition, PlacementEpoch, StoreId};
 use crate::record::{End, Fact, MessageName, Record};
 
+/// A store grants no claim of a message while it has heard from the message's owner within this time.
+pub const OWNER_LEASE: Micros = 1_500_000;
+
+/// An owner counts its lease from the moment at which it sent the request that renewed it, and as shorter by this. It
+/// bounds how far two steady clocks drift apart within a lease.
+pub const OWNER_LEASE_MARGIN: Micros = 100_000;
+
 /// A request to a store. Each is answered by one [`StoreResponse`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreRequest {
-    /// Keep a record. `Done` once it is synced. A record that is there already is acknowledged again.
-    Append { epoch: PlacementEpoch, record: Record },
+    /// Keep a record. `Done` once it is synced. A record that is there already is acknowledged again. With
+    /// `renews_lease` it comes from the owner that the record names, and renews that owner's lease.
+    Append { epoch: PlacementEpoch, record: Record, renews_lease: bool },
     /// Which messages of an ordering key are open? Answered by `OpenMessages`.
     ListOpen { epoch: PlacementEpoch, partition: Partition, ordering_key: Arc<str> },
     /// Keep facts, also about messages whose record is not here. `Done` once those that are ends are synced.
     Settle { facts: Vec<Fact> },
     /// What is known of these messages? Answered by `Statuses`, in the same order.
     Look { names: Vec<MessageName> },
+    /// The owner is about to send these messages to hosts. Renews its lease, then answers as `Look` does.
+    Confirm { owner: Owner, names: Vec<MessageName> },
     /// The record of a message with its body, open or dead. Answered by `Found`.
     Fetch { name: MessageName },
-    /// These messages are to have this owner. Granted where `claim` is above every claim that was granted before;
-    /// `Done` once all are granted and synced, else `Declined` with `AlreadyClaimed`.
+    /// These messages are to have this owner. Granted where `claim` is above every claim that was granted before and
+    /// the present owner has no lease; `Done` once all are granted and synced, else `Declined` with `AlreadyClaimed` or
+    /// `OwnerHoldsLease`.
     Claim { names: Vec<MessageName>, owner: Owner, claim: u32 },
     /// A relay that stops gives these up: the stores offer them to other relays at once. `Done` when taken.
     Release { names: Vec<MessageName>, owner: Owner },
@@ -79,6 +91,8 @@
     Busy,
     /// An equal or higher claim was granted, or the message has ended.
     AlreadyClaimed,
+    /// The present owner was heard from within [`OWNER_LEASE`].
+    OwnerHoldsLease,
 }
 
 /// What a store knows of a message.
