Control: an epoch is promised once, and a member with a stalled disk does not lead

Cause: a promise was given to a name, and a candidate led on the promises of others without its own being synced. A member whose disk stalled, that led and lost power, led the same epoch again in its next life; two entries had one stamp, and a configuration came in force that was never agreed.

Change: each member promises an epoch once, whoever asks (a greater epoch only); a candidate leads once its own synced promise is among the majority's. A life's own epochs are therefore on its disk before it proposes anything, and one epoch has one leader in one life, so that a stamp names one entry. No life number is needed in the messages. A leader whose disk owes a sync for 1.2 s steps down; such a member neither stands nor promises until its disk syncs.

The harness checks in every run that no member promises an epoch twice and that no epoch is led by two lives.

--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -145,11 +145,19 @@
         }
     }
 
+    /// Whether the disk of this process has stood still for so long that it is no good for leading.
+    pub(crate) fn is_disk_stalled(&self) -> bool {
+        self.replica.is_disk_stalled(self.now, self.settings.disk_timeout)
+    }
+
     fn start_pre_vote(&mut self) {
         if self.own_member().is_none() {
             self.role = Role::follower(Micros::MAX);
             return;
         }
+        if self.is_disk_stalled() {
+            return self.step_down();
+        }
         let epoch = self.highest_epoch.max(self.replica.promised.epoch) + 1;
         self.role = Role::PreCandidate {
             epoch,
@@ -177,7 +185,8 @@
 
     pub(crate) fn pre_vote(&mut self, from: &NodeName, epoch: u64) {
         let Some(member) = self.identity.clone() else { return };
-        let granted = *from == self.name || (!self.has_leader() && self.replica.may_promise(epoch, from));
+        let may_promise = self.replica.may_promise(epoch) && !self.is_disk_stalled();
+        let granted = *from == self.name || (!self.has_leader() && may_promise);
         if !granted {
             self.send(from.clone(), ControlMessage::Refused { promised: self.replica.promised.epoch });
         }
@@ -221,7 +230,7 @@
     pub(crate) fn prepare(&mut self, from: &NodeName, epoch: u64) {
         let Some(member) = self.identity.clone() else { return };
         self.highest_epoch = self.highest_epoch.max(epoch);
-        if !self.replica.may_promise(epoch, from) {
+        if !self.replica.may_promise(epoch) {
             self.send(from.clone(), ControlMessage::Refused { promised: self.replica.promised.epoch });
             return;
         }
@@ -255,9 +264,13 @@
     }
 
     /// Adopts the greatest state among the promises of a majority, and leads once the members of that state agree.
+    ///
+    /// The candidate's own promise must be among them: it is synced by then, so a later life of this process knows that
+    /// the epoch is used, and whoever leads has a disk that works.
     fn review_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
-        if !self.replica.accepted.is_majority(candidate.promises.keys()) {
+        let own_is_synced = self.identity.as_ref().is_some_and(|own| candidate.promises.contains_key(own));
+        if !own_is_synced || !self.replica.accepted.is_majority(candidate.promises.keys()) {
             return;
         }
         let best = candidate.promises.iter().max_by_key(|(_, stamp)| **stamp);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -227,6 +227,10 @@
         if !leader.has_majority(&self.replica.accepted, self.now, self.settings.leader_timeout) {
             return self.step_down();
         }
+        if self.is_disk_stalled() {
+            // A member whose disk works leads better.
+            return self.step_down();
+        }
         let resend = leader.in_flight.as_ref().is_some_and(|in_flight| self.now >= in_flight.resend_at);
         let (heartbeat, housekeeping) =
             (self.now >= leader.next_heartbeat, self.now >= leader.next_housekeeping);
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -204,6 +204,7 @@
             let own = self.name.clone();
             self.handle(&own, message);
         }
+        self.replica.watch_disk(self.now);
         self.publish();
         self.schedule();
         std::mem::take(&mut self.effects)
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 
 use crate::agreed::Agreed;
@@ -33,6 +34,8 @@
     log_bytes: usize,
     sequence: u64,
     synced: u64,
+    /// Since when the disk has owed a sync without any progress.
+    unsynced_since: Option<Micros>,
     /// Messages that may go out once a sequence is synced.
     waiting: VecDeque<(u64, NodeName, ControlMessage)>,
 }
@@ -51,6 +54,7 @@
             log_bytes: 0,
             sequence: 0,
             synced: 0,
+            unsynced_since: None,
             waiting: VecDeque::new(),
         }
     }
@@ -68,10 +72,10 @@
         self.persist(&Record::Promised(self.promised.clone()), effects);
     }
 
-    /// Whether a candidate may have the promise of this epoch.
-    pub(crate) fn may_promise(&self, epoch: u64, candidate: &NodeName) -> bool {
+    /// Whether this epoch may be promised: each is promised once, to one life of one candidate. A name alone does not
+    /// tell two lives of a candidate apart, and the earlier one may have led the epoch.
+    pub(crate) fn may_promise(&self, epoch: u64) -> bool {
         epoch > self.promised.epoch
-            || (epoch == self.promised.epoch && self.promised.candidate.as_ref() == Some(candidate))
     }
 
     /// Accepts the state after an entry.
@@ -214,7 +218,24 @@
     }
 
     pub(crate) fn persisted(&mut self, sequence: u64) {
-        self.synced = self.synced.max(sequence);
+        if sequence > self.synced {
+            self.synced = sequence;
+            self.unsynced_since = None;
+        }
+    }
+
+    /// Notes since when the disk has owed a sync.
+    pub(crate) fn watch_disk(&mut self, now: Micros) {
+        if self.synced >= self.sequence {
+            self.unsynced_since = None;
+        } else {
+            self.unsynced_since.get_or_insert(now);
+        }
+    }
+
+    /// Whether the disk has synced nothing of what it owes for so long.
+    pub(crate) fn is_disk_stalled(&self, now: Micros, within: Micros) -> bool {
+        self.unsynced_since.is_some_and(|since| now >= since + within)
     }
 
     /// The next message whose records are synced.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -19,6 +19,8 @@
     pub heartbeat: Micros,
     /// A leader that no majority has answered for so long steps down; members that hear no leader for so long elect.
     pub leader_timeout: Micros,
+    /// A disk that owes a sync and has done none for so long is stalled: its member leads no longer, and does not stand.
+    pub disk_timeout: Micros,
     /// Each earlier live member in the order of candidates delays an election by this.
     pub candidate_step: Micros,
     /// So long a candidate waits for promises.
@@ -53,6 +55,7 @@
             tolerated: 1,
             heartbeat: 500 * MILLISECOND,
             leader_timeout: 1_500 * MILLISECOND,
+            disk_timeout: 1_200 * MILLISECOND,
             candidate_step: 400 * MILLISECOND,
             attempt: 700 * MILLISECOND,
             resend: 300 * MILLISECOND,
--- a/crates/control/src/storage.rs
+++ b/crates/control/src/storage.rs
@@ -9,7 +9,7 @@
 use crate::effect::ControlError;
 use crate::entry::{Entry, Stamp};
 
-/// The highest epoch that was promised, and to whom.
+/// The highest epoch that was promised, and to whom. An epoch is promised once: who asked is kept for those who read logs.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct Promised {
     pub epoch: u64,
--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -80,12 +80,12 @@
 }
 
 /// One run with trouble. Returns what broke, and how many orders were completed.
-fn trouble(seed: u64, planted: Planted) -> (Vec<String>, usize) {
+fn trouble(seed: u64, planted: Planted, disk_trouble: bool) -> (Vec<String>, usize) {
     let core = 3 + (seed % 3) as usize;
     let mut cluster = formed(seed, core, 2, 3);
     cluster.planted = planted;
     let mut operators = [Operator::new(1, core + 2), Operator::new(2, core + 2)];
-    let mut faults = Faults { core, disks: 1, spares: 1 };
+    let mut faults = Faults { core, disks: 1, spares: 1, disk_trouble };
     for _ in 0..8 {
         faults.strike(&mut cluster);
         let pause = (100 + cluster.random.below(1_500) as u64) * MS;
@@ -127,7 +127,7 @@
     let worker = |thread: u64| {
         let mut found = (Vec::new(), 0);
         for seed in (first..first + runs).filter(|seed| seed % THREADS == thread) {
-            let (broken, completed) = trouble(seed, planted);
+            let (broken, completed) = trouble(seed, planted, true);
             found.0.extend(broken.into_iter().map(|text| (seed, text)));
             found.1 += completed;
         }
@@ -163,7 +163,7 @@
 #[test]
 fn runs_that_once_failed_pass() {
     for seed in [101_388, 103_323, 109_134] {
-        let (broken, _) = trouble(seed, Planted::Nothing);
+        let (broken, _) = trouble(seed, Planted::Nothing, false);
         assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
     }
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod formation;
 mod simulation;
+mod stalled;
 
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 use simulation::cluster::{Cluster, MS};
--- a/crates/control/tests/control/simulation/checks.rs
+++ b/crates/control/tests/control/simulation/checks.rs
@@ -3,8 +3,12 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
+use pewterseam_control::CoreMember;
 use pewterseam_wire::control::ControlState;
 
+/// One life of a node.
+type NodeLife = (usize, u64);
+
 /// Gathers what was seen and what broke.
 #[derive(Default)]
 pub struct Checks {
@@ -14,6 +18,10 @@
     last: BTreeMap<usize, u64>,
     /// Accepted changes: what each was made on top of.
     accepted: BTreeMap<u64, (u64, Bytes)>,
+    /// Whom each member promised each epoch.
+    promises: BTreeMap<(CoreMember, u64), NodeLife>,
+    /// Who led each epoch.
+    leaders: BTreeMap<u64, NodeLife>,
     pub broken: Vec<String>,
     pub currents: usize,
     newest_acknowledged: u64,
@@ -40,6 +48,24 @@
         }
     }
 
+    /// A member promised an epoch to one life of a candidate.
+    pub fn promised(&mut self, member: &CoreMember, epoch: u64, candidate: NodeLife) {
+        let first = *self.promises.entry((member.clone(), epoch)).or_insert(candidate);
+        if first != candidate {
+            let name = &member.name;
+            self.broken.push(format!("{name} promised epoch {epoch} to {first:?} and to {candidate:?}"));
+        }
+    }
+
+    /// A node led an epoch in one of its lives.
+    pub fn led(&mut self, epoch: u64, leader: NodeLife) {
+        let first = *self.leaders.entry(epoch).or_insert(leader);
+        if first != leader {
+            self.broken.push(format!("epoch {epoch} was led by {first:?} and by {leader:?}"));
+            self.leaders.insert(epoch, leader);
+        }
+    }
+
     /// A change was acknowledged to an operator.
     pub fn acknowledged(&mut self, if_match: u64, version: u64, change: &Bytes) {
         let entry = self.accepted.entry(if_match).or_insert_with(|| (version, change.clone()));
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -18,9 +18,22 @@
 
 /// Membership looks at links this often.
 const LOOK: u64 = 100 * MS;
+/// A write that a disk did not sync is looked at again after this.
+const RETRY_SYNC: u64 = 100 * MS;
 /// A store has copied what it must after so long.
 const COPY: u64 = 400 * MS;
 
+/// What is wrong with a disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskTrouble {
+    /// It syncs nothing. What was written is there if only the process ends.
+    Stalled,
+    /// Each sync takes so much longer.
+    Slow(u64),
+    /// It takes nothing in: each write fails and is tried again, and is gone with the process.
+    Full,
+}
+
 /// Faults of the simulated program, to show that the checks find them.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Planted {
@@ -67,6 +80,10 @@
     pub answers: Vec<(usize, Token, Outcome)>,
     pub checks: Checks,
     pub planted: Planted,
+    /// Disks that do not do what they should.
+    pub disks: BTreeMap<usize, DiskTrouble>,
+    /// How often each node asked for promises.
+    pub stood: BTreeMap<usize, usize>,
     pub bootstrap: bool,
     pub messages: u64,
     /// Whether the bytes of messages are counted, which takes time.
@@ -96,6 +113,8 @@
             answers: Vec::new(),
             checks: Checks::default(),
             planted: Planted::Nothing,
+            disks: BTreeMap::new(),
+            stood: BTreeMap::new(),
             bootstrap: true,
             messages: 0,
             counts_bytes: false,
@@ -217,6 +236,9 @@
                     self.step(node, |control, now| control.tick(now));
                 }
             }
+            Event::Synced { node, life, sequence } if self.is_disk_held(node) => {
+                self.schedule(RETRY_SYNC, Event::Synced { node, life, sequence });
+            }
             Event::Synced { node, sequence, .. } => {
                 if self.planted != Planted::LyingDisk {
                     self.nodes[node].disk.sync(sequence);
@@ -260,7 +282,14 @@
         self.nodes.iter().position(is_diskless).unwrap_or(2)
     }
 
+    fn is_disk_held(&self, node: usize) -> bool {
+        matches!(self.disks.get(&node), Some(DiskTrouble::Stalled | DiskTrouble::Full))
+    }
+
     pub fn kill(&mut self, index: usize) {
+        if self.disks.get(&index) == Some(&DiskTrouble::Full) {
+            self.nodes[index].disk.lose_power(0);
+        }
         self.nodes[index].control = None;
         self.nodes[index].frozen = false;
         self.nodes[index].held.clear();
@@ -355,13 +384,18 @@
 
     fn sync_later(&mut self, index: usize, sequence: u64) {
         let life = self.nodes[index].life;
-        let delay = 500 + self.random.below(3_000) as u64;
+        let slower = match self.disks.get(&index) {
+            Some(DiskTrouble::Slow(slower)) => *slower,
+            _ => 0,
+        };
+        let delay = slower + 500 + self.random.below(3_000) as u64;
         self.schedule(delay, Event::Synced { node: index, life, sequence });
     }
 
     fn send(&mut self, from: usize, to: &NodeName, message: ControlMessage) {
         let Some(to) = self.nodes.iter().position(|node| node.info.name == *to) else { return };
         self.messages += 1;
+        self.watch(from, to, &message);
         if self.counts_bytes {
             self.bytes += pewterseam_wire::frame::encode(&message).map_or(0, |bytes| bytes.len());
         }
@@ -381,6 +415,20 @@
         self.schedule_at(at, Event::Message { from, to, life, message });
     }
 
+    /// Notes what tells who leads which epoch.
+    fn watch(&mut self, from: usize, to: usize, message: &ControlMessage) {
+        match message {
+            ControlMessage::Prepare { .. } => *self.stood.entry(from).or_default() += 1,
+            ControlMessage::Promise { epoch, member, .. } => {
+                self.checks.promised(member, *epoch, (to, self.nodes[to].life));
+            }
+            ControlMessage::Heartbeat { epoch, .. } => {
+                self.checks.led(*epoch, (from, self.nodes[from].life));
+            }
+            _ => {}
+        }
+    }
+
     /// The candidate hears a promise that nobody gave.
     fn forge_promise(&mut self, candidate: usize, member: usize, epoch: u64) {
         let info = &self.nodes[member].info;
@@ -404,6 +452,7 @@
     pub fn heal(&mut self) {
         self.cuts.clear();
         self.drop_percent = 0;
+        self.disks.clear();
         for index in 0..self.nodes.len() {
             if self.nodes[index].frozen {
                 self.thaw(index);
--- a/crates/control/tests/control/simulation/faults.rs
+++ b/crates/control/tests/control/simulation/faults.rs
@@ -2,7 +2,7 @@
 
 use pewterseam_wire::identity::Role;
 
-use super::cluster::{Cluster, MS};
+use super::cluster::{Cluster, DiskTrouble, MS};
 
 /// What may be done to a cluster whose first `core` nodes are its core.
 pub struct Faults {
@@ -11,6 +11,8 @@
     pub disks: usize,
     /// Machines that may be replaced by new ones.
     pub spares: usize,
+    /// Whether disks stall, are slow or are full.
+    pub disk_trouble: bool,
 }
 
 impl Faults {
@@ -23,7 +25,7 @@
             .filter(|_| cluster.random.below(2) == 0)
             .unwrap_or(cluster.random.below(self.core));
         let pause = (200 + cluster.random.below(2_500) as u64) * MS;
-        match cluster.random.below(12) {
+        match cluster.random.below(if self.disk_trouble { 13 } else { 12 }) {
             0 => cluster.drop_percent = 5,
             1 => self.cut(cluster, true),
             2 => self.cut(cluster, false),
@@ -54,6 +56,7 @@
             }
             10 => self.all(cluster, false),
             11 => self.all(cluster, true),
+            12 => self.disk_trouble(cluster, member),
             _ => {}
         }
     }
@@ -74,6 +77,18 @@
         }
     }
 
+    /// A disk of the core stalls, is slow or is full, or all are well again.
+    fn disk_trouble(&self, cluster: &mut Cluster, member: usize) {
+        let slower = (20 + cluster.random.below(800) as u64) * MS;
+        let trouble = match cluster.random.below(4) {
+            0 => DiskTrouble::Stalled,
+            1 => DiskTrouble::Full,
+            2 => DiskTrouble::Slow(slower),
+            _ => return cluster.disks.clear(),
+        };
+        cluster.disks.insert(member, trouble);
+    }
+
     /// A machine ends for good, and another comes.
     fn replace(&mut self, cluster: &mut Cluster, victim: usize, pause: u64) {
         self.spares -= 1;
