Control: contact with a majority is a lease; a cut member does not go by its disk

Cause: is_current never fell once it held, and a core member that started while it was cut off took its own disk for the newest after 3 s.

Change: each process asks the leader for the newest index once a second (RenewLease, which waits for the leader's next heartbeat; ReadIndex, which does not, while out of touch). The answer counts from the sending of the question, on the asker's monotonic clock, for contactMs and a half; Contact is InTouch, CatchingUp or LostSince. The wait for the own disk is gone: after an end of all processes a majority of the core is needed, and enough. A relay that loses contact stays ready while it sees most of the others that it saw before (the core is out for all), else it is the one that was cut off. The readiness check lapses by itself, so that a relay that stood still is not ready before it has looked around. status tells for how long there has been no contact.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use pewterseam_control::{
-    Control, ControlMessage, ControlSettings, Effect as ControlEffect, OperatorRequest, Outcome, Token,
+    Contact, Control, ControlMessage, ControlSettings, Effect as ControlEffect, OperatorRequest, Outcome,
+    Token,
 };
 use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings, Status};
 use pewterseam_storage::{AppendQueue, PendingWrite};
@@ -108,8 +109,12 @@
         self.ended.iter().cloned().collect()
     }
 
-    pub fn is_current(&self) -> bool {
-        self.membership.has_joined() && self.control.is_current()
+    pub fn contact(&self) -> Contact {
+        self.control.contact(self.now)
+    }
+
+    pub fn has_joined(&self) -> bool {
+        self.membership.has_joined()
     }
 
     pub fn state(&self) -> &Arc<ControlState> {
@@ -284,7 +289,7 @@
                 ControlEffect::Answer { token, outcome } => {
                     self.events.push(NodeEvent::Answered { token, outcome });
                 }
-                ControlEffect::Current | ControlEffect::Wake(_) => {}
+                ControlEffect::Contact(_) | ControlEffect::Wake(_) => {}
             }
         }
     }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use pewterseam_config::CompiledConfig;
+use pewterseam_control::Serving;
 use pewterseam_delivery::{
     AttemptEnd, AttemptId, AttemptResult, Delivery, DeliverySettings, Effect, Input as DeliveryInput,
     Outcome, Submission as DeliverySubmission,
@@ -50,6 +51,7 @@
     pub(crate) delivery_inputs: Vec<DeliveryInput>,
     pub(crate) stopping: Option<Stopping>,
     is_ready: bool,
+    serving: Serving,
     planted: Option<Planted>,
 }
 
@@ -86,6 +88,7 @@
             delivery_inputs: vec![DeliveryInput::CoreLease { until: Micros::MAX }],
             stopping: None,
             is_ready: false,
+            serving: Serving::default(),
             planted,
             node,
         }
@@ -358,15 +361,18 @@
     }
 
     fn update_readiness(&mut self) {
-        let ready = self.stopping.is_none() && self.can_serve();
+        let serves = self.can_serve();
+        let ready = self.stopping.is_none() && serves;
         if self.is_ready != ready {
             self.is_ready = ready;
             self.node.set_ready(ready);
         }
     }
 
-    fn can_serve(&self) -> bool {
-        self.config.version > 0 && self.node.is_current() && self.has_stores()
+    fn can_serve(&mut self) -> bool {
+        let others = self.node.live().count() - 1;
+        let serves = self.serving.until(self.node.now, self.node.contact(), others, SECOND).is_some();
+        serves && self.node.has_joined() && self.config.version > 0 && self.has_stores()
     }
 
     fn has_stores(&self) -> bool {
--- a/crates/console/src/status.rs
+++ b/crates/console/src/status.rs
@@ -3,7 +3,7 @@
 use std::fmt::{self, Display, Formatter};
 use std::net::SocketAddr;
 
-use pewterseam_system::status::{MemberStatus, NodeStatus, RelayStatus};
+use pewterseam_system::status::{ContactStatus, MemberStatus, NodeStatus, RelayStatus};
 
 use crate::client::{self, Call};
 use crate::error::ConsoleError;
@@ -11,6 +11,8 @@
 /// Where a relay tells its status.
 const PATH: &str = "/-/status";
 
+const MILLISECONDS_A_SECOND: f64 = 1_000.0;
+
 /// Asks a relay.
 pub async fn read(address: SocketAddr) -> Result<RelayStatus, ConsoleError> {
     let reply = client::call(address, Call::get(PATH)).await.ok_or(ConsoleError::NoAnswer { address })?;
@@ -32,7 +34,7 @@
             (false, false) => "not ready",
         };
         writeln!(f, "{} life {}: {state}", node.name, node.life)?;
-        writeln!(f, "configuration {config_version}, state {}, {}", node.index, currency(node))?;
+        writeln!(f, "configuration {config_version}, state {}, {}", node.index, contact(node))?;
         let leads = if node.leads { ", led from here" } else { "" };
         writeln!(f, "core: {}{leads}", listed(&node.core))?;
         writeln!(f, "messages: {} held, {} of them running", messages.held, messages.running)?;
@@ -47,11 +49,15 @@
     }
 }
 
-fn currency(node: &NodeStatus) -> &'static str {
-    match (node.joined, node.current) {
-        (false, _) => "has met nobody yet",
-        (true, false) => "not proven the newest yet",
-        (true, true) => "proven the newest since the start",
+fn contact(node: &NodeStatus) -> String {
+    match node.contact {
+        _ if !node.joined => "has met nobody yet".to_owned(),
+        ContactStatus::InTouch => "in touch with a majority of the core".to_owned(),
+        ContactStatus::CatchingUp => "catching up with a majority of the core".to_owned(),
+        ContactStatus::Lost { for_ms } => {
+            let seconds = for_ms as f64 / MILLISECONDS_A_SECOND;
+            format!("no contact with a majority of the core for {seconds:.1} s")
+        }
     }
 }
 
--- a/crates/control/src/effect.rs
+++ b/crates/control/src/effect.rs
@@ -10,6 +10,7 @@
 use pewterseam_wire::frame::FrameError;
 use pewterseam_wire::identity::NodeName;
 
+use crate::contact::Contact;
 use crate::entry::Stamp;
 use crate::message::ControlMessage;
 use crate::operator::{Outcome, Token};
@@ -25,8 +26,8 @@
     Snapshot { snapshot: Bytes, sequence: u64 },
     /// The newest committed state that this process knows.
     InForce(Arc<ControlState>),
-    /// `Control::is_current` holds from now on.
-    Current,
+    /// Contact with a majority of the core was found, or lapsed.
+    Contact(Contact),
     /// The answer to an operator's call.
     Answer { token: Token, outcome: Outcome },
     /// Call `Control::tick` at this time, and no longer at the one asked for before.
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -130,11 +130,8 @@
         }
         if token.0 < FIRST_OWN_TOKEN {
             self.effects.push(Effect::Answer { token, outcome });
-        } else if let Outcome::Index(index) = outcome {
-            self.currency.learnt(index);
-            if let Some(leader) = self.leader_hint.clone() {
-                self.heard_of_index(index, leader);
-            }
+        } else {
+            self.lease_answered(token, &outcome);
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,8 +9,9 @@
 
 mod agreed;
 mod catch_up;
+mod contact;
+mod copied;
 mod core_members;
-mod currency;
 mod effect;
 mod election;
 mod entry;
@@ -25,13 +26,16 @@
 mod peers;
 mod placement;
 mod replica;
+mod serving;
 mod settings;
 mod storage;
 
 pub use agreed::Agreed;
+pub use contact::Contact;
 pub use effect::{ControlError, Effect};
 pub use entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
 pub use machine::Control;
 pub use message::{ControlMessage, FormationMessage};
 pub use operator::{OperatorRequest, Outcome, Token};
+pub use serving::Serving;
 pub use settings::ControlSettings;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -13,7 +13,7 @@
 use pewterseam_wire::random::Random;
 
 use crate::catch_up::CatchUp;
-use crate::currency::Currency;
+use crate::contact::{Contact, Lease};
 use crate::effect::{ControlError, Effect};
 use crate::election::Role;
 use crate::entry::CoreMember;
@@ -43,7 +43,7 @@
     pub(crate) formation: Option<Formation>,
     pub(crate) forwarder: Forwarder,
     pub(crate) catch_up: CatchUp,
-    pub(crate) currency: Currency,
+    pub(crate) lease: Lease,
     /// What the store of this process holds, until the placement goes on.
     pub(crate) copied: Option<(StoreId, PlacementEpoch, Micros)>,
     pub(crate) checker: Option<Checker>,
@@ -82,7 +82,7 @@
             formation,
             forwarder: Forwarder::default(),
             catch_up: CatchUp::default(),
-            currency: Currency::new(now),
+            lease: Lease::new(now, settings.contact),
             copied: None,
             checker: None,
             effects: Vec::new(),
@@ -111,9 +111,14 @@
         self.in_force.index
     }
 
-    /// Whether this process knows a state that was proven the newest at or after its start.
-    pub fn is_current(&self) -> bool {
-        self.currency.is_current
+    /// Whether this process is in touch with a majority of the core. Ask with the time of the moment: contact lapses.
+    pub fn contact(&self, now: Micros) -> Contact {
+        self.lease.contact(now.max(self.now))
+    }
+
+    /// Whether this process knows all that was committed up to a short while before this moment.
+    pub fn is_current(&self, now: Micros) -> bool {
+        matches!(self.contact(now), Contact::InTouch { .. })
     }
 
     /// Whether this process leads, as far as it knows.
@@ -216,7 +221,7 @@
         self.run_leader();
         self.run_forwarder();
         self.run_catch_up();
-        self.run_currency();
+        self.run_lease();
         self.tell_copied();
     }
 
@@ -234,8 +239,8 @@
             self.in_force = Arc::new(self.replica.committed.state.clone());
             self.effects.push(Effect::InForce(self.in_force.clone()));
         }
-        if self.currency.update(self.in_force.index) {
-            self.effects.push(Effect::Current);
+        if let Some(contact) = self.lease.update(self.in_force.index, self.now) {
+            self.effects.push(Effect::Contact(contact));
         }
     }
 
@@ -246,7 +251,7 @@
             self.role.next_wake(),
             self.forwarder.next_wake(),
             self.catch_up.next_wake(),
-            self.currency.next_wake(),
+            self.lease.next_wake(self.now),
             copied,
         ];
         let wake = wakes.into_iter().fold(Micros::MAX, Micros::min).max(self.now + 1);
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -27,8 +27,10 @@
     Retire { node: NodeName },
     /// `GET /-/retire/NODE`.
     ReadRetire { node: NodeName },
-    /// A process asks for the newest index, to know whether it is current.
+    /// A process that is out of touch asks for the newest index.
     ReadIndex,
+    /// A process that is in touch asks the same, and can wait for the leader's next heartbeat.
+    RenewLease,
 }
 
 impl OperatorRequest {
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -33,6 +33,8 @@
 enum Question {
     Config,
     Index,
+    /// The newest index, for one that can wait for the next heartbeat.
+    Lease,
     Retire(NodeName),
     /// A refusal: a leader that was replaced may not know that it is wrong.
     Refusal(Outcome),
@@ -63,6 +65,7 @@
         match request {
             OperatorRequest::ReadConfig => self.ask(asker, Question::Config),
             OperatorRequest::ReadIndex => self.ask(asker, Question::Index),
+            OperatorRequest::RenewLease => self.ask(asker, Question::Lease),
             OperatorRequest::ReadRetire { node } => self.ask(asker, Question::Retire(node)),
             request => {
                 let id = match &request {
@@ -179,7 +182,7 @@
             let state = &self.replica.committed.state;
             let outcome = match read.question {
                 Question::Config => Outcome::Config(state.config.clone()),
-                Question::Index => Outcome::Index(state.index),
+                Question::Index | Question::Lease => Outcome::Index(state.index),
                 Question::Retire(node) => self.retire_state(&node),
                 Question::Refusal(outcome) => outcome,
             };
@@ -192,7 +195,8 @@
     fn start_round_for_reads(&mut self) {
         let Role::Leader(leader) = &self.role else { return };
         let is_round_done = leader.confirmed_round(&self.replica.accepted) >= leader.round;
-        if is_round_done && leader.reads.iter().any(|read| read.round > leader.round) {
+        let is_due = |read: &Read| read.round > leader.round && !matches!(read.question, Question::Lease);
+        if is_round_done && leader.reads.iter().any(is_due) {
             self.start_round();
         }
     }
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -33,8 +33,8 @@
     pub formation_delay: Micros,
     /// A relay gives an operator's call up after this, and a millisecond more for each kilobyte of its body.
     pub call_timeout: Micros,
-    /// A core member whose core does not answer for so long after its start goes by what it has on disk.
-    pub unanswered: Micros,
+    /// A process that no majority of the core answers for longer than this is out of touch (`contactMs`).
+    pub contact: Micros,
     /// So long a dead member or store is kept where nothing replaces it.
     pub abandon_after: Micros,
     /// So long a store of the same zone must be dead before a new store replaces it.
@@ -62,7 +62,7 @@
             housekeeping: 250 * MILLISECOND,
             formation_delay: 1_500 * MILLISECOND,
             call_timeout: 900 * MILLISECOND,
-            unanswered: 3_000 * MILLISECOND,
+            contact: 4_000 * MILLISECOND,
             abandon_after: 60_000 * MILLISECOND,
             replace_after: 2_000 * MILLISECOND,
             settle: 500 * MILLISECOND,
--- a/crates/hollow/src/experiments.rs
+++ b/crates/hollow/src/experiments.rs
@@ -140,7 +140,8 @@
     println!("after the last start, all know all in {}", shown(known));
     configure(network, 1);
     let current = network.run_until(GIVE_UP, |network| {
-        network.running().all(|(_, member)| member.version == 1 && member.control.is_current())
+        let now = network.now;
+        network.running().all(|(_, member)| member.version == 1 && member.control.is_current(now))
     });
     println!("the first configuration is in force at all in {}", shown(current));
     network.run_for(5 * SECOND);
@@ -254,7 +255,9 @@
         while ready_at.is_none() && network.now < start + GIVE_UP {
             let now = network.now;
             let is_ready = network.get_mut(*joiner).is_some_and(|member| {
-                member.membership.live_count() == others && member.control.is_current() && member.version > 1
+                member.membership.live_count() == others
+                    && member.control.is_current(now)
+                    && member.version > 1
             });
             if is_ready {
                 ready_at = Some(now);
--- a/crates/hollow/src/member.rs
+++ b/crates/hollow/src/member.rs
@@ -215,7 +215,7 @@
                     self.outbox.push((self.index, Arrival::Persisted { sequence }));
                 }
                 ControlEffect::InForce(state) => self.in_force(&state),
-                ControlEffect::Answer { .. } | ControlEffect::Current | ControlEffect::Wake(_) => {}
+                ControlEffect::Answer { .. } | ControlEffect::Contact(_) | ControlEffect::Wake(_) => {}
             }
         }
     }
--- a/crates/system/src/node/control_log.rs
+++ b/crates/system/src/node/control_log.rs
@@ -134,6 +134,7 @@
         bootstrap: settings.bootstrap,
         seeds: seeds.to_vec(),
         tolerated: settings.fault_tolerance.machines,
+        contact: settings.bounds.contact().as_micros() as Micros,
         ..ControlSettings::default()
     }
 }
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -8,7 +8,9 @@
 use std::sync::Arc;
 
 use pewterseam_config::settings::Settings;
-use pewterseam_control::{Control, ControlMessage, Effect as ControlEffect, OperatorRequest, Outcome, Token};
+use pewterseam_control::{
+    Contact, Control, ControlMessage, Effect as ControlEffect, OperatorRequest, Outcome, Token,
+};
 use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings, Status};
 use pewterseam_storage::WriterEvent;
 use pewterseam_transport::{Transport, TransportEvent};
@@ -120,9 +122,15 @@
         self.ended.all()
     }
 
-    /// Whether this process has met others, and knows what is in force.
-    pub fn is_current(&self) -> bool {
-        self.membership.has_joined() && self.control.is_current()
+    /// Whether this process is in touch with a majority of the core at this moment. A process that stood still finds out
+    /// here that it is not, before it answers anything.
+    pub fn contact(&self) -> Contact {
+        self.control.contact(self.now())
+    }
+
+    /// Whether this process has met others.
+    pub fn has_joined(&self) -> bool {
+        self.membership.has_joined()
     }
 
     pub fn state(&self) -> &Arc<ControlState> {
@@ -286,7 +294,7 @@
                 ControlEffect::Answer { token, outcome } => {
                     self.events.push(NodeEvent::Answered { token, outcome });
                 }
-                ControlEffect::Current | ControlEffect::Wake(_) => {}
+                ControlEffect::Contact(_) | ControlEffect::Wake(_) => {}
             }
         }
     }
--- a/crates/system/src/node/report.rs
+++ b/crates/system/src/node/report.rs
@@ -1,11 +1,12 @@
 //! What a node tells operators of itself.
 
+use pewterseam_control::Contact;
 use pewterseam_membership::Status;
 use pewterseam_wire::identity::{NodeInfo, Role};
 use pewterseam_wire::placement::{Placement, StoreId};
 
-use super::Node;
-use crate::status::{EndedLife, MemberStatus, NodeStatus, PlacementStatus};
+use super::{MICROS_A_MILLISECOND, Node};
+use crate::status::{ContactStatus, EndedLife, MemberStatus, NodeStatus, PlacementStatus};
 
 impl Node {
     /// What this node knows at this moment.
@@ -19,7 +20,7 @@
             name: own.name.to_string(),
             life: own.life.0,
             joined: self.membership.has_joined(),
-            current: self.is_current(),
+            contact: self.contact_status(),
             index: state.index,
             leads: self.control.is_leader(),
             core: self.control.core().iter().map(|member| member.name.to_string()).collect(),
@@ -34,6 +35,16 @@
         }
     }
 
+    fn contact_status(&self) -> ContactStatus {
+        match self.contact() {
+            Contact::InTouch { .. } => ContactStatus::InTouch,
+            Contact::CatchingUp => ContactStatus::CatchingUp,
+            Contact::LostSince(since) => {
+                ContactStatus::Lost { for_ms: (self.now() - since) / MICROS_A_MILLISECOND }
+            }
+        }
+    }
+
     fn member(&self, info: &NodeInfo) -> MemberStatus {
         let status = self.membership.get(&info.name).map(|(_, status)| status);
         let role = match info.role {
--- a/crates/system/src/operator.rs
+++ b/crates/system/src/operator.rs
@@ -2,8 +2,6 @@
 
 use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,6 +11,7 @@
 use warp::{Filter, Rejection, Reply};
 
 use crate::error::SystemError;
+use crate::relay::readiness::Readiness;
 use crate::status::RelayStatus;
 
 /// The largest configuration that is read.
@@ -161,11 +160,11 @@
 }
 
 /// Answers the platform's readiness check until the process ends.
-pub async fn serve_readiness(address: SocketAddr, is_ready: Arc<AtomicBool>) -> Result<(), SystemError> {
+pub async fn serve_readiness(address: SocketAddr, readiness: Readiness) -> Result<(), SystemError> {
     let listener = bind(address).await?;
-    let check = warp::path!("-" / "ready").and(warp::get()).map(move || {
-        if is_ready.load(Ordering::Relaxed) { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }
-    });
+    let check = warp::path!("-" / "ready")
+        .and(warp::get())
+        .map(move || if readiness.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE });
     warp::serve(check).incoming(listener).run().await;
     Ok(())
 }
--- a/crates/system/src/relay/mod.rs
+++ b/crates/system/src/relay/mod.rs
@@ -8,7 +8,7 @@
 mod planes;
 mod process;
 mod queue_driver;
-mod readiness;
+pub(crate) mod readiness;
 mod reads;
 mod start;
 mod stopping;
--- a/crates/system/src/relay/operators.rs
+++ b/crates/system/src/relay/operators.rs
@@ -1,7 +1,6 @@
 //! Calls of the operator, decided by the control plane.
 
 use std::collections::HashMap;
-use std::sync::atomic::Ordering;
 
 use pewterseam_control::{OperatorRequest as ControlRequest, Outcome, Token};
 use pewterseam_wire::identity::NodeName;
@@ -62,7 +61,7 @@
         let queue = &self.planes.queue;
         RelayStatus {
             node: self.node.report(),
-            ready: self.is_ready.load(Ordering::Relaxed),
+            ready: self.readiness.is_ready(),
             stopping: self.stopping.is_some(),
             config_version: self.config.load().version,
             messages: MessageCounts { held: queue.len(), running: queue.running() },
--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -3,11 +3,11 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 use arc_swap::ArcSwap;
 use pewterseam_config::CompiledConfig;
 use pewterseam_config::settings::Settings;
+use pewterseam_control::Serving;
 use pewterseam_delivery::Input as DeliveryInput;
 use pewterseam_ingress::{Front, Stopper};
 use pewterseam_queue::{Answer, CallId, ClientToken, Effect as QueueEffect};
@@ -17,6 +17,7 @@
 
 use super::operators::OperatorCalls;
 use super::planes::Planes;
+use super::readiness::Readiness;
 use super::reads::Reads;
 use super::start::DoorFailure;
 use super::stopping::Stopping;
@@ -37,7 +38,9 @@
     pub(super) config: Arc<ArcSwap<CompiledConfig>>,
     pub(super) door: Front,
     pub(super) stopper: Stopper,
-    pub(super) is_ready: Arc<AtomicBool>,
+    pub(super) readiness: Readiness,
+    pub(super) was_ready: bool,
+    pub(super) serving: Serving,
     failure: DoorFailure,
     /// Clients that wait for the answer to a message.
     pub(super) clients: HashMap<ClientToken, oneshot::Sender<Answer>>,
@@ -56,7 +59,7 @@
     #[expect(clippy::too_many_arguments, reason = "the parts are assembled in one place")]
     pub fn new(
         node: Node, planes: Planes, settings: Settings, file: SettingsFile,
-        config: Arc<ArcSwap<CompiledConfig>>, door: Front, stopper: Stopper, is_ready: Arc<AtomicBool>,
+        config: Arc<ArcSwap<CompiledConfig>>, door: Front, stopper: Stopper, readiness: Readiness,
         failure: DoorFailure,
     ) -> Self {
         let core_lease = DeliveryInput::CoreLease { until: Micros::MAX };
@@ -68,7 +71,9 @@
             config,
             door,
             stopper,
-            is_ready,
+            readiness,
+            was_ready: false,
+            serving: Serving::default(),
             failure,
             clients: HashMap::new(),
             last_client: 0,
--- a/crates/system/src/relay/start.rs
+++ b/crates/system/src/relay/start.rs
@@ -3,7 +3,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 use arc_swap::ArcSwap;
 use pewterseam_config::CompiledConfig;
@@ -15,6 +14,7 @@
 use super::RelayInputs;
 use super::planes::Planes;
 use super::process::RelayProcess;
+use super::readiness::Readiness;
 use crate::disk;
 use crate::error::SystemError;
 use crate::node::{Node, NodeInputs};
@@ -37,12 +37,12 @@
     let (host_events, hosts) = mpsc::unbounded_channel();
     let (list_events, list) = mpsc::unbounded_channel();
     let stopper = Stopper::default();
-    let is_ready = Arc::new(AtomicBool::new(false));
+    let readiness = Readiness::new(node.clock);
     let door = Front::new(front_requests, router(config.clone()), stopper.clone());
     let failure = Rc::default();
-    open_doors(&settings, &door, operator_calls, &is_ready, &failure)?;
+    open_doors(&settings, &door, operator_calls, &readiness, &failure)?;
     let planes = Planes::new(&node, &settings, host_events, list_events);
-    let process = RelayProcess::new(node, planes, settings, file, config, door, stopper, is_ready, failure);
+    let process = RelayProcess::new(node, planes, settings, file, config, door, stopper, readiness, failure);
     Ok((process, node_inputs, RelayInputs { front, hosts, list, operators }))
 }
 
@@ -51,7 +51,7 @@
 
 fn open_doors(
     settings: &Settings, door: &Front, calls: mpsc::UnboundedSender<operator::OperatorCall>,
-    is_ready: &Arc<AtomicBool>, failure: &DoorFailure,
+    readiness: &Readiness, failure: &DoorFailure,
 ) -> Result<(), SystemError> {
     let address = settings.bind.front.ok_or(SystemError::Missing { what: "bindAddrs.front" })?;
     let most_connections = (settings.limits.max_files as f64 * CLIENT_FILES_PART) as usize;
@@ -60,7 +60,7 @@
         async move { door.serve(FrontSettings { address, most_connections }).await.map_err(Into::into) };
     open(serving, failure.clone());
     if let Some(address) = settings.bind.readiness {
-        open(operator::serve_readiness(address, is_ready.clone()), failure.clone());
+        open(operator::serve_readiness(address, readiness.clone()), failure.clone());
     }
     if let Some(address) = settings.bind.control {
         open(operator::serve(address, calls), failure.clone());
--- a/crates/system/src/status.rs
+++ b/crates/system/src/status.rs
@@ -33,8 +33,7 @@
     pub life: u64,
     /// It has met others.
     pub joined: bool,
-    /// What it knows was proven the newest since it started.
-    pub current: bool,
+    pub contact: ContactStatus,
     /// The index of the agreed state.
     pub index: u64,
     /// It leads the core, as far as it knows.
@@ -51,6 +50,18 @@
     pub retired: Vec<String>,
 }
 
+/// Whether a process is in touch with a majority of the core.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase", rename_all_fields = "camelCase")]
+pub enum ContactStatus {
+    /// What it knows was lately proven the newest.
+    InTouch,
+    /// A majority answers; the newest state is on its way.
+    CatchingUp,
+    /// No majority has answered a question that was sent in the last `for_ms`.
+    Lost { for_ms: u64 },
+}
+
 /// A member that lives.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct MemberStatus {
