Control tests: cuts, slow and lossy links, freezes, and what contact is taken for

Cuts of 5, 20 and 60 s, both ways and one way, of a relay, a core member, a leader, and a leader with another member (90 runs each); a leader cut from its followers only, and from all others only; 12 s standing still, asked before any timer ran; 5 % loss with a slow machine. The machines that are cut off are read and given changes all the while. In every run of the harness a process that is in touch must know what was acknowledged a lease before its contact lapses, and a refused change must never come in force.

--- /dev/null
+++ b/crates/control/tests/control/contact.rs
@@ -0,0 +1,364 @@
+//! Machines that are cut off, slow, or stand still: what they answer, and what they take their contact for.
+
+use crate::simulation::checks::LEASE;
+use crate::simulation::cluster::{Cluster, MS, document};
+use crate::{call, formed};
+use pewterseam_control::{Contact, OperatorRequest, Outcome, Serving, Token};
+
+/// Cores of the cluster; after them come two relays without a disk and three stores.
+const CORE: usize = 3;
+const NODES: usize = 8;
+
+/// Which messages of a machine are lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Direction {
+    Both,
+    Out,
+    In,
+}
+
+/// Cuts links between a machine and others.
+fn cut(cluster: &mut Cluster, node: usize, others: &[usize], direction: Direction) {
+    for other in others.iter().copied().filter(|other| *other != node) {
+        if direction != Direction::In {
+            cluster.cuts.insert((node, other));
+        }
+        if direction != Direction::Out {
+            cluster.cuts.insert((other, node));
+        }
+    }
+}
+
+/// What two operators do meanwhile: one changes the configuration on the side that has a majority, the other asks the
+/// machines that are cut off. Every answer is checked.
+struct Traffic {
+    version: u64,
+    token: u64,
+    /// The change on its way, and since when.
+    change: Option<(u64, u64, bytes::Bytes)>,
+    /// Calls at a machine that is cut off: the token, what was acknowledged when it began, and the change's note.
+    probes: Vec<(u64, u64, Option<String>)>,
+    pub acknowledged: usize,
+}
+
+impl Traffic {
+    fn new(version: u64) -> Self {
+        Traffic { version, token: 1 << 40, change: None, probes: Vec::new(), acknowledged: 0 }
+    }
+
+    fn next_token(&mut self) -> u64 {
+        self.token += 1;
+        self.token
+    }
+
+    fn change(&mut self, cluster: &mut Cluster, relay: usize) {
+        let token = self.next_token();
+        let text = match &self.change {
+            Some((_, _, text)) => text.clone(),
+            None => document(self.version + 1, &format!("change {token}")),
+        };
+        self.change = Some((token, self.version, text.clone()));
+        cluster.operator(relay, Token(token), OperatorRequest::put(self.version, text));
+    }
+
+    /// Reads and changes at a machine that is cut off, as an operator who reaches only that one.
+    fn probe(&mut self, cluster: &mut Cluster, relay: usize) {
+        let before = cluster.checks.newest_acknowledged();
+        let (read, write) = (self.next_token(), self.next_token());
+        cluster.operator(relay, Token(read), OperatorRequest::ReadConfig);
+        self.probes.push((read, before, None));
+        let note = format!("probe {write}");
+        let text = document(before + 1, &note);
+        cluster.operator(relay, Token(write), OperatorRequest::put(before, text));
+        self.probes.push((write, before, Some(note)));
+    }
+
+    fn answers(&mut self, cluster: &mut Cluster) {
+        for (_, token, outcome) in std::mem::take(&mut cluster.answers) {
+            if self.change.as_ref().is_some_and(|(open, _, _)| *open == token.0) {
+                self.change_answered(cluster, &outcome);
+            } else if let Some(found) = self.probes.iter().position(|(open, _, _)| *open == token.0) {
+                let (_, before, note) = self.probes.remove(found);
+                self.probe_answered(cluster, before, note, &outcome);
+            }
+        }
+    }
+
+    fn change_answered(&mut self, cluster: &mut Cluster, outcome: &Outcome) {
+        match outcome {
+            Outcome::Accepted { version } => {
+                let (_, based_on, text) = self.change.take().expect("under way");
+                cluster.checks.acknowledged(based_on, *version, &text);
+                self.version = *version;
+                self.acknowledged += 1;
+            }
+            Outcome::Conflict { current } => {
+                // A probe came first.
+                self.change = None;
+                self.version = *current;
+            }
+            _ => {}
+        }
+    }
+
+    fn probe_answered(
+        &mut self, cluster: &mut Cluster, before: u64, note: Option<String>, outcome: &Outcome,
+    ) {
+        match (note, outcome) {
+            (Some(note), Outcome::Accepted { version }) => {
+                let text = document(*version, &note);
+                cluster.checks.acknowledged(before, *version, &text);
+                self.acknowledged += 1;
+            }
+            (Some(note), Outcome::Conflict { .. } | Outcome::Invalid { .. }) => {
+                cluster.checks.refused(note);
+            }
+            (None, Outcome::Config(config)) => cluster.checks.read(before, config.version),
+            _ => {}
+        }
+    }
+}
+
+/// Lets time pass with both operators at work. `whole` takes the changes, `probed` are asked every half a second.
+fn pass(cluster: &mut Cluster, traffic: &mut Traffic, span: u64, whole: usize, probed: &[usize]) {
+    let end = cluster.now + span;
+    let mut step = 0;
+    while cluster.now < end {
+        if step % 5 == 0 {
+            for node in probed {
+                traffic.probe(cluster, *node);
+            }
+        }
+        if step % 10 == 0 {
+            traffic.change(cluster, whole);
+        }
+        step += 1;
+        cluster.run((end - cluster.now).min(100 * MS));
+        traffic.answers(cluster);
+    }
+}
+
+fn contact(cluster: &Cluster, node: usize) -> Contact {
+    cluster.control(node).expect("runs").contact(cluster.now)
+}
+
+fn is_in_touch(cluster: &Cluster, node: usize) -> bool {
+    matches!(contact(cluster, node), Contact::InTouch { .. })
+}
+
+/// Runs until a machine is in touch. Returns how long that took.
+fn until_in_touch(cluster: &mut Cluster, node: usize) -> u64 {
+    let start = cluster.now;
+    while !is_in_touch(cluster, node) {
+        cluster.run(10 * MS);
+        assert!(cluster.now < start + 10_000 * MS, "node {node} is not in touch again");
+    }
+    cluster.now - start
+}
+
+/// Cuts machines off for a span, asks them all the while, and checks what they say and know. Returns how long the slowest
+/// took to be in touch again.
+fn cut_off(seed: u64, span: u64, direction: Direction, victims: impl Fn(&Cluster) -> Vec<usize>) -> u64 {
+    let what = format!("seed {seed}, {span} us, {direction:?}");
+    let mut cluster = formed(seed, 5, 2, 3);
+    let everybody: Vec<usize> = (0..cluster.nodes.len()).collect();
+    let accepted = call(&mut cluster, 5, 1, OperatorRequest::put(0, document(1, "first")));
+    assert_eq!(accepted, Some(Outcome::Accepted { version: 1 }), "{what}");
+    cluster.run(seed % 10 * 97 * MS);
+    let victims = victims(&cluster);
+    for victim in &victims {
+        cut(&mut cluster, *victim, &everybody, direction);
+    }
+    let whole = everybody.iter().copied().find(|node| !victims.contains(node)).expect("one is left");
+    let mut traffic = Traffic::new(1);
+    pass(&mut cluster, &mut traffic, span.min(LEASE + 200 * MS), whole, &victims);
+    if span > LEASE {
+        for victim in &victims {
+            assert!(!is_in_touch(&cluster, *victim), "{what}: node {victim} takes itself for in touch");
+        }
+        pass(&mut cluster, &mut traffic, span - LEASE - 200 * MS, whole, &victims);
+        for victim in &victims {
+            let Contact::LostSince(since) = contact(&cluster, *victim) else {
+                panic!("{what}: node {victim} found contact")
+            };
+            assert!(since <= cluster.now - span, "{what}: node {victim} had contact");
+        }
+    }
+    for node in everybody.iter().filter(|node| !victims.contains(node)) {
+        assert!(is_in_touch(&cluster, *node), "{what}: node {node} was not cut off");
+    }
+    cluster.heal();
+    let newest = cluster.checks.newest_acknowledged();
+    let mut slowest = 0;
+    for victim in &victims {
+        slowest = slowest.max(until_in_touch(&mut cluster, *victim));
+        let version = cluster.control(*victim).expect("runs").state().config.version;
+        let needed = if span > LEASE { newest } else { 1 };
+        assert!(version >= needed, "{what}: node {victim} is in touch without the newest configuration");
+    }
+    pass(&mut cluster, &mut traffic, 3_000 * MS, whole, &victims);
+    assert!(traffic.acknowledged as u64 >= span / (2_000 * MS), "{what}: {} changes", traffic.acknowledged);
+    cluster.checks.finish();
+    assert_eq!(cluster.checks.broken, Vec::<String>::new(), "{what}");
+    slowest
+}
+
+const SPANS: [u64; 3] = [5_000 * MS, 20_000 * MS, 60_000 * MS];
+const DIRECTIONS: [Direction; 3] = [Direction::Both, Direction::Out, Direction::In];
+
+/// Each span and direction with some seeds.
+fn cuts(name: &str, victims: impl Fn(&Cluster) -> Vec<usize>) {
+    let mut slowest = 0;
+    for span in SPANS {
+        for direction in DIRECTIONS {
+            for seed in 0..10 {
+                slowest = slowest.max(cut_off(seed, span, direction, &victims));
+            }
+        }
+    }
+    println!("{name}: in touch again within {} ms", slowest / MS);
+    assert!(slowest < 3_000 * MS, "{name}: {} ms", slowest / MS);
+}
+
+/// Guards against a relay outside the core that takes an old configuration for the newest.
+#[test]
+fn a_cut_relay_knows_that_it_is_cut_off() {
+    cuts("a relay outside the core", |_| vec![5]);
+}
+
+/// Guards against a core member that hands out, refuses or confirms on its own.
+#[test]
+fn a_cut_core_member_neither_confirms_nor_refuses() {
+    cuts("a core member", |cluster| vec![(cluster.leader().expect("leads") + 1) % 5]);
+}
+
+/// Guards against a leader that goes on without its followers.
+#[test]
+fn a_cut_leader_neither_confirms_nor_refuses() {
+    cuts("a leader", |cluster| vec![cluster.leader().expect("leads")]);
+}
+
+/// Guards against two that are cut off together, one of them the leader.
+#[test]
+fn two_cut_at_once_neither_confirm_nor_refuse() {
+    cuts("a leader and another member", |cluster| {
+        let leader = cluster.leader().expect("leads");
+        vec![leader, (leader + 2) % 5]
+    });
+}
+
+/// Guards against a leader that is cut from its followers and not from operators, relays and stores, and the reverse.
+#[test]
+fn a_leader_cut_from_one_side_only() {
+    for seed in 0..20 {
+        let mut cluster = formed(seed, CORE, 2, 3);
+        call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first")));
+        let leader = cluster.leader().expect("leads");
+        let followers: Vec<usize> = (0..CORE).filter(|node| *node != leader).collect();
+        let others: Vec<usize> = (CORE..NODES).collect();
+        cut(&mut cluster, leader, &followers, Direction::Both);
+        let mut traffic = Traffic::new(1);
+        pass(&mut cluster, &mut traffic, 20_000 * MS, followers[0], &[leader, 3]);
+        assert!(!is_in_touch(&cluster, leader), "seed {seed}");
+        assert!(is_in_touch(&cluster, 3), "seed {seed}: a relay finds the new leader");
+        cluster.heal();
+        until_in_touch(&mut cluster, leader);
+        // Now the core is whole, and its leader is out of the others' reach.
+        cluster.run(2_000 * MS);
+        let leader = cluster.leader().expect("leads");
+        cut(&mut cluster, leader, &others, Direction::Both);
+        pass(&mut cluster, &mut traffic, 20_000 * MS, leader, &[3]);
+        assert!(is_in_touch(&cluster, leader), "seed {seed}");
+        cluster.heal();
+        until_in_touch(&mut cluster, 3);
+        pass(&mut cluster, &mut traffic, 2_000 * MS, 3, &[leader]);
+        cluster.checks.finish();
+        assert_eq!(cluster.checks.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(traffic.acknowledged > 20, "seed {seed}: {} changes", traffic.acknowledged);
+    }
+}
+
+/// Guards against readiness that comes and goes with ordinary changes of the leader.
+#[test]
+fn a_change_of_leader_costs_nobody_contact() {
+    for seed in 0..100 {
+        let mut cluster = formed(seed, 4, 2, 3);
+        cluster.run(1_500 * MS + seed * 31 * MS);
+        let leader = cluster.leader().expect("leads");
+        cluster.kill(leader);
+        cluster.run(8_000 * MS);
+        assert_eq!(cluster.checks.lapses, 0, "seed {seed}");
+    }
+}
+
+/// Guards against contact that comes and goes on links that are slow or lose a part of what they carry.
+#[test]
+fn slow_and_lossy_links_keep_contact() {
+    let mut lapses = 0;
+    for seed in 0..40 {
+        let mut cluster = formed(seed, CORE, 2, 3);
+        call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first")));
+        cluster.drop_percent = 5;
+        let slow = cluster.random.below(NODES);
+        for other in 0..NODES {
+            cluster.slow.insert((slow, other), 150 * MS);
+            cluster.slow.insert((other, slow), 150 * MS);
+        }
+        let mut traffic = Traffic::new(1);
+        pass(&mut cluster, &mut traffic, 60_000 * MS, (slow + 1) % NODES, &[slow]);
+        lapses += cluster.checks.lapses;
+        cluster.checks.finish();
+        assert_eq!(cluster.checks.broken, Vec::<String>::new(), "seed {seed}");
+        assert!(traffic.acknowledged > 20, "seed {seed}: {} changes", traffic.acknowledged);
+    }
+    println!("{lapses} lapses of contact in 40 minutes of 8 machines at 5 % loss");
+    assert!(lapses <= 8, "{lapses} lapses");
+}
+
+/// Guards against a process that stood still and takes its lease, or an answer that waited for it, for new.
+#[test]
+fn a_process_that_stood_still_is_out_of_touch() {
+    for seed in 0..60 {
+        let mut cluster = formed(seed, CORE, 2, 3);
+        call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first")));
+        let leader = cluster.leader().expect("leads");
+        let frozen = [leader, (leader + 1) % CORE, 3][(seed % 3) as usize];
+        // The moment is drawn so that a question or its answer is under way in some runs.
+        cluster.run(1_000 * MS + seed * 17 * MS);
+        cluster.freeze(frozen, 12_000 * MS);
+        let mut traffic = Traffic::new(1);
+        let whole = if frozen == 3 { 4 } else { 3 };
+        pass(&mut cluster, &mut traffic, 11_990 * MS, whole, &[]);
+        let newest = cluster.checks.newest_acknowledged();
+        assert!(newest > 5, "seed {seed}: {newest}");
+        // It is asked before its timers ran.
+        assert!(!is_in_touch(&cluster, frozen), "seed {seed}");
+        cluster.nodes[frozen].frozen = false;
+        traffic.probe(&mut cluster, frozen);
+        cluster.nodes[frozen].frozen = true;
+        assert!(!is_in_touch(&cluster, frozen), "seed {seed}");
+        pass(&mut cluster, &mut traffic, 20 * MS, whole, &[]);
+        let version = cluster.control(frozen).expect("runs").state().config.version;
+        assert!(!is_in_touch(&cluster, frozen) || version >= newest, "seed {seed}: version {version}");
+        pass(&mut cluster, &mut traffic, 4_000 * MS, whole, &[frozen]);
+        assert!(is_in_touch(&cluster, frozen), "seed {seed}");
+        cluster.checks.finish();
+        assert_eq!(cluster.checks.broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards against a relay that takes clients while it is cut off or behind, and against a core outage that stops service.
+#[test]
+fn readiness_follows_contact() {
+    let span = 4_000 * MS;
+    let in_touch = |until| Contact::InTouch { until };
+    let mut serving = Serving::default();
+    assert_eq!(serving.until(0, Contact::LostSince(0), 5, span), None, "it has known nothing yet");
+    assert_eq!(serving.until(10, Contact::CatchingUp, 5, span), None);
+    assert_eq!(serving.until(20, in_touch(6_000), 5, span), Some(6_000));
+    assert_eq!(serving.until(7_000, Contact::LostSince(20), 3, span), Some(7_000 + span), "the core is out");
+    assert_eq!(serving.until(8_000, Contact::LostSince(20), 2, span), None, "it is cut off");
+    assert_eq!(serving.until(9_000, Contact::LostSince(20), 5, span), None, "it has not caught up");
+    assert_eq!(serving.until(9_500, Contact::CatchingUp, 5, span), None);
+    assert_eq!(serving.until(9_900, in_touch(15_000), 5, span), Some(15_000));
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod cluster;
+mod contact;
 mod formation;
 mod simulation;
 mod stalled;
--- a/crates/control/tests/control/simulation/checks.rs
+++ b/crates/control/tests/control/simulation/checks.rs
@@ -6,6 +6,9 @@
 use pewterseam_control::{Contact, CoreMember};
 use pewterseam_wire::control::ControlState;
 
+/// For so long a confirmed question counts under the settings of the simulation.
+pub const LEASE: u64 = 5_970_000;
+
 /// One life of a node.
 type NodeLife = (usize, u64);
 
@@ -28,6 +31,11 @@
     /// How often a node that was in touch was told that it is so no longer.
     pub lapses: usize,
     newest_acknowledged: u64,
+    pub now: u64,
+    /// When each version that was newer than all before was acknowledged.
+    acknowledgements: Vec<(u64, u64)>,
+    /// What was in the texts of changes that were refused.
+    refused: Vec<String>,
 }
 
 impl Checks {
@@ -81,7 +89,10 @@
                 entry.0
             ));
         }
-        self.newest_acknowledged = self.newest_acknowledged.max(version);
+        if version > self.newest_acknowledged {
+            self.newest_acknowledged = version;
+            self.acknowledgements.push((self.now, version));
+        }
         if !self.states.values().any(|(known, _)| *known == version) {
             self.broken.push(format!("version {version} was acknowledged and is in no committed state"));
         }
@@ -92,6 +103,21 @@
         self.broken.push(format!("version {version} was acknowledged before and refused now"));
     }
 
+    /// A change whose text has this in it was refused for good: it is not in force, and will not be.
+    pub fn refused(&mut self, note: String) {
+        self.refused.push(note);
+    }
+
+    /// A node that says it is in touch knows all that was acknowledged up to a lease before its contact lapses.
+    pub fn in_touch(&mut self, node: usize, contact: Contact, version: u64) {
+        let Contact::InTouch { until } = contact else { return };
+        let before = self.acknowledgements.partition_point(|(at, _)| at + LEASE < until);
+        let needed = self.acknowledgements[..before].last().map_or(0, |(_, version)| *version);
+        if version < needed {
+            self.broken.push(format!("node {node} is in touch with version {version} and lacks {needed}"));
+        }
+    }
+
     /// A read that began when this version had been acknowledged.
     pub fn read(&mut self, acknowledged_before: u64, version: u64) {
         if version < acknowledged_before {
@@ -117,6 +143,15 @@
             }
             last = last.max(*version);
         }
+        for note in &self.refused {
+            if self
+                .states
+                .values()
+                .any(|(_, text)| text.windows(note.len()).any(|part| part == note.as_bytes()))
+            {
+                self.broken.push(format!("the change {note} was refused and came in force"));
+            }
+        }
         if last < self.newest_acknowledged {
             self.broken.push(format!("version {} was acknowledged and is lost", self.newest_acknowledged));
         }
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -76,6 +76,8 @@
     pub nodes: Vec<Node>,
     /// Links that carry nothing, by direction.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// What links take longer, by direction.
+    pub slow: BTreeMap<(usize, usize), u64>,
     pub drop_percent: usize,
     pub answers: Vec<(usize, Token, Outcome)>,
     pub checks: Checks,
@@ -109,6 +111,7 @@
             random: Random::new(seed),
             nodes: Vec::new(),
             cuts: BTreeSet::new(),
+            slow: BTreeMap::new(),
             drop_percent: 0,
             answers: Vec::new(),
             checks: Checks::default(),
@@ -195,11 +198,21 @@
             }
             self.queue.pop();
             self.now = at;
+            self.checks.now = at;
             if let Some(event) = self.events.remove(&order) {
                 self.happen(event);
             }
         }
         self.now = end;
+        self.checks.now = end;
+    }
+
+    /// What each process that runs takes its contact for must be true, also of one that stands still.
+    fn check_contacts(&mut self) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let Some(control) = &node.control else { continue };
+            self.checks.in_touch(index, control.contact(self.now), control.state().config.version);
+        }
     }
 
     fn is_running(&self, node: usize, life: u64) -> bool {
@@ -250,6 +263,7 @@
             Event::Copied { node, epoch, .. } => self.copied(node, epoch),
             Event::Look => {
                 self.look();
+                self.check_contacts();
                 self.schedule(LOOK, Event::Look);
             }
         }
@@ -405,7 +419,8 @@
             self.forge_promise(from, to, *epoch);
         }
         let is_dropped = self.random.below(100) < self.drop_percent;
-        let delay = 500 + self.random.below(4_000) as u64;
+        let slower = self.slow.get(&(from, to)).copied().unwrap_or(0);
+        let delay = slower + 500 + self.random.below(4_000) as u64;
         let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(self.now + delay);
         self.links.insert((from, to), at);
         if is_dropped || self.cuts.contains(&(from, to)) {
@@ -451,6 +466,7 @@
     /// All links are whole, all processes run.
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.slow.clear();
         self.drop_percent = 0;
         self.disks.clear();
         for index in 0..self.nodes.len() {
