Control: a change that was taken is never refused; histories are checked as a register

Cause: a change was remembered for 1,000 more, and refused with 412 when it was sent again after that. Its identity was a hash that is easily collided.

Change: the state keeps the version that the newest forgotten change led to. A change on top of an older version may be one of the forgotten ones, and gets no clear answer.

--- a/crates/control/src/agreed.rs
+++ b/crates/control/src/agreed.rs
@@ -12,7 +12,8 @@
 use crate::effect::ControlError;
 use crate::entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
 
-/// So many accepted changes are remembered, so that a change that is sent again is acknowledged again.
+/// So many accepted changes are remembered, so that a change that is sent again is acknowledged again. A day has hundreds.
+/// What becomes of one that is sent again later than that: see [`Agreed::may_have_forgotten`].
 const REMEMBERED_CHANGES: usize = 1000;
 
 /// An operator's change that was accepted.
@@ -33,6 +34,9 @@
     /// What all processes use. Its index is the stamp's.
     pub state: ControlState,
     changes: Arc<VecDeque<AcceptedChange>>,
+    /// The version that the newest change which is no longer remembered led to; 0 if all are.
+    #[serde(default)]
+    forgotten: u64,
     /// The configuration in a form that changes apply to; made where it is needed.
     #[serde(skip)]
     live: Live,
@@ -69,6 +73,13 @@
         self.changes.iter().rev().find(|change| change.request == request).map(|change| change.version)
     }
 
+    /// Whether a change on top of this version may have been accepted and be remembered no longer. Of all changes on top
+    /// of one version at most one is ever accepted, and versions rise: it led to a version above its base, and that is
+    /// among the forgotten ones only if the base is below the newest of these.
+    pub(crate) fn may_have_forgotten(&self, if_match: u64) -> bool {
+        if_match < self.forgotten
+    }
+
     /// The state after an entry.
     pub(crate) fn apply(&self, entry: &Entry) -> Result<Agreed, ControlError> {
         if entry.previous != self.stamp || entry.stamp.index != self.stamp.index + 1 {
@@ -102,8 +113,10 @@
     fn remember(&mut self, change: AcceptedChange) {
         let changes = Arc::make_mut(&mut self.changes);
         changes.push_back(change);
-        if changes.len() > REMEMBERED_CHANGES {
-            changes.pop_front();
+        if changes.len() > REMEMBERED_CHANGES
+            && let Some(oldest) = changes.pop_front()
+        {
+            self.forgotten = oldest.version;
         }
     }
 
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -2,8 +2,9 @@
 
 use bytes::Bytes;
 use pewterseam_wire::identity::{DiskId, NodeName};
-use pewterseam_wire::placement::{Placement, StoreId, hash};
+use pewterseam_wire::placement::{Placement, StoreId};
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 /// The name of a state: the epoch of the leader that proposed it, and how many entries led to it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -19,21 +20,27 @@
     pub disk: DiskId,
 }
 
-/// What tells one operator's change from another: a hash of its kind, its `If-Match` and its bytes.
+/// What tells one operator's change from another: the SHA-256 digest of its kind, its `If-Match` and its bytes. A change
+/// that is sent again unchanged has the same; the same bytes on top of another version are another change.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestId(pub u64, pub u64);
+pub struct RequestId(pub [u64; 4]);
 
-const FIRST_SEED: u64 = 0x5eed;
-const SECOND_SEED: u64 = 0x0dd5_0000_5eed;
+const WHOLE: u8 = 1;
+const PATCH: u8 = 2;
 
 impl RequestId {
     pub(crate) fn of(if_match: u64, change: &Change) -> Self {
         let (kind, bytes) = match change {
-            Change::Whole(bytes) => (1, bytes),
-            Change::Patch(bytes) => (2, bytes),
+            Change::Whole(bytes) => (WHOLE, bytes),
+            Change::Patch(bytes) => (PATCH, bytes),
         };
-        let seed = if_match.wrapping_mul(4) + kind;
-        RequestId(hash(bytes, FIRST_SEED ^ seed), hash(bytes, SECOND_SEED ^ seed.rotate_left(17)))
+        let digest =
+            Sha256::new().chain_update([kind]).chain_update(if_match.to_be_bytes()).chain_update(bytes);
+        let mut words = [0; 4];
+        for (word, bytes) in words.iter_mut().zip(digest.finalize().chunks_exact(8)) {
+            *word = bytes.iter().fold(0, |word, byte| word << 8 | u64::from(*byte));
+        }
+        RequestId(words)
     }
 }
 
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -121,6 +121,9 @@
             return Decision::Answer(Outcome::Accepted { version });
         }
         let current = newest.state.config.version;
+        if if_match != current && newest.may_have_forgotten(if_match) {
+            return Decision::Answer(Outcome::Unknown);
+        }
         if if_match != current {
             return Decision::Refuse(Outcome::Conflict { current });
         }
--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -2,6 +2,7 @@
 
 use crate::simulation::cluster::{MS, Planted, document, patch};
 use crate::simulation::faults::Faults;
+use crate::simulation::history::check;
 use crate::simulation::operators::{Operator, run};
 use crate::{call, formed};
 use pewterseam_control::{OperatorRequest, Outcome, Token};
@@ -102,6 +103,8 @@
     if operators.iter().any(|operator| !operator.is_idle()) {
         broken.push("an order was not settled within 10 s of calm".to_owned());
     }
+    let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
+    broken.extend(check(&histories).err());
     cluster.checks.finish();
     broken.append(&mut cluster.checks.broken);
     for index in 0..cluster.nodes.len() {
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod contact;
 mod formation;
+mod history;
 mod simulation;
 mod stalled;
 
--- a/crates/control/tests/control/simulation/mod.rs
+++ b/crates/control/tests/control/simulation/mod.rs
@@ -5,5 +5,6 @@
 pub mod cluster;
 pub mod disk;
 pub mod faults;
+pub mod history;
 pub mod operators;
 pub mod view;
--- a/crates/control/tests/control/simulation/operators.rs
+++ b/crates/control/tests/control/simulation/operators.rs
@@ -4,6 +4,7 @@
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 
 use super::cluster::{Cluster, MS, document, patch};
+use super::history::{Action, Operation, Told};
 
 /// Without an answer for so long, an operator asks another relay.
 const SILENCE: u64 = 1_000 * MS;
@@ -26,6 +27,8 @@
     acknowledged: Vec<(u64, u64, Bytes, bool)>,
     pub completed: usize,
     pub is_stopping: bool,
+    /// What it asked for and was told, in order.
+    pub history: Vec<Operation>,
     relays: usize,
 }
 
@@ -40,6 +43,7 @@
             acknowledged: Vec::new(),
             completed: 0,
             is_stopping: false,
+            history: Vec::new(),
             relays,
         }
     }
@@ -77,9 +81,35 @@
             };
             Doing::Changing { if_match: self.based_on, version, change, is_patch, was_acknowledged: false }
         };
+        self.note_call(cluster.now);
         self.send(cluster);
     }
 
+    /// A call begins, for the history.
+    fn note_call(&mut self, now: u64) {
+        let action = match &self.doing {
+            Doing::Idle { .. } => return,
+            Doing::Reading { .. } => Action::Read,
+            Doing::Changing { if_match, version, change, .. } => {
+                Action::Change { order: (*if_match, change.to_vec()), version: *version }
+            }
+        };
+        let operation = Operation { called_at: now, answered_at: u64::MAX, action, told: Told::Nothing };
+        self.history.push(operation);
+    }
+
+    /// A call has its clear answer.
+    fn note_answer(&mut self, now: u64, outcome: &Outcome) {
+        let Some(operation) = self.history.last_mut() else { return };
+        operation.told = match outcome {
+            Outcome::Accepted { .. } => Told::Accepted,
+            Outcome::Config(config) => Told::Version(config.version),
+            Outcome::Unknown => return,
+            _ => Told::Refused,
+        };
+        operation.answered_at = now;
+    }
+
     fn send(&mut self, cluster: &mut Cluster) {
         self.token += 1;
         self.sent_at = cluster.now;
@@ -106,6 +136,7 @@
         let pause = cluster.random.below(200) as u64 * MS;
         let idle = Doing::Idle { until: cluster.now + pause };
         let doing = self.doing.clone();
+        self.note_answer(cluster.now, outcome);
         match (doing, outcome) {
             (Doing::Idle { .. }, _) => {}
             (_, Outcome::Unknown) => self.sent_at = cluster.now.saturating_sub(SILENCE - 50 * MS),
