Control tests: orders sent again, and races of operators as histories of a register

Orders after 1,001 changes, after A, B, A, with other spacing, at all members at once, while the first copy waits, after a whole state was installed, on version 0.

--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -5,6 +5,7 @@
 mod contact;
 mod formation;
 mod history;
+mod orders;
 mod simulation;
 mod stalled;
 
--- /dev/null
+++ b/crates/control/tests/control/orders.rs
@@ -0,0 +1,238 @@
+//! Two operators, and orders that are sent again.
+
+use bytes::Bytes;
+
+use crate::simulation::cluster::{Cluster, MS, document, patch};
+use crate::simulation::history::check;
+use crate::simulation::operators::{Operator, run};
+use crate::{call, formed};
+use pewterseam_control::{OperatorRequest, Outcome, Token};
+
+/// Changes that the state remembers.
+const REMEMBERED: u64 = 1_000;
+
+fn accepted(version: u64) -> Option<Outcome> {
+    Some(Outcome::Accepted { version })
+}
+
+/// The outcomes of a call that was made with this token.
+fn outcomes(cluster: &mut Cluster, token: u64) -> Vec<Outcome> {
+    let (found, others) =
+        std::mem::take(&mut cluster.answers).into_iter().partition(|(_, answered, _)| answered.0 == token);
+    cluster.answers = others;
+    let found: Vec<_> = found;
+    found.into_iter().map(|(_, _, outcome)| outcome).collect()
+}
+
+/// Makes the changes from a version to another, one after the other.
+fn change_on(cluster: &mut Cluster, from: u64, to: u64) {
+    for version in from..to {
+        let request = OperatorRequest::put(version, document(version + 1, "one of many"));
+        assert_eq!(call(cluster, 3, 1_000_000 + version, request), accepted(version + 1));
+    }
+}
+
+/// Guards against a refusal of a change that was taken and forgotten, and against a refusal that is held back without need.
+#[test]
+fn a_forgotten_order_has_no_clear_answer() {
+    let mut cluster = formed(5, 3, 2, 3);
+    let first = OperatorRequest::put(0, document(1, "first"));
+    let second = OperatorRequest::patch(1, patch(2, 77));
+    assert_eq!(call(&mut cluster, 3, 1, first.clone()), accepted(1));
+    assert_eq!(call(&mut cluster, 3, 2, second.clone()), accepted(2));
+    change_on(&mut cluster, 2, REMEMBERED);
+    // All are remembered.
+    assert_eq!(call(&mut cluster, 4, 3, first.clone()), accepted(1));
+    change_on(&mut cluster, REMEMBERED, REMEMBERED + 1);
+    // One is not.
+    assert_eq!(call(&mut cluster, 4, 4, first.clone()), Some(Outcome::Unknown));
+    assert_eq!(call(&mut cluster, 4, 5, second.clone()), accepted(2));
+    let newest = REMEMBERED + 1;
+    let other = OperatorRequest::put(1, document(2, "another on the version of the second"));
+    assert_eq!(call(&mut cluster, 4, 6, other), Some(Outcome::Conflict { current: newest }));
+    // The same after all have started again, from snapshots and logs.
+    for node in 0..cluster.nodes.len() {
+        cluster.lose_power(node);
+        cluster.start_after(node, 100 * MS);
+    }
+    cluster.run(4_000 * MS);
+    assert_eq!(call(&mut cluster, 3, 7, first), Some(Outcome::Unknown));
+    assert_eq!(call(&mut cluster, 3, 8, second), accepted(2));
+    let last = OperatorRequest::put(newest - 1, document(newest, "one of many"));
+    assert_eq!(call(&mut cluster, 3, 9, last), accepted(newest));
+}
+
+/// Guards against a change that is taken for another with the same bytes: A, then B, then A again is three changes, and
+/// each that is sent again is acknowledged as what it was.
+#[test]
+fn the_same_bytes_on_another_version_are_another_order() {
+    let mut cluster = formed(7, 3, 2, 3);
+    let timeout = |version: u64, timeout: u64| patch(version, timeout);
+    assert_eq!(call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first"))), accepted(1));
+    let orders = [
+        OperatorRequest::patch(1, timeout(2, 100)),
+        OperatorRequest::patch(2, timeout(3, 200)),
+        OperatorRequest::patch(3, timeout(4, 100)),
+    ];
+    for (order, version) in orders.iter().zip(2..) {
+        assert_eq!(call(&mut cluster, 4, version, order.clone()), accepted(version));
+    }
+    for (order, version) in orders.iter().zip(2..) {
+        assert_eq!(call(&mut cluster, 3, 10 + version, order.clone()), accepted(version));
+    }
+    // The bytes of the first on top of the newest version name a version that is not above it.
+    let stale = OperatorRequest::patch(4, timeout(2, 100));
+    assert!(matches!(call(&mut cluster, 3, 20, stale), Some(Outcome::Invalid { .. })));
+    // The same text as a whole document and as a change are two orders.
+    let whole = OperatorRequest::put(1, timeout(2, 100));
+    assert_eq!(call(&mut cluster, 3, 21, whole), Some(Outcome::Conflict { current: 4 }));
+}
+
+/// Guards against two answers to one question: other spacing or another order of keys is not the order sent unchanged. It
+/// is another order on a version that has gone, whichever member is asked.
+#[test]
+fn an_order_is_its_bytes() {
+    let mut cluster = formed(8, 3, 2, 3);
+    let text = document(1, "first");
+    assert_eq!(call(&mut cluster, 3, 1, OperatorRequest::put(0, text.clone())), accepted(1));
+    let spaced = Bytes::from(String::from_utf8_lossy(&text).replace(':', ": "));
+    for node in 0..5 {
+        let again = call(&mut cluster, node, 10 + node as u64, OperatorRequest::put(0, text.clone()));
+        assert_eq!(again, accepted(1), "node {node}");
+        let other = call(&mut cluster, node, 20 + node as u64, OperatorRequest::put(0, spaced.clone()));
+        assert_eq!(other, Some(Outcome::Conflict { current: 1 }), "node {node}");
+    }
+}
+
+/// Guards against an order that is taken twice or refused while its first copy waits, and against a member that has not
+/// applied the commit: the same order goes to all members at once, and again at once after each answer.
+#[test]
+fn copies_of_one_order_get_one_outcome() {
+    for seed in 0..50 {
+        let mut cluster = formed(seed, 3, 2, 3);
+        assert_eq!(call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first"))), accepted(1));
+        let order = OperatorRequest::put(1, document(2, "once"));
+        let other = OperatorRequest::put(1, document(2, "the other operator's"));
+        let both = [order.clone(), other.clone()];
+        for copy in 0..10 {
+            let request = both[copy % 2].clone();
+            cluster.operator(copy % 5, Token(100 + copy as u64), request);
+            if seed % 2 == 0 {
+                cluster.run(cluster.now % 7 * MS / 2);
+            }
+        }
+        cluster.run(1_000 * MS);
+        let told: Vec<Vec<Outcome>> = (0..10).map(|copy| outcomes(&mut cluster, 100 + copy)).collect();
+        let winner = if told[0] == [Outcome::Accepted { version: 2 }] { 0 } else { 1 };
+        for (copy, outcome) in told.iter().enumerate() {
+            let expected = match copy % 2 == winner {
+                true => Outcome::Accepted { version: 2 },
+                false => Outcome::Conflict { current: 2 },
+            };
+            assert_eq!(*outcome, [expected], "seed {seed}: copy {copy}");
+        }
+        for node in 0..5 {
+            let again = call(&mut cluster, node, 200 + node as u64, both[winner].clone());
+            assert_eq!(again, accepted(2), "seed {seed}: node {node}");
+        }
+    }
+}
+
+/// Guards against a state that is installed whole and has lost what was taken: a member that slept through more than the
+/// history holds leads, and is asked again.
+#[test]
+fn orders_are_remembered_across_an_install() {
+    let mut cluster = formed(9, 3, 2, 3);
+    let sleeper = (cluster.leader().expect("leads") + 1) % 3;
+    assert_eq!(call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first"))), accepted(1));
+    cluster.kill(sleeper);
+    change_on(&mut cluster, 1, 120);
+    cluster.start_after(sleeper, 10 * MS);
+    cluster.run(4_000 * MS);
+    let other = (0..3).find(|node| *node != sleeper).expect("three");
+    // Only the one that slept, and one other, are left.
+    cluster.kill(other);
+    cluster.run(6_000 * MS);
+    for version in [1, 60, 120] {
+        let note = if version == 1 { "first" } else { "one of many" };
+        let again = OperatorRequest::put(version - 1, document(version, note));
+        assert_eq!(call(&mut cluster, sleeper, 500 + version, again), accepted(version));
+    }
+}
+
+/// Guards against a change without a base that passes on top of one: a missing `If-Match` counts as 0.
+#[test]
+fn an_order_on_version_0_is_the_first_or_none() {
+    let mut cluster = formed(10, 3, 2, 3);
+    assert_eq!(call(&mut cluster, 3, 1, OperatorRequest::put(0, document(4, "first"))), accepted(4));
+    let without = OperatorRequest::put(0, document(5, "without a base"));
+    assert_eq!(call(&mut cluster, 3, 2, without), Some(Outcome::Conflict { current: 4 }));
+}
+
+/// Two operators write from the same version at two members while something happens. Returns what broke.
+fn race(seed: u64, happens: impl Fn(&mut Cluster, u64)) -> (Vec<String>, usize) {
+    let mut cluster = formed(seed, 3, 2, 3);
+    let mut operators = [Operator::new(1, 5), Operator::new(2, 5), Operator::new(3, 5)];
+    for round in 0..4 {
+        run(&mut cluster, &mut operators, (100 + (seed * 37 + round * 211) % 900) * MS);
+        happens(&mut cluster, round);
+        run(&mut cluster, &mut operators, 2_500 * MS);
+        cluster.heal();
+    }
+    for operator in &mut operators {
+        operator.is_stopping = true;
+    }
+    run(&mut cluster, &mut operators, 8_000 * MS);
+    let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
+    let completed = histories.iter().map(Vec::len).sum();
+    let mut broken = std::mem::take(&mut cluster.checks.broken);
+    broken.extend(check(&histories).err());
+    cluster.checks.finish();
+    broken.append(&mut cluster.checks.broken);
+    (broken, completed)
+}
+
+fn races(name: &str, happens: impl Fn(&mut Cluster, u64)) {
+    let (mut broken, mut completed) = (Vec::new(), 0);
+    for seed in 0..200 {
+        let (found, calls) = race(seed, &happens);
+        broken.extend(found.into_iter().map(|line| format!("seed {seed}: {line}")));
+        completed += calls;
+    }
+    println!("{name}: {completed} calls in 200 histories, {} lines broken", broken.len());
+    assert_eq!(broken, Vec::<String>::new());
+    assert!(completed > 200 * 20, "the operators got hardly anything done");
+}
+
+/// Guards against two changes on one version, and old reads, while the leader changes.
+#[test]
+fn histories_hold_across_changes_of_leader() {
+    races("changes of leader", |cluster, round| {
+        let Some(leader) = cluster.leader() else { return };
+        match round % 3 {
+            0 => cluster.kill(leader),
+            1 => cluster.freeze(leader, 2_300 * MS),
+            _ => {
+                cluster.lose_power(leader);
+                cluster.start_after(leader, 200 * MS);
+            }
+        }
+    });
+}
+
+/// Guards against the same on the two sides of a cut, where each operator reaches members of both.
+#[test]
+fn histories_hold_across_cuts() {
+    races("cuts", |cluster, round| {
+        let leader = cluster.leader().unwrap_or(0);
+        let side = [leader, 3 + (round % 2) as usize];
+        for from in 0..cluster.nodes.len() {
+            for to in 0..cluster.nodes.len() {
+                let crosses = side.contains(&from) != side.contains(&to);
+                if crosses && (round != 1 || side.contains(&from)) && (round != 2 || side.contains(&to)) {
+                    cluster.cuts.insert((from, to));
+                }
+            }
+        }
+    });
+}
--- a/crates/control/tests/control/stalled.rs
+++ b/crates/control/tests/control/stalled.rs
@@ -152,3 +152,26 @@
         assert_eq!(cluster.checks.broken, Vec::<String>::new(), "seed {seed}");
     }
 }
+
+/// Guards against a member with a stalled disk that stands again and again, and so raises the epoch for nothing: it stands
+/// once, learns that its disk owes a sync, and leaves elections to others.
+#[test]
+fn a_member_with_a_stalled_disk_stands_once() {
+    for seed in 0..30 {
+        let mut cluster = formed(seed, 3, 1, 3);
+        let stalled = cluster.leader().expect("leads");
+        let (gone, other) = ((stalled + 1) % 3, (stalled + 2) % 3);
+        cluster.kill(gone);
+        assert!(stand_on_a_stalled_disk(&mut cluster, stalled), "seed {seed}: it did not stand");
+        cluster.run(10_000 * MS);
+        assert_eq!(cluster.leader(), None, "seed {seed}");
+        // One request for promises to each of the others.
+        assert_eq!(cluster.stood.get(&stalled), Some(&2), "seed {seed}");
+        assert_eq!(cluster.stood.get(&other), None, "seed {seed}: a stalled disk promises nothing");
+        cluster.start_after(gone, 10 * MS);
+        cluster.run(5_000 * MS);
+        assert!(cluster.leader().is_some_and(|leader| leader != stalled), "seed {seed}");
+        cluster.checks.finish();
+        assert_eq!(cluster.checks.broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
