--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -2,8 +2,12 @@
 
 mod changes;
 mod cluster;
+mod contact;
 mod formation;
+mod history;
+mod orders;
 mod simulation;
+mod stalled;
 
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 use simulation::cluster::{Cluster, MS};
