Cluster harness: long cuts, one-way and from hosts, full disks, many ends at once, faults in a repair

Change: scenarios of their own plans; LongTroubles (5, 20, 60 s: cuts both ways and one way, between relays and hosts, freezes, stalled, slow and full disks; of the leader, core, plain relays, stores, two at once) and OverlappingFaults (kills and losses of power of many at one moment, the next fault 0 to 6 s after a return).

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -9,13 +9,15 @@
 use crate::configuration::LIMITED;
 use crate::event::{Event, Input, Life, StartCall};
 use crate::hosts::{Reaction, Run, answer};
-use crate::plan::{MILLISECOND, Planted};
+use crate::plan::{MILLISECOND, Planted, SECOND};
 use crate::world::World;
 
 /// An answer that is complete so long before the time-out counts as one in time.
 const IN_TIME: Micros = 50 * MILLISECOND;
 /// How long a connection was idle, as far as the decisions are told.
 const IDLE_FOR: Micros = 100 * MILLISECOND;
+/// A relay that dials a host that does not answer gives up then.
+const CONNECT_TIMEOUT: Micros = SECOND;
 /// A planted fault uses a permit so often again, each time after a pause.
 const KEPT_USES: Micros = 60;
 const KEPT_USE_PAUSE: Micros = 50 * MILLISECOND;
@@ -43,6 +45,16 @@
 }
 
 impl World {
+    pub(crate) fn is_cut_from_hosts(&self, life: Life) -> bool {
+        self.machines[life.machine].cut_from_hosts_until > self.now
+    }
+
+    /// When something that is sent now between a relay and a host arrives. A cut holds it up.
+    fn host_arrival(&mut self, life: Life) -> Micros {
+        let sent = self.machines[life.machine].cut_from_hosts_until.max(self.now);
+        sent + self.network.delay()
+    }
+
     pub(crate) fn start_call(&mut self, life: Life, start: StartCall) {
         let key = CallKey { life, attempt: start.attempt };
         let address = start.target.address;
@@ -52,11 +64,12 @@
         let (timeout, confirm) = (start.timeout, start.confirm);
         let call = Call { start, started_at: self.now, is_new, run: None };
         self.calls.open.insert(key, call);
-        let delay = self.network.delay();
-        if is_new && self.hosts.at(address).is_none() {
-            self.agenda.add(self.now + delay, Event::CallAnswered(key, AttemptResult::ConnectFailed));
+        let arrival = self.host_arrival(life);
+        if is_new && (self.is_cut_from_hosts(life) || self.hosts.at(address).is_none()) {
+            let at = if self.is_cut_from_hosts(life) { self.now + CONNECT_TIMEOUT } else { arrival };
+            self.agenda.add(at, Event::CallAnswered(key, AttemptResult::ConnectFailed));
         } else if is_new || confirm {
-            self.agenda.add(self.now + delay, Event::CallOpened(key));
+            self.agenda.add(arrival, Event::CallOpened(key));
         } else {
             self.call_written(key);
         }
@@ -64,8 +77,8 @@
     }
 
     pub(crate) fn call_written(&mut self, key: CallKey) {
-        let delay = self.network.delay();
-        self.agenda.add(self.now + delay, Event::CallArrives(key));
+        let arrival = self.host_arrival(key.life);
+        self.agenda.add(arrival, Event::CallArrives(key));
         let is_limited = self.calls.open.get(&key).is_some_and(|call| call.start.target.instance.is_none());
         let keeps_permits = self.plan.planted == Some(Planted::LatePermits) && is_limited;
         if keeps_permits && self.is_cut_off(key.life.machine) {
@@ -95,23 +108,23 @@
     pub(crate) fn call_arrives(&mut self, key: CallKey) {
         let Some(call) = self.calls.open.get(&key) else { return };
         let (target, request_id) = (call.start.target.clone(), call.start.request_id.clone());
-        let delay = self.network.delay();
+        let body = call.start.body.clone();
+        let arrival = self.host_arrival(key.life);
         let Some(host) = self.hosts.at(target.address) else {
-            self.agenda.add(self.now + delay, Event::CallAnswered(key, AttemptResult::Broken));
+            self.agenda.add(arrival, Event::CallAnswered(key, AttemptResult::Broken));
             return;
         };
         let service = self.hosts.all[host].service;
         if service == LIMITED {
             self.judge.arrived(self.now);
         }
-        let body = call.start.body.clone();
         match self.hosts.react(self.now, host, &target, &request_id) {
             Reaction::Answers { status, not_executed } => {
                 let result = answer(status, not_executed, None);
-                self.agenda.add(self.now + delay, Event::CallAnswered(key, result));
+                self.agenda.add(arrival, Event::CallAnswered(key, result));
             }
             Reaction::Resets => {
-                self.agenda.add(self.now + delay, Event::CallAnswered(key, AttemptResult::Broken));
+                self.agenda.add(arrival, Event::CallAnswered(key, AttemptResult::Broken));
             }
             Reaction::Runs { status, took, is_answer_lost } => {
                 self.judge.run_starts(self.now, &request_id, &body, key.life, service);
@@ -137,10 +150,10 @@
         }
         let signature = (run.status == 200).then(|| std::sync::Arc::from(format!("s-{number}")));
         self.judge.run_ends(self.now, &run.request_id, run.status, signature.clone());
-        let delay = self.network.delay();
+        let arrival = self.host_arrival(run.call.life);
         let result =
             if run.is_answer_lost { AttemptResult::Broken } else { answer(run.status, false, signature) };
-        self.agenda.add(self.now + delay, Event::CallAnswered(run.call, result));
+        self.agenda.add(arrival, Event::CallAnswered(run.call, result));
     }
 
     pub(crate) fn call_answered(&mut self, key: CallKey, result: AttemptResult) {
@@ -158,14 +171,14 @@
 
     pub(crate) fn call_times_out(&mut self, key: CallKey) {
         if let Some(call) = self.calls.open.remove(&key) {
-            self.drop_run(&call);
+            self.drop_run(key.life, &call);
             self.end_call(key, &call, AttemptResult::TimedOut);
         }
     }
 
     pub(crate) fn abort(&mut self, key: CallKey) {
         if let Some(call) = self.calls.open.remove(&key) {
-            self.drop_run(&call);
+            self.drop_run(key.life, &call);
             self.end_call(key, &call, AttemptResult::Broken);
         }
     }
@@ -178,8 +191,11 @@
         self.agenda.add(self.now, Event::Process(key.life, input));
     }
 
-    /// The host sees that the connection closed.
-    fn drop_run(&mut self, call: &Call) {
+    /// The host sees that the connection closed, unless a cut keeps it from the host.
+    fn drop_run(&mut self, life: Life, call: &Call) {
+        if self.is_cut_from_hosts(life) {
+            return;
+        }
         if let Some(number) = call.run
             && self.hosts.drops_work()
             && let Some(run) = self.runs.remove(&number)
@@ -194,7 +210,7 @@
         let gone: Vec<CallKey> = self.calls.open.keys().filter(|key| key.life == life).copied().collect();
         for key in gone {
             if let Some(call) = self.calls.open.remove(&key) {
-                self.drop_run(&call);
+                self.drop_run(life, &call);
             }
         }
         self.calls.idle.retain(|(of, _), _| *of != life);
--- a/crates/cluster/src/disk.rs
+++ b/crates/cluster/src/disk.rs
@@ -129,6 +129,11 @@
         self.files.fail_syncs(count);
     }
 
+    /// Leaves no room for more than is there, or room again.
+    pub fn limit(&mut self, is_full: bool) {
+        self.files.set_capacity(is_full.then(|| self.files.bytes()));
+    }
+
     /// The disk is replaced by an empty one.
     pub fn empty(&mut self) {
         self.files.lose_disk();
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -13,6 +13,7 @@
 use crate::calls::CallKey;
 use crate::disk::{DiskCommand, DiskEvent, LogName};
 use crate::faults::Fault;
+use crate::long_troubles::Trouble;
 use crate::message::PeerMessage;
 
 /// A number of a connection between two processes.
@@ -124,6 +125,7 @@
     },
     DiskDone(Life, LogName),
     Fault(Fault),
+    Trouble(Trouble),
     ClientSends {
         client: usize,
     },
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -5,7 +5,7 @@
 
 use crate::disk::Ending;
 use crate::event::{Event, Input, Life};
-use crate::plan::{MILLISECOND, SECOND};
+use crate::plan::{MILLISECOND, SECOND, Scenario};
 use crate::world::World;
 
 const MOST_FAULTS: usize = 7;
@@ -13,6 +13,17 @@
 const SLOW_BEFORE: Micros = SECOND;
 const MOST_CLOCK_STEP_MS: usize = 20_000;
 
+/// Machines by their bits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MachineSet(pub u64);
+
+impl MachineSet {
+    /// The machines of it, of so many that there are.
+    pub fn of(self, count: usize) -> impl Iterator<Item = usize> {
+        (0..count).filter(move |machine| self.0 >> machine & 1 == 1)
+    }
+}
+
 /// Trouble, or its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -51,6 +62,24 @@
         machine: usize,
         span: Micros,
     },
+    /// Nothing comes to a machine from the others; what it sends arrives.
+    CutInbound {
+        machine: usize,
+        span: Micros,
+    },
+    /// Nothing goes from a machine to the others; what they send arrives.
+    CutOutbound {
+        machine: usize,
+        span: Micros,
+    },
+    /// Nothing goes between a relay and the hosts, either way.
+    CutFromHosts {
+        machine: usize,
+        span: Micros,
+    },
+    /// The processes of several machines end at one moment.
+    KillMany(MachineSet),
+    LosePowerOfMany(MachineSet),
     ResetConnections {
         machine: usize,
     },
@@ -62,6 +91,15 @@
         machine: usize,
         span: Micros,
     },
+    /// The disk has no room left for a while.
+    FillDisk {
+        machine: usize,
+        span: Micros,
+    },
+    /// There is room on the disk again.
+    FreeDisk {
+        machine: usize,
+    },
     FailSyncs {
         machine: usize,
     },
@@ -77,14 +115,25 @@
 impl Fault {
     /// Planned work counts as no trouble.
     fn is_planned(self) -> bool {
-        matches!(self, Fault::Stop { .. } | Fault::Start { .. })
+        matches!(self, Fault::Stop { .. } | Fault::Start { .. } | Fault::FreeDisk { .. })
     }
 }
 
 impl World {
     /// Draws the faults of this run, all within the traffic.
     pub(crate) fn draw_faults(&mut self) {
-        let count = self.random.below(MOST_FAULTS + 1);
+        match self.plan.scenario {
+            Scenario::Usual => {
+                let count = self.random.below(MOST_FAULTS + 1);
+                self.draw_usual_faults(count);
+            }
+            Scenario::LongTroubles => self.draw_long_troubles(),
+            Scenario::OverlappingFaults => self.draw_overlapping_faults(),
+        }
+    }
+
+    /// Draws so many faults of a few kinds.
+    pub(crate) fn draw_usual_faults(&mut self, count: usize) {
         let kinds = self.random.draw();
         let mut may_lose_disk = true;
         for _ in 0..count {
@@ -147,6 +196,8 @@
                     self.end_process(machine, Ending::Power, false);
                 }
             }
+            Fault::KillMany(machines) => self.end_many(machines, Ending::Process),
+            Fault::LosePowerOfMany(machines) => self.end_many(machines, Ending::Power),
             Fault::LoseDisk { machine } => {
                 self.end_process(machine, Ending::Power, false);
                 self.machines[machine].lose_disk();
@@ -165,6 +216,17 @@
                     self.cut(other, machine, span);
                 }
             }
+            Fault::CutInbound { machine, span } => {
+                (0..self.machines.len()).for_each(|other| self.cut(other, machine, span));
+            }
+            Fault::CutOutbound { machine, span } => {
+                (0..self.machines.len()).for_each(|other| self.cut(machine, other, span));
+            }
+            Fault::CutFromHosts { machine, span } => {
+                let until = (self.now + span).min(self.traffic_ends);
+                self.machines[machine].cut_from_hosts_until = until;
+                self.judge.trouble(self.now, until);
+            }
             Fault::ResetConnections { machine } => self.reset(machine),
             Fault::SlowDisk { machine, span } => {
                 let until = self.now + span;
@@ -181,6 +243,8 @@
                 self.machines[machine].stalled_until = until;
                 self.judge.trouble(self.now, until);
             }
+            Fault::FillDisk { machine, span } => self.fill_disk(machine, span),
+            Fault::FreeDisk { machine } => self.machines[machine].limit_disk(false),
             Fault::FailSyncs { machine } if self.machines[machine].process.is_none() => {}
             Fault::FailSyncs { machine } => {
                 self.machines[machine].control_log.fail_syncs(1);
@@ -194,6 +258,20 @@
         }
     }
 
+    fn end_many(&mut self, machines: MachineSet, ending: Ending) {
+        for machine in machines.of(self.machines.len()) {
+            self.end_process(machine, ending, false);
+        }
+    }
+
+    fn fill_disk(&mut self, machine: usize, span: Micros) {
+        let until = (self.now + span).min(self.traffic_ends);
+        self.machines[machine].limit_disk(true);
+        self.machines[machine].full_until = until;
+        self.judge.trouble(self.now, until);
+        self.agenda.add(until, Event::Fault(Fault::FreeDisk { machine }));
+    }
+
     fn cut(&mut self, from: usize, to: usize, span: Micros) {
         let until = (self.now + span).min(self.traffic_ends);
         self.network.cut(from, to, until);
@@ -238,11 +316,18 @@
         if self.machines[machine].process.is_some() {
             return;
         }
+        if self.machines[machine].full_until > self.now {
+            self.agenda.add(self.machines[machine].full_until, Event::Fault(Fault::Start { machine }));
+            return;
+        }
         let (seeds, seed) = (self.seeds.clone(), self.random.draw());
         let is_first = self.machines[machine].life == 0;
         self.machines[machine].start(self.now, &seeds, is_first, seed, self.plan.planted);
         let life = self.life(machine);
         self.agenda.add(self.now, Event::Process(life, Input::Wake));
+        if !is_first {
+            self.strike_again(machine);
+        }
         let hosts = self.hosts.list();
         let input = Input::Host(pewterseam_delivery::Input::Hosts(hosts));
         self.agenda.add(self.now + 100 * MILLISECOND, Event::Process(life, input));
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -14,11 +14,13 @@
 mod hash_seeds;
 mod hosts;
 mod judge;
+mod long_troubles;
 mod machine;
 mod message;
 mod network;
 mod node;
 mod operators;
+mod overlap;
 mod plan;
 mod process;
 mod reads;
@@ -28,7 +30,7 @@
 mod store;
 mod world;
 
-pub use plan::{Plan, Planted};
+pub use plan::{Plan, Planted, Scenario};
 pub use report::{Breach, Report, Rule};
 
 /// Plays a cluster on a thread of its own, so that its hash maps begin from the same keys each time.
--- a/crates/cluster/src/machine.rs
+++ b/crates/cluster/src/machine.rs
@@ -43,6 +43,10 @@
     pub slow_until: Micros,
     /// No sync ends before then.
     pub stalled_until: Micros,
+    /// The disk has no room left until then.
+    pub full_until: Micros,
+    /// Nothing goes between it and the hosts until then.
+    pub cut_from_hosts_until: Micros,
     /// The earliest wake that is on the agenda.
     pub wake_at: Micros,
 }
@@ -64,6 +68,8 @@
             frozen_until: 0,
             slow_until: 0,
             stalled_until: 0,
+            full_until: 0,
+            cut_from_hosts_until: 0,
             wake_at: Micros::MAX,
         }
     }
@@ -90,6 +96,11 @@
         }
     }
 
+    /// Whether its process leads the core, as far as it knows.
+    pub fn is_leader(&self) -> bool {
+        self.relay().is_some_and(|relay| relay.node.is_leader())
+    }
+
     /// Whether the platform passes new connections to it.
     pub fn is_ready(&self) -> bool {
         self.relay().is_some_and(RelayProcess::is_ready)
@@ -155,6 +166,12 @@
         self.message_log.end(ending, random);
     }
 
+    /// The disk has no room left, or room again.
+    pub fn limit_disk(&mut self, is_full: bool) {
+        self.control_log.limit(is_full);
+        self.message_log.limit(is_full);
+    }
+
     /// The disk is replaced by an empty one. Only while no process runs.
     pub fn lose_disk(&mut self) {
         if let Some(DiskId(disk)) = self.disk {
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -112,6 +112,10 @@
         self.membership.has_joined() && self.control.is_current()
     }
 
+    pub fn is_leader(&self) -> bool {
+        self.control.is_leader()
+    }
+
     pub fn state(&self) -> &Arc<ControlState> {
         self.control.state()
     }
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -20,6 +20,18 @@
     NoClaims,
 }
 
+/// What kind of days a run plays.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Scenario {
+    /// Seconds of traffic with faults of all kinds.
+    #[default]
+    Usual,
+    /// A minute or more, with cuts of 5, 20 and 60 s, long freezes and disks that fail for long.
+    LongTroubles,
+    /// Many machines end at one moment, and the next fault strikes while the last one is under repair.
+    OverlappingFaults,
+}
+
 /// A run of a cluster. The same plan gives the same run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -27,21 +39,27 @@
     pub planted: Option<Planted>,
     /// Syncs of disks fail now and then.
     pub syncs_fail: bool,
+    pub scenario: Scenario,
 }
 
 impl Plan {
     /// A run of the program as it is.
     pub fn of_seed(seed: u64) -> Self {
-        Plan { seed, planted: None, syncs_fail: false }
+        Plan { seed, planted: None, syncs_fail: false, scenario: Scenario::Usual }
+    }
+
+    /// A run of the program as it is, on days of a kind.
+    pub fn of_scenario(seed: u64, scenario: Scenario) -> Self {
+        Plan { scenario, ..Plan::of_seed(seed) }
     }
 
     /// A run in which syncs of disks fail now and then.
     pub fn with_failing_syncs(seed: u64) -> Self {
-        Plan { seed, planted: None, syncs_fail: true }
+        Plan { syncs_fail: true, ..Plan::of_seed(seed) }
     }
 
-    /// A run with a planted fault.
-    pub fn planted(seed: u64, planted: Planted) -> Self {
-        Plan { seed, planted: Some(planted), syncs_fail: false }
+    /// The same run with a planted fault.
+    pub fn with_planted(self, planted: Planted) -> Self {
+        Plan { planted: Some(planted), ..self }
     }
 }
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -23,7 +23,7 @@
 use crate::machine::Machine;
 use crate::network::Network;
 use crate::operators::Operator;
-use crate::plan::{MILLISECOND, Plan, SECOND};
+use crate::plan::{MILLISECOND, Plan, SECOND, Scenario};
 use crate::report::Report;
 
 const CORE_RELAYS: usize = 3;
@@ -32,6 +32,12 @@
 const TRAFFIC_BEGINS: Micros = 4 * SECOND;
 const LEAST_TRAFFIC_MS: usize = 3_000;
 const MORE_TRAFFIC_MS: usize = 4_000;
+/// The same where troubles are long.
+const LEAST_LONG_TRAFFIC_MS: usize = 30_000;
+const MORE_LONG_TRAFFIC_MS: usize = 60_000;
+/// The same where faults overlap.
+const LEAST_OVERLAP_TRAFFIC_MS: usize = 12_000;
+const MORE_OVERLAP_TRAFFIC_MS: usize = 8_000;
 const LEAST_CLIENTS: usize = 40;
 const MORE_CLIENTS: usize = 80;
 /// The same where the limited service has more to do than it allows.
@@ -39,6 +45,8 @@
 const LIST_PERIOD: Micros = 400 * MILLISECOND;
 /// From the end of the traffic, when everything is back, to the first reads.
 const CALM: Micros = 4 * SECOND;
+/// A probe without an answer ends then.
+const PROBE_TIMEOUT: Micros = SECOND;
 const READ_ROUNDS: usize = 5;
 const READ_ROUND: Micros = 1_700 * MILLISECOND;
 
@@ -64,6 +72,8 @@
     pub(crate) final_config: Option<Arc<ConfigDocument>>,
     states: BTreeMap<u64, StatusResult>,
     bodies: BTreeMap<u64, Option<Record>>,
+    /// Faults that may still follow on another.
+    pub(crate) strikes_left: usize,
     pub(crate) traffic_begins: Micros,
     pub(crate) traffic_ends: Micros,
     pub(crate) judge: Judge,
@@ -72,7 +82,7 @@
 impl World {
     pub fn new(plan: Plan) -> Self {
         let mut random = Random::new(plan.seed.wrapping_mul(0x2545_f491_4f6c_dd1d));
-        let span = (LEAST_TRAFFIC_MS + random.below(MORE_TRAFFIC_MS)) as Micros * MILLISECOND;
+        let span = random_span(&mut random, plan.scenario);
         let machines = machines();
         let seeds = machines[..CORE_RELAYS].iter().map(|machine| machine.address).collect();
         World {
@@ -95,6 +105,7 @@
             final_config: None,
             states: BTreeMap::new(),
             bodies: BTreeMap::new(),
+            strikes_left: 0,
             traffic_begins: TRAFFIC_BEGINS,
             traffic_ends: TRAFFIC_BEGINS + span,
             judge: Judge::default(),
@@ -156,6 +167,7 @@
             Event::Closed { connection, at_dialer } => self.closed(connection, at_dialer),
             Event::DiskDone(life, name) => self.disk_done(life, name),
             Event::Fault(fault) => self.fault(fault),
+            Event::Trouble(trouble) => self.trouble(trouble),
             Event::ClientSends { client } => self.client_sends(client),
             Event::ClientHears { client, request, answer } => self.client_hears(client, request, answer),
             Event::OperatorActs { operator } => self.operator_acts(operator),
@@ -243,9 +255,11 @@
             Output::Withhold(attempt) => self.withhold(key(attempt)),
             Output::Abort(attempt) => self.abort(key(attempt)),
             Output::Probe { host, target } => {
-                let healthy = self.hosts.is_healthy(&target);
+                let is_cut = self.is_cut_from_hosts(life);
+                let healthy = !is_cut && self.hosts.is_healthy(&target);
                 let input = Input::Host(DeliveryInput::Probed { host, healthy });
-                self.agenda.add(self.now + 5 * MILLISECOND, Event::Process(life, input));
+                let took = if is_cut { PROBE_TIMEOUT } else { 5 * MILLISECOND };
+                self.agenda.add(self.now + took, Event::Process(life, input));
             }
             Output::CloseIdle { address } => self.close_idle(life, address),
             Output::InForce(state) => self.judge.in_force(life, &state),
@@ -326,6 +340,16 @@
     }
 }
 
+/// How long the traffic lasts.
+fn random_span(random: &mut Random, scenario: Scenario) -> Micros {
+    let (least, more) = match scenario {
+        Scenario::Usual => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
+        Scenario::LongTroubles => (LEAST_LONG_TRAFFIC_MS, MORE_LONG_TRAFFIC_MS),
+        Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
+    };
+    (least + random.below(more)) as Micros * MILLISECOND
+}
+
 fn machines() -> Vec<Machine> {
     let relays = CORE_RELAYS + OTHER_RELAYS;
     let relay =
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -1,11 +1,19 @@
 //! The judge finds faults that are planted in the drivers.
 
-use pewterseam_cluster::{Plan, Planted, Rule, run};
+use pewterseam_cluster::{Plan, Planted, Rule, Scenario, run};
 
 /// Plays seeds until the planted fault breaks the rule that it should break; the seed that shows it.
 fn find(planted: Planted, rule: Rule, most_seeds: u64) -> u64 {
+    find_in(Scenario::Usual, planted, rule, most_seeds)
+}
+
+/// The same on days of a kind.
+fn find_in(scenario: Scenario, planted: Planted, rule: Rule, most_seeds: u64) -> u64 {
     let breaks = |plan: Plan| run(plan).breaches.iter().any(|breach| breach.rule == rule);
-    let shows = |seed: &u64| breaks(Plan::planted(*seed, planted)) && !breaks(Plan::of_seed(*seed));
+    let shows = |seed: &u64| {
+        let plan = Plan::of_scenario(*seed, scenario);
+        breaks(plan.with_planted(planted)) && !breaks(plan)
+    };
     let found = (1..=most_seeds).find(shows);
     let seed = found.unwrap_or_else(|| panic!("{planted:?} breaks no {rule:?} in {most_seeds} clusters"));
     println!("{planted:?} breaks {rule:?} at seed {seed}");
