find: permits of one service granted twice after a cut of 5 s; linearizability of the configuration

Cause: the judge took an acknowledgement that came beside the last read for a lost change, knew neither reads nor refusals, and operators made few changes. Change: history.rs checks what operators send and hear as a register with compare-and-set: reads after an acknowledgement, refusals that name a version, resends of acknowledged changes, what was refused and is in force. The scenario ManyChanges has three operators make 300 changes in quick succession. Planted faults: StaleReads, ForgottenChanges.

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -18,6 +18,8 @@
 const IDLE_FOR: Micros = 100 * MILLISECOND;
 /// A relay that dials a host that does not answer gives up then.
 const CONNECT_TIMEOUT: Micros = SECOND;
+/// `contactMs`: what arrives so soon after a cut counts as held up.
+const HELD_UP: Micros = 4 * SECOND;
 /// A planted fault uses a permit so often again, each time after a pause.
 const KEPT_USES: Micros = 60;
 const KEPT_USE_PAUSE: Micros = 50 * MILLISECOND;
@@ -49,6 +51,12 @@
         self.machines[life.machine].cut_from_hosts_until > self.now
     }
 
+    /// Whether a cut may have held up what arrives now.
+    fn was_cut_from_hosts(&self, life: Life) -> bool {
+        let until = self.machines[life.machine].cut_from_hosts_until;
+        until > 0 && self.now < until + HELD_UP
+    }
+
     /// When something that is sent now between a relay and a host arrives. A cut holds it up.
     fn host_arrival(&mut self, life: Life) -> Micros {
         let sent = self.machines[life.machine].cut_from_hosts_until.max(self.now);
@@ -83,7 +91,8 @@
         let keeps_permits = self.plan.planted == Some(Planted::LatePermits) && is_limited;
         if keeps_permits && self.is_cut_off(key.life.machine) {
             for use_again in 1..=KEPT_USES {
-                self.agenda.add(self.now + use_again * KEPT_USE_PAUSE, Event::PermitUsedAgain);
+                let at = self.now + use_again * KEPT_USE_PAUSE;
+                self.agenda.add(at, Event::PermitUsedAgain(key.life));
             }
         }
     }
@@ -116,7 +125,8 @@
         };
         let service = self.hosts.all[host].service;
         if service == LIMITED {
-            self.judge.arrived(self.now);
+            let is_held_up = self.was_cut_from_hosts(key.life);
+            self.judge.arrived(self.now, key.life, is_held_up);
         }
         match self.hosts.react(self.now, host, &target, &request_id) {
             Reaction::Answers { status, not_executed } => {
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -16,12 +16,16 @@
 /// Time of one attempt.
 pub const TIMEOUT_MS: u64 = 600;
 const RETENTION_S: f64 = 90.0;
+const LEAST_TARGET_MS: u64 = 400;
+const MORE_TARGET_MS: u64 = 400;
 const MILLISECONDS_A_SECOND: f64 = 1_000.0;
 
 /// Routes of the configurations, each with its service.
 pub const PLAIN: &str = "plain";
 pub const ORDERED: &str = "ordered";
 pub const LIMITED: &str = "limited";
+/// A route that nobody uses; its number tells changes from each other.
+pub const MARK: &str = "mark";
 
 /// The endpoint of the limited service.
 pub fn limited_address() -> SocketAddr {
@@ -30,8 +34,9 @@
 
 fn route(name: &str, schedule_target_ms: u64) -> String {
     let fifo = name == ORDERED;
+    let service = if name == MARK { PLAIN } else { name };
     format!(
-        r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{name}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{RETENTION_S},"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
+        r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{RETENTION_S},"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
     )
 }
 
@@ -45,20 +50,34 @@
     )
 }
 
-/// A whole configuration.
-pub fn document(version: u64, note: u64) -> Bytes {
+/// Routes of a configuration of this mark.
+fn routes(names: &[&str], mark: u64) -> String {
+    let usual = names.iter().map(|name| route(name, LEAST_TARGET_MS + mark % MORE_TARGET_MS));
+    let all: Vec<String> = usual.chain([route(MARK, mark)]).collect();
+    all.join(",")
+}
+
+/// A whole configuration, told from others by its mark.
+pub fn document(version: u64, mark: u64) -> Bytes {
     let names = [PLAIN, ORDERED, LIMITED];
-    let routes = names.map(|name| route(name, 400 + note % 400)).join(",");
+    let routes = routes(&names, mark);
     let services = names.map(service).join(",");
     Bytes::from(format!(
-        r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"note":{note}}}"#
+        r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     ))
 }
 
 /// A change to one.
-pub fn patch(version: u64, note: u64) -> Bytes {
-    let route = route(PLAIN, 400 + note % 400);
-    Bytes::from(format!(r#"{{"version":{version},"upsert":{{"routes":[{route}]}}}}"#))
+pub fn patch(version: u64, mark: u64) -> Bytes {
+    let routes = routes(&[PLAIN], mark);
+    Bytes::from(format!(r#"{{"version":{version},"upsert":{{"routes":[{routes}]}}}}"#))
+}
+
+/// The mark of the change that led to a configuration; 0 before the first.
+pub fn mark(text: &[u8]) -> Option<u64> {
+    let compiled = CompiledConfig::compile(text).ok()?;
+    let marked = compiled.routes().find(|route| *route.name == *MARK);
+    Some(marked.map_or(0, |route| route.schedule_target_ms as u64))
 }
 
 /// What delivery is told of a configuration.
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -140,7 +140,7 @@
     OperatorHears {
         operator: usize,
         token: Token,
-        outcome: Option<Outcome>,
+        outcome: Outcome,
     },
     /// All relays are given the list of hosts.
     List,
@@ -149,7 +149,7 @@
     CallAnswered(CallKey, pewterseam_delivery::AttemptResult),
     CallTimesOut(CallKey),
     /// A planted fault has a request sent to the limited service without a permit.
-    PermitUsedAgain,
+    PermitUsedAgain(Life),
     RunEnds {
         run: u64,
     },
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -127,6 +127,7 @@
                 let count = self.random.below(MOST_FAULTS + 1);
                 self.draw_usual_faults(count);
             }
+            Scenario::ManyChanges => self.draw_troubles_of_changes(),
             Scenario::LongTroubles => self.draw_long_troubles(),
             Scenario::OverlappingFaults => self.draw_overlapping_faults(),
         }
--- a/crates/cluster/src/judge.rs
+++ b/crates/cluster/src/judge.rs
@@ -4,14 +4,16 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use pewterseam_control::Outcome;
 use pewterseam_queue::{Answer, NewMessage, StatusResult};
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::{ConfigDocument, ControlState};
 use pewterseam_wire::record::{End, MessageName};
 
-use crate::configuration::{MOST_ATTEMPTS, RATE_PER_S};
+use crate::configuration::{MOST_ATTEMPTS, RATE_PER_S, mark};
 use crate::event::Life;
 use crate::faults::Fault;
+use crate::history::{History, Interval};
 use crate::operators::Change;
 use crate::plan::{MILLISECOND, SECOND};
 use crate::report::{Breach, Report, Rule};
@@ -54,13 +56,15 @@
 pub struct Judge {
     tries: BTreeMap<Arc<str>, Try>,
     keys: BTreeMap<Arc<str>, Vec<Arc<str>>>,
-    arrivals: Vec<Micros>,
+    /// Arrivals at the limited service, and the machines that sent them.
+    arrivals: Vec<(Micros, usize)>,
     troubles: Vec<(Micros, Micros)>,
     deaths: BTreeMap<Life, Micros>,
     faults: Vec<(Micros, String)>,
-    changes: Vec<Change>,
+    history: History,
     indexes: BTreeMap<Life, u64>,
     taken: BTreeMap<u64, Arc<ConfigDocument>>,
+    marks: BTreeMap<u64, Option<u64>>,
     breaches: Vec<(Option<Arc<str>>, Rule, String)>,
     fingerprint: u64,
 }
@@ -144,9 +148,11 @@
         }
     }
 
-    /// A request arrives at the limited service.
-    pub fn arrived(&mut self, now: Micros) {
-        self.arrivals.push(now);
+    /// A request arrives at the limited service. One that a cut held up does not count.
+    pub fn arrived(&mut self, now: Micros, sender: Life, is_held_up: bool) {
+        if !is_held_up {
+            self.arrivals.push((now, sender.machine));
+        }
     }
 
     /// A host begins to work on a message.
@@ -217,67 +223,64 @@
     }
 
     /// An agreed state is in force at a process.
-    pub fn in_force(&mut self, life: Life, state: &ControlState) {
+    pub fn in_force(&mut self, now: Micros, life: Life, state: &ControlState) {
         let before = self.indexes.insert(life, state.index).unwrap_or(0);
         if before > state.index {
             let what = format!("machine {} goes back from {before} to {}", life.machine, state.index);
             self.breach(None, Rule::Config, what);
         }
-        let known = self.taken.entry(state.config.version).or_insert_with(|| state.config.clone());
-        if known.text != state.config.text {
-            let what = format!("version {} stands for two configurations", state.config.version);
-            self.breach(None, Rule::Config, what);
-        }
+        self.shown(now, &state.config);
     }
 
-    /// An operator is told 200.
-    pub fn acknowledged(&mut self, _now: Micros, change: &Change) {
-        let other = self.changes.iter().find(|known| known.if_match == change.if_match && *known != change);
-        if let Some(other) = other {
-            let what = format!(
-                "{} and {} are both acknowledged on {}",
-                other.version, change.version, change.if_match
-            );
+    /// A configuration is in force, or was shown to someone.
+    fn shown(&mut self, now: Micros, config: &Arc<ConfigDocument>) {
+        let known = self.taken.entry(config.version).or_insert_with(|| config.clone());
+        let is_same = Arc::ptr_eq(known, config) || known.text == config.text;
+        if !is_same {
+            let what = format!("version {} stands for two configurations", config.version);
             self.breach(None, Rule::Config, what);
         }
-        if !self.changes.contains(change) {
-            self.changes.push(change.clone());
+        let mark = self.marks.entry(config.version).or_insert_with(|| mark(&config.text));
+        match *mark {
+            Some(mark) => self.history.stands(now, config.version, mark),
+            None => self.breach(None, Rule::Config, format!("version {} cannot be used", config.version)),
         }
     }
 
-    /// An operator is told 412.
-    pub fn refused(&mut self, _now: Micros, change: &Change) {
-        let is_taken = self.taken.get(&change.version).is_some_and(|taken| taken.text == change.text);
-        if is_taken || self.changes.contains(change) {
-            self.breach(None, Rule::Config, format!("version {} was taken and is refused", change.version));
-        }
+    /// An operator sends a change.
+    pub fn change_sent(&mut self, now: Micros, change: &Change) {
+        self.history.sent(now, change.write());
     }
 
-    /// An operator is told 400. All changes of the harness are valid.
-    pub fn refused_as_invalid(&mut self, _now: Micros, change: &Change, errors: &[String]) {
-        let what = format!("version {} is said to be invalid: {}", change.version, errors.join("; "));
-        self.breach(None, Rule::Config, what);
-    }
-
-    /// The configuration as it is read at the end.
-    pub fn final_config(&mut self, config: Option<&ConfigDocument>) {
-        let newest = self.changes.iter().map(|change| change.version).max().unwrap_or(0);
-        match config {
-            None => self.breach(None, Rule::Config, "no configuration can be read".to_owned()),
-            Some(config) if config.version < newest => {
-                let what = format!("version {newest} was acknowledged, {} is read", config.version);
-                self.breach(None, Rule::Config, what);
+    /// A relay answers a change; the operator may not hear it.
+    pub fn change_answered(&mut self, interval: Interval, change: &Change, outcome: &Outcome) {
+        let write = change.write();
+        match outcome {
+            Outcome::Accepted { version } => self.history.accepted(interval.answered_at, write, *version),
+            Outcome::Conflict { current } => {
+                self.history.refused(write);
+                self.history.read(interval, *current);
             }
-            Some(config) => {
-                let mut same = self.changes.iter().filter(|change| change.version == config.version);
-                if same.any(|change| !change.is_patch && change.text != config.text) {
-                    let what = format!("version {} is read with another text", config.version);
-                    self.breach(None, Rule::Config, what);
-                }
+            Outcome::Invalid { errors } => {
+                self.history.refused(write);
+                let what = format!("version {} is said to be invalid: {}", write.version, errors.join("; "));
+                self.breach(None, Rule::Config, what);
             }
+            _ => {}
         }
     }
 
+    /// A relay answers a read of the configuration.
+    pub fn config_read(&mut self, interval: Interval, config: &Arc<ConfigDocument>) {
+        self.shown(interval.answered_at, config);
+        self.history.read(interval, config.version);
+    }
+
+    /// No relay shows the configuration at the end.
+    pub fn config_missing(&mut self) {
+        self.breach(None, Rule::Config, "no configuration can be read".to_owned());
+    }
+
     /// Messages that were accepted, with their names.
     pub fn accepted(&self) -> Vec<(Arc<str>, MessageName)> {
         let accepted = self.tries.iter().filter_map(|(id, message)| match &message.told {
@@ -346,12 +349,18 @@
         let most = f64::from(RATE_PER_S) * seconds * ORIGIN_OVERSHOOT + ORIGIN_SLACK;
         let mut first = 0;
         for last in 0..self.arrivals.len() {
-            while self.arrivals[first] + ORIGIN_WINDOW < self.arrivals[last] {
+            let (last_at, _) = self.arrivals[last];
+            while self.arrivals[first].0 + ORIGIN_WINDOW < last_at {
                 first += 1;
             }
-            let count = last - first + 1;
-            if count as f64 > most {
-                let what = format!("{count} arrivals in 5 s up to {}, {most} at most", self.arrivals[last]);
+            let window = &self.arrivals[first..=last];
+            if window.len() as f64 > most {
+                let mut senders = BTreeMap::<usize, usize>::new();
+                window.iter().for_each(|(_, sender)| *senders.entry(*sender).or_default() += 1);
+                let what = format!(
+                    "{} arrivals in 5 s up to {last_at}, {most} at most; by machine {senders:?}",
+                    window.len()
+                );
                 return self.breach(None, Rule::Ceiling, what);
             }
         }
@@ -361,6 +370,9 @@
     pub fn finish(mut self, seed: u64) -> Report {
         self.check_declined();
         self.check_ceiling();
+        for what in self.history.check() {
+            self.breach(None, Rule::Config, what);
+        }
         let of = |told: fn(&Told) -> bool| self.tries.values().filter(|message| told(&message.told)).count();
         Report {
             seed,
@@ -371,7 +383,7 @@
             runs: self.tries.values().map(|message| message.runs).sum(),
             ended: self.tries.values().filter(|message| message.ended_at.is_some()).count(),
             faults: self.faults.len(),
-            acknowledged_changes: self.changes.len(),
+            acknowledged_changes: self.history.count_of_accepted(),
             fingerprint: self.fingerprint,
             breaches: self.breaches.iter().map(|breach| self.traced(seed, breach)).collect(),
         }
--- a/crates/cluster/src/long_troubles.rs
+++ b/crates/cluster/src/long_troubles.rs
@@ -92,6 +92,19 @@
         self.draw_usual_faults(count);
     }
 
+    /// Draws faults while operators make many changes: usual ones, and 5 s of trouble, most of them at the leader.
+    pub(crate) fn draw_troubles_of_changes(&mut self) {
+        let count = self.random.below(MOST_USUAL_FAULTS);
+        self.draw_usual_faults(count);
+        let room = (self.traffic_ends - self.traffic_begins) as usize;
+        for _ in 0..self.random.below(MOST_TROUBLES) {
+            let at = self.traffic_begins + self.random.below(room) as Micros;
+            let target = Target::draw(&mut self.random);
+            let trouble = Trouble { target, harm: Harm::draw(&mut self.random), span: SPANS[0] };
+            self.agenda.add(at, Event::Trouble(trouble));
+        }
+    }
+
     /// A trouble begins.
     pub(crate) fn trouble(&mut self, trouble: Trouble) {
         let Some(machine) = self.choose(trouble.target) else { return };
--- a/crates/cluster/src/operators.rs
+++ b/crates/cluster/src/operators.rs
@@ -6,50 +6,120 @@
 
 use crate::configuration::{document, patch};
 use crate::event::{Event, Input};
-use crate::plan::{MILLISECOND, SECOND};
+use crate::history::{Interval, Write};
+use crate::plan::{MILLISECOND, SECOND, Scenario};
 use crate::world::World;
 
-/// Without an answer for so long, an operator asks another relay.
-const SILENCE: Micros = SECOND;
 /// Of a hundred answers, so many are lost.
 const LOST_ANSWERS: usize = 15;
-const LEAST_PAUSE_MS: usize = 300;
-const MORE_PAUSE_MS: usize = 1_500;
+/// Of a hundred acts without a change under way, so many are reads.
+const READS: usize = 15;
+/// Of a hundred acts without a change under way, so many send one again that was acknowledged.
+const REPEATS: usize = 5;
+/// All operators of a run together make so many changes where changes are many.
+const MANY_CHANGES: usize = 300;
+
+/// How fast operators are.
+#[derive(Clone, Copy, Debug)]
+struct Pace {
+    /// Without an answer for so long, an operator asks another relay.
+    silence: Micros,
+    least_pause_ms: usize,
+    more_pause_ms: usize,
+}
+
+const USUAL_PACE: Pace = Pace { silence: SECOND, least_pause_ms: 300, more_pause_ms: 1_500 };
+const QUICK_PACE: Pace = Pace { silence: 150 * MILLISECOND, least_pause_ms: 1, more_pause_ms: 40 };
 
 /// A change that is sent until its fate is known.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
     pub if_match: u64,
     pub version: u64,
+    /// Tells it from all others.
+    pub mark: u64,
     pub text: Bytes,
     pub is_patch: bool,
 }
 
+impl Change {
+    /// It, as the history of the configuration knows it.
+    pub fn write(&self) -> Write {
+        Write { if_match: self.if_match, version: self.version, mark: self.mark }
+    }
+
+    fn request(&self) -> OperatorRequest {
+        if self.is_patch {
+            OperatorRequest::patch(self.if_match, self.text.clone())
+        } else {
+            OperatorRequest::put(self.if_match, self.text.clone())
+        }
+    }
+}
+
+/// What an operator asks of a relay.
+#[derive(Clone, Debug)]
+enum Question {
+    Change(Change),
+    Read,
+}
+
+/// A call that a relay has not answered.
+#[derive(Clone, Debug)]
+pub struct OperatorCall {
+    operator: usize,
+    question: Question,
+    sent_at: Micros,
+}
+
 /// An operator.
 #[derive(Default)]
 pub struct Operator {
     based_on: u64,
     change: Option<Change>,
+    acknowledged: Vec<Change>,
     token: u64,
     /// When it acts next.
     acts_at: Micros,
 }
 
 impl World {
+    fn pace(&self) -> Pace {
+        match self.plan.scenario {
+            Scenario::ManyChanges => QUICK_PACE,
+            _ => USUAL_PACE,
+        }
+    }
+
+    /// Changes that may still begin.
+    fn may_change(&self) -> bool {
+        let is_over = self.now >= self.traffic_ends;
+        let most = if self.plan.scenario == Scenario::ManyChanges { MANY_CHANGES } else { usize::MAX };
+        !is_over && (self.last_mark as usize) < most
+    }
+
     pub(crate) fn operator_acts(&mut self, index: usize) {
         if self.operators[index].acts_at != self.now {
             return;
         }
-        let is_idle = self.operators[index].change.is_none();
-        if is_idle && self.now >= self.traffic_ends {
-            return;
+        if self.operators[index].change.is_none() {
+            if !self.may_change() {
+                return;
+            }
+            match self.random.below(100) {
+                draw if draw < READS => self.ask_relay(index, Question::Read),
+                draw if draw < READS + REPEATS => self.repeat_change(index),
+                _ => {
+                    let change = self.draw_change(index);
+                    self.operators[index].change = Some(change);
+                }
+            }
         }
-        if is_idle {
-            let change = self.draw_change(index);
-            self.operators[index].change = Some(change);
+        if let Some(change) = self.operators[index].change.clone() {
+            self.judge.change_sent(self.now, &change);
+            self.ask_relay(index, Question::Change(change));
         }
-        self.send_change(index);
-        self.let_operator_act(index, self.now + SILENCE);
+        self.let_operator_act(index, self.now + self.pace().silence);
     }
 
     pub(crate) fn let_operator_act(&mut self, index: usize, at: Micros) {
@@ -60,66 +130,87 @@
     fn draw_change(&mut self, index: usize) -> Change {
         let if_match = self.operators[index].based_on;
         let version = if_match + 1 + self.random.below(3) as u64;
-        let note = self.random.draw() >> 16;
+        self.last_mark += 1;
+        let mark = self.last_mark;
         let is_patch = if_match > 0 && self.random.below(2) == 0;
-        let text = if is_patch { patch(version, note) } else { document(version, note) };
-        Change { if_match, version, text, is_patch }
+        let text = if is_patch { patch(version, mark) } else { document(version, mark) };
+        Change { if_match, version, mark, text, is_patch }
     }
 
-    fn send_change(&mut self, index: usize) {
-        let Some(change) = self.operators[index].change.clone() else { return };
-        let request = if change.is_patch {
-            OperatorRequest::patch(change.if_match, change.text)
-        } else {
-            OperatorRequest::put(change.if_match, change.text)
-        };
-        let relays: Vec<usize> =
-            (0..self.machines.len()).filter(|index| self.machines[*index].relay().is_some()).collect();
+    /// Sends a change again that was acknowledged, as if its answer had not come.
+    fn repeat_change(&mut self, index: usize) {
+        let known = &self.operators[index].acknowledged;
+        if let Some(change) = known.get(self.random.below(known.len())).cloned() {
+            self.ask_relay(index, Question::Change(change));
+        }
+    }
+
+    fn ask_relay(&mut self, index: usize, question: Question) {
+        let is_there = |index: &usize| self.machines[*index].relay().is_some();
+        let relays: Vec<usize> = (0..self.machines.len()).filter(is_there).collect();
         let Some(relay) = relays.get(self.random.below(relays.len())).copied() else { return };
+        let request = match &question {
+            Question::Change(change) => change.request(),
+            Question::Read => OperatorRequest::ReadConfig,
+        };
         self.last_token += 1;
-        let operator = &mut self.operators[index];
-        operator.token = self.last_token;
-        self.operator_calls.insert(self.last_token, index);
+        self.operators[index].token = self.last_token;
+        let call = OperatorCall { operator: index, question, sent_at: self.now };
+        self.operator_calls.insert(self.last_token, call);
         let arrival = self.now + self.network.delay();
         let input = Input::Operator { token: Token(self.last_token), request };
         self.agenda.add(arrival, Event::Process(self.life(relay), input));
     }
 
-    /// A relay answers an operator.
+    /// Reads the configuration through a relay when all is over.
+    pub(crate) fn read_last_config(&mut self, relay: usize) {
+        self.last_token += 1;
+        let call = OperatorCall { operator: usize::MAX, question: Question::Read, sent_at: self.now };
+        self.operator_calls.insert(self.last_token, call);
+        let input = Input::Operator { token: Token(self.last_token), request: OperatorRequest::ReadConfig };
+        self.agenda.add(self.now, Event::Process(self.life(relay), input));
+    }
+
+    /// A relay answers an operator. What it answers is judged also if the operator does not hear it.
     pub(crate) fn operator_answered(&mut self, token: Token, outcome: Outcome) {
-        if let Outcome::Config(document) = &outcome {
-            self.final_config = Some(document.clone());
-            return;
+        let Some(call) = self.operator_calls.remove(&token.0) else { return };
+        let interval = Interval { sent_at: call.sent_at, answered_at: self.now };
+        match (&call.question, &outcome) {
+            (Question::Read, Outcome::Config(config)) => {
+                self.judge.config_read(interval, config);
+                self.is_config_read |= call.operator == usize::MAX;
+            }
+            (Question::Read, _) => {}
+            (Question::Change(change), outcome) => self.judge.change_answered(interval, change, outcome),
+        }
+        let is_lost = call.operator == usize::MAX || self.random.below(100) < LOST_ANSWERS;
+        if !is_lost {
+            let at = self.now + self.network.delay();
+            let event = Event::OperatorHears { operator: call.operator, token, outcome };
+            self.agenda.add(at, event);
         }
-        let Some(operator) = self.operator_calls.remove(&token.0) else { return };
-        let is_lost = self.random.below(100) < LOST_ANSWERS;
-        let outcome = (!is_lost).then_some(outcome);
-        let at = self.now + self.network.delay();
-        self.agenda.add(at, Event::OperatorHears { operator, token, outcome });
     }
 
-    pub(crate) fn operator_hears(&mut self, index: usize, token: Token, outcome: Option<Outcome>) {
+    pub(crate) fn operator_hears(&mut self, index: usize, token: Token, outcome: Outcome) {
         let operator = &mut self.operators[index];
         if operator.token != token.0 {
             return;
         }
-        let Some(change) = operator.change.clone() else { return };
         match outcome {
-            Some(Outcome::Accepted { version }) => {
+            Outcome::Config(config) => operator.based_on = operator.based_on.max(config.version),
+            Outcome::Accepted { version } => {
                 operator.based_on = operator.based_on.max(version);
-                self.judge.acknowledged(self.now, &change);
+                operator.acknowledged.extend(operator.change.take());
             }
-            Some(Outcome::Conflict { current }) => {
+            Outcome::Conflict { current } => {
                 operator.based_on = current;
-                self.judge.refused(self.now, &change);
-            }
-            Some(Outcome::Invalid { errors }) => {
-                self.judge.refused_as_invalid(self.now, &change, &errors);
+                operator.change = None;
             }
+            Outcome::Invalid { .. } => operator.change = None,
             _ => return,
         }
-        operator.change = None;
-        let pause = (LEAST_PAUSE_MS + self.random.below(MORE_PAUSE_MS)) as Micros * MILLISECOND;
+        let pace = self.pace();
+        let pause = (pace.least_pause_ms + self.random.below(pace.more_pause_ms)) as Micros * MILLISECOND;
         self.let_operator_act(index, self.now + pause);
     }
 }
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -18,6 +18,10 @@
     LatePermits,
     /// Relays run what they take over without telling the stores.
     NoClaims,
+    /// Relays answer reads of the configuration with what is in force at themselves.
+    StaleReads,
+    /// Relays pass changes on with bytes of their own, so that the core does not know one that is sent again.
+    ForgottenChanges,
 }
 
 /// What kind of days a run plays.
@@ -30,6 +34,8 @@
     LongTroubles,
     /// Many machines end at one moment, and the next fault strikes while the last one is under repair.
     OverlappingFaults,
+    /// Three operators make hundreds of changes in quick succession, during faults.
+    ManyChanges,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- /dev/null
+++ b/crates/cluster/src/planted.rs
@@ -0,0 +1,36 @@
+//! Faults of the program that are planted in relays.
+
+use bytes::Bytes;
+use pewterseam_control::{Change, OperatorRequest, Outcome, Token};
+
+use crate::event::Output;
+use crate::plan::Planted;
+use crate::relay::RelayProcess;
+
+impl RelayProcess {
+    /// An operator calls.
+    pub(crate) fn operator(&mut self, token: Token, request: OperatorRequest) {
+        match (self.planted, request) {
+            (Some(Planted::StaleReads), OperatorRequest::ReadConfig) => {
+                let outcome = Outcome::Config(self.node.state().config.clone());
+                self.node.out.push(Output::Operator { token, outcome });
+            }
+            (Some(Planted::ForgottenChanges), OperatorRequest::Configure { if_match, change }) => {
+                let change = spaced(&change, token.0 as usize % MOST_SPACES);
+                self.node.operator(token, OperatorRequest::Configure { if_match, change });
+            }
+            (_, request) => self.node.operator(token, request),
+        }
+    }
+}
+
+const MOST_SPACES: usize = 64;
+
+/// The same change in other bytes.
+fn spaced(change: &Change, spaces: usize) -> Change {
+    let with_spaces = |text: &Bytes| Bytes::from([text.as_ref(), &vec![b' '; spaces]].concat());
+    match change {
+        Change::Whole(text) => Change::Whole(with_spaces(text)),
+        Change::Patch(text) => Change::Patch(with_spaces(text)),
+    }
+}
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -50,7 +50,7 @@
     pub(crate) delivery_inputs: Vec<DeliveryInput>,
     pub(crate) stopping: Option<Stopping>,
     is_ready: bool,
-    planted: Option<Planted>,
+    pub(crate) planted: Option<Planted>,
 }
 
 impl RelayProcess {
@@ -178,7 +178,7 @@
             Input::Client(new) => self.client(*new),
             Input::ReadStatus { read, name } => self.read_status(read, &name),
             Input::ReadBody { read, name } => self.read_body(read, &name),
-            Input::Operator { token, request } => self.node.operator(token, request),
+            Input::Operator { token, request } => self.operator(token, request),
             Input::Host(input) => {
                 if let DeliveryInput::Ended { attempt, .. } = &input {
                     self.attempts.remove(attempt);
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -4,11 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use pewterseam_control::{OperatorRequest, Token};
 use pewterseam_delivery::Input as DeliveryInput;
 use pewterseam_queue::StatusResult;
 use pewterseam_wire::Micros;
-use pewterseam_wire::control::ConfigDocument;
 use pewterseam_wire::identity::Role;
 use pewterseam_wire::random::Random;
 use pewterseam_wire::record::Record;
@@ -22,7 +20,7 @@
 use crate::judge::Judge;
 use crate::machine::Machine;
 use crate::network::Network;
-use crate::operators::Operator;
+use crate::operators::{Operator, OperatorCall};
 use crate::plan::{MILLISECOND, Plan, SECOND, Scenario};
 use crate::report::Report;
 
@@ -38,6 +36,9 @@
 /// The same where faults overlap.
 const LEAST_OVERLAP_TRAFFIC_MS: usize = 12_000;
 const MORE_OVERLAP_TRAFFIC_MS: usize = 8_000;
+/// The same where changes are many.
+const LEAST_CHANGING_MS: usize = 10_000;
+const MORE_CHANGING_MS: usize = 10_000;
 const LEAST_CLIENTS: usize = 40;
 const MORE_CLIENTS: usize = 80;
 /// The same where the limited service has more to do than it allows.
@@ -67,9 +68,12 @@
     pub(crate) requests: BTreeMap<u64, (usize, Arc<str>)>,
     pub(crate) last_request: u64,
     pub(crate) operators: Vec<Operator>,
-    pub(crate) operator_calls: BTreeMap<u64, usize>,
+    pub(crate) operator_calls: BTreeMap<u64, OperatorCall>,
     pub(crate) last_token: u64,
-    pub(crate) final_config: Option<Arc<ConfigDocument>>,
+    /// The mark of the newest change of an operator.
+    pub(crate) last_mark: u64,
+    /// The configuration was read when all was over.
+    pub(crate) is_config_read: bool,
     states: BTreeMap<u64, StatusResult>,
     bodies: BTreeMap<u64, Option<Record>>,
     /// Faults that may still follow on another.
@@ -99,10 +103,11 @@
             clients: Vec::new(),
             requests: BTreeMap::new(),
             last_request: 0,
-            operators: vec![Operator::default(), Operator::default()],
+            operators: (0..count_of_operators(plan.scenario)).map(|_| Operator::default()).collect(),
             operator_calls: BTreeMap::new(),
             last_token: 0,
-            final_config: None,
+            last_mark: 0,
+            is_config_read: false,
             states: BTreeMap::new(),
             bodies: BTreeMap::new(),
             strikes_left: 0,
@@ -119,7 +124,9 @@
             self.start_process(machine);
         }
         self.let_operator_act(0, 3 * SECOND);
-        self.let_operator_act(1, self.traffic_begins);
+        for operator in 1..self.operators.len() {
+            self.let_operator_act(operator, self.traffic_begins);
+        }
         self.agenda.add(self.now, Event::List);
         self.draw_traffic();
         self.draw_faults();
@@ -179,7 +186,7 @@
             Event::CallArrives(key) => self.call_arrives(key),
             Event::CallAnswered(key, result) => self.call_answered(key, result),
             Event::CallTimesOut(key) => self.call_times_out(key),
-            Event::PermitUsedAgain => self.judge.arrived(self.now),
+            Event::PermitUsedAgain(life) => self.judge.arrived(self.now, life, false),
             Event::RunEnds { run } => self.run_ends(run),
             Event::HostsChange => self.hosts.change(self.now),
         }
@@ -262,7 +269,7 @@
                 self.agenda.add(self.now + took, Event::Process(life, input));
             }
             Output::CloseIdle { address } => self.close_idle(life, address),
-            Output::InForce(state) => self.judge.in_force(life, &state),
+            Output::InForce(state) => self.judge.in_force(self.now, life, &state),
             Output::Exit => self.end_process(life.machine, Ending::Process, true),
         }
     }
@@ -315,18 +322,15 @@
                     self.agenda.add(self.now, Event::Process(relay, input));
                 }
             }
-            if self.final_config.is_none() {
-                self.last_token += 1;
-                let request = OperatorRequest::ReadConfig;
-                let input = Input::Operator { token: Token(self.last_token), request };
-                self.agenda.add(self.now, Event::Process(relay, input));
+            if !self.is_config_read {
+                self.read_last_config(relay.machine);
             }
             self.run_until(self.now + READ_ROUND);
             let has_all = (0..accepted.len() as u64).all(|read| self.states.contains_key(&read));
             let has_bodies = accepted.iter().enumerate().all(|(number, (id, _))| {
                 self.judge.is_ended(id) || self.bodies.contains_key(&(number as u64))
             });
-            if has_all && has_bodies && self.final_config.is_some() {
+            if has_all && has_bodies && self.is_config_read {
                 break;
             }
         }
@@ -336,15 +340,22 @@
             let body = self.bodies.get(&read).and_then(Option::as_ref).map(|record| &record.body);
             self.judge.final_body(self.now, id, body);
         }
-        self.judge.final_config(self.final_config.as_deref());
+        if !self.is_config_read {
+            self.judge.config_missing();
+        }
     }
 }
 
+fn count_of_operators(scenario: Scenario) -> usize {
+    if scenario == Scenario::ManyChanges { 3 } else { 2 }
+}
+
 /// How long the traffic lasts.
 fn random_span(random: &mut Random, scenario: Scenario) -> Micros {
     let (least, more) = match scenario {
         Scenario::Usual => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
         Scenario::LongTroubles => (LEAST_LONG_TRAFFIC_MS, MORE_LONG_TRAFFIC_MS),
+        Scenario::ManyChanges => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
         Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
     };
     (least + random.below(more)) as Micros * MILLISECOND
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -43,3 +43,16 @@
 fn heirs_without_claims_are_found() {
     find(Planted::NoClaims, Rule::Twice, 400);
 }
+
+/// Guards that relays which answer reads with what is in force at themselves are found.
+#[test]
+fn stale_reads_are_found() {
+    find_in(Scenario::ManyChanges, Planted::StaleReads, Rule::Config, 20);
+    find_in(Scenario::LongTroubles, Planted::StaleReads, Rule::Config, 50);
+}
+
+/// Guards that a change which is refused when it is sent again is found.
+#[test]
+fn forgotten_changes_are_found() {
+    find(Planted::ForgottenChanges, Rule::Config, 100);
+}
--- a/crates/cluster/tests/scenarios.rs
+++ b/crates/cluster/tests/scenarios.rs
@@ -4,24 +4,75 @@
 
 mod common;
 
+use std::sync::OnceLock;
+
 use common::{assert_kept, play_all, show};
 use pewterseam_cluster::{Plan, Report, Rule, Scenario};
 
-fn play(count: u64, scenario: Scenario) -> Vec<Report> {
-    let reports = play_all(count, |seed| Plan::of_scenario(seed, scenario));
-    show(&reports);
-    reports
+/// Days of one kind, played once in this test program.
+struct Days {
+    scenario: Scenario,
+    seeds: u64,
+    reports: OnceLock<Vec<Report>>,
+}
+
+impl Days {
+    const fn new(scenario: Scenario, seeds: u64) -> Self {
+        Days { scenario, seeds, reports: OnceLock::new() }
+    }
+
+    fn reports(&self) -> &[Report] {
+        self.reports.get_or_init(|| {
+            let reports = play_all(self.seeds, |seed| Plan::of_scenario(seed, self.scenario));
+            println!("{:?}", self.scenario);
+            show(&reports);
+            reports
+        })
+    }
+
+    /// TWICE and CEILING have tests of their own.
+    fn assert_other_rules(&self) {
+        assert_kept(self.reports(), |rule| rule != Rule::Twice && rule != Rule::Ceiling);
+    }
 }
 
-/// Guards all rules over cuts of 5, 20 and 60 s, of any direction, of two machines at once and between relays and
+static LONG_TROUBLES: Days = Days::new(Scenario::LongTroubles, 150);
+static OVERLAPPING_FAULTS: Days = Days::new(Scenario::OverlappingFaults, 300);
+static MANY_CHANGES: Days = Days::new(Scenario::ManyChanges, 150);
+
+/// Guards the rules over cuts of 5, 20 and 60 s, of any direction, of two machines at once and between relays and
 /// hosts, long freezes, and disks that are stalled, slow or full for long.
 #[test]
 fn clusters_outlast_long_troubles() {
-    assert_kept(&play(100, Scenario::LongTroubles), |rule| rule != Rule::Twice);
+    LONG_TROUBLES.assert_other_rules();
 }
 
-/// Guards all rules where many machines end at one moment and faults strike while the last one is under repair.
+/// Guards the rules where many machines end at one moment and faults strike while the last one is under repair.
 #[test]
 fn clusters_outlast_overlapping_faults() {
-    assert_kept(&play(300, Scenario::OverlappingFaults), |rule| rule != Rule::Twice);
+    OVERLAPPING_FAULTS.assert_other_rules();
+}
+
+/// Guards CONFIG, as linearizability, and the other rules where three operators make 300 changes in quick succession.
+#[test]
+fn clusters_keep_hundreds_of_changes() {
+    MANY_CHANGES.assert_other_rules();
+}
+
+fn assert_on_all_days(rule: Rule) {
+    let days = [&LONG_TROUBLES, &OVERLAPPING_FAULTS, &MANY_CHANGES];
+    let reports: Vec<Report> = days.iter().flat_map(|days| days.reports().iter().cloned()).collect();
+    assert_kept(&reports, |judged| judged == rule);
+}
+
+/// Guards CEILING on days of all kinds: no cut, freeze or return lets two relays grant the permits of one service.
+#[test]
+fn clusters_keep_the_ceiling_on_long_days() {
+    assert_on_all_days(Rule::Ceiling);
+}
+
+/// Guards TWICE on days of all kinds.
+#[test]
+fn clusters_repeat_no_success_on_long_days() {
+    assert_on_all_days(Rule::Twice);
 }
