Cluster harness: stores that are retired, added and replaced, and a disk lost right after

Cause: nothing in the harness changed the set of stores but a disk that came back empty. Change: the scenario ScaleIn. An operator orders retirements, asks until a store is said to be empty, and its machine goes at once with its disk; then a disk of one of those left is lost. Stores are added, and replaced under new names. A retirement that was acknowledged and is unknown breaks CONFIG.

--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -15,6 +15,7 @@
 use crate::faults::Fault;
 use crate::long_troubles::Trouble;
 use crate::message::PeerMessage;
+use crate::scale_in::Scaling;
 
 /// A number of a connection between two processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -126,6 +127,7 @@
     DiskDone(Life, LogName),
     Fault(Fault),
     Trouble(Trouble),
+    Scaling(Scaling),
     ClientSends {
         client: usize,
     },
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -128,6 +128,7 @@
                 self.draw_usual_faults(count);
             }
             Scenario::ManyChanges => self.draw_troubles_of_changes(),
+            Scenario::ScaleIn => self.draw_scaling(),
             Scenario::LongTroubles => self.draw_long_troubles(),
             Scenario::OverlappingFaults => self.draw_overlapping_faults(),
         }
@@ -199,7 +200,9 @@
             }
             Fault::KillMany(machines) => self.end_many(machines, Ending::Process),
             Fault::LosePowerOfMany(machines) => self.end_many(machines, Ending::Power),
+            Fault::LoseDisk { .. } if !self.may_lose_disk() => {}
             Fault::LoseDisk { machine } => {
+                self.disk_lost();
                 self.end_process(machine, Ending::Power, false);
                 self.machines[machine].lose_disk();
             }
@@ -314,7 +317,7 @@
     }
 
     pub(crate) fn start_process(&mut self, machine: usize) {
-        if self.machines[machine].process.is_some() {
+        if self.machines[machine].process.is_some() || !self.machines[machine].is_present {
             return;
         }
         if self.machines[machine].full_until > self.now {
@@ -322,7 +325,7 @@
             return;
         }
         let (seeds, seed) = (self.seeds.clone(), self.random.draw());
-        let is_first = self.machines[machine].life == 0;
+        let is_first = self.now < self.traffic_begins && self.machines[machine].life == 0;
         self.machines[machine].start(self.now, &seeds, is_first, seed, self.plan.planted);
         let life = self.life(machine);
         self.agenda.add(self.now, Event::Process(life, Input::Wake));
--- a/crates/cluster/src/judge.rs
+++ b/crates/cluster/src/judge.rs
@@ -61,6 +61,7 @@
     troubles: Vec<(Micros, Micros)>,
     deaths: BTreeMap<Life, Micros>,
     faults: Vec<(Micros, String)>,
+    removed_stores: usize,
     history: History,
     indexes: BTreeMap<Life, u64>,
     taken: BTreeMap<u64, Arc<ConfigDocument>>,
@@ -86,6 +87,23 @@
         self.faults.push((now, format!("{fault:?}")));
     }
 
+    /// Something else that the faults of a run are to be read with.
+    pub fn event(&mut self, now: Micros, what: String) {
+        self.faults.push((now, what));
+    }
+
+    /// A store was said to be empty, and goes.
+    pub fn store_removed(&mut self, now: Micros, machine: usize) {
+        self.removed_stores += 1;
+        self.event(now, format!("machine {machine} is empty and goes"));
+    }
+
+    /// A retirement was acknowledged, and the store is said to be unknown.
+    pub fn retirement_forgotten(&mut self, machine: usize) {
+        let what = format!("the retirement of machine {machine} was acknowledged and is unknown");
+        self.breach(None, Rule::Config, what);
+    }
+
     pub fn trouble(&mut self, from: Micros, until: Micros) {
         self.troubles.push((from, until));
     }
@@ -383,6 +401,7 @@
             runs: self.tries.values().map(|message| message.runs).sum(),
             ended: self.tries.values().filter(|message| message.ended_at.is_some()).count(),
             faults: self.faults.len(),
+            removed_stores: self.removed_stores,
             acknowledged_changes: self.history.count_of_accepted(),
             fingerprint: self.fingerprint,
             breaches: self.breaches.iter().map(|breach| self.traced(seed, breach)).collect(),
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -28,6 +28,7 @@
 mod reads;
 mod relay;
 mod report;
+mod scale_in;
 mod stopping;
 mod store;
 mod world;
--- a/crates/cluster/src/machine.rs
+++ b/crates/cluster/src/machine.rs
@@ -34,6 +34,10 @@
     pub control_log: Disk,
     pub message_log: Disk,
     pub process: Option<Process>,
+    /// It belongs to the cluster: it was added, and not taken away.
+    pub is_present: bool,
+    /// Its store is being emptied.
+    pub retires: bool,
     /// The number of its present or last life.
     pub life: u64,
     /// How far its time of day is from the true one.
@@ -63,6 +67,8 @@
             control_log: Disk::default(),
             message_log: Disk::default(),
             process: None,
+            is_present: true,
+            retires: false,
             life: 0,
             clock_error: 0,
             frozen_until: 0,
@@ -96,6 +102,15 @@
         }
     }
 
+    /// It stands where another stood.
+    pub fn stand_in_for(&mut self, zone: Arc<str>) {
+        self.zone = zone;
+    }
+
+    pub fn zone(&self) -> Arc<str> {
+        self.zone.clone()
+    }
+
     /// Whether its process leads the core, as far as it knows.
     pub fn is_leader(&self) -> bool {
         self.relay().is_some_and(|relay| relay.node.is_leader())
--- a/crates/cluster/src/operators.rs
+++ b/crates/cluster/src/operators.rs
@@ -19,6 +19,9 @@
 /// All operators of a run together make so many changes where changes are many.
 const MANY_CHANGES: usize = 300;
 
+/// Asks, but hears no answer itself.
+pub(crate) const NOBODY: usize = usize::MAX;
+
 /// How fast operators are.
 #[derive(Clone, Copy, Debug)]
 struct Pace {
@@ -59,9 +62,17 @@
 
 /// What an operator asks of a relay.
 #[derive(Clone, Debug)]
-enum Question {
+pub(crate) enum Question {
     Change(Change),
     Read,
+    /// To empty the store of a machine.
+    Retire {
+        machine: usize,
+    },
+    /// Whether that store is empty.
+    RetireState {
+        machine: usize,
+    },
 }
 
 /// A call that a relay has not answered.
@@ -145,16 +156,24 @@
         }
     }
 
-    fn ask_relay(&mut self, index: usize, question: Question) {
+    pub(crate) fn ask_relay(&mut self, index: usize, question: Question) {
         let is_there = |index: &usize| self.machines[*index].relay().is_some();
         let relays: Vec<usize> = (0..self.machines.len()).filter(is_there).collect();
         let Some(relay) = relays.get(self.random.below(relays.len())).copied() else { return };
         let request = match &question {
             Question::Change(change) => change.request(),
             Question::Read => OperatorRequest::ReadConfig,
+            Question::Retire { machine } => {
+                OperatorRequest::Retire { node: self.machines[*machine].name.clone() }
+            }
+            Question::RetireState { machine } => {
+                OperatorRequest::ReadRetire { node: self.machines[*machine].name.clone() }
+            }
         };
         self.last_token += 1;
-        self.operators[index].token = self.last_token;
+        if let Some(operator) = self.operators.get_mut(index) {
+            operator.token = self.last_token;
+        }
         let call = OperatorCall { operator: index, question, sent_at: self.now };
         self.operator_calls.insert(self.last_token, call);
         let arrival = self.now + self.network.delay();
@@ -165,7 +184,7 @@
     /// Reads the configuration through a relay when all is over.
     pub(crate) fn read_last_config(&mut self, relay: usize) {
         self.last_token += 1;
-        let call = OperatorCall { operator: usize::MAX, question: Question::Read, sent_at: self.now };
+        let call = OperatorCall { operator: NOBODY, question: Question::Read, sent_at: self.now };
         self.operator_calls.insert(self.last_token, call);
         let input = Input::Operator { token: Token(self.last_token), request: OperatorRequest::ReadConfig };
         self.agenda.add(self.now, Event::Process(self.life(relay), input));
@@ -178,12 +197,14 @@
         match (&call.question, &outcome) {
             (Question::Read, Outcome::Config(config)) => {
                 self.judge.config_read(interval, config);
-                self.is_config_read |= call.operator == usize::MAX;
+                self.is_config_read |= call.operator == NOBODY;
             }
             (Question::Read, _) => {}
+            (Question::Retire { machine }, outcome) => self.retire_answered(*machine, outcome),
+            (Question::RetireState { machine }, outcome) => self.retire_state_answered(*machine, outcome),
             (Question::Change(change), outcome) => self.judge.change_answered(interval, change, outcome),
         }
-        let is_lost = call.operator == usize::MAX || self.random.below(100) < LOST_ANSWERS;
+        let is_lost = call.operator == NOBODY || self.random.below(100) < LOST_ANSWERS;
         if !is_lost {
             let at = self.now + self.network.delay();
             let event = Event::OperatorHears { operator: call.operator, token, outcome };
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -22,6 +22,8 @@
     StaleReads,
     /// Relays pass changes on with bytes of their own, so that the core does not know one that is sent again.
     ForgottenChanges,
+    /// Stores say that they hold all that a placement asks for as soon as it comes into force.
+    EarlyCopies,
 }
 
 /// What kind of days a run plays.
@@ -36,6 +38,8 @@
     OverlappingFaults,
     /// Three operators make hundreds of changes in quick succession, during faults.
     ManyChanges,
+    /// Stores are retired, added and replaced under new names; disks of those left are lost right after.
+    ScaleIn,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- a/crates/cluster/src/report.rs
+++ b/crates/cluster/src/report.rs
@@ -48,6 +48,8 @@
     pub ended: usize,
     pub faults: usize,
     pub acknowledged_changes: usize,
+    /// Stores that were said to be empty and went.
+    pub removed_stores: usize,
     /// A hash of all that the judge saw, to compare runs.
     pub fingerprint: u64,
 }
--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -60,7 +60,13 @@
         for event in self.node.tick() {
             match event {
                 NodeEvent::Members => self.members_changed(),
-                NodeEvent::InForce(state) => self.step(StoreInput::Placement(state.placement.clone())),
+                NodeEvent::InForce(state) => {
+                    let epoch = state.placement.epoch;
+                    self.step(StoreInput::Placement(state.placement.clone()));
+                    if self.planted == Some(Planted::EarlyCopies) {
+                        self.node.copied(self.store.id().clone(), epoch);
+                    }
+                }
                 NodeEvent::Answered { .. } | NodeEvent::Restarted => {}
             }
         }
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -27,6 +27,9 @@
 const CORE_RELAYS: usize = 3;
 const OTHER_RELAYS: usize = 2;
 const STORES: usize = 4;
+/// The same where stores come and go, and those that may come.
+const SCALED_STORES: usize = 5;
+const SPARES: usize = 2;
 const TRAFFIC_BEGINS: Micros = 4 * SECOND;
 const LEAST_TRAFFIC_MS: usize = 3_000;
 const MORE_TRAFFIC_MS: usize = 4_000;
@@ -39,6 +42,9 @@
 /// The same where changes are many.
 const LEAST_CHANGING_MS: usize = 10_000;
 const MORE_CHANGING_MS: usize = 10_000;
+/// The same where stores come and go.
+const LEAST_SCALING_MS: usize = 12_000;
+const MORE_SCALING_MS: usize = 12_000;
 const LEAST_CLIENTS: usize = 40;
 const MORE_CLIENTS: usize = 80;
 /// The same where the limited service has more to do than it allows.
@@ -76,6 +82,8 @@
     pub(crate) is_config_read: bool,
     states: BTreeMap<u64, StatusResult>,
     bodies: BTreeMap<u64, Option<Record>>,
+    /// No other disk may be lost before then.
+    pub(crate) lost_until: Micros,
     /// Faults that may still follow on another.
     pub(crate) strikes_left: usize,
     pub(crate) traffic_begins: Micros,
@@ -87,7 +95,7 @@
     pub fn new(plan: Plan) -> Self {
         let mut random = Random::new(plan.seed.wrapping_mul(0x2545_f491_4f6c_dd1d));
         let span = random_span(&mut random, plan.scenario);
-        let machines = machines();
+        let machines = machines(plan.scenario);
         let seeds = machines[..CORE_RELAYS].iter().map(|machine| machine.address).collect();
         World {
             plan,
@@ -110,6 +118,7 @@
             is_config_read: false,
             states: BTreeMap::new(),
             bodies: BTreeMap::new(),
+            lost_until: 0,
             strikes_left: 0,
             traffic_begins: TRAFFIC_BEGINS,
             traffic_ends: TRAFFIC_BEGINS + span,
@@ -175,6 +184,7 @@
             Event::DiskDone(life, name) => self.disk_done(life, name),
             Event::Fault(fault) => self.fault(fault),
             Event::Trouble(trouble) => self.trouble(trouble),
+            Event::Scaling(scaling) => self.scale(scaling),
             Event::ClientSends { client } => self.client_sends(client),
             Event::ClientHears { client, request, answer } => self.client_hears(client, request, answer),
             Event::OperatorActs { operator } => self.operator_acts(operator),
@@ -355,16 +365,20 @@
     let (least, more) = match scenario {
         Scenario::Usual => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
         Scenario::LongTroubles => (LEAST_LONG_TRAFFIC_MS, MORE_LONG_TRAFFIC_MS),
+        Scenario::ScaleIn => (LEAST_SCALING_MS, MORE_SCALING_MS),
         Scenario::ManyChanges => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
         Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
     };
     (least + random.below(more)) as Micros * MILLISECOND
 }
 
-fn machines() -> Vec<Machine> {
+fn machines(scenario: Scenario) -> Vec<Machine> {
     let relays = CORE_RELAYS + OTHER_RELAYS;
     let relay =
         |index: usize| Machine::new(index, &format!("relay-{index}"), Role::Relay, index < CORE_RELAYS);
     let store = |index: usize| Machine::new(relays + index, &format!("store-{index}"), Role::Store, true);
-    (0..relays).map(relay).chain((0..STORES).map(store)).collect()
+    let (stores, spares) = if scenario == Scenario::ScaleIn { (SCALED_STORES, SPARES) } else { (STORES, 0) };
+    let mut machines: Vec<Machine> = (0..relays).map(relay).chain((0..stores + spares).map(store)).collect();
+    machines[relays + stores..].iter_mut().for_each(|spare| spare.is_present = false);
+    machines
 }
--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -37,7 +37,8 @@
 pub fn show(reports: &[Report]) {
     let sum = |of: fn(&Report) -> usize| reports.iter().map(of).sum::<usize>();
     println!(
-        "{} clusters: {} tries, {} accepted, {} declined, {} unclear, {} runs, {} ended, {} faults, {} changes",
+        "{} clusters: {} tries, {} accepted, {} declined, {} unclear, {} runs, {} ended, {} faults, {} changes, \
+         {} stores retired",
         reports.len(),
         sum(|report| report.tries),
         sum(|report| report.accepted),
@@ -47,6 +48,7 @@
         sum(|report| report.ended),
         sum(|report| report.faults),
         sum(|report| report.acknowledged_changes),
+        sum(|report| report.removed_stores),
     );
 }
 
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -56,3 +56,9 @@
 fn forgotten_changes_are_found() {
     find(Planted::ForgottenChanges, Rule::Config, 100);
 }
+
+/// Guards that stores which say too early that they hold all are found, where stores come and go.
+#[test]
+fn early_copies_are_found() {
+    find_in(Scenario::ScaleIn, Planted::EarlyCopies, Rule::Lost, 300);
+}
--- a/crates/cluster/tests/scenarios.rs
+++ b/crates/cluster/tests/scenarios.rs
@@ -39,6 +39,7 @@
 static LONG_TROUBLES: Days = Days::new(Scenario::LongTroubles, 150);
 static OVERLAPPING_FAULTS: Days = Days::new(Scenario::OverlappingFaults, 300);
 static MANY_CHANGES: Days = Days::new(Scenario::ManyChanges, 150);
+static SCALE_IN: Days = Days::new(Scenario::ScaleIn, 300);
 
 /// Guards the rules over cuts of 5, 20 and 60 s, of any direction, of two machines at once and between relays and
 /// hosts, long freezes, and disks that are stalled, slow or full for long.
@@ -59,8 +60,18 @@
     MANY_CHANGES.assert_other_rules();
 }
 
+/// Guards LOST and the other rules where stores are retired and go with their disks once they are said to be empty, are
+/// added and replaced under new names, and a disk of one of those left is lost right after.
+#[test]
+fn clusters_outlast_retirements() {
+    SCALE_IN.assert_other_rules();
+    let reports = SCALE_IN.reports();
+    let removed: usize = reports.iter().map(|report| report.removed_stores).sum();
+    assert!(removed >= reports.len() / 2, "only {removed} stores were retired");
+}
+
 fn assert_on_all_days(rule: Rule) {
-    let days = [&LONG_TROUBLES, &OVERLAPPING_FAULTS, &MANY_CHANGES];
+    let days = [&LONG_TROUBLES, &OVERLAPPING_FAULTS, &MANY_CHANGES, &SCALE_IN];
     let reports: Vec<Report> = days.iter().flat_map(|days| days.reports().iter().cloned()).collect();
     assert_kept(&reports, |judged| judged == rule);
 }
