find: messages left lying, budgets forgotten at a SIGTERM; judge by BUDGET, 404, pending, keys and single sends

Change: BUDGET (three times maxAttempts, and by what senders have read where none died), UNASKED by ordering key, LOST by unknown during traffic and by pending at the end of a longer calm, MIXED by states during traffic, one writing of an attempt. The judge is split by what it looks at.

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -9,6 +9,7 @@
 use crate::configuration::LIMITED;
 use crate::event::{Event, Input, Life, StartCall};
 use crate::hosts::{Reaction, Run, answer};
+use crate::judge::SentMessage;
 use crate::plan::{MILLISECOND, Planted, SECOND};
 use crate::world::World;
 
@@ -85,6 +86,8 @@
     }
 
     pub(crate) fn call_written(&mut self, key: CallKey) {
+        let Some(call) = self.calls.open.get(&key) else { return };
+        self.judge.written(key, &call.start.request_id);
         let arrival = self.host_arrival(key.life);
         self.agenda.add(arrival, Event::CallArrives(key));
         let is_limited = self.calls.open.get(&key).is_some_and(|call| call.start.target.instance.is_none());
@@ -117,7 +120,7 @@
     pub(crate) fn call_arrives(&mut self, key: CallKey) {
         let Some(call) = self.calls.open.get(&key) else { return };
         let (target, request_id) = (call.start.target.clone(), call.start.request_id.clone());
-        let body = call.start.body.clone();
+        let (body, ordering_key) = (call.start.body.clone(), call.start.ordering_key.clone());
         let arrival = self.host_arrival(key.life);
         let Some(host) = self.hosts.at(target.address) else {
             self.agenda.add(arrival, Event::CallAnswered(key, AttemptResult::Broken));
@@ -137,7 +140,8 @@
                 self.agenda.add(arrival, Event::CallAnswered(key, AttemptResult::Broken));
             }
             Reaction::Runs { status, took, is_answer_lost } => {
-                self.judge.run_starts(self.now, &request_id, &body, key.life, service);
+                let sent = SentMessage { request_id: &request_id, body: &body, ordering_key: &ordering_key };
+                self.judge.run_starts(self.now, &sent, key.life, service);
                 self.last_run += 1;
                 let run = Run { host, call: key, request_id, status, is_answer_lost };
                 self.runs.insert(self.last_run, run);
@@ -172,6 +176,9 @@
         if let AttemptResult::Answered(answer) = &result {
             *self.calls.idle.entry((key.life, call.start.target.address)).or_default() += 1;
             let is_running = self.is_running(key.life);
+            if answer.status == 500 && is_running {
+                self.judge.failure_read(self.now, &call.start.request_id, key.life);
+            }
             if answer.status == 200 && took + IN_TIME <= call.start.timeout && is_running {
                 self.judge.success_read(self.now, &call.start.request_id, key.life);
             }
--- a/crates/cluster/src/clients.rs
+++ b/crates/cluster/src/clients.rs
@@ -88,7 +88,7 @@
     }
 
     /// The platform passes a connection to a relay that calls itself ready, or to any if there is none.
-    fn relay_for_clients(&mut self) -> Option<Life> {
+    pub(crate) fn relay_for_clients(&mut self) -> Option<Life> {
         let is_ready = |index: &usize| self.machines[*index].is_ready();
         let ready: Vec<usize> = (0..self.machines.len()).filter(is_ready).collect();
         let is_there = |index: &usize| self.machines[*index].relay().is_some();
@@ -107,6 +107,9 @@
         let tries = client.tries;
         let Some((_, id)) = self.requests.remove(&request) else { return };
         self.judge.told(self.now, &id, answer.as_ref());
+        if let Some(Answer::Accepted { name }) = &answer {
+            self.plan_questions(name);
+        }
         if let Some(Answer::Declined { retry_after_ms }) = answer
             && tries < MOST_TRIES
         {
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -8,6 +8,9 @@
 use pewterseam_config::{CompiledConfig, Route, Service};
 use pewterseam_delivery::ServiceConfig;
 use pewterseam_queue::{RoutePolicy, RouteTable};
+use pewterseam_wire::Micros;
+
+use crate::plan::SECOND;
 
 /// Arrivals a second that the limited service allows.
 pub const RATE_PER_S: u32 = 8;
@@ -15,7 +18,8 @@
 pub const MOST_ATTEMPTS: u32 = 4;
 /// Time of one attempt.
 pub const TIMEOUT_MS: u64 = 600;
-const RETENTION_S: f64 = 90.0;
+/// `retentionS`.
+pub const RETENTION: Micros = 90 * SECOND;
 const LEAST_TARGET_MS: u64 = 400;
 const MORE_TARGET_MS: u64 = 400;
 const MILLISECONDS_A_SECOND: f64 = 1_000.0;
@@ -33,10 +37,10 @@
 }
 
 fn route(name: &str, schedule_target_ms: u64) -> String {
-    let fifo = name == ORDERED;
+    let (fifo, retention_s) = (name == ORDERED, RETENTION / SECOND);
     let service = if name == MARK { PLAIN } else { name };
     format!(
-        r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{RETENTION_S},"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
+        r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
     )
 }
 
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -106,6 +106,7 @@
     pub target: Target,
     pub request_id: Arc<str>,
     pub body: bytes::Bytes,
+    pub ordering_key: Option<Arc<str>>,
     pub timeout: Micros,
     pub confirm: bool,
 }
@@ -136,6 +137,10 @@
         request: u64,
         answer: Option<Answer>,
     },
+    /// A client asks for the state of a message that was accepted.
+    AskState {
+        name: MessageName,
+    },
     OperatorActs {
         operator: usize,
     },
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -24,6 +24,7 @@
 mod overlap;
 mod plan;
 mod planted;
+mod probes;
 mod process;
 mod reads;
 mod relay;
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -328,8 +328,8 @@
                 };
                 self.attempts.insert(attempt, key);
                 let request_id = Arc::from(record.name.request_id());
-                let body = record.body.clone();
-                let call = StartCall { attempt, target, request_id, body, timeout, confirm };
+                let (body, ordering_key) = (record.body.clone(), record.ordering_key.clone());
+                let call = StartCall { attempt, target, request_id, body, ordering_key, timeout, confirm };
                 self.node.out.push(Output::Start(call));
             }
             Effect::Finished { key, outcome } => {
--- a/crates/cluster/src/report.rs
+++ b/crates/cluster/src/report.rs
@@ -15,6 +15,9 @@
     Config,
     Early,
     Unasked,
+    Budget,
+    /// One attempt was written to a host twice.
+    SentTwice,
     /// A state machine panicked.
     Panicked,
 }
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -22,6 +22,7 @@
 use crate::network::Network;
 use crate::operators::{Operator, OperatorCall};
 use crate::plan::{MILLISECOND, Plan, SECOND, Scenario};
+use crate::probes::Probe;
 use crate::report::Report;
 
 const CORE_RELAYS: usize = 3;
@@ -54,6 +55,9 @@
 const CALM: Micros = 4 * SECOND;
 /// A probe without an answer ends then.
 const PROBE_TIMEOUT: Micros = SECOND;
+/// The same where it is judged whether anything is left lying; of the usual runs one of so many.
+const LONG_CALM: Micros = 16 * SECOND;
+const LONG_CALM_EACH: u64 = 4;
 const READ_ROUNDS: usize = 5;
 const READ_ROUND: Micros = 1_700 * MILLISECOND;
 
@@ -80,6 +84,8 @@
     pub(crate) last_mark: u64,
     /// The configuration was read when all was over.
     pub(crate) is_config_read: bool,
+    pub(crate) probes: BTreeMap<u64, Probe>,
+    pub(crate) last_probe: u64,
     states: BTreeMap<u64, StatusResult>,
     bodies: BTreeMap<u64, Option<Record>>,
     /// No other disk may be lost before then.
@@ -116,6 +122,8 @@
             last_token: 0,
             last_mark: 0,
             is_config_read: false,
+            probes: BTreeMap::new(),
+            last_probe: 0,
             states: BTreeMap::new(),
             bodies: BTreeMap::new(),
             lost_until: 0,
@@ -141,11 +149,17 @@
         self.draw_faults();
         self.run_until(self.traffic_ends);
         self.bring_back();
-        self.run_until(self.traffic_ends + CALM);
+        let calm = if self.has_long_calm() { LONG_CALM } else { CALM };
+        self.run_until(self.traffic_ends + calm);
         self.read_all();
         self.judge.finish(self.plan.seed)
     }
 
+    /// Whether all that is due must have run by the end.
+    fn has_long_calm(&self) -> bool {
+        self.plan.scenario != Scenario::Usual || self.plan.seed.is_multiple_of(LONG_CALM_EACH)
+    }
+
     fn draw_traffic(&mut self) {
         let span = (self.traffic_ends - self.traffic_begins) as usize;
         let is_crowded = self.random.below(3) == 0;
@@ -187,6 +201,7 @@
             Event::Scaling(scaling) => self.scale(scaling),
             Event::ClientSends { client } => self.client_sends(client),
             Event::ClientHears { client, request, answer } => self.client_hears(client, request, answer),
+            Event::AskState { name } => self.ask_state(name),
             Event::OperatorActs { operator } => self.operator_acts(operator),
             Event::OperatorHears { operator, token, outcome } => {
                 self.operator_hears(operator, token, outcome)
@@ -257,7 +272,9 @@
                 }
             }
             Output::Status { read, result } => {
-                if let Some(result) = result {
+                if let Some(result) = result
+                    && !self.state_told(read, &result)
+                {
                     self.states.insert(read, result);
                 }
             }
@@ -327,7 +344,7 @@
                     let input = Input::ReadStatus { read, name: name.clone() };
                     self.agenda.add(self.now, Event::Process(relay, input));
                 }
-                if !self.bodies.contains_key(&read) && !self.judge.is_ended(id) {
+                if !self.bodies.contains_key(&read) && !self.judge.is_ended(self.now, id) {
                     let input = Input::ReadBody { read, name: name.clone() };
                     self.agenda.add(self.now, Event::Process(relay, input));
                 }
@@ -338,7 +355,7 @@
             self.run_until(self.now + READ_ROUND);
             let has_all = (0..accepted.len() as u64).all(|read| self.states.contains_key(&read));
             let has_bodies = accepted.iter().enumerate().all(|(number, (id, _))| {
-                self.judge.is_ended(id) || self.bodies.contains_key(&(number as u64))
+                self.judge.is_ended(self.now, id) || self.bodies.contains_key(&(number as u64))
             });
             if has_all && has_bodies && self.is_config_read {
                 break;
