Cluster harness: each message between processes goes through its frame

Cause: processes of the harness handed each other values, so encoders and decoders never ran. Change: messages are written as the frames of pewterseam-wire and read at the receiver; a frame that cannot be written, is not whole, or reads as another message breaks ENCODING.

--- a/crates/cluster/src/connections.rs
+++ b/crates/cluster/src/connections.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use pewterseam_wire::Micros;
 
 use crate::disk::Ending;
@@ -51,15 +52,28 @@
         if self.network.get(connection).is_none_or(|connection| connection.is_closing) {
             return;
         }
+        let frame = match message.encode() {
+            Ok(frame) => frame,
+            Err(error) => return self.judge.frame_lost(&message, &error.to_string()),
+        };
         if let Some(at) = self.network.arrival(self.now, connection, at_dialer) {
-            self.agenda.add(at, Event::Arrive { connection, at_dialer, message });
+            self.agenda.add(at, Event::Arrive { connection, at_dialer, frame });
         }
     }
 
-    pub(crate) fn arrive(&mut self, id: ConnectionId, at_dialer: bool, message: PeerMessage) {
+    pub(crate) fn arrive(&mut self, id: ConnectionId, at_dialer: bool, frame: &Bytes) {
         let Some(connection) = self.network.get(id) else { return };
         let (dialer, listener) = (connection.dialer, connection.listener);
         let (from, to) = if at_dialer { (listener, dialer) } else { (dialer, listener) };
+        let message = match PeerMessage::decode(frame) {
+            Ok(Some(message)) => message,
+            Ok(None) => {
+                return self.judge.frame_changed(from.machine, to.machine, "reads as another message");
+            }
+            Err(error) => {
+                return self.judge.frame_changed(from.machine, to.machine, &error.to_string());
+            }
+        };
         for (name, what) in message.fates() {
             self.judge.passed(self.now, name, from.machine, to.machine, &what);
         }
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -114,11 +114,11 @@
 /// What happens, and to whom.
 pub enum Event {
     Process(Life, Input),
-    /// A message on a connection arrives at one of its ends.
+    /// A frame on a connection arrives at one of its ends.
     Arrive {
         connection: ConnectionId,
         at_dialer: bool,
-        message: PeerMessage,
+        frame: bytes::Bytes,
     },
     /// One end of a connection learns that it is gone.
     Closed {
--- a/crates/cluster/src/judge/mod.rs
+++ b/crates/cluster/src/judge/mod.rs
@@ -20,11 +20,14 @@
 use crate::event::Life;
 use crate::faults::Fault;
 use crate::history::History;
+use crate::message::PeerMessage;
 use crate::plan::{MILLISECOND, SECOND};
 use crate::report::{Breach, Report, Rule};
 
 /// A repeat counts only if there was no trouble for so long.
 const CONTACT: Micros = 4 * SECOND;
+const SHOWN_OF_A_MESSAGE: usize = 200;
+
 /// What a client was told of a try.
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Told {
@@ -171,6 +174,17 @@
         }
     }
 
+    /// A message cannot be put into a frame.
+    pub fn frame_lost(&mut self, message: &PeerMessage, error: &str) {
+        let shown: String = format!("{message:?}").chars().take(SHOWN_OF_A_MESSAGE).collect();
+        self.breach(None, Rule::Encoding, format!("{shown}: {error}"));
+    }
+
+    /// A frame does not read as the message that was sent.
+    pub fn frame_changed(&mut self, from: usize, to: usize, what: &str) {
+        self.breach(None, Rule::Encoding, format!("a frame from machine {from} to {to}: {what}"));
+    }
+
     /// Messages that were accepted, with their names.
     pub fn accepted(&self) -> Vec<(Arc<str>, MessageName)> {
         let accepted = self.tries.iter().filter_map(|(id, message)| match &message.told {
--- a/crates/cluster/src/report.rs
+++ b/crates/cluster/src/report.rs
@@ -18,6 +18,8 @@
     Budget,
     /// One attempt was written to a host twice.
     SentTwice,
+    /// A frame between processes did not read as what was sent.
+    Encoding,
     /// A state machine panicked.
     Panicked,
 }
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -193,7 +193,7 @@
     fn happen(&mut self, event: Event) {
         match event {
             Event::Process(life, input) => self.step(life, input),
-            Event::Arrive { connection, at_dialer, message } => self.arrive(connection, at_dialer, message),
+            Event::Arrive { connection, at_dialer, frame } => self.arrive(connection, at_dialer, &frame),
             Event::Closed { connection, at_dialer } => self.closed(connection, at_dialer),
             Event::DiskDone(life, name) => self.disk_done(life, name),
             Event::Fault(fault) => self.fault(fault),
