--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -12,23 +12,29 @@
 mod event;
 mod faults;
 mod hash_seeds;
+pub mod history;
 mod hosts;
 mod judge;
+mod long_troubles;
 mod machine;
 mod message;
 mod network;
 mod node;
 mod operators;
+mod overlap;
 mod plan;
+mod planted;
+mod probes;
 mod process;
 mod reads;
 mod relay;
 mod report;
+mod scale_in;
 mod stopping;
 mod store;
 mod world;
 
-pub use plan::{Plan, Planted};
+pub use plan::{Plan, Planted, Scenario};
 pub use report::{Breach, Report, Rule};
 
 /// Plays a cluster on a thread of its own, so that its hash maps begin from the same keys each time.
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -117,6 +117,10 @@
         self.membership.has_joined()
     }
 
+    pub fn is_leader(&self) -> bool {
+        self.control.is_leader()
+    }
+
     pub fn state(&self) -> &Arc<ControlState> {
         self.control.state()
     }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -60,7 +60,7 @@
     pub(crate) stopping: Option<Stopping>,
     is_ready: bool,
     serving: Serving,
-    planted: Option<Planted>,
+    pub(crate) planted: Option<Planted>,
 }
 
 impl RelayProcess {
@@ -190,7 +190,7 @@
             Input::Client(new) => self.client(*new),
             Input::ReadStatus { read, name } => self.read_status(read, &name),
             Input::ReadBody { read, name } => self.read_body(read, &name),
-            Input::Operator { token, request } => self.node.operator(token, request),
+            Input::Operator { token, request } => self.operator(token, request),
             Input::Host(input) => {
                 if let DeliveryInput::Ended { attempt, .. } = &input {
                     self.attempts.remove(attempt);
@@ -380,8 +380,9 @@
         self.attempts.insert(attempt, permit.key().0);
         let request_id = Arc::from(record.name.request_id());
         let write_within = permit.expires_at().saturating_sub(self.node.now);
-        let body = record.body.clone();
-        let call = StartCall { attempt, target, request_id, body, timeout, confirm, write_within };
+        let (body, ordering_key) = (record.body.clone(), record.ordering_key.clone());
+        let call =
+            StartCall { attempt, target, request_id, body, ordering_key, timeout, confirm, write_within };
         self.node.out.push(Output::Start(call));
     }
 
