Control: the core changes by joint consensus

Cause: a member was added, then another removed, so that a core of three with one lost member stood at four, which needs all three that are left; a core of four with a lost member kept needing three for a minute; and a node that came just before a death was noticed made the core larger at the worst moment.

Change: `CoreMembership` holds current and outgoing members and answers every question for a majority. A replacement is one joint change, the successor a learner that has caught up before; an even core drops a lost member by itself, which any majority of it allows; a whole core grows only after longer than a death goes unnoticed.

Ruled out: a leader that waits for followers to know the very newest index before it changes the core, since under steady changes they never do.

--- a/crates/control/src/agreed.rs
+++ b/crates/control/src/agreed.rs
@@ -9,6 +9,7 @@
 use pewterseam_wire::placement::hash;
 use serde::{Deserialize, Serialize};
 
+use crate::core_membership::CoreMembership;
 use crate::effect::ControlError;
 use crate::entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
 
@@ -26,8 +27,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Agreed {
     pub stamp: Stamp,
-    /// The core. A majority of these makes this state committed.
-    pub members: Arc<Vec<CoreMember>>,
+    /// The core. A majority of it makes this state committed.
+    pub core: CoreMembership,
     /// The leader that last began an epoch.
     pub last_leader: Option<NodeName>,
     /// What all processes use. Its index is the stamp's.
@@ -55,13 +56,7 @@
     pub(crate) fn formed(members: Vec<CoreMember>) -> Self {
         let stamp = Stamp { epoch: 0, index: 1 };
         let state = ControlState { index: stamp.index, ..ControlState::default() };
-        Agreed { stamp, members: Arc::new(members), state, ..Agreed::default() }
-    }
-
-    /// Whether these are more than half of the core.
-    pub(crate) fn is_majority<'a>(&self, members: impl Iterator<Item = &'a CoreMember>) -> bool {
-        let count = members.filter(|member| self.members.contains(member)).count();
-        count * 2 > self.members.len()
+        Agreed { stamp, core: CoreMembership::new(members), state, ..Agreed::default() }
     }
 
     /// The version that exactly this change led to, if it was accepted.
@@ -79,7 +74,7 @@
         next.state.index = entry.stamp.index;
         match &entry.command {
             Command::Lead { leader } => next.last_leader = Some(leader.clone()),
-            Command::Core { members } => next.members = Arc::new(members.clone()),
+            Command::Core { core } => next.core = core.clone(),
             Command::Stores { placement, retiring, retired } => {
                 next.state.placement = Arc::new(placement.clone());
                 next.state.retiring.clone_from(retiring);
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -66,7 +66,7 @@
 impl Control {
     /// This process, if it is a member of the core.
     pub(crate) fn own_member(&self) -> Option<&CoreMember> {
-        self.identity.as_ref().filter(|own| self.replica.accepted.members.contains(own))
+        self.identity.as_ref().filter(|own| self.replica.accepted.core.is_voter(own))
     }
 
     /// How many members go before this one: first who led last, then by the hash of the name. The dead do not count.
@@ -79,7 +79,7 @@
             let seen = self.peers.get(&member.name).is_some();
             key(&member.name) < own && (self.peers.is_live_member(member) || (unseen_is_live && !seen))
         };
-        accepted.members.iter().filter(goes_before).count() as u64
+        accepted.core.voters().filter(goes_before).count() as u64
     }
 
     fn election_delay(&mut self, base: Micros) -> Micros {
@@ -156,7 +156,7 @@
             granted: BTreeSet::new(),
             deadline: self.now + self.settings.attempt,
         };
-        for member in self.replica.accepted.members.clone().iter() {
+        for member in self.replica.accepted.core.clone().voters() {
             self.send(member.name.clone(), ControlMessage::PreVote { epoch });
         }
     }
@@ -190,7 +190,7 @@
             return;
         }
         members.insert(member);
-        if self.replica.accepted.is_majority(members.iter()) {
+        if self.replica.accepted.core.is_majority(members.iter()) {
             self.start_election(epoch);
         }
     }
@@ -209,9 +209,9 @@
     /// Asks the members of the state that is accepted here, as far as they were not asked.
     fn ask_for_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
-        let members = self.replica.accepted.members.clone();
+        let core = &self.replica.accepted.core;
         let new: Vec<CoreMember> =
-            members.iter().filter(|member| candidate.asked.insert((*member).clone())).cloned().collect();
+            core.voters().filter(|member| candidate.asked.insert((*member).clone())).cloned().collect();
         let epoch = candidate.epoch;
         for member in new {
             self.send(member.name, ControlMessage::Prepare { epoch });
@@ -257,7 +257,7 @@
     /// Adopts the greatest state among the promises of a majority, and leads once the members of that state agree.
     fn review_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
-        if !self.replica.accepted.is_majority(candidate.promises.keys()) {
+        if !self.replica.accepted.core.is_majority(candidate.promises.keys()) {
             return;
         }
         let best = candidate.promises.iter().max_by_key(|(_, stamp)| **stamp);
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -5,6 +5,8 @@
 use pewterseam_wire::placement::{Placement, StoreId, hash};
 use serde::{Deserialize, Serialize};
 
+use crate::core_membership::CoreMembership;
+
 /// The name of a state: the epoch of the leader that proposed it, and how many entries led to it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Stamp {
@@ -59,8 +61,8 @@
     Lead { leader: NodeName },
     /// A change of the configuration. `digest` is that of the whole text that it leads to.
     Configure { request: RequestId, version: u64, digest: u64, change: Change },
-    /// The core's members from now on; one more or one fewer than before.
-    Core { members: Vec<CoreMember> },
+    /// The core's membership from now on.
+    Core { core: CoreMembership },
     /// Stores in force, and those that are emptied.
     Stores { placement: Placement, retiring: Vec<StoreId>, retired: Vec<StoreId> },
 }
--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -90,7 +90,7 @@
             return self.tell_formed(&members);
         }
         formation.next = self.now + RETRY + self.random.draw() % RETRY_JITTER;
-        if !self.replica.accepted.members.is_empty() {
+        if !self.replica.accepted.core.is_empty() {
             // A leader's state came first: there is nothing left to form.
             self.formation = None;
             return;
@@ -215,7 +215,7 @@
             formation.decided.get_or_insert_with(|| members.clone());
         }
         let is_member = self.identity.as_ref().is_some_and(|own| members.contains(own));
-        if is_member && self.replica.accepted.members.is_empty() {
+        if is_member && self.replica.accepted.core.is_empty() {
             let agreed = Agreed::formed(members);
             let own = self.name.clone();
             self.replica.install(agreed, 0, &own, &mut self.effects);
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -103,9 +103,8 @@
 
     /// Core members other than this process that are alive; before any are known, nodes that could be.
     pub(crate) fn live_core(&self) -> Vec<NodeName> {
-        let members = &self.replica.committed.members;
-        let could_be =
-            |name: &NodeName| members.is_empty() || members.iter().any(|member| member.name == *name);
+        let core = &self.replica.committed.core;
+        let could_be = |name: &NodeName| core.is_empty() || core.voters().any(|member| member.name == *name);
         let live =
             self.peers.live().filter(|peer| peer.core_member().is_some()).map(|peer| peer.info.name.clone());
         live.filter(|name| *name != self.name && could_be(name)).collect()
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -60,7 +60,7 @@
             queue: VecDeque::new(),
             reads: Vec::new(),
             round: 0,
-            answers: accepted.members.iter().map(answered).collect(),
+            answers: accepted.core.voters().map(answered).collect(),
             copied: BTreeMap::new(),
             next_heartbeat: now,
             next_housekeeping: now,
@@ -76,18 +76,12 @@
     /// Whether more than half of the core answered lately.
     pub(crate) fn has_majority(&self, accepted: &Agreed, now: Micros, within: Micros) -> bool {
         let fresh = self.answers.iter().filter(|(_, answered)| now < answered.at + within);
-        accepted.is_majority(fresh.map(|(member, _)| member))
+        accepted.core.is_majority(fresh.map(|(member, _)| member))
     }
 
     /// The last round of heartbeats that more than half of the core answered.
     pub(crate) fn confirmed_round(&self, accepted: &Agreed) -> u64 {
-        let mut rounds: Vec<u64> = accepted
-            .members
-            .iter()
-            .map(|member| self.answers.get(member).map_or(0, |answered| answered.round))
-            .collect();
-        rounds.sort_unstable_by(|a, b| b.cmp(a));
-        rounds.get(accepted.members.len() / 2).copied().unwrap_or(0)
+        accepted.core.majority_value(|member| self.answers.get(member).map_or(0, |answered| answered.round))
     }
 
     /// Whether a node answered lately and knows this index.
@@ -132,7 +126,7 @@
         in_flight.resend_at = self.now + self.settings.resend;
         let (epoch, committed) = (leader.epoch, self.replica.committed.stamp);
         let message = ControlMessage::Accept { epoch, entry: in_flight.entry.clone(), committed };
-        let members = self.replica.accepted.members.iter();
+        let members = self.replica.accepted.core.voters();
         let waiting =
             members.filter(|member| !in_flight.accepted.contains(member) && member.name != self.name);
         let names: Vec<NodeName> = waiting.map(|member| member.name.clone()).collect();
@@ -156,7 +150,7 @@
             return;
         }
         in_flight.accepted.insert(member);
-        if self.replica.accepted.is_majority(in_flight.accepted.iter()) {
+        if self.replica.accepted.core.is_majority(in_flight.accepted.iter()) {
             self.commit_in_flight();
         }
     }
@@ -177,8 +171,8 @@
 
     /// Tells processes outside the core, as far as there are not too many.
     fn push_commit(&mut self, entry: Entry) {
-        let members = self.replica.committed.members.clone();
-        let is_core = |name: &NodeName| members.iter().any(|member| member.name == *name);
+        let core = &self.replica.committed.core;
+        let is_core = |name: &NodeName| core.voters().any(|member| member.name == *name);
         let mut names: Vec<NodeName> =
             self.peers.live().map(|peer| peer.info.name.clone()).filter(|name| !is_core(name)).collect();
         let Role::Leader(leader) = &mut self.role else { return };
@@ -203,7 +197,7 @@
             round: leader.round,
             committed: self.replica.committed.stamp,
         };
-        let members = self.replica.accepted.members.iter().map(|member| member.name.clone());
+        let members = self.replica.accepted.core.voters().map(|member| member.name.clone());
         let others =
             self.peers.live().filter(|peer| peer.core_member().is_some()).map(|peer| peer.info.name.clone());
         let names: BTreeSet<NodeName> = members.chain(others).collect();
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 mod agreed;
 mod catch_up;
 mod core_members;
+mod core_membership;
 mod currency;
 mod effect;
 mod election;
@@ -29,6 +30,7 @@
 mod storage;
 
 pub use agreed::Agreed;
+pub use core_membership::CoreMembership;
 pub use effect::{ControlError, Effect};
 pub use entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
 pub use machine::Control;
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -13,6 +13,7 @@
 use pewterseam_wire::random::Random;
 
 use crate::catch_up::CatchUp;
+use crate::core_membership::CoreMembership;
 use crate::currency::Currency;
 use crate::effect::{ControlError, Effect};
 use crate::election::Role;
@@ -123,7 +124,12 @@
 
     /// The core's members, as of the newest committed state known here.
     pub fn core(&self) -> &[CoreMember] {
-        &self.replica.committed.members
+        self.replica.committed.core.current()
+    }
+
+    /// The core's membership, as of the newest committed state known here.
+    pub fn core_membership(&self) -> &CoreMembership {
+        &self.replica.committed.core
     }
 
     /// When [`Control::tick`] is due.
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -35,6 +35,10 @@
     pub unanswered: Micros,
     /// So long a dead member or store is kept where nothing replaces it.
     pub abandon_after: Micros,
+    /// So long a core member must be dead before its place is given up or given to another.
+    pub replace_member_after: Micros,
+    /// A node must have been there for so long before it makes a whole core larger: longer than a death goes unnoticed.
+    pub grow_after: Micros,
     /// So long a store of the same zone must be dead before a new store replaces it.
     pub replace_after: Micros,
     /// A new store or core member must have been there for so long.
@@ -61,6 +65,8 @@
             call_timeout: 900 * MILLISECOND,
             unanswered: 3_000 * MILLISECOND,
             abandon_after: 60_000 * MILLISECOND,
+            replace_member_after: 1_000 * MILLISECOND,
+            grow_after: 3_000 * MILLISECOND,
             replace_after: 2_000 * MILLISECOND,
             settle: 500 * MILLISECOND,
             first_placement: 700 * MILLISECOND,
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -3,6 +3,8 @@
 mod changes;
 mod cluster;
 mod formation;
+mod membership;
+mod second_loss;
 mod simulation;
 
 use pewterseam_control::{OperatorRequest, Outcome, Token};
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
+use pewterseam_control::{
+    Command, Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token,
+};
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::random::Random;
@@ -29,6 +31,8 @@
     NoMajorityRead,
     /// The disk says that it synced, and did not.
     LyingDisk,
+    /// A disk that was emptied keeps its identity, so that its member votes on with an empty memory.
+    EmptiedDiskVotes,
 }
 
 enum Event {
@@ -72,6 +76,8 @@
     /// Whether the bytes of messages are counted, which takes time.
     pub counts_bytes: bool,
     pub bytes: usize,
+    /// Proposals of core memberships that were sent.
+    pub core_proposals: usize,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     links: BTreeMap<(usize, usize), u64>,
@@ -100,6 +106,7 @@
             messages: 0,
             counts_bytes: false,
             bytes: 0,
+            core_proposals: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -276,6 +283,9 @@
     pub fn lose_disk(&mut self, index: usize) {
         self.kill(index);
         self.nodes[index].disk.lose();
+        if self.planted == Planted::EmptiedDiskVotes {
+            return;
+        }
         self.next_disk += 1;
         let disk = DiskId(self.next_disk);
         self.nodes[index].info.disk = self.nodes[index].info.disk.map(|_| disk);
@@ -362,6 +372,11 @@
     fn send(&mut self, from: usize, to: &NodeName, message: ControlMessage) {
         let Some(to) = self.nodes.iter().position(|node| node.info.name == *to) else { return };
         self.messages += 1;
+        if let ControlMessage::Accept { entry, .. } = &message
+            && matches!(entry.command, Command::Core { .. })
+        {
+            self.core_proposals += 1;
+        }
         if self.counts_bytes {
             self.bytes += pewterseam_wire::frame::encode(&message).map_or(0, |bytes| bytes.len());
         }
