Control: whole states travel in pieces that resume

Cause: a process behind by more than 64 entries or 256 KB, a core member without the base of an entry, and a candidate that adopts a state all got it whole in one message, asked for again after 400 ms whatever was on its way.

Entries come in pieces of the same size, wherever they are shorter than the state; history is bounded by bytes alone. A core member writes what it learns, so that what a promise tells of is synced.

--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -1,4 +1,4 @@
-//! How committed states reach processes that lack them.
+//! How committed states reach processes that lack them: entry by entry, or as a whole state in pieces.
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
@@ -7,24 +7,71 @@
 use crate::entry::{Entry, Stamp};
 use crate::machine::Control;
 use crate::message::ControlMessage;
+use crate::transfer::{IncomingState, OutgoingStates, StateKind, StateName, StatePiece};
 
-/// An unanswered fetch is repeated elsewhere after this.
+/// An unanswered fetch is repeated elsewhere after this, and each further one after twice as long.
 const FETCH_TIMEOUT: Micros = 400_000;
 
+/// The longest of these pauses.
+const LONGEST_TIMEOUT: Micros = 3_200_000;
+
+/// After so many holders without the state, or silences, a transfer begins anew.
+const MOST_FAILURES: u32 = 6;
+
 /// What this process knows it lacks.
-#[derive(Default)]
 pub(crate) struct CatchUp {
     /// The highest index that was heard of, and who has it.
     newest: u64,
     holder: Option<NodeName>,
     fetch_at: Option<Micros>,
     turn: usize,
+    incoming: Option<IncomingState>,
+    /// Who sent the last piece.
+    source: Option<NodeName>,
+    timeout: Micros,
+    /// Requests in a row that brought nothing.
+    failures: u32,
+    pub outgoing: OutgoingStates,
+}
+
+impl Default for CatchUp {
+    fn default() -> Self {
+        CatchUp {
+            newest: 0,
+            holder: None,
+            fetch_at: None,
+            turn: 0,
+            incoming: None,
+            source: None,
+            timeout: FETCH_TIMEOUT,
+            failures: 0,
+            outgoing: OutgoingStates::default(),
+        }
+    }
 }
 
 impl CatchUp {
     pub(crate) fn next_wake(&self) -> Micros {
         self.fetch_at.unwrap_or(Micros::MAX)
     }
+
+    /// Whether a whole state is on its way here.
+    pub(crate) fn is_receiving(&self) -> bool {
+        self.incoming.is_some()
+    }
+
+    /// Something new came.
+    fn progress(&mut self, now: Micros) {
+        self.timeout = FETCH_TIMEOUT;
+        self.failures = 0;
+        self.fetch_at = Some(now + self.timeout);
+    }
+
+    /// A request went out.
+    fn requested(&mut self, now: Micros) {
+        self.fetch_at = Some(now + self.timeout);
+        self.timeout = (self.timeout * 2).min(LONGEST_TIMEOUT);
+    }
 }
 
 impl Control {
@@ -44,35 +91,176 @@
 
     pub(crate) fn run_catch_up(&mut self) {
         let Some(at) = self.catch_up.fetch_at else { return };
-        if self.catch_up.newest <= self.replica.committed.stamp.index {
+        self.drop_old_transfer();
+        if self.catch_up.incoming.is_none() && self.catch_up.newest <= self.replica.committed.stamp.index {
             self.catch_up.fetch_at = None;
             self.catch_up.holder = None;
+            self.catch_up.timeout = FETCH_TIMEOUT;
             return;
         }
         if at > self.now {
             return;
         }
-        self.catch_up.fetch_at = Some(self.now + FETCH_TIMEOUT);
-        let holder = self.catch_up.holder.take().or_else(|| self.leader_hint.clone()).or_else(|| {
-            let core = self.live_core();
-            self.catch_up.turn += 1;
-            core.get(self.catch_up.turn % core.len().max(1)).cloned()
-        });
-        if let Some(holder) = holder {
-            let have = self.replica.committed.stamp;
-            self.send(holder, ControlMessage::Fetch { have });
+        self.catch_up.failures += 1;
+        let holder = self.next_holder();
+        self.catch_up.requested(self.now);
+        let Some(holder) = holder else { return };
+        if self.catch_up.incoming.is_some() {
+            return self.ask_for_pieces(holder);
         }
+        let have = self.replica.committed.stamp;
+        self.send(holder, ControlMessage::Fetch { have });
     }
 
+    /// A transfer of what is known by now, or that nobody can go on with, ends.
+    fn drop_old_transfer(&mut self) {
+        let Some(incoming) = &self.catch_up.incoming else { return };
+        let known = match incoming.name.kind {
+            StateKind::Committed => self.replica.committed.stamp,
+            StateKind::Accepted => self.replica.accepted.stamp,
+        };
+        if incoming.name.stamp <= known || self.catch_up.failures >= MOST_FAILURES {
+            self.catch_up.incoming = None;
+            self.catch_up.failures = 0;
+        }
+    }
+
+    /// Whom to ask: who sent the last piece, who told of something newer, the leader, or the core members in turn.
+    fn next_holder(&mut self) -> Option<NodeName> {
+        let first = if self.catch_up.is_receiving() {
+            self.catch_up.source.clone()
+        } else {
+            self.catch_up.holder.take().or_else(|| self.leader_hint.clone())
+        };
+        if first.is_some() && self.catch_up.failures % 2 == 1 {
+            return first;
+        }
+        self.catch_up.turn += 1;
+        let core = self.live_core();
+        core.get(self.catch_up.turn % core.len().max(1)).cloned()
+    }
+
+    fn ask_for_pieces(&mut self, holder: NodeName) {
+        let Some(incoming) = &mut self.catch_up.incoming else { return };
+        let message = ControlMessage::FetchPieces { state: incoming.name, numbers: incoming.next_window() };
+        self.send(holder, message);
+    }
+
+    /// A process lacks what was committed after a state. It gets entries where they are no longer than the state.
     pub(crate) fn fetch(&mut self, from: &NodeName, have: Stamp) {
         if have.index >= self.replica.committed.stamp.index {
             return;
         }
-        let message = match self.replica.entries_after(have) {
-            Some(entries) => ControlMessage::Entries { entries },
-            None => ControlMessage::Committed { agreed: self.replica.committed.clone() },
+        if let Some(entries) = self.replica.entries_after(have) {
+            return self.send(from.clone(), ControlMessage::Entries { entries });
+        }
+        let kept = self.catch_up.outgoing.newest_committed(self.now);
+        let is_useful = |name: &StateName| {
+            name.stamp.index > have.index && self.replica.entries_after(name.stamp).is_some()
+        };
+        let name = kept.filter(is_useful).unwrap_or_else(|| {
+            let newest = &self.replica.committed;
+            self.catch_up.outgoing.keep(StateKind::Committed, newest, self.now)
+        });
+        self.send_first_pieces(from, name);
+    }
+
+    fn send_first_pieces(&mut self, to: &NodeName, name: StateName) {
+        for piece in self.catch_up.outgoing.first_pieces(name, self.now) {
+            self.send(to.clone(), ControlMessage::StatePiece(piece));
+        }
+    }
+
+    /// Begins to hand out the state that was accepted here.
+    pub(crate) fn hand_out_accepted(&mut self, to: &NodeName) {
+        let accepted = &self.replica.accepted;
+        let name = self.catch_up.outgoing.keep(StateKind::Accepted, accepted, self.now);
+        self.send_first_pieces(to, name);
+    }
+
+    pub(crate) fn fetch_pieces(&mut self, from: &NodeName, state: StateName, numbers: &[u32]) {
+        let own = match state.kind {
+            StateKind::Committed => &self.replica.committed,
+            StateKind::Accepted => &self.replica.accepted,
+        };
+        if own.stamp == state.stamp {
+            self.catch_up.outgoing.keep(state.kind, own, self.now);
+        }
+        match self.catch_up.outgoing.pieces(state, numbers, self.now) {
+            Some(pieces) => {
+                for piece in pieces {
+                    self.send(from.clone(), ControlMessage::StatePiece(piece));
+                }
+            }
+            None => self.send(from.clone(), ControlMessage::NoSuchState { state }),
+        }
+    }
+
+    /// A holder has gone on, or never had the state: another is asked soon.
+    pub(crate) fn no_such_state(&mut self, state: StateName) {
+        if self.catch_up.incoming.as_ref().is_some_and(|incoming| incoming.name == state) {
+            self.catch_up.fetch_at = Some(self.now);
+        }
+    }
+
+    pub(crate) fn state_piece(&mut self, from: &NodeName, piece: StatePiece) {
+        let is_wanted = match piece.state.kind {
+            StateKind::Committed => piece.state.stamp.index > self.replica.committed.stamp.index,
+            StateKind::Accepted => {
+                self.identity.is_some() && piece.state.stamp > self.replica.accepted.stamp
+            }
         };
-        self.send(from.clone(), message);
+        if !is_wanted {
+            return;
+        }
+        self.begin_transfer(piece.state);
+        let Some(incoming) = &mut self.catch_up.incoming else { return };
+        if !incoming.take(piece) {
+            return;
+        }
+        let (is_whole, is_idle) = (incoming.is_whole(), incoming.is_idle());
+        self.catch_up.source = Some(from.clone());
+        self.catch_up.progress(self.now);
+        if is_whole {
+            self.finish_transfer(from);
+        } else if is_idle {
+            self.ask_for_pieces(from.clone());
+        }
+    }
+
+    /// Begins a transfer, unless one is under way. What a member was asked to accept goes before what it may learn.
+    fn begin_transfer(&mut self, name: StateName) {
+        self.drop_old_transfer();
+        let goes_on = self.catch_up.incoming.as_ref().is_some_and(|incoming| {
+            let is_newer_accepted =
+                name.kind == StateKind::Accepted && name.stamp.epoch > incoming.name.stamp.epoch;
+            incoming.name == name || incoming.name.kind == name.kind && !is_newer_accepted
+        });
+        let is_lesser = self.catch_up.incoming.is_some() && name.kind == StateKind::Committed;
+        if !goes_on && !is_lesser {
+            self.catch_up.incoming = IncomingState::new(name);
+        }
+    }
+
+    fn finish_transfer(&mut self, from: &NodeName) {
+        let Some(incoming) = self.catch_up.incoming.take() else { return };
+        let kind = incoming.name.kind;
+        let Some(agreed) = incoming.finish() else { return };
+        match kind {
+            StateKind::Committed => {
+                self.committed(agreed);
+                self.fetch_next(from);
+            }
+            StateKind::Accepted => self.accepted_state(from, agreed),
+        }
+    }
+
+    /// More may follow: it is asked for at once where something came.
+    fn fetch_next(&mut self, from: &NodeName) {
+        if self.catch_up.newest > self.replica.committed.stamp.index {
+            self.catch_up.holder.get_or_insert_with(|| from.clone());
+            self.catch_up.fetch_at = Some(self.now);
+        }
     }
 
     pub(crate) fn push(&mut self, from: &NodeName, entry: Entry) {
@@ -86,7 +274,8 @@
         }
     }
 
-    pub(crate) fn entries(&mut self, entries: Vec<Entry>) {
+    pub(crate) fn entries(&mut self, from: &NodeName, entries: Vec<Entry>) {
+        let before = self.replica.committed.stamp.index;
         for entry in entries {
             if entry.stamp.index > self.replica.committed.stamp.index
                 && self.replica.learn(entry, &mut self.effects).is_err()
@@ -95,9 +284,13 @@
                 return;
             }
         }
+        if self.replica.committed.stamp.index > before {
+            self.catch_up.progress(self.now);
+            self.fetch_next(from);
+        }
     }
 
-    pub(crate) fn committed(&mut self, agreed: Agreed) {
+    fn committed(&mut self, agreed: Agreed) {
         if agreed.stamp.index > self.replica.committed.stamp.index {
             self.replica.learn_state(agreed, &mut self.effects);
         }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -6,7 +6,6 @@
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
 
-use crate::agreed::Agreed;
 use crate::entry::{CoreMember, Stamp};
 use crate::leader::Leader;
 use crate::machine::Control;
@@ -273,19 +272,12 @@
 
     pub(crate) fn read_accepted(&mut self, from: &NodeName, epoch: u64) {
         if self.replica.promised.epoch == epoch {
-            let agreed = self.replica.accepted.clone();
-            self.send(from.clone(), ControlMessage::AcceptedState { epoch, agreed });
+            self.hand_out_accepted(from);
         }
     }
 
-    pub(crate) fn accepted_state(&mut self, epoch: u64, agreed: Agreed) {
-        let Role::Candidate(candidate) = &self.role else { return };
-        if candidate.epoch != epoch {
-            return;
-        }
-        if agreed.stamp > self.replica.accepted.stamp {
-            self.replica.install(agreed, epoch, &self.name, &mut self.effects);
-        }
+    /// A greater state was adopted.
+    pub(crate) fn adopted_state(&mut self) {
         // Its members may be others than those that were asked.
         self.ask_for_promises();
         self.review_promises();
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -16,6 +16,9 @@
 /// A leader tells so many processes outside the core of a commit itself; others learn of it through membership.
 const MOST_PUSHES: usize = 64;
 
+/// Bytes of an entry for which an answer is awaited a millisecond longer: a link that is repeated on gets no faster.
+const BYTES_PER_MILLISECOND: u64 = 1024;
+
 /// An entry on its way to a majority.
 pub(crate) struct InFlight {
     entry: Entry,
@@ -123,7 +126,8 @@
     fn send_proposal(&mut self) {
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(in_flight) = &mut leader.in_flight else { return };
-        in_flight.resend_at = self.now + self.settings.resend;
+        let longer = in_flight.entry.size() as u64 / BYTES_PER_MILLISECOND * 1_000;
+        in_flight.resend_at = self.now + self.settings.resend + longer;
         let (epoch, committed) = (leader.epoch, self.replica.committed.stamp);
         let message = ControlMessage::Accept { epoch, entry: in_flight.entry.clone(), committed };
         let members = self.replica.accepted.core.voters();
@@ -138,8 +142,7 @@
     pub(crate) fn need_state(&mut self, from: &NodeName, epoch: u64) {
         let Role::Leader(leader) = &self.role else { return };
         if leader.epoch == epoch && leader.in_flight.is_some() {
-            let (agreed, committed) = (self.replica.accepted.clone(), self.replica.committed.stamp);
-            self.send(from.clone(), ControlMessage::Install { epoch, agreed, committed });
+            self.hand_out_accepted(from);
         }
     }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -28,6 +28,7 @@
 mod replica;
 mod settings;
 mod storage;
+mod transfer;
 
 pub use agreed::Agreed;
 pub use core_membership::CoreMembership;
@@ -37,3 +38,4 @@
 pub use message::{ControlMessage, FormationMessage};
 pub use operator::{OperatorRequest, Outcome, Token};
 pub use settings::ControlSettings;
+pub use transfer::{StateKind, StateName, StatePiece};
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -272,11 +272,7 @@
             ControlMessage::Promise { epoch, member, stamp } => self.promise(epoch, member, stamp),
             ControlMessage::Refused { promised } => self.refused(promised),
             ControlMessage::ReadAccepted { epoch } => self.read_accepted(from, epoch),
-            ControlMessage::AcceptedState { epoch, agreed } => self.accepted_state(epoch, agreed),
             ControlMessage::Accept { epoch, entry, committed } => self.accept(from, epoch, entry, committed),
-            ControlMessage::Install { epoch, agreed, committed } => {
-                self.install(from, epoch, agreed, committed)
-            }
             ControlMessage::AcceptAnswer { epoch, member, stamp } => self.accept_answer(epoch, member, stamp),
             ControlMessage::NeedState { epoch } => self.need_state(from, epoch),
             ControlMessage::Heartbeat { epoch, round, committed } => {
@@ -287,8 +283,10 @@
             }
             ControlMessage::Push { entry } => self.push(from, entry),
             ControlMessage::Fetch { have } => self.fetch(from, have),
-            ControlMessage::Entries { entries } => self.entries(entries),
-            ControlMessage::Committed { agreed } => self.committed(agreed),
+            ControlMessage::Entries { entries } => self.entries(from, entries),
+            ControlMessage::StatePiece(piece) => self.state_piece(from, piece),
+            ControlMessage::FetchPieces { state, numbers } => self.fetch_pieces(from, state, &numbers),
+            ControlMessage::NoSuchState { state } => self.no_such_state(state),
             ControlMessage::Operator { token, request } => self.order(from, token, request),
             ControlMessage::OperatorAnswer { token, outcome } => self.answered(token, outcome),
             ControlMessage::NotLeader { token, leader } => self.not_leader(from, token, leader),
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -4,9 +4,9 @@
 use pewterseam_wire::placement::{PlacementEpoch, StoreId};
 use serde::{Deserialize, Serialize};
 
-use crate::agreed::Agreed;
 use crate::entry::{CoreMember, Entry, Stamp};
 use crate::operator::{OperatorRequest, Outcome, Token};
+use crate::transfer::{StateName, StatePiece};
 
 /// A message of control. The driver tells the sender's name beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -35,33 +35,23 @@
     Refused {
         promised: u64,
     },
-    /// A candidate asks for the state that was accepted.
+    /// A candidate asks for the state that was accepted. It comes in pieces.
     ReadAccepted {
         epoch: u64,
     },
-    AcceptedState {
-        epoch: u64,
-        agreed: Agreed,
-    },
     /// Accept the state after this entry.
     Accept {
         epoch: u64,
         entry: Entry,
         committed: Stamp,
     },
-    /// Accept this state, which the receiver lacks the base of.
-    Install {
-        epoch: u64,
-        agreed: Agreed,
-        committed: Stamp,
-    },
     /// Accepted durably.
     AcceptAnswer {
         epoch: u64,
         member: CoreMember,
         stamp: Stamp,
     },
-    /// The receiver of an `Accept` lacks the state before the entry.
+    /// The receiver of an `Accept` lacks the state before the entry. The state after it comes in pieces.
     NeedState {
         epoch: u64,
     },
@@ -89,9 +79,16 @@
     Entries {
         entries: Vec<Entry>,
     },
-    /// A committed state.
-    Committed {
-        agreed: Agreed,
+    /// A part of a whole state.
+    StatePiece(StatePiece),
+    /// Asks for parts of a state whose transfer has begun.
+    FetchPieces {
+        state: StateName,
+        numbers: Vec<u32>,
+    },
+    /// The state that was asked for is not here, or no longer.
+    NoSuchState {
+        state: StateName,
     },
     Operator {
         token: Token,
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -9,9 +9,10 @@
 use crate::entry::{Entry, Stamp};
 use crate::message::ControlMessage;
 use crate::storage::{Promised, Record, Recovered, Snapshot, encode};
+use crate::transfer::PIECE_BYTES;
 
-/// Bounds of the committed entries that are kept for processes that are a little behind.
-const HISTORY_ENTRIES: usize = 64;
+/// Committed entries are kept for processes that are behind, up to so many bytes, or as many as the configuration has:
+/// with more, the whole state is the shorter way.
 const HISTORY_BYTES: usize = 256 * 1024;
 
 /// A snapshot is written when the log is larger than this and than twice the state.
@@ -137,8 +138,9 @@
     pub(crate) fn learn(&mut self, entry: Entry, effects: &mut Vec<Effect>) -> Result<(), ControlError> {
         let next = self.committed.apply(&entry)?;
         self.committed = next;
+        let record = Record::Entry(entry.clone());
         self.remember(vec![entry]);
-        self.follow_committed(effects);
+        self.follow_committed(record, effects);
         Ok(())
     }
 
@@ -147,15 +149,23 @@
         self.committed = agreed;
         self.history.clear();
         self.history_bytes = 0;
-        self.follow_committed(effects);
+        let record = Record::State(self.committed.clone());
+        self.follow_committed(record, effects);
     }
 
-    /// What is committed may be taken as accepted where it is greater; it counts for nobody's majority.
-    fn follow_committed(&mut self, effects: &mut Vec<Effect>) {
+    /// What is committed may be taken as accepted where it is greater; it counts for nobody's majority. It is written
+    /// like all that is accepted, so that a promise, which waits for the disk, tells only of what is synced.
+    fn follow_committed(&mut self, record: Record, effects: &mut Vec<Effect>) {
         if self.committed.stamp >= self.accepted.stamp {
             self.accepted = self.committed.clone();
             self.tail.clear();
         }
+        if self.has_disk && self.on_disk < self.accepted.stamp {
+            let follows = matches!(&record, Record::Entry(entry) if entry.previous == self.on_disk);
+            let whole = Record::State(self.accepted.clone());
+            self.persist(if follows { &record } else { &whole }, effects);
+            self.on_disk = self.accepted.stamp;
+        }
         self.note_committed(effects);
     }
 
@@ -193,19 +203,33 @@
             self.history_bytes += entry.size();
             self.history.push_back(entry);
         }
-        while self.history.len() > HISTORY_ENTRIES
-            || self.history_bytes > HISTORY_BYTES && self.history.len() > 1
-        {
+        let most_bytes = HISTORY_BYTES.max(self.committed.state.config.text.len());
+        while self.history_bytes > most_bytes && self.history.len() > 1 {
             if let Some(entry) = self.history.pop_front() {
                 self.history_bytes -= entry.size();
             }
         }
     }
 
-    /// The last committed entries, as far as they go on from the state before `have`.
+    /// The first piece of the committed entries after a state. None where they are not all known, or where they are
+    /// longer than the configuration or the next one is longer than a piece: the whole state then comes in pieces.
     pub(crate) fn entries_after(&self, have: Stamp) -> Option<Vec<Entry>> {
-        let first = self.history.iter().position(|entry| entry.previous == have)?;
-        Some(self.history.iter().skip(first).cloned().collect())
+        if have == self.committed.stamp {
+            return Some(Vec::new());
+        }
+        let behind = self.committed.stamp.index.checked_sub(have.index)?;
+        let first = self.history.len().checked_sub(usize::try_from(behind).ok()?)?;
+        let next = self.history.get(first).filter(|entry| entry.previous == have)?;
+        let in_all: usize = self.history.iter().skip(first).map(Entry::size).sum();
+        if next.size() > PIECE_BYTES || in_all > PIECE_BYTES.max(self.committed.state.config.text.len()) {
+            return None;
+        }
+        let mut bytes = 0;
+        let is_in_piece = |entry: &&Entry| {
+            bytes += entry.size();
+            bytes <= PIECE_BYTES
+        };
+        Some(self.history.iter().skip(first).take_while(is_in_piece).cloned().collect())
     }
 
     /// Sends a message once all that was given to the disk so far is synced.
