Control: catching up is measured, over slow and lossy links too

A test brings about what was found: 5,000 routes, 30 Mbit/s, one of ten pieces of 32 KB lost, three processes behind, a leader that goes on changing.

--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -206,9 +206,7 @@
     pub(crate) fn state_piece(&mut self, from: &NodeName, piece: StatePiece) {
         let is_wanted = match piece.state.kind {
             StateKind::Committed => piece.state.stamp.index > self.replica.committed.stamp.index,
-            StateKind::Accepted => {
-                self.identity.is_some() && piece.state.stamp > self.replica.accepted.stamp
-            }
+            StateKind::Accepted => self.identity.is_some() && piece.state.stamp > self.replica.accepted.stamp,
         };
         if !is_wanted {
             return;
--- a/crates/control/src/transfer.rs
+++ b/crates/control/src/transfer.rs
@@ -168,7 +168,9 @@
     }
 
     /// Pieces of a state that is kept; none where it is not.
-    pub(crate) fn pieces(&mut self, name: StateName, numbers: &[u32], now: Micros) -> Option<Vec<StatePiece>> {
+    pub(crate) fn pieces(
+        &mut self, name: StateName, numbers: &[u32], now: Micros,
+    ) -> Option<Vec<StatePiece>> {
         let state = self.states.iter_mut().find(|state| state.name == name)?;
         state.used_at = now;
         let bytes = &state.bytes;
--- /dev/null
+++ b/crates/control/tests/control/catch_up.rs
@@ -0,0 +1,179 @@
+//! Processes that are far behind: how long they take, what it costs, and that it ends.
+
+use bytes::Bytes;
+use pewterseam_control::{OperatorRequest, Outcome};
+
+use crate::simulation::cluster::{Cluster, MS};
+use crate::{call, formed};
+
+const SECOND: u64 = 1_000 * MS;
+
+/// 30 Mbit/s.
+const SLOW_LINK: u64 = 30_000_000 / 8;
+
+/// `catchUpS` of a small site.
+const CATCH_UP: u64 = 4_400 * MS;
+
+fn route(number: usize, timeout: u64) -> String {
+    format!(
+        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":{timeout},"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
+        number % 20
+    )
+}
+
+fn routes(count: usize) -> Bytes {
+    let routes: Vec<String> = (0..count).map(|number| route(number, 600)).collect();
+    Bytes::from(format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, routes.join(",")))
+}
+
+/// A cluster with three core members, two relays without a disk and three stores, and changes.
+struct Changing {
+    cluster: Cluster,
+    version: u64,
+    relay: usize,
+}
+
+const CORE: usize = 3;
+
+impl Changing {
+    fn new(seed: u64, configuration: Bytes) -> Self {
+        let mut changing = Changing { cluster: formed(seed, CORE, 2, 3), version: 0, relay: CORE };
+        let accepted = call(&mut changing.cluster, CORE, 1, OperatorRequest::put(0, configuration));
+        assert_eq!(accepted, Some(Outcome::Accepted { version: 1 }));
+        changing.version = 1;
+        changing.cluster.run(SECOND);
+        changing
+    }
+
+    /// Changes one route after another. An order is sent again until it is taken.
+    fn change(&mut self, times: u64) {
+        for _ in 0..times {
+            let version = self.version + 1;
+            let changed = route(version as usize % 100, 600 + version);
+            let patch = format!(r#"{{"version":{version},"upsert":{{"routes":[{changed}]}}}}"#);
+            let request = OperatorRequest::patch(self.version, patch.into());
+            let taken = (0..8).any(|_| {
+                let outcome = call(&mut self.cluster, self.relay, version, request.clone());
+                matches!(outcome, Some(Outcome::Accepted { .. }))
+            });
+            assert!(taken, "version {version} was not taken");
+            self.version = version;
+        }
+    }
+
+    /// Runs until these nodes know this version, changing on every `pause` where there is one. Returns the time.
+    fn reach(&mut self, nodes: &[usize], version: u64, most: u64, pause: Option<u64>) -> u64 {
+        let start = self.cluster.now;
+        let mut next = start;
+        while self.cluster.now < start + most {
+            let knows = |node: &usize| {
+                let control = self.cluster.control(*node);
+                control
+                    .is_some_and(|control| control.state().config.version >= version && control.is_current())
+            };
+            if nodes.iter().all(knows) {
+                return self.cluster.now - start;
+            }
+            match pause {
+                Some(pause) if self.cluster.now >= next => {
+                    next = self.cluster.now + pause;
+                    self.change(1);
+                }
+                _ => self.cluster.run(10 * MS),
+            }
+        }
+        most
+    }
+
+    fn whole(&mut self) {
+        self.cluster.checks.finish();
+        assert_eq!(self.cluster.checks.broken, Vec::<String>::new());
+    }
+}
+
+/// Guards against whole states that never arrive, or that cost the link again with each repeat: 5,000 routes, 30 Mbit/s,
+/// one of ten pieces of 32 KB lost, three processes behind at once, and a leader that goes on changing.
+#[test]
+fn a_whole_state_arrives_over_a_slow_and_lossy_link() {
+    for seed in 0..4 {
+        let mut changing = Changing::new(seed, routes(5_000));
+        let behind = [2, 4, 7];
+        for node in behind {
+            changing.cluster.kill(node);
+        }
+        changing.change(10);
+        for node in 0..2 {
+            // Nobody has a history that reaches back.
+            changing.cluster.kill(node);
+            changing.cluster.start_after(node, 0);
+        }
+        changing.cluster.run(4 * SECOND);
+        changing.change(1);
+        changing.cluster.rate = Some(SLOW_LINK);
+        changing.cluster.loss_percent = 10;
+        changing.cluster.received.clear();
+        for node in behind {
+            changing.cluster.start_after(node, 0);
+        }
+        changing.cluster.run(100 * MS);
+        let version = changing.version;
+        let time = changing.reach(&behind, version, 60 * SECOND, Some(300 * MS));
+        let state = changing.cluster.control(0).expect("runs").state().config.text.len();
+        let received: Vec<usize> = behind.map(|node| changing.cluster.received[&node]).to_vec();
+        println!("seed {seed}: {} ms, {received:?} bytes for a state of {state}", time / MS);
+        assert!(time < 15 * SECOND, "seed {seed}: {} ms", time / MS);
+        for bytes in received {
+            assert!(bytes < 2 * state, "seed {seed}: {bytes} bytes for a state of {state}");
+        }
+        changing.cluster.loss_percent = 0;
+        changing.cluster.run(2 * SECOND);
+        changing.whole();
+    }
+}
+
+/// Measures how long a member, and a process without a disk, take to catch up, and what it costs.
+fn catch_up(configuration: &Bytes, name: &str, changes: u64) {
+    let mut changing = Changing::new(changes, configuration.clone());
+    let behind = [2, 4];
+    for node in behind {
+        changing.cluster.kill(node);
+    }
+    changing.cluster.run(3 * SECOND);
+    changing.change(changes);
+    changing.cluster.rate = Some(SLOW_LINK);
+    changing.cluster.received.clear();
+    for node in behind {
+        changing.cluster.start_after(node, 0);
+    }
+    let version = changing.version;
+    let time = changing.reach(&behind, version, 30 * SECOND, None);
+    let state = changing.cluster.control(0).expect("runs").state().config.text.len();
+    let received = behind.map(|node| changing.cluster.received[&node]);
+    println!(
+        "{name}, {changes} changes: {} ms, member {} and relay {} bytes, state {state} bytes",
+        time / MS,
+        received[0],
+        received[1]
+    );
+    assert!(time < CATCH_UP, "{name}, {changes} changes: {} ms", time / MS);
+    for bytes in received {
+        // At most the state, or entries as long as it, and what is told in any case.
+        assert!(bytes < 2 * state + 128 * 1024, "{name}, {changes} changes: {bytes} bytes");
+    }
+    changing.whole();
+}
+
+/// Guards against processes that take longer, or cost more, the more changes they slept through.
+#[test]
+fn catching_up_is_bounded_in_time_and_bytes() {
+    for changes in [10, 100, 1_000, 5_000] {
+        catch_up(&routes(3), "3 routes", changes);
+    }
+}
+
+#[test]
+fn catching_up_with_a_large_configuration_is_bounded() {
+    for changes in [10, 100, 1_000] {
+        catch_up(&routes(5_000), "5,000 routes", changes);
+    }
+}
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Control in whole simulated clusters.
 
+mod catch_up;
 mod changes;
 mod cluster;
 mod formation;
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -20,6 +20,8 @@
 
 /// Membership looks at links this often.
 const LOOK: u64 = 100 * MS;
+/// Bytes to which [`Cluster::loss_percent`] applies once.
+const LOSS_UNIT: usize = 32 * 1024;
 /// A store has copied what it must after so long.
 const COPY: u64 = 400 * MS;
 
@@ -68,6 +70,13 @@
     /// Links that carry nothing, by direction.
     pub cuts: BTreeSet<(usize, usize)>,
     pub drop_percent: usize,
+    /// Bytes that a node may send in a second, all links together. None: without bound.
+    pub rate: Option<u64>,
+    /// Of a hundred messages of [`LOSS_UNIT`] bytes so many are lost, and of longer ones accordingly more. Only with a
+    /// rate.
+    pub loss_percent: usize,
+    /// How long a node's disk takes for a write, where that is not the usual time.
+    pub disk_delays: BTreeMap<usize, u64>,
     pub answers: Vec<(usize, Token, Outcome)>,
     pub checks: Checks,
     pub planted: Planted,
@@ -76,15 +85,23 @@
     /// Whether the bytes of messages are counted, which takes time.
     pub counts_bytes: bool,
     pub bytes: usize,
+    /// Bytes that were sent to each node.
+    pub received: BTreeMap<usize, usize>,
     /// Proposals of core memberships that were sent.
     pub core_proposals: usize,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     links: BTreeMap<(usize, usize), u64>,
+    /// Until when a node is busy with sending.
+    sending: BTreeMap<usize, u64>,
     order: u64,
     next_disk: u64,
 }
 
+fn size_of(message: &ControlMessage) -> usize {
+    pewterseam_wire::frame::encode(message).map_or(0, |bytes| bytes.len())
+}
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7240))
 }
@@ -99,6 +116,9 @@
             nodes: Vec::new(),
             cuts: BTreeSet::new(),
             drop_percent: 0,
+            rate: None,
+            loss_percent: 0,
+            disk_delays: BTreeMap::new(),
             answers: Vec::new(),
             checks: Checks::default(),
             planted: Planted::Nothing,
@@ -106,10 +126,12 @@
             messages: 0,
             counts_bytes: false,
             bytes: 0,
+            received: BTreeMap::new(),
             core_proposals: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
+            sending: BTreeMap::new(),
             order: 0,
             next_disk: 100,
         };
@@ -365,7 +387,8 @@
 
     fn sync_later(&mut self, index: usize, sequence: u64) {
         let life = self.nodes[index].life;
-        let delay = 500 + self.random.below(3_000) as u64;
+        let usual = 500 + self.random.below(3_000) as u64;
+        let delay = self.disk_delays.get(&index).copied().unwrap_or(usual);
         self.schedule(delay, Event::Synced { node: index, life, sequence });
     }
 
@@ -377,17 +400,19 @@
         {
             self.core_proposals += 1;
         }
-        if self.counts_bytes {
-            self.bytes += pewterseam_wire::frame::encode(&message).map_or(0, |bytes| bytes.len());
-        }
+        let needs_size = self.counts_bytes || self.rate.is_some();
+        let size = if needs_size { size_of(&message) } else { 0 };
+        self.bytes += size;
+        *self.received.entry(to).or_default() += size;
+        let sent = self.sent_by(from, size);
         if self.planted == Planted::NoMajorityRead
             && let ControlMessage::Prepare { epoch } = &message
         {
             self.forge_promise(from, to, *epoch);
         }
-        let is_dropped = self.random.below(100) < self.drop_percent;
+        let is_dropped = self.random.below(100) < self.drop_percent || self.is_lost_on_the_way(size);
         let delay = 500 + self.random.below(4_000) as u64;
-        let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(self.now + delay);
+        let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(sent + delay);
         self.links.insert((from, to), at);
         if is_dropped || self.cuts.contains(&(from, to)) {
             return;
@@ -396,6 +421,20 @@
         self.schedule_at(at, Event::Message { from, to, life, message });
     }
 
+    /// When a node has sent a message, after all that it was sending.
+    fn sent_by(&mut self, from: usize, size: usize) -> u64 {
+        let Some(rate) = self.rate else { return self.now };
+        let start = self.sending.get(&from).copied().unwrap_or(0).max(self.now);
+        let end = start + size as u64 * 1_000_000 / rate;
+        self.sending.insert(from, end);
+        end
+    }
+
+    fn is_lost_on_the_way(&mut self, size: usize) -> bool {
+        self.loss_percent > 0
+            && (0..size.div_ceil(LOSS_UNIT)).any(|_| self.random.below(100) < self.loss_percent)
+    }
+
     /// The candidate hears a promise that nobody gave.
     fn forge_promise(&mut self, candidate: usize, member: usize, epoch: u64) {
         let info = &self.nodes[member].info;
