Control: a move of stores ends once each store that must copy has

Cause: up to f stores of the target could be missing.

Change: every store of the target tells itself that it copied. Only one that is down and stays just where it was need not, and not in a retirement.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 
 use pewterseam_wire::identity::NodeName;
-use pewterseam_wire::placement::{Placement, PlacementEpoch, StoreEntry, StoreId};
+use pewterseam_wire::placement::{
+    Group, PARTITIONS, Partition, Placement, PlacementEpoch, StoreEntry, StoreId,
+};
 
 use crate::election::Role;
 use crate::entry::Command;
@@ -16,6 +18,22 @@
     Some(StoreEntry { id: peer.store()?, zone: peer.info.zone.clone() })
 }
 
+/// Whether a store is in no group of the target that it was not in before.
+fn has_nothing_to_copy(
+    store: &StoreId, current: &[StoreEntry], target: &[StoreEntry], tolerated: u16,
+) -> bool {
+    if current.iter().all(|entry| entry.id != *store) {
+        return false;
+    }
+    let sets = vec![current.to_vec(), target.to_vec()];
+    let placement = Placement { epoch: PlacementEpoch(0), tolerated, sets };
+    (0..PARTITIONS).all(|partition| {
+        let groups = placement.groups(Partition(partition));
+        let is_in = |group: Option<&Group>| group.is_some_and(|group| group.stores.contains(store));
+        is_in(groups.first()) || !is_in(groups.last())
+    })
+}
+
 impl Control {
     /// The next change of the placement, if one is due. Nothing is in flight.
     pub(crate) fn next_placement(&self) -> Option<Command> {
@@ -26,7 +44,25 @@
                 let sets = vec![current.clone(), next];
                 self.stores_command(sets)
             }),
-            [.., target] => self.has_copied(target).then(|| self.stores_command(vec![target.clone()])),
+            [current, .., target] => self.next_step(current, target),
+        }
+    }
+
+    /// Messages are moving: the target alone is in force once it holds all. Where one of its stores is gone that has yet
+    /// to copy, the move begins anew without it: whatever was written is in the current set as well.
+    fn next_step(&self, current: &[StoreEntry], target: &[StoreEntry]) -> Option<Command> {
+        if self.has_copied(current, target) {
+            return Some(self.stores_command(vec![target.to_vec()]));
+        }
+        let is_gone = |entry: &StoreEntry| {
+            let since = self.peers.gone_since(&entry.id.name, entry.id.disk, self.started);
+            since.is_some_and(|since| self.now > since + self.settings.replace_after)
+        };
+        target.iter().find(|entry| !self.is_confirmed(entry) && is_gone(entry))?;
+        match self.changed_set(current) {
+            Some(next) if next == target => None,
+            Some(next) => Some(self.stores_command(vec![current.to_vec(), next])),
+            None => Some(self.stores_command(vec![current.to_vec()])),
         }
     }
 
@@ -111,15 +147,28 @@
         self.now > since + self.settings.abandon_after && live >= self.full_group()
     }
 
-    /// Whether all live stores of a set hold what they must, and all but those that may be lost.
-    fn has_copied(&self, target: &[StoreEntry]) -> bool {
+    /// Whether a store has told that it holds all that the placement asks of it.
+    fn is_confirmed(&self, entry: &StoreEntry) -> bool {
         let Role::Leader(leader) = &self.role else { return false };
-        let epoch = self.replica.committed.state.placement.epoch;
-        let has_copied = |store: &StoreId| leader.copied.get(store) == Some(&epoch);
-        let live_done =
-            target.iter().all(|entry| has_copied(&entry.id) || !self.peers.is_live_store(&entry.id));
-        let count = target.iter().filter(|entry| has_copied(&entry.id)).count();
-        live_done && count > 0 && count + usize::from(self.settings.tolerated) >= target.len()
+        leader.copied.get(&entry.id) == Some(&self.replica.committed.state.placement.epoch)
+    }
+
+    /// Whether the target holds all messages: each of its stores has told so itself.
+    ///
+    /// None may be missing that has something to copy. A durable write is at `f + 1` stores of a group, and up to `f`
+    /// of the stores that stay in it may lack it; so it is at `f + 1` of the new group once every store that is new to
+    /// the group has copied it, and at fewer otherwise. A store that is gone and stays wherever it was has nothing to
+    /// copy: it holds up no repair, but a retirement waits for it.
+    fn has_copied(&self, current: &[StoreEntry], target: &[StoreEntry]) -> bool {
+        let state = &self.replica.committed.state;
+        let is_retirement = !state.retiring.is_empty();
+        let stays = |entry: &StoreEntry| {
+            !is_retirement
+                && !self.peers.is_live_store(&entry.id)
+                && has_nothing_to_copy(&entry.id, current, target, state.placement.tolerated)
+        };
+        let is_any = target.iter().any(|entry| self.is_confirmed(entry));
+        is_any && target.iter().all(|entry| self.is_confirmed(entry) || stays(entry))
     }
 
     pub(crate) fn store_copied(&mut self, store: StoreId, epoch: PlacementEpoch) {
