--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -6,7 +6,6 @@
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
 
-use crate::agreed::Agreed;
 use crate::entry::{CoreMember, Stamp};
 use crate::leader::Leader;
 use crate::machine::Control;
@@ -66,7 +65,7 @@
 impl Control {
     /// This process, if it is a member of the core.
     pub(crate) fn own_member(&self) -> Option<&CoreMember> {
-        self.identity.as_ref().filter(|own| self.replica.accepted.members.contains(own))
+        self.identity.as_ref().filter(|own| self.replica.accepted.core.is_voter(own))
     }
 
     /// How many members go before this one: first who led last, then by the hash of the name. The dead do not count.
@@ -79,7 +78,7 @@
             let seen = self.peers.get(&member.name).is_some();
             key(&member.name) < own && (self.peers.is_live_member(member) || (unseen_is_live && !seen))
         };
-        accepted.members.iter().filter(goes_before).count() as u64
+        accepted.core.voters().filter(goes_before).count() as u64
     }
 
     fn election_delay(&mut self, base: Micros) -> Micros {
@@ -164,7 +163,7 @@
             granted: BTreeSet::new(),
             deadline: self.now + self.settings.attempt,
         };
-        for member in self.replica.accepted.members.clone().iter() {
+        for member in self.replica.accepted.core.clone().voters() {
             self.send(member.name.clone(), ControlMessage::PreVote { epoch });
         }
     }
@@ -199,7 +198,7 @@
             return;
         }
         members.insert(member);
-        if self.replica.accepted.is_majority(members.iter()) {
+        if self.replica.accepted.core.is_majority(members.iter()) {
             self.start_election(epoch);
         }
     }
@@ -218,9 +217,9 @@
     /// Asks the members of the state that is accepted here, as far as they were not asked.
     fn ask_for_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
-        let members = self.replica.accepted.members.clone();
+        let core = &self.replica.accepted.core;
         let new: Vec<CoreMember> =
-            members.iter().filter(|member| candidate.asked.insert((*member).clone())).cloned().collect();
+            core.voters().filter(|member| candidate.asked.insert((*member).clone())).cloned().collect();
         let epoch = candidate.epoch;
         for member in new {
             self.send(member.name, ControlMessage::Prepare { epoch });
@@ -270,7 +269,7 @@
     fn review_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
         let own_is_synced = self.identity.as_ref().is_some_and(|own| candidate.promises.contains_key(own));
-        if !own_is_synced || !self.replica.accepted.is_majority(candidate.promises.keys()) {
+        if !own_is_synced || !self.replica.accepted.core.is_majority(candidate.promises.keys()) {
             return;
         }
         let best = candidate.promises.iter().max_by_key(|(_, stamp)| **stamp);
@@ -286,19 +285,12 @@
 
     pub(crate) fn read_accepted(&mut self, from: &NodeName, epoch: u64) {
         if self.replica.promised.epoch == epoch {
-            let agreed = self.replica.accepted.clone();
-            self.send(from.clone(), ControlMessage::AcceptedState { epoch, agreed });
+            self.hand_out_accepted(from);
         }
     }
 
-    pub(crate) fn accepted_state(&mut self, epoch: u64, agreed: Agreed) {
-        let Role::Candidate(candidate) = &self.role else { return };
-        if candidate.epoch != epoch {
-            return;
-        }
-        if agreed.stamp > self.replica.accepted.stamp {
-            self.replica.install(agreed, epoch, &self.name, &mut self.effects);
-        }
+    /// A greater state was adopted.
+    pub(crate) fn adopted_state(&mut self) {
         // Its members may be others than those that were asked.
         self.ask_for_promises();
         self.review_promises();
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -1,11 +1,17 @@
 //! Control in whole simulated clusters.
 
+mod catch_up;
 mod changes;
 mod cluster;
 mod contact;
+mod elections;
 mod formation;
 mod history;
+mod many_changes;
+mod membership;
 mod orders;
+mod retirement;
+mod second_loss;
 mod simulation;
 mod stalled;
 
