--- a/crates/control/tests/control/elections.rs
+++ b/crates/control/tests/control/elections.rs
@@ -24,11 +24,7 @@
         });
         let Some(leader) = leader else { panic!("seed {seed}: nobody leads") };
         assert!(cluster.operator(leader, Token(2), OperatorRequest::ReadConfig));
-        assert!(cluster.operator(
-            leader,
-            Token(3),
-            OperatorRequest::ReadRetire { node: cluster.nodes[5].info.name.clone() }
-        ));
+        assert!(cluster.operator(leader, Token(3), OperatorRequest::put(5, document(6, "next"))));
         cluster.run(800 * MS);
         assert!(cluster.leader().is_some(), "seed {seed}: nobody leads any more");
         assert!(cluster.answers.is_empty(), "seed {seed}: {:?}", cluster.answers);
