Limited services: a home goes by the core's word, which lapses; records and attempts told in time

Change: the word lasts contactMs from the last question that a majority confirmed; a claim behind the list's first is denied, and a home that never comes on the list is given up after 3 s; a store whose answer was lost is asked again; facts are flushed before a release.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -109,6 +109,10 @@
         self.ended.iter().cloned().collect()
     }
 
+    pub fn confirmed_at(&self) -> Option<Micros> {
+        self.control.confirmed_at()
+    }
+
     pub fn contact(&self) -> Contact {
         self.control.contact(self.now)
     }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -34,7 +34,8 @@
 const CALL_SLOTS: usize = 300;
 const CONNECT_TIMEOUT: Micros = SECOND;
 const IDLE_CLOSE: Micros = 4 * SECOND;
-const CORE_LEASE: Micros = 3 * SECOND;
+/// `contactMs`.
+const CORE_LEASE: Micros = 4 * SECOND;
 
 /// An attempt that waits for its permit to send.
 struct UnsentAttempt {
@@ -57,6 +58,7 @@
     calls: BTreeMap<SocketAddr, BTreeSet<CallId>>,
     pub(crate) queue_effects: VecDeque<QueueEffect>,
     pub(crate) delivery_inputs: Vec<DeliveryInput>,
+    core_lease_until: Micros,
     pub(crate) stopping: Option<Stopping>,
     is_ready: bool,
     serving: Serving,
@@ -94,7 +96,8 @@
             reads: Reads::default(),
             calls: BTreeMap::new(),
             queue_effects: VecDeque::new(),
-            delivery_inputs: vec![DeliveryInput::CoreLease { until: Micros::MAX }],
+            delivery_inputs: Vec::new(),
+            core_lease_until: 0,
             stopping: None,
             is_ready: false,
             serving: Serving::default(),
@@ -122,6 +125,7 @@
         for event in self.node.tick() {
             self.node_event(event);
         }
+        self.renew_core_lease();
         let now = self.node.now;
         if self.queue.wake_at().is_some_and(|at| at <= now) {
             let effects = self.queue.tick(now);
@@ -137,6 +141,14 @@
         self.update_readiness();
     }
 
+    fn renew_core_lease(&mut self) {
+        let until = self.node.confirmed_at().map_or(0, |confirmed| confirmed + CORE_LEASE);
+        if until > self.core_lease_until {
+            self.core_lease_until = until;
+            self.delivery_inputs.push(DeliveryInput::CoreLease { until });
+        }
+    }
+
     fn settle(&mut self) {
         loop {
             while let Some(effect) = self.queue_effects.pop_front() {
--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -85,6 +85,11 @@
         moment.map(|moment| moment + self.length).filter(|end| now < *end)
     }
 
+    /// When the last question that a majority confirmed was sent.
+    pub(crate) fn confirmed(&self) -> Option<Micros> {
+        self.confirmed
+    }
+
     /// The state of contact at a moment.
     pub(crate) fn contact(&self, now: Micros) -> Contact {
         if let Some(until) = self.end(self.proven, now) {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -112,6 +112,11 @@
         self.in_force.index
     }
 
+    /// When the last question was sent that a majority of the core has confirmed since.
+    pub fn confirmed_at(&self) -> Option<Micros> {
+        self.lease.confirmed()
+    }
+
     /// Whether this process is in touch with a majority of the core. Ask with the time of the moment: contact lapses.
     pub fn contact(&self, now: Micros) -> Contact {
         self.lease.contact(now.max(self.now))
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -17,6 +17,8 @@
 /// Relays that a new home asks whether they have been it, and how often.
 const CLAIMED_FROM: usize = 3;
 const CLAIM_AGAIN: Micros = 250_000;
+/// A home that is followed on its own word, and is not the first on the list, is looked at again after this.
+const FOLLOW_UNLISTED: Micros = 3_000_000;
 
 /// What the permits of a relay need to know.
 #[derive(Clone, Debug)]
@@ -47,6 +49,8 @@
     granting: Option<Home>,
     claim_at: Option<Micros>,
     yielded: Option<Yielded>,
+    /// When the home is taken from the list again.
+    review_at: Option<Micros>,
 }
 
 /// A place as home that was given up, and what the next home has to know of its permits.
@@ -60,7 +64,7 @@
 impl Service {
     fn new(rate: f64) -> Self {
         let (holder, home, granting) = (Holder::default(), None, None);
-        Service { rate, holder, home, granting, claim_at: None, yielded: None }
+        Service { rate, holder, home, granting, claim_at: None, yielded: None, review_at: None }
     }
 
     /// Another relay may have been home since: what this one knows as home is worth nothing.
@@ -175,9 +179,12 @@
                 service.holder.receive(sent_at, grant, count, now);
             }
             PermitMessage::Claim { service, claim } => {
+                let listed = ranked(&self.relays, &service).first().map(|home| (*home).clone());
                 let Some(entry) = self.services.get_mut(&service) else { return };
-                let goes_first = rank(&service, from) > rank(&service, &me.me);
-                if !goes_first && entry.home.as_ref() == Some(&me.me) {
+                // Danger: one that was cut off claims what another relay is the home of. Who followed it would ask a home
+                // that goes by the list again and grants nothing.
+                let goes_before = |home: &NodeName| rank(&service, home) > rank(&service, from);
+                if listed.as_ref().is_some_and(goes_before) {
                     let message = PermitMessage::Deny { service, claim };
                     self.effects.push(PermitEffect::Send { to: from.clone(), message });
                     return;
@@ -190,6 +197,7 @@
                     entry.holder.change_home();
                 }
                 (entry.home, entry.claim_at) = (Some(from.clone()), None);
+                entry.review_at = (listed.as_ref() != Some(from)).then_some(now + FOLLOW_UNLISTED);
                 // Danger: of two that claim, only one may begin at once; and a home that nobody followed for long may
                 // have been followed by one that waited. The same word told later is too much at worst.
                 let claimant = (from.clone(), claim);
@@ -215,13 +223,34 @@
                 if service.granting.as_ref().is_some_and(|home| home.claim == claim) {
                     service.forget_home();
                     self.choose_homes(now);
+                    self.claim_later(now);
                 }
             }
         }
     }
 
+    /// A claim was denied: the next one is not made at once.
+    fn claim_later(&mut self, now: Micros) {
+        for service in self.services.values_mut() {
+            service.claim_at = service.claim_at.map(|at| at.max(now + CLAIM_AGAIN));
+        }
+    }
+
+    fn review_homes(&mut self, now: Micros) {
+        let is_due = |service: &Service| service.review_at.is_some_and(|at| at <= now);
+        if !self.services.values().any(is_due) {
+            return;
+        }
+        self.services
+            .values_mut()
+            .filter(|service| is_due(service))
+            .for_each(|service| service.review_at = None);
+        self.choose_homes(now);
+    }
+
     /// Does what is due; call it after each of the above, and at [`Permits::next_at`].
     pub fn step(&mut self, now: Micros) -> Vec<PermitEffect> {
+        self.review_homes(now);
         let has_word = self.has_word(now);
         let (me, life) = (&self.settings.me, self.settings.life);
         for (name, service) in &mut self.services {
@@ -263,7 +292,10 @@
         let has_word = self.has_word(now);
         let of_service = |service: &Service| {
             let grants = service.granting.as_ref().filter(|_| has_word).and_then(|home| home.next_at(now));
-            [service.holder.next_at(), grants, service.claim_at].into_iter().flatten().min()
+            [service.holder.next_at(), grants, service.claim_at, service.review_at]
+                .into_iter()
+                .flatten()
+                .min()
         };
         self.services.values().filter_map(of_service).min()
     }
@@ -283,7 +315,7 @@
                 continue;
             }
             service.holder.change_home();
-            service.claim_at = None;
+            (service.claim_at, service.review_at) = (None, None);
             let was_home = service.granting.take().filter(|home| home.is_open(now) && has_word);
             if let Some(mut home) = was_home {
                 service.yielded = Some(Yielded { at: now, to: None, ledger: home.ledger(now) });
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -177,6 +177,7 @@
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.asked.insert(store.clone());
         message.declined.remove(store);
+        message.unanswered.remove(store);
         let (epoch, record) = (self.stores.placement.epoch, message.record.clone());
         let renews_lease = !message.is_adopted;
         let purpose = if renews_lease { Purpose::Append(key) } else { Purpose::AppendCopy(key) };
@@ -200,6 +201,13 @@
         self.append_failed(key);
     }
 
+    /// Whether the store took the record is not known: it is asked again once it answers.
+    pub(crate) fn append_unanswered(&mut self, key: MessageKey, store: StoreId) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        message.unanswered.insert(store);
+        self.append_failed(key);
+    }
+
     pub(crate) fn append_failed(&mut self, key: MessageKey) {
         if self.messages.get(&key).is_some_and(|message| message.stage == Stage::Writing) {
             self.ask_further(key);
@@ -222,14 +230,21 @@
         }
     }
 
-    /// Asks the best store that was not asked yet; when all were asked, the best that has not answered and is not
-    /// being waited for is asked again by the next hedge.
+    /// Asks the best store that was not asked yet; when all were asked, the best that declined, or whose answer was lost
+    /// some time ago, is asked again by the next hedge.
+    ///
+    /// Danger: a record that too few stores have, and that nobody writes again, holds up all later ones of its key.
     fn ask_further(&mut self, key: MessageKey) {
         let Some(message) = self.messages.get(&key) else { return };
         let ranked = self.stores.ranked(message.record.partition, self.now);
         let fresh = ranked.iter().find(|store| !message.asked.contains(store)).cloned();
         let again = || {
-            let missing = |store: &&StoreId| self.stores.is_live(store) && message.declined.contains(store);
+            let is_lost = |store: &StoreId| {
+                message.unanswered.contains(store) && !self.stores.is_avoided(store, self.now)
+            };
+            let missing = |store: &&StoreId| {
+                self.stores.is_live(store) && (message.declined.contains(*store) || is_lost(store))
+            };
             ranked.iter().find(missing).cloned()
         };
         let is_listing = matches!(message.stage, Stage::Listing { .. });
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -99,7 +99,7 @@
         self.probe_later();
         match call.purpose {
             Purpose::List(key) => self.listing_failed(key),
-            Purpose::Append(key) => self.append_failed(key),
+            Purpose::Append(key) => self.append_unanswered(key, call.store),
             Purpose::Settle(keys) => self.settle_failed(&keys),
             Purpose::Release(names) => self.release_failed(call.store, names),
             // Timers that were set with these see to what is missing.
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -51,6 +51,8 @@
     pub declined: BTreeSet<StoreId>,
     /// Stores that were told the end.
     pub told_end: BTreeSet<StoreId>,
+    /// Stores whose answer to the record was lost.
+    pub unanswered: BTreeSet<StoreId>,
     /// Stores that have synced the end.
     pub settled: BTreeSet<StoreId>,
     /// Predecessors not known to have ended.
@@ -84,6 +86,7 @@
             asked: BTreeSet::new(),
             written: BTreeSet::new(),
             declined: BTreeSet::new(),
+            unanswered: BTreeSet::new(),
             told_end: BTreeSet::new(),
             settled: BTreeSet::new(),
             blockers: BTreeSet::new(),
--- a/crates/queue/src/stop.rs
+++ b/crates/queue/src/stop.rs
@@ -23,6 +23,8 @@
 
     /// Gives messages up: every store that may hold them is told, and offers them to other relays.
     pub(crate) fn release(&mut self, keys: &[MessageKey]) {
+        // Danger: an heir that begins before it knows of a failed attempt counts one too few.
+        self.flush();
         let mut by_store: BTreeMap<StoreId, Vec<MessageName>> = BTreeMap::new();
         for key in keys {
             let Some(message) = self.messages.get(key) else { continue };
--- a/crates/queue/src/stores.rs
+++ b/crates/queue/src/stores.rs
@@ -103,6 +103,11 @@
         (set.iter().filter(|entry| is_reachable(&entry.id)).count(), set.len())
     }
 
+    /// Whether the store failed or declined a moment ago.
+    pub fn is_avoided(&self, store: &StoreId, now: Micros) -> bool {
+        self.known.get(store).is_some_and(|known| known.avoid_until > now)
+    }
+
     /// The partition's stores, those to ask first in front: live, answering, of the own zone, by rank.
     pub fn ranked(&self, partition: Partition, now: Micros) -> Vec<StoreId> {
         let mut ranked: Vec<StoreId> = Vec::new();
@@ -114,8 +119,7 @@
             }
         }
         ranked.sort_by_key(|store| {
-            let avoided = self.known.get(store).is_some_and(|known| known.avoid_until > now);
-            (!self.is_live(store), avoided, self.zones.get(store) != Some(&self.zone))
+            (!self.is_live(store), self.is_avoided(store, now), self.zones.get(store) != Some(&self.zone))
         });
         ranked
     }
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -35,6 +35,8 @@
     pub stores: BTreeMap<StoreId, FakeStore>,
     /// Stores that answer nothing.
     pub silent: BTreeSet<StoreId>,
+    /// Stores that take no records and answer nothing to them.
+    pub silent_to_records: BTreeSet<StoreId>,
     /// Calls that wait for a silent store.
     pub unanswered: Vec<(StoreId, CallId, StoreRequest)>,
     pub answers: HashMap<ClientToken, Answer>,
@@ -97,6 +99,7 @@
             queue,
             stores,
             silent: BTreeSet::new(),
+            silent_to_records: BTreeSet::new(),
             unanswered: Vec::new(),
             answers: HashMap::new(),
             submitted: Vec::new(),
@@ -169,7 +172,9 @@
             self.held_claims.push((store, call, request));
             return;
         }
-        if self.silent.contains(&store) {
+        let is_record = matches!(request, StoreRequest::Append { .. });
+        let is_unheard = is_record && self.silent_to_records.contains(&store);
+        if is_unheard || self.silent.contains(&store) {
             self.unanswered.push((store, call, request));
             return;
         }
--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -232,3 +232,40 @@
     let token = world.accept(new);
     assert!(matches!(world.answers.get(&token), Some(Answer::Accepted { .. })));
 }
+
+// Danger: a record that one store has, and that nobody writes again, holds up its key for ever.
+#[test]
+fn a_record_whose_answers_were_lost_is_written_once_stores_are_back() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("key"));
+    let group = world.group(&name);
+    let new = world.message("a", Some("key"));
+    world.silent_to_records.extend(group[1..].iter().cloned());
+    world.accept(new);
+    world.run_for(600 * MILLISECOND);
+    for (_, call, _) in std::mem::take(&mut world.unanswered) {
+        let effects = world.queue.store_failed(world.now, call);
+        world.carry_out(effects);
+    }
+    assert_eq!(world.holders(&name), 1);
+    world.silent_to_records.clear();
+    world.run_for(4_000 * MILLISECOND);
+    assert!(world.holders(&name) >= 2, "it is written again");
+    assert_eq!(world.submitted.len(), 1, "and runs");
+}
+
+// Danger: an heir counts one attempt too few, as it begins before it knows of the last one.
+#[test]
+fn a_failed_attempt_is_told_before_the_release() {
+    let mut world = World::new();
+    let new = world.message("a", None);
+    world.accept(new);
+    let name = MessageName::new("a", Partition::of("a"));
+    let effects = world.queue.stop(world.now);
+    world.carry_out(effects);
+    let key = world.submitted[0];
+    world.ran(key, RunResult::Failed);
+    let stores = world.stores.values().filter(|store| store.released.contains(&name));
+    let told: Vec<u32> = stores.filter_map(|store| store.failures.get(&name).copied()).collect();
+    assert!(told.len() >= 2, "every holder that was told of the release knows of the attempt: {told:?}");
+}
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -122,6 +122,11 @@
         self.ended.all()
     }
 
+    /// When the last question was sent that a majority of the core has confirmed since.
+    pub fn confirmed_at(&self) -> Option<Micros> {
+        self.control.confirmed_at()
+    }
+
     /// Whether this process is in touch with a majority of the core at this moment. A process that stood still finds out
     /// here that it is not, before it answers anything.
     pub fn contact(&self) -> Contact {
--- a/crates/system/src/relay/planes.rs
+++ b/crates/system/src/relay/planes.rs
@@ -27,8 +27,6 @@
 const CALL_FILES_PART: f64 = 0.3;
 const CONNECT_TIMEOUT: Micros = 1_000_000;
 const IDLE_CLOSE: Micros = 4_000_000;
-/// The longest time for which a relay that was cut off may take itself for a member.
-const CORE_LEASE: Micros = 3_000_000;
 const DEFAULT_LIST_RATE: f64 = 10.0;
 
 /// The state machines and what carries out their effects.
@@ -83,6 +81,11 @@
     }
 }
 
+/// How long the core's word holds. It is renewed four times in this span, and outlasts a change of the core's leader.
+pub fn core_lease(settings: &Settings) -> Micros {
+    settings.bounds.contact().as_micros() as Micros
+}
+
 /// A number that differs between processes.
 fn seed(node: &Node) -> u64 {
     hash(node.info().name.0.as_bytes(), clock::wall())
@@ -99,7 +102,7 @@
         origin_window: settings.bounds.origin_window().as_micros() as Micros,
         origin_overshoot: settings.bounds.origin_overshoot(),
         bootstrap: settings.bootstrap,
-        core_lease: CORE_LEASE,
+        core_lease: core_lease(settings),
     }
 }
 
--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 
 use super::operators::OperatorCalls;
-use super::planes::Planes;
+use super::planes::{Planes, core_lease};
 use super::readiness::Readiness;
 use super::reads::Reads;
 use super::start::DoorFailure;
@@ -51,6 +51,8 @@
     pub(super) calls: HashMap<SocketAddr, HashSet<CallId>>,
     pub(super) queue_effects: VecDeque<QueueEffect>,
     pub(super) delivery_inputs: Vec<DeliveryInput>,
+    /// Until when delivery may act on the word of the core.
+    core_lease_until: Micros,
     pub(super) stopping: Option<Stopping>,
     tend_at: Micros,
 }
@@ -62,7 +64,6 @@
         config: Arc<ArcSwap<CompiledConfig>>, door: Front, stopper: Stopper, readiness: Readiness,
         failure: DoorFailure,
     ) -> Self {
-        let core_lease = DeliveryInput::CoreLease { until: Micros::MAX };
         RelayProcess {
             node,
             planes,
@@ -81,7 +82,8 @@
             operators: OperatorCalls::default(),
             calls: HashMap::new(),
             queue_effects: VecDeque::new(),
-            delivery_inputs: vec![core_lease],
+            delivery_inputs: Vec::new(),
+            core_lease_until: 0,
             stopping: None,
             tend_at: 0,
         }
@@ -108,6 +110,7 @@
         for event in self.node.tick() {
             self.node_event(event);
         }
+        self.renew_core_lease();
         let now = self.node.now();
         if self.planes.queue.wake_at().is_some_and(|at| at <= now) {
             let effects = self.planes.queue.tick(now);
@@ -132,6 +135,18 @@
         self.update_readiness();
     }
 
+    /// Tells delivery of each confirmation by a majority of the core.
+    ///
+    /// Danger: a relay that was cut off may find another one granting permits for a service that it was the home of.
+    fn renew_core_lease(&mut self) {
+        let length = core_lease(&self.settings);
+        let until = self.node.confirmed_at().map_or(0, |confirmed| confirmed + length);
+        if until > self.core_lease_until {
+            self.core_lease_until = until;
+            self.delivery_inputs.push(DeliveryInput::CoreLease { until });
+        }
+    }
+
     /// Has the queue and the delivery plane exchange what they owe each other until nothing is left.
     fn settle(&mut self) {
         loop {
