Stores: an append of a record that has moved on is answered with its status

Ruled out: that the renewed lease covers it; the claim was granted before. Change: the answer is the status where the record has ended or has another owner, and the relay asks for facts before it runs it.

Tests changed: a_dead_letter_whose_record_comes_late expects the end in the answer; the store's random run takes a status as an acknowledgement.

--- a/crates/message-log/src/requests.rs
+++ b/crates/message-log/src/requests.rs
@@ -87,12 +87,17 @@
 
     pub(crate) fn decline(&mut self, token: u64, reason: Decline) {
         let store = self.settings.id.clone();
+        self.moved_on.remove(&token);
         self.respond(token, StoreResponse::Declined { store, reason });
     }
 
     pub(crate) fn done(&mut self, token: u64) {
         let store = self.settings.id.clone();
-        self.respond(token, StoreResponse::Done { store });
+        let response = match self.moved_on.remove(&token) {
+            Some(name) => StoreResponse::Statuses { store, statuses: vec![self.status(&name)] },
+            None => StoreResponse::Done { store },
+        };
+        self.respond(token, response);
     }
 
     /// Answers `Done` once a write is synced.
@@ -104,6 +109,25 @@
         }
     }
 
+    /// Whether a record that is kept is no longer its first owner's, or has ended.
+    fn has_moved_on(&self, record: &Record) -> bool {
+        match self.status(&record.name) {
+            Status::Unknown => false,
+            Status::Ended(_) => true,
+            Status::Open { owner, claim, released, .. } => claim > 0 || released || owner != record.owner,
+        }
+    }
+
+    /// Answers an append once a write is synced.
+    ///
+    /// Danger: an owner that was cut off, writes again and is told that all is well runs what another relay has run.
+    fn appended_after(&mut self, token: u64, ticket: u64, record: &Record) {
+        if self.has_moved_on(record) {
+            self.moved_on.insert(token, record.name.clone());
+        }
+        self.done_after(token, ticket);
+    }
+
     fn append(&mut self, token: u64, record: Record) {
         if record.name.partition() != Some(record.partition) {
             return self.decline(token, Decline::NotInGroup);
@@ -115,7 +139,7 @@
                 (None, _) => None,
             };
             if let Some(ticket) = known {
-                return self.done_after(token, ticket);
+                return self.appended_after(token, ticket, &record);
             }
         }
         if let Some(reason) = self.reason_to_decline() {
@@ -125,14 +149,14 @@
         let failures = self.messages.get(&record.name).map_or(0, |message| message.failures);
         let stored = StoredMessage {
             name: record.name.clone(),
-            record: Some(record),
+            record: Some(record.clone()),
             owner: Some(owner),
             claim: 0,
             failures,
             end: None,
         };
         match self.add_record(stored) {
-            Some(ticket) => self.done_after(token, ticket),
+            Some(ticket) => self.appended_after(token, ticket, &record),
             None => self.decline(token, Decline::Busy),
         }
     }
--- a/crates/message-log/src/store.rs
+++ b/crates/message-log/src/store.rs
@@ -1,6 +1,6 @@
 //! The store: takes inputs, returns effects.
 
-use std::collections::VecDeque;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use pewterseam_storage::Position;
@@ -70,6 +70,8 @@
     pub(crate) end_notices: EndNotices,
     pub(crate) gathering: Gathering,
     pub(crate) copying: Option<Copying>,
+    /// Appends of records that have another owner by now, or have ended, and wait for the disk.
+    pub(crate) moved_on: HashMap<u64, MessageName>,
     /// Ends whose write has failed.
     pub(crate) unwritten_ends: Vec<MessageName>,
     /// The token of the last request to another store.
@@ -94,6 +96,7 @@
             end_notices: EndNotices::default(),
             gathering: Gathering::default(),
             copying: None,
+            moved_on: HashMap::new(),
             unwritten_ends: Vec::new(),
             last_request: 0,
             out: Vec::new(),
--- a/crates/message-log/tests/common/mod.rs
+++ b/crates/message-log/tests/common/mod.rs
@@ -328,6 +328,14 @@
     matches!(response, Some(StoreResponse::Done { .. }))
 }
 
+/// The status that a store tells of one message.
+pub fn told_status(response: &Option<StoreResponse>) -> Option<Status> {
+    match response {
+        Some(StoreResponse::Statuses { statuses, .. }) => statuses.first().cloned(),
+        _ => None,
+    }
+}
+
 /// Carries requests between stores until none is left. Those to stores that are not there get lost.
 pub fn deliver(nodes: &mut [Node]) {
     loop {
--- a/crates/message-log/tests/facts.rs
+++ b/crates/message-log/tests/facts.rs
@@ -104,7 +104,7 @@
     let mut node = Node::in_first_placement("s1");
     let first = record("first");
     node.ask(ended(&first.name, End::AttemptsUsed));
-    assert!(is_done(&node.ask(append(1, &first))));
+    assert_eq!(told_status(&node.ask(append(1, &first))), Some(Status::Ended(End::AttemptsUsed)));
     assert_eq!(node.fetch(&first.name), Some(first.clone()));
     assert_eq!(node.look(&first.name), Some(Status::Ended(End::AttemptsUsed)));
     node.restart();
--- a/crates/message-log/tests/owners.rs
+++ b/crates/message-log/tests/owners.rs
@@ -254,6 +254,31 @@
     assert!(is_done(&node.ask(claim(&first.name, &owner("b", 1), 1))));
 }
 
+/// Guards against an owner that was cut off, writes its record again, and takes it that the message is still its own.
+#[test]
+fn a_record_that_has_moved_on_is_told_so() {
+    let mut node = Node::in_first_placement("s1");
+    let (first, second) = (record("first"), record("second"));
+    node.ask(append(1, &first));
+    node.ask(append(1, &second));
+    node.advance(OWNER_LEASE);
+    assert!(is_done(&node.ask(append(1, &first))));
+    node.advance(OWNER_LEASE);
+    node.ask(claim(&first.name, &owner("b", 1), 1));
+    let claimed = Status::Open { owner: owner("b", 1), claim: 1, failures: 0, released: false };
+    assert_eq!(told_status(&node.ask(append(1, &first))), Some(claimed));
+    node.ask(ended(&second.name, completed("x")));
+    assert_eq!(told_status(&node.ask(append(1, &second))), Some(Status::Ended(completed("x"))));
+    let dead = record("dead");
+    node.ask(ended(&dead.name, End::Refused));
+    node.ask(append(1, &dead));
+    assert_eq!(
+        told_status(&node.ask(append(1, &dead))),
+        Some(Status::Ended(End::Refused)),
+        "known before its record"
+    );
+}
+
 /// Guards against an heir whose copies of a record renew the lease of the dead owner that it names.
 #[test]
 fn a_copy_of_a_record_renews_no_lease() {
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -190,8 +190,9 @@
         let is_written = self.stores.placement.is_written(message.record.partition, &message.written);
         if message.stage == Stage::Writing && is_written {
             let name = message.record.name.clone();
+            let has_moved_on = message.has_moved_on;
             self.answer_client(key, Answer::Accepted { name });
-            self.begin_waiting(key);
+            if has_moved_on { self.verify(key, 0) } else { self.begin_waiting(key) }
         }
     }
 
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -134,6 +134,12 @@
             (Purpose::Append(key) | Purpose::AppendCopy(key), StoreResponse::Done { .. }) => {
                 self.appended(key, store);
             }
+            (Purpose::Append(key) | Purpose::AppendCopy(key), StoreResponse::Statuses { .. }) => {
+                if let Some(message) = self.messages.get_mut(&key) {
+                    message.has_moved_on = true;
+                }
+                self.appended(key, store);
+            }
             (Purpose::Settle(keys), StoreResponse::Done { .. }) => self.settled(&keys, &store),
             (Purpose::Check(key, names), StoreResponse::Statuses { statuses, .. }) => {
                 self.predecessors_checked(key, store, names, statuses);
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -60,6 +60,8 @@
     /// Stores that answered the present check of predecessors, and the blockers that each knows to be open.
     pub checked: BTreeSet<StoreId>,
     pub seen_open: BTreeSet<MessageName>,
+    /// A store has told, in answer to the record, that it has ended or has another owner.
+    pub has_moved_on: bool,
     /// It was taken over from another relay.
     pub is_adopted: bool,
     /// The claim that a write quorum has granted this relay; 0 for a message that was taken here.
@@ -92,6 +94,7 @@
             blockers: BTreeSet::new(),
             checked: BTreeSet::new(),
             seen_open: BTreeSet::new(),
+            has_moved_on: false,
             is_adopted: false,
             claim: 0,
             owned_since: now,
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -201,6 +201,10 @@
         let done = StoreResponse::Done { store: id.clone() };
         match request {
             StoreRequest::Append { record, .. } => {
+                let status = store.status(&record.name);
+                if matches!(&status, Status::Open { claim, .. } if *claim > 0) {
+                    return StoreResponse::Statuses { store: id.clone(), statuses: vec![status] };
+                }
                 store.owners.entry(record.name.clone()).or_insert((record.owner.clone(), 0));
                 store.records.insert(record.name.clone(), record);
                 done
--- a/crates/queue/tests/sending.rs
+++ b/crates/queue/tests/sending.rs
@@ -203,3 +203,24 @@
     world.request_send(world.submitted[0]);
     assert_eq!(world.permits.len(), 1);
 }
+
+/// Guards against an owner that was cut off while it wrote a record, and runs what another relay has run meanwhile.
+#[test]
+fn a_record_that_has_moved_on_is_not_run() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    world.silent.extend(world.group(&name));
+    let new = world.message("a", None);
+    let token = world.accept(new);
+    world.queue.set_live_relays([owner("relay-1"), owner("other")].into());
+    world.run_for(700 * MILLISECOND);
+    world.silent.clear();
+    for (store, call, request) in std::mem::take(&mut world.unanswered) {
+        world.process(&store, request.clone());
+        world.stores.get_mut(&store).expect("a store").owners.insert(name.clone(), (owner("other"), 1));
+        world.deliver(store, call, request);
+    }
+    assert!(world.answers.contains_key(&token));
+    assert!(world.submitted.is_empty());
+    assert!(world.queue.is_empty(), "the other relay has it");
+}
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -20,7 +20,8 @@
 /// A request to a store. Each is answered by one [`StoreResponse`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreRequest {
-    /// Keep a record. `Done` once it is synced. A record that is there already is acknowledged again. With
+    /// Keep a record. `Done` once it is synced. A record that is there already is acknowledged again; where it has ended
+    /// or has another owner by now, the answer is `Statuses` instead, once it is synced. With
     /// `renews_lease` it comes from the owner that the record names, and renews that owner's lease.
     Append { epoch: PlacementEpoch, record: Record, renews_lease: bool },
     /// Which messages of an ordering key are open? Answered by `OpenMessages`.
