Control tests: every sequence of a few disturbances, explored

Control and the simulated cluster can be copied, so that a test follows all sequences of five (core of three) or four (core of four) out of fifteen disturbances, with two operators and one resend.

--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -12,7 +12,7 @@
 const FETCH_TIMEOUT: Micros = 400_000;
 
 /// What this process knows it lacks.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct CatchUp {
     /// The highest index that was heard of, and who has it.
     newest: u64,
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -19,6 +19,7 @@
 const JITTER: u64 = 150_000;
 
 /// What a process does towards leading.
+#[derive(Clone)]
 pub(crate) enum Role {
     /// Follows a leader, or waits for one.
     Follower {
@@ -38,6 +39,7 @@
 }
 
 /// An election under way.
+#[derive(Clone)]
 pub(crate) struct Candidate {
     epoch: u64,
     promises: BTreeMap<CoreMember, Stamp>,
--- a/crates/control/src/formation.rs
+++ b/crates/control/src/formation.rs
@@ -32,6 +32,7 @@
 const TELL_PERIOD: Micros = 300_000;
 
 /// Acceptor and proposer of one seed.
+#[derive(Clone)]
 pub(crate) struct Formation {
     started_at: Micros,
     next: Micros,
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -19,6 +19,7 @@
 /// Bytes of a body for which a call gets a millisecond more.
 const BYTES_PER_MILLISECOND: u64 = 1024;
 
+#[derive(Clone)]
 struct Call {
     request: OperatorRequest,
     deadline: Micros,
@@ -27,6 +28,7 @@
 }
 
 /// The calls under way.
+#[derive(Clone)]
 pub(crate) struct Forwarder {
     calls: BTreeMap<Token, Call>,
     next_own: u64,
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -17,6 +17,7 @@
 const MOST_PUSHES: usize = 64;
 
 /// An entry on its way to a majority.
+#[derive(Clone)]
 pub(crate) struct InFlight {
     entry: Entry,
     accepted: BTreeSet<CoreMember>,
@@ -27,6 +28,7 @@
 }
 
 /// The last answer of a member to a heartbeat.
+#[derive(Clone)]
 struct Answered {
     round: u64,
     at: Micros,
@@ -34,6 +36,7 @@
 }
 
 /// The state of a leader.
+#[derive(Clone)]
 pub(crate) struct Leader {
     pub epoch: u64,
     /// An entry of its own epoch is committed: it may serve.
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -26,7 +26,8 @@
 use crate::settings::ControlSettings;
 use crate::storage::recover;
 
-/// Control in one process.
+/// Control in one process. A copy goes on by itself from the same state.
+#[derive(Clone)]
 pub struct Control {
     pub(crate) name: NodeName,
     pub(crate) identity: Option<CoreMember>,
@@ -46,7 +47,7 @@
     pub(crate) lease: Lease,
     /// What the store of this process holds, until the placement goes on.
     pub(crate) copied: Option<(StoreId, PlacementEpoch, Micros)>,
-    pub(crate) checker: Option<Checker>,
+    pub(crate) checker: Option<Arc<Checker>>,
     pub(crate) effects: Vec<Effect>,
     /// Messages to this process itself.
     inbox: VecDeque<ControlMessage>,
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -1,5 +1,7 @@
 //! What a leader does with calls: checks them, in the order in which they came, against the newest state.
 
+use std::sync::Arc;
+
 use pewterseam_config::{Checker, ConfigError};
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
@@ -22,6 +24,7 @@
 }
 
 /// A call that may change the state.
+#[derive(Clone)]
 pub(crate) struct Order {
     request: OperatorRequest,
     /// What tells a change from others.
@@ -30,6 +33,7 @@
 }
 
 /// What is answered once the leadership is confirmed.
+#[derive(Clone)]
 enum Question {
     Config,
     Index,
@@ -41,6 +45,7 @@
 }
 
 /// A question that waits for a round of heartbeats.
+#[derive(Clone)]
 pub(crate) struct Read {
     round: u64,
     asker: Asker,
@@ -149,14 +154,14 @@
     }
 
     /// The schema is compiled where it is first needed: most processes never lead.
-    fn checker(&mut self) -> Result<&Checker, Vec<ConfigError>> {
+    fn checker(&mut self) -> Result<Arc<Checker>, Vec<ConfigError>> {
         if self.checker.is_none() {
             let unusable = |error: pewterseam_config::SchemaError| {
                 vec![ConfigError::Unreadable { reason: error.to_string() }]
             };
-            self.checker = Some(Checker::new().map_err(unusable)?);
+            self.checker = Some(Arc::new(Checker::new().map_err(unusable)?));
         }
-        self.checker.as_ref().ok_or_else(Vec::new)
+        self.checker.clone().ok_or_else(Vec::new)
     }
 
     pub(crate) fn answer_committed(&mut self, in_flight: &InFlight) {
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -18,6 +18,7 @@
 const BEFORE_DEATH: Micros = 8_000_000;
 
 /// One node, with the time since when it is alive or dead.
+#[derive(Clone)]
 pub(crate) struct Peer {
     pub info: Arc<NodeInfo>,
     pub is_live: bool,
@@ -41,7 +42,7 @@
 }
 
 /// All nodes that membership told of, with this one.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Peers {
     nodes: BTreeMap<NodeName, Peer>,
     /// When a store last came or went.
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -19,6 +19,7 @@
 const LOG_BYTES: usize = 512 * 1024;
 
 /// What this process has promised, accepted and knows as committed.
+#[derive(Clone)]
 pub(crate) struct Replica {
     pub promised: Promised,
     /// Not before `committed`.
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -3,6 +3,7 @@
 mod changes;
 mod cluster;
 mod contact;
+mod exploration;
 mod formation;
 mod history;
 mod orders;
--- a/crates/control/tests/control/simulation/checks.rs
+++ b/crates/control/tests/control/simulation/checks.rs
@@ -13,7 +13,7 @@
 type NodeLife = (usize, u64);
 
 /// Gathers what was seen and what broke.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Checks {
     /// The committed states that any process put in force, by index.
     states: BTreeMap<u64, (u64, Bytes)>,
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -44,6 +44,7 @@
     LyingDisk,
 }
 
+#[derive(Clone)]
 enum Event {
     Message { from: usize, to: usize, life: u64, message: ControlMessage },
     Wake { node: usize, life: u64 },
@@ -54,6 +55,7 @@
     Look,
 }
 
+#[derive(Clone)]
 pub struct Node {
     pub info: NodeInfo,
     pub control: Option<Control>,
@@ -70,6 +72,7 @@
     pub told_digest: BTreeMap<usize, u64>,
 }
 
+#[derive(Clone)]
 pub struct Cluster {
     pub now: u64,
     pub random: Random,
--- a/crates/control/tests/control/simulation/disk.rs
+++ b/crates/control/tests/control/simulation/disk.rs
@@ -11,7 +11,7 @@
     Snapshot(Bytes),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Disk {
     synced: Log,
     /// Written and not yet synced, in order.
