--- a/crates/control/tests/control/exploration.rs
+++ b/crates/control/tests/control/exploration.rs
@@ -11,8 +11,10 @@
 use crate::simulation::history::{Action, Operation, Told, check};
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 
-/// Messages take up to 4.5 ms and syncs up to 3.5 ms: the middle of what a change needs.
+/// Messages take up to 4.5 ms and syncs up to 3.5 ms: an early, a middle and a late moment of what a change needs.
+const EARLY: u64 = 2 * MS;
 const MIDDLE: u64 = 6 * MS;
+const LATE: u64 = 11 * MS;
 /// A change is through, if nothing keeps it.
 const THROUGH: u64 = 40 * MS;
 /// Members elect a leader.
@@ -74,6 +76,8 @@
     cluster: Cluster,
     core: usize,
     leader: usize,
+    /// The pause after a disturbance.
+    pause: u64,
     path: Vec<Disturbance>,
     /// The calls of the operators, by token.
     calls: Vec<(u64, Operation)>,
@@ -90,15 +94,15 @@
 }
 
 impl Branch {
-    fn root(core: usize) -> Self {
-        let mut cluster = formed(7, core, 1, 3);
+    fn root(seed: u64, core: usize, pause: u64) -> Self {
+        let mut cluster = formed(seed, core, 1, 3);
         cluster.operator(core, Token(1), OperatorRequest::put(0, document(1, "before")));
         cluster.run(1_000 * MS);
         let accepted = cluster.answers.iter().any(|(_, _, told)| *told == Outcome::Accepted { version: 1 });
         assert!(accepted, "the first configuration is in force");
         cluster.answers.clear();
         let leader = cluster.leader().expect("leads");
-        Branch { cluster, core, leader, path: Vec::new(), calls: Vec::new() }
+        Branch { cluster, core, leader, pause, path: Vec::new(), calls: Vec::new() }
     }
 
     fn member(&self, after_leader: usize) -> usize {
@@ -147,7 +151,7 @@
     fn disturb(&mut self, disturbance: Disturbance) {
         let (leader, next, last) = (self.leader, self.member(1), self.member(2));
         self.path.push(disturbance);
-        let mut pause = MIDDLE;
+        let mut pause = self.pause;
         match disturbance {
             OrderAtLeader => self.call(FIRST, leader),
             OrderAtNext => self.call(SECOND, next),
@@ -276,9 +280,9 @@
     }
 }
 
-/// Follows all sequences of so many disturbances in a core of this size.
-fn explore_all(core: usize, depth: usize) {
-    let root = Branch::root(core);
+/// Follows all sequences of so many disturbances, so far apart, in a core of this size.
+fn explore_all(core: usize, depth: usize, pause: u64) {
+    let root = Branch::root(number("CONTROL_SEED", 7), core, pause);
     let explore_part = |thread: usize| {
         let (mut explored, mut seen) = (Explored::default(), BTreeSet::new());
         for first in ALL.into_iter().skip(thread).step_by(THREADS).filter(|first| root.allows(*first)) {
@@ -299,7 +303,7 @@
         }
     });
     println!(
-        "core of {core}, {depth} disturbances: {} branches, {} ends, {} lines broken",
+        "core of {core}, {depth} disturbances {pause} us apart: {} branches, {} ends, {} lines broken",
         all.branches,
         all.ends,
         all.broken.len()
@@ -310,18 +314,29 @@
     assert!(all.broken.is_empty());
 }
 
-fn depth(default: usize) -> usize {
-    std::env::var("CONTROL_DEPTH").ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+fn number(variable: &str, default: u64) -> u64 {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+fn depth(default: u64) -> usize {
+    number("CONTROL_DEPTH", default) as usize
 }
 
 /// Guards against what no single trouble and no chance brings about, in a core of three.
 #[test]
 fn all_sequences_of_disturbances_in_a_core_of_three() {
-    explore_all(3, depth(5));
+    explore_all(3, depth(5), MIDDLE);
+}
+
+/// Guards against the same at other moments of a change.
+#[test]
+fn all_sequences_of_early_and_late_disturbances() {
+    explore_all(3, depth(4), EARLY);
+    explore_all(3, depth(4), LATE);
 }
 
 /// Guards against the same in a core of four, where a majority is three.
 #[test]
 fn all_sequences_of_disturbances_in_a_core_of_four() {
-    explore_all(4, depth(4));
+    explore_all(4, depth(4), MIDDLE);
 }
