Control tests: no answer rests on clocks, and a cut leader steps down

Two mutations passed all tests: a refusal that is not confirmed by a round, and a leader that never steps down for want of a majority. A leader that is cut off must lead no longer.

--- a/crates/control/tests/control/contact.rs
+++ b/crates/control/tests/control/contact.rs
@@ -175,6 +175,8 @@
     if span > LEASE {
         for victim in &victims {
             assert!(!is_in_touch(&cluster, *victim), "{what}: node {victim} takes itself for in touch");
+            let leads = cluster.control(*victim).is_some_and(|control| control.is_leader());
+            assert!(!leads, "{what}: node {victim} leads on");
         }
         pass(&mut cluster, &mut traffic, span - LEASE - 200 * MS, whole, &victims);
         for victim in &victims {
--- a/crates/control/tests/control/orders.rs
+++ b/crates/control/tests/control/orders.rs
@@ -236,3 +236,40 @@
         }
     });
 }
+
+/// Guards against answers that rest on clocks: a leader whose clock runs eight times too slow is cut from its followers,
+/// and leads on as far as it knows, while another is elected. Both are asked by operators.
+#[test]
+fn no_answer_rests_on_clocks() {
+    let mut both_led = 0;
+    for seed in 0..100 {
+        let mut cluster = formed(seed, 3, 2, 3);
+        let mut operators = [Operator::new(1, 5), Operator::new(2, 5), Operator::new(3, 5)];
+        run(&mut cluster, &mut operators, 1_000 * MS + seed * 11 * MS);
+        let old = cluster.leader().expect("leads");
+        cluster.slow_clock(old, 8);
+        // Relays and operators reach everybody; members of the core do not reach each other.
+        for other in (0..3).filter(|other| *other != old) {
+            cluster.cuts.insert((old, other));
+            cluster.cuts.insert((other, old));
+        }
+        for _ in 0..60 {
+            run(&mut cluster, &mut operators, 100 * MS);
+            let leads = |node: &usize| cluster.control(*node).is_some_and(|control| control.is_leader());
+            both_led += usize::from((0..3).filter(leads).count() == 2);
+        }
+        cluster.heal();
+        for operator in &mut operators {
+            operator.is_stopping = true;
+        }
+        run(&mut cluster, &mut operators, 8_000 * MS);
+        let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
+        let mut broken = std::mem::take(&mut cluster.checks.broken);
+        broken.extend(check(&histories).err());
+        cluster.checks.finish();
+        broken.append(&mut cluster.checks.broken);
+        assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
+    }
+    println!("two led at {both_led} of 6,000 moments");
+    assert!(both_led > 2_000, "{both_led}");
+}
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -34,6 +34,23 @@
     Full,
 }
 
+/// A clock that has told the time so far, and runs slower from a moment on.
+#[derive(Clone, Copy)]
+pub struct SlowClock {
+    since: u64,
+    slower: u64,
+}
+
+impl SlowClock {
+    fn tells(&self, now: u64) -> u64 {
+        self.since + (now - self.since) / self.slower
+    }
+
+    fn moment(&self, told: u64) -> u64 {
+        self.since + told.saturating_sub(self.since).saturating_mul(self.slower)
+    }
+}
+
 /// Faults of the simulated program, to show that the checks find them.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Planted {
@@ -82,6 +99,8 @@
     /// What links take longer, by direction.
     pub slow: BTreeMap<(usize, usize), u64>,
     pub drop_percent: usize,
+    /// Clocks that run slower than time.
+    pub clocks: BTreeMap<usize, SlowClock>,
     pub answers: Vec<(usize, Token, Outcome)>,
     pub checks: Checks,
     pub planted: Planted,
@@ -116,6 +135,7 @@
             cuts: BTreeSet::new(),
             slow: BTreeMap::new(),
             drop_percent: 0,
+            clocks: BTreeMap::new(),
             answers: Vec::new(),
             checks: Checks::default(),
             planted: Planted::Nothing,
@@ -213,7 +233,9 @@
     /// What each process that runs takes its contact for must be true, also of one that stands still.
     fn check_contacts(&mut self) {
         for (index, node) in self.nodes.iter().enumerate() {
-            let Some(control) = &node.control else { continue };
+            let Some(control) = node.control.as_ref().filter(|_| !self.clocks.contains_key(&index)) else {
+                continue;
+            };
             self.checks.in_touch(index, control.contact(self.now), control.state().config.version);
         }
     }
@@ -327,6 +349,11 @@
         self.nodes[index].info.disk = self.nodes[index].info.disk.map(|_| disk);
     }
 
+    /// From now on, a node's clock runs so many times slower than time.
+    pub fn slow_clock(&mut self, index: usize, slower: u64) {
+        self.clocks.insert(index, SlowClock { since: self.now, slower });
+    }
+
     pub fn freeze(&mut self, index: usize, span: u64) {
         if self.nodes[index].control.is_some() && !self.nodes[index].frozen {
             self.nodes[index].frozen = true;
@@ -362,7 +389,7 @@
 
     /// Hands one input to a machine and does what it wants done.
     pub fn step(&mut self, index: usize, input: impl FnOnce(&mut Control, u64) -> Vec<Effect>) {
-        let now = self.now;
+        let now = self.clocks.get(&index).map_or(self.now, |clock| clock.tells(self.now));
         let Some(control) = self.nodes[index].control.as_mut() else { return };
         let effects = input(control, now);
         for effect in effects {
@@ -393,6 +420,7 @@
             Effect::Contact(contact) => self.checks.contact(index, contact),
             Effect::Answer { token, outcome } => self.answers.push((index, token, outcome)),
             Effect::Wake(at) => {
+                let at = self.clocks.get(&index).map_or(at, |clock| clock.moment(at));
                 self.nodes[index].wake = at;
                 self.schedule_at(at.max(self.now), Event::Wake { node: index, life });
             }
@@ -472,6 +500,7 @@
         self.slow.clear();
         self.drop_percent = 0;
         self.disks.clear();
+        self.clocks.clear();
         for index in 0..self.nodes.len() {
             if self.nodes[index].frozen {
                 self.thaw(index);
