--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -68,6 +68,12 @@
         self.fetch_at = Some(now + self.timeout);
     }
 
+    /// Contact was lost and is back: what was asked for in vain is asked for at once.
+    pub(crate) fn contact_is_back(&mut self, now: Micros) {
+        self.timeout = FETCH_TIMEOUT;
+        self.fetch_at = self.fetch_at.map(|at| at.min(now));
+    }
+
     /// A request went out.
     fn requested(&mut self, now: Micros) {
         self.fetch_at = Some(now + self.timeout);
--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -150,6 +150,9 @@
             self.lease.next_ask = self.now + ASK_PAUSE;
             return;
         };
+        if matches!(self.lease.contact(self.now), Contact::LostSince(_)) {
+            self.catch_up.contact_is_back(self.now);
+        }
         self.lease.next_ask = asked_at + self.lease.period;
         self.lease.confirm(Confirmation { asked_at, index }, self.now);
         if let Some(leader) = self.leader_hint.clone() {
