--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -19,6 +19,7 @@
 const MOST_FAILURES: u32 = 6;
 
 /// What this process knows it lacks.
+#[derive(Clone)]
 pub(crate) struct CatchUp {
     /// The highest index that was heard of, and who has it.
     newest: u64,
@@ -67,6 +68,12 @@
         self.fetch_at = Some(now + self.timeout);
     }
 
+    /// Contact was lost and is back: what was asked for in vain is asked for at once.
+    pub(crate) fn contact_is_back(&mut self, now: Micros) {
+        self.timeout = FETCH_TIMEOUT;
+        self.fetch_at = self.fetch_at.map(|at| at.min(now));
+    }
+
     /// A request went out.
     fn requested(&mut self, now: Micros) {
         self.fetch_at = Some(now + self.timeout);
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -20,6 +20,7 @@
 const BYTES_PER_MILLISECOND: u64 = 1024;
 
 /// An entry on its way to a majority.
+#[derive(Clone)]
 pub(crate) struct InFlight {
     entry: Entry,
     accepted: BTreeSet<CoreMember>,
@@ -30,6 +31,7 @@
 }
 
 /// The last answer of a member to a heartbeat.
+#[derive(Clone)]
 struct Answered {
     round: u64,
     at: Micros,
@@ -37,6 +39,7 @@
 }
 
 /// The state of a leader.
+#[derive(Clone)]
 pub(crate) struct Leader {
     pub epoch: u64,
     /// An entry of its own epoch is committed: it may serve.
--- a/crates/control/src/transfer.rs
+++ b/crates/control/src/transfer.rs
@@ -64,6 +64,7 @@
 }
 
 /// A state that arrives.
+#[derive(Clone)]
 pub(crate) struct IncomingState {
     pub name: StateName,
     pieces: Vec<Option<Bytes>>,
@@ -128,6 +129,7 @@
 }
 
 /// A state that is handed out.
+#[derive(Clone)]
 struct OutgoingState {
     name: StateName,
     bytes: Bytes,
@@ -135,7 +137,7 @@
 }
 
 /// The states that are handed out, the newest last.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct OutgoingStates {
     states: VecDeque<OutgoingState>,
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod contact;
 mod elections;
+mod exploration;
 mod formation;
 mod history;
 mod many_changes;
--- a/crates/control/tests/control/orders.rs
+++ b/crates/control/tests/control/orders.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 
-use crate::simulation::cluster::{Cluster, MS, document, patch};
+use crate::simulation::cluster::{Cluster, DiskTrouble, MS, document, patch};
 use crate::simulation::history::check;
 use crate::simulation::operators::{Operator, run};
 use crate::{call, formed};
@@ -236,3 +236,88 @@
         }
     });
 }
+
+/// Guards against answers that rest on clocks: a leader whose clock runs eight times too slow is cut from its followers,
+/// and leads on as far as it knows, while another is elected. Both are asked by operators.
+#[test]
+fn no_answer_rests_on_clocks() {
+    let mut both_led = 0;
+    for seed in 0..100 {
+        let mut cluster = formed(seed, 3, 2, 3);
+        let mut operators = [Operator::new(1, 5), Operator::new(2, 5), Operator::new(3, 5)];
+        run(&mut cluster, &mut operators, 1_000 * MS + seed * 11 * MS);
+        let old = cluster.leader().expect("leads");
+        cluster.slow_clock(old, 8);
+        // Relays and operators reach everybody; members of the core do not reach each other.
+        for other in (0..3).filter(|other| *other != old) {
+            cluster.cuts.insert((old, other));
+            cluster.cuts.insert((other, old));
+        }
+        for _ in 0..60 {
+            run(&mut cluster, &mut operators, 100 * MS);
+            let leads = |node: &usize| cluster.control(*node).is_some_and(|control| control.is_leader());
+            both_led += usize::from((0..3).filter(leads).count() == 2);
+        }
+        cluster.heal();
+        for operator in &mut operators {
+            operator.is_stopping = true;
+        }
+        run(&mut cluster, &mut operators, 8_000 * MS);
+        let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
+        let mut broken = std::mem::take(&mut cluster.checks.broken);
+        broken.extend(check(&histories).err());
+        cluster.checks.finish();
+        broken.append(&mut cluster.checks.broken);
+        assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
+    }
+    println!("two led at {both_led} of 6,000 moments");
+    assert!(both_led > 2_000, "{both_led}");
+}
+
+/// Guards against a leader that answers before an entry of its own epoch is committed: it does not know yet what the last
+/// one committed. The old leader's word of the commit reaches the operator alone, and the others' disks are slow.
+#[test]
+fn a_new_leader_answers_after_its_first_entry() {
+    let mut asked_in_time = 0;
+    for seed in 0..60 {
+        let mut cluster = formed(seed, 3, 2, 3);
+        assert_eq!(call(&mut cluster, 3, 1, OperatorRequest::put(0, document(1, "first"))), accepted(1));
+        cluster.run(1_000 * MS);
+        let old = cluster.leader().expect("leads");
+        let members: Vec<usize> = (0..3).filter(|member| *member != old).collect();
+        cluster.operator(3, Token(2), OperatorRequest::put(1, document(2, "second")));
+        // Until the leader has committed it, and tells the others so.
+        while cluster.control(old).expect("runs").state().config.version == 1 {
+            cluster.run(MS / 10);
+        }
+        for node in (0..8).filter(|node| *node != 3) {
+            cluster.cuts.insert((old, node));
+        }
+        cluster.run(20 * MS);
+        assert_eq!(outcomes(&mut cluster, 2), [Outcome::Accepted { version: 2 }], "seed {seed}");
+        cluster.kill(old);
+        for member in &members {
+            cluster.disks.insert(*member, DiskTrouble::Slow(250 * MS));
+        }
+        let versions = |cluster: &Cluster| {
+            let known =
+                |member: &usize| cluster.control(*member).map(|control| control.state().config.version);
+            members.iter().filter_map(known).max()
+        };
+        asked_in_time += usize::from(versions(&cluster) == Some(1));
+        for token in 100..500 {
+            cluster.operator(4, Token(token), OperatorRequest::ReadConfig);
+            cluster.run(10 * MS);
+        }
+        cluster.run(2_000 * MS);
+        let read = |outcome: &Outcome| match outcome {
+            Outcome::Config(config) => Some(config.version),
+            _ => None,
+        };
+        let versions: Vec<u64> = cluster.answers.iter().filter_map(|(_, _, outcome)| read(outcome)).collect();
+        assert!(versions.len() > 50, "seed {seed}: {} answers", versions.len());
+        assert!(versions.iter().all(|version| *version == 2), "seed {seed}: {versions:?}");
+    }
+    println!("{asked_in_time} of 60 seeds bring the trouble about");
+    assert!(asked_in_time > 40, "{asked_in_time}");
+}
