--- a/crates/control/tests/control/many_changes.rs
+++ b/crates/control/tests/control/many_changes.rs
@@ -139,6 +139,29 @@
     }
 }
 
+/// Guards against a member with a full disk that holds up the others, or whose log does not go on where it was: nothing
+/// is synced there any more, snapshots neither, until it is started again with room.
+#[test]
+fn a_full_disk_of_one_member_holds_nothing_up() {
+    for seed in 0..8 {
+        let mut system = Changes::new(seed, LARGE_NOTE);
+        system.change(8);
+        let leader = system.cluster.leader().expect("a leader");
+        let full = (0..3).find(|node| *node != leader).expect("another");
+        system.cluster.disk_delays.insert(full, 1_000 * SECOND);
+        let start = system.cluster.now;
+        system.change(40);
+        assert!(system.cluster.now < start + 4 * SECOND, "seed {seed}: the others were held up");
+        system.cluster.lose_power(full);
+        system.cluster.disk_delays.clear();
+        system.cluster.start_after(full, 500 * MS);
+        system.cluster.run(3 * SECOND);
+        system.is_whole(&format!("seed {seed}"));
+        system.lose_power_everywhere();
+        system.is_whole(&format!("seed {seed}, after power was lost everywhere"));
+    }
+}
+
 /// Guards against a log that is cut short or damaged and is taken for a whole one.
 #[test]
 fn a_damaged_snapshot_is_refused() {
