--- a/crates/cluster/src/clients.rs
+++ b/crates/cluster/src/clients.rs
@@ -7,7 +7,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::random::Random;
 
-use crate::configuration::{LIMITED, ORDERED, PLAIN};
+use crate::configuration::{LIMITED, ORDERED, PASSING, PLAIN};
 use crate::event::{Event, Input, Life};
 use crate::plan::MILLISECOND;
 use crate::world::World;
@@ -34,8 +34,9 @@
 
 impl Client {
     /// Draws one; of ten, so many are for the limited service.
-    pub fn draw(random: &mut Random, limited: usize) -> Self {
+    pub fn draw(random: &mut Random, limited: usize, uses_passing: bool) -> Self {
         let (route, key) = match random.below(10) {
+            _ if uses_passing && random.below(2) == 0 => (PASSING[random.below(PASSING.len())], None),
             kind if kind < limited => (LIMITED, None),
             _ if random.below(2) == 0 => (PLAIN, None),
             _ => (ORDERED, Some(Arc::from(format!("key-{}", random.below(KEYS))))),
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -28,6 +28,8 @@
 pub const PLAIN: &str = "plain";
 pub const ORDERED: &str = "ordered";
 pub const LIMITED: &str = "limited";
+/// Routes that changes drop and add.
+pub const PASSING: [&str; 2] = ["passing-a", "passing-b"];
 /// A route that nobody uses; its number tells changes from each other.
 pub const MARK: &str = "mark";
 
@@ -38,7 +40,8 @@
 
 fn route(name: &str, schedule_target_ms: u64) -> String {
     let (fifo, retention_s) = (name == ORDERED, RETENTION / SECOND);
-    let service = if name == MARK { PLAIN } else { name };
+    let is_own = [PLAIN, ORDERED, LIMITED].contains(&name);
+    let service = if is_own { name } else { PLAIN };
     format!(
         r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
     )
@@ -61,20 +64,32 @@
     all.join(",")
 }
 
-/// A whole configuration, told from others by its mark.
-pub fn document(version: u64, mark: u64) -> Bytes {
+/// A whole configuration, told from others by its mark, with these routes beside the usual ones.
+pub fn document(version: u64, mark: u64, passing: &[&str]) -> Bytes {
     let names = [PLAIN, ORDERED, LIMITED];
-    let routes = routes(&names, mark);
+    let routes = routes(&[&names, passing].concat(), mark);
     let services = names.map(service).join(",");
     Bytes::from(format!(
         r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
     ))
 }
 
-/// A change to one.
-pub fn patch(version: u64, mark: u64) -> Bytes {
-    let routes = routes(&[PLAIN], mark);
-    Bytes::from(format!(r#"{{"version":{version},"upsert":{{"routes":[{routes}]}}}}"#))
+/// A change to one, that adds some of the passing routes and drops the others.
+pub fn patch(version: u64, mark: u64, passing: &[&str]) -> Bytes {
+    let routes = routes(&[&[PLAIN], passing].concat(), mark);
+    let dropped = PASSING.iter().filter(|name| !passing.contains(name));
+    let dropped: Vec<String> = dropped.map(|name| format!("\"{name}\"")).collect();
+    let dropped = dropped.join(",");
+    Bytes::from(format!(
+        r#"{{"version":{version},"upsert":{{"routes":[{routes}]}},"delete":{{"routes":[{dropped}]}}}}"#
+    ))
+}
+
+/// The passing routes that a configuration has.
+pub fn passing_routes(text: &[u8]) -> Vec<&'static str> {
+    let Ok(compiled) = CompiledConfig::compile(text) else { return Vec::new() };
+    let has = |name: &&'static str| compiled.routes().any(|route| *route.name == **name);
+    PASSING.into_iter().filter(has).collect()
 }
 
 /// The mark of the change that led to a configuration; 0 before the first.
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -127,7 +127,7 @@
                 let count = self.random.below(MOST_FAULTS + 1);
                 self.draw_usual_faults(count);
             }
-            Scenario::ManyChanges => self.draw_troubles_of_changes(),
+            Scenario::ManyChanges | Scenario::ChangingRoutes => self.draw_troubles_of_changes(),
             Scenario::ScaleIn => self.draw_scaling(),
             Scenario::LongTroubles => self.draw_long_troubles(),
             Scenario::OverlappingFaults => self.draw_overlapping_faults(),
--- a/crates/cluster/src/judge/config.rs
+++ b/crates/cluster/src/judge/config.rs
@@ -32,6 +32,7 @@
             let what = format!("version {} stands for two configurations", config.version);
             self.breach(None, Rule::Config, what);
         }
+        self.routes.in_force(now, config.version, &config.text);
         let mark = self.marks.entry(config.version).or_insert_with(|| mark(&config.text));
         match *mark {
             Some(mark) => self.history.stands(now, config.version, mark),
@@ -42,13 +43,17 @@
     /// An operator sends a change.
     pub fn change_sent(&mut self, now: Micros, change: &Change) {
         self.history.sent(now, change.write());
+        self.routes.sent(change);
     }
 
     /// A relay answers a change; the operator may not hear it.
     pub fn change_answered(&mut self, interval: Interval, change: &Change, outcome: &Outcome) {
         let write = change.write();
         match outcome {
-            Outcome::Accepted { version } => self.history.accepted(interval.answered_at, write, *version),
+            Outcome::Accepted { version } => {
+                self.history.accepted(interval.answered_at, write, *version);
+                self.routes.acknowledged(interval.answered_at, change);
+            }
             Outcome::Conflict { current } => {
                 self.history.refused(write);
                 self.history.read(interval, *current);
--- a/crates/cluster/src/operators.rs
+++ b/crates/cluster/src/operators.rs
@@ -4,7 +4,7 @@
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 use pewterseam_wire::Micros;
 
-use crate::configuration::{document, patch};
+use crate::configuration::{PASSING, document, patch};
 use crate::event::{Event, Input};
 use crate::history::{Interval, Write};
 use crate::plan::{MILLISECOND, SECOND, Scenario};
@@ -43,6 +43,8 @@
     pub mark: u64,
     pub text: Bytes,
     pub is_patch: bool,
+    /// The passing routes that stand after it.
+    pub passing: Vec<&'static str>,
 }
 
 impl Change {
@@ -144,8 +146,16 @@
         self.last_mark += 1;
         let mark = self.last_mark;
         let is_patch = if_match > 0 && self.random.below(2) == 0;
-        let text = if is_patch { patch(version, mark) } else { document(version, mark) };
-        Change { if_match, version, mark, text, is_patch }
+        let passing = self.draw_passing();
+        let text = if is_patch { patch(version, mark, &passing) } else { document(version, mark, &passing) };
+        Change { if_match, version, mark, text, is_patch, passing }
+    }
+
+    fn draw_passing(&mut self) -> Vec<&'static str> {
+        if self.plan.scenario != Scenario::ChangingRoutes {
+            return Vec::new();
+        }
+        PASSING.into_iter().filter(|_| self.random.below(2) == 0).collect()
     }
 
     /// Sends a change again that was acknowledged, as if its answer had not come.
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -24,6 +24,8 @@
     ForgottenChanges,
     /// Stores say that they hold all that a placement asks for as soon as it comes into force.
     EarlyCopies,
+    /// Relays keep the routes of the first configuration that comes into force.
+    KeptRoutes,
 }
 
 /// What kind of days a run plays.
@@ -40,6 +42,8 @@
     ManyChanges,
     /// Stores are retired, added and replaced under new names; disks of those left are lost right after.
     ScaleIn,
+    /// Changes of the configuration drop routes that clients use, and add them again.
+    ChangingRoutes,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -157,6 +157,9 @@
         if state.config.version == self.config.version {
             return;
         }
+        if self.planted == Some(Planted::KeptRoutes) && self.config.version > 0 {
+            return;
+        }
         let Ok(compiled) = CompiledConfig::compile(&state.config.text) else {
             panic!("an agreed configuration cannot be used");
         };
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -62,3 +62,9 @@
 fn early_copies_are_found() {
     find_in(Scenario::ScaleIn, Planted::EarlyCopies, Rule::Lost, 300);
 }
+
+/// Guards that relays which go on with the routes of their first configuration are found.
+#[test]
+fn kept_routes_are_found() {
+    find_in(Scenario::ChangingRoutes, Planted::KeptRoutes, Rule::Config, 100);
+}
