find: answers left on a connection count for another message or for a retry; hosts that garble

Cause: hosts of the harness answered each request once. Change: the scenario GarblingHosts: an answer is followed by itself or another one, with the id of its message or none, or breaks off; what counts follows answer.rs of outbound. clusters_outlast_garbling_hosts fails: an answer without an id ends another message (MIXED), and one with the id of a first attempt ends its retry on the same connection.

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -2,12 +2,14 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use pewterseam_delivery::{AttemptEnd, AttemptId, AttemptResult, Input as DeliveryInput};
 use pewterseam_wire::Micros;
 
 use crate::configuration::LIMITED;
 use crate::event::{Event, Input, Life, StartCall};
+use crate::garbled::{Leftover, TakenConnection};
 use crate::hosts::{Reaction, Run, answer};
 use crate::judge::SentMessage;
 use crate::plan::{MILLISECOND, Planted, SECOND};
@@ -37,6 +39,8 @@
     start: StartCall,
     started_at: Micros,
     is_new: bool,
+    /// What its connection held before.
+    leftover: Option<Leftover>,
     run: Option<u64>,
 }
 
@@ -47,6 +51,14 @@
     idle: BTreeMap<(Life, SocketAddr), usize>,
 }
 
+impl Calls {
+    /// What the connection of a call holds, and the id of the call's message.
+    fn held_by(&mut self, key: CallKey) -> Option<(Leftover, Arc<str>)> {
+        let call = self.open.get_mut(&key)?;
+        Some((call.leftover.take()?, call.start.request_id.clone()))
+    }
+}
+
 impl World {
     pub(crate) fn is_cut_from_hosts(&self, life: Life) -> bool {
         self.machines[life.machine].cut_from_hosts_until > self.now
@@ -68,10 +80,15 @@
         let key = CallKey { life, attempt: start.attempt };
         let address = start.target.address;
         let idle = self.calls.idle.entry((life, address)).or_default();
-        let is_new = *idle == 0;
+        let has_idle = *idle > 0;
         *idle = idle.saturating_sub(1);
+        let (is_new, leftover) = match has_idle.then(|| self.take_leftover(life, address)) {
+            None | Some(TakenConnection::Closed) => (true, None),
+            Some(TakenConnection::Clean) => (false, None),
+            Some(TakenConnection::Holds(leftover)) => (false, Some(leftover)),
+        };
         let (timeout, confirm) = (start.timeout, start.confirm);
-        let call = Call { start, started_at: self.now, is_new, run: None };
+        let call = Call { start, started_at: self.now, is_new, leftover, run: None };
         self.calls.open.insert(key, call);
         let arrival = self.host_arrival(life);
         if is_new && (self.is_cut_from_hosts(life) || self.hosts.at(address).is_none()) {
@@ -90,6 +107,9 @@
         self.judge.written(key, &call.start.request_id);
         let arrival = self.host_arrival(key.life);
         self.agenda.add(arrival, Event::CallArrives(key));
+        if let Some((leftover, request_id)) = self.calls.held_by(key) {
+            self.read_leftover(key, &leftover, &request_id, arrival);
+        }
         let is_limited = self.calls.open.get(&key).is_some_and(|call| call.start.target.instance.is_none());
         let keeps_permits = self.plan.planted == Some(Planted::LatePermits) && is_limited;
         if keeps_permits && self.is_cut_off(key.life.machine) {
@@ -162,11 +182,11 @@
             self.agenda.add(self.now, Event::CallAnswered(run.call, AttemptResult::Broken));
             return;
         }
-        let signature = (run.status == 200).then(|| std::sync::Arc::from(format!("s-{number}")));
+        let signature = (run.status == 200).then(|| Arc::from(format!("s-{number}")));
         self.judge.run_ends(self.now, &run.request_id, run.status, signature.clone());
         let arrival = self.host_arrival(run.call.life);
-        let result =
-            if run.is_answer_lost { AttemptResult::Broken } else { answer(run.status, false, signature) };
+        let is_lost = run.is_answer_lost || self.is_cut_short();
+        let result = if is_lost { AttemptResult::Broken } else { answer(run.status, false, signature) };
         self.agenda.add(arrival, Event::CallAnswered(run.call, result));
     }
 
@@ -183,6 +203,19 @@
                 self.judge.success_read(self.now, &call.start.request_id, key.life);
             }
         }
+        if let AttemptResult::Answered(answer) = &result {
+            let (address, id) = (call.start.target.address, call.start.request_id.clone());
+            self.leave_over(key.life, address, &id, answer.status);
+        }
+        self.end_call(key, &call, result);
+    }
+
+    /// A call ends with an answer that its connection held before.
+    pub(crate) fn leftover_read(&mut self, key: CallKey, result: AttemptResult) {
+        let Some(call) = self.calls.open.remove(&key) else { return };
+        if !matches!(result, AttemptResult::Answered(_)) {
+            self.drop_run(key.life, &call);
+        }
         self.end_call(key, &call, result);
     }
 
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -154,6 +154,8 @@
     CallOpened(CallKey),
     CallArrives(CallKey),
     CallAnswered(CallKey, pewterseam_delivery::AttemptResult),
+    /// A call reads an answer that its connection held before the request was written.
+    LeftoverRead(CallKey, pewterseam_delivery::AttemptResult),
     CallTimesOut(CallKey),
     /// A planted fault has a request sent to the limited service without a permit.
     PermitUsedAgain(Life),
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -44,6 +44,8 @@
     ScaleIn,
     /// Changes of the configuration drop routes that clients use, and add them again.
     ChangingRoutes,
+    /// Hosts send answers twice, with the id of another message or none, and break them off.
+    GarblingHosts,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -16,6 +16,7 @@
 use crate::clients::Client;
 use crate::disk::{Ending, LogName};
 use crate::event::{Event, Input, Life, Origin, Output};
+use crate::garbled::Leftovers;
 use crate::hosts::{Hosts, Run};
 use crate::judge::Judge;
 use crate::machine::Machine;
@@ -24,40 +25,15 @@
 use crate::plan::{MILLISECOND, Plan, SECOND, Scenario};
 use crate::probes::Probe;
 use crate::report::Report;
+use crate::size::{self, CORE_RELAYS, OTHER_RELAYS, TRAFFIC_BEGINS};
 
-const CORE_RELAYS: usize = 3;
-const OTHER_RELAYS: usize = 2;
-const STORES: usize = 4;
-/// The same where stores come and go, and those that may come.
-const SCALED_STORES: usize = 5;
-const SPARES: usize = 2;
-const TRAFFIC_BEGINS: Micros = 4 * SECOND;
-const LEAST_TRAFFIC_MS: usize = 3_000;
-const MORE_TRAFFIC_MS: usize = 4_000;
-/// The same where troubles are long.
-const LEAST_LONG_TRAFFIC_MS: usize = 30_000;
-const MORE_LONG_TRAFFIC_MS: usize = 60_000;
-/// The same where faults overlap.
-const LEAST_OVERLAP_TRAFFIC_MS: usize = 12_000;
-const MORE_OVERLAP_TRAFFIC_MS: usize = 8_000;
-/// The same where changes are many.
-const LEAST_CHANGING_MS: usize = 10_000;
-const MORE_CHANGING_MS: usize = 10_000;
-/// The same where stores come and go.
-const LEAST_SCALING_MS: usize = 12_000;
-const MORE_SCALING_MS: usize = 12_000;
 const LEAST_CLIENTS: usize = 40;
 const MORE_CLIENTS: usize = 80;
 /// The same where the limited service has more to do than it allows.
 const CROWD: usize = 160;
 const LIST_PERIOD: Micros = 400 * MILLISECOND;
-/// From the end of the traffic, when everything is back, to the first reads.
-const CALM: Micros = 4 * SECOND;
 /// A probe without an answer ends then.
 const PROBE_TIMEOUT: Micros = SECOND;
-/// The same where it is judged whether anything is left lying; of the usual runs one of so many.
-const LONG_CALM: Micros = 16 * SECOND;
-const LONG_CALM_EACH: u64 = 4;
 const READ_ROUNDS: usize = 5;
 const READ_ROUND: Micros = 1_700 * MILLISECOND;
 
@@ -72,6 +48,7 @@
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) hosts: Hosts,
     pub(crate) calls: Calls,
+    pub(crate) leftovers: Leftovers,
     pub(crate) runs: BTreeMap<u64, Run>,
     pub(crate) last_run: u64,
     pub(crate) clients: Vec<Client>,
@@ -100,8 +77,8 @@
 impl World {
     pub fn new(plan: Plan) -> Self {
         let mut random = Random::new(plan.seed.wrapping_mul(0x2545_f491_4f6c_dd1d));
-        let span = random_span(&mut random, plan.scenario);
-        let machines = machines(plan.scenario);
+        let span = size::random_span(&mut random, plan.scenario);
+        let machines = size::machines(plan.scenario);
         let seeds = machines[..CORE_RELAYS].iter().map(|machine| machine.address).collect();
         World {
             plan,
@@ -112,12 +89,13 @@
             seeds,
             hosts: Hosts::new(random.draw()),
             calls: Calls::default(),
+            leftovers: Leftovers::default(),
             runs: BTreeMap::new(),
             last_run: 0,
             clients: Vec::new(),
             requests: BTreeMap::new(),
             last_request: 0,
-            operators: (0..count_of_operators(plan.scenario)).map(|_| Operator::default()).collect(),
+            operators: (0..size::count_of_operators(plan.scenario)).map(|_| Operator::default()).collect(),
             operator_calls: BTreeMap::new(),
             last_token: 0,
             last_mark: 0,
@@ -149,17 +127,11 @@
         self.draw_faults();
         self.run_until(self.traffic_ends);
         self.bring_back();
-        let calm = if self.has_long_calm() { LONG_CALM } else { CALM };
-        self.run_until(self.traffic_ends + calm);
+        self.run_until(self.traffic_ends + size::calm(self.plan));
         self.read_all();
         self.judge.finish(self.plan.seed)
     }
 
-    /// Whether all that is due must have run by the end.
-    fn has_long_calm(&self) -> bool {
-        self.plan.scenario != Scenario::Usual || self.plan.seed.is_multiple_of(LONG_CALM_EACH)
-    }
-
     fn draw_traffic(&mut self) {
         let span = (self.traffic_ends - self.traffic_begins) as usize;
         let is_crowded = self.random.below(3) == 0;
@@ -211,6 +183,7 @@
             Event::CallOpened(key) => self.call_opened(key),
             Event::CallArrives(key) => self.call_arrives(key),
             Event::CallAnswered(key, result) => self.call_answered(key, result),
+            Event::LeftoverRead(key, result) => self.leftover_read(key, result),
             Event::CallTimesOut(key) => self.call_times_out(key),
             Event::PermitUsedAgain(life) => self.judge.arrived(self.now, life, false),
             Event::RunEnds { run } => self.run_ends(run),
@@ -373,31 +346,3 @@
         }
     }
 }
-
-fn count_of_operators(scenario: Scenario) -> usize {
-    if scenario == Scenario::ManyChanges { 3 } else { 2 }
-}
-
-/// How long the traffic lasts.
-fn random_span(random: &mut Random, scenario: Scenario) -> Micros {
-    let (least, more) = match scenario {
-        Scenario::Usual => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
-        Scenario::LongTroubles => (LEAST_LONG_TRAFFIC_MS, MORE_LONG_TRAFFIC_MS),
-        Scenario::ScaleIn => (LEAST_SCALING_MS, MORE_SCALING_MS),
-        Scenario::ManyChanges => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
-        Scenario::ChangingRoutes => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
-        Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
-    };
-    (least + random.below(more)) as Micros * MILLISECOND
-}
-
-fn machines(scenario: Scenario) -> Vec<Machine> {
-    let relays = CORE_RELAYS + OTHER_RELAYS;
-    let relay =
-        |index: usize| Machine::new(index, &format!("relay-{index}"), Role::Relay, index < CORE_RELAYS);
-    let store = |index: usize| Machine::new(relays + index, &format!("store-{index}"), Role::Store, true);
-    let (stores, spares) = if scenario == Scenario::ScaleIn { (SCALED_STORES, SPARES) } else { (STORES, 0) };
-    let mut machines: Vec<Machine> = (0..relays).map(relay).chain((0..stores + spares).map(store)).collect();
-    machines[relays + stores..].iter_mut().for_each(|spare| spare.is_present = false);
-    machines
-}
--- a/crates/cluster/tests/scenarios.rs
+++ b/crates/cluster/tests/scenarios.rs
@@ -40,6 +40,7 @@
 static OVERLAPPING_FAULTS: Days = Days::new(Scenario::OverlappingFaults, 300);
 static MANY_CHANGES: Days = Days::new(Scenario::ManyChanges, 150);
 static CHANGING_ROUTES: Days = Days::new(Scenario::ChangingRoutes, 200);
+static GARBLING_HOSTS: Days = Days::new(Scenario::GarblingHosts, 300);
 static SCALE_IN: Days = Days::new(Scenario::ScaleIn, 300);
 
 /// Guards the rules over cuts of 5, 20 and 60 s, of any direction, of two machines at once and between relays and
@@ -77,8 +78,15 @@
     CHANGING_ROUTES.assert_other_rules();
 }
 
+/// Guards all rules where hosts send answers twice, with the id of the message before or none, and break them off.
+#[test]
+fn clusters_outlast_garbling_hosts() {
+    GARBLING_HOSTS.assert_other_rules();
+}
+
 fn assert_on_all_days(rule: Rule) {
-    let days = [&LONG_TROUBLES, &OVERLAPPING_FAULTS, &MANY_CHANGES, &SCALE_IN, &CHANGING_ROUTES];
+    let days =
+        [&LONG_TROUBLES, &OVERLAPPING_FAULTS, &MANY_CHANGES, &SCALE_IN, &CHANGING_ROUTES, &GARBLING_HOSTS];
     let reports: Vec<Report> = days.iter().flat_map(|days| days.reports().iter().cloned()).collect();
     assert_kept(&reports, |judged| judged == rule);
 }
