Cluster harness: BUDGET counts answers that left their host whole

The bound by what senders have read stays as it was, and the bound by hosts counts all other answers.

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -175,7 +175,7 @@
     }
 
     pub(crate) fn run_ends(&mut self, number: u64) {
-        let Some(run) = self.runs.remove(&number) else { return };
+        let Some(mut run) = self.runs.remove(&number) else { return };
         let host = &mut self.hosts.all[run.host];
         host.running -= 1;
         if !host.is_up {
@@ -183,10 +183,11 @@
             return;
         }
         let signature = (run.status == 200).then(|| Arc::from(format!("s-{number}")));
-        self.judge.run_ends(self.now, &run.request_id, run.status, signature.clone());
+        run.is_answer_lost |= self.is_cut_short();
+        self.judge.run_ends(self.now, &run, signature.clone());
         let arrival = self.host_arrival(run.call.life);
-        let is_lost = run.is_answer_lost || self.is_cut_short();
-        let result = if is_lost { AttemptResult::Broken } else { answer(run.status, false, signature) };
+        let result =
+            if run.is_answer_lost { AttemptResult::Broken } else { answer(run.status, false, signature) };
         self.agenda.add(arrival, Event::CallAnswered(run.call, result));
     }
 
--- a/crates/cluster/src/judge/mod.rs
+++ b/crates/cluster/src/judge/mod.rs
@@ -47,9 +47,11 @@
     body: Bytes,
     told: Told,
     runs: usize,
-    /// Answers of 500 and of 422 that hosts gave.
+    /// Answers of 500 that hosts gave.
     failures: u32,
-    refusals: u32,
+    /// Answers of 500 and of 422 that left their hosts whole.
+    whole_failures: u32,
+    whole_refusals: u32,
     /// Answers of 500 that their senders have read.
     failures_read: Vec<(Micros, Life)>,
     last_run_at: Micros,
@@ -142,7 +144,8 @@
             told: Told::Nothing,
             runs: 0,
             failures: 0,
-            refusals: 0,
+            whole_failures: 0,
+            whole_refusals: 0,
             failures_read: Vec::new(),
             last_run_at: 0,
             signatures: BTreeSet::new(),
--- a/crates/cluster/src/judge/states.rs
+++ b/crates/cluster/src/judge/states.rs
@@ -77,7 +77,7 @@
         let begins = message.earliest.max(message.last_run_at) + LEFT_LYING;
         let is_calm = !self.troubles.iter().any(|(_, until)| *until + CONTACT + LEFT_LYING >= now);
         let has_failed =
-            |other: &Try| !other.is_ended(&self.routes, now) && other.failures + other.refusals > 0;
+            |other: &Try| !other.is_ended(&self.routes, now) && other.failures + other.whole_refusals > 0;
         let of_key = message.key.iter().flat_map(|key| &self.keys[key]);
         let fails = has_failed(message) || of_key.filter_map(|id| self.tries.get(id)).any(has_failed);
         let is_busy = self.last_success_at + BUSY >= now;
