--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -26,6 +26,16 @@
     EarlyCopies,
     /// Relays keep the routes of the first configuration that comes into force.
     KeptRoutes,
+    /// Relays send messages to hosts without their ordering keys.
+    LostKeys,
+    /// Relays take answers of 500 for refusals to run.
+    ForgottenFailures,
+    /// Relays tell the state of a message as the first store has it.
+    HastyReads,
+    /// Relays forget to run some messages.
+    ForgottenMessages,
+    /// Relays write requests on new connections twice.
+    DoubledWrites,
 }
 
 /// What kind of days a run plays.
--- a/crates/cluster/src/planted.rs
+++ b/crates/cluster/src/planted.rs
@@ -2,12 +2,27 @@
 
 use bytes::Bytes;
 use pewterseam_control::{Change, OperatorRequest, Outcome, Token};
+use pewterseam_queue::MessageKey;
+use pewterseam_wire::placement::hash;
+use pewterseam_wire::record::MessageName;
 
 use crate::event::Output;
 use crate::plan::Planted;
 use crate::relay::RelayProcess;
 
 impl RelayProcess {
+    pub(crate) fn has(&self, planted: Planted) -> bool {
+        self.planted == Some(planted)
+    }
+
+    /// Whether a planted fault has the relay forget a message that is to run.
+    pub(crate) fn forgets(&self, key: MessageKey) -> bool {
+        let is_drawn =
+            |name: &MessageName| hash(name.request_id().as_bytes(), 0).is_multiple_of(FORGOTTEN_OF);
+        self.has(Planted::ForgottenMessages)
+            && self.queue.record(key).is_some_and(|record| is_drawn(&record.name))
+    }
+
     /// An operator calls.
     pub(crate) fn operator(&mut self, token: Token, request: OperatorRequest) {
         match (self.planted, request) {
@@ -25,6 +40,8 @@
 }
 
 const MOST_SPACES: usize = 64;
+/// One message of so many is forgotten.
+const FORGOTTEN_OF: u64 = 40;
 
 /// The same change in other bytes.
 fn spaced(change: &Change, spaces: usize) -> Change {
--- a/crates/cluster/src/reads.rs
+++ b/crates/cluster/src/reads.rs
@@ -10,6 +10,7 @@
 
 use crate::event::Output;
 use crate::message::PeerMessage;
+use crate::plan::Planted;
 use crate::relay::RelayProcess;
 
 /// Numbers from here on are those of reads; the queue's are below.
@@ -76,11 +77,13 @@
     }
 
     pub(crate) fn read_answered(&mut self, call: u64, response: StoreResponse) {
+        let is_hasty = self.has(Planted::HastyReads);
         let Some(open) = self.reads.open.get_mut(&call) else { return };
         let read = open.number;
         let done = match (&mut open.kind, response) {
             (Kind::Status(kind), StoreResponse::Statuses { store, statuses }) => {
                 let result = statuses.into_iter().next().and_then(|status| kind.answered(store, status));
+                let result = result.or_else(|| is_hasty.then(|| kind.best()));
                 result.map(|result| Output::Status { read, result: Some(result) })
             }
             (Kind::Body(kind), StoreResponse::Found { store, record }) => {
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -157,7 +157,7 @@
         if state.config.version == self.config.version {
             return;
         }
-        if self.planted == Some(Planted::KeptRoutes) && self.config.version > 0 {
+        if self.has(Planted::KeptRoutes) && self.config.version > 0 {
             return;
         }
         let Ok(compiled) = CompiledConfig::compile(&state.config.text) else {
@@ -277,6 +277,9 @@
     }
 
     fn submit(&mut self, key: MessageKey, submission: Submission) {
+        if self.forgets(key) {
+            return;
+        }
         self.delivery_inputs.push(DeliveryInput::Submit(DeliverySubmission {
             key: key.0,
             service: submission.service,
@@ -331,13 +334,15 @@
                 };
                 self.attempts.insert(attempt, key);
                 let request_id = Arc::from(record.name.request_id());
-                let (body, ordering_key) = (record.body.clone(), record.ordering_key.clone());
+                let body = record.body.clone();
+                let ordering_key = record.ordering_key.clone().filter(|_| !self.has(Planted::LostKeys));
                 let call = StartCall { attempt, target, request_id, body, ordering_key, timeout, confirm };
                 self.node.out.push(Output::Start(call));
             }
             Effect::Finished { key, outcome } => {
                 let result = match outcome {
                     Outcome::Completed { signature } => RunResult::Completed { signature },
+                    Outcome::Failed if self.has(Planted::ForgottenFailures) => RunResult::NotRun,
                     Outcome::Failed => RunResult::Failed,
                     Outcome::Refused => RunResult::Refused,
                 };
@@ -353,7 +358,10 @@
                 self.attempts.remove(&attempt);
                 self.node.out.push(Output::Withhold(attempt));
             }
-            Effect::Write { attempt } => self.node.out.push(Output::Write(attempt)),
+            Effect::Write { attempt } => {
+                let times = if self.has(Planted::DoubledWrites) { 2 } else { 1 };
+                self.node.out.extend((0..times).map(|_| Output::Write(attempt)));
+            }
             Effect::Abort { attempt } => self.node.out.push(Output::Abort(attempt)),
             Effect::Probe { host, target, .. } => self.node.out.push(Output::Probe { host, target }),
             Effect::CloseIdle { address } => self.node.out.push(Output::CloseIdle { address }),
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -68,3 +68,33 @@
 fn kept_routes_are_found() {
     find_in(Scenario::ChangingRoutes, Planted::KeptRoutes, Rule::Config, 100);
 }
+
+/// Guards that messages which go to hosts without their ordering keys are found.
+#[test]
+fn lost_keys_are_found() {
+    find(Planted::LostKeys, Rule::Unasked, 20);
+}
+
+/// Guards that messages which fail for ever and run for ever are found.
+#[test]
+fn forgotten_failures_are_found() {
+    find(Planted::ForgottenFailures, Rule::Budget, 100);
+}
+
+/// Guards that a state which is read from one store is found.
+#[test]
+fn hasty_reads_are_found() {
+    find(Planted::HastyReads, Rule::Lost, 100);
+}
+
+/// Guards that messages which nobody runs are found.
+#[test]
+fn forgotten_messages_are_found() {
+    find_in(Scenario::ScaleIn, Planted::ForgottenMessages, Rule::Lost, 100);
+}
+
+/// Guards that a request which is written twice is found.
+#[test]
+fn doubled_writes_are_found() {
+    find(Planted::DoubledWrites, Rule::SentTwice, 20);
+}
