--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -104,6 +104,12 @@
 
     pub(crate) fn call_written(&mut self, key: CallKey) {
         let Some(call) = self.calls.open.get(&key) else { return };
+        if self.now >= call.started_at + call.start.write_within {
+            if let Some(call) = self.calls.open.remove(&key) {
+                self.end_call(key, &call, AttemptResult::Unsent);
+            }
+            return;
+        }
         self.judge.written(key, &call.start.request_id);
         let arrival = self.host_arrival(key.life);
         self.agenda.add(arrival, Event::CallArrives(key));
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -109,6 +109,8 @@
     pub ordering_key: Option<Arc<str>>,
     pub timeout: Micros,
     pub confirm: bool,
+    /// Nothing is written later than this after the start.
+    pub write_within: Micros,
 }
 
 /// What happens, and to whom.
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -31,6 +31,7 @@
 mod relay;
 mod report;
 mod scale_in;
+mod sends;
 mod size;
 mod stopping;
 mod store;
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -16,8 +16,10 @@
     OneStoreTooFew,
     /// Relays that the others cannot reach go on using a permit when its time is over.
     LatePermits,
-    /// Relays run what they take over without telling the stores.
+    /// Relays run what they take over without telling or asking the stores.
     NoClaims,
+    /// Relays whose leases have lapsed send what they own without asking the stores.
+    NoConfirmation,
     /// Relays answer reads of the configuration with what is in force at themselves.
     StaleReads,
     /// Relays pass changes on with bytes of their own, so that the core does not know one that is sent again.
--- a/crates/cluster/src/planted.rs
+++ b/crates/cluster/src/planted.rs
@@ -3,8 +3,9 @@
 use bytes::Bytes;
 use pewterseam_control::{Change, OperatorRequest, Outcome, Token};
 use pewterseam_queue::MessageKey;
-use pewterseam_wire::placement::hash;
+use pewterseam_wire::placement::{StoreId, hash};
 use pewterseam_wire::record::MessageName;
+use pewterseam_wire::store::{Status, StoreRequest, StoreResponse};
 
 use crate::event::Output;
 use crate::plan::Planted;
@@ -37,6 +38,26 @@
             (_, request) => self.node.operator(token, request),
         }
     }
+
+    /// What a planted fault has the relay believe of a store that it does not ask.
+    pub(crate) fn forged(&self, store: &StoreId, request: &StoreRequest) -> Option<StoreResponse> {
+        match (self.planted, request) {
+            (Some(Planted::OneStoreTooFew), StoreRequest::ListOpen { partition, .. }) => {
+                let asked = self.node.state().placement.stores(*partition);
+                let is_passed_over = asked.iter().next() == Some(store);
+                is_passed_over
+                    .then(|| StoreResponse::OpenMessages { store: store.clone(), names: Vec::new() })
+            }
+            (Some(Planted::NoClaims), StoreRequest::Claim { .. }) => {
+                Some(StoreResponse::Done { store: store.clone() })
+            }
+            (Some(Planted::NoConfirmation | Planted::NoClaims), StoreRequest::Confirm { names, .. }) => {
+                let statuses = vec![Status::Unknown; names.len()];
+                Some(StoreResponse::Statuses { store: store.clone(), statuses })
+            }
+            _ => None,
+        }
+    }
 }
 
 const MOST_SPACES: usize = 64;
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -5,13 +5,14 @@
 use std::sync::Arc;
 
 use pewterseam_config::CompiledConfig;
+use pewterseam_control::Serving;
 use pewterseam_delivery::{
-    AttemptEnd, AttemptId, AttemptResult, Delivery, DeliverySettings, Effect, Input as DeliveryInput,
-    Outcome, Submission as DeliverySubmission,
+    AttemptId, Delivery, DeliverySettings, Effect, Input as DeliveryInput, Outcome,
+    Submission as DeliverySubmission,
 };
 use pewterseam_queue::{
-    Answer, CallId, ClientToken, Effect as QueueEffect, MessageKey, NewMessage, Queue, QueueSettings,
-    RunResult, Submission,
+    Answer, AttemptNumber, CallId, ClientToken, Effect as QueueEffect, MessageKey, NewMessage, Queue,
+    QueueSettings, RunResult, Submission,
 };
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ControlState;
@@ -21,11 +22,12 @@
 
 use crate::configuration::{route_table, services};
 use crate::disk::LogName;
-use crate::event::{Input, Origin, Output, StartCall};
+use crate::event::{Input, Origin, Output};
 use crate::message::PeerMessage;
 use crate::node::{Node, NodeEvent};
 use crate::plan::{MILLISECOND, Planted, SECOND};
 use crate::reads::{FIRST_READ_CALL, Reads};
+use crate::sends::UnsentAttempt;
 use crate::stopping::Stopping;
 
 const MOST_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -33,7 +35,8 @@
 const CALL_SLOTS: usize = 300;
 const CONNECT_TIMEOUT: Micros = SECOND;
 const IDLE_CLOSE: Micros = 4 * SECOND;
-const CORE_LEASE: Micros = 3 * SECOND;
+/// `contactMs`.
+const CORE_LEASE: Micros = 4 * SECOND;
 
 /// A relay at work.
 pub struct RelayProcess {
@@ -42,14 +45,17 @@
     delivery: Delivery,
     delivery_wake: Micros,
     pub(crate) attempts: BTreeMap<AttemptId, u64>,
+    pub(crate) unsent: BTreeMap<AttemptId, UnsentAttempt>,
     config: Arc<CompiledConfig>,
     pub(crate) clients: BTreeSet<u64>,
     pub(crate) reads: Reads,
     calls: BTreeMap<SocketAddr, BTreeSet<CallId>>,
     pub(crate) queue_effects: VecDeque<QueueEffect>,
     pub(crate) delivery_inputs: Vec<DeliveryInput>,
+    core_lease_until: Micros,
     pub(crate) stopping: Option<Stopping>,
     is_ready: bool,
+    serving: Serving,
     pub(crate) planted: Option<Planted>,
 }
 
@@ -78,14 +84,17 @@
             delivery: Delivery::new(delivery_settings),
             delivery_wake: 0,
             attempts: BTreeMap::new(),
+            unsent: BTreeMap::new(),
             config: Arc::new(CompiledConfig::default()),
             clients: BTreeSet::new(),
             reads: Reads::default(),
             calls: BTreeMap::new(),
             queue_effects: VecDeque::new(),
-            delivery_inputs: vec![DeliveryInput::CoreLease { until: Micros::MAX }],
+            delivery_inputs: Vec::new(),
+            core_lease_until: 0,
             stopping: None,
             is_ready: false,
+            serving: Serving::default(),
             planted,
             node,
         }
@@ -110,6 +119,7 @@
         for event in self.node.tick() {
             self.node_event(event);
         }
+        self.renew_core_lease();
         let now = self.node.now;
         if self.queue.wake_at().is_some_and(|at| at <= now) {
             let effects = self.queue.tick(now);
@@ -125,6 +135,14 @@
         self.update_readiness();
     }
 
+    fn renew_core_lease(&mut self) {
+        let until = self.node.confirmed_at().map_or(0, |confirmed| confirmed + CORE_LEASE);
+        if until > self.core_lease_until {
+            self.core_lease_until = until;
+            self.delivery_inputs.push(DeliveryInput::CoreLease { until });
+        }
+    }
+
     fn settle(&mut self) {
         loop {
             while let Some(effect) = self.queue_effects.pop_front() {
@@ -273,6 +291,8 @@
             QueueEffect::Withdraw { key } => {
                 self.delivery_inputs.push(DeliveryInput::Withdraw { key: key.0 });
             }
+            QueueEffect::Send { permit } => self.send(&permit),
+            QueueEffect::RefuseSend { attempt } => self.refuse_send(attempt),
         }
     }
 
@@ -307,37 +327,13 @@
         self.node.out.push(Output::Send { to, message });
     }
 
-    /// What a planted fault has the relay believe of a store that it does not ask.
-    fn forged(&self, store: &StoreId, request: &StoreRequest) -> Option<StoreResponse> {
-        match (self.planted, request) {
-            (Some(Planted::OneStoreTooFew), StoreRequest::ListOpen { partition, .. }) => {
-                let asked = self.node.state().placement.stores(*partition);
-                let is_passed_over = asked.iter().next() == Some(store);
-                is_passed_over
-                    .then(|| StoreResponse::OpenMessages { store: store.clone(), names: Vec::new() })
-            }
-            (Some(Planted::NoClaims), StoreRequest::Claim { .. }) => {
-                Some(StoreResponse::Done { store: store.clone() })
-            }
-            _ => None,
-        }
-    }
-
     fn carry_out_delivery(&mut self, effect: Effect) {
         match effect {
             Effect::Start { attempt, key, target, timeout, confirm, .. } => {
-                let Some(record) = self.queue.record(MessageKey(key)) else {
-                    let end =
-                        AttemptEnd { result: AttemptResult::Unsent, took: 0, idle_for: None, kept: false };
-                    self.delivery_inputs.push(DeliveryInput::Ended { attempt, end });
-                    return;
-                };
-                self.attempts.insert(attempt, key);
-                let request_id = Arc::from(record.name.request_id());
-                let body = record.body.clone();
-                let ordering_key = record.ordering_key.clone().filter(|_| !self.has(Planted::LostKeys));
-                let call = StartCall { attempt, target, request_id, body, ordering_key, timeout, confirm };
-                self.node.out.push(Output::Start(call));
+                self.request_send(attempt, MessageKey(key), UnsentAttempt { target, timeout, confirm });
+            }
+            Effect::Abort { attempt } if self.unsent.contains_key(&attempt) => {
+                self.refuse_send(AttemptNumber(attempt.0));
             }
             Effect::Finished { key, outcome } => {
                 let result = match outcome {
@@ -369,15 +365,18 @@
     }
 
     fn update_readiness(&mut self) {
-        let ready = self.stopping.is_none() && self.can_serve();
+        let serves = self.can_serve();
+        let ready = self.stopping.is_none() && serves;
         if self.is_ready != ready {
             self.is_ready = ready;
             self.node.set_ready(ready);
         }
     }
 
-    fn can_serve(&self) -> bool {
-        self.config.version > 0 && self.node.is_current() && self.has_stores()
+    fn can_serve(&mut self) -> bool {
+        let others = self.node.live().count() - 1;
+        let serves = self.serving.until(self.node.now, self.node.contact(), others, SECOND).is_some();
+        serves && self.node.has_joined() && self.config.version > 0 && self.has_stores()
     }
 
     fn has_stores(&self) -> bool {
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -44,6 +44,12 @@
     find(Planted::NoClaims, Rule::Twice, 400);
 }
 
+/// Guards that a relay that goes on after its leases have lapsed is found.
+#[test]
+fn sends_without_a_lease_are_found() {
+    find(Planted::NoConfirmation, Rule::Twice, 1_000);
+}
+
 /// Guards that relays which answer reads with what is in force at themselves are found.
 #[test]
 fn stale_reads_are_found() {
--- a/crates/control/src/agreed.rs
+++ b/crates/control/src/agreed.rs
@@ -9,10 +9,12 @@
 use pewterseam_wire::placement::hash;
 use serde::{Deserialize, Serialize};
 
+use crate::core_membership::CoreMembership;
 use crate::effect::ControlError;
 use crate::entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
 
-/// So many accepted changes are remembered, so that a change that is sent again is acknowledged again.
+/// So many accepted changes are remembered, so that a change that is sent again is acknowledged again. A day has hundreds.
+/// What becomes of one that is sent again later than that: see [`Agreed::may_have_forgotten`].
 const REMEMBERED_CHANGES: usize = 1000;
 
 /// An operator's change that was accepted.
@@ -26,13 +28,16 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Agreed {
     pub stamp: Stamp,
-    /// The core. A majority of these makes this state committed.
-    pub members: Arc<Vec<CoreMember>>,
+    /// The core. A majority of it makes this state committed.
+    pub core: CoreMembership,
     /// The leader that last began an epoch.
     pub last_leader: Option<NodeName>,
     /// What all processes use. Its index is the stamp's.
     pub state: ControlState,
     changes: Arc<VecDeque<AcceptedChange>>,
+    /// The version that the newest change which is no longer remembered led to; 0 if all are.
+    #[serde(default)]
+    forgotten: u64,
     /// The configuration in a form that changes apply to; made where it is needed.
     #[serde(skip)]
     live: Live,
@@ -55,13 +60,7 @@
     pub(crate) fn formed(members: Vec<CoreMember>) -> Self {
         let stamp = Stamp { epoch: 0, index: 1 };
         let state = ControlState { index: stamp.index, ..ControlState::default() };
-        Agreed { stamp, members: Arc::new(members), state, ..Agreed::default() }
-    }
-
-    /// Whether these are more than half of the core.
-    pub(crate) fn is_majority<'a>(&self, members: impl Iterator<Item = &'a CoreMember>) -> bool {
-        let count = members.filter(|member| self.members.contains(member)).count();
-        count * 2 > self.members.len()
+        Agreed { stamp, core: CoreMembership::new(members), state, ..Agreed::default() }
     }
 
     /// The version that exactly this change led to, if it was accepted.
@@ -69,6 +68,13 @@
         self.changes.iter().rev().find(|change| change.request == request).map(|change| change.version)
     }
 
+    /// Whether a change on top of this version may have been accepted and be remembered no longer. Of all changes on top
+    /// of one version at most one is ever accepted, and versions rise: it led to a version above its base, and that is
+    /// among the forgotten ones only if the base is below the newest of these.
+    pub(crate) fn may_have_forgotten(&self, if_match: u64) -> bool {
+        if_match < self.forgotten
+    }
+
     /// The state after an entry.
     pub(crate) fn apply(&self, entry: &Entry) -> Result<Agreed, ControlError> {
         if entry.previous != self.stamp || entry.stamp.index != self.stamp.index + 1 {
@@ -79,7 +85,7 @@
         next.state.index = entry.stamp.index;
         match &entry.command {
             Command::Lead { leader } => next.last_leader = Some(leader.clone()),
-            Command::Core { members } => next.members = Arc::new(members.clone()),
+            Command::Core { core } => next.core = core.clone(),
             Command::Stores { placement, retiring, retired } => {
                 next.state.placement = Arc::new(placement.clone());
                 next.state.retiring.clone_from(retiring);
@@ -102,8 +108,10 @@
     fn remember(&mut self, change: AcceptedChange) {
         let changes = Arc::make_mut(&mut self.changes);
         changes.push_back(change);
-        if changes.len() > REMEMBERED_CHANGES {
-            changes.pop_front();
+        if changes.len() > REMEMBERED_CHANGES
+            && let Some(oldest) = changes.pop_front()
+        {
+            self.forgotten = oldest.version;
         }
     }
 
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -6,7 +6,6 @@
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
 
-use crate::agreed::Agreed;
 use crate::entry::{CoreMember, Stamp};
 use crate::leader::Leader;
 use crate::machine::Control;
@@ -66,7 +65,7 @@
 impl Control {
     /// This process, if it is a member of the core.
     pub(crate) fn own_member(&self) -> Option<&CoreMember> {
-        self.identity.as_ref().filter(|own| self.replica.accepted.members.contains(own))
+        self.identity.as_ref().filter(|own| self.replica.accepted.core.is_voter(own))
     }
 
     /// How many members go before this one: first who led last, then by the hash of the name. The dead do not count.
@@ -79,7 +78,7 @@
             let seen = self.peers.get(&member.name).is_some();
             key(&member.name) < own && (self.peers.is_live_member(member) || (unseen_is_live && !seen))
         };
-        accepted.members.iter().filter(goes_before).count() as u64
+        accepted.core.voters().filter(goes_before).count() as u64
     }
 
     fn election_delay(&mut self, base: Micros) -> Micros {
@@ -145,18 +144,26 @@
         }
     }
 
+    /// Whether the disk of this process has stood still for so long that it is no good for leading.
+    pub(crate) fn is_disk_stalled(&self) -> bool {
+        self.replica.is_disk_stalled(self.now, self.settings.disk_timeout)
+    }
+
     fn start_pre_vote(&mut self) {
         if self.own_member().is_none() {
             self.role = Role::follower(Micros::MAX);
             return;
         }
+        if self.is_disk_stalled() {
+            return self.step_down();
+        }
         let epoch = self.highest_epoch.max(self.replica.promised.epoch) + 1;
         self.role = Role::PreCandidate {
             epoch,
             granted: BTreeSet::new(),
             deadline: self.now + self.settings.attempt,
         };
-        for member in self.replica.accepted.members.clone().iter() {
+        for member in self.replica.accepted.core.clone().voters() {
             self.send(member.name.clone(), ControlMessage::PreVote { epoch });
         }
     }
@@ -177,7 +184,8 @@
 
     pub(crate) fn pre_vote(&mut self, from: &NodeName, epoch: u64) {
         let Some(member) = self.identity.clone() else { return };
-        let granted = *from == self.name || (!self.has_leader() && self.replica.may_promise(epoch, from));
+        let may_promise = self.replica.may_promise(epoch) && !self.is_disk_stalled();
+        let granted = *from == self.name || (!self.has_leader() && may_promise);
         if !granted {
             self.send(from.clone(), ControlMessage::Refused { promised: self.replica.promised.epoch });
         }
@@ -190,7 +198,7 @@
             return;
         }
         members.insert(member);
-        if self.replica.accepted.is_majority(members.iter()) {
+        if self.replica.accepted.core.is_majority(members.iter()) {
             self.start_election(epoch);
         }
     }
@@ -209,9 +217,9 @@
     /// Asks the members of the state that is accepted here, as far as they were not asked.
     fn ask_for_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
-        let members = self.replica.accepted.members.clone();
+        let core = &self.replica.accepted.core;
         let new: Vec<CoreMember> =
-            members.iter().filter(|member| candidate.asked.insert((*member).clone())).cloned().collect();
+            core.voters().filter(|member| candidate.asked.insert((*member).clone())).cloned().collect();
         let epoch = candidate.epoch;
         for member in new {
             self.send(member.name, ControlMessage::Prepare { epoch });
@@ -221,7 +229,7 @@
     pub(crate) fn prepare(&mut self, from: &NodeName, epoch: u64) {
         let Some(member) = self.identity.clone() else { return };
         self.highest_epoch = self.highest_epoch.max(epoch);
-        if !self.replica.may_promise(epoch, from) {
+        if !self.replica.may_promise(epoch) {
             self.send(from.clone(), ControlMessage::Refused { promised: self.replica.promised.epoch });
             return;
         }
@@ -255,9 +263,13 @@
     }
 
     /// Adopts the greatest state among the promises of a majority, and leads once the members of that state agree.
+    ///
+    /// The candidate's own promise must be among them: it is synced by then, so a later life of this process knows that
+    /// the epoch is used, and whoever leads has a disk that works.
     fn review_promises(&mut self) {
         let Role::Candidate(candidate) = &mut self.role else { return };
-        if !self.replica.accepted.is_majority(candidate.promises.keys()) {
+        let own_is_synced = self.identity.as_ref().is_some_and(|own| candidate.promises.contains_key(own));
+        if !own_is_synced || !self.replica.accepted.core.is_majority(candidate.promises.keys()) {
             return;
         }
         let best = candidate.promises.iter().max_by_key(|(_, stamp)| **stamp);
@@ -273,19 +285,12 @@
 
     pub(crate) fn read_accepted(&mut self, from: &NodeName, epoch: u64) {
         if self.replica.promised.epoch == epoch {
-            let agreed = self.replica.accepted.clone();
-            self.send(from.clone(), ControlMessage::AcceptedState { epoch, agreed });
+            self.hand_out_accepted(from);
         }
     }
 
-    pub(crate) fn accepted_state(&mut self, epoch: u64, agreed: Agreed) {
-        let Role::Candidate(candidate) = &self.role else { return };
-        if candidate.epoch != epoch {
-            return;
-        }
-        if agreed.stamp > self.replica.accepted.stamp {
-            self.replica.install(agreed, epoch, &self.name, &mut self.effects);
-        }
+    /// A greater state was adopted.
+    pub(crate) fn adopted_state(&mut self) {
         // Its members may be others than those that were asked.
         self.ask_for_promises();
         self.review_promises();
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -13,10 +13,11 @@
 use pewterseam_wire::random::Random;
 
 use crate::catch_up::CatchUp;
-use crate::currency::Currency;
+use crate::contact::{Contact, Lease};
+use crate::core_membership::CoreMembership;
 use crate::effect::{ControlError, Effect};
 use crate::election::Role;
-use crate::entry::CoreMember;
+use crate::entry::{CoreMember, Stamp};
 use crate::formation::Formation;
 use crate::forward::Forwarder;
 use crate::message::ControlMessage;
@@ -43,7 +44,7 @@
     pub(crate) formation: Option<Formation>,
     pub(crate) forwarder: Forwarder,
     pub(crate) catch_up: CatchUp,
-    pub(crate) currency: Currency,
+    pub(crate) lease: Lease,
     /// What the store of this process holds, until the placement goes on.
     pub(crate) copied: Option<(StoreId, PlacementEpoch, Micros)>,
     pub(crate) checker: Option<Checker>,
@@ -82,7 +83,7 @@
             formation,
             forwarder: Forwarder::default(),
             catch_up: CatchUp::default(),
-            currency: Currency::new(now),
+            lease: Lease::new(now, settings.contact),
             copied: None,
             checker: None,
             effects: Vec::new(),
@@ -111,9 +112,19 @@
         self.in_force.index
     }
 
-    /// Whether this process knows a state that was proven the newest at or after its start.
-    pub fn is_current(&self) -> bool {
-        self.currency.is_current
+    /// When the last question was sent that a majority of the core has confirmed since.
+    pub fn confirmed_at(&self) -> Option<Micros> {
+        self.lease.confirmed()
+    }
+
+    /// Whether this process is in touch with a majority of the core. Ask with the time of the moment: contact lapses.
+    pub fn contact(&self, now: Micros) -> Contact {
+        self.lease.contact(now.max(self.now))
+    }
+
+    /// Whether this process knows all that was committed up to a short while before this moment.
+    pub fn is_current(&self, now: Micros) -> bool {
+        matches!(self.contact(now), Contact::InTouch { .. })
     }
 
     /// Whether this process leads, as far as it knows.
@@ -121,9 +132,19 @@
         matches!(self.role, Role::Leader(_))
     }
 
+    /// The state that was accepted last.
+    pub fn accepted_stamp(&self) -> Stamp {
+        self.replica.accepted.stamp
+    }
+
     /// The core's members, as of the newest committed state known here.
     pub fn core(&self) -> &[CoreMember] {
-        &self.replica.committed.members
+        self.replica.committed.core.current()
+    }
+
+    /// The core's membership, as of the newest committed state known here.
+    pub fn core_membership(&self) -> &CoreMembership {
+        &self.replica.committed.core
     }
 
     /// When [`Control::tick`] is due.
@@ -204,6 +225,7 @@
             let own = self.name.clone();
             self.handle(&own, message);
         }
+        self.replica.watch_disk(self.now);
         self.publish();
         self.schedule();
         std::mem::take(&mut self.effects)
@@ -215,7 +237,7 @@
         self.run_leader();
         self.run_forwarder();
         self.run_catch_up();
-        self.run_currency();
+        self.run_lease();
         self.tell_copied();
     }
 
@@ -233,8 +255,8 @@
             self.in_force = Arc::new(self.replica.committed.state.clone());
             self.effects.push(Effect::InForce(self.in_force.clone()));
         }
-        if self.currency.update(self.in_force.index) {
-            self.effects.push(Effect::Current);
+        if let Some(contact) = self.lease.update(self.in_force.index, self.now) {
+            self.effects.push(Effect::Contact(contact));
         }
     }
 
@@ -245,7 +267,7 @@
             self.role.next_wake(),
             self.forwarder.next_wake(),
             self.catch_up.next_wake(),
-            self.currency.next_wake(),
+            self.lease.next_wake(self.now),
             copied,
         ];
         let wake = wakes.into_iter().fold(Micros::MAX, Micros::min).max(self.now + 1);
@@ -266,11 +288,7 @@
             ControlMessage::Promise { epoch, member, stamp } => self.promise(epoch, member, stamp),
             ControlMessage::Refused { promised } => self.refused(promised),
             ControlMessage::ReadAccepted { epoch } => self.read_accepted(from, epoch),
-            ControlMessage::AcceptedState { epoch, agreed } => self.accepted_state(epoch, agreed),
             ControlMessage::Accept { epoch, entry, committed } => self.accept(from, epoch, entry, committed),
-            ControlMessage::Install { epoch, agreed, committed } => {
-                self.install(from, epoch, agreed, committed)
-            }
             ControlMessage::AcceptAnswer { epoch, member, stamp } => self.accept_answer(epoch, member, stamp),
             ControlMessage::NeedState { epoch } => self.need_state(from, epoch),
             ControlMessage::Heartbeat { epoch, round, committed } => {
@@ -281,8 +299,10 @@
             }
             ControlMessage::Push { entry } => self.push(from, entry),
             ControlMessage::Fetch { have } => self.fetch(from, have),
-            ControlMessage::Entries { entries } => self.entries(entries),
-            ControlMessage::Committed { agreed } => self.committed(agreed),
+            ControlMessage::Entries { entries } => self.entries(from, entries),
+            ControlMessage::StatePiece(piece) => self.state_piece(from, piece),
+            ControlMessage::FetchPieces { state, numbers } => self.fetch_pieces(from, state, &numbers),
+            ControlMessage::NoSuchState { state } => self.no_such_state(state),
             ControlMessage::Operator { token, request } => self.order(from, token, request),
             ControlMessage::OperatorAnswer { token, outcome } => self.answered(token, outcome),
             ControlMessage::NotLeader { token, leader } => self.not_leader(from, token, leader),
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
+use pewterseam_control::{
+    Command, Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token,
+};
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::random::Random;
@@ -18,9 +20,24 @@
 
 /// Membership looks at links this often.
 const LOOK: u64 = 100 * MS;
+/// A write that a disk did not sync is looked at again after this.
+const RETRY_SYNC: u64 = 100 * MS;
+/// Bytes to which [`Cluster::loss_percent`] applies once.
+const LOSS_UNIT: usize = 32 * 1024;
 /// A store has copied what it must after so long.
 const COPY: u64 = 400 * MS;
 
+/// What is wrong with a disk.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiskTrouble {
+    /// It syncs nothing. What was written is there if only the process ends.
+    Stalled,
+    /// Each sync takes so much longer.
+    Slow(u64),
+    /// It takes nothing in: each write fails and is tried again, and is gone with the process.
+    Full,
+}
+
 /// Faults of the simulated program, to show that the checks find them.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum Planted {
@@ -29,6 +46,8 @@
     NoMajorityRead,
     /// The disk says that it synced, and did not.
     LyingDisk,
+    /// A disk that was emptied keeps its identity, so that its member votes on with an empty memory.
+    EmptiedDiskVotes,
 }
 
 enum Event {
@@ -63,22 +82,47 @@
     pub nodes: Vec<Node>,
     /// Links that carry nothing, by direction.
     pub cuts: BTreeSet<(usize, usize)>,
+    /// What links take longer, by direction.
+    pub slow: BTreeMap<(usize, usize), u64>,
     pub drop_percent: usize,
+    /// Bytes that a node may send in a second, all links together. None: without bound.
+    pub rate: Option<u64>,
+    /// Of a hundred messages of [`LOSS_UNIT`] bytes so many are lost, and of longer ones accordingly more. Only with a
+    /// rate.
+    pub loss_percent: usize,
+    /// How long a node's disk takes for a write, where that is not the usual time.
+    pub disk_delays: BTreeMap<usize, u64>,
     pub answers: Vec<(usize, Token, Outcome)>,
     pub checks: Checks,
     pub planted: Planted,
+    /// Disks that do not do what they should.
+    pub disks: BTreeMap<usize, DiskTrouble>,
+    /// How often each node asked for promises.
+    pub stood: BTreeMap<usize, usize>,
     pub bootstrap: bool,
     pub messages: u64,
     /// Whether the bytes of messages are counted, which takes time.
     pub counts_bytes: bool,
     pub bytes: usize,
+    /// Bytes that were sent to each node.
+    pub received: BTreeMap<usize, usize>,
+    /// No entry reaches a member.
+    pub holds_entries: bool,
+    /// Proposals of core memberships that were sent.
+    pub core_proposals: usize,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     links: BTreeMap<(usize, usize), u64>,
+    /// Until when a node is busy with sending.
+    sending: BTreeMap<usize, u64>,
     order: u64,
     next_disk: u64,
 }
 
+fn size_of(message: &ControlMessage) -> usize {
+    pewterseam_wire::frame::encode(message).map_or(0, |bytes| bytes.len())
+}
+
 fn address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, (index / 200) as u8, (index % 200) as u8 + 1], 7240))
 }
@@ -92,17 +136,27 @@
             random: Random::new(seed),
             nodes: Vec::new(),
             cuts: BTreeSet::new(),
+            slow: BTreeMap::new(),
             drop_percent: 0,
+            rate: None,
+            loss_percent: 0,
+            disk_delays: BTreeMap::new(),
             answers: Vec::new(),
             checks: Checks::default(),
             planted: Planted::Nothing,
+            disks: BTreeMap::new(),
+            stood: BTreeMap::new(),
             bootstrap: true,
             messages: 0,
             counts_bytes: false,
             bytes: 0,
+            received: BTreeMap::new(),
+            holds_entries: false,
+            core_proposals: 0,
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
+            sending: BTreeMap::new(),
             order: 0,
             next_disk: 100,
         };
@@ -176,11 +230,21 @@
             }
             self.queue.pop();
             self.now = at;
+            self.checks.now = at;
             if let Some(event) = self.events.remove(&order) {
                 self.happen(event);
             }
         }
         self.now = end;
+        self.checks.now = end;
+    }
+
+    /// What each process that runs takes its contact for must be true, also of one that stands still.
+    fn check_contacts(&mut self) {
+        for (index, node) in self.nodes.iter().enumerate() {
+            let Some(control) = &node.control else { continue };
+            self.checks.in_touch(index, control.contact(self.now), control.state().config.version);
+        }
     }
 
     fn is_running(&self, node: usize, life: u64) -> bool {
@@ -217,6 +281,9 @@
                     self.step(node, |control, now| control.tick(now));
                 }
             }
+            Event::Synced { node, life, sequence } if self.is_disk_held(node) => {
+                self.schedule(RETRY_SYNC, Event::Synced { node, life, sequence });
+            }
             Event::Synced { node, sequence, .. } => {
                 if self.planted != Planted::LyingDisk {
                     self.nodes[node].disk.sync(sequence);
@@ -228,6 +295,7 @@
             Event::Copied { node, epoch, .. } => self.copied(node, epoch),
             Event::Look => {
                 self.look();
+                self.check_contacts();
                 self.schedule(LOOK, Event::Look);
             }
         }
@@ -260,7 +328,14 @@
         self.nodes.iter().position(is_diskless).unwrap_or(2)
     }
 
+    fn is_disk_held(&self, node: usize) -> bool {
+        matches!(self.disks.get(&node), Some(DiskTrouble::Stalled | DiskTrouble::Full))
+    }
+
     pub fn kill(&mut self, index: usize) {
+        if self.disks.get(&index) == Some(&DiskTrouble::Full) {
+            self.nodes[index].disk.lose_power(0);
+        }
         self.nodes[index].control = None;
         self.nodes[index].frozen = false;
         self.nodes[index].held.clear();
@@ -276,6 +351,9 @@
     pub fn lose_disk(&mut self, index: usize) {
         self.kill(index);
         self.nodes[index].disk.lose();
+        if self.planted == Planted::EmptiedDiskVotes {
+            return;
+        }
         self.next_disk += 1;
         let disk = DiskId(self.next_disk);
         self.nodes[index].info.disk = self.nodes[index].info.disk.map(|_| disk);
@@ -344,7 +422,7 @@
                     self.schedule(COPY, Event::Copied { node: index, life, epoch });
                 }
             }
-            Effect::Current => self.checks.current(),
+            Effect::Contact(contact) => self.checks.contact(index, contact),
             Effect::Answer { token, outcome } => self.answers.push((index, token, outcome)),
             Effect::Wake(at) => {
                 self.nodes[index].wake = at;
@@ -355,32 +433,75 @@
 
     fn sync_later(&mut self, index: usize, sequence: u64) {
         let life = self.nodes[index].life;
-        let delay = 500 + self.random.below(3_000) as u64;
+        let slower = match self.disks.get(&index) {
+            Some(DiskTrouble::Slow(slower)) => *slower,
+            _ => 0,
+        };
+        let usual = 500 + self.random.below(3_000) as u64;
+        let delay = slower + self.disk_delays.get(&index).copied().unwrap_or(usual);
         self.schedule(delay, Event::Synced { node: index, life, sequence });
     }
 
     fn send(&mut self, from: usize, to: &NodeName, message: ControlMessage) {
         let Some(to) = self.nodes.iter().position(|node| node.info.name == *to) else { return };
         self.messages += 1;
-        if self.counts_bytes {
-            self.bytes += pewterseam_wire::frame::encode(&message).map_or(0, |bytes| bytes.len());
+        self.watch(from, to, &message);
+        if let ControlMessage::Accept { entry, .. } = &message
+            && matches!(entry.command, Command::Core { .. })
+        {
+            self.core_proposals += 1;
         }
+        let needs_size = self.counts_bytes || self.rate.is_some();
+        let size = if needs_size { size_of(&message) } else { 0 };
+        self.bytes += size;
+        *self.received.entry(to).or_default() += size;
+        let sent = self.sent_by(from, size);
         if self.planted == Planted::NoMajorityRead
             && let ControlMessage::Prepare { epoch } = &message
         {
             self.forge_promise(from, to, *epoch);
         }
-        let is_dropped = self.random.below(100) < self.drop_percent;
-        let delay = 500 + self.random.below(4_000) as u64;
-        let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(self.now + delay);
+        let is_dropped = self.random.below(100) < self.drop_percent || self.is_lost_on_the_way(size);
+        let slower = self.slow.get(&(from, to)).copied().unwrap_or(0);
+        let delay = slower + 500 + self.random.below(4_000) as u64;
+        let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(sent + delay);
         self.links.insert((from, to), at);
-        if is_dropped || self.cuts.contains(&(from, to)) {
+        let is_held = self.holds_entries && matches!(message, ControlMessage::Accept { .. });
+        if is_dropped || is_held || self.cuts.contains(&(from, to)) {
             return;
         }
         let life = self.nodes[to].life;
         self.schedule_at(at, Event::Message { from, to, life, message });
     }
 
+    /// Notes what tells who leads which epoch.
+    fn watch(&mut self, from: usize, to: usize, message: &ControlMessage) {
+        match message {
+            ControlMessage::Prepare { .. } => *self.stood.entry(from).or_default() += 1,
+            ControlMessage::Promise { epoch, member, .. } => {
+                self.checks.promised(member, *epoch, (to, self.nodes[to].life));
+            }
+            ControlMessage::Heartbeat { epoch, .. } => {
+                self.checks.led(*epoch, (from, self.nodes[from].life));
+            }
+            _ => {}
+        }
+    }
+
+    /// When a node has sent a message, after all that it was sending.
+    fn sent_by(&mut self, from: usize, size: usize) -> u64 {
+        let Some(rate) = self.rate else { return self.now };
+        let start = self.sending.get(&from).copied().unwrap_or(0).max(self.now);
+        let end = start + size as u64 * 1_000_000 / rate;
+        self.sending.insert(from, end);
+        end
+    }
+
+    fn is_lost_on_the_way(&mut self, size: usize) -> bool {
+        self.loss_percent > 0
+            && (0..size.div_ceil(LOSS_UNIT)).any(|_| self.random.below(100) < self.loss_percent)
+    }
+
     /// The candidate hears a promise that nobody gave.
     fn forge_promise(&mut self, candidate: usize, member: usize, epoch: u64) {
         let info = &self.nodes[member].info;
@@ -403,7 +524,9 @@
     /// All links are whole, all processes run.
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.slow.clear();
         self.drop_percent = 0;
+        self.disks.clear();
         for index in 0..self.nodes.len() {
             if self.nodes[index].frozen {
                 self.thaw(index);
--- a/crates/system/src/relay/planes.rs
+++ b/crates/system/src/relay/planes.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use pewterseam_config::settings::Settings;
-use pewterseam_delivery::{Delivery, DeliverySettings};
+use pewterseam_delivery::{AttemptId, Delivery, DeliverySettings};
 use pewterseam_discovery::{Discovery, DiscoverySettings};
 use pewterseam_outbound::{ListEvent, Outbound, OutboundEvent, OutboundSettings, PlatformList};
 use pewterseam_queue::{Queue, QueueSettings};
@@ -12,6 +12,7 @@
 use pewterseam_wire::placement::hash;
 use tokio::sync::mpsc::UnboundedSender;
 
+use super::delivery::UnsentAttempt;
 use crate::clock;
 use crate::node::Node;
 
@@ -26,8 +27,6 @@
 const CALL_FILES_PART: f64 = 0.3;
 const CONNECT_TIMEOUT: Micros = 1_000_000;
 const IDLE_CLOSE: Micros = 4_000_000;
-/// The longest time for which a relay that was cut off may take itself for a member.
-const CORE_LEASE: Micros = 3_000_000;
 const DEFAULT_LIST_RATE: f64 = 10.0;
 
 /// The state machines and what carries out their effects.
@@ -37,7 +36,9 @@
     pub delivery_wake: Micros,
     pub hosts: Outbound,
     /// Attempts that are out, with the message of each.
-    pub attempts: HashMap<pewterseam_delivery::AttemptId, u64>,
+    pub attempts: HashMap<AttemptId, u64>,
+    /// Attempts that wait for their permit to send.
+    pub unsent: HashMap<AttemptId, UnsentAttempt>,
     pub discovery: Discovery,
     pub discovery_wake: Micros,
     pub platform: Option<PlatformList>,
@@ -56,6 +57,7 @@
             delivery_wake: 0,
             hosts: Outbound::new(OutboundSettings::default(), hosts),
             attempts: HashMap::new(),
+            unsent: HashMap::new(),
             discovery: Discovery::new(discovery_settings(node, settings)),
             discovery_wake: 0,
             platform,
@@ -79,6 +81,11 @@
     }
 }
 
+/// How long the core's word holds. It is renewed four times in this span, and outlasts a change of the core's leader.
+pub fn core_lease(settings: &Settings) -> Micros {
+    settings.bounds.contact().as_micros() as Micros
+}
+
 /// A number that differs between processes.
 fn seed(node: &Node) -> u64 {
     hash(node.info().name.0.as_bytes(), clock::wall())
@@ -95,7 +102,7 @@
         origin_window: settings.bounds.origin_window().as_micros() as Micros,
         origin_overshoot: settings.bounds.origin_overshoot(),
         bootstrap: settings.bootstrap,
-        core_lease: CORE_LEASE,
+        core_lease: core_lease(settings),
     }
 }
 
--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -3,11 +3,11 @@
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 
 use arc_swap::ArcSwap;
 use pewterseam_config::CompiledConfig;
 use pewterseam_config::settings::Settings;
+use pewterseam_control::Serving;
 use pewterseam_delivery::Input as DeliveryInput;
 use pewterseam_ingress::{Front, Stopper};
 use pewterseam_queue::{Answer, CallId, ClientToken, Effect as QueueEffect};
@@ -16,7 +16,8 @@
 use tokio::sync::oneshot;
 
 use super::operators::OperatorCalls;
-use super::planes::Planes;
+use super::planes::{Planes, core_lease};
+use super::readiness::Readiness;
 use super::reads::Reads;
 use super::start::DoorFailure;
 use super::stopping::Stopping;
@@ -37,7 +38,9 @@
     pub(super) config: Arc<ArcSwap<CompiledConfig>>,
     pub(super) door: Front,
     pub(super) stopper: Stopper,
-    pub(super) is_ready: Arc<AtomicBool>,
+    pub(super) readiness: Readiness,
+    pub(super) was_ready: bool,
+    pub(super) serving: Serving,
     failure: DoorFailure,
     /// Clients that wait for the answer to a message.
     pub(super) clients: HashMap<ClientToken, oneshot::Sender<Answer>>,
@@ -48,6 +51,8 @@
     pub(super) calls: HashMap<SocketAddr, HashSet<CallId>>,
     pub(super) queue_effects: VecDeque<QueueEffect>,
     pub(super) delivery_inputs: Vec<DeliveryInput>,
+    /// Until when delivery may act on the word of the core.
+    core_lease_until: Micros,
     pub(super) stopping: Option<Stopping>,
     tend_at: Micros,
 }
@@ -56,10 +61,9 @@
     #[expect(clippy::too_many_arguments, reason = "the parts are assembled in one place")]
     pub fn new(
         node: Node, planes: Planes, settings: Settings, file: SettingsFile,
-        config: Arc<ArcSwap<CompiledConfig>>, door: Front, stopper: Stopper, is_ready: Arc<AtomicBool>,
+        config: Arc<ArcSwap<CompiledConfig>>, door: Front, stopper: Stopper, readiness: Readiness,
         failure: DoorFailure,
     ) -> Self {
-        let core_lease = DeliveryInput::CoreLease { until: Micros::MAX };
         RelayProcess {
             node,
             planes,
@@ -68,7 +72,9 @@
             config,
             door,
             stopper,
-            is_ready,
+            readiness,
+            was_ready: false,
+            serving: Serving::default(),
             failure,
             clients: HashMap::new(),
             last_client: 0,
@@ -76,7 +82,8 @@
             operators: OperatorCalls::default(),
             calls: HashMap::new(),
             queue_effects: VecDeque::new(),
-            delivery_inputs: vec![core_lease],
+            delivery_inputs: Vec::new(),
+            core_lease_until: 0,
             stopping: None,
             tend_at: 0,
         }
@@ -103,6 +110,7 @@
         for event in self.node.tick() {
             self.node_event(event);
         }
+        self.renew_core_lease();
         let now = self.node.now();
         if self.planes.queue.wake_at().is_some_and(|at| at <= now) {
             let effects = self.planes.queue.tick(now);
@@ -127,6 +135,18 @@
         self.update_readiness();
     }
 
+    /// Tells delivery of each confirmation by a majority of the core.
+    ///
+    /// Danger: a relay that was cut off may find another one granting permits for a service that it was the home of.
+    fn renew_core_lease(&mut self) {
+        let length = core_lease(&self.settings);
+        let until = self.node.confirmed_at().map_or(0, |confirmed| confirmed + length);
+        if until > self.core_lease_until {
+            self.core_lease_until = until;
+            self.delivery_inputs.push(DeliveryInput::CoreLease { until });
+        }
+    }
+
     /// Has the queue and the delivery plane exchange what they owe each other until nothing is left.
     fn settle(&mut self) {
         loop {
