--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -7,26 +7,27 @@
 use pewterseam_config::CompiledConfig;
 use pewterseam_control::Serving;
 use pewterseam_delivery::{
-    AttemptEnd, AttemptId, AttemptResult, Delivery, DeliverySettings, Effect, Input as DeliveryInput,
-    Outcome, Submission as DeliverySubmission, Target,
+    AttemptId, Delivery, DeliverySettings, Effect, Input as DeliveryInput, Outcome,
+    Submission as DeliverySubmission,
 };
 use pewterseam_queue::{
     Answer, AttemptNumber, CallId, ClientToken, Effect as QueueEffect, MessageKey, NewMessage, Queue,
-    QueueSettings, RunResult, SendPermit, Submission,
+    QueueSettings, RunResult, Submission,
 };
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ControlState;
 use pewterseam_wire::identity::{NodeName, Owner, Role};
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::store::{Status, StoreRequest, StoreResponse};
+use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
 use crate::configuration::{route_table, services};
 use crate::disk::LogName;
-use crate::event::{Input, Origin, Output, StartCall};
+use crate::event::{Input, Origin, Output};
 use crate::message::PeerMessage;
 use crate::node::{Node, NodeEvent};
 use crate::plan::{MILLISECOND, Planted, SECOND};
 use crate::reads::{FIRST_READ_CALL, Reads};
+use crate::sends::UnsentAttempt;
 use crate::stopping::Stopping;
 
 const MOST_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -37,13 +38,6 @@
 /// `contactMs`.
 const CORE_LEASE: Micros = 4 * SECOND;
 
-/// An attempt that waits for its permit to send.
-struct UnsentAttempt {
-    target: Target,
-    timeout: Micros,
-    confirm: bool,
-}
-
 /// A relay at work.
 pub struct RelayProcess {
     pub node: Node,
@@ -51,7 +45,7 @@
     delivery: Delivery,
     delivery_wake: Micros,
     pub(crate) attempts: BTreeMap<AttemptId, u64>,
-    unsent: BTreeMap<AttemptId, UnsentAttempt>,
+    pub(crate) unsent: BTreeMap<AttemptId, UnsentAttempt>,
     config: Arc<CompiledConfig>,
     pub(crate) clients: BTreeSet<u64>,
     pub(crate) reads: Reads,
@@ -181,6 +175,9 @@
         if state.config.version == self.config.version {
             return;
         }
+        if self.has(Planted::KeptRoutes) && self.config.version > 0 {
+            return;
+        }
         let Ok(compiled) = CompiledConfig::compile(&state.config.text) else {
             panic!("an agreed configuration cannot be used");
         };
@@ -300,6 +297,9 @@
     }
 
     fn submit(&mut self, key: MessageKey, submission: Submission) {
+        if self.forgets(key) {
+            return;
+        }
         self.delivery_inputs.push(DeliveryInput::Submit(DeliverySubmission {
             key: key.0,
             service: submission.service,
@@ -327,33 +327,10 @@
         self.node.out.push(Output::Send { to, message });
     }
 
-    /// What a planted fault has the relay believe of a store that it does not ask.
-    fn forged(&self, store: &StoreId, request: &StoreRequest) -> Option<StoreResponse> {
-        match (self.planted, request) {
-            (Some(Planted::OneStoreTooFew), StoreRequest::ListOpen { partition, .. }) => {
-                let asked = self.node.state().placement.stores(*partition);
-                let is_passed_over = asked.iter().next() == Some(store);
-                is_passed_over
-                    .then(|| StoreResponse::OpenMessages { store: store.clone(), names: Vec::new() })
-            }
-            (Some(Planted::NoClaims), StoreRequest::Claim { .. }) => {
-                Some(StoreResponse::Done { store: store.clone() })
-            }
-            (Some(Planted::NoConfirmation | Planted::NoClaims), StoreRequest::Confirm { names, .. }) => {
-                let statuses = vec![Status::Unknown; names.len()];
-                Some(StoreResponse::Statuses { store: store.clone(), statuses })
-            }
-            _ => None,
-        }
-    }
-
     fn carry_out_delivery(&mut self, effect: Effect) {
         match effect {
             Effect::Start { attempt, key, target, timeout, confirm, .. } => {
-                self.unsent.insert(attempt, UnsentAttempt { target, timeout, confirm });
-                let number = AttemptNumber(attempt.0);
-                let effects = self.queue.request_send(self.node.now, MessageKey(key), number);
-                self.queue_effects.extend(effects);
+                self.request_send(attempt, MessageKey(key), UnsentAttempt { target, timeout, confirm });
             }
             Effect::Abort { attempt } if self.unsent.contains_key(&attempt) => {
                 self.refuse_send(AttemptNumber(attempt.0));
@@ -361,6 +338,7 @@
             Effect::Finished { key, outcome } => {
                 let result = match outcome {
                     Outcome::Completed { signature } => RunResult::Completed { signature },
+                    Outcome::Failed if self.has(Planted::ForgottenFailures) => RunResult::NotRun,
                     Outcome::Failed => RunResult::Failed,
                     Outcome::Refused => RunResult::Refused,
                 };
@@ -376,35 +354,16 @@
                 self.attempts.remove(&attempt);
                 self.node.out.push(Output::Withhold(attempt));
             }
-            Effect::Write { attempt } => self.node.out.push(Output::Write(attempt)),
+            Effect::Write { attempt } => {
+                let times = if self.has(Planted::DoubledWrites) { 2 } else { 1 };
+                self.node.out.extend((0..times).map(|_| Output::Write(attempt)));
+            }
             Effect::Abort { attempt } => self.node.out.push(Output::Abort(attempt)),
             Effect::Probe { host, target, .. } => self.node.out.push(Output::Probe { host, target }),
             Effect::CloseIdle { address } => self.node.out.push(Output::CloseIdle { address }),
         }
     }
 
-    fn send(&mut self, permit: &SendPermit) {
-        let attempt = AttemptId(permit.attempt().0);
-        let Some(UnsentAttempt { target, timeout, confirm }) = self.unsent.remove(&attempt) else { return };
-        let Some(record) = self.queue.record(permit.key()) else {
-            return self.delivery_inputs.push(not_sent(attempt));
-        };
-        self.attempts.insert(attempt, permit.key().0);
-        let request_id = Arc::from(record.name.request_id());
-        let write_within = permit.expires_at().saturating_sub(self.node.now);
-        let (body, ordering_key) = (record.body.clone(), record.ordering_key.clone());
-        let call =
-            StartCall { attempt, target, request_id, body, ordering_key, timeout, confirm, write_within };
-        self.node.out.push(Output::Start(call));
-    }
-
-    fn refuse_send(&mut self, attempt: AttemptNumber) {
-        let attempt = AttemptId(attempt.0);
-        if self.unsent.remove(&attempt).is_some() {
-            self.delivery_inputs.push(not_sent(attempt));
-        }
-    }
-
     fn update_readiness(&mut self) {
         let serves = self.can_serve();
         let ready = self.stopping.is_none() && serves;
@@ -433,9 +392,3 @@
         live > usize::from(placement.tolerated).min(set.len().saturating_sub(1))
     }
 }
-
-/// The end of an attempt that was never made.
-fn not_sent(attempt: AttemptId) -> DeliveryInput {
-    let end = AttemptEnd { result: AttemptResult::Unsent, took: 0, idle_for: None, kept: false };
-    DeliveryInput::Ended { attempt, end }
-}
