--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -26,6 +26,18 @@
     ForgottenChanges,
     /// Stores say that they hold all that a placement asks for as soon as it comes into force.
     EarlyCopies,
+    /// Relays keep the routes of the first configuration that comes into force.
+    KeptRoutes,
+    /// Relays send messages to hosts without their ordering keys.
+    LostKeys,
+    /// Relays take answers of 500 for refusals to run.
+    ForgottenFailures,
+    /// Relays tell the state of a message as the first store has it.
+    HastyReads,
+    /// Relays forget to run some messages.
+    ForgottenMessages,
+    /// Relays write requests on new connections twice.
+    DoubledWrites,
 }
 
 /// What kind of days a run plays.
@@ -42,6 +54,10 @@
     ManyChanges,
     /// Stores are retired, added and replaced under new names; disks of those left are lost right after.
     ScaleIn,
+    /// Changes of the configuration drop routes that clients use, and add them again.
+    ChangingRoutes,
+    /// Hosts send answers twice, with the id of another message or none, and break them off.
+    GarblingHosts,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -11,6 +11,7 @@
 mod many_changes;
 mod membership;
 mod orders;
+mod restore;
 mod retirement;
 mod second_loss;
 mod simulation;
