Control: a state that is adopted or learnt raises what was promised, for no candidate

A transfer's sender need not lead, so its name must not stand for a promise; and a process that holds a state of an epoch promises nothing below it.

--- a/crates/control/src/follower.rs
+++ b/crates/control/src/follower.rs
@@ -55,7 +55,7 @@
             return;
         }
         let is_of_leader = stamp.epoch >= self.replica.promised.epoch;
-        self.replica.install(agreed, stamp.epoch, from, &mut self.effects);
+        self.replica.adopt(agreed, &mut self.effects);
         if matches!(self.role, Role::Candidate(_)) {
             self.adopted_state();
         } else if is_of_leader {
--- a/crates/control/src/replica.rs
+++ b/crates/control/src/replica.rs
@@ -80,7 +80,7 @@
         &mut self, entry: Entry, leader: &NodeName, effects: &mut Vec<Effect>,
     ) -> Result<(), ControlError> {
         let next = self.accepted.apply(&entry)?;
-        self.raise(entry.stamp.epoch, leader);
+        self.raise(entry.stamp.epoch, Some(leader));
         if self.has_disk {
             if self.on_disk == entry.previous {
                 self.persist(&Record::Entry(entry.clone()), effects);
@@ -102,7 +102,17 @@
     pub(crate) fn install(
         &mut self, agreed: Agreed, epoch: u64, leader: &NodeName, effects: &mut Vec<Effect>,
     ) {
-        self.raise(epoch, leader);
+        self.raise(epoch, Some(leader));
+        self.hold(agreed, effects);
+    }
+
+    /// Holds a greater state that another process has accepted or knows to be committed, whoever leads.
+    pub(crate) fn adopt(&mut self, agreed: Agreed, effects: &mut Vec<Effect>) {
+        self.raise(agreed.stamp.epoch, None);
+        self.hold(agreed, effects);
+    }
+
+    fn hold(&mut self, agreed: Agreed, effects: &mut Vec<Effect>) {
         if self.has_disk && self.on_disk != agreed.stamp {
             self.persist(&Record::State(agreed.clone()), effects);
             self.on_disk = agreed.stamp;
@@ -113,9 +123,10 @@
         }
     }
 
-    fn raise(&mut self, epoch: u64, leader: &NodeName) {
+    /// What is held of an epoch counts as its promise.
+    fn raise(&mut self, epoch: u64, leader: Option<&NodeName>) {
         if epoch > self.promised.epoch {
-            self.promised = Promised { epoch, candidate: Some(leader.clone()) };
+            self.promised = Promised { epoch, candidate: leader.cloned() };
         }
     }
 
@@ -159,6 +170,7 @@
         if self.committed.stamp >= self.accepted.stamp {
             self.accepted = self.committed.clone();
             self.tail.clear();
+            self.raise(self.accepted.stamp.epoch, None);
         }
         if self.has_disk && self.on_disk < self.accepted.stamp {
             let follows = matches!(&record, Record::Entry(entry) if entry.previous == self.on_disk);
