--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -64,10 +64,13 @@
     all.join(",")
 }
 
-/// A whole configuration, told from others by its mark, with these routes beside the usual ones.
-pub fn document(version: u64, mark: u64, passing: &[&str]) -> Bytes {
+/// A whole configuration, told from others by its mark, with these routes beside the usual ones, and with so many
+/// that nobody uses.
+pub fn document(version: u64, mark: u64, passing: &[&str], unused: usize) -> Bytes {
     let names = [PLAIN, ORDERED, LIMITED];
-    let routes = routes(&[&names, passing].concat(), mark);
+    let unused: Vec<String> = (0..unused).map(|number| format!("unused-{number}")).collect();
+    let unused: Vec<&str> = unused.iter().map(String::as_str).collect();
+    let routes = routes(&[&names, passing, &unused].concat(), mark);
     let services = names.map(service).join(",");
     Bytes::from(format!(
         r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
--- a/crates/cluster/src/operators.rs
+++ b/crates/cluster/src/operators.rs
@@ -16,6 +16,9 @@
 const READS: usize = 15;
 /// Of a hundred acts without a change under way, so many send one again that was acknowledged.
 const REPEATS: usize = 5;
+/// Of the runs with many changes one of so many has large configurations.
+const LARGE_EACH: u64 = 25;
+const MANY_ROUTES: usize = 250;
 /// All operators of a run together make so many changes where changes are many.
 const MANY_CHANGES: usize = 300;
 
@@ -147,10 +150,21 @@
         let mark = self.last_mark;
         let is_patch = if_match > 0 && self.random.below(2) == 0;
         let passing = self.draw_passing();
-        let text = if is_patch { patch(version, mark, &passing) } else { document(version, mark, &passing) };
+        let text = if is_patch {
+            patch(version, mark, &passing)
+        } else {
+            document(version, mark, &passing, self.unused_routes())
+        };
         Change { if_match, version, mark, text, is_patch, passing }
     }
 
+    /// Routes that make a configuration large, so that states go in pieces.
+    fn unused_routes(&self) -> usize {
+        let is_large =
+            self.plan.scenario == Scenario::ManyChanges && self.plan.seed.is_multiple_of(LARGE_EACH);
+        if is_large { MANY_ROUTES } else { 0 }
+    }
+
     fn draw_passing(&mut self) -> Vec<&'static str> {
         if self.plan.scenario != Scenario::ChangingRoutes {
             return Vec::new();
