Queue: an end has one timer for being told again

Cause: each store that failed to take an end set a timer of its own, and each timer told all stores again: while no store answers, timers and requests grew threefold every 1.2 s. Ruled out: retries of appends (one each 1.5 s). Test: ends_are_told_at_a_steady_pace_while_no_store_answers.

--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -53,6 +53,8 @@
     pub told_end: BTreeSet<StoreId>,
     /// Stores whose answer to the record was lost.
     pub unanswered: BTreeSet<StoreId>,
+    /// When the end is told again; 0 where no timer is set for it.
+    pub retry_end_at: Micros,
     /// Stores that have synced the end.
     pub settled: BTreeSet<StoreId>,
     /// Predecessors not known to have ended.
@@ -89,6 +91,7 @@
             written: BTreeSet::new(),
             declined: BTreeSet::new(),
             unanswered: BTreeSet::new(),
+            retry_end_at: 0,
             told_end: BTreeSet::new(),
             settled: BTreeSet::new(),
             blockers: BTreeSet::new(),
--- a/crates/queue/src/settle.rs
+++ b/crates/queue/src/settle.rs
@@ -85,7 +85,7 @@
         holders.retain(|store| self.stores.is_live(store));
         if self.stores.placement.is_written(message.record.partition, &holders) {
             self.tell_end(key, holders);
-            self.clock.set(self.now + SETTLE_WIDER, Timer::RetrySettle(key));
+            self.retry_end_later(key, SETTLE_WIDER);
         } else {
             self.tell_end_widely(key);
         }
@@ -107,13 +107,25 @@
         let mut others = self.stores.placement.stores(message.record.partition);
         others.retain(|store| self.stores.is_live(store) && !message.told_end.contains(store));
         self.tell_end(key, others);
-        self.clock.set(self.now + SETTLE_AGAIN, Timer::RetrySettle(key));
+        self.retry_end_later(key, SETTLE_AGAIN);
+    }
+
+    /// Sets the one timer for telling an end again, unless it is set.
+    ///
+    /// Danger: with a timer for each store that failed, each round of a cut brings three times as many as the last.
+    fn retry_end_later(&mut self, key: MessageKey, pause: Micros) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        if message.retry_end_at > self.now {
+            return;
+        }
+        message.retry_end_at = self.now + pause;
+        self.clock.set(message.retry_end_at, Timer::RetrySettle(key));
     }
 
     /// Too few stores have acknowledged an end in time: the rest of the group is told, and later all once more.
     pub(crate) fn retry_end(&mut self, key: MessageKey) {
         let Some(message) = self.messages.get_mut(&key) else { return };
-        if !matches!(message.stage, Stage::Ending(_)) {
+        if !matches!(message.stage, Stage::Ending(_)) || self.now < message.retry_end_at {
             return;
         }
         if self.now >= message.since + SETTLE_AGAIN {
--- a/crates/queue/tests/sending.rs
+++ b/crates/queue/tests/sending.rs
@@ -224,3 +224,25 @@
     assert!(world.submitted.is_empty());
     assert!(world.queue.is_empty(), "the other relay has it");
 }
+
+/// Guards against ends that are told ever more often while no store answers: the memory of a relay that is cut off grew
+/// threefold with each round.
+#[test]
+fn ends_are_told_at_a_steady_pace_while_no_store_answers() {
+    let (mut world, name, key) = with_running();
+    world.silent.extend(world.group(&name));
+    world.ran(key, completed());
+    let mut asked = Vec::new();
+    for _ in 0..10 {
+        let before = world.asked;
+        for _ in 0..24 {
+            world.run_for(50 * MILLISECOND);
+            for (_, call, _) in std::mem::take(&mut world.unanswered) {
+                let effects = world.queue.store_failed(world.now, call);
+                world.carry_out(effects);
+            }
+        }
+        asked.push(world.asked - before);
+    }
+    assert!(asked.iter().all(|asked| *asked <= 24), "requests in each 1.2 s: {asked:?}");
+}
