Stores: claims and releases in a file of their own

A move alone; three functions became visible in the crate. Tests of the message log and clippy pass.

--- a/crates/message-log/src/lib.rs
+++ b/crates/message-log/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Store`] is a state machine without I/O. A driver feeds it [`Input`]s with the time and carries out the
 //! [`Effect`]s that it returns: answers and notices go to sockets, entries to a `pewterseam_storage::LogWriter`.
 
+mod claims;
 mod cleaning;
 mod contents;
 mod copying;
