A large change is passed on along a tree, and frames that repeat themselves are compressed

Cause: on the second grown site a change that adds 1,680 routes (410 KB) went from the leader to 64 processes at once, so that its link of 100 Mbit/s was full for two seconds. Ruled out: processor time of reading and compiling 1,720 routes (5 ms and 20 ms of a whole core, measured alone). Change: entries that are long in all copies together go along a tree through the zones, announced before; values of frames are compressed by LZ4 where that makes them shorter; a relay takes the compiled configuration that control carries on from change to change in place of reading the whole text with each. One entry that is next is asked for after 150 ms at the earliest.

--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -5,9 +5,10 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use pewterseam_config::CompiledConfig;
 use pewterseam_control::{
-    Contact, Control, ControlMessage, ControlSettings, Effect as ControlEffect, OperatorRequest, Outcome,
-    Token,
+    Contact, Control, ControlError, ControlMessage, ControlSettings, Effect as ControlEffect,
+    OperatorRequest, Outcome, Token,
 };
 use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings, Status};
 use pewterseam_storage::{AppendQueue, PendingWrite};
@@ -109,6 +110,11 @@
         self.ended.iter().cloned().collect()
     }
 
+    /// The newest agreed configuration, compiled.
+    pub fn config(&self) -> Result<Arc<CompiledConfig>, ControlError> {
+        self.control.config()
+    }
+
     pub fn confirmed_at(&self) -> Option<Micros> {
         self.control.confirmed_at()
     }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -178,12 +178,12 @@
         if self.has(Planted::KeptRoutes) && self.config.version > 0 {
             return;
         }
-        let Ok(compiled) = CompiledConfig::compile(&state.config.text) else {
+        let Ok(compiled) = self.node.config() else {
             panic!("an agreed configuration cannot be used");
         };
         self.delivery_inputs.push(DeliveryInput::Services(services(&compiled)));
         let table = Arc::new(route_table(&compiled));
-        self.config = Arc::new(compiled);
+        self.config = compiled;
         let effects = self.queue.set_routes(self.node.now, table);
         self.queue_effects.extend(effects);
     }
--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -15,15 +15,32 @@
 /// The longest of these pauses.
 const LONGEST_TIMEOUT: Micros = 3_200_000;
 
+/// The next entry is asked for after this: it may be on its way here, and word of it travels faster than a large one.
+const PUSH_TIME: Micros = 150_000;
+
+/// Bytes of an announced entry that are given a millisecond: it passes over several links, one after the other.
+const BYTES_PER_MILLISECOND: u64 = 256;
+
+const MILLISECOND: Micros = 1_000;
+
 /// After so many holders without the state, or silences, a transfer begins anew.
 const MOST_FAILURES: u32 = 6;
 
+/// A long entry that is on its way.
+#[derive(Clone, Copy)]
+struct AnnouncedEntry {
+    index: u64,
+    /// It is asked for after this.
+    arrives_by: Micros,
+}
+
 /// What this process knows it lacks.
 #[derive(Clone)]
 pub(crate) struct CatchUp {
     /// The highest index that was heard of, and who has it.
     newest: u64,
     holder: Option<NodeName>,
+    announced: Option<AnnouncedEntry>,
     fetch_at: Option<Micros>,
     turn: usize,
     incoming: Option<IncomingState>,
@@ -40,6 +57,7 @@
         CatchUp {
             newest: 0,
             holder: None,
+            announced: None,
             fetch_at: None,
             turn: 0,
             incoming: None,
@@ -87,15 +105,32 @@
         if index <= self.replica.committed.stamp.index || holder == self.name {
             return;
         }
-        if index > self.catch_up.newest || self.catch_up.holder.is_none() {
+        // The last one that told of it: many that lack the same entry ask different processes.
+        if index >= self.catch_up.newest || self.catch_up.holder.is_none() {
             self.catch_up.newest = self.catch_up.newest.max(index);
             self.catch_up.holder = Some(holder);
         }
         if self.catch_up.fetch_at.is_none() {
-            self.catch_up.fetch_at = Some(self.now);
+            self.catch_up.fetch_at = Some(self.arrival_of(index));
         }
     }
 
+    /// When an entry that others know should have arrived here without being asked for.
+    fn arrival_of(&self, index: u64) -> Micros {
+        let known = self.replica.committed.stamp.index;
+        let announced = self.catch_up.announced.filter(|announced| announced.index > known);
+        let arrives = announced.map_or(self.now, |announced| announced.arrives_by);
+        let is_next = index == known + 1;
+        if is_next { arrives.max(self.now + PUSH_TIME) } else { arrives.max(self.now) }
+    }
+
+    /// A leader passes a long entry on: it is given time to arrive before it is asked for.
+    pub(crate) fn announced(&mut self, index: u64, bytes: u64) {
+        let longer = bytes / BYTES_PER_MILLISECOND * MILLISECOND;
+        let arrives_by = self.now + PUSH_TIME + longer;
+        self.catch_up.announced = Some(AnnouncedEntry { index, arrives_by });
+    }
+
     pub(crate) fn run_catch_up(&mut self) {
         let Some(at) = self.catch_up.fetch_at else { return };
         self.drop_old_transfer();
@@ -268,17 +303,6 @@
         }
     }
 
-    pub(crate) fn push(&mut self, from: &NodeName, entry: Entry) {
-        self.leader_hint = Some(from.clone());
-        let index = entry.stamp.index;
-        if index <= self.replica.committed.stamp.index {
-            return;
-        }
-        if self.replica.learn(entry, &mut self.effects).is_err() {
-            self.heard_of_index(index, from.clone());
-        }
-    }
-
     pub(crate) fn entries(&mut self, from: &NodeName, entries: Vec<Entry>) {
         let before = self.replica.committed.stamp.index;
         for entry in entries {
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -13,9 +13,6 @@
 use crate::message::ControlMessage;
 use crate::orders::{Asker, Order, Read};
 
-/// A leader tells so many processes outside the core of a commit itself; others learn of it through membership.
-const MOST_PUSHES: usize = 64;
-
 /// Bytes of an entry for which an answer is awaited a millisecond longer: a link that is repeated on gets no faster.
 const BYTES_PER_MILLISECOND: u64 = 1024;
 
@@ -52,8 +49,6 @@
     pub copied: BTreeMap<StoreId, PlacementEpoch>,
     next_heartbeat: Micros,
     next_housekeeping: Micros,
-    /// Where the pushes of the next commit begin, if there are too many.
-    push_from: usize,
 }
 
 impl Leader {
@@ -70,7 +65,6 @@
             copied: BTreeMap::new(),
             next_heartbeat: now,
             next_housekeeping: now,
-            push_from: 0,
         }
     }
 
@@ -116,6 +110,8 @@
         if self.replica.accept(entry.clone(), &self.name, &mut self.effects).is_err() {
             return;
         }
+        self.announce(&entry);
+        let Role::Leader(leader) = &mut self.role else { return };
         let resend_at = self.now + self.settings.resend;
         leader.in_flight = Some(InFlight { entry, accepted: BTreeSet::new(), request, askers, resend_at });
         if let Some(member) = self.identity.clone() {
@@ -167,32 +163,16 @@
         leader.is_serving = true;
         self.replica.commit(in_flight.entry.stamp, &mut self.effects);
         self.answer_committed(&in_flight);
-        self.push_commit(in_flight.entry);
         if self.own_member().is_none() {
+            self.spread_commit(&in_flight.entry);
             return self.step_down();
         }
+        // The members learn of the commit before links are busy with the entry.
         self.start_round();
+        self.spread_commit(&in_flight.entry);
         self.next_order();
     }
 
-    /// Tells processes outside the core, as far as there are not too many.
-    fn push_commit(&mut self, entry: Entry) {
-        let core = &self.replica.committed.core;
-        let is_core = |name: &NodeName| core.voters().any(|member| member.name == *name);
-        let mut names: Vec<NodeName> =
-            self.peers.live().map(|peer| peer.info.name.clone()).filter(|name| !is_core(name)).collect();
-        let Role::Leader(leader) = &mut self.role else { return };
-        if names.len() > MOST_PUSHES {
-            let from = leader.push_from % names.len();
-            names.rotate_left(from);
-            names.truncate(MOST_PUSHES);
-            leader.push_from += MOST_PUSHES;
-        }
-        for name in names {
-            self.send(name, ControlMessage::Push { entry: entry.clone() });
-        }
-    }
-
     /// A new round of heartbeats, to the core and to those that could join it.
     pub(crate) fn start_round(&mut self) {
         let Role::Leader(leader) = &mut self.role else { return };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -30,6 +30,7 @@
 mod replica;
 mod serving;
 mod settings;
+mod spread;
 mod storage;
 mod transfer;
 
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -304,7 +304,8 @@
             ControlMessage::HeartbeatAnswer { epoch, round, member, committed } => {
                 self.heartbeat_answer(epoch, round, member, committed);
             }
-            ControlMessage::Push { entry } => self.push(from, entry),
+            ControlMessage::Announce { index, bytes } => self.announced(index, bytes),
+            ControlMessage::Push { entry, leader, others } => self.pushed(from, entry, leader, others),
             ControlMessage::Fetch { have } => self.fetch(from, have),
             ControlMessage::Entries { entries } => self.entries(from, entries),
             ControlMessage::StatePiece(piece) => self.state_piece(from, piece),
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -67,9 +67,16 @@
         member: CoreMember,
         committed: u64,
     },
-    /// A leader tells a process that is not of the core of a committed entry.
+    /// A long entry is proposed, and will be passed on. `bytes` is its size.
+    Announce {
+        index: u64,
+        bytes: u64,
+    },
+    /// A committed entry, for a process that is not of the core. The receiver passes it on to the others.
     Push {
         entry: Entry,
+        leader: NodeName,
+        others: Vec<NodeName>,
     },
     /// Asks for what was committed after this state.
     Fetch {
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -15,6 +15,7 @@
 mod retirement;
 mod second_loss;
 mod simulation;
+mod spread;
 mod stalled;
 
 use pewterseam_control::{OperatorRequest, Outcome, Token};
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -528,6 +528,11 @@
         end
     }
 
+    /// The longest time for which a node is still busy with sending what it has to send.
+    pub fn longest_backlog(&self) -> u64 {
+        self.sending.values().map(|until| until.saturating_sub(self.now)).max().unwrap_or(0)
+    }
+
     fn is_lost_on_the_way(&mut self, size: usize) -> bool {
         self.loss_percent > 0
             && (0..size.div_ceil(LOSS_UNIT)).any(|_| self.random.below(100) < self.loss_percent)
--- /dev/null
+++ b/crates/control/tests/control/spread.rs
@@ -0,0 +1,94 @@
+//! How a committed entry reaches the processes outside the core.
+
+use bytes::Bytes;
+use pewterseam_control::{OperatorRequest, Outcome};
+
+use crate::simulation::cluster::{Cluster, MS};
+use crate::{call, formed};
+
+/// 30 Mbit/s.
+const SLOW_LINK: u64 = 30_000_000 / 8;
+
+/// A link that carries configurations alone for longer than this keeps its process from answering others in time: a
+/// probe of membership waits 500 ms, and a lease of an owner 1.5 s.
+const MOST_BUSY: u64 = 800 * MS;
+
+const CORE: usize = 5;
+const RELAYS: usize = 64;
+const STORES: usize = 17;
+
+fn route(number: usize) -> String {
+    format!(
+        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":600,"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
+        number % 20
+    )
+}
+
+fn small() -> Bytes {
+    Bytes::from(format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, route(0)))
+}
+
+/// A change of some 400 KB.
+fn large_change() -> Bytes {
+    let routes: Vec<String> = (1..1_700).map(route).collect();
+    Bytes::from(format!(r#"{{"version":2,"upsert":{{"routes":[{}]}}}}"#, routes.join(",")))
+}
+
+fn large_system(seed: u64) -> Cluster {
+    let mut cluster = formed(seed, CORE, RELAYS, STORES);
+    let accepted = call(&mut cluster, CORE, 1, OperatorRequest::put(0, small()));
+    assert_eq!(accepted, Some(Outcome::Accepted { version: 1 }), "seed {seed}");
+    cluster.run(1_000 * MS);
+    cluster
+}
+
+/// Runs until all processes that run know this version. Returns the time, and the longest time for which a link was
+/// busy.
+fn all_know(cluster: &mut Cluster, version: u64, most: u64) -> (u64, u64) {
+    let (start, mut busy) = (cluster.now, 0);
+    while cluster.now < start + most {
+        busy = busy.max(cluster.longest_backlog());
+        let controls = (0..cluster.nodes.len()).filter_map(|node| cluster.control(node));
+        if controls.into_iter().all(|control| control.state().config.version >= version) {
+            return (cluster.now - start, busy);
+        }
+        cluster.run(10 * MS);
+    }
+    (most, busy)
+}
+
+/// Guards the leader, and every other process, against links that are full of one large change for seconds: 86 processes
+/// with 30 Mbit/s, 400 KB.
+#[test]
+fn a_large_change_fills_no_link_for_long() {
+    for seed in 0..5 {
+        let mut cluster = large_system(seed);
+        cluster.rate = Some(SLOW_LINK);
+        let accepted = call(&mut cluster, 0, 2, OperatorRequest::patch(1, large_change()));
+        assert_eq!(accepted, Some(Outcome::Accepted { version: 2 }), "seed {seed}");
+        let (time, busy) = all_know(&mut cluster, 2, 10_000 * MS);
+        println!("seed {seed}: known by all after {} ms, a link busy for {} ms", time / MS, busy / MS);
+        assert!(busy < MOST_BUSY, "seed {seed}: a link was busy for {} ms", busy / MS);
+        assert!(time < 3_000 * MS, "seed {seed}: {} ms", time / MS);
+        cluster.run(2_000 * MS);
+        cluster.checks.finish();
+        assert_eq!(cluster.checks.broken, Vec::<String>::new(), "seed {seed}");
+    }
+}
+
+/// Guards those below a process that goes while it passes an entry on: they learn of it all the same.
+#[test]
+fn a_large_change_reaches_those_below_a_process_that_goes() {
+    for seed in 0..5 {
+        let mut cluster = large_system(seed);
+        cluster.rate = Some(SLOW_LINK);
+        assert!(cluster.operator(0, pewterseam_control::Token(2), OperatorRequest::patch(1, large_change())));
+        for victim in 0..6 {
+            cluster.run(100 * MS);
+            cluster.kill(CORE + 10 * victim + seed as usize);
+        }
+        let (time, _) = all_know(&mut cluster, 2, 20_000 * MS);
+        println!("seed {seed}: known by all after {} ms", time / MS);
+        assert!(time < 4_000 * MS, "seed {seed}: {} ms", time / MS);
+    }
+}
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -7,9 +7,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use pewterseam_config::CompiledConfig;
 use pewterseam_config::settings::Settings;
 use pewterseam_control::{
-    Contact, Control, ControlMessage, Effect as ControlEffect, OperatorRequest, Outcome, Token,
+    Contact, Control, ControlError, ControlMessage, Effect as ControlEffect, OperatorRequest, Outcome, Token,
 };
 use pewterseam_membership::{Effect as MemberEffect, MemberChange, Membership, MembershipSettings, Status};
 use pewterseam_storage::WriterEvent;
@@ -142,6 +143,11 @@
         self.control.state()
     }
 
+    /// The newest agreed configuration, compiled.
+    pub fn config(&self) -> Result<Arc<CompiledConfig>, ControlError> {
+        self.control.config()
+    }
+
     /// Where a live node is reached.
     pub fn address_of(&self, name: &NodeName) -> Option<SocketAddr> {
         self.live().find(|info| info.name == *name).map(|info| info.peer_address)
--- a/crates/system/src/relay/configuration.rs
+++ b/crates/system/src/relay/configuration.rs
@@ -23,16 +23,17 @@
         let effects = self.planes.queue.set_placement(self.node.now(), state.placement.clone());
         self.queue_effects.extend(effects);
         if state.config.version != self.config.load().version {
-            self.configure(state);
+            self.configure(state.config.version);
         }
     }
 
-    fn configure(&mut self, state: &ControlState) {
-        let compiled = match CompiledConfig::compile(&state.config.text) {
-            Ok(compiled) => Arc::new(compiled),
-            Err(errors) => {
-                let reasons: Vec<String> = errors.iter().map(ToString::to_string).collect();
-                log::error!("configuration {} cannot be used: {}", state.config.version, reasons.join("; "));
+    /// Puts the newest configuration in force. Control carries its compiled form on from change to change: read as a
+    /// whole with each change, one of thousands of routes would take much of a small machine.
+    fn configure(&mut self, version: u64) {
+        let compiled = match self.node.config() {
+            Ok(compiled) => compiled,
+            Err(error) => {
+                log::error!("configuration {version} cannot be used: {error}");
                 return;
             }
         };
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -1,4 +1,7 @@
 //! Frames: a length in four bytes, most significant first, then a value in MessagePack.
+//!
+//! A long value is compressed by LZ4 where that makes it shorter: the highest bit of the length tells. Configurations and
+//! states repeat themselves, and a link that is full of them carries nothing else for that time.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use serde::Serialize;
@@ -10,12 +13,22 @@
 /// The largest value that a frame may hold.
 pub const MOST_BYTES: usize = 16 * 1024 * 1024;
 
+/// Set in the length of a frame whose value is compressed.
+const COMPRESSED: u32 = 1 << 31;
+
+/// A shorter value is not worth compressing.
+const COMPRESSED_FROM: usize = 1024;
+
+/// A compressed value is sent if it takes at most this part of the plain one, in eighths.
+const MOST_EIGHTHS: usize = 7;
+
 /// Why bytes are no frame.
 #[derive(Debug)]
 pub enum FrameError {
     /// The length is over [`MOST_BYTES`].
     TooLong(usize),
     Decode(rmp_serde::decode::Error),
+    Decompress(lz4_flex::block::DecompressError),
     Encode(rmp_serde::encode::Error),
 }
 
@@ -24,6 +37,7 @@
         match self {
             FrameError::TooLong(length) => write!(f, "a frame of {length} bytes is longer than {MOST_BYTES}"),
             FrameError::Decode(error) => write!(f, "a frame cannot be read: {error}"),
+            FrameError::Decompress(error) => write!(f, "a frame cannot be decompressed: {error}"),
             FrameError::Encode(error) => write!(f, "a frame cannot be written: {error}"),
         }
     }
@@ -45,22 +59,41 @@
 pub fn write_frame<T: Serialize>(buffer: &mut BytesMut, value: &T) -> Result<(), FrameError> {
     let start = buffer.len();
     buffer.put_u32(0);
+    let value_start = start + LENGTH_BYTES;
     rmp_serde::encode::write(&mut buffer.writer(), value).map_err(FrameError::Encode)?;
-    let length = buffer.len() - start - LENGTH_BYTES;
+    let length = buffer.len() - value_start;
     if length > MOST_BYTES {
         buffer.truncate(start);
         return Err(FrameError::TooLong(length));
     }
-    buffer[start..start + LENGTH_BYTES].copy_from_slice(&(length as u32).to_be_bytes());
+    let flag = if compress_tail(buffer, value_start) { COMPRESSED } else { 0 };
+    let length = (buffer.len() - value_start) as u32 | flag;
+    buffer[start..value_start].copy_from_slice(&length.to_be_bytes());
     Ok(())
 }
 
+/// Compresses what follows a place, if that makes it shorter.
+fn compress_tail(buffer: &mut BytesMut, start: usize) -> bool {
+    let plain = &buffer[start..];
+    if plain.len() < COMPRESSED_FROM {
+        return false;
+    }
+    let compressed = lz4_flex::block::compress_prepend_size(plain);
+    if compressed.len() > plain.len() / 8 * MOST_EIGHTHS {
+        return false;
+    }
+    buffer.truncate(start);
+    buffer.extend_from_slice(&compressed);
+    true
+}
+
 /// Takes the first whole frame from what has arrived; none while it is incomplete.
 pub fn read_frame<T: DeserializeOwned>(buffer: &mut BytesMut) -> Result<Option<T>, FrameError> {
     if buffer.len() < LENGTH_BYTES {
         return Ok(None);
     }
-    let length = (&buffer[..LENGTH_BYTES]).get_u32() as usize;
+    let word = (&buffer[..LENGTH_BYTES]).get_u32();
+    let length = (word & !COMPRESSED) as usize;
     if length > MOST_BYTES {
         return Err(FrameError::TooLong(length));
     }
@@ -69,5 +102,19 @@
     }
     buffer.advance(LENGTH_BYTES);
     let value: Bytes = buffer.split_to(length).freeze();
-    decode(&value).map(Some)
+    if word & COMPRESSED == 0 {
+        return decode(&value).map(Some);
+    }
+    decode(&decompress(&value)?).map(Some)
+}
+
+/// The plain form of a compressed value.
+///
+/// Danger: the announced length is that of the memory that is taken.
+fn decompress(value: &[u8]) -> Result<Vec<u8>, FrameError> {
+    let (length, compressed) = lz4_flex::block::uncompressed_size(value).map_err(FrameError::Decompress)?;
+    if length > MOST_BYTES {
+        return Err(FrameError::TooLong(length));
+    }
+    lz4_flex::block::decompress(compressed, length).map_err(FrameError::Decompress)
 }
