--- a/src/brain/mod.rs
+++ b/src/brain/mod.rs
@@ -1,4 +1,4 @@
-//! Every decision of a sender. Its types, events and actions stand in `src/interface.rs`.
+//! Every decision of a sender. Its types, events and actions stand in `src/interface`.
 //! The ordinary path is the permit pool of docs/design.md: senders pace each limited route to their shares of
 //! a pool, and each round the surplus of underusers passes to those that used all. The rest guards it.
 
