Control: a large call is not repeated while it is on its way

Cause: a call without an answer went to the same leader again every 900 ms whatever its size. An order of a configuration of 1.2 MB takes 1.6 s on a link of 6 Mbit/s, so that it was queued there a second time before the first had arrived, and all that the relay asked after it waited for the repeat.

Ruled out: 300 ms and a millisecond more for each kilobyte, as for entries: a small call would be repeated within the time that a leader may take for its next heartbeat, and a large one still before the leader has passed it on.

Change: the first pause is 900 ms and a millisecond more for each kilobyte, as is the time for the call, and doubles with each repeat to the same receiver; it begins anew with another receiver. Entries and calls share `time_to_carry`.

Both new tests fail before the change. All 78 tests of the crate pass.

--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -9,22 +9,33 @@
 use crate::machine::Control;
 use crate::message::ControlMessage;
 use crate::operator::{FIRST_OWN_TOKEN, OperatorRequest, Outcome, Token};
+use crate::transfer::time_to_carry;
 
 /// A core member that knows no leader is asked again after this.
 const NO_LEADER_PAUSE: Micros = 100_000;
 
-/// An unanswered call goes out again after so many of the usual pauses if its receiver is alive.
+/// An unanswered call goes out again after so many of the usual pauses, and the time that its body may take on the way,
+/// if its receiver is alive; to the same receiver then after twice as long each time.
 const PATIENCE: Micros = 3;
 
-/// Bytes of a body for which a call gets a millisecond more.
-const BYTES_PER_MILLISECOND: u64 = 1024;
-
 #[derive(Clone)]
 struct Call {
     request: OperatorRequest,
     deadline: Micros,
     send_at: Micros,
     sent_to: Option<NodeName>,
+    /// Between the last sending and the next one.
+    pause: Micros,
+}
+
+impl Call {
+    /// Notes that the call goes out. The pause begins anew with another receiver.
+    fn sent(&mut self, receiver: &NodeName, now: Micros, first_pause: Micros) {
+        let is_repeat = self.sent_to.as_ref() == Some(receiver);
+        self.pause = if is_repeat { self.pause * 2 } else { first_pause };
+        self.send_at = now + self.pause;
+        self.sent_to = Some(receiver.clone());
+    }
 }
 
 /// The calls under way.
@@ -55,9 +66,9 @@
 
 impl Control {
     pub(crate) fn forward(&mut self, token: Token, request: OperatorRequest) {
-        let longer = request.size() as u64 / BYTES_PER_MILLISECOND * 1_000;
-        let deadline = self.now + self.settings.call_timeout + longer;
-        self.forwarder.calls.insert(token, Call { request, deadline, send_at: self.now, sent_to: None });
+        let deadline = self.now + self.settings.call_timeout + time_to_carry(request.size());
+        let call = Call { request, deadline, send_at: self.now, sent_to: None, pause: 0 };
+        self.forwarder.calls.insert(token, call);
     }
 
     pub(crate) fn run_forwarder(&mut self) {
@@ -119,8 +130,8 @@
             call.send_at = self.now + NO_LEADER_PAUSE;
             return;
         };
-        call.send_at = self.now + self.settings.resend * PATIENCE;
-        call.sent_to = Some(receiver.clone());
+        let first_pause = self.settings.resend * PATIENCE + time_to_carry(call.request.size());
+        call.sent(&receiver, self.now, first_pause);
         let request = call.request.clone();
         self.send(receiver, ControlMessage::Operator { token, request });
     }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -12,13 +12,11 @@
 use crate::machine::Control;
 use crate::message::ControlMessage;
 use crate::orders::{Asker, Order, Read};
+use crate::transfer::time_to_carry;
 
 /// A leader tells so many processes outside the core of a commit itself; others learn of it through membership.
 const MOST_PUSHES: usize = 64;
 
-/// Bytes of an entry for which an answer is awaited a millisecond longer: a link that is repeated on gets no faster.
-const BYTES_PER_MILLISECOND: u64 = 1024;
-
 /// An entry on its way to a majority.
 #[derive(Clone)]
 pub(crate) struct InFlight {
@@ -129,8 +127,7 @@
     fn send_proposal(&mut self) {
         let Role::Leader(leader) = &mut self.role else { return };
         let Some(in_flight) = &mut leader.in_flight else { return };
-        let longer = in_flight.entry.size() as u64 / BYTES_PER_MILLISECOND * 1_000;
-        in_flight.resend_at = self.now + self.settings.resend + longer;
+        in_flight.resend_at = self.now + self.settings.resend + time_to_carry(in_flight.entry.size());
         let (epoch, committed) = (leader.epoch, self.replica.committed.stamp);
         let message = ControlMessage::Accept { epoch, entry: in_flight.entry.clone(), committed };
         let members = self.replica.accepted.core.voters();
--- a/crates/control/src/transfer.rs
+++ b/crates/control/src/transfer.rs
@@ -31,6 +31,14 @@
 /// So many states are kept for handing out.
 const MOST_KEPT: usize = 2;
 
+/// Bytes for which an answer is awaited a millisecond longer: a link that is repeated on gets no faster.
+const BYTES_PER_MILLISECOND: u64 = 1024;
+
+/// How much longer an answer is awaited to a message with so many bytes.
+pub(crate) fn time_to_carry(bytes: usize) -> Micros {
+    bytes as u64 / BYTES_PER_MILLISECOND * 1_000
+}
+
 /// What is known of the state that is handed out.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StateKind {
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -11,6 +11,7 @@
 mod many_changes;
 mod membership;
 mod orders;
+mod repeated_calls;
 mod restore;
 mod retirement;
 mod second_loss;
