Stores: facts that are passed on during a move are told again until heard

Cause: a relay that knows the older placement alone tells an end to f + 1 of the older group and forgets it once these have acknowledged it. A store that is new to the group may have copied before that. The stores of the older group passed the end on to it once; where that word was lost and one of the f + 1 was the store that leaves, f of the new group knew the end. A read quorum could miss it, and the message would run again after its success.

Ruled out: to answer the relay only once the new store has heard (a new store that is down would hold up all ends), and to leave it to the relay (it has its f + 1 and has forgotten the end).

Change: `late_facts.rs`, with `forward` out of copying.rs. What has had no answer for 1 s, or was refused, is told again, in requests of 256 facts, eight to a store at a time, also after the move; it ends with the answer, or when the store is out of the placement. At most 65,536 facts are kept. An answer to a relay still does not wait for it.

Before: `a_lost_word_to_a_new_store_is_told_again` and `telling_again_is_bounded` fail (0 requests after the first). After: all tests of the crate pass.

--- a/crates/message-log/src/copying.rs
+++ b/crates/message-log/src/copying.rs
@@ -8,7 +8,7 @@
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::placement::{Partition, PlacementEpoch, StoreId};
-use pewterseam_wire::record::{End, Fact, MessageName};
+use pewterseam_wire::record::{End, MessageName};
 use pewterseam_wire::store::{StoreRequest, StoreResponse, StoredMessage};
 
 use crate::interface::Effect;
@@ -204,8 +204,14 @@
         }
     }
 
-    /// Takes a piece.
+    /// Takes another store's answer: a piece, or to facts that were passed on.
     pub(crate) fn take_pull_answer(&mut self, token: u64, response: Option<StoreResponse>) {
+        if !self.late_facts_answered(token, response.as_ref()) {
+            self.take_piece(token, response);
+        }
+    }
+
+    fn take_piece(&mut self, token: u64, response: Option<StoreResponse>) {
         let now = self.now.steady;
         let Some(copying) = &mut self.copying else { return };
         let is_it = |source: &Source| source.request.is_some_and(|(sent, _)| sent == token);
@@ -265,24 +271,4 @@
             self.change_owner(&name, &owner, claim);
         }
     }
-
-    /// Passes facts on to stores that may have copied a message's group before these facts came. The asker's answer
-    /// does not wait for it.
-    pub(crate) fn forward(&mut self, facts: &[Fact]) {
-        if self.view.placement().sets.len() < 2 {
-            return;
-        }
-        let mut by_store: BTreeMap<StoreId, Vec<Fact>> = BTreeMap::new();
-        for fact in facts {
-            let Some(partition) = fact.name().partition() else { continue };
-            for store in self.view.newcomers(partition) {
-                by_store.entry(store).or_default().push(fact.clone());
-            }
-        }
-        for (to, facts) in by_store {
-            self.last_request += 1;
-            let request = StoreRequest::Settle { facts };
-            self.out.push(Effect::SendPull { to, token: self.last_request, request });
-        }
-    }
 }
--- a/crates/message-log/src/lib.rs
+++ b/crates/message-log/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod gathering;
 mod interface;
+mod late_facts;
 mod leases;
 mod message;
 mod messages;
--- a/crates/message-log/src/store.rs
+++ b/crates/message-log/src/store.rs
@@ -14,6 +14,7 @@
 use crate::entry::LogEntry;
 use crate::gathering::Gathering;
 use crate::interface::{Effect, Input, Now, StoreSettings};
+use crate::late_facts::LateFacts;
 use crate::leases::OwnerLeases;
 use crate::message::Moment;
 use crate::messages::Messages;
@@ -70,6 +71,7 @@
     pub(crate) end_notices: EndNotices,
     pub(crate) gathering: Gathering,
     pub(crate) copying: Option<Copying>,
+    pub(crate) late_facts: LateFacts,
     /// Appends of records that have another owner by now, or have ended, and wait for the disk.
     pub(crate) moved_on: HashMap<u64, MessageName>,
     /// Ends whose write has failed.
@@ -96,6 +98,7 @@
             end_notices: EndNotices::default(),
             gathering: Gathering::default(),
             copying: None,
+            late_facts: LateFacts::default(),
             moved_on: HashMap::new(),
             unwritten_ends: Vec::new(),
             last_request: 0,
@@ -138,6 +141,7 @@
         self.send_end_notices();
         self.make_offers();
         self.drive_copying();
+        self.tell_late_facts();
         self.clean();
         if self.forget_due().is_some_and(|due| due <= self.now.steady as Moment) {
             self.messages.forget_before(self.now.steady as Moment - self.settings.status_ttl as Moment);
@@ -146,6 +150,7 @@
 
     fn set_placement(&mut self, placement: Arc<Placement>) {
         if self.view.set(placement) {
+            self.late_facts.keep_those_in(self.view.placement());
             self.write_copied_sets();
             self.start_copying();
             self.release_held(true);
@@ -242,6 +247,7 @@
             self.offers.due(),
             self.offers.judge_at,
             self.copying.as_ref().and_then(Copying::due),
+            self.late_facts.due(),
             self.forget_due().map(|due| due.max(0) as Micros),
         ];
         let now = self.now.steady;
