--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -133,10 +133,16 @@
     pub received: BTreeMap<usize, usize>,
     /// What of it nodes were sent before. Only with a rate.
     pub repeats: Repeats,
+    /// How much longer a store takes to copy.
+    pub copy_delays: BTreeMap<usize, u64>,
+    /// Stores that have copied, and the epoch of the placement under which they have.
+    pub copies: BTreeSet<(NodeName, u64)>,
     /// No entry reaches a member.
     pub holds_entries: bool,
     /// Proposals of core memberships that were sent.
     pub core_proposals: usize,
+    /// Stores in one of their lives, and the epochs of the placements that they have begun to copy for.
+    copying: BTreeSet<(usize, u64, u64)>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     links: BTreeMap<(usize, usize), u64>,
@@ -181,8 +187,11 @@
             bytes: 0,
             received: BTreeMap::new(),
             repeats: Repeats::default(),
+            copy_delays: BTreeMap::new(),
+            copies: BTreeSet::new(),
             holds_entries: false,
             core_proposals: 0,
+            copying: BTreeSet::new(),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -424,6 +433,7 @@
     fn copied(&mut self, index: usize, epoch: u64) {
         let info = self.nodes[index].info.clone();
         let Some(disk) = info.disk else { return };
+        self.copies.insert((info.name.clone(), epoch));
         let store = StoreId { name: info.name, disk };
         let epoch = pewterseam_wire::placement::PlacementEpoch(epoch);
         self.step(index, |control, now| control.copied(now, store, epoch));
@@ -454,9 +464,12 @@
             Effect::InForce(state) => {
                 self.checks.in_force(index, &state);
                 let is_store = self.nodes[index].info.role == Role::Store;
-                if is_store && state.placement.sets.len() > 1 {
-                    let epoch = state.placement.epoch.0;
-                    self.schedule(COPY, Event::Copied { node: index, life, epoch });
+                let epoch = state.placement.epoch.0;
+                let is_moving = state.placement.sets.len() > 1;
+                // A store copies once for each placement, also where other parts of the state change.
+                if is_store && is_moving && self.copying.insert((index, life, epoch)) {
+                    let delay = COPY + self.copy_delays.get(&index).copied().unwrap_or(0);
+                    self.schedule(delay, Event::Copied { node: index, life, epoch });
                 }
             }
             Effect::Contact(contact) => self.checks.contact(index, contact),
