Tests: full disks and damaged logs, with planted faults

Cause: two rows of docs/control.md said that no fault was planted.

Change: with one disk full and one member stopped no order may be taken; once the member has room again, its log must lead to what it knows. All earlier assertions stay; that there are records follows from the changes among them.

--- a/crates/control/tests/control/many_changes.rs
+++ b/crates/control/tests/control/many_changes.rs
@@ -1,6 +1,6 @@
 //! Hundreds of changes, with members that are down, restarted, slow or without power meanwhile.
 
-use pewterseam_control::{Control, ControlSettings, OperatorRequest, Outcome, Token};
+use pewterseam_control::{Control, ControlSettings, OperatorRequest, Outcome, Stamp, Token};
 
 use crate::simulation::cluster::{Cluster, MS, document};
 use crate::{call, formed};
@@ -139,8 +139,15 @@
     }
 }
 
-/// Guards against a member with a full disk that holds up the others, or whose log does not go on where it was: nothing
-/// is synced there any more, snapshots neither, until it is started again with room.
+/// The state that a member would start with, were it to start from its disk as it is.
+fn stamp_on_disk(cluster: &Cluster, member: usize) -> Stamp {
+    let node = &cluster.nodes[member];
+    let control = Control::new(0, &node.info, ControlSettings::default(), node.disk.log(), 1);
+    control.expect("the log can be read").accepted_stamp()
+}
+
+/// Guards against a member with a full disk that holds up the others, that counts although nothing is synced there, or
+/// whose log does not go on where it was: nothing is synced, snapshots neither, until it is started again with room.
 #[test]
 fn a_full_disk_of_one_member_holds_nothing_up() {
     for seed in 0..8 {
@@ -152,11 +159,22 @@
         let start = system.cluster.now;
         system.change(40);
         assert!(system.cluster.now < start + 4 * SECOND, "seed {seed}: the others were held up");
+        let third = 3 - leader - full;
+        system.cluster.kill(third);
+        let next = OperatorRequest::put(system.version, document(system.version + 1, &system.note));
+        let outcome = call(&mut system.cluster, 3, system.version + 1, next);
+        let is_taken = matches!(outcome, Some(Outcome::Accepted { .. }));
+        assert!(!is_taken, "seed {seed}: taken with one disk of three");
+        system.cluster.start_after(third, 0);
+        system.cluster.run(2 * SECOND);
+        system.change(1);
         system.cluster.lose_power(full);
         system.cluster.disk_delays.clear();
         system.cluster.start_after(full, 500 * MS);
         system.cluster.run(3 * SECOND);
         system.is_whole(&format!("seed {seed}"));
+        let known = system.cluster.control(full).expect("runs").accepted_stamp();
+        assert_eq!(stamp_on_disk(&system.cluster, full), known, "seed {seed}: the log is behind");
         system.lose_power_everywhere();
         system.is_whole(&format!("seed {seed}, after power was lost everywhere"));
     }
@@ -175,11 +193,27 @@
     };
     assert!(start(snapshot.clone(), records.clone()).is_ok());
     for length in [0, 1, snapshot.len() / 2, snapshot.len() - 1] {
-        assert!(start(snapshot.slice(..length), records.clone()).is_err(), "{length} bytes of the snapshot");
+        for records in [records.clone(), Vec::new()] {
+            let count = records.len();
+            let started = start(snapshot.slice(..length), records);
+            assert!(started.is_err(), "{length} bytes of the snapshot, and {count} records");
+        }
     }
-    assert!(!records.is_empty());
     let missing: Vec<bytes::Bytes> = records.iter().skip(2).cloned().collect();
-    assert!(start(snapshot, missing).is_err(), "records are missing after the snapshot");
+    assert!(start(snapshot.clone(), missing).is_err(), "records are missing after the snapshot");
+    let changes: Vec<usize> = (0..records.len()).filter(|place| records[*place].len() > LARGE_NOTE).collect();
+    let (last, before) = changes.split_last().expect("changes after the snapshot");
+    assert!(!before.is_empty(), "one change alone leaves no gap");
+    for place in before {
+        let mut gap = records.clone();
+        gap.remove(*place);
+        assert!(start(snapshot.clone(), gap).is_err(), "without record {place}");
+    }
+    for place in 0..=*last {
+        let mut cut = records.clone();
+        cut[place] = cut[place].slice(..cut[place].len() / 2);
+        assert!(start(snapshot.clone(), cut).is_err(), "half of record {place}");
+    }
 }
 
 /// Orders that a leader has in its queue at a time.
