Stores: a store that left passes on ends that come late

Cause: a relay that missed a whole move tells an end to f + 1 of the older group. The store that left acknowledges it like the others, and the relay counts it, but nobody reads from it any more: with f + 1 acknowledgements f of the group in force know the end, and a read quorum could miss it.

Ruled out: to decline facts for partitions that a store is not in. One request carries facts of many partitions, and the relay takes a refusal for all of them; it is also what a new store does that has yet to hear of the placement.

Change: a store in no group of a message passes an end that is news to it on to the whole group, until heard, as during a move. An end that it knows already is not passed on, so that two stores with different placements do not pass it to and fro.

Before: `a_store_that_left_passes_on_what_comes_late` fails. After: all tests of the crate pass; `clusters` (4 tests) and `scenarios` (9 tests) of crates/cluster pass.

--- a/crates/message-log/src/late_facts.rs
+++ b/crates/message-log/src/late_facts.rs
@@ -2,16 +2,18 @@
 //!
 //! A relay that knows the older placement alone tells facts to the older group alone. A store of that group passes them
 //! on to the stores that are new to it, until these have them: an end that `f + 1` of the older group have acknowledged
-//! must be known to a read quorum of the next one, also where the store that left was among them.
+//! must be known to a read quorum of the next one, also where the store that left was among them. Where the move is over by
+//! then, the store that left passes the end on to the whole group.
 
 use std::collections::BTreeMap;
 
 use pewterseam_wire::Micros;
-use pewterseam_wire::placement::{Placement, StoreId};
+use pewterseam_wire::placement::{Partition, Placement, StoreId};
 use pewterseam_wire::record::Fact;
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
 use crate::interface::Effect;
+use crate::placement_view::Standing;
 use crate::store::Store;
 
 /// Facts without an answer are taken for unheard after this time.
@@ -121,15 +123,12 @@
 }
 
 impl Store {
-    /// Passes facts on to stores that are new to a message's group. The asker's answer does not wait for it.
+    /// Passes facts on to stores that may lack them. The asker's answer does not wait for it.
     pub(crate) fn forward(&mut self, facts: &[Fact]) {
-        if self.view.placement().sets.len() < 2 {
-            return;
-        }
         let mut by_store: BTreeMap<StoreId, Vec<Fact>> = BTreeMap::new();
         for fact in facts {
             let Some(partition) = fact.name().partition() else { continue };
-            for store in self.view.newcomers(partition) {
+            for store in self.who_may_lack(fact, partition) {
                 by_store.entry(store).or_default().push(fact.clone());
             }
         }
@@ -138,6 +137,22 @@
         }
     }
 
+    /// During a move, the stores that are new to the message's group. A store that is in no group of the message (it has
+    /// left, and its answer still counts for a relay that does not know) passes an end on to those that are.
+    ///
+    /// Danger: a store that did so with an end that it knows already could pass it to and fro with another, where the
+    /// two have different placements.
+    fn who_may_lack(&mut self, fact: &Fact, partition: Partition) -> Vec<StoreId> {
+        if self.view.standing(partition) != Standing::Outside {
+            return self.view.newcomers(partition);
+        }
+        let is_known = |name| self.messages.get(name).is_some_and(|message| message.end.is_some());
+        match fact {
+            Fact::Ended { name, .. } if !is_known(name) => self.view.target_stores(partition),
+            Fact::Ended { .. } | Fact::Attempted { .. } => Vec::new(),
+        }
+    }
+
     fn pass_on(&mut self, to: StoreId, facts: Vec<Fact>) {
         self.last_request += 1;
         let token = self.last_request;
--- a/crates/message-log/src/placement_view.rs
+++ b/crates/message-log/src/placement_view.rs
@@ -156,6 +156,11 @@
         before.filter(|store| live.is_empty() || live.contains(store)).count()
     }
 
+    /// The stores of the group that messages of a partition are moving to, or are at.
+    pub fn target_stores(&self, partition: Partition) -> Vec<StoreId> {
+        self.placement.groups(partition).pop().map(|group| group.stores).unwrap_or_default()
+    }
+
     /// The stores that are new to a partition, where this one is in the group that they copy from.
     pub fn newcomers(&self, partition: Partition) -> Vec<StoreId> {
         if self.placement.sets.len() < 2 {
--- a/crates/message-log/tests/late_facts.rs
+++ b/crates/message-log/tests/late_facts.rs
@@ -193,3 +193,48 @@
     assert!(told <= MOST_KEPT, "{told} facts were kept");
     assert!(told > MOST_KEPT - IN_REQUEST, "only {told} facts were told again");
 }
+
+/// Guards against an end that a relay with the older placement tells after the move is over, where the store that left
+/// still acknowledges it: it counts for the relay, and nobody reads from it any more.
+#[test]
+fn a_store_that_left_passes_on_what_comes_late() {
+    for loses_first_words in [false, true] {
+        let first = record("first");
+        let mut nodes = moving(&first);
+        place(&mut nodes, 3, &[NEW]);
+        tell_end(&mut nodes, &first);
+        if loses_first_words {
+            taken(&mut nodes, "s3");
+        }
+        advance(&mut nodes, TOLD_AGAIN_WITHIN);
+        deliver(&mut nodes);
+        assert!(knows_the_end(&mut nodes, &first), "first words are lost: {loses_first_words}");
+    }
+}
+
+/// Guards against stores that pass a fact to and fro, as each takes the other for the one that reads are from: one knows
+/// the older placement, the other the newer.
+#[test]
+fn a_fact_is_not_passed_to_and_fro() {
+    let first = record("first");
+    let mut nodes = moving(&first);
+    place(&mut nodes[..3], 3, &[NEW]);
+    node(&mut nodes, "s4").input(Input::Placement(placement(4, &[OLD])));
+    for name in ["s3", "s4"] {
+        assert!(is_done(&node(&mut nodes, name).ask(ended(&first.name, completed("x")))));
+    }
+    let mut requests = 0;
+    for _ in 0..20 {
+        for name in ["s1", "s2", "s3", "s4"] {
+            for (token, request) in taken(&mut nodes, name) {
+                requests += 1;
+                assert!(requests < 100, "passed on and on");
+                let to = if name == "s3" { "s4" } else { "s3" };
+                let response = node(&mut nodes, to).ask(request);
+                node(&mut nodes, name).input(Input::PullAnswered { token, response });
+            }
+        }
+        advance(&mut nodes, SECOND);
+    }
+    assert!(requests <= 12, "{requests} requests for one fact");
+}
