--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -15,6 +15,7 @@
 
 use super::checks::Checks;
 use super::disk::Disk;
+use super::repeats::Repeats;
 
 pub const MS: u64 = 1_000;
 
@@ -109,6 +110,8 @@
     pub clocks: BTreeMap<usize, SlowClock>,
     /// Bytes that a node may send in a second, all links together. None: without bound.
     pub rate: Option<u64>,
+    /// The same for single nodes, where it is less.
+    pub rates: BTreeMap<usize, u64>,
     /// Of a hundred messages of [`LOSS_UNIT`] bytes so many are lost, and of longer ones accordingly more. Only with a
     /// rate.
     pub loss_percent: usize,
@@ -128,10 +131,18 @@
     pub bytes: usize,
     /// Bytes that were sent to each node.
     pub received: BTreeMap<usize, usize>,
+    /// What of it nodes were sent before. Only with a rate.
+    pub repeats: Repeats,
+    /// How much longer a store takes to copy.
+    pub copy_delays: BTreeMap<usize, u64>,
+    /// Stores that have copied, and the epoch of the placement under which they have.
+    pub copies: BTreeSet<(NodeName, u64)>,
     /// No entry reaches a member.
     pub holds_entries: bool,
     /// Proposals of core memberships that were sent.
     pub core_proposals: usize,
+    /// Stores in one of their lives, and the epochs of the placements that they have begun to copy for.
+    copying: BTreeSet<(usize, u64, u64)>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     links: BTreeMap<(usize, usize), u64>,
@@ -162,6 +173,7 @@
             drop_percent: 0,
             clocks: BTreeMap::new(),
             rate: None,
+            rates: BTreeMap::new(),
             loss_percent: 0,
             disk_delays: BTreeMap::new(),
             answers: Vec::new(),
@@ -174,8 +186,12 @@
             counts_bytes: false,
             bytes: 0,
             received: BTreeMap::new(),
+            repeats: Repeats::default(),
+            copy_delays: BTreeMap::new(),
+            copies: BTreeSet::new(),
             holds_entries: false,
             core_proposals: 0,
+            copying: BTreeSet::new(),
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             links: BTreeMap::new(),
@@ -417,6 +433,7 @@
     fn copied(&mut self, index: usize, epoch: u64) {
         let info = self.nodes[index].info.clone();
         let Some(disk) = info.disk else { return };
+        self.copies.insert((info.name.clone(), epoch));
         let store = StoreId { name: info.name, disk };
         let epoch = pewterseam_wire::placement::PlacementEpoch(epoch);
         self.step(index, |control, now| control.copied(now, store, epoch));
@@ -447,9 +464,12 @@
             Effect::InForce(state) => {
                 self.checks.in_force(index, &state);
                 let is_store = self.nodes[index].info.role == Role::Store;
-                if is_store && state.placement.sets.len() > 1 {
-                    let epoch = state.placement.epoch.0;
-                    self.schedule(COPY, Event::Copied { node: index, life, epoch });
+                let epoch = state.placement.epoch.0;
+                let is_moving = state.placement.sets.len() > 1;
+                // A store copies once for each placement, also where other parts of the state change.
+                if is_store && is_moving && self.copying.insert((index, life, epoch)) {
+                    let delay = COPY + self.copy_delays.get(&index).copied().unwrap_or(0);
+                    self.schedule(delay, Event::Copied { node: index, life, epoch });
                 }
             }
             Effect::Contact(contact) => self.checks.contact(index, contact),
@@ -482,10 +502,13 @@
         {
             self.core_proposals += 1;
         }
-        let needs_size = self.counts_bytes || self.rate.is_some();
+        let needs_size = self.counts_bytes || self.rate.is_some() || self.rates.contains_key(&from);
         let size = if needs_size { size_of(&message) } else { 0 };
         self.bytes += size;
         *self.received.entry(to).or_default() += size;
+        if self.rate.is_some() {
+            self.repeats.note(to, &message);
+        }
         let sent = self.sent_by(from, size);
         if self.planted == Planted::NoMajorityRead
             && let ControlMessage::Prepare { epoch } = &message
@@ -521,7 +544,7 @@
 
     /// When a node has sent a message, after all that it was sending.
     fn sent_by(&mut self, from: usize, size: usize) -> u64 {
-        let Some(rate) = self.rate else { return self.now };
+        let Some(rate) = self.rates.get(&from).copied().or(self.rate) else { return self.now };
         let start = self.sending.get(&from).copied().unwrap_or(0).max(self.now);
         let end = start + size as u64 * 1_000_000 / rate;
         self.sending.insert(from, end);
