Control: stores pass long entries on first, and many that lack one entry ask many

And where a store that passed an entry on went, all below it asked the one that had told them of the index and then two core members, whose links were full: known by all after 4,050 ms and more. Change: within a zone stores pass on first; after one that does not answer any live process is asked in turn with the core, one that knows no more says so at once, and questions become fewer.

--- a/crates/control/src/catch_up.rs
+++ b/crates/control/src/catch_up.rs
@@ -19,10 +19,14 @@
 const PUSH_TIME: Micros = 150_000;
 
 /// Bytes of an announced entry that are given a millisecond: it passes over several links, one after the other.
-const BYTES_PER_MILLISECOND: u64 = 256;
+const BYTES_PER_MILLISECOND: u64 = 320;
 
 const MILLISECOND: Micros = 1_000;
 
+/// The pause before another process is asked where one knows no more; twice as long with each that brings nothing.
+const NEXT_PAUSE: Micros = 10_000;
+const MOST_DOUBLINGS: u32 = 8;
+
 /// After so many holders without the state, or silences, a transfer begins anew.
 const MOST_FAILURES: u32 = 6;
 
@@ -174,7 +178,8 @@
         }
     }
 
-    /// Whom to ask: who sent the last piece, who told of something newer, the leader, or the core members in turn.
+    /// Whom to ask: who sent the last piece, who told of something newer, or the leader; then, in turn, any process (when
+    /// many lack the same state, most others have it) and the core members.
     fn next_holder(&mut self) -> Option<NodeName> {
         let first = if self.catch_up.is_receiving() {
             self.catch_up.source.clone()
@@ -185,8 +190,14 @@
             return first;
         }
         self.catch_up.turn += 1;
-        let core = self.live_core();
-        core.get(self.catch_up.turn % core.len().max(1)).cloned()
+        let others = if self.catch_up.turn % 2 == 1 { self.live_others() } else { self.live_core() };
+        let place = self.random.below(others.len().max(1));
+        others.get(place).cloned()
+    }
+
+    fn live_others(&self) -> Vec<NodeName> {
+        let names = self.peers.live().map(|peer| &peer.info.name);
+        names.filter(|name| **name != self.name).cloned().collect()
     }
 
     fn ask_for_pieces(&mut self, holder: NodeName) {
@@ -198,7 +209,7 @@
     /// A process lacks what was committed after a state. It gets entries where they are no longer than the state.
     pub(crate) fn fetch(&mut self, from: &NodeName, have: Stamp) {
         if have.index >= self.replica.committed.stamp.index {
-            return;
+            return self.send(from.clone(), ControlMessage::NothingNewer);
         }
         if let Some(entries) = self.replica.entries_after(have) {
             return self.send(from.clone(), ControlMessage::Entries { entries });
@@ -245,6 +256,16 @@
         }
     }
 
+    /// A process that was asked knows no more than this one: another is asked soon.
+    ///
+    /// Danger: where nobody that answers knows what was heard of, the questions must become fewer.
+    pub(crate) fn nothing_newer(&mut self) {
+        let pause = NEXT_PAUSE << self.catch_up.failures.min(MOST_DOUBLINGS);
+        if let Some(at) = &mut self.catch_up.fetch_at {
+            *at = (*at).min(self.now + pause);
+        }
+    }
+
     /// A holder has gone on, or never had the state: another is asked soon.
     pub(crate) fn no_such_state(&mut self, state: StateName) {
         if self.catch_up.incoming.as_ref().is_some_and(|incoming| incoming.name == state) {
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -307,6 +307,7 @@
             ControlMessage::Announce { index, bytes } => self.announced(index, bytes),
             ControlMessage::Push { entry, leader, others } => self.pushed(from, entry, leader, others),
             ControlMessage::Fetch { have } => self.fetch(from, have),
+            ControlMessage::NothingNewer => self.nothing_newer(),
             ControlMessage::Entries { entries } => self.entries(from, entries),
             ControlMessage::StatePiece(piece) => self.state_piece(from, piece),
             ControlMessage::FetchPieces { state, numbers } => self.fetch_pieces(from, state, &numbers),
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -82,6 +82,8 @@
     Fetch {
         have: Stamp,
     },
+    /// The asker knows all that was committed as far as the sender knows.
+    NothingNewer,
     /// Committed entries, in order.
     Entries {
         entries: Vec<Entry>,
--- a/crates/control/src/spread.rs
+++ b/crates/control/src/spread.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use pewterseam_wire::identity::NodeName;
+use pewterseam_wire::identity::{NodeName, Role};
 
 use crate::entry::Entry;
 use crate::machine::Control;
@@ -63,8 +63,6 @@
     /// Sends an entry to some of the receivers, which send it to the others.
     fn spread(&mut self, entry: &Entry, leader: &NodeName, receivers: Vec<NodeName>) {
         for mut branch in self.branches(entry, receivers) {
-            // One that is known to be gone passes nothing on.
-            branch.sort_by_key(|name| !self.peers.is_live(name));
             let others = branch.split_off(1);
             for to in branch {
                 let (entry, leader, others) = (entry.clone(), leader.clone(), others.clone());
@@ -74,21 +72,34 @@
     }
 
     /// The parts of the tree below this process, none of them empty. The first of each is sent the entry.
-    fn branches(&self, entry: &Entry, receivers: Vec<NodeName>) -> Vec<Vec<NodeName>> {
+    fn branches(&self, entry: &Entry, mut receivers: Vec<NodeName>) -> Vec<Vec<NodeName>> {
         let copies = receivers.len();
         if copies * entry.size() <= DIRECT_BYTES || copies <= FAN_OUT {
             return receivers.into_iter().map(|name| vec![name]).collect();
         }
+        receivers.sort_by_key(|name| self.rank(name));
         let mut zones: BTreeMap<Option<Arc<str>>, Vec<NodeName>> = BTreeMap::new();
-        for name in receivers {
-            let zone = self.peers.get(&name).map(|peer| peer.info.zone.clone());
-            zones.entry(zone).or_default().push(name);
+        for name in &receivers {
+            let zone = self.peers.get(name).map(|peer| peer.info.zone.clone());
+            zones.entry(zone).or_default().push(name.clone());
         }
         if zones.len() > 1 {
             return zones.into_values().collect();
         }
-        let length = copies.div_ceil(FAN_OUT).max(1);
-        let names: Vec<NodeName> = zones.into_values().flatten().collect();
-        names.chunks(length).map(<[NodeName]>::to_vec).collect()
+        let mut branches = vec![Vec::new(); FAN_OUT];
+        for (place, name) in receivers.into_iter().enumerate() {
+            branches[place % FAN_OUT].push(name);
+        }
+        branches
+    }
+
+    /// Who passes entries on before others: one that is known to be gone passes nothing on, and the link of a store's
+    /// machine is made for the bodies of several relays, while clients wait behind that of a relay.
+    fn rank(&self, name: &NodeName) -> u8 {
+        match self.peers.get(name).filter(|peer| peer.is_live) {
+            Some(peer) if peer.info.role == Role::Store => 0,
+            Some(_) => 1,
+            None => 2,
+        }
     }
 }
