Permits: what followers have seen makes a home wait longer, too

Cause: a home counted contactMs from when it became home. One that was cut off while it waited did not count a home that others followed meanwhile, which could still hold the core's word.

Change: each answer to a claim sets the time from when on the home grants: later for a node that was followed after it began to wait, earlier once all that it asks have answered. Not at the first start of all.

--- a/crates/permits/src/claims.rs
+++ b/crates/permits/src/claims.rs
@@ -8,7 +8,7 @@
 use crate::message::{ClaimId, PermitMessage, Seen};
 use crate::permits::{PermitEffect, Permits, rank, ranked};
 use crate::service::Yielded;
-use crate::witness::{Witness, others_until};
+use crate::witness::Witness;
 use crate::{MARGIN, VALIDITY};
 
 /// Relays that a new home asks whether they have been it, and how often.
@@ -44,11 +44,7 @@
                 continue;
             }
             let witnesses = witnesses(&self.relays, name, me);
-            if let Some(words) = home.words(&witnesses) {
-                // A node that was taken off a list may have held the core's word for a while.
-                let others_until = others_until(me, &words, &service.witness) + self.settings.core_lease;
-                home.open_earlier(others_until, now);
-            }
+            home.reconsider(me, &service.witness, &witnesses, self.settings.core_lease, now);
             let is_open = home.is_open(now);
             service.claim_at = (!is_open).then_some(now + CLAIM_AGAIN);
             for to in witnesses.into_iter().filter(|_| !is_open) {
@@ -105,9 +101,12 @@
     pub(crate) fn vouched(
         &mut self, now: Micros, from: &NodeName, service: &Arc<str>, claim: ClaimId, seen: &Seen,
     ) {
+        let me = &self.settings.me;
+        let witnesses = witnesses(&self.relays, service, me);
         let Some(service) = self.services.get_mut(service) else { return };
         if let Some(home) = service.granting.as_mut().filter(|home| home.claim == claim) {
             home.vouch(from.clone(), Witness::told(seen, now));
+            home.reconsider(me, &service.witness, &witnesses, self.settings.core_lease, now);
         }
     }
 
--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -9,7 +9,7 @@
 use crate::budget::Budget;
 use crate::message::{ClaimId, GrantId, PermitMessage, Settled};
 use crate::shares::Shares;
-use crate::witness::Witness;
+use crate::witness::{Witness, all_know_since, others_until};
 use crate::{MARGIN, VALIDITY};
 
 /// The longest time for which a request that could not be met at once is kept.
@@ -37,6 +37,8 @@
     began_at: Micros,
     /// Nothing is granted before.
     opens_at: Micros,
+    /// There may have been a home before it.
+    follows: bool,
     /// What relays that follow this one have seen.
     vouched: BTreeMap<NodeName, Witness>,
 }
@@ -60,6 +62,7 @@
             rate,
             began_at: now,
             opens_at,
+            follows,
             vouched: BTreeMap::new(),
         }
     }
@@ -78,19 +81,21 @@
         self.vouched.insert(witness, seen);
     }
 
-    /// The words of these relays, if all of them have vouched.
-    pub(crate) fn words<'a>(
-        &'a self, witnesses: &[&'a NodeName],
-    ) -> Option<BTreeMap<&'a NodeName, &'a Witness>> {
-        let word = |witness: &&'a NodeName| Some((*witness, self.vouched.get(*witness)?));
-        (!witnesses.is_empty()).then(|| witnesses.iter().map(word).collect()).flatten()
-    }
-
-    /// Begins earlier where no other node may have granted permits after `others_until`: earlier processes and times
-    /// of this node had ended when this one began.
-    pub(crate) fn open_earlier(&mut self, others_until: Micros, now: Micros) {
-        let opens_at = self.began_at.max(others_until) + VALIDITY + MARGIN;
-        if opens_at < self.opens_at && !self.is_open(now) {
+    /// Sets the time from when on permits are granted by what is known of other homes.
+    ///
+    /// Earlier processes and times of this node had ended when it began. Danger: a node that was taken off a list may
+    /// have held the core's word for a while, also where it was the home only after this one had begun to wait.
+    pub(crate) fn reconsider(
+        &mut self, me: &NodeName, mine: &Witness, witnesses: &[&NodeName], core_lease: Micros, now: Micros,
+    ) {
+        if !self.follows || self.is_open(now) {
+            return;
+        }
+        let seen = others_until(me, &self.vouched, mine).unwrap_or(0);
+        let unknown = all_know_since(witnesses, &self.vouched).unwrap_or(Micros::MAX).min(self.began_at);
+        let granted_until = self.began_at.max(seen.max(unknown) + core_lease);
+        let opens_at = granted_until + VALIDITY + MARGIN;
+        if opens_at != self.opens_at {
             self.budget.take_over(&[], now);
             self.budget.assume_predecessor(opens_at);
             self.opens_at = opens_at;
--- a/crates/permits/src/witness.rs
+++ b/crates/permits/src/witness.rs
@@ -60,19 +60,27 @@
     }
 }
 
-/// Until when a node other than `me` may have been the home, by the words of these relays and by what `me` has seen.
+/// Until when a node other than `me` was the home, by the words of these relays and by what `me` has seen.
 ///
 /// A relay's own word on its own grants goes before what others took it for: who waited in vain has granted nothing.
-/// What was before its own time it does not know.
-pub(crate) fn others_until(me: &NodeName, words: &BTreeMap<&NodeName, &Witness>, mine: &Witness) -> Micros {
-    let mut until = words.values().map(|word| word.since).max().unwrap_or(0);
-    for (witness, word) in words.iter().map(|(name, word)| (*name, *word)).chain([(me, mine)]) {
+pub(crate) fn others_until(
+    me: &NodeName, words: &BTreeMap<NodeName, Witness>, mine: &Witness,
+) -> Option<Micros> {
+    let mut until = None;
+    for (witness, word) in words.iter().chain([(me, mine)]) {
         for (home, ended) in &word.ended {
             let speaks_for_itself = home != witness && words.contains_key(home);
             if home != me && !speaks_for_itself {
-                until = until.max(*ended);
+                until = until.max(Some(*ended));
             }
         }
     }
     until
 }
+
+/// Since when all of these relays have followed the homes, if all have told; they know nothing of earlier times.
+pub(crate) fn all_know_since(witnesses: &[&NodeName], words: &BTreeMap<NodeName, Witness>) -> Option<Micros> {
+    let since = |witness: &&NodeName| words.get(*witness).map(|word| word.since);
+    let all: Option<Vec<Micros>> = witnesses.iter().map(since).collect();
+    all?.into_iter().max()
+}
--- a/crates/permits/tests/claims.rs
+++ b/crates/permits/tests/claims.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use pewterseam_permits::{PermitEffect, PermitMessage, Permits, Settings};
+use pewterseam_permits::{PermitEffect, PermitMessage, Permits, Seen, Settings};
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 
@@ -154,3 +154,17 @@
     permits.set_relays(ends_at + 3 * SECOND, &[next, other]);
     assert!(!claims(&mut permits, ends_at + 3 * SECOND).is_empty());
 }
+
+/// Guards against a home that was cut off while it waited, and begins although another one that was followed meanwhile
+/// may still hold the core's word.
+#[test]
+fn a_home_waits_longer_for_one_that_came_after_it() {
+    let [first, me, witness] = by_rank();
+    let mut waiting = permits(&me, &[me.clone(), witness.clone()], SECOND);
+    let (_, message) = claims(&mut waiting, SECOND).remove(0);
+    let PermitMessage::Claim { service, claim } = message else { panic!("a claim") };
+    let seen = Seen { since_ago_ms: 60_000, homes: vec![(first, 0)] };
+    waiting.receive(3 * SECOND, &witness, PermitMessage::Vouch { service, claim, seen });
+    assert!(!claims(&mut waiting, 7 * SECOND).is_empty(), "it has begun after 6 s");
+    assert!(claims(&mut waiting, 9 * SECOND).is_empty(), "it has not begun after 8 s");
+}
