--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -1,14 +1,16 @@
 //! The home of one service: it grants permits while it may.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 
-use crate::VALIDITY;
 use crate::budget::Budget;
 use crate::message::{ClaimId, GrantId, PermitMessage, Settled};
 use crate::shares::Shares;
+use crate::witness::{Witness, all_know_since, others_until};
+use crate::{MARGIN, VALIDITY};
 
 /// The longest time for which a request that could not be met at once is kept.
 const PATIENCE: Micros = VALIDITY / 2;
@@ -31,8 +33,14 @@
     budget: Budget,
     shares: Shares,
     rate: f64,
+    /// No earlier process or time of this node grants any more since then.
+    began_at: Micros,
     /// Nothing is granted before.
     opens_at: Micros,
+    /// There may have been a home before it.
+    follows: bool,
+    /// What relays that follow this one have seen.
+    vouched: BTreeMap<NodeName, Witness>,
 }
 
 impl Home {
@@ -46,7 +54,17 @@
         if follows {
             budget.assume_predecessor(opens_at);
         }
-        Home { service, claim, budget, shares: Shares::default(), rate, opens_at }
+        Home {
+            service,
+            claim,
+            budget,
+            shares: Shares::default(),
+            rate,
+            began_at: now,
+            opens_at,
+            follows,
+            vouched: BTreeMap::new(),
+        }
     }
 
     /// The home before this one has stopped, and told of its permits. Only before this one has begun: its own grants
@@ -58,6 +76,32 @@
         }
     }
 
+    /// A relay that follows this home tells what it has seen of earlier ones.
+    pub(crate) fn vouch(&mut self, witness: NodeName, seen: Witness) {
+        self.vouched.insert(witness, seen);
+    }
+
+    /// Sets the time from when on permits are granted by what is known of other homes.
+    ///
+    /// Earlier processes and times of this node had ended when it began. Danger: a node that was taken off a list may
+    /// have held the core's word for a while, also where it was the home only after this one had begun to wait.
+    pub(crate) fn reconsider(
+        &mut self, me: &NodeName, mine: &Witness, witnesses: &[&NodeName], core_lease: Micros, now: Micros,
+    ) {
+        if !self.follows || self.is_open(now) {
+            return;
+        }
+        let seen = others_until(me, &self.vouched, mine).unwrap_or(0);
+        let unknown = all_know_since(witnesses, &self.vouched).unwrap_or(Micros::MAX).min(self.began_at);
+        let granted_until = self.began_at.max(seen.max(unknown) + core_lease);
+        let opens_at = granted_until + VALIDITY + MARGIN;
+        if opens_at != self.opens_at {
+            self.budget.take_over(&[], now);
+            self.budget.assume_predecessor(opens_at);
+            self.opens_at = opens_at;
+        }
+    }
+
     /// What the next home has to know.
     pub(crate) fn ledger(&mut self, now: Micros) -> Vec<(u32, u32)> {
         self.budget.advance(now);
