Cluster harness: time bounds of DRAIN and of CONFIG for relays

Cause: the judge knew linearizability of the configuration and one bound, for dropped routes, in runs that were calm for all machines. That a draining host gets no more requests, that a version is used 3 s after its acknowledgement, and that a process does not go back to an older one within its life was judged nowhere.

Changes of ChangingRoutes also move routes between two services, and refusals for want of a route are judged. The check of dropped routes is replaced by the same check for each machine by itself, which judges more runs: trouble at another plain relay or at a store excuses no more.

Ruled out: bounds on calm runs only, as before, since they would pass over most runs with faults; telling versions apart by the time-out of a route, which would change the runs of all scenarios.

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -10,7 +10,7 @@
 use crate::configuration::LIMITED;
 use crate::event::{Event, Input, Life, StartCall};
 use crate::garbled::{Leftover, TakenConnection};
-use crate::hosts::{Reaction, Run, answer};
+use crate::hosts::{Hosts, Reaction, Run, answer};
 use crate::judge::SentMessage;
 use crate::plan::{MILLISECOND, Planted, SECOND};
 use crate::world::World;
@@ -158,7 +158,13 @@
             let is_held_up = self.was_cut_from_hosts(key.life);
             self.judge.arrived(self.now, key.life, is_held_up);
         }
-        match self.hosts.react(self.now, host, &target, &request_id) {
+        let reaction = self.hosts.react(self.now, host, &target, &request_id);
+        if let Some(since) = self.hosts.all[host].draining_since
+            && !Hosts::is_for_another(&reaction)
+        {
+            self.judge.draining_host_receives(self.now, &request_id, key.life, since);
+        }
+        match reaction {
             Reaction::Answers { status, not_executed } => {
                 let result = answer(status, not_executed, None);
                 self.agenda.add(arrival, Event::CallAnswered(key, result));
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -38,10 +38,21 @@
     SocketAddr::from(([127, 0, 0, 3], 8_000))
 }
 
-fn route(name: &str, schedule_target_ms: u64) -> String {
+/// The service that runs the messages of a passing route, by the mark of the change.
+pub fn passing_service(route: &str, mark: u64) -> &'static str {
+    let place = PASSING.iter().position(|name| *name == route).unwrap_or(0);
+    if mark >> place & 1 == 0 { PLAIN } else { ORDERED }
+}
+
+fn route(name: &str, mark: u64) -> String {
     let (fifo, retention_s) = (name == ORDERED, RETENTION / SECOND);
-    let is_own = [PLAIN, ORDERED, LIMITED].contains(&name);
-    let service = if is_own { name } else { PLAIN };
+    let service = match name {
+        PLAIN | ORDERED | LIMITED => name,
+        name if PASSING.contains(&name) => passing_service(name, mark),
+        _ => PLAIN,
+    };
+    // Only that of the mark tells the change.
+    let schedule_target_ms = if name == MARK { mark } else { LEAST_TARGET_MS + mark % MORE_TARGET_MS };
     format!(
         r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
     )
@@ -59,8 +70,7 @@
 
 /// Routes of a configuration of this mark.
 fn routes(names: &[&str], mark: u64) -> String {
-    let usual = names.iter().map(|name| route(name, LEAST_TARGET_MS + mark % MORE_TARGET_MS));
-    let all: Vec<String> = usual.chain([route(MARK, mark)]).collect();
+    let all: Vec<String> = names.iter().chain(&[MARK]).map(|name| route(name, mark)).collect();
     all.join(",")
 }
 
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -72,6 +72,10 @@
         token: u64,
         answer: Answer,
     },
+    /// A relay finds no route for what a client hands in.
+    NoRoute {
+        token: u64,
+    },
     Status {
         read: u64,
         result: Option<StatusResult>,
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -123,7 +123,7 @@
     /// Draws the faults of this run, all within the traffic.
     pub(crate) fn draw_faults(&mut self) {
         match self.plan.scenario {
-            Scenario::Usual | Scenario::GarblingHosts => {
+            Scenario::Usual | Scenario::GarblingHosts | Scenario::ChangingHosts => {
                 let count = self.random.below(MOST_FAULTS + 1);
                 self.draw_usual_faults(count);
             }
@@ -187,6 +187,7 @@
 
     pub(crate) fn fault(&mut self, fault: Fault) {
         self.judge.fault(self.now, &fault);
+        self.book_disturbance(fault);
         if !fault.is_planned() {
             self.judge.trouble(self.now, self.now);
         }
@@ -262,6 +263,29 @@
         }
     }
 
+    /// What the judge must know of a fault to tell who is in touch. Cuts, starts and ends are told where they happen.
+    fn book_disturbance(&mut self, fault: Fault) {
+        let (now, touch) = (self.now, &mut self.judge.touch);
+        match fault {
+            Fault::Stop { machine }
+            | Fault::ResetConnections { machine }
+            | Fault::FailSyncs { machine }
+            | Fault::FreeDisk { machine }
+            | Fault::StepClock { machine, .. } => touch.disturbed(machine, now, now),
+            Fault::Freeze { machine, span }
+            | Fault::SlowDisk { machine, span }
+            | Fault::StallDisk { machine, span }
+            | Fault::FillDisk { machine, span } => touch.disturbed(machine, now, now + span),
+            Fault::SlowDisks => {
+                let all = 0..self.machines.len();
+                all.for_each(|machine| touch.disturbed(machine, now, now + SLOW_BEFORE));
+            }
+            Fault::CutFromHosts { machine, span } => touch.cut_from_hosts(machine, now, now + span),
+            Fault::LoseDatagrams { span } => touch.links_lose(now, now + span),
+            _ => {}
+        }
+    }
+
     fn end_many(&mut self, machines: MachineSet, ending: Ending) {
         for machine in machines.of(self.machines.len()) {
             self.end_process(machine, ending, false);
@@ -279,6 +303,7 @@
     fn cut(&mut self, from: usize, to: usize, span: Micros) {
         let until = (self.now + span).min(self.traffic_ends);
         self.network.cut(from, to, until);
+        self.judge.touch.cut((from, to), self.now, until);
         self.judge.trouble(self.now, until);
     }
 
@@ -305,6 +330,7 @@
         }
         let life = self.life(machine);
         self.machines[machine].end(ending, &mut self.random);
+        self.judge.touch.process_ends(self.now, machine);
         self.end_calls(life);
         self.close_connections(life, ending);
         let pause = (50 + self.random.below(3_000) as Micros) * MILLISECOND;
@@ -326,6 +352,7 @@
         }
         let (seeds, seed) = (self.seeds.clone(), self.random.draw());
         let is_first = self.now < self.traffic_begins && self.machines[machine].life == 0;
+        self.judge.touch.process_begins(self.now, machine);
         self.machines[machine].start(self.now, &seeds, is_first, seed, self.plan.planted);
         let life = self.life(machine);
         self.agenda.add(self.now, Event::Process(life, Input::Wake));
--- a/crates/cluster/src/hosts.rs
+++ b/crates/cluster/src/hosts.rs
@@ -12,6 +12,8 @@
 use crate::configuration::{LIMITED, ORDERED, PLAIN, RATE_PER_S, TIMEOUT_MS, limited_address};
 use crate::plan::{MILLISECOND, SECOND};
 
+/// The answer to a request for another instance.
+const OTHER_INSTANCE: u16 = 421;
 const SLOTS: u32 = 6;
 const QUEUED: usize = 2;
 const HOSTS_OF_A_SERVICE: u16 = 3;
@@ -38,6 +40,8 @@
     pub instance: Option<Arc<str>>,
     pub service: &'static str,
     pub is_ready: bool,
+    /// Since when the list shows it as draining.
+    pub draining_since: Option<Micros>,
     pub is_up: bool,
     /// It turns away, resets and loses much until then.
     pub troubled_until: Micros,
@@ -45,6 +49,13 @@
     arrivals: Vec<Micros>,
 }
 
+impl Host {
+    fn drain(&mut self, now: Micros) {
+        self.is_ready = false;
+        self.draining_since.get_or_insert(now);
+    }
+}
+
 /// What a host does with a request.
 pub enum Reaction {
     Answers { status: u16, not_executed: bool },
@@ -71,6 +82,7 @@
             instance: None,
             service: LIMITED,
             is_ready: true,
+            draining_since: None,
             is_up: true,
             troubled_until: 0,
             running: 0,
@@ -91,6 +103,7 @@
             instance: Some(Arc::from(format!("i-{}", self.last_instance))),
             service,
             is_ready: true,
+            draining_since: None,
             is_up: true,
             troubled_until: 0,
             running: 0,
@@ -106,7 +119,7 @@
         let service = self.all[index].service;
         let (ready, host) = (self.ready_hosts(service), &mut self.all[index]);
         match self.random.below(4) {
-            0 if host.is_up && ready > 1 => host.is_ready = false,
+            0 if host.is_up && ready > 1 => host.drain(now),
             1 if host.is_up && (ready > 1 || !host.is_ready) => host.is_up = false,
             2 => self.begin(service),
             _ => {
@@ -143,6 +156,11 @@
         self.all.iter().position(|host| host.is_up && host.address == address)
     }
 
+    /// Whether a reaction turns a request away as one for another instance.
+    pub fn is_for_another(reaction: &Reaction) -> bool {
+        matches!(reaction, Reaction::Answers { status: OTHER_INSTANCE, .. })
+    }
+
     pub fn is_healthy(&self, target: &Target) -> bool {
         self.at(target.address)
             .is_some_and(|index| target.instance.is_none() || self.all[index].instance == target.instance)
@@ -154,7 +172,7 @@
         let host = &mut self.all[index];
         let turned_away = |status| Reaction::Answers { status, not_executed: true };
         if target.instance.is_some() && target.instance != host.instance {
-            return turned_away(421);
+            return turned_away(OTHER_INSTANCE);
         }
         if host.service == LIMITED {
             host.arrivals.retain(|at| *at + SECOND > now);
--- a/crates/cluster/src/judge/config.rs
+++ b/crates/cluster/src/judge/config.rs
@@ -43,7 +43,7 @@
     /// An operator sends a change.
     pub fn change_sent(&mut self, now: Micros, change: &Change) {
         self.history.sent(now, change.write());
-        self.routes.sent(change);
+        self.handling.sent(change);
     }
 
     /// A relay answers a change; the operator may not hear it.
@@ -52,13 +52,15 @@
         match outcome {
             Outcome::Accepted { version } => {
                 self.history.accepted(interval.answered_at, write, *version);
-                self.routes.acknowledged(interval.answered_at, change);
+                self.handling.acknowledged(interval.answered_at, change);
             }
             Outcome::Conflict { current } => {
+                self.handling.refused(change);
                 self.history.refused(write);
                 self.history.read(interval, *current);
             }
             Outcome::Invalid { errors } => {
+                self.handling.refused(change);
                 self.history.refused(write);
                 let what = format!("version {} is said to be invalid: {}", write.version, errors.join("; "));
                 self.breach(None, Rule::Config, what);
--- a/crates/cluster/src/judge/mod.rs
+++ b/crates/cluster/src/judge/mod.rs
@@ -1,9 +1,12 @@
 //! Knows the rules, sees what clients, hosts and operators see, and keeps a trace of each message.
 
+mod bounds;
 mod config;
+mod handling;
 mod routes;
 mod runs;
 mod states;
+mod touch;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -14,8 +17,10 @@
 use pewterseam_wire::control::ConfigDocument;
 use pewterseam_wire::record::MessageName;
 
+use handling::Handling;
 use routes::Routes;
 pub use runs::SentMessage;
+use touch::Touch;
 
 use crate::calls::CallKey;
 use crate::configuration::RETENTION;
@@ -40,6 +45,8 @@
 }
 
 struct Try {
+    /// The relay that the client sent it to.
+    taker: Life,
     route: Arc<str>,
     key: Option<Arc<str>>,
     sent_at: Micros,
@@ -82,6 +89,9 @@
     removed_stores: usize,
     history: History,
     routes: Routes,
+    handling: Handling,
+    /// Which machines were in touch.
+    pub touch: Touch,
     indexes: BTreeMap<Life, u64>,
     taken: BTreeMap<u64, Arc<ConfigDocument>>,
     marks: BTreeMap<u64, Option<u64>>,
@@ -136,6 +146,7 @@
     /// A client sends a try.
     pub fn sent(&mut self, now: Micros, new: &NewMessage, relay: Life) {
         let message = Try {
+            taker: relay,
             route: new.route.clone(),
             key: new.ordering_key.clone(),
             sent_at: now,
--- a/crates/cluster/src/judge/routes.rs
+++ b/crates/cluster/src/judge/routes.rs
@@ -1,15 +1,10 @@
-//! Routes that changes drop and add: when a message has ended with its route, and when it may run no more.
+//! Routes that changes drop and add: when a message has ended with its route.
 
 use std::collections::BTreeMap;
 
 use pewterseam_wire::Micros;
 
 use crate::configuration::{PASSING, passing_routes};
-use crate::operators::Change;
-use crate::plan::SECOND;
-
-/// `configApplyMs`.
-const APPLIED_WITHIN: Micros = 3 * SECOND;
 
 /// A time in which a route was not in force.
 #[derive(Clone, Copy, Debug)]
@@ -23,39 +18,9 @@
 pub struct Routes {
     newest: u64,
     absences: BTreeMap<&'static str, Vec<Absence>>,
-    /// When the newest change without the route was acknowledged, and no change with it was sent since.
-    dropped_at: BTreeMap<&'static str, Micros>,
-    newest_acknowledged: u64,
-    /// The highest version of a change with the route that was sent.
-    offered: BTreeMap<&'static str, u64>,
 }
 
 impl Routes {
-    /// A change is sent: its routes may be in force from now on.
-    pub fn sent(&mut self, change: &Change) {
-        for route in &change.passing {
-            self.dropped_at.remove(route);
-            let offered = self.offered.entry(route).or_default();
-            *offered = change.version.max(*offered);
-        }
-    }
-
-    /// A change is acknowledged.
-    pub fn acknowledged(&mut self, now: Micros, change: &Change) {
-        if change.version <= self.newest_acknowledged {
-            return;
-        }
-        self.newest_acknowledged = change.version;
-        for route in PASSING {
-            let may_return = self.offered.get(route).is_some_and(|offered| *offered > change.version);
-            if change.passing.contains(&route) || may_return {
-                self.dropped_at.remove(route);
-            } else {
-                self.dropped_at.entry(route).or_insert(now);
-            }
-        }
-    }
-
     /// A configuration is in force somewhere for the first time.
     pub fn in_force(&mut self, now: Micros, version: u64, text: &[u8]) {
         if version <= self.newest {
@@ -79,9 +44,4 @@
         let absences = self.absences.get(route).into_iter().flatten();
         absences.into_iter().any(|absence| absence.until >= sent_at && absence.from <= now)
     }
-
-    /// Whether every relay in touch knows that the route of a message that was sent then is gone.
-    pub fn is_gone(&self, route: &str, sent_at: Micros) -> bool {
-        self.dropped_at.get(route).is_some_and(|at| sent_at > at + APPLIED_WITHIN)
-    }
 }
--- a/crates/cluster/src/judge/runs.rs
+++ b/crates/cluster/src/judge/runs.rs
@@ -74,21 +74,11 @@
         if read.is_some_and(|read| !self.is_excused(read)) && self.is_calm(now) {
             self.breach(Some(id), Rule::Twice, format!("{id} runs again after its success was read"));
         }
-        self.check_route(now, id);
+        self.handled(now, id, sender, Some(service));
         self.check_order(now, id);
         self.check_budget(now, id);
     }
 
-    /// CONFIG: what was sent when its route was long gone does not run, unless a sender was out of touch.
-    fn check_route(&mut self, now: Micros, id: &Arc<str>) {
-        let Some(message) = self.tries.get(id) else { return };
-        let was_calm = self.is_calm(message.sent_at) && self.is_calm(now);
-        if was_calm && self.routes.is_gone(&message.route, message.sent_at) {
-            let what = format!("{id} was sent when {} was long gone, and runs", message.route);
-            self.breach(Some(id), Rule::Config, what);
-        }
-    }
-
     /// BUDGET: a message that fails at each run is given up. Hosts count what they answered; the stricter bound counts
     /// what its senders have read, where none of them has died and there was no trouble since.
     fn check_budget(&mut self, now: Micros, id: &Arc<str>) {
--- a/crates/cluster/src/lib.rs
+++ b/crates/cluster/src/lib.rs
@@ -15,6 +15,7 @@
 mod hash_seeds;
 pub mod history;
 mod hosts;
+mod in_force;
 mod judge;
 mod long_troubles;
 mod machine;
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -28,6 +28,12 @@
     EarlyCopies,
     /// Relays keep the routes of the first configuration that comes into force.
     KeptRoutes,
+    /// Relays put configurations in force some seconds after they know them.
+    LateConfigurations,
+    /// Relays go back to the configuration before, soon after they put one in force.
+    ReturningConfigurations,
+    /// Relays know of no host that drains.
+    KeptHosts,
     /// Relays send messages to hosts without their ordering keys.
     LostKeys,
     /// Relays take answers of 500 for refusals to run.
@@ -58,6 +64,8 @@
     ChangingRoutes,
     /// Hosts send answers twice, with the id of another message or none, and break them off.
     GarblingHosts,
+    /// Many hosts drain, end and begin.
+    ChangingHosts,
 }
 
 /// A run of a cluster. The same plan gives the same run.
--- a/crates/cluster/src/planted.rs
+++ b/crates/cluster/src/planted.rs
@@ -1,14 +1,20 @@
 //! Faults of the program that are planted in relays.
 
+use std::collections::VecDeque;
+use std::sync::Arc;
+
 use bytes::Bytes;
 use pewterseam_control::{Change, OperatorRequest, Outcome, Token};
+use pewterseam_delivery::Input as DeliveryInput;
 use pewterseam_queue::MessageKey;
+use pewterseam_wire::Micros;
+use pewterseam_wire::control::ConfigDocument;
 use pewterseam_wire::placement::{StoreId, hash};
 use pewterseam_wire::record::MessageName;
 use pewterseam_wire::store::{Status, StoreRequest, StoreResponse};
 
 use crate::event::Output;
-use crate::plan::Planted;
+use crate::plan::{MILLISECOND, Planted, SECOND};
 use crate::relay::RelayProcess;
 
 impl RelayProcess {
@@ -24,6 +30,44 @@
             && self.queue.record(key).is_some_and(|record| is_drawn(&record.name))
     }
 
+    /// What a planted fault has the relay take for the news of a host.
+    pub(crate) fn believed(&self, input: DeliveryInput) -> DeliveryInput {
+        match input {
+            DeliveryInput::Hosts(mut hosts) if self.has(Planted::KeptHosts) => {
+                hosts.iter_mut().for_each(|host| host.ready = true);
+                DeliveryInput::Hosts(hosts)
+            }
+            input => input,
+        }
+    }
+
+    /// Whether a planted fault keeps a configuration that was agreed upon from being used now.
+    pub(crate) fn holds_back(&mut self, document: &Arc<ConfigDocument>) -> bool {
+        let now = self.node.now;
+        let before = self.held_back.newest.replace(document.clone());
+        let Some(before) = before.filter(|_| self.config.version > 0) else { return false };
+        match self.planted {
+            Some(Planted::KeptRoutes) => true,
+            Some(Planted::LateConfigurations) => {
+                self.held_back.due.push_back((now + LATE_BY, document.clone()));
+                true
+            }
+            Some(Planted::ReturningConfigurations) => {
+                self.held_back.due.push_back((now + RETURN_AFTER, before));
+                false
+            }
+            _ => false,
+        }
+    }
+
+    /// Uses what a planted fault has held back long enough.
+    pub(crate) fn use_held_back(&mut self) {
+        let now = self.node.now;
+        while let Some((_, document)) = self.held_back.due.pop_front_if(|(due, _)| *due <= now) {
+            self.use_config(&document);
+        }
+    }
+
     /// An operator calls.
     pub(crate) fn operator(&mut self, token: Token, request: OperatorRequest) {
         match (self.planted, request) {
@@ -60,6 +104,16 @@
     }
 }
 
+/// Configurations that planted faults have in hand.
+#[derive(Default)]
+pub struct HeldBack {
+    newest: Option<Arc<ConfigDocument>>,
+    /// Those that are to be used, and when.
+    due: VecDeque<(Micros, Arc<ConfigDocument>)>,
+}
+
+const LATE_BY: Micros = 4 * SECOND;
+const RETURN_AFTER: Micros = 600 * MILLISECOND;
 const MOST_SPACES: usize = 64;
 /// One message of so many is forgotten.
 const FORGOTTEN_OF: u64 = 40;
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -15,17 +15,16 @@
     QueueSettings, RunResult, Submission,
 };
 use pewterseam_wire::Micros;
-use pewterseam_wire::control::ControlState;
 use pewterseam_wire::identity::{NodeName, Owner, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
-use crate::configuration::{route_table, services};
 use crate::disk::LogName;
 use crate::event::{Input, Origin, Output};
 use crate::message::PeerMessage;
 use crate::node::{Node, NodeEvent};
 use crate::plan::{MILLISECOND, Planted, SECOND};
+use crate::planted::HeldBack;
 use crate::reads::{FIRST_READ_CALL, Reads};
 use crate::sends::UnsentAttempt;
 use crate::stopping::Stopping;
@@ -46,7 +45,8 @@
     delivery_wake: Micros,
     pub(crate) attempts: BTreeMap<AttemptId, u64>,
     pub(crate) unsent: BTreeMap<AttemptId, UnsentAttempt>,
-    config: Arc<CompiledConfig>,
+    pub(crate) config: Arc<CompiledConfig>,
+    pub(crate) held_back: HeldBack,
     pub(crate) clients: BTreeSet<u64>,
     pub(crate) reads: Reads,
     calls: BTreeMap<SocketAddr, BTreeSet<CallId>>,
@@ -86,6 +86,7 @@
             attempts: BTreeMap::new(),
             unsent: BTreeMap::new(),
             config: Arc::new(CompiledConfig::default()),
+            held_back: HeldBack::default(),
             clients: BTreeSet::new(),
             reads: Reads::default(),
             calls: BTreeMap::new(),
@@ -119,6 +120,7 @@
         for event in self.node.tick() {
             self.node_event(event);
         }
+        self.use_held_back();
         self.renew_core_lease();
         let now = self.node.now;
         if self.queue.wake_at().is_some_and(|at| at <= now) {
@@ -169,25 +171,6 @@
         }
     }
 
-    fn in_force(&mut self, state: &Arc<ControlState>) {
-        let effects = self.queue.set_placement(self.node.now, state.placement.clone());
-        self.queue_effects.extend(effects);
-        if state.config.version == self.config.version {
-            return;
-        }
-        if self.has(Planted::KeptRoutes) && self.config.version > 0 {
-            return;
-        }
-        let Ok(compiled) = CompiledConfig::compile(&state.config.text) else {
-            panic!("an agreed configuration cannot be used");
-        };
-        self.delivery_inputs.push(DeliveryInput::Services(services(&compiled)));
-        let table = Arc::new(route_table(&compiled));
-        self.config = Arc::new(compiled);
-        let effects = self.queue.set_routes(self.node.now, table);
-        self.queue_effects.extend(effects);
-    }
-
     pub fn input(&mut self, input: Input) {
         match input {
             Input::Wake | Input::Datagram { .. } => {}
@@ -204,6 +187,7 @@
                 if let DeliveryInput::Ended { attempt, .. } = &input {
                     self.attempts.remove(attempt);
                 }
+                let input = self.believed(input);
                 self.delivery_inputs.push(input);
             }
             Input::Stop => self.begin_stopping(),
@@ -219,6 +203,9 @@
             self.node.out.push(Output::Answer { token: new.token.0, answer });
             return;
         }
+        if !self.config.routes().any(|route| route.name == new.route) {
+            self.node.out.push(Output::NoRoute { token: new.token.0 });
+        }
         self.clients.insert(new.token.0);
         let effects = self.queue.accept(self.node.now, self.node.wall, new);
         self.queue_effects.extend(effects);
--- a/crates/cluster/src/report.rs
+++ b/crates/cluster/src/report.rs
@@ -13,6 +13,10 @@
     Mixed,
     Ceiling,
     Config,
+    /// A machine in touch sends requests to a host that drains.
+    Drain,
+    /// A process goes back to an older configuration: CONFIG.
+    Downgrade,
     Early,
     Unasked,
     Budget,
--- a/crates/cluster/src/size.rs
+++ b/crates/cluster/src/size.rs
@@ -25,12 +25,15 @@
 /// The same where faults overlap.
 const LEAST_OVERLAP_TRAFFIC_MS: usize = 12_000;
 const MORE_OVERLAP_TRAFFIC_MS: usize = 8_000;
-/// The same where changes are many.
+/// The same where changes are many, of the configuration or of hosts.
 const LEAST_CHANGING_MS: usize = 10_000;
 const MORE_CHANGING_MS: usize = 10_000;
 /// The same where stores come and go.
 const LEAST_SCALING_MS: usize = 12_000;
 const MORE_SCALING_MS: usize = 12_000;
+/// Fewer changes of hosts than so many.
+const USUAL_CHANGES_OF_HOSTS: usize = 6;
+const MANY_CHANGES_OF_HOSTS: usize = 30;
 const CALM: Micros = 4 * SECOND;
 /// The same where it is judged whether anything is left lying; of the usual runs one of so many.
 const LONG_CALM: Micros = 16 * SECOND;
@@ -47,6 +50,11 @@
     if scenario == Scenario::ManyChanges { 3 } else { 2 }
 }
 
+/// Fewer changes of hosts than so many are drawn.
+pub fn most_changes_of_hosts(scenario: Scenario) -> usize {
+    if scenario == Scenario::ChangingHosts { MANY_CHANGES_OF_HOSTS } else { USUAL_CHANGES_OF_HOSTS }
+}
+
 /// How long the traffic lasts.
 pub fn random_span(random: &mut Random, scenario: Scenario) -> Micros {
     let (least, more) = match scenario {
@@ -55,6 +63,7 @@
         Scenario::ScaleIn => (LEAST_SCALING_MS, MORE_SCALING_MS),
         Scenario::ManyChanges => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
         Scenario::ChangingRoutes => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
+        Scenario::ChangingHosts => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
         Scenario::GarblingHosts => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
         Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
     };
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -143,7 +143,8 @@
             let at = self.traffic_begins + self.random.below(span) as Micros;
             self.agenda.add(at, Event::ClientSends { client });
         }
-        for _ in 0..self.random.below(6) {
+        let most_changes = size::most_changes_of_hosts(self.plan.scenario);
+        for _ in 0..self.random.below(most_changes) {
             let at = self.traffic_begins + self.random.below(span) as Micros;
             self.agenda.add(at, Event::HostsChange);
         }
@@ -245,6 +246,11 @@
                     self.agenda.add(at, event);
                 }
             }
+            Output::NoRoute { token } => {
+                if let Some((_, id)) = self.requests.get(&token) {
+                    self.judge.handled(self.now, &id.clone(), life, None);
+                }
+            }
             Output::Status { read, result } => {
                 if let Some(result) = result
                     && !self.state_told(read, &result)
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -75,6 +75,24 @@
     find_in(Scenario::ChangingRoutes, Planted::KeptRoutes, Rule::Config, 100);
 }
 
+/// Guards that relays which use a configuration four seconds late are found.
+#[test]
+fn late_configurations_are_found() {
+    find_in(Scenario::ChangingRoutes, Planted::LateConfigurations, Rule::Config, 100);
+}
+
+/// Guards that relays which go back to the configuration before are found.
+#[test]
+fn returning_configurations_are_found() {
+    find_in(Scenario::ChangingRoutes, Planted::ReturningConfigurations, Rule::Downgrade, 100);
+}
+
+/// Guards that relays which send to hosts that drain are found.
+#[test]
+fn kept_hosts_are_found() {
+    find_in(Scenario::ChangingHosts, Planted::KeptHosts, Rule::Drain, 100);
+}
+
 /// Guards that messages which go to hosts without their ordering keys are found.
 #[test]
 fn lost_keys_are_found() {
--- a/crates/cluster/tests/scenarios.rs
+++ b/crates/cluster/tests/scenarios.rs
@@ -41,10 +41,18 @@
 static MANY_CHANGES: Days = Days::new(Scenario::ManyChanges, 150);
 static CHANGING_ROUTES: Days = Days::new(Scenario::ChangingRoutes, 200);
 static GARBLING_HOSTS: Days = Days::new(Scenario::GarblingHosts, 200);
+static CHANGING_HOSTS: Days = Days::new(Scenario::ChangingHosts, 150);
 static SCALE_IN: Days = Days::new(Scenario::ScaleIn, 200);
 
-static ALL_DAYS: [&Days; 6] =
-    [&LONG_TROUBLES, &OVERLAPPING_FAULTS, &MANY_CHANGES, &SCALE_IN, &CHANGING_ROUTES, &GARBLING_HOSTS];
+static ALL_DAYS: [&Days; 7] = [
+    &LONG_TROUBLES,
+    &OVERLAPPING_FAULTS,
+    &MANY_CHANGES,
+    &SCALE_IN,
+    &CHANGING_ROUTES,
+    &GARBLING_HOSTS,
+    &CHANGING_HOSTS,
+];
 
 /// Guards the rules over cuts of 5, 20 and 60 s, of any direction, of two machines at once and between relays and
 /// hosts, long freezes, and disks that are stalled, slow or full for long.
@@ -75,7 +83,14 @@
     assert!(removed >= reports.len() / 2, "only {removed} stores were retired");
 }
 
-/// Guards CONFIG and the ends of messages where changes drop routes that clients use, and add them again.
+/// Guards DRAIN and the other rules where many hosts drain, end and begin.
+#[test]
+fn clusters_follow_changes_of_hosts() {
+    CHANGING_HOSTS.assert_other_rules();
+}
+
+/// Guards CONFIG and the ends of messages where changes drop routes that clients use, add them again and move them to
+/// another service.
 #[test]
 fn clusters_follow_changes_of_routes() {
     CHANGING_ROUTES.assert_other_rules();
