--- a/crates/outbound/src/attempt.rs
+++ b/crates/outbound/src/attempt.rs
@@ -1,13 +1,14 @@
 //! One attempt at a host, from the connection to the end of the answer.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use pewterseam_delivery::{AttemptEnd, AttemptId, AttemptResult, Target};
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 use crate::answer;
 use crate::connection::{Connection, connect};
@@ -76,7 +77,8 @@
         let mut connection = match idle {
             Some(connection) => connection,
             None => {
-                match connect(address, plan.connect_timeout, plan.timeout.max(plan.connect_timeout)).await {
+                let silence = plan.timeout.max(plan.connect_timeout);
+                match connect(&*shared.dialer, address, plan.connect_timeout, silence).await {
                     Ok(connection) => connection,
                     Err(_) => return Some(Ended::without_connection(AttemptResult::ConnectFailed, None)),
                 }
@@ -126,7 +128,7 @@
 async fn exchange(
     shared: &Shared, plan: &Plan, connection: &mut Connection, request: Request<Full<Bytes>>,
 ) -> Exchange {
-    let by = tokio::time::Instant::now() + plan.timeout + shared.settings.answer_grace;
+    let by = Instant::now() + plan.timeout + shared.settings.answer_grace;
     let sending = tokio::time::timeout_at(by, connection.sender.try_send_request(request)).await;
     let response = match sending {
         Ok(Ok(response)) => response,
@@ -153,7 +155,7 @@
         let idle = shared.pool().take(target.address, None, Instant::now());
         let mut connection = match idle {
             Some(connection) => connection,
-            None => connect(target.address, timeout, timeout).await.ok()?,
+            None => connect(&*shared.dialer, target.address, timeout, timeout).await.ok()?,
         };
         let request = Request::get(path).header("host", target.address.to_string());
         let response = connection.sender.send_request(request.body(Full::default()).ok()?).await.ok()?;
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -4,15 +4,16 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
+
+use crate::dialer::Dialer;
 
 /// The most that is read or kept to be written at a time.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -55,6 +56,13 @@
         self.carried.iter().any(|carried| **carried == *request_id)
     }
 
+    /// Whether no message was written on it.
+    ///
+    /// Danger: a host sends an answer that nobody asked for, without an id, and it is read as that to a health check.
+    pub(crate) fn has_carried_none(&self) -> bool {
+        self.carried.is_empty()
+    }
+
     pub(crate) fn is_kept(&self, now: Instant) -> bool {
         self.kept_until.is_some_and(|until| until > now)
     }
@@ -88,12 +96,10 @@
 
 /// Opens a connection; a peer that says nothing for `silence` to what was sent has it broken by the system.
 pub(crate) async fn connect(
-    address: SocketAddr, within: Duration, silence: Duration,
+    dialer: &dyn Dialer, address: SocketAddr, within: Duration, silence: Duration,
 ) -> Result<Connection, ConnectError> {
-    let opening = tokio::time::timeout(within, TcpStream::connect(address)).await;
+    let opening = tokio::time::timeout(within, dialer.dial(address, silence)).await;
     let stream = opening.map_err(|_| ConnectError::TimedOut)?.map_err(ConnectError::Io)?;
-    stream.set_nodelay(true).map_err(ConnectError::Io)?;
-    SockRef::from(&stream).set_tcp_user_timeout(Some(silence)).map_err(ConnectError::Io)?;
     let handshake = Builder::new().max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(ConnectError::Http)?;
     // Its end shows in the sender.
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -6,11 +6,13 @@
 mod answer;
 mod attempt;
 mod connection;
+mod dialer;
 mod list;
 mod outbound;
 mod pool;
 mod request;
 
+pub use dialer::{ByteStream, Dialer, Dialing, TcpDialer};
 pub use list::{ListEvent, PlatformList, instances};
 pub use outbound::{CallTimes, Outbound, OutboundEvent, OutboundSettings};
 pub use request::DeliveryRequest;
--- a/crates/outbound/src/list.rs
+++ b/crates/outbound/src/list.rs
@@ -14,6 +14,7 @@
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::connection::{Connection, connect};
+use crate::dialer::TcpDialer;
 
 /// A call that takes longer has failed.
 const TIMEOUT: Duration = Duration::from_secs(1);
@@ -127,7 +128,9 @@
         let idle = self.idle.lock().await.take().filter(|connection| connection.sender.is_ready());
         let mut connection = match idle {
             Some(connection) => connection,
-            None => connect(self.address, TIMEOUT, TIMEOUT).await.map_err(|_| CallFailure::Failed)?,
+            None => {
+                connect(&TcpDialer, self.address, TIMEOUT, TIMEOUT).await.map_err(|_| CallFailure::Failed)?
+            }
         };
         let request = Request::get(path).header("host", self.address.to_string());
         let request = request.body(Full::<Bytes>::default()).map_err(|_| CallFailure::Failed)?;
--- a/crates/outbound/src/outbound.rs
+++ b/crates/outbound/src/outbound.rs
@@ -3,14 +3,16 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use pewterseam_delivery::{AttemptEnd, AttemptId, Effect, HostKey, Input, Target};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::task::AbortHandle;
+use tokio::time::Instant;
 
 use crate::attempt::{self, Plan};
+use crate::dialer::{Dialer, TcpDialer};
 use crate::pool::Pool;
 use crate::request::DeliveryRequest;
 
@@ -74,6 +76,7 @@
 #[derive(Debug)]
 pub(crate) struct Shared {
     pool: Mutex<Pool>,
+    pub(crate) dialer: Box<dyn Dialer>,
     pub(crate) settings: OutboundSettings,
     pub(crate) events: UnboundedSender<OutboundEvent>,
 }
@@ -99,7 +102,14 @@
 impl Outbound {
     /// Calls tell of themselves over `events`; hand each to [`Outbound::heard`] and then to the machine.
     pub fn new(settings: OutboundSettings, events: UnboundedSender<OutboundEvent>) -> Self {
-        let shared = Shared { pool: Mutex::new(Pool::default()), settings, events };
+        Self::with_dialer(settings, events, Box::new(TcpDialer))
+    }
+
+    /// The same over streams that this dialer opens.
+    pub fn with_dialer(
+        settings: OutboundSettings, events: UnboundedSender<OutboundEvent>, dialer: Box<dyn Dialer>,
+    ) -> Self {
+        let shared = Shared { pool: Mutex::new(Pool::default()), dialer, settings, events };
         Outbound { shared: Arc::new(shared), running: HashMap::new() }
     }
 
--- a/crates/outbound/src/pool.rs
+++ b/crates/outbound/src/pool.rs
@@ -2,7 +2,8 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Instant;
+
+use tokio::time::Instant;
 
 use crate::connection::Connection;
 
@@ -17,14 +18,17 @@
 }
 
 impl Pool {
-    /// An idle connection that is open as far as is known and has not carried this message; the one used last, so that
-    /// the others may run out.
+    /// An idle connection that is open as far as is known and has not carried this message, or any message for a health
+    /// check; the one used last, so that the others may run out.
     pub(crate) fn take(
         &mut self, address: SocketAddr, request_id: Option<&str>, now: Instant,
     ) -> Option<Connection> {
         let idle = self.idle.get_mut(&address)?;
         idle.retain(|connection| connection.is_kept(now) && connection.sender.is_ready());
-        let is_fit = |connection: &Connection| !request_id.is_some_and(|id| connection.has_carried(id));
+        let is_fit = |connection: &Connection| match request_id {
+            Some(id) => !connection.has_carried(id),
+            None => connection.has_carried_none(),
+        };
         let place = idle.iter().rposition(is_fit);
         let taken = place.map(|place| idle.remove(place));
         if idle.is_empty() {
--- a/crates/outbound/tests/calls.rs
+++ b/crates/outbound/tests/calls.rs
@@ -346,3 +346,17 @@
         assert_eq!(healthy, wanted);
     }
 }
+
+/// Guards against an answer that nobody asked for being read as that to a health check: a check goes on no connection
+/// that carried a message.
+#[tokio::test]
+async fn a_health_check_does_not_go_where_a_message_went() {
+    let host = host(&[Reply::Good]).await;
+    let mut caller = Caller::new();
+    assert_eq!(caller.call(host.address, LONG).await.result, good());
+    let target = Target { address: host.address, instance: None };
+    let (path, timeout) = (Arc::from("/health"), 5_000_000);
+    caller.outbound.carry_out(&Effect::Probe { host: HostKey(7), target, path, timeout });
+    let OutboundEvent::Probed { .. } = caller.event().await else { panic!("a check") };
+    assert_eq!((host.connections.load(Ordering::SeqCst), caller.outbound.idle()), (2, 1));
+}
