--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -17,6 +17,7 @@
 use hyper::{Method, Request, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::{Domain, Protocol, Socket, Type};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
 
@@ -113,14 +114,14 @@
     fn take(&self, stream: TcpStream) {
         let front = self.clone();
         tokio::task::spawn_local(async move {
-            front.open.set(front.open.get() + 1);
+            let _ = stream.set_nodelay(true);
+            let _counted = Counted::begin(&front.open);
             front.serve_connection(stream).await;
-            front.open.set(front.open.get() - 1);
         });
     }
 
-    async fn serve_connection(&self, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    /// Serves the requests of one connection, whatever bytes come over.
+    pub async fn serve_connection<S: AsyncRead + AsyncWrite + Unpin>(&self, stream: S) {
         let service = service_fn(|request| async { Ok::<_, Infallible>(self.respond(request).await) });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -137,9 +138,9 @@
     }
 
     async fn respond(&self, request: Request<Incoming>) -> HttpAnswer {
-        self.under_way.set(self.under_way.get() + 1);
+        let counted = Counted::begin(&self.under_way);
         let mut answer = self.answer(request).await;
-        self.under_way.set(self.under_way.get() - 1);
+        drop(counted);
         if self.stopper.phase() != Phase::Open {
             answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
@@ -205,6 +206,24 @@
     }
 }
 
+/// Counts one for as long as it lives.
+///
+/// Danger: a connection that breaks takes the request that it serves with it, wherever that waits.
+struct Counted(Rc<Cell<usize>>);
+
+impl Counted {
+    fn begin(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Counted(count.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// The host that a request names, in its target or its head.
 fn host_of(request: &Request<Incoming>) -> Option<String> {
     if let Some(host) = request.uri().authority() {
