Permits: a ledger outlasts a denial

Cause: the next home hears by membership that the one before is gone, claims, takes the ledger that was handed over, and is denied by relays that do not know yet. It then threw the ledger away, and the home that started again waited for contactMs and more. Change: a home that has taken a ledger over keeps it to tell the next one when it is denied: the one before grants nothing any more. Test: a_ledger_outlasts_a_denial, seen to fail without the change.

--- a/crates/permits/src/claims.rs
+++ b/crates/permits/src/claims.rs
@@ -132,12 +132,13 @@
 
     /// A claim was denied; the next one is not made at once.
     pub(crate) fn denied(&mut self, now: Micros, service: &Arc<str>, claim: ClaimId) {
+        let has_word = self.has_word(now);
         let Some(service) = self.services.get_mut(service) else { return };
         // Danger: what the other one grants meanwhile is not in this one's budget.
         if service.granting.as_ref().is_none_or(|home| home.claim != claim) {
             return;
         }
-        service.be_denied(now);
+        service.be_denied(now, has_word);
         self.choose_homes(now);
         for service in self.services.values_mut() {
             service.claim_at = service.claim_at.map(|at| at.max(now + CLAIM_AGAIN));
--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -39,6 +39,8 @@
     opens_at: Micros,
     /// There may have been a home before it.
     follows: bool,
+    /// The home before it has told of its permits, and grants none any more.
+    has_taken_over: bool,
     /// What relays that follow this one have seen.
     vouched: BTreeMap<NodeName, Witness>,
 }
@@ -63,6 +65,7 @@
             began_at: now,
             opens_at,
             follows,
+            has_taken_over: false,
             vouched: BTreeMap::new(),
         }
     }
@@ -73,9 +76,15 @@
         if !self.is_open(now) {
             self.budget.take_over(ledger, now);
             self.opens_at = now;
+            self.has_taken_over = true;
         }
     }
 
+    /// Whether this home knows of all permits that may be out: the home before it has told of its own.
+    pub(crate) fn has_last_word(&self, now: Micros) -> bool {
+        self.has_taken_over && self.is_open(now)
+    }
+
     /// A relay that follows this home tells what it has seen of earlier ones.
     pub(crate) fn vouch(&mut self, witness: NodeName, seen: Witness) {
         self.vouched.insert(witness, seen);
--- a/crates/permits/src/service.rs
+++ b/crates/permits/src/service.rs
@@ -59,8 +59,12 @@
         self.witness = Witness::new(now);
     }
 
-    /// Another relay denies that this one is the home: the one before has gone on.
-    pub(crate) fn be_denied(&mut self, now: Micros) {
+    /// Another relay denies that this one is the home: the one before has gone on. Not where that one has handed its place
+    /// over: then this relay has the last word, and the next home is told of it.
+    pub(crate) fn be_denied(&mut self, now: Micros, has_word: bool) {
+        if self.granting.as_ref().is_some_and(|home| home.has_last_word(now)) {
+            return self.leave_home(now, has_word);
+        }
         self.witness.last_went_on(now);
         self.leave_home(now, false);
         self.yielded = None;
--- a/crates/permits/tests/claims.rs
+++ b/crates/permits/tests/claims.rs
@@ -139,6 +139,30 @@
     }
 }
 
+/// Guards against a ledger that is lost where the next home has it, and is denied by relays that do not know yet that the
+/// one before has gone: the home that starts again then waits as if nobody knew of its permits.
+#[test]
+fn a_ledger_outlasts_a_denial() {
+    let relays = by_rank();
+    let [home, next, other] = relays.clone();
+    let (claim, handed, ends_at) = home_that_ends(&home, &next, &relays);
+    let mut permits = permits(&next, &relays, SECOND);
+    permits.receive(SECOND, &home, claim);
+    permits.set_relays(ends_at, &[next.clone(), other.clone()]);
+    let (_, message) = claims(&mut permits, ends_at).remove(0);
+    let PermitMessage::Claim { service, claim } = message else { panic!("a claim") };
+    permits.receive(ends_at, &home, handed);
+    permits.receive(ends_at, &other, PermitMessage::Deny { service, claim });
+    let mut again = permits_of_life(&home, 2, &relays, ends_at);
+    let (_, second_claim) = claims(&mut again, ends_at).remove(0);
+    permits.set_relays(ends_at, &relays);
+    permits.receive(ends_at, &home, second_claim);
+    let yielded = permits.step(ends_at).into_iter().any(|PermitEffect::Send { to, message }| {
+        to == home && matches!(message, PermitMessage::Yield { .. })
+    });
+    assert!(yielded);
+}
+
 /// Guards against a ledger that comes late, when the next process of its home has granted permits that are not in it.
 #[test]
 fn a_late_hand_over_is_passed_over() {
