--- a/crates/control/tests/control/catch_up.rs
+++ b/crates/control/tests/control/catch_up.rs
@@ -4,6 +4,7 @@
 use pewterseam_control::{OperatorRequest, Outcome};
 
 use crate::simulation::cluster::{Cluster, MS};
+use crate::simulation::routes::{configuration, route};
 use crate::{call, formed};
 
 const SECOND: u64 = 1_000 * MS;
@@ -14,18 +15,6 @@
 /// `catchUpS` of a small site.
 const CATCH_UP: u64 = 4_400 * MS;
 
-fn route(number: usize, timeout: u64) -> String {
-    format!(
-        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":{timeout},"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
-        number % 20
-    )
-}
-
-fn routes(count: usize) -> Bytes {
-    let routes: Vec<String> = (0..count).map(|number| route(number, 600)).collect();
-    Bytes::from(format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, routes.join(",")))
-}
-
 /// A cluster with three core members, two relays without a disk and three stores, and changes.
 struct Changing {
     cluster: Cluster,
@@ -104,7 +93,7 @@
 #[test]
 fn a_whole_state_arrives_over_a_slow_and_lossy_link() {
     for seed in 0..4 {
-        let mut changing = Changing::new(seed, routes(5_000));
+        let mut changing = Changing::new(seed, configuration(5_000));
         let behind = [2, 4, 5, 6, 7];
         for node in behind {
             changing.cluster.kill(node);
@@ -183,13 +172,13 @@
 #[test]
 fn catching_up_is_bounded_in_time_and_bytes() {
     for changes in [10, 100, 300, 1_000, 5_000] {
-        catch_up(&routes(3), "3 routes", changes);
+        catch_up(&configuration(3), "3 routes", changes);
     }
 }
 
 #[test]
 fn catching_up_with_a_large_configuration_is_bounded() {
     for changes in [10, 100, 1_000] {
-        catch_up(&routes(5_000), "5,000 routes", changes);
+        catch_up(&configuration(5_000), "5,000 routes", changes);
     }
 }
--- a/crates/control/tests/control/changes.rs
+++ b/crates/control/tests/control/changes.rs
@@ -1,6 +1,7 @@
 //! The core and the stores change: disks are lost, machines are replaced, stores are retired.
 
 use crate::simulation::cluster::{Cluster, MS, document};
+use crate::simulation::routes::{configuration, route};
 use crate::{call, formed};
 use pewterseam_control::{Contact, OperatorRequest, Outcome};
 use pewterseam_wire::identity::{NodeName, Role};
@@ -220,20 +221,11 @@
     assert_whole(&mut cluster);
 }
 
-fn large_route(number: usize, timeout: u64) -> String {
-    format!(
-        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":{timeout},"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
-        number % 20
-    )
-}
-
 /// Guards against large configurations that travel whole with every change, or are in force wrongly after it.
 #[test]
 fn changes_of_large_configurations_travel_as_changes() {
     let mut cluster = formed(5, 4, 4, 3);
-    let routes: Vec<String> = (0..5_000).map(|number| large_route(number, 600)).collect();
-    let text = format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, routes.join(","));
-    let accepted = call(&mut cluster, 5, 1, OperatorRequest::put(0, text.into()));
+    let accepted = call(&mut cluster, 5, 1, OperatorRequest::put(0, configuration(5_000)));
     assert_eq!(accepted, Some(Outcome::Accepted { version: 1 }));
     cluster.run(1_000 * MS);
     for node in 0..8 {
@@ -241,7 +233,7 @@
     }
     cluster.counts_bytes = true;
     for version in 2..32 {
-        let upsert = large_route(version as usize * 7, 600 + version);
+        let upsert = route(version as usize * 7, 600 + version);
         let patch = format!(r#"{{"version":{version},"upsert":{{"routes":[{upsert}]}}}}"#);
         let accepted = call(&mut cluster, 6, version, OperatorRequest::patch(version - 1, patch.into()));
         assert_eq!(accepted, Some(Outcome::Accepted { version }));
--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -104,7 +104,7 @@
         broken.push("an order was not settled within 10 s of calm".to_owned());
     }
     let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
-    broken.extend(check(&histories).err());
+    broken.extend(check(&histories).err().map(|found| format!("{found:?}")));
     cluster.checks.finish();
     broken.append(&mut cluster.checks.broken);
     for index in 0..cluster.nodes.len() {
--- a/crates/control/tests/control/exploration.rs
+++ b/crates/control/tests/control/exploration.rs
@@ -249,7 +249,7 @@
         };
         let mut operators: Vec<Vec<Operation>> = vec![vec![before]];
         operators.extend(self.calls.iter().map(|(_, call)| vec![call.clone()]));
-        broken.extend(check(&operators).err());
+        broken.extend(check(&operators).err().map(|found| format!("{found:?}")));
         self.cluster.checks.finish();
         broken.append(&mut self.cluster.checks.broken);
         broken.into_iter().map(|line| format!("{:?}: {line}", self.path)).collect()
--- a/crates/control/tests/control/orders.rs
+++ b/crates/control/tests/control/orders.rs
@@ -186,7 +186,7 @@
     let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
     let completed = histories.iter().map(Vec::len).sum();
     let mut broken = std::mem::take(&mut cluster.checks.broken);
-    broken.extend(check(&histories).err());
+    broken.extend(check(&histories).err().map(|found| format!("{found:?}")));
     cluster.checks.finish();
     broken.append(&mut cluster.checks.broken);
     (broken, completed)
@@ -265,7 +265,7 @@
         run(&mut cluster, &mut operators, 8_000 * MS);
         let histories: Vec<_> = operators.iter().map(|operator| operator.history.clone()).collect();
         let mut broken = std::mem::take(&mut cluster.checks.broken);
-        broken.extend(check(&histories).err());
+        broken.extend(check(&histories).err().map(|found| format!("{found:?}")));
         cluster.checks.finish();
         broken.append(&mut cluster.checks.broken);
         assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -6,9 +6,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_control::{
-    Command, Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token,
-};
+use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::random::Random;
@@ -24,7 +22,7 @@
 /// A write that a disk did not sync is looked at again after this.
 const RETRY_SYNC: u64 = 100 * MS;
 /// Bytes to which [`Cluster::loss_percent`] applies once.
-const LOSS_UNIT: usize = 32 * 1024;
+pub(super) const LOSS_UNIT: usize = 32 * 1024;
 /// A store has copied what it must after so long.
 const COPY: u64 = 400 * MS;
 
@@ -42,8 +40,8 @@
 /// A clock that has told the time so far, and runs slower from a moment on.
 #[derive(Clone, Copy)]
 pub struct SlowClock {
-    since: u64,
-    slower: u64,
+    pub(super) since: u64,
+    pub(super) slower: u64,
 }
 
 impl SlowClock {
@@ -69,7 +67,7 @@
 }
 
 #[derive(Clone)]
-enum Event {
+pub(super) enum Event {
     Message { from: usize, to: usize, life: u64, message: ControlMessage },
     Wake { node: usize, life: u64 },
     Synced { node: usize, life: u64, sequence: u64 },
@@ -88,7 +86,7 @@
     pub frozen: bool,
     /// It never starts again.
     pub is_removed: bool,
-    held: Vec<Event>,
+    pub(super) held: Vec<Event>,
     pub wakes: u64,
     /// What this node's membership holds of each other: whether it is live, and since when links say otherwise.
     pub view: BTreeMap<usize, (u64, Option<u64>)>,
@@ -145,15 +143,11 @@
     copying: BTreeSet<(usize, u64, u64)>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
-    links: BTreeMap<(usize, usize), u64>,
+    pub(super) links: BTreeMap<(usize, usize), u64>,
     /// Until when a node is busy with sending.
-    sending: BTreeMap<usize, u64>,
+    pub(super) sending: BTreeMap<usize, u64>,
     order: u64,
-    next_disk: u64,
-}
-
-fn size_of(message: &ControlMessage) -> usize {
-    pewterseam_wire::frame::encode(message).map_or(0, |bytes| bytes.len())
+    pub(super) next_disk: u64,
 }
 
 fn address(index: usize) -> SocketAddr {
@@ -246,11 +240,11 @@
         index
     }
 
-    fn schedule(&mut self, delay: u64, event: Event) {
+    pub(super) fn schedule(&mut self, delay: u64, event: Event) {
         self.schedule_at(self.now + delay, event);
     }
 
-    fn schedule_at(&mut self, at: u64, event: Event) {
+    pub(super) fn schedule_at(&mut self, at: u64, event: Event) {
         self.order += 1;
         self.queue.push(Reverse((at, self.order)));
         self.events.insert(self.order, event);
@@ -292,7 +286,7 @@
         self.nodes[node].life == life && self.nodes[node].control.is_some()
     }
 
-    fn happen(&mut self, event: Event) {
+    pub(super) fn happen(&mut self, event: Event) {
         let place = match &event {
             Event::Message { to, life, .. } => Some((*to, *life)),
             Event::Wake { node, life }
@@ -373,55 +367,6 @@
         matches!(self.disks.get(&node), Some(DiskTrouble::Stalled | DiskTrouble::Full))
     }
 
-    pub fn kill(&mut self, index: usize) {
-        if self.disks.get(&index) == Some(&DiskTrouble::Full) {
-            self.nodes[index].disk.lose_power(0);
-        }
-        self.nodes[index].control = None;
-        self.nodes[index].frozen = false;
-        self.nodes[index].held.clear();
-        self.nodes[index].disk.kill();
-    }
-
-    pub fn lose_power(&mut self, index: usize) {
-        let kept = self.random.below(3);
-        self.nodes[index].disk.lose_power(if kept == 2 { self.random.below(4) } else { 0 });
-        self.kill(index);
-    }
-
-    pub fn lose_disk(&mut self, index: usize) {
-        self.kill(index);
-        self.nodes[index].disk.lose();
-        if self.planted == Planted::EmptiedDiskVotes {
-            return;
-        }
-        self.next_disk += 1;
-        let disk = DiskId(self.next_disk);
-        self.nodes[index].info.disk = self.nodes[index].info.disk.map(|_| disk);
-    }
-
-    /// From now on, a node's clock runs so many times slower than time.
-    pub fn slow_clock(&mut self, index: usize, slower: u64) {
-        self.clocks.insert(index, SlowClock { since: self.now, slower });
-    }
-
-    pub fn freeze(&mut self, index: usize, span: u64) {
-        if self.nodes[index].control.is_some() && !self.nodes[index].frozen {
-            self.nodes[index].frozen = true;
-            self.schedule(span, Event::Thaw { node: index });
-        }
-    }
-
-    fn thaw(&mut self, index: usize) {
-        if !std::mem::replace(&mut self.nodes[index].frozen, false) {
-            return;
-        }
-        for event in std::mem::take(&mut self.nodes[index].held) {
-            self.happen(event);
-        }
-        self.step(index, |control, now| control.tick(now));
-    }
-
     pub fn operator(&mut self, index: usize, token: Token, request: OperatorRequest) -> bool {
         let is_up = self.nodes[index].control.is_some() && !self.nodes[index].frozen;
         if is_up {
@@ -493,85 +438,6 @@
         self.schedule(delay, Event::Synced { node: index, life, sequence });
     }
 
-    fn send(&mut self, from: usize, to: &NodeName, message: ControlMessage) {
-        let Some(to) = self.nodes.iter().position(|node| node.info.name == *to) else { return };
-        self.messages += 1;
-        self.watch(from, to, &message);
-        if let ControlMessage::Accept { entry, .. } = &message
-            && matches!(entry.command, Command::Core { .. })
-        {
-            self.core_proposals += 1;
-        }
-        let needs_size = self.counts_bytes || self.rate.is_some() || self.rates.contains_key(&from);
-        let size = if needs_size { size_of(&message) } else { 0 };
-        self.bytes += size;
-        *self.received.entry(to).or_default() += size;
-        if self.rate.is_some() {
-            self.repeats.note(to, &message);
-        }
-        let sent = self.sent_by(from, size);
-        if self.planted == Planted::NoMajorityRead
-            && let ControlMessage::Prepare { epoch } = &message
-        {
-            self.forge_promise(from, to, *epoch);
-        }
-        let is_dropped = self.random.below(100) < self.drop_percent || self.is_lost_on_the_way(size);
-        let slower = self.slow.get(&(from, to)).copied().unwrap_or(0);
-        let delay = slower + 500 + self.random.below(4_000) as u64;
-        let at = self.links.get(&(from, to)).copied().unwrap_or(0).max(sent + delay);
-        self.links.insert((from, to), at);
-        let is_held = self.holds_entries && matches!(message, ControlMessage::Accept { .. });
-        if is_dropped || is_held || self.cuts.contains(&(from, to)) {
-            return;
-        }
-        let life = self.nodes[to].life;
-        self.schedule_at(at, Event::Message { from, to, life, message });
-    }
-
-    /// Notes what tells who leads which epoch.
-    fn watch(&mut self, from: usize, to: usize, message: &ControlMessage) {
-        match message {
-            ControlMessage::Prepare { .. } => *self.stood.entry(from).or_default() += 1,
-            ControlMessage::Promise { epoch, member, .. } => {
-                self.checks.promised(member, *epoch, (to, self.nodes[to].life));
-            }
-            ControlMessage::Heartbeat { epoch, .. } => {
-                self.checks.led(*epoch, (from, self.nodes[from].life));
-            }
-            _ => {}
-        }
-    }
-
-    /// When a node has sent a message, after all that it was sending.
-    fn sent_by(&mut self, from: usize, size: usize) -> u64 {
-        let Some(rate) = self.rates.get(&from).copied().or(self.rate) else { return self.now };
-        let start = self.sending.get(&from).copied().unwrap_or(0).max(self.now);
-        let end = start + size as u64 * 1_000_000 / rate;
-        self.sending.insert(from, end);
-        end
-    }
-
-    /// The longest time for which a node is still busy with sending what it has to send.
-    pub fn longest_backlog(&self) -> u64 {
-        self.sending.values().map(|until| until.saturating_sub(self.now)).max().unwrap_or(0)
-    }
-
-    fn is_lost_on_the_way(&mut self, size: usize) -> bool {
-        self.loss_percent > 0
-            && (0..size.div_ceil(LOSS_UNIT)).any(|_| self.random.below(100) < self.loss_percent)
-    }
-
-    /// The candidate hears a promise that nobody gave.
-    fn forge_promise(&mut self, candidate: usize, member: usize, epoch: u64) {
-        let info = &self.nodes[member].info;
-        let Some(disk) = info.disk else { return };
-        let member_id = pewterseam_control::CoreMember { name: info.name.clone(), disk };
-        let stamp = pewterseam_control::Stamp::default();
-        let message = ControlMessage::Promise { epoch, member: member_id, stamp };
-        let life = self.nodes[candidate].life;
-        self.schedule(MS, Event::Message { from: member, to: candidate, life, message });
-    }
-
     pub fn control(&self, index: usize) -> Option<&Control> {
         self.nodes[index].control.as_ref()
     }
--- a/crates/control/tests/control/simulation/history.rs
+++ b/crates/control/tests/control/simulation/history.rs
@@ -2,6 +2,7 @@
 //! linearizability, searched for as Wing and Gong do, with visited states remembered.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 
 /// What tells one order from another: the version that it builds on, and its bytes.
 pub type OrderKey = (u64, Vec<u8>);
@@ -28,7 +29,7 @@
 }
 
 /// One call of an operator with all its repetitions.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Operation {
     pub called_at: u64,
     /// When the clear answer came; the end of time without one.
@@ -44,9 +45,21 @@
     taken: BTreeSet<usize>,
 }
 
+/// Operations of which no order of all calls explains one.
+#[derive(Clone, PartialEq, Eq)]
+pub struct NoOrder {
+    pub stuck: Vec<Operation>,
+}
+
+impl fmt::Debug for NoOrder {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "no order of the calls explains one of these: {:?}", self.stuck)
+    }
+}
+
 /// Finds an order of the operations of all operators, each of which acts one call after the other, that one register
 /// would have answered so. Returns the operations that no order has room for.
-pub fn check(operators: &[Vec<Operation>]) -> Result<(), String> {
+pub fn check(operators: &[Vec<Operation>]) -> Result<(), NoOrder> {
     let mut numbers: BTreeMap<&OrderKey, usize> = BTreeMap::new();
     for operation in operators.iter().flatten() {
         if let Action::Change { order, .. } = &operation.action {
@@ -60,9 +73,8 @@
     if search.from(&vec![0; operators.len()], Register::default(), &mut visited, &mut deepest) {
         return Ok(());
     }
-    let stuck: Vec<_> =
-        operators.iter().zip(&deepest).filter_map(|(operations, done)| operations.get(*done)).collect();
-    Err(format!("no order of the calls explains one of these: {stuck:?}"))
+    let stuck = operators.iter().zip(&deepest).filter_map(|(operations, done)| operations.get(*done));
+    Err(NoOrder { stuck: stuck.cloned().collect() })
 }
 
 struct Search<'a> {
--- /dev/null
+++ b/crates/control/tests/control/simulation/routes.rs
@@ -0,0 +1,22 @@
+//! Configurations with many routes.
+
+use bytes::Bytes;
+
+/// One route in the operators' form, some 240 bytes.
+pub fn route(number: usize, timeout: u64) -> String {
+    format!(
+        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":{timeout},"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
+        number % 20
+    )
+}
+
+/// The routes with these numbers, with commas between them.
+pub fn routes(numbers: std::ops::Range<usize>) -> String {
+    let routes: Vec<String> = numbers.map(|number| route(number, 600)).collect();
+    routes.join(",")
+}
+
+/// The first configuration, with so many routes.
+pub fn configuration(count: usize) -> Bytes {
+    Bytes::from(format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, routes(0..count)))
+}
--- a/crates/control/tests/control/spread.rs
+++ b/crates/control/tests/control/spread.rs
@@ -4,6 +4,7 @@
 use pewterseam_control::{OperatorRequest, Outcome};
 
 use crate::simulation::cluster::{Cluster, MS};
+use crate::simulation::routes::{configuration, routes};
 use crate::{call, formed};
 
 /// 30 Mbit/s.
@@ -17,26 +18,14 @@
 const RELAYS: usize = 64;
 const STORES: usize = 17;
 
-fn route(number: usize) -> String {
-    format!(
-        r#"{{"name":"r-{number}","hostname":"h{}.example","pathPrefix":"/p{number}/","type":"async","timeoutMs":600,"targetLatencyMs":80,"priority":2,"backend":"b","maxAttempts":6,"fifo":false,"retentionS":90.0,"callbackUrl":false,"scheduleTargetMs":600}}"#,
-        number % 20
-    )
-}
-
-fn small() -> Bytes {
-    Bytes::from(format!(r#"{{"version":1,"routes":[{}],"backends":[{{"name":"b"}}]}}"#, route(0)))
-}
-
 /// A change of some 400 KB.
 fn large_change() -> Bytes {
-    let routes: Vec<String> = (1..1_700).map(route).collect();
-    Bytes::from(format!(r#"{{"version":2,"upsert":{{"routes":[{}]}}}}"#, routes.join(",")))
+    Bytes::from(format!(r#"{{"version":2,"upsert":{{"routes":[{}]}}}}"#, routes(1..1_700)))
 }
 
 fn large_system(seed: u64) -> Cluster {
     let mut cluster = formed(seed, CORE, RELAYS, STORES);
-    let accepted = call(&mut cluster, CORE, 1, OperatorRequest::put(0, small()));
+    let accepted = call(&mut cluster, CORE, 1, OperatorRequest::put(0, configuration(1)));
     assert_eq!(accepted, Some(Outcome::Accepted { version: 1 }), "seed {seed}");
     cluster.run(1_000 * MS);
     cluster
