--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -1,5 +1,7 @@
 //! Whole clusters: formation, changes, failover, and random trouble.
 
+use std::collections::BTreeSet;
+
 use crate::simulation::cluster::{MS, Planted, document, patch};
 use crate::simulation::faults::Faults;
 use crate::simulation::history::check;
@@ -199,12 +201,15 @@
     );
 }
 
+/// Of 1,000 seeds, so many must show it: one of 150.
+const FOUND_AT_LEAST: usize = 7;
+
 /// Guards against checks that see nothing: promises and entries that are not synced must be found out.
 #[test]
 fn a_disk_that_does_not_sync_is_found() {
     let (broken, _) = many(Planted::LyingDisk, 1_000);
-    assert!(
-        broken.iter().any(|(_, text)| text.contains("acknowledged") || text.contains("index")),
-        "not found"
-    );
+    let tells = |text: &str| text.contains("acknowledged") || text.contains("index");
+    let found: BTreeSet<u64> = broken.iter().filter(|(_, text)| tells(text)).map(|(seed, _)| *seed).collect();
+    println!("found with {} seeds: {found:?}", found.len());
+    assert!(found.len() >= FOUND_AT_LEAST, "found with {} seeds alone", found.len());
 }
