Copies of a message stay within its zone where no zone is to be borne as lost

Cause: faultTolerance names no zone, and each record with its body crossed zones twice all the same. Ruled out: bodies in the own zone with a small record elsewhere (a second object to find, repair and expire). Change: a partition has a home zone by rendezvous hashing, its group takes that zone's stores first; a relay gives a message without a key a partition of its own zone, and another one where that cannot be written to. The spread is agreed with the first placement; spreadCopies = true in the settings keeps the old one.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -154,6 +154,8 @@
     pub bind: BindAddresses,
     pub limits: ResourceLimits,
     pub fault_tolerance: FaultTolerance,
+    /// Copies of a message go to different zones also where `faultTolerance` asks for no zone to be borne.
+    pub spread_copies: bool,
     pub bounds: Bounds,
     pub cloud_api: Option<CloudApi>,
 }
@@ -209,6 +211,7 @@
             bind: self.bind(table),
             limits: self.limits(table),
             fault_tolerance: self.fault_tolerance(table),
+            spread_copies: self.optional(table, "spreadCopies", "true or false", as_bool).unwrap_or(false),
             bounds: Bounds(
                 self.optional(table, "bounds", "a table of numbers", as_numbers).unwrap_or_default(),
             ),
--- a/crates/console/src/log/messages.rs
+++ b/crates/console/src/log/messages.rs
@@ -116,7 +116,12 @@
 /// All messages belong to the reader, so that it tells of all.
 fn own_placement() -> Placement {
     let entry = StoreEntry { id: reader(), zone: Arc::from("") };
-    Placement { epoch: PlacementEpoch(FOREVER), tolerated: 0, sets: vec![vec![entry]] }
+    Placement {
+        epoch: PlacementEpoch(FOREVER),
+        tolerated: 0,
+        sets: vec![vec![entry]],
+        ..Placement::default()
+    }
 }
 
 /// A store that is asked for everything, as another store would that copies from it.
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -20,13 +20,13 @@
 
 /// Whether a store is in no group of the target that it was not in before.
 fn has_nothing_to_copy(
-    store: &StoreId, current: &[StoreEntry], target: &[StoreEntry], tolerated: u16,
+    store: &StoreId, current: &[StoreEntry], target: &[StoreEntry], in_force: &Placement,
 ) -> bool {
     if current.iter().all(|entry| entry.id != *store) {
         return false;
     }
     let sets = vec![current.to_vec(), target.to_vec()];
-    let placement = Placement { epoch: PlacementEpoch(0), tolerated, sets };
+    let placement = Placement { sets, ..*in_force };
     (0..PARTITIONS).all(|partition| {
         let groups = placement.groups(Partition(partition));
         let is_in = |group: Option<&Group>| group.is_some_and(|group| group.stores.contains(store));
@@ -75,8 +75,10 @@
         let mut retired = state.retired.clone();
         retired.extend(emptied);
         let epoch = PlacementEpoch(state.placement.epoch.0 + 1);
+        let is_first = state.placement.sets.is_empty();
+        let spread = if is_first { self.settings.copy_spread } else { state.placement.spread };
         Command::Stores {
-            placement: Placement { epoch, tolerated: self.settings.tolerated, sets },
+            placement: Placement { epoch, tolerated: self.settings.tolerated, sets, spread },
             retiring,
             retired,
         }
@@ -165,7 +167,7 @@
         let stays = |entry: &StoreEntry| {
             !is_retirement
                 && !self.peers.is_live_store(&entry.id)
-                && has_nothing_to_copy(&entry.id, current, target, state.placement.tolerated)
+                && has_nothing_to_copy(&entry.id, current, target, &state.placement)
         };
         let is_any = target.iter().any(|entry| self.is_confirmed(entry));
         is_any && target.iter().all(|entry| self.is_confirmed(entry) || stays(entry))
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use pewterseam_wire::Micros;
+use pewterseam_wire::placement::CopySpread;
 
 const MILLISECOND: Micros = 1_000;
 
@@ -15,6 +16,8 @@
     pub seeds: Vec<SocketAddr>,
     /// `f`: machines that may be lost at one time.
     pub tolerated: u16,
+    /// How copies are spread over zones from the first placement on.
+    pub copy_spread: CopySpread,
     /// Between two heartbeats of a leader.
     pub heartbeat: Micros,
     /// A leader that no majority has answered for so long steps down; members that hear no leader for so long elect.
@@ -57,6 +60,7 @@
             bootstrap: false,
             seeds: Vec::new(),
             tolerated: 1,
+            copy_spread: CopySpread::AcrossZones,
             heartbeat: 500 * MILLISECOND,
             leader_timeout: 1_500 * MILLISECOND,
             disk_timeout: 1_200 * MILLISECOND,
--- a/crates/hollow/examples/placement.rs
+++ b/crates/hollow/examples/placement.rs
@@ -17,7 +17,7 @@
         zone: Arc::from(format!("zone-{}", number % ZONES)),
     };
     let set = (0..stores).map(entry).collect();
-    Arc::new(Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![set] })
+    Arc::new(Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![set], ..Placement::default() })
 }
 
 /// Microseconds for each partition.
--- a/crates/hollow/examples/relay.rs
+++ b/crates/hollow/examples/relay.rs
@@ -58,7 +58,8 @@
     let mut queue = Queue::new(settings, 1_000);
     let set: Vec<StoreEntry> = (0..stores).map(store).collect();
     queue.set_live_stores(set.iter().map(|entry| entry.id.clone()).collect());
-    let placement = Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![set] };
+    let placement =
+        Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![set], ..Placement::default() };
     queue.set_placement(1_000, Arc::new(placement));
     let policy = RoutePolicy {
         service: Arc::from("service"),
--- a/crates/hollow/examples/store.rs
+++ b/crates/hollow/examples/store.rs
@@ -177,7 +177,8 @@
         through: 0,
     };
     let entry = StoreEntry { id: id(), zone: Arc::from("zone-1") };
-    let placement = Placement { epoch: PlacementEpoch(1), tolerated: 0, sets: vec![vec![entry]] };
+    let placement =
+        Placement { epoch: PlacementEpoch(1), tolerated: 0, sets: vec![vec![entry]], ..Placement::default() };
     bench.input(Input::Placement(Arc::new(placement)))?;
     bench.sync()?;
     println!("| work | done | machine, us each | disk, us each | syncs | log bytes each | memory each |");
--- a/crates/message-log/tests/common/mod.rs
+++ b/crates/message-log/tests/common/mod.rs
@@ -34,7 +34,7 @@
 
 pub fn placement(epoch: u64, sets: &[&[&str]]) -> Arc<Placement> {
     let sets = sets.iter().map(|names| set(names)).collect();
-    Arc::new(Placement { epoch: PlacementEpoch(epoch), tolerated: 1, sets })
+    Arc::new(Placement { epoch: PlacementEpoch(epoch), tolerated: 1, sets, ..Placement::default() })
 }
 
 pub fn owner(name: &str, life: u64) -> Owner {
--- a/crates/message-log/tests/retirement.rs
+++ b/crates/message-log/tests/retirement.rs
@@ -34,7 +34,7 @@
 }
 
 fn placement_of(epoch: u64, sets: Vec<Vec<StoreEntry>>) -> Arc<Placement> {
-    Arc::new(Placement { epoch: PlacementEpoch(epoch), tolerated: TOLERATED, sets })
+    Arc::new(Placement { epoch: PlacementEpoch(epoch), tolerated: TOLERATED, sets, ..Placement::default() })
 }
 
 fn node<'a>(nodes: &'a mut [Node], name: &NodeName) -> &'a mut Node {
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -30,7 +30,7 @@
     /// A client hands in a message.
     pub fn accept(&mut self, now: Micros, wall: WallMicros, new: NewMessage) -> Vec<Effect> {
         self.now = now;
-        let partition = Partition::of(new.ordering_key.as_deref().unwrap_or(&new.request_id));
+        let partition = self.partition_for(&new);
         let policy = self.routes.routes.get(&new.route);
         let retention_ms = policy.map_or(0, |policy| policy.retention_ms);
         if policy.is_none() || !self.has_room(new.body.len()) {
@@ -43,6 +43,20 @@
         self.take_effects()
     }
 
+    /// The partition of a new message. One with an ordering key has that of its key; for another one it is chosen so that
+    /// its stores can be written to, and are near.
+    fn partition_for(&self, new: &NewMessage) -> Partition {
+        if let Some(ordering_key) = &new.ordering_key {
+            return Partition::of(ordering_key);
+        }
+        let mut candidates = self.stores.candidates(&new.request_id);
+        let first = candidates.next().unwrap_or_else(|| Partition::of(&new.request_id));
+        if self.stores.can_write(first) {
+            return first;
+        }
+        candidates.find(|partition| self.stores.can_write(*partition)).unwrap_or(first)
+    }
+
     fn has_room(&self, bytes: usize) -> bool {
         self.messages.len() < self.settings.most_messages
             && self.body_bytes + bytes <= self.settings.most_body_bytes
--- a/crates/queue/src/stores.rs
+++ b/crates/queue/src/stores.rs
@@ -146,6 +146,11 @@
         chosen
     }
 
+    /// The partitions to try in turn for a message without an ordering key.
+    pub fn candidates<'a>(&'a self, id: &'a str) -> impl Iterator<Item = Partition> + 'a {
+        self.placement.candidates(id, &self.zone)
+    }
+
     /// Whether enough stores are alive for a write to this partition.
     pub fn can_write(&self, partition: Partition) -> bool {
         let out = self.out_of_reach();
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -91,7 +91,8 @@
             entries.iter().map(|entry| (entry.id.clone(), FakeStore::default())).collect();
         let mut queue = Queue::new(settings, MILLISECOND);
         queue.set_live_stores(stores.keys().cloned().collect());
-        let placement = Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries] };
+        let placement =
+            Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries], ..Placement::default() };
         assert!(queue.set_placement(MILLISECOND, Arc::new(placement)).is_empty());
         assert!(queue.set_routes(MILLISECOND, routes(1, &["plain", "ordered"])).is_empty());
         World {
@@ -268,7 +269,12 @@
     /// The placement that all worlds use.
     pub fn placement(&self) -> Arc<Placement> {
         let entries: Vec<StoreEntry> = (0..4).map(entry).collect();
-        Arc::new(Placement { epoch: PlacementEpoch(1), tolerated: 1, sets: vec![entries] })
+        Arc::new(Placement {
+            epoch: PlacementEpoch(1),
+            tolerated: 1,
+            sets: vec![entries],
+            ..Placement::default()
+        })
     }
 
     pub fn group(&self, name: &MessageName) -> Vec<StoreId> {
--- a/crates/system/src/node/control_log.rs
+++ b/crates/system/src/node/control_log.rs
@@ -7,6 +7,7 @@
 use pewterseam_control::ControlSettings;
 use pewterseam_storage::{AppendQueue, Log, LogOptions, LogWriter, PendingWrite, RecoveredFrom, WriterEvent};
 use pewterseam_wire::Micros;
+use pewterseam_wire::placement::CopySpread;
 use tokio::sync::mpsc;
 
 use crate::disk;
@@ -134,7 +135,17 @@
         bootstrap: settings.bootstrap,
         seeds: seeds.to_vec(),
         tolerated: settings.fault_tolerance.machines,
+        copy_spread: copy_spread(settings),
         contact: settings.bounds.contact().as_micros() as Micros,
         ..ControlSettings::default()
     }
 }
+
+/// Copies stay within a zone where no zone is to be borne as lost, unless an operator asks for more.
+fn copy_spread(settings: &Settings) -> CopySpread {
+    if settings.spread_copies || settings.fault_tolerance.zones > 0 {
+        CopySpread::AcrossZones
+    } else {
+        CopySpread::WithinZone
+    }
+}
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -1,8 +1,9 @@
 //! Which stores hold which messages.
 //!
 //! A message belongs to a partition; each partition has a group of `2f + 1` stores, chosen by rendezvous hashing over
-//! the stores of a set, in different zones as far as there are enough. A write counts once `f + 1` stores of the group
-//! have synced it, a read once all but `f` of the group have answered, so that any read meets any write.
+//! the stores of a set: in different zones as far as there are enough, or within the partition's home zone as far as
+//! that has enough ([`CopySpread`]). A write counts once `f + 1` stores of the group have synced it, a read once all but
+//! `f` of the group have answered, so that any read meets any write.
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -21,10 +22,19 @@
 impl Partition {
     /// The partition of an ordering key, or of a request id where there is no key.
     pub fn of(text: &str) -> Self {
-        Partition((hash(text.as_bytes(), 0) % u64::from(PARTITIONS)) as u16)
+        Self::salted(text, 0)
+    }
+
+    /// One of several partitions of a text.
+    fn salted(text: &str, salt: u64) -> Self {
+        Partition((hash(text.as_bytes(), salt) % u64::from(PARTITIONS)) as u16)
     }
 }
 
+/// Partitions that a message without an ordering key may be given. With four zones, one message in ten thousand finds
+/// none of its zone among them.
+const MOST_CANDIDATES: u64 = 32;
+
 /// FNV-1a with a final mix: stable over versions, as placements rest on it.
 pub fn hash(bytes: &[u8], seed: u64) -> u64 {
     let mut value = 0xcbf2_9ce4_8422_2325 ^ seed;
@@ -51,6 +61,16 @@
     pub zone: Arc<str>,
 }
 
+/// How the copies of a message are spread over zones.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CopySpread {
+    /// In different zones as far as there are enough: no message waits for a zone that is lost.
+    #[default]
+    AcrossZones,
+    /// In the home zone of the partition as far as it has stores: bodies stay in one zone, and messages wait for it.
+    WithinZone,
+}
+
 /// A number that rises with each change of the sets.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct PlacementEpoch(pub u64);
@@ -63,12 +83,28 @@
     /// `f`: stores that may be lost at one time.
     pub tolerated: u16,
     pub sets: Vec<Vec<StoreEntry>>,
+    /// Agreed with the first set, and kept: groups would be others with another one.
+    #[serde(default)]
+    pub spread: CopySpread,
 }
 
 impl Placement {
     /// The group of a partition in each set, the target's last.
     pub fn groups(&self, partition: Partition) -> Vec<Group> {
-        self.sets.iter().map(|set| Group::of(set, partition, self.tolerated)).collect()
+        self.sets.iter().map(|set| Group::of(set, partition, self.tolerated, self.spread)).collect()
+    }
+
+    /// The partitions to try in turn for a message without an ordering key that is taken in a zone, best first: those
+    /// whose home is that zone, where copies stay within zones. There is always one.
+    pub fn candidates<'a>(&'a self, id: &'a str, zone: &'a str) -> impl Iterator<Item = Partition> + 'a {
+        let zones = self.sets.last().map(|set| zones_of(set)).unwrap_or_default();
+        let prefers_zone =
+            self.spread == CopySpread::WithinZone && zones.iter().any(|known| known.as_ref() == zone);
+        let partitions = (0..MOST_CANDIDATES).map(|salt| Partition::salted(id, salt));
+        let at_home = partitions.clone().filter(move |partition| {
+            !prefers_zone || home_zone(&zones, *partition).is_some_and(|home| home.as_ref() == zone)
+        });
+        at_home.chain(partitions)
     }
 
     /// Every store that holds, or is to hold, the partition.
@@ -89,6 +125,19 @@
     }
 }
 
+/// The zones of a set, each once.
+fn zones_of(set: &[StoreEntry]) -> Vec<&Arc<str>> {
+    let mut zones: Vec<&Arc<str>> = set.iter().map(|entry| &entry.zone).collect();
+    zones.sort();
+    zones.dedup();
+    zones
+}
+
+/// The home zone of a partition, by rendezvous hashing over zones: a zone that comes or goes changes that of few others.
+fn home_zone<'a>(zones: &[&'a Arc<str>], partition: Partition) -> Option<&'a Arc<str>> {
+    zones.iter().copied().max_by_key(|zone| hash(zone.as_bytes(), u64::from(partition.0)))
+}
+
 /// The stores of one partition in one set, best first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Group {
@@ -97,17 +146,22 @@
 }
 
 impl Group {
-    fn of(set: &[StoreEntry], partition: Partition, tolerated: u16) -> Self {
+    fn of(set: &[StoreEntry], partition: Partition, tolerated: u16, spread: CopySpread) -> Self {
         let size = (2 * usize::from(tolerated) + 1).min(set.len());
         let mut ranked: Vec<(u64, &StoreEntry)> = set
             .iter()
             .map(|entry| (hash(entry.id.name.0.as_bytes(), u64::from(partition.0)), entry))
             .collect();
         ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
-        let mut zones = BTreeSet::new();
+        let zones = zones_of(set);
+        let home = home_zone(&zones, partition).filter(|_| spread == CopySpread::WithinZone);
+        let (at_home, others): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(_, entry)| home.is_some_and(|home| entry.zone == *home));
+        let mut seen = BTreeSet::new();
         let (first, rest): (Vec<_>, Vec<_>) =
-            ranked.into_iter().partition(|(_, entry)| zones.insert(entry.zone.clone()));
-        let stores = first.into_iter().chain(rest).take(size).map(|(_, entry)| entry.id.clone()).collect();
+            others.into_iter().partition(|(_, entry)| seen.insert(entry.zone.clone()));
+        let chosen = at_home.into_iter().chain(first).chain(rest).take(size);
+        let stores = chosen.map(|(_, entry)| entry.id.clone()).collect();
         Group { stores, tolerated: usize::from(tolerated) }
     }
 
--- a/crates/wire/tests/placement_table.rs
+++ b/crates/wire/tests/placement_table.rs
@@ -18,7 +18,7 @@
 
 fn placement(sets: &[(u16, u16)], zones: u16, tolerated: u16) -> Arc<Placement> {
     let sets = sets.iter().map(|(first, stores)| set(*first, *stores, zones)).collect();
-    Arc::new(Placement { epoch: PlacementEpoch(3), tolerated, sets })
+    Arc::new(Placement { epoch: PlacementEpoch(3), tolerated, sets, ..Placement::default() })
 }
 
 fn agree(placement: &Arc<Placement>, partition: Partition, chosen: &BTreeSet<StoreId>) -> bool {
