--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -59,7 +59,8 @@
             priority: policy.priority,
             timeout_ms: policy.timeout_ms,
             schedule_target_ms: policy.schedule_target_ms,
-            retention_ms: policy.retention_ms,
+            due_at: message.due_at,
+            expires_at: message.expires_at,
             failures: message.failures,
         };
         self.effects.push(Effect::Submit { key, submission });
