Homes of limited services are agreed on, and begin once all of them have told

Ruled out: a shorter word of the core (each death of its leader would stop all services); homes among the core alone (one death stops an eighth of the services, now a seventieth); slices that each relay holds by itself (a start must wait a whole window). Change: the leader keeps the list of relays that may be homes in the agreed state; one leaves it 60 s after it has gone, longer than any word of the core. A new home asks all of them from its second claim on; once all have told, only what they say of themselves counts, and core_lease for whoever has not told. Settings off: agrees_on_homes, homes_are_agreed.

--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -353,7 +353,7 @@
         let (seeds, seed) = (self.seeds.clone(), self.random.draw());
         let is_first = self.now < self.traffic_begins && self.machines[machine].life == 0;
         self.judge.touch.process_begins(self.now, machine);
-        self.machines[machine].start(self.now, &seeds, is_first, seed, self.plan.planted);
+        self.machines[machine].start(self.now, &seeds, is_first, seed, &self.plan);
         let life = self.life(machine);
         self.agenda.add(self.now, Event::Process(life, Input::Wake));
         if !is_first {
--- a/crates/cluster/src/machine.rs
+++ b/crates/cluster/src/machine.rs
@@ -13,7 +13,7 @@
 
 use crate::disk::{Disk, Ending, LogName};
 use crate::node::{FIRST_MOMENT, Node, NodeStart};
-use crate::plan::Planted;
+use crate::plan::{Plan, Planted};
 use crate::process::{Machines, Process};
 use crate::relay::RelayProcess;
 use crate::store::{StoreProcess, store_settings};
@@ -122,9 +122,7 @@
     }
 
     /// Starts the process.
-    pub fn start(
-        &mut self, now: Micros, seeds: &[SocketAddr], bootstrap: bool, seed: u64, planted: Option<Planted>,
-    ) {
+    pub fn start(&mut self, now: Micros, seeds: &[SocketAddr], bootstrap: bool, seed: u64, plan: &Plan) {
         self.life += 1;
         self.wake_at = Micros::MAX;
         let wall = self.wall(now);
@@ -148,7 +146,9 @@
             ready: false,
         };
         let recovered = (snapshot, records);
-        let start = NodeStart { info, seeds: seeds.to_vec(), bootstrap, recovered, last_record, seed };
+        let (as_deployed, planted) = (plan.as_deployed, plan.planted);
+        let seeds = seeds.to_vec();
+        let start = NodeStart { info, seeds, bootstrap, recovered, last_record, seed, as_deployed };
         let node = Node::start(start, wall);
         let machines = match self.role {
             Role::Relay => Machines::Relay(Box::new(RelayProcess::new(node, bootstrap, seed, planted))),
--- a/crates/cluster/src/node.rs
+++ b/crates/cluster/src/node.rs
@@ -14,7 +14,7 @@
 use pewterseam_storage::{AppendQueue, PendingWrite};
 use pewterseam_wire::control::ControlState;
 use pewterseam_wire::identity::{NodeInfo, NodeName, Owner};
-use pewterseam_wire::placement::{PlacementEpoch, StoreId};
+use pewterseam_wire::placement::{CopySpread, PlacementEpoch, StoreId};
 use pewterseam_wire::{Micros, WallMicros};
 
 use crate::disk::{DiskCommand, DiskEvent, LogName};
@@ -43,12 +43,15 @@
     pub recovered: (Option<Bytes>, Vec<Bytes>),
     pub last_record: u64,
     pub seed: u64,
+    /// See `Plan::as_deployed`.
+    pub as_deployed: bool,
 }
 
 /// The part of a process that keeps it in touch with the others.
 pub struct Node {
     pub now: Micros,
     pub wall: WallMicros,
+    pub as_deployed: bool,
     membership: Membership,
     control: Control,
     last_ticket: u64,
@@ -69,6 +72,8 @@
             bootstrap: start.bootstrap,
             seeds: start.seeds.clone(),
             tolerated: 1,
+            copy_spread: if start.as_deployed { CopySpread::WithinZone } else { CopySpread::AcrossZones },
+            agrees_on_homes: start.as_deployed,
             ..ControlSettings::default()
         };
         let control = Control::new(now, &start.info, settings, start.recovered, start.seed)
@@ -78,6 +83,7 @@
         Node {
             now,
             wall,
+            as_deployed: start.as_deployed,
             membership,
             control,
             last_ticket: 0,
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -76,12 +76,15 @@
     /// Syncs of disks fail now and then.
     pub syncs_fail: bool,
     pub scenario: Scenario,
+    /// Settings as they are deployed where no zone is to be borne as lost: copies stay within zones, and the core agrees on
+    /// the homes of limited services.
+    pub as_deployed: bool,
 }
 
 impl Plan {
     /// A run of the program as it is.
     pub fn of_seed(seed: u64) -> Self {
-        Plan { seed, planted: None, syncs_fail: false, scenario: Scenario::Usual }
+        Plan { seed, planted: None, syncs_fail: false, scenario: Scenario::Usual, as_deployed: false }
     }
 
     /// A run of the program as it is, on days of a kind.
@@ -94,6 +97,11 @@
         Plan { syncs_fail: true, ..Plan::of_seed(seed) }
     }
 
+    /// The same run with settings as they are deployed.
+    pub fn deployed(self) -> Self {
+        Plan { as_deployed: true, ..self }
+    }
+
     /// The same run with a planted fault.
     pub fn with_planted(self, planted: Planted) -> Self {
         Plan { planted: Some(planted), ..self }
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -78,6 +78,7 @@
             origin_overshoot: 1.1,
             bootstrap,
             core_lease: CORE_LEASE,
+            homes_are_agreed: node.as_deployed,
         };
         RelayProcess {
             queue: Queue::new(queue_settings, node.now),
--- a/crates/cluster/tests/clusters.rs
+++ b/crates/cluster/tests/clusters.rs
@@ -12,6 +12,7 @@
 /// Clusters that are played where the environment says nothing.
 const SEEDS: u64 = 1_500;
 const SEEDS_WITH_FAILING_SYNCS: u64 = 300;
+const SEEDS_AS_DEPLOYED: u64 = 600;
 /// Seeds at which the home of the limited service stops near the end of the traffic.
 const SEEDS_OF_STOPPED_HOMES: [u64; 7] = [1985, 2049, 2386, 2985, 4430, 5011, 5670];
 
@@ -52,6 +53,14 @@
     assert_kept(&reports, |rule| rule != Rule::Twice);
 }
 
+/// Guards all rules with copies that stay within zones and homes that are agreed on, as both are deployed.
+#[test]
+fn clusters_keep_the_rules_as_deployed() {
+    let reports = play_all(SEEDS_AS_DEPLOYED, |seed| Plan::of_seed(seed).deployed());
+    show(&reports);
+    assert_kept(&reports, |_| true);
+}
+
 /// Guards replays: the same seed gives the same run.
 #[test]
 fn a_seed_gives_the_same_run() {
--- a/crates/control/src/agreed.rs
+++ b/crates/control/src/agreed.rs
@@ -1,6 +1,6 @@
 //! The agreed state, and how entries change it.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::{Arc, OnceLock};
 
 use pewterseam_config::LiveConfig;
@@ -102,6 +102,11 @@
                 next.state.retiring.clone_from(retiring);
                 next.state.retired.clone_from(retired);
             }
+            Command::Homes { joining, leaving } => {
+                let staying = self.state.homes.iter().filter(|name| !leaving.contains(name));
+                let homes: BTreeSet<&NodeName> = staying.chain(joining).collect();
+                next.state.homes = Arc::new(homes.into_iter().cloned().collect());
+            }
             Command::Configure { request, version, digest, change } => {
                 let live = self.changed(change)?;
                 let text = live.text().clone();
--- a/crates/control/src/entry.rs
+++ b/crates/control/src/entry.rs
@@ -72,6 +72,8 @@
     Core { core: CoreMembership },
     /// Stores in force, and those that are emptied.
     Stores { placement: Placement, retiring: Vec<StoreId>, retired: Vec<StoreId> },
+    /// Relays that may hand out permits of limited services from now on, and those that may not any more.
+    Homes { joining: Vec<NodeName>, leaving: Vec<NodeName> },
 }
 
 /// A step from one state to the next.
@@ -89,6 +91,10 @@
     pub(crate) fn size(&self) -> usize {
         match &self.command {
             Command::Configure { change, .. } => ENTRY_BYTES + change.len(),
+            Command::Homes { joining, leaving } => {
+                let names = joining.iter().chain(leaving);
+                ENTRY_BYTES + names.map(|name| name.0.len()).sum::<usize>()
+            }
             _ => ENTRY_BYTES,
         }
     }
--- a/crates/control/src/leader.rs
+++ b/crates/control/src/leader.rs
@@ -225,6 +225,11 @@
         }
     }
 
+    /// The next change that follows from who is there, if one is due.
+    fn next_membership_change(&self) -> Option<Command> {
+        self.next_core_change().or_else(|| self.next_placement()).or_else(|| self.next_homes())
+    }
+
     /// The next thing to propose, if nothing is in flight.
     pub(crate) fn next_order(&mut self) {
         loop {
@@ -232,7 +237,7 @@
             if leader.in_flight.is_some() || !leader.is_serving {
                 return;
             }
-            if let Some(command) = self.next_core_change().or_else(|| self.next_placement()) {
+            if let Some(command) = self.next_membership_change() {
                 return self.propose(command, None, Vec::new());
             }
             let Role::Leader(leader) = &mut self.role else { return };
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod follower;
 mod formation;
 mod forward;
+mod homes;
 mod leader;
 mod machine;
 mod message;
--- a/crates/control/src/settings.rs
+++ b/crates/control/src/settings.rs
@@ -30,6 +30,8 @@
     pub attempt: Micros,
     /// Between two sendings of what was not answered.
     pub resend: Micros,
+    /// Whether the core agrees on the relays that may hand out permits of limited services.
+    pub agrees_on_homes: bool,
     /// Between two looks at what the leader has to change.
     pub housekeeping: Micros,
     /// From the start to the first attempt to form the core.
@@ -67,6 +69,7 @@
             candidate_step: 400 * MILLISECOND,
             attempt: 700 * MILLISECOND,
             resend: 300 * MILLISECOND,
+            agrees_on_homes: false,
             housekeeping: 250 * MILLISECOND,
             formation_delay: 1_500 * MILLISECOND,
             call_timeout: 900 * MILLISECOND,
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -8,6 +8,7 @@
 mod exploration;
 mod formation;
 mod history;
+mod homes;
 mod many_changes;
 mod membership;
 mod orders;
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -137,6 +137,8 @@
     pub copies: BTreeSet<(NodeName, u64)>,
     /// No entry reaches a member.
     pub holds_entries: bool,
+    /// The core agrees on the relays that may hand out permits.
+    pub agrees_on_homes: bool,
     /// Proposals of core memberships that were sent.
     pub core_proposals: usize,
     /// Stores in one of their lives, and the epochs of the placements that they have begun to copy for.
@@ -184,6 +186,7 @@
             copy_delays: BTreeMap::new(),
             copies: BTreeSet::new(),
             holds_entries: false,
+            agrees_on_homes: false,
             core_proposals: 0,
             copying: BTreeSet::new(),
             queue: BinaryHeap::new(),
@@ -343,6 +346,7 @@
         let settings = ControlSettings {
             bootstrap: self.bootstrap,
             seeds: (0..3).map(|seed| address(if seed == 2 { self.first_diskless() } else { seed })).collect(),
+            agrees_on_homes: self.agrees_on_homes,
             ..ControlSettings::default()
         };
         let seed = self.random.draw();
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -63,6 +63,7 @@
             overshoot: settings.origin_overshoot,
             bootstrap: settings.bootstrap,
             core_lease: settings.core_lease,
+            homes_are_agreed: settings.homes_are_agreed,
         });
         Delivery {
             now: 0,
@@ -121,6 +122,7 @@
             }
             Input::Hosts(instances) => self.hosts.set_list(instances, &self.services, self.now),
             Input::Relays(relays) => self.set_relays(relays),
+            Input::AgreedHomes(homes) => self.permits.set_agreed_homes(self.now, &homes),
             Input::Submit(submission) => self.submit(submission),
             Input::Withdraw { key } => self.forget(key),
             Input::Opened { attempt } => self.opened(attempt),
--- a/crates/delivery/src/settings.rs
+++ b/crates/delivery/src/settings.rs
@@ -38,6 +38,8 @@
     pub bootstrap: bool,
     /// The longest time for which a relay that was cut off may hold the core's word.
     pub core_lease: Micros,
+    /// The core agrees on the relays that may hand out permits ([`crate::Input::AgreedHomes`]).
+    pub homes_are_agreed: bool,
 }
 
 /// A kind of message to the decisions: its aim and its priority.
--- a/crates/delivery/tests/world/mod.rs
+++ b/crates/delivery/tests/world/mod.rs
@@ -165,6 +165,7 @@
         origin_overshoot: 1.1,
         bootstrap: true,
         core_lease: 2 * SECOND,
+        homes_are_agreed: false,
     }
 }
 
--- a/crates/outbound/tests/together.rs
+++ b/crates/outbound/tests/together.rs
@@ -66,6 +66,7 @@
         origin_overshoot: 1.1,
         bootstrap: true,
         core_lease: 2 * SECOND,
+        homes_are_agreed: false,
     })
 }
 
--- a/crates/permits/src/claims.rs
+++ b/crates/permits/src/claims.rs
@@ -8,12 +8,14 @@
 use crate::message::{ClaimId, PermitMessage, Seen};
 use crate::permits::{PermitEffect, Permits, rank, ranked};
 use crate::service::Yielded;
-use crate::witness::Witness;
+use crate::witness::{Asked, Witness};
 use crate::{MARGIN, VALIDITY};
 
 /// Relays that a new home asks whether they have been it, and how often.
 const CLAIMED_FROM: usize = 3;
 const CLAIM_AGAIN: Micros = 250_000;
+/// Claims that go to these relays alone, before all are asked.
+const CLAIMS_TO_WITNESSES: u32 = 1;
 /// A home that is followed on its own word, and is not the first on the list, is looked at again after this.
 const FOLLOW_UNLISTED: Micros = 3_000_000;
 
@@ -35,19 +37,26 @@
         self.choose_homes(now);
     }
 
-    /// Claims the services that are due to be claimed, from the relays that are most likely to know of earlier homes.
+    /// Claims the services that are due to be claimed, from the relays that are most likely to know of earlier homes; where
+    /// that did not help, from all that may have been it.
     pub(crate) fn make_claims(&mut self, now: Micros) {
         let me = &self.settings.me;
+        let agreed = self.agreed.as_deref();
         for (name, service) in &mut self.services {
             let Some(home) = service.granting.as_mut() else { continue };
             if service.claim_at.is_none_or(|at| at > now) {
                 continue;
             }
             let witnesses = witnesses(&self.relays, name, me);
-            home.reconsider(me, &service.witness, &witnesses, self.settings.core_lease, now);
+            let asked = Asked { witnesses: &witnesses, agreed };
+            home.reconsider(me, &service.witness, &asked, self.settings.core_lease, now);
             let is_open = home.is_open(now);
             service.claim_at = (!is_open).then_some(now + CLAIM_AGAIN);
-            for to in witnesses.into_iter().filter(|_| !is_open) {
+            service.claims_made += 1;
+            let asks_all = agreed.is_some() && service.claims_made > CLAIMS_TO_WITNESSES;
+            let others = self.relays.iter().filter(|relay| *relay != me && !home.has_vouched(relay));
+            let receivers = if asks_all { others.collect() } else { witnesses };
+            for to in receivers.into_iter().filter(|_| !is_open) {
                 let message = PermitMessage::Claim { service: name.clone(), claim: home.claim };
                 self.effects.push(PermitEffect::Send { to: to.clone(), message });
             }
@@ -103,10 +112,11 @@
     ) {
         let me = &self.settings.me;
         let witnesses = witnesses(&self.relays, service, me);
+        let asked = Asked { witnesses: &witnesses, agreed: self.agreed.as_deref() };
         let Some(service) = self.services.get_mut(service) else { return };
         if let Some(home) = service.granting.as_mut().filter(|home| home.claim == claim) {
             home.vouch(from.clone(), Witness::told(seen, now));
-            home.reconsider(me, &service.witness, &witnesses, self.settings.core_lease, now);
+            home.reconsider(me, &service.witness, &asked, self.settings.core_lease, now);
         }
     }
 
--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -9,7 +9,9 @@
 use crate::budget::Budget;
 use crate::message::{ClaimId, GrantId, PermitMessage, Settled};
 use crate::shares::Shares;
-use crate::witness::{Witness, all_know_since, others_until};
+use crate::witness::{
+    Asked, Witness, all_know_since, have_all_told, others_until, silent_until, tellers_until,
+};
 use crate::{MARGIN, VALIDITY};
 
 /// The longest time for which a request that could not be met at once is kept.
@@ -90,20 +92,19 @@
         self.vouched.insert(witness, seen);
     }
 
+    /// Whether a relay has told what it has seen.
+    pub(crate) fn has_vouched(&self, relay: &NodeName) -> bool {
+        self.vouched.contains_key(relay)
+    }
+
     /// Sets the time from when on permits are granted by what is known of other homes.
-    ///
-    /// Earlier processes and times of this node had ended when it began. Danger: a node that was taken off a list may
-    /// have held the core's word for a while, also where it was the home only after this one had begun to wait.
     pub(crate) fn reconsider(
-        &mut self, me: &NodeName, mine: &Witness, witnesses: &[&NodeName], core_lease: Micros, now: Micros,
+        &mut self, me: &NodeName, mine: &Witness, asked: &Asked<'_>, core_lease: Micros, now: Micros,
     ) {
         if !self.follows || self.is_open(now) {
             return;
         }
-        let seen = others_until(me, &self.vouched, mine).unwrap_or(0);
-        let unknown = all_know_since(witnesses, &self.vouched).unwrap_or(Micros::MAX).min(self.began_at);
-        let granted_until = self.began_at.max(seen.max(unknown) + core_lease);
-        let opens_at = granted_until + VALIDITY + MARGIN;
+        let opens_at = self.granted_until(me, mine, asked, core_lease) + VALIDITY + MARGIN;
         if opens_at != self.opens_at {
             self.budget.take_over(&[], now);
             self.budget.assume_predecessor(opens_at);
@@ -111,6 +112,22 @@
         }
     }
 
+    /// Until when another home may have granted permits.
+    ///
+    /// Earlier processes and times of this node had ended when it began. Danger: a node that was taken off a list may
+    /// have held the core's word for a while, also where it was the home only after this one had begun to wait.
+    fn granted_until(&self, me: &NodeName, mine: &Witness, asked: &Asked<'_>, core_lease: Micros) -> Micros {
+        let words = &self.vouched;
+        if asked.agreed.is_some_and(|agreed| have_all_told(me, agreed, words)) {
+            // Nobody else may be a home. One that was followed and has not told is not known to be on the list.
+            let silent = silent_until(me, words, mine).map_or(0, |until| until + core_lease);
+            return self.began_at.max(tellers_until(words)).max(silent);
+        }
+        let seen = others_until(me, words, mine).unwrap_or(0);
+        let unknown = all_know_since(asked.witnesses, words).unwrap_or(Micros::MAX).min(self.began_at);
+        self.began_at.max(seen.max(unknown) + core_lease)
+    }
+
     /// What the next home has to know.
     pub(crate) fn ledger(&mut self, now: Micros) -> Vec<(u32, u32)> {
         self.budget.advance(now);
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -29,6 +29,8 @@
     pub bootstrap: bool,
     /// The longest time for which a relay that was cut off may hold the core's word.
     pub core_lease: Micros,
+    /// The core agrees on the relays that may be homes; see [`Permits::set_agreed_homes`].
+    pub homes_are_agreed: bool,
 }
 
 /// What to do.
@@ -41,8 +43,11 @@
 pub struct Permits {
     pub(crate) settings: Settings,
     pub(crate) services: BTreeMap<Arc<str>, Service>,
-    /// Candidates for homes, sorted.
+    /// Candidates for homes, sorted: the live relays, those that are agreed on where the core does that.
     pub(crate) relays: Vec<NodeName>,
+    live: Vec<NodeName>,
+    /// The relays that may be homes, as far as the core has told; none where it agrees on none.
+    pub(crate) agreed: Option<Vec<NodeName>>,
     core_until: Micros,
     last_grant: u64,
     last_claim: u64,
@@ -56,11 +61,14 @@
 impl Permits {
     pub fn new(settings: Settings) -> Self {
         let is_first = settings.bootstrap;
+        let agreed = settings.homes_are_agreed.then(Vec::new);
         let (services, relays, effects) = (BTreeMap::new(), Vec::new(), Vec::new());
         Permits {
             settings,
             services,
             relays,
+            live: Vec::new(),
+            agreed,
             core_until: 0,
             last_grant: 0,
             last_claim: 0,
@@ -81,11 +89,26 @@
         self.choose_homes(now);
     }
 
-    /// The relays that may be homes.
+    /// The relays that live.
     pub fn set_relays(&mut self, now: Micros, relays: &[NodeName]) {
-        self.relays = relays.to_vec();
-        self.relays.sort();
-        self.relays.dedup();
+        self.live = relays.to_vec();
+        self.live.sort();
+        self.live.dedup();
+        self.choose_candidates(now);
+    }
+
+    /// The relays that may be homes, by the newest agreed state that this relay knows. Whoever is not on the list grants
+    /// nothing; one leaves it only when all that it may have granted is past.
+    pub fn set_agreed_homes(&mut self, now: Micros, homes: &[NodeName]) {
+        if self.agreed.as_deref().is_some_and(|agreed| agreed != homes) {
+            self.agreed = Some(homes.to_vec());
+            self.choose_candidates(now);
+        }
+    }
+
+    fn choose_candidates(&mut self, now: Micros) {
+        let is_agreed = |relay: &&NodeName| self.agreed.as_ref().is_none_or(|agreed| agreed.contains(relay));
+        self.relays = self.live.iter().filter(is_agreed).cloned().collect();
         self.choose_homes(now);
     }
 
@@ -236,6 +259,7 @@
             }
             service.holder.change_home();
             (service.claim_at, service.review_at) = (None, None);
+            service.claims_made = 0;
             service.leave_home(now, has_word);
             if home.as_ref() == Some(me) {
                 let follows = !self.is_first;
--- a/crates/permits/src/service.rs
+++ b/crates/permits/src/service.rs
@@ -20,6 +20,8 @@
     /// Where this relay is the home.
     pub(crate) granting: Option<Home>,
     pub(crate) claim_at: Option<Micros>,
+    /// How often the present claim was told.
+    pub(crate) claims_made: u32,
     pub(crate) yielded: Option<Yielded>,
     /// When the home is taken from the list again.
     pub(crate) review_at: Option<Micros>,
@@ -46,6 +48,7 @@
             home: None,
             granting: None,
             claim_at: None,
+            claims_made: 0,
             yielded: None,
             review_at: None,
             witness: Witness::new(now),
--- a/crates/permits/src/witness.rs
+++ b/crates/permits/src/witness.rs
@@ -60,6 +60,40 @@
     }
 }
 
+/// The relays that a new home asks.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Asked<'a> {
+    /// Those that come next by rank.
+    pub(crate) witnesses: &'a [&'a NodeName],
+    /// All that may be homes, where that is agreed on.
+    pub(crate) agreed: Option<&'a [NodeName]>,
+}
+
+/// Whether all of these relays, `me` aside, have told. An empty list tells nothing.
+pub(crate) fn have_all_told(me: &NodeName, relays: &[NodeName], words: &BTreeMap<NodeName, Witness>) -> bool {
+    relays.contains(me) && relays.iter().all(|relay| relay == me || words.contains_key(relay))
+}
+
+/// Until when any of the relays that have told may have granted permits, by what each says of itself.
+///
+/// A relay that tells follows the one that asks, and grants nothing from then on. Since it began to follow homes without a
+/// gap it has granted what it says; what it granted before, it granted in an earlier process or before it had lost the
+/// core's word, and both were over when it began.
+pub(crate) fn tellers_until(words: &BTreeMap<NodeName, Witness>) -> Micros {
+    let own =
+        |(relay, word): (&NodeName, &Witness)| word.ended.get(relay).copied().unwrap_or(0).max(word.since);
+    words.iter().map(own).max().unwrap_or(0)
+}
+
+/// Until when a node that has not told was the home, by the words of these relays and by what `me` has seen.
+pub(crate) fn silent_until(
+    me: &NodeName, words: &BTreeMap<NodeName, Witness>, mine: &Witness,
+) -> Option<Micros> {
+    let ended = words.values().chain([mine]).flat_map(|word| &word.ended);
+    let silent = ended.filter(|(home, _)| *home != me && !words.contains_key(*home));
+    silent.map(|(_, until)| *until).max()
+}
+
 /// Until when a node other than `me` was the home, by the words of these relays and by what `me` has seen.
 ///
 /// A relay's own word on its own grants goes before what others took it for: who waited in vain has granted nothing.
--- a/crates/permits/tests/ceiling.rs
+++ b/crates/permits/tests/ceiling.rs
@@ -15,6 +15,9 @@
     stopped: 0.03,
     word: CORE_LEASE,
     waited_part: 1.0,
+    homes_are_agreed: false,
+    lists_itself_alone: false,
+    all_killed: 0.0,
     keeps_sending: false,
 };
 
@@ -169,3 +172,45 @@
         assert!(longest < most, "{longest} us without a request, {most} allowed");
     }
 }
+
+/// The same with a list of homes that all have agreed on, and losses of power of all relays at once.
+const AGREED: Troubles = Troubles { homes_are_agreed: true, all_killed: 0.05, ..LONG_WORDS };
+
+/// Guards against homes that begin early on the word of all others while one that has not told may still grant.
+#[test]
+fn no_window_passes_the_bound_where_homes_are_agreed_on() {
+    let breaches = breaches(AGREED, 400);
+    assert!(breaches.is_empty(), "{breaches:?}");
+}
+
+/// Guards against a test above that would pass whatever the list says: relays that leave others out of it are found.
+#[test]
+fn a_list_that_lacks_homes_is_found() {
+    let found = breaches(Troubles { lists_itself_alone: true, ..AGREED }, 50).len();
+    println!("found with {found} of 50 seeds");
+    assert!(found >= 5, "found with {found} of 50 seeds");
+}
+
+/// The longest time without a request after a loss of power of all relays for a second.
+fn standstill_after_loss_of_all_power(troubles: Troubles) -> u64 {
+    let mut network = Network::new(5, 8, 39.0, 60.0, troubles);
+    network.run(10 * SECOND);
+    let lost_at = network.now;
+    network.kill_all(SECOND);
+    network.run(15 * SECOND);
+    let (most, allowed) = network.worst_window();
+    assert!(most as f64 <= allowed, "{most} in a window, {allowed} allowed");
+    network.longest_gap(lost_at)
+}
+
+/// Guards against a service that stands still after a loss of all power for as long as a relay that is cut off may hold the
+/// core's word, although all that may have granted permits have told that they grant none.
+#[test]
+fn after_a_loss_of_all_power_homes_wait_for_their_permits_alone() {
+    let long = Troubles { word: 8 * SECOND, ..CALM };
+    let agreed = standstill_after_loss_of_all_power(Troubles { homes_are_agreed: true, ..long });
+    let most = SECOND + VALIDITY + MARGIN + 2 * VIEW_LAG;
+    assert!(agreed < most, "{agreed} us without a request, {most} allowed");
+    let unknown = standstill_after_loss_of_all_power(long);
+    assert!(unknown > long.word, "{unknown} us: the list makes no difference");
+}
--- a/crates/permits/tests/claims.rs
+++ b/crates/permits/tests/claims.rs
@@ -21,6 +21,7 @@
         overshoot: 1.1,
         bootstrap: false,
         core_lease: 4 * SECOND,
+        homes_are_agreed: false,
     });
     permits.set_core_lease(now, now + 1_000 * SECOND);
     permits.set_services(now, [(Arc::from(SERVICE), 10.0)]);
--- a/crates/permits/tests/network/mod.rs
+++ b/crates/permits/tests/network/mod.rs
@@ -48,6 +48,12 @@
     /// New homes wait for this part of the time that a relay which was cut off may hold the core's word; less than one is
     /// a planted fault.
     pub waited_part: f64,
+    /// The core agrees on the relays that may be homes: all of them, from the start.
+    pub homes_are_agreed: bool,
+    /// Each relay takes itself for the only one on the agreed list: a planted fault.
+    pub lists_itself_alone: bool,
+    /// All relays lose power at the same moment, so often a second.
+    pub all_killed: f64,
     /// A relay that is cut off goes on at the pace that it last had, without permits: a planted fault.
     pub keeps_sending: bool,
 }
@@ -61,6 +67,9 @@
     stopped: 0.0,
     word: CORE_LEASE,
     waited_part: 1.0,
+    homes_are_agreed: false,
+    lists_itself_alone: false,
+    all_killed: 0.0,
     keeps_sending: false,
 };
 
@@ -106,7 +115,15 @@
 ) -> Permits {
     let (me, (window, overshoot)) = (name.clone(), bounds);
     let core_lease = (troubles.word as f64 * troubles.waited_part) as Micros;
-    Permits::new(Settings { me, life, window, overshoot, bootstrap, core_lease })
+    Permits::new(Settings {
+        me,
+        life,
+        window,
+        overshoot,
+        bootstrap,
+        core_lease,
+        homes_are_agreed: troubles.homes_are_agreed,
+    })
 }
 
 impl Network {
@@ -150,8 +167,20 @@
         network
     }
 
+    /// Has all relays lose power at the same moment, and start again within a fifth of a second of one another.
+    pub fn kill_all(&mut self, down_for: Micros) {
+        for index in 0..self.relays.len() {
+            let late = self.random.below(200 * MILLISECOND);
+            self.kill(index, self.now + down_for + late);
+        }
+    }
+
     fn configure(&mut self, index: usize) {
         let services = [(Arc::from(SERVICE), self.rate)];
+        let is_listed = |other: &usize| *other == index || !self.troubles.lists_itself_alone;
+        let listed = (0..self.relays.len()).filter(is_listed);
+        let names: Vec<_> = listed.map(|other| self.relays[other].name.clone()).collect();
+        self.relays[index].permits.set_agreed_homes(self.now, &names);
         self.relays[index].permits.set_services(self.now, services);
         self.relays[index].permits.set_core_lease(self.now, self.now + self.troubles.word);
     }
@@ -175,6 +204,9 @@
     fn trouble(&mut self) {
         let part = STEP as f64 / SECOND as f64;
         let Troubles { cut, frozen, killed, stopped, .. } = self.troubles;
+        if self.troubles.all_killed > 0.0 && self.random.chance(self.troubles.all_killed * part) {
+            self.kill_all(SECOND);
+        }
         for index in 0..self.relays.len() {
             let span = 200 * MILLISECOND + self.random.below(6 * SECOND);
             let relay = &mut self.relays[index];
--- a/crates/system/src/node/control_log.rs
+++ b/crates/system/src/node/control_log.rs
@@ -136,6 +136,7 @@
         seeds: seeds.to_vec(),
         tolerated: settings.fault_tolerance.machines,
         copy_spread: copy_spread(settings),
+        agrees_on_homes: true,
         contact: settings.bounds.contact().as_micros() as Micros,
         ..ControlSettings::default()
     }
--- a/crates/system/src/relay/configuration.rs
+++ b/crates/system/src/relay/configuration.rs
@@ -22,6 +22,7 @@
     pub(super) fn in_force(&mut self, state: &Arc<ControlState>) {
         let effects = self.planes.queue.set_placement(self.node.now(), state.placement.clone());
         self.queue_effects.extend(effects);
+        self.delivery_inputs.push(DeliveryInput::AgreedHomes(state.homes.to_vec()));
         if state.config.version != self.config.load().version {
             self.configure(state.config.version);
         }
@@ -42,6 +43,7 @@
         self.delivery_inputs.push(DeliveryInput::Services(services));
         let table = Arc::new(route_table(&compiled));
         self.config.store(compiled);
+        self.configured.send_replace(true);
         let effects = self.planes.queue.set_routes(self.node.now(), table);
         self.queue_effects.extend(effects);
     }
--- a/crates/system/src/relay/planes.rs
+++ b/crates/system/src/relay/planes.rs
@@ -103,6 +103,7 @@
         origin_overshoot: settings.bounds.origin_overshoot(),
         bootstrap: settings.bootstrap,
         core_lease: core_lease(settings),
+        homes_are_agreed: true,
     }
 }
 
--- a/crates/wire/src/control.rs
+++ b/crates/wire/src/control.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use crate::identity::NodeName;
 use crate::placement::{Placement, StoreId};
 
 /// A configuration as the operator sent it, or as a change to it left it.
@@ -26,4 +27,7 @@
     pub retiring: Vec<StoreId>,
     /// Stores that were emptied.
     pub retired: Vec<StoreId>,
+    /// The relays that may hand out permits of limited services, sorted. No other one does.
+    #[serde(default)]
+    pub homes: Arc<Vec<NodeName>>,
 }
