--- a/crates/membership/src/anti_entropy.rs
+++ b/crates/membership/src/anti_entropy.rs
@@ -24,6 +24,9 @@
 /// Bytes of a datagram that members fill in an answer.
 const FILL_BYTES: usize = MOST_DATAGRAM_BYTES - 200;
 
+/// Remembered members that are tried at a time: few, as many processes start at once.
+const REMEMBERED_AT_ONCE: usize = 8;
+
 impl Membership {
     /// A stranger spoke, or a later life of a member: it is asked who it is.
     pub(crate) fn ask_stranger(&mut self, from: SocketAddr, body: &Body, effects: &mut Vec<Effect>) {
@@ -140,6 +143,10 @@
         if !dead.is_empty() {
             lost.push(dead[self.random.below(dead.len())]);
         }
+        self.random.shuffle(&mut self.remembered);
+        let known = self.remembered.iter().filter(|address| !lost.contains(address));
+        let known: Vec<SocketAddr> = known.take(REMEMBERED_AT_ONCE).copied().collect();
+        lost.extend(known);
         for address in lost {
             self.send_compare(address, true, effects);
         }
--- a/crates/membership/src/machine.rs
+++ b/crates/membership/src/machine.rs
@@ -28,6 +28,8 @@
     pub(crate) rumors: Rumors,
     pub(crate) probing: Probing,
     pub(crate) seeds: Vec<SocketAddr>,
+    /// Members of an earlier life, until one of any kind has answered.
+    pub(crate) remembered: Vec<SocketAddr>,
     pub(crate) random: Random,
     /// Members whose suspicion runs.
     pub(crate) suspects: Vec<NodeName>,
@@ -60,6 +62,7 @@
             rumors: Rumors::default(),
             probing: Probing::new(first_probe),
             seeds,
+            remembered: Vec::new(),
             random,
             suspects: Vec::new(),
             next_compare,
@@ -125,6 +128,12 @@
         effects
     }
 
+    /// Addresses of members that an earlier process of this node knew: some of them are tried beside the seeds until
+    /// anybody answers.
+    pub fn remember(&mut self, addresses: Vec<SocketAddr>) {
+        self.remembered = addresses;
+    }
+
     /// Tells the others whether this process takes new work.
     pub fn set_ready(&mut self, now: Micros, ready: bool) -> Vec<Effect> {
         if self.own.info.ready == ready {
@@ -157,6 +166,7 @@
             return Ok(effects);
         }
         self.answered = true;
+        self.remembered = Vec::new();
         let is_bulk = datagram.body == Body::Members;
         let mut is_news = false;
         for encoded in &datagram.rumors {
--- a/crates/membership/tests/membership.rs
+++ b/crates/membership/tests/membership.rs
@@ -5,7 +5,7 @@
 use pewterseam_membership::{MemberChange, Membership, MembershipSettings};
 use pewterseam_wire::identity::{Life, Owner};
 use quickcheck::quickcheck;
-use simulation::{MS, Members, name};
+use simulation::{MS, Members, address, name};
 
 /// The latest that all may learn of a death, and the usual.
 const LATEST_DEATH: u64 = 3_500 * MS;
@@ -197,3 +197,29 @@
         true
     }
 }
+
+/// Guards against processes that find nobody while the seeds are still down, although they knew others before: after a
+/// loss of all power the seeds may be the last ones to start.
+#[test]
+fn remembered_members_find_each_other_without_seeds() {
+    for seed in 0..20 {
+        let mut members = Members::new(seed, 30);
+        members.run(3_000 * MS);
+        (0..30).for_each(|node| members.kill(node));
+        members.run(1_000 * MS);
+        for node in 3..30 {
+            members.start(node, 10_000 + node as u64);
+            // Every third one has a disk.
+            if node % 3 == 0 {
+                let known = (0..30).map(address).collect();
+                members.step(node, |machine, now| {
+                    machine.remember(known);
+                    machine.tick(now)
+                });
+            }
+        }
+        members.run(2_000 * MS);
+        let most = (3..30).map(|node| members.live_count(node)).min();
+        assert_eq!(most, Some(26), "seed {seed}");
+    }
+}
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! What every process of the system has: membership, control, and connections to the others.
 
 mod control_log;
+mod member_cache;
 mod owners;
 mod report;
 
@@ -26,6 +27,7 @@
 use crate::error::SystemError;
 use crate::message::PeerMessage;
 use control_log::{ControlLog, control_settings};
+use member_cache::MemberCache;
 use owners::EndedLives;
 
 const MICROS_A_MILLISECOND: u64 = 1_000;
@@ -56,6 +58,7 @@
     membership: Membership,
     control: Control,
     control_log: ControlLog,
+    member_cache: Option<MemberCache>,
     datagrams: Arc<UdpSocket>,
     pub transport: Transport<PeerMessage>,
     ended: EndedLives,
@@ -80,12 +83,18 @@
         let is_core = role == Role::Relay && disk.is_some();
         let (control_log, recovered, log_events) = ControlLog::open(settings, is_core)?;
         let control = Control::new(now, &info, control_settings(settings, &seeds), recovered, seed)?;
-        let membership = Membership::new(now, info, seeds, MembershipSettings::default(), seed);
+        let mut membership = Membership::new(now, info, seeds, MembershipSettings::default(), seed);
+        let cached = settings.data_dir.as_ref().and_then(|path| MemberCache::open(path, now));
+        let member_cache = cached.map(|(cache, addresses)| {
+            membership.remember(addresses);
+            cache
+        });
         let node = Node {
             clock,
             membership,
             control,
             control_log,
+            member_cache,
             datagrams: datagrams.clone(),
             transport: transport.clone(),
             ended: EndedLives::default(),
@@ -175,13 +184,17 @@
 
     /// When [`Node::tick`] is due.
     pub fn next_wake(&self) -> Micros {
-        self.membership.next_wake().min(self.control.next_wake()).min(self.control_log.next_wake())
+        let cache = self.member_cache.as_ref().map_or(Micros::MAX, MemberCache::next_wake);
+        self.membership.next_wake().min(self.control.next_wake()).min(self.control_log.next_wake()).min(cache)
     }
 
     /// Does what is due, and tells what has happened since the last call.
     pub fn tick(&mut self) -> Vec<NodeEvent> {
         let now = self.now();
         self.control_log.retry(now);
+        if let Some(cache) = &mut self.member_cache {
+            cache.write(now, self.membership.live().map(|info| info.peer_address));
+        }
         if now >= self.membership.next_wake() {
             let effects = self.membership.tick(now);
             self.member_effects(effects);
@@ -266,6 +279,9 @@
 
     fn member_changed(&mut self, change: &MemberChange) {
         self.members_changed = true;
+        if let Some(cache) = &mut self.member_cache {
+            cache.change();
+        }
         match change {
             MemberChange::Down { info, left } => {
                 log::info!(
