A relay that has just started holds requests until it can take them

Cause: without a configuration or stores a relay refused at once with Retry-After 0; clients used up their retries within milliseconds.

--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -23,7 +23,7 @@
 
 use crate::answers::{self, HttpAnswer};
 use crate::message;
-use crate::requests::{FrontRequest, RouteChoice, Router};
+use crate::requests::{Configured, FrontRequest, RouteChoice, Router};
 use crate::stop::{Phase, Stopper};
 
 const BACKLOG: i32 = 1024;
@@ -71,6 +71,7 @@
 pub struct Front {
     requests: mpsc::UnboundedSender<FrontRequest>,
     router: Router,
+    configured: Configured,
     stopper: Stopper,
     /// Connections that are open.
     open: Rc<Cell<usize>>,
@@ -79,8 +80,11 @@
 }
 
 impl Front {
-    pub fn new(requests: mpsc::UnboundedSender<FrontRequest>, router: Router, stopper: Stopper) -> Self {
-        Front { requests, router, stopper, open: Rc::default(), under_way: Rc::default() }
+    pub fn new(
+        requests: mpsc::UnboundedSender<FrontRequest>, router: Router, configured: Configured,
+        stopper: Stopper,
+    ) -> Self {
+        Front { requests, router, configured, stopper, open: Rc::default(), under_way: Rc::default() }
     }
 
     /// Requests that are not answered yet.
@@ -153,7 +157,7 @@
             return self.answer_own(&request).await;
         }
         let Some(host) = host_of(&request) else { return answers::plain(StatusCode::BAD_REQUEST) };
-        match (self.router)(&host, path) {
+        match self.route(&request, &host).await {
             RouteChoice::NotConfigured => answers::not_taken(0),
             RouteChoice::NoRoute => answers::plain(StatusCode::NOT_FOUND),
             RouteChoice::Route { name, is_ordered, most_body_bytes } => {
@@ -171,6 +175,21 @@
         }
     }
 
+    /// The route of a request. A process that has just started has its configuration in a moment: the request is held for
+    /// that, as a client that is turned away at once has used up its retries by then.
+    async fn route(&self, request: &Request<Incoming>, host: &str) -> RouteChoice {
+        let path = request.uri().path();
+        let choice = (self.router)(host, path);
+        if choice != RouteChoice::NotConfigured {
+            return choice;
+        }
+        let mut configured = self.configured.clone();
+        let held = message::may_be_held(request.headers());
+        // Danger: none. A route that is not found in time is answered as not configured.
+        let _ = tokio::time::timeout(held, configured.wait_for(|known| *known)).await;
+        (self.router)(host, path)
+    }
+
     async fn hand_in(
         &self, parts: &Parts, route: std::sync::Arc<str>, is_ordered: bool, host: &str, body: bytes::Bytes,
     ) -> HttpAnswer {
--- a/crates/ingress/src/message.rs
+++ b/crates/ingress/src/message.rs
@@ -1,6 +1,7 @@
 //! From a request's head and body to a message.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -36,6 +37,16 @@
 /// How long a client waits that does not say so.
 const USUAL_PATIENCE_MS: u64 = 5_000;
 
+/// Part of the client's patience for which a request is held by a relay that has just started and cannot take it yet. The
+/// rest is left for another relay.
+const HELD_PART: f64 = 0.5;
+
+/// How long a request may be held before it is refused.
+pub(crate) fn may_be_held(headers: &HeaderMap) -> Duration {
+    let patience = number(headers, &DEADLINE).ok().flatten().unwrap_or(USUAL_PATIENCE_MS);
+    Duration::from_millis(patience).mul_f64(HELD_PART)
+}
+
 /// Why a request is no message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum MessageError {
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -59,5 +59,8 @@
     },
 }
 
+/// Becomes true once a configuration is known.
+pub type Configured = tokio::sync::watch::Receiver<bool>;
+
 /// Finds the route of a host and a path in the configuration in force.
 pub type Router = Rc<dyn Fn(&str, &str) -> RouteChoice>;
--- a/crates/ingress/tests/streams/client.rs
+++ b/crates/ingress/tests/streams/client.rs
@@ -93,7 +93,8 @@
     let script = Script::draw(&mut random);
     let (sender, requests) = unbounded_channel();
     let (stopper, log, is_reset) = (Stopper::default(), Log::default(), Rc::new(Cell::new(false)));
-    let front = Front::new(sender, router(), stopper.clone());
+    let (_, configured) = tokio::sync::watch::channel(true);
+    let front = Front::new(sender, router(), configured, stopper.clone());
     tokio::task::spawn_local(answer_all(requests, log.clone()));
     let (inner, client) = tokio::io::duplex(LEAST_BUFFER + random.below(MORE_BUFFER));
     let (door, served) = (front.clone(), DoorStream { inner, is_reset: is_reset.clone() });
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -43,6 +43,11 @@
         self.take_effects()
     }
 
+    /// Whether the stores that a new message would go to can be written to, as far as is known.
+    pub fn can_accept(&self, new: &NewMessage) -> bool {
+        self.stores.can_write(self.partition_for(new))
+    }
+
     /// The partition of a new message. One with an ordering key has that of its key; for another one it is chosen so that
     /// its stores can be written to, and are near.
     fn partition_for(&self, new: &NewMessage) -> Partition {
--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -13,8 +13,9 @@
 use pewterseam_queue::{Answer, CallId, ClientToken, Effect as QueueEffect};
 use pewterseam_transport::{Origin, TransportEvent};
 use pewterseam_wire::Micros;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
+use super::front::HeldMessage;
 use super::operators::OperatorCalls;
 use super::planes::{Planes, core_lease};
 use super::readiness::Readiness;
@@ -36,15 +37,21 @@
     pub(super) settings: Settings,
     pub(super) file: SettingsFile,
     pub(super) config: Arc<ArcSwap<CompiledConfig>>,
+    /// Tells the door once a configuration is known.
+    pub(super) configured: watch::Sender<bool>,
     pub(super) door: Front,
     pub(super) stopper: Stopper,
     pub(super) readiness: Readiness,
     pub(super) was_ready: bool,
+    /// This process was ready before.
+    pub(super) has_been_ready: bool,
     pub(super) serving: Serving,
     failure: DoorFailure,
     /// Clients that wait for the answer to a message.
     pub(super) clients: HashMap<ClientToken, oneshot::Sender<Answer>>,
     pub(super) last_client: u64,
+    /// Clients' messages that cannot be taken yet, as this relay has just started.
+    pub(super) held: Vec<HeldMessage>,
     pub(super) reads: Reads,
     pub(super) operators: OperatorCalls,
     /// Requests of the queue that are out, by the address that they went to.
@@ -61,8 +68,8 @@
     #[expect(clippy::too_many_arguments, reason = "the parts are assembled in one place")]
     pub fn new(
         node: Node, planes: Planes, settings: Settings, file: SettingsFile,
-        config: Arc<ArcSwap<CompiledConfig>>, door: Front, stopper: Stopper, readiness: Readiness,
-        failure: DoorFailure,
+        config: Arc<ArcSwap<CompiledConfig>>, configured: watch::Sender<bool>, door: Front, stopper: Stopper,
+        readiness: Readiness, failure: DoorFailure,
     ) -> Self {
         RelayProcess {
             node,
@@ -70,14 +77,17 @@
             settings,
             file,
             config,
+            configured,
             door,
             stopper,
             readiness,
             was_ready: false,
+            has_been_ready: false,
             serving: Serving::default(),
             failure,
             clients: HashMap::new(),
             last_client: 0,
+            held: Vec::new(),
             reads: Reads::default(),
             operators: OperatorCalls::default(),
             calls: HashMap::new(),
@@ -102,6 +112,7 @@
         [self.node.next_wake(), queue, planes.delivery_wake, planes.discovery_wake, stopping, self.tend_at]
             .into_iter()
             .chain(self.reads.next_deadline())
+            .chain(self.held.iter().map(|held| held.until))
             .fold(Micros::MAX, Micros::min)
     }
 
@@ -124,6 +135,7 @@
             self.discover(pewterseam_discovery::Input::Tick);
         }
         self.expire_reads(now);
+        self.take_held(now);
         // Danger: an end that has arrived and is not booked makes a message that has run look as if it had not.
         self.settle();
         self.go_on_stopping(now);
--- a/crates/system/src/relay/readiness.rs
+++ b/crates/system/src/relay/readiness.rs
@@ -36,6 +36,7 @@
         let until = self.serves_until().filter(|_| self.stopping.is_none());
         self.readiness.set(until.unwrap_or(0));
         let ready = until.is_some();
+        self.has_been_ready |= ready;
         if std::mem::replace(&mut self.was_ready, ready) != ready {
             log::info!("{}", if ready { "ready" } else { "not ready" });
             self.node.set_ready(ready);
--- a/crates/system/src/relay/start.rs
+++ b/crates/system/src/relay/start.rs
@@ -9,7 +9,7 @@
 use pewterseam_config::settings::Settings;
 use pewterseam_ingress::{Front, FrontSettings, RouteChoice, Router, Stopper};
 use pewterseam_wire::identity::Role;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::RelayInputs;
 use super::planes::Planes;
@@ -38,11 +38,14 @@
     let (list_events, list) = mpsc::unbounded_channel();
     let stopper = Stopper::default();
     let readiness = Readiness::new(node.clock);
-    let door = Front::new(front_requests, router(config.clone()), stopper.clone());
+    let (configured, is_configured) = watch::channel(false);
+    let door = Front::new(front_requests, router(config.clone()), is_configured, stopper.clone());
     let failure = Rc::default();
     open_doors(&settings, &door, operator_calls, &readiness, &failure)?;
     let planes = Planes::new(&node, &settings, host_events, list_events);
-    let process = RelayProcess::new(node, planes, settings, file, config, door, stopper, readiness, failure);
+    let process = RelayProcess::new(
+        node, planes, settings, file, config, configured, door, stopper, readiness, failure,
+    );
     Ok((process, node_inputs, RelayInputs { front, hosts, list, operators }))
 }
 
