Revert "Late messages go newest first, behind those that can still be in time"

Hosts work at seven eighths of what they can after the outage, and most ordering keys have a backlog: there is little that another order can save.

--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -293,9 +293,8 @@
             service: submission.service,
             priority: submission.priority,
             timeout: submission.timeout_ms * MILLISECOND,
-            due_at: submission.due_at,
+            due_at: self.node.now,
             schedule_target: submission.schedule_target_ms * MILLISECOND,
-            urgent_at: submission.due_at.midpoint(submission.expires_at),
             failures: submission.failures,
         }));
     }
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -228,9 +228,7 @@
         if self.stopping {
             return;
         }
-        let handover = self.messages.hand_on(self.now);
-        self.events.extend(handover.taken_back.into_iter().map(Event::Withdrawn));
-        for (id, key) in handover.handed {
+        for (id, key) in self.messages.hand_on() {
             let Some(held) = self.messages.get(key) else { continue };
             let Submission { schedule_target, priority, due_at, ref service, .. } = held.submission;
             let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at, self.now);
--- a/crates/delivery/src/interface.rs
+++ b/crates/delivery/src/interface.rs
@@ -50,8 +50,6 @@
     /// When the message was due; its run should start within `schedule_target` of it.
     pub due_at: Micros,
     pub schedule_target: Micros,
-    /// From then on it goes before all other messages of its service.
-    pub urgent_at: Micros,
     /// Attempts that were answered with 500. Each makes the pause before the next one longer.
     pub failures: u32,
 }
--- a/crates/delivery/src/messages.rs
+++ b/crates/delivery/src/messages.rs
@@ -1,6 +1,5 @@
 //! The messages on hand: waiting for their turn, handed to the decisions, or resting before another attempt.
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -9,12 +8,8 @@
 
 use crate::interface::Submission;
 
-/// Messages of one service that the decisions choose among at a time. Small, as those before the decisions go by the
-/// decisions' order and all others by that of the line.
-const WINDOW: usize = 8;
-
-/// A place in the line of a service: when the message is late, its priority, its number.
-type Turn = (Micros, u8, u64);
+/// Messages of one service that the decisions choose among at a time.
+const WINDOW: usize = 24;
 
 /// Where a message stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -49,75 +44,17 @@
     }
 
     /// The line goes by when runs should start.
-    fn turn(&self) -> Turn {
+    fn turn(&self) -> (Micros, u8, u64) {
         let Submission { due_at, schedule_target, priority, key, .. } = self.submission;
         (due_at + schedule_target, priority, key)
     }
 }
 
-/// How soon a message of a line goes; the lesser goes first.
-///
-/// After an outage a line that goes by age alone has each message late until the last one of the outage has gone. So those
-/// that can still be in time go first. Of the late ones the newest goes first: the messages of an ordering key come one
-/// after the other, and their latest is in time again soon, while keys wait whose turn was missed by much anyway.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Standing {
-    /// It has waited so long that it goes before all others, the oldest first.
-    Urgent(Turn),
-    InTime(Turn),
-    Late(Reverse<Turn>),
-}
-
-/// The messages of one service that could start.
 #[derive(Debug, Default)]
 struct Line {
-    waiting: BTreeSet<Turn>,
+    waiting: BTreeSet<(Micros, u8, u64)>,
     /// Before the decisions and not out.
-    handed: BTreeSet<Turn>,
-}
-
-impl Line {
-    fn len(&self) -> usize {
-        self.waiting.len() + self.handed.len()
-    }
-
-    /// The message that waits and goes next.
-    fn next(&self, now: Micros, is_urgent: impl Fn(u64) -> bool) -> Option<Standing> {
-        let oldest = *self.waiting.first()?;
-        if is_urgent(oldest.2) {
-            return Some(Standing::Urgent(oldest));
-        }
-        let in_time = self.waiting.range((now, 0, 0)..).next().map(|turn| Standing::InTime(*turn));
-        in_time.or_else(|| self.waiting.last().map(|turn| Standing::Late(Reverse(*turn))))
-    }
-
-    /// The message before the decisions that goes last.
-    fn last_handed(&self, now: Micros, is_urgent: impl Fn(u64) -> bool) -> Option<Standing> {
-        let late = self.handed.range(..(now, 0, 0)).find(|turn| !is_urgent(turn.2));
-        let late = late.map(|turn| Standing::Late(Reverse(*turn)));
-        let in_time = || self.handed.last().filter(|turn| turn.0 >= now);
-        late.or_else(|| in_time().map(|turn| Standing::InTime(*turn)))
-    }
-}
-
-impl Standing {
-    fn turn(self) -> Turn {
-        match self {
-            Standing::Urgent(turn) | Standing::InTime(turn) | Standing::Late(Reverse(turn)) => turn,
-        }
-    }
-
-    fn key(self) -> u64 {
-        self.turn().2
-    }
-}
-
-/// What changes of the messages before the decisions.
-#[derive(Debug, Default)]
-pub(crate) struct Handover {
-    /// Taken back, as others go first.
-    pub(crate) taken_back: Vec<MessageId>,
-    pub(crate) handed: Vec<(MessageId, u64)>,
+    handed: usize,
 }
 
 /// The messages on hand.
@@ -161,7 +98,7 @@
 
     /// Messages of a service that could start now.
     pub(crate) fn demand(&self, service: &str) -> usize {
-        self.lines.get(service).map_or(0, Line::len)
+        self.lines.get(service).map_or(0, |line| line.waiting.len() + line.handed)
     }
 
     fn line_up(&mut self, key: u64) {
@@ -185,7 +122,7 @@
             }
             Place::Handed(id) => {
                 if let Some(line) = line {
-                    line.handed.remove(&turn);
+                    line.handed -= 1;
                 }
                 self.ready.insert(held.submission.service.clone());
                 self.keys.remove(&id);
@@ -214,7 +151,7 @@
         let place = self.leave(key)?;
         let held = self.held.remove(&key)?;
         let service = held.submission.service;
-        if self.lines.get(&service).is_some_and(|line| line.len() == 0) {
+        if self.lines.get(&service).is_some_and(|line| line.waiting.is_empty() && line.handed == 0) {
             self.lines.remove(&service);
             self.ready.remove(&service);
         }
@@ -232,52 +169,25 @@
         }
     }
 
-    /// Hands the first of each line to the decisions; where these hold enough, in place of those that go last.
-    pub(crate) fn hand_on(&mut self, now: Micros) -> Handover {
-        let mut handover = Handover::default();
+    /// The messages that are handed to the decisions now, the first of each line.
+    pub(crate) fn hand_on(&mut self) -> Vec<(MessageId, u64)> {
+        let mut handed = Vec::new();
         for service in std::mem::take(&mut self.ready) {
-            while let Some(key) = self.next_to_hand(&service, now, &mut handover.taken_back) {
-                handover.handed.push((self.hand(key), key));
+            let Some(line) = self.lines.get_mut(&service) else { continue };
+            while line.handed < WINDOW
+                && let Some((_, _, key)) = line.waiting.pop_first()
+            {
+                self.last += 1;
+                let id = MessageId(self.last);
+                line.handed += 1;
+                self.keys.insert(id, key);
+                if let Some(held) = self.held.get_mut(&key) {
+                    (held.place, held.attempts) = (Place::Handed(id), 0);
+                }
+                handed.push((id, key));
             }
         }
-        handover
-    }
-
-    /// The next message of a service for the decisions, if there is room for it or one is taken back for it.
-    fn next_to_hand(&mut self, service: &str, now: Micros, taken_back: &mut Vec<MessageId>) -> Option<u64> {
-        let is_urgent = |key: u64| self.held.get(&key).is_some_and(|held| held.submission.urgent_at <= now);
-        let line = self.lines.get(service)?;
-        let next = line.next(now, is_urgent)?;
-        if line.handed.len() >= WINDOW {
-            let last = line.last_handed(now, is_urgent).filter(|last| next < *last)?;
-            taken_back.extend(self.take_back(last.key()));
-        }
-        Some(next.key())
-    }
-
-    /// Puts a message that is before the decisions back in line.
-    fn take_back(&mut self, key: u64) -> Option<MessageId> {
-        let held = self.held.get_mut(&key)?;
-        let Place::Handed(id) = held.place else { return None };
-        held.place = Place::InLine;
-        let line = self.lines.get_mut(&held.submission.service)?;
-        line.handed.remove(&held.turn());
-        line.waiting.insert(held.turn());
-        self.keys.remove(&id);
-        Some(id)
-    }
-
-    fn hand(&mut self, key: u64) -> MessageId {
-        self.last += 1;
-        let id = MessageId(self.last);
-        self.keys.insert(id, key);
-        if let Some(held) = self.held.get_mut(&key) {
-            (held.place, held.attempts) = (Place::Handed(id), 0);
-            let line = self.lines.entry(held.submission.service.clone()).or_default();
-            line.waiting.remove(&held.turn());
-            line.handed.insert(held.turn());
-        }
-        id
+        handed
     }
 
     /// The decisions' number of the next attempt of a message.
@@ -303,12 +213,12 @@
         match (held.place, out) {
             (Place::Handed(id), true) => {
                 held.place = Place::Out(id);
-                line.handed.remove(&held.turn());
+                line.handed -= 1;
                 self.ready.insert(held.submission.service.clone());
             }
             (Place::Out(id), false) => {
                 held.place = Place::Handed(id);
-                line.handed.insert(held.turn());
+                line.handed += 1;
             }
             _ => {}
         }
--- a/crates/delivery/tests/world/mod.rs
+++ b/crates/delivery/tests/world/mod.rs
@@ -148,7 +148,6 @@
         timeout: 600 * MILLISECOND,
         due_at,
         schedule_target: 600 * MILLISECOND,
-        urgent_at: Micros::MAX,
         failures: 0,
     }
 }
--- a/crates/hollow/examples/relay.rs
+++ b/crates/hollow/examples/relay.rs
@@ -206,7 +206,6 @@
             timeout: SECOND,
             due_at: now,
             schedule_target: SECOND,
-            urgent_at: Micros::MAX,
             failures: 0,
         };
         effects += machine.step(now, [DeliveryInput::Submit(submission)]).len();
--- a/crates/outbound/tests/together.rs
+++ b/crates/outbound/tests/together.rs
@@ -73,16 +73,7 @@
 fn submission(key: u64, now: u64) -> Submission {
     let service = Arc::from(if key.is_multiple_of(3) { "limited" } else { "listed" });
     let (timeout, schedule_target) = (5 * SECOND, SECOND);
-    Submission {
-        key,
-        service,
-        priority: 0,
-        timeout,
-        due_at: now,
-        schedule_target,
-        urgent_at: Micros::MAX,
-        failures: 0,
-    }
+    Submission { key, service, priority: 0, timeout, due_at: now, schedule_target, failures: 0 }
 }
 
 /// Guards against effects and events that do not fit together: every message ends with what its host said.
--- a/crates/queue/src/adopt.rs
+++ b/crates/queue/src/adopt.rs
@@ -72,7 +72,7 @@
         message.is_adopted = true;
         message.blockers = message.record.predecessors.iter().cloned().collect();
         message.failures = orphan.failures;
-        message.due_at = (self.now + delay).saturating_sub(age);
+        message.due_at = self.now + delay.saturating_sub(age);
         message.expires_at = self.now + left.saturating_sub(age);
         self.insert(message)
     }
--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_wire::Micros;
 use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::record::{Headers, MessageName};
@@ -92,10 +91,7 @@
     pub priority: u8,
     pub timeout_ms: u64,
     pub schedule_target_ms: u64,
-    /// When it was to run first, after its delay; it may have waited for others of its key since.
-    pub due_at: Micros,
-    /// When it is given up.
-    pub expires_at: Micros,
+    pub retention_ms: u64,
     pub failures: u32,
 }
 
--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -59,8 +59,7 @@
             priority: policy.priority,
             timeout_ms: policy.timeout_ms,
             schedule_target_ms: policy.schedule_target_ms,
-            due_at: message.due_at,
-            expires_at: message.expires_at,
+            retention_ms: policy.retention_ms,
             failures: message.failures,
         };
         self.effects.push(Effect::Submit { key, submission });
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -43,9 +43,8 @@
             service: submission.service,
             priority: submission.priority,
             timeout: submission.timeout_ms * MICROS_A_MILLISECOND,
-            due_at: submission.due_at,
+            due_at: self.node.now(),
             schedule_target: submission.schedule_target_ms * MICROS_A_MILLISECOND,
-            urgent_at: submission.due_at.midpoint(submission.expires_at),
             failures: submission.failures,
         };
         self.delivery_inputs.push(DeliveryInput::Submit(submission));
