--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -15,6 +15,9 @@
 
 /// Part of the client's patience after which it is answered, whatever is known.
 const PATIENCE_PART: f64 = 0.9;
+/// Part of the client's patience after which it is refused if the stores have not told of open messages of the key: nothing
+/// is written then, and the client has the rest for another relay.
+const LISTING_PART: f64 = 0.45;
 /// When a client is told to come back while the stores cannot be reached.
 const RETRY_AFTER_STORES_MS: u64 = 1_000;
 /// When a client is told to come back while too much is held.
@@ -68,7 +71,8 @@
     }
 
     fn take(&mut self, new: NewMessage, partition: Partition, retention_ms: u64, wall: WallMicros) {
-        let patience = (new.patience_ms as f64 * PATIENCE_PART) as Micros * MILLISECOND;
+        let part = |part: f64| (new.patience_ms as f64 * part) as Micros * MILLISECOND;
+        let (patience, listing) = (part(PATIENCE_PART), part(LISTING_PART));
         let (token, delay, is_ordered) = (new.token, new.delay_ms * MILLISECOND, new.ordering_key.is_some());
         let record = Record {
             name: MessageName::new(&new.request_id, partition),
@@ -101,7 +105,12 @@
             return;
         };
         self.clock.set(self.now + patience, Timer::Patience(key));
-        if is_ordered { self.list_open(key) } else { self.write(key) }
+        if is_ordered {
+            self.clock.set(self.now + listing, Timer::Listing(key));
+            self.list_open(key);
+        } else {
+            self.write(key);
+        }
     }
 
     pub(crate) fn answer(&mut self, token: ClientToken, answer: Answer) {
@@ -121,6 +130,16 @@
         self.remove(key);
     }
 
+    /// The stores were asked for open messages of the key for long enough. Another relay may reach them, so that the client
+    /// may come at once.
+    pub(crate) fn listing_over(&mut self, key: MessageKey) {
+        let is_listing = |message: &Message| matches!(message.stage, Stage::Listing { .. });
+        if self.messages.get(&key).is_some_and(is_listing) {
+            self.answer_client(key, Answer::Declined { retry_after_ms: 0 });
+            self.remove(key);
+        }
+    }
+
     /// The client's patience is over.
     pub(crate) fn patience_over(&mut self, key: MessageKey) {
         let Some(message) = self.messages.get(&key) else { return };
--- a/crates/queue/src/clock.rs
+++ b/crates/queue/src/clock.rs
@@ -14,6 +14,8 @@
     Hedge(MessageKey),
     /// The client's patience is over.
     Patience(MessageKey),
+    /// The stores have had their time to tell of open messages of the key.
+    Listing(MessageKey),
     /// The delay is over.
     Due(MessageKey),
     /// A pause after a failed run is over.
--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -98,6 +98,7 @@
         match timer {
             Timer::Hedge(key) => self.hedge(key),
             Timer::Patience(key) => self.patience_over(key),
+            Timer::Listing(key) => self.listing_over(key),
             Timer::Due(key) | Timer::RetryRun(key) => self.start_if_due(key),
             Timer::CheckPredecessors(key) => self.check_predecessors(key),
             Timer::RetryAdoption(key) => self.retry_adoption(key),
--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -269,3 +269,33 @@
     let told: Vec<u32> = stores.filter_map(|store| store.failures.get(&name).copied()).collect();
     assert!(told.len() >= 2, "every holder that was told of the release knows of the attempt: {told:?}");
 }
+
+// Danger: a message of which nothing is written is held for the client's whole patience, and no other relay can take it.
+#[test]
+fn a_key_that_no_store_tells_of_is_refused_while_the_client_has_time_left() {
+    let mut world = World::new();
+    world.silent.extend(world.stores.keys().cloned().collect::<Vec<_>>());
+    let new = world.message("a", Some("key"));
+    let half = new.patience_ms * MILLISECOND / 2;
+    let token = world.accept(new);
+    world.run_for(half);
+    assert_eq!(world.answers.get(&token), Some(&Answer::Declined { retry_after_ms: 0 }));
+    world.silent.clear();
+    world.run_for(2_000 * MILLISECOND);
+    assert!(world.submitted.is_empty(), "it never runs");
+}
+
+// Danger: a message without a key is refused although other stores than those of its id could keep it.
+#[test]
+fn a_message_without_a_key_goes_to_stores_that_are_there() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let gone = world.group(&name);
+    let live = world.stores.keys().filter(|store| !gone[..2].contains(store)).cloned();
+    let live = live.collect();
+    world.queue.set_live_stores(live);
+    let new = world.message("a", None);
+    let token = world.accept(new);
+    world.run_for(100 * MILLISECOND);
+    assert!(matches!(world.answers.get(&token), Some(Answer::Accepted { .. })), "{:?}", world.answers);
+}
