--- a/crates/hollow/examples/relay.rs
+++ b/crates/hollow/examples/relay.rs
@@ -118,6 +118,7 @@
         overshoot: 1.1,
         bootstrap: false,
         core_lease: 3 * SECOND,
+        homes_are_agreed: false,
     };
     let mut permits = Permits::new(settings);
     permits.set_core_lease(SECOND, u64::MAX);
@@ -178,6 +179,7 @@
         origin_overshoot: 1.1,
         bootstrap: false,
         core_lease: 3 * SECOND,
+        homes_are_agreed: false,
     };
     let memory = resident_bytes();
     let mut machine = Delivery::new(settings);
--- a/crates/hollow/src/member.rs
+++ b/crates/hollow/src/member.rs
@@ -80,6 +80,7 @@
             origin_overshoot: ORIGIN_OVERSHOOT,
             bootstrap,
             core_lease: CORE_LEASE,
+            homes_are_agreed: false,
         };
         Ok(Member {
             index,
