--- a/crates/account/src/account.rs
+++ b/crates/account/src/account.rs
@@ -45,7 +45,7 @@
         };
         let price = |(name, _, points): &(String, f64, f64)| Point { name: name.clone(), points: *points };
         let points = report.parts.iter().map(part).chain(report.prices.iter().map(price)).collect();
-        let owed = report.classes.iter().map(|counts| worth_owed(counts, site)).sum::<f64>().max(1.0);
+        let owed = site.worth_owed(report);
         let classes: Vec<ClassLoss> =
             report.classes.iter().map(|counts| class_loss(counts, site, owed)).collect();
         let lost = classes.iter().map(ClassLoss::sum).sum();
@@ -58,11 +58,6 @@
     }
 }
 
-fn worth_owed(counts: &Counts, site: &Site) -> f64 {
-    let worth = site.class(&counts.name).map_or(1.0, |class| class.worth);
-    counts.requests.saturating_sub(counts.not_owed) as f64 * worth
-}
-
 fn class_loss(counts: &Counts, site: &Site, owed: f64) -> ClassLoss {
     let (worth, late_worth) =
         site.class(&counts.name).map_or((1.0, 0.0), |class| (class.worth, class.late_worth));
--- a/crates/account/src/bound.rs
+++ b/crates/account/src/bound.rs
@@ -4,7 +4,7 @@
 //! the dark as late if power is back within its deadline and as not served otherwise, and a run that becomes due while all
 //! hosts of its service are down as late if they stay down for longer than its aim.
 
-use crate::report::{Counts, Report};
+use crate::report::Report;
 use crate::site::{Class, Day, Site};
 
 const MILLISECONDS_A_SECOND: f64 = 1_000.0;
@@ -24,7 +24,7 @@
 
 impl Bound {
     pub fn new(report: &Report, site: &Site, day: &Day) -> Self {
-        let owed = owed(report, site);
+        let owed = site.worth_owed(report);
         let requests = report.all.requests.max(1) as f64;
         let mut bound = Bound { in_the_dark: 0.0, without_hosts: 0.0, unserved: 0.0 };
         let closing = day.closing.as_ref().filter(|closing| closing.how.contains("all"));
@@ -63,14 +63,6 @@
     class.worth - class.late_worth
 }
 
-fn owed(report: &Report, site: &Site) -> f64 {
-    let worth = |counts: &Counts| {
-        let worth = site.class(&counts.name).map_or(1.0, |class| class.worth);
-        counts.requests.saturating_sub(counts.not_owed) as f64 * worth
-    };
-    report.classes.iter().map(worth).sum::<f64>().max(1.0)
-}
-
 /// Requests of a class a second, in the mean of the day. Windows are named by the second at which they begin.
 fn rate(report: &Report, class: &str) -> f64 {
     let begins: Vec<f64> = report.windows.iter().filter_map(|window| window.name.parse().ok()).collect();
--- a/crates/account/src/site.rs
+++ b/crates/account/src/site.rs
@@ -3,6 +3,7 @@
 use serde::Deserialize;
 
 use crate::error::AccountError;
+use crate::report::{Counts, Report};
 
 /// A site, as far as the account needs it.
 #[derive(Clone, Debug, Deserialize)]
@@ -44,7 +45,6 @@
 /// A fault of a day.
 #[derive(Clone, Debug, Deserialize)]
 pub struct Fault {
-    pub at: f64,
     pub kind: String,
     #[serde(default)]
     pub how: String,
@@ -60,7 +60,6 @@
     pub down_s: f64,
     #[serde(default)]
     pub how: String,
-    pub kind: String,
 }
 
 impl Site {
@@ -73,6 +72,15 @@
         found.ok_or_else(|| AccountError::NoDay { name: name.to_owned() })
     }
 
+    /// The worth owed on a day; 1 at the least, so that shares of it can be told.
+    pub(crate) fn worth_owed(&self, report: &Report) -> f64 {
+        let worth = |counts: &Counts| {
+            let worth = self.class(&counts.name).map_or(1.0, |class| class.worth);
+            counts.requests.saturating_sub(counts.not_owed) as f64 * worth
+        };
+        report.classes.iter().map(worth).sum::<f64>().max(1.0)
+    }
+
     pub fn class(&self, name: &str) -> Option<&Class> {
         self.classes.iter().find(|class| class.name == name)
     }
--- a/crates/cluster/src/in_force.rs
+++ b/crates/cluster/src/in_force.rs
@@ -14,7 +14,7 @@
     pub(crate) fn in_force(&mut self, state: &Arc<ControlState>) {
         let effects = self.queue.set_placement(self.node.now, state.placement.clone());
         self.queue_effects.extend(effects);
-        self.delivery_inputs.push(DeliveryInput::AgreedHomes(state.homes.to_vec()));
+        self.delivery_inputs.push(DeliveryInput::AgreedHomes(state.homes.clone()));
         if state.config.version != self.config.version && !self.holds_back(&state.config) {
             self.use_config(&state.config);
         }
--- a/crates/control/src/homes.rs
+++ b/crates/control/src/homes.rs
@@ -28,7 +28,7 @@
     /// Relays that have been there for a moment and are not on the list.
     fn joining_homes(&self, listed: &BTreeSet<&NodeName>) -> Vec<NodeName> {
         let is_joining = |name: &NodeName| !listed.contains(name);
-        let settled = self.peers.live().filter(|peer| self.now >= peer.since + self.settings.settle);
+        let settled = self.peers.settled(self.now, self.settings.settle);
         let relays = settled.filter(|peer| peer.info.role == NodeRole::Relay);
         relays.map(|peer| peer.info.name.clone()).filter(is_joining).collect()
     }
@@ -36,12 +36,8 @@
     /// Relays on the list that have been gone for so long that nothing of theirs is in force.
     fn leaving_homes(&self, listed: &BTreeSet<&NodeName>) -> Vec<NodeName> {
         let is_gone = |name: &NodeName| {
-            let since = match self.peers.get(name) {
-                Some(peer) if peer.is_live => return false,
-                Some(peer) => peer.since,
-                None => self.started,
-            };
-            self.now > since + self.settings.abandon_after
+            let since = self.peers.node_gone_since(name, self.started);
+            since.is_some_and(|since| self.now > since + self.settings.abandon_after)
         };
         listed.iter().copied().filter(|name| is_gone(name)).cloned().collect()
     }
--- a/crates/control/src/peers.rs
+++ b/crates/control/src/peers.rs
@@ -86,6 +86,11 @@
         self.nodes.values().filter(|peer| peer.is_live)
     }
 
+    /// Nodes that have been there for so long.
+    pub(crate) fn settled(&self, now: Micros, span: Micros) -> impl Iterator<Item = &Peer> {
+        self.live().filter(move |peer| now >= peer.since + span)
+    }
+
     pub(crate) fn is_live_member(&self, member: &CoreMember) -> bool {
         self.nodes.get(&member.name).is_some_and(|peer| peer.is_live && peer.info.disk == Some(member.disk))
     }
@@ -98,10 +103,21 @@
     /// since `started`.
     pub(crate) fn gone_since(
         &self, name: &NodeName, disk: pewterseam_wire::identity::DiskId, started: Micros,
+    ) -> Option<Micros> {
+        self.absent_since(name, started, |peer| peer.is_live && peer.info.disk == Some(disk))
+    }
+
+    /// The same of a node with whatever disk, or none.
+    pub(crate) fn node_gone_since(&self, name: &NodeName, started: Micros) -> Option<Micros> {
+        self.absent_since(name, started, |peer| peer.is_live)
+    }
+
+    fn absent_since(
+        &self, name: &NodeName, started: Micros, is_there: impl Fn(&Peer) -> bool,
     ) -> Option<Micros> {
         match self.nodes.get(name) {
             None => Some(started),
-            Some(peer) if peer.is_live && peer.info.disk == Some(disk) => None,
+            Some(peer) if is_there(peer) => None,
             Some(peer) => Some(peer.since),
         }
     }
--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -106,8 +106,7 @@
         let is_given_up = |store: &StoreId| state.retiring.contains(store) || state.retired.contains(store);
         let new: Vec<StoreEntry> = self
             .peers
-            .live()
-            .filter(|peer| self.now >= peer.since + self.settings.settle)
+            .settled(self.now, self.settings.settle)
             .filter_map(entry_of)
             .filter(|entry| !is_given_up(&entry.id) && current.iter().all(|placed| placed.id != entry.id))
             .collect();
--- a/crates/delivery/src/interface.rs
+++ b/crates/delivery/src/interface.rs
@@ -118,7 +118,7 @@
     /// The live relays, this one included or not.
     Relays(Vec<NodeName>),
     /// The relays that may hand out permits, as the core has agreed on them.
-    AgreedHomes(Vec<NodeName>),
+    AgreedHomes(Arc<Vec<NodeName>>),
     Submit(Submission),
     /// The message is over for its owner; an attempt that is out runs on and its result is dropped.
     Withdraw {
--- a/crates/ingress/src/message.rs
+++ b/crates/ingress/src/message.rs
@@ -43,8 +43,12 @@
 
 /// How long a request may be held before it is refused.
 pub(crate) fn may_be_held(headers: &HeaderMap) -> Duration {
-    let patience = number(headers, &DEADLINE).ok().flatten().unwrap_or(USUAL_PATIENCE_MS);
-    Duration::from_millis(patience).mul_f64(HELD_PART)
+    Duration::from_millis(patience_ms(headers).unwrap_or(USUAL_PATIENCE_MS)).mul_f64(HELD_PART)
+}
+
+/// How long the client waits.
+fn patience_ms(headers: &HeaderMap) -> Result<u64, MessageError> {
+    Ok(number(headers, &DEADLINE)?.unwrap_or(USUAL_PATIENCE_MS))
 }
 
 /// Why a request is no message.
@@ -78,7 +82,7 @@
         body,
         ordering_key: ordering_key.map(Arc::from),
         delay_ms: number(headers, &DELAY)?.unwrap_or(0),
-        patience_ms: number(headers, &DEADLINE)?.unwrap_or(USUAL_PATIENCE_MS),
+        patience_ms: patience_ms(headers)?,
     })
 }
 
--- a/crates/permits/tests/ceiling.rs
+++ b/crates/permits/tests/ceiling.rs
@@ -2,24 +2,12 @@
 
 mod network;
 
-use network::{CALM, CORE_LEASE, MILLISECOND, Network, SECOND, Troubles, VIEW_LAG};
+use network::{CALM, MILLISECOND, Network, SECOND, Troubles, VIEW_LAG};
 use pewterseam_permits::{MARGIN, VALIDITY};
 use quickcheck::{QuickCheck, TestResult};
 
-const ALL: Troubles = Troubles {
-    lost: 0.1,
-    doubled: 0.1,
-    cut: 0.05,
-    frozen: 0.05,
-    killed: 0.03,
-    stopped: 0.03,
-    word: CORE_LEASE,
-    waited_part: 1.0,
-    homes_are_agreed: false,
-    lists_itself_alone: false,
-    all_killed: 0.0,
-    keeps_sending: false,
-};
+const ALL: Troubles =
+    Troubles { lost: 0.1, doubled: 0.1, cut: 0.05, frozen: 0.05, killed: 0.03, stopped: 0.03, ..CALM };
 
 fn keeps_the_bound(seed: u64, rate: f64, count: usize, troubles: Troubles) -> Result<(), String> {
     let mut network = Network::new(seed, count, rate, rate * 2.0, troubles);
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -20,6 +20,8 @@
 const LISTING_PART: f64 = 0.45;
 /// When a client is told to come back while the stores cannot be reached.
 const RETRY_AFTER_STORES_MS: u64 = 1_000;
+/// When a client is told to come back where another relay may reach the stores.
+const RETRY_AFTER_LISTING_MS: u64 = 0;
 /// When a client is told to come back while too much is held.
 const RETRY_AFTER_FULL_MS: u64 = 500;
 /// Open messages of one key that a new one may have as predecessors.
@@ -33,36 +35,31 @@
     /// A client hands in a message.
     pub fn accept(&mut self, now: Micros, wall: WallMicros, new: NewMessage) -> Vec<Effect> {
         self.now = now;
-        let partition = self.partition_for(&new);
         let policy = self.routes.routes.get(&new.route);
         let retention_ms = policy.map_or(0, |policy| policy.retention_ms);
         if policy.is_none() || !self.has_room(new.body.len()) {
             self.answer(new.token, Answer::Declined { retry_after_ms: RETRY_AFTER_FULL_MS });
-        } else if !self.stores.can_write(partition) {
-            self.answer(new.token, Answer::Declined { retry_after_ms: RETRY_AFTER_STORES_MS });
-        } else {
+        } else if let Some(partition) = self.writable_partition(&new) {
             self.take(new, partition, retention_ms, wall);
+        } else {
+            self.answer(new.token, Answer::Declined { retry_after_ms: RETRY_AFTER_STORES_MS });
         }
         self.take_effects()
     }
 
     /// Whether the stores that a new message would go to can be written to, as far as is known.
     pub fn can_accept(&self, new: &NewMessage) -> bool {
-        self.stores.can_write(self.partition_for(new))
+        self.writable_partition(new).is_some()
     }
 
-    /// The partition of a new message. One with an ordering key has that of its key; for another one it is chosen so that
-    /// its stores can be written to, and are near.
-    fn partition_for(&self, new: &NewMessage) -> Partition {
-        if let Some(ordering_key) = &new.ordering_key {
-            return Partition::of(ordering_key);
-        }
-        let mut candidates = self.stores.candidates(&new.request_id);
-        let first = candidates.next().unwrap_or_else(|| Partition::of(&new.request_id));
-        if self.stores.can_write(first) {
-            return first;
+    /// The partition of a new message, if its stores can be written to. One with an ordering key has that of its key; for
+    /// another one it is chosen so that its stores can be written to, and are near.
+    fn writable_partition(&self, new: &NewMessage) -> Option<Partition> {
+        let can_write = |partition: &Partition| self.stores.can_write(*partition);
+        match &new.ordering_key {
+            Some(ordering_key) => Some(Partition::of(ordering_key)).filter(can_write),
+            None => self.stores.candidates(&new.request_id).find(can_write),
         }
-        candidates.find(|partition| self.stores.can_write(*partition)).unwrap_or(first)
     }
 
     fn has_room(&self, bytes: usize) -> bool {
@@ -125,8 +122,8 @@
     }
 
     /// Nothing was written anywhere: the message is forgotten and the client may come back.
-    fn decline(&mut self, key: MessageKey) {
-        self.answer_client(key, Answer::Declined { retry_after_ms: RETRY_AFTER_STORES_MS });
+    fn decline(&mut self, key: MessageKey, retry_after_ms: u64) {
+        self.answer_client(key, Answer::Declined { retry_after_ms });
         self.remove(key);
     }
 
@@ -135,8 +132,7 @@
     pub(crate) fn listing_over(&mut self, key: MessageKey) {
         let is_listing = |message: &Message| matches!(message.stage, Stage::Listing { .. });
         if self.messages.get(&key).is_some_and(is_listing) {
-            self.answer_client(key, Answer::Declined { retry_after_ms: 0 });
-            self.remove(key);
+            self.decline(key, RETRY_AFTER_LISTING_MS);
         }
     }
 
@@ -147,8 +143,8 @@
             return;
         }
         match message.stage {
-            Stage::Listing { .. } => self.decline(key),
-            _ if !message.may_have_copy() => self.decline(key),
+            Stage::Listing { .. } => self.decline(key, RETRY_AFTER_STORES_MS),
+            _ if !message.may_have_copy() => self.decline(key, RETRY_AFTER_STORES_MS),
             // It may run: no promise can be made.
             _ => self.answer_client(key, Answer::Unknown),
         }
@@ -185,7 +181,7 @@
         let mut found = std::mem::take(found);
         found.remove(&message.record.name);
         if found.len() > MOST_PREDECESSORS {
-            self.decline(key);
+            self.decline(key, RETRY_AFTER_STORES_MS);
             return;
         }
         message.record.predecessors = found.iter().cloned().collect();
--- a/crates/system/src/relay/configuration.rs
+++ b/crates/system/src/relay/configuration.rs
@@ -22,7 +22,7 @@
     pub(super) fn in_force(&mut self, state: &Arc<ControlState>) {
         let effects = self.planes.queue.set_placement(self.node.now(), state.placement.clone());
         self.queue_effects.extend(effects);
-        self.delivery_inputs.push(DeliveryInput::AgreedHomes(state.homes.to_vec()));
+        self.delivery_inputs.push(DeliveryInput::AgreedHomes(state.homes.clone()));
         if state.config.version != self.config.load().version {
             self.configure(state.config.version);
         }
--- a/crates/system/src/relay/front.rs
+++ b/crates/system/src/relay/front.rs
@@ -31,7 +31,7 @@
     }
 
     fn message_handed_in(&mut self, new: NewMessage, reply: oneshot::Sender<Answer>) {
-        if self.planes.queue.can_accept(&new) || self.has_been_ready {
+        if self.has_been_ready || self.planes.queue.can_accept(&new) {
             return self.accept(new, reply);
         }
         let since = self.node.now();
--- a/crates/wire/src/placement.rs
+++ b/crates/wire/src/placement.rs
@@ -95,16 +95,17 @@
     }
 
     /// The partitions to try in turn for a message without an ordering key that is taken in a zone, best first: those
-    /// whose home is that zone, where copies stay within zones. There is always one.
+    /// whose home is that zone, where copies stay within zones, then the others. There is always one.
     pub fn candidates<'a>(&'a self, id: &'a str, zone: &'a str) -> impl Iterator<Item = Partition> + 'a {
         let zones = self.sets.last().map(|set| zones_of(set)).unwrap_or_default();
         let prefers_zone =
             self.spread == CopySpread::WithinZone && zones.iter().any(|known| known.as_ref() == zone);
-        let partitions = (0..MOST_CANDIDATES).map(|salt| Partition::salted(id, salt));
-        let at_home = partitions.clone().filter(move |partition| {
+        let is_at_home = move |partition: &Partition| {
             !prefers_zone || home_zone(&zones, *partition).is_some_and(|home| home.as_ref() == zone)
-        });
-        at_home.chain(partitions)
+        };
+        let partitions = (0..MOST_CANDIDATES).map(|salt| Partition::salted(id, salt));
+        let at_home = partitions.clone().filter(is_at_home.clone());
+        at_home.chain(partitions.filter(move |partition| !is_at_home(partition)))
     }
 
     /// Every store that holds, or is to hold, the partition.
@@ -153,8 +154,10 @@
             .map(|entry| (hash(entry.id.name.0.as_bytes(), u64::from(partition.0)), entry))
             .collect();
         ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.id.cmp(&b.1.id)));
-        let zones = zones_of(set);
-        let home = home_zone(&zones, partition).filter(|_| spread == CopySpread::WithinZone);
+        let home = match spread {
+            CopySpread::AcrossZones => None,
+            CopySpread::WithinZone => home_zone(&zones_of(set), partition),
+        };
         let (at_home, others): (Vec<_>, Vec<_>) =
             ranked.into_iter().partition(|(_, entry)| home.is_some_and(|home| entry.zone == *home));
         let mut seen = BTreeSet::new();
