--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -1,6 +1,5 @@
 //! What goes into the queue and what comes out of it.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -66,24 +65,6 @@
     Unknown,
 }
 
-/// What a route asks of its messages.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RoutePolicy {
-    pub service: Arc<str>,
-    pub priority: u8,
-    pub timeout_ms: u64,
-    pub schedule_target_ms: u64,
-    pub max_attempts: u32,
-    pub retention_ms: u64,
-}
-
-/// The routes in force, by name.
-#[derive(Clone, Debug, Default)]
-pub struct RouteTable {
-    pub version: u64,
-    pub routes: HashMap<Arc<str>, RoutePolicy>,
-}
-
 /// A message that is to run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Submission {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -21,6 +21,7 @@
 mod predecessors;
 mod quorum_read;
 mod releases;
+mod routes;
 mod run;
 mod sending;
 mod settle;
@@ -28,9 +29,10 @@
 mod stores;
 
 pub use io::{
-    Answer, AttemptNumber, CallId, ClientToken, Effect, MessageKey, NewMessage, QueueSettings, RoutePolicy,
-    RouteTable, RunResult, Submission,
+    Answer, AttemptNumber, CallId, ClientToken, Effect, MessageKey, NewMessage, QueueSettings, RunResult,
+    Submission,
 };
 pub use machine::Queue;
 pub use quorum_read::{BodyRead, StatusRead, StatusResult};
+pub use routes::{RouteChanges, RoutePolicy, RouteTable};
 pub use sending::SendPermit;
--- a/crates/queue/src/machine.rs
+++ b/crates/queue/src/machine.rs
@@ -10,10 +10,11 @@
 
 use crate::calls::Calls;
 use crate::clock::{Clock, Timer};
-use crate::io::{Effect, MessageKey, QueueSettings, RouteTable};
+use crate::io::{Effect, MessageKey, QueueSettings};
 use crate::leases::Leases;
 use crate::message::{Message, Stage};
 use crate::releases::Releases;
+use crate::routes::RouteTable;
 use crate::settle::Outbox;
 use crate::stores::Stores;
 
@@ -145,22 +146,6 @@
         reachable > usize::from(self.stores.placement.tolerated).min(all.saturating_sub(1))
     }
 
-    /// A configuration is in force. Messages whose route it dropped have ended.
-    pub fn set_routes(&mut self, now: Micros, routes: Arc<RouteTable>) -> Vec<Effect> {
-        self.now = now;
-        self.routes = routes;
-        let dropped: Vec<MessageKey> = self
-            .messages
-            .iter()
-            .filter(|(_, message)| !self.routes.routes.contains_key(&message.record.route))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in dropped {
-            self.route_dropped(key);
-        }
-        self.take_effects()
-    }
-
     /// The record of a message that is held here.
     pub fn record(&self, key: MessageKey) -> Option<&Record> {
         self.messages.get(&key).map(|message| &message.record)
--- /dev/null
+++ b/crates/queue/src/routes.rs
@@ -0,0 +1,105 @@
+//! The routes in force, and what a change of them does to the messages that are held.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::sync::Arc;
+
+use pewterseam_wire::Micros;
+
+use crate::io::{Effect, MessageKey};
+use crate::machine::Queue;
+
+/// What a route asks of its messages.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RoutePolicy {
+    pub service: Arc<str>,
+    pub priority: u8,
+    pub timeout_ms: u64,
+    pub schedule_target_ms: u64,
+    pub max_attempts: u32,
+    pub retention_ms: u64,
+}
+
+/// The routes in force, by name.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    pub version: u64,
+    pub routes: HashMap<Arc<str>, RoutePolicy>,
+}
+
+/// How one table of routes differs from the one before, and which messages that concerns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RouteChanges {
+    pub added: usize,
+    pub dropped: usize,
+    /// Routes whose messages another service runs.
+    pub moved: usize,
+    /// Routes that differ in something else.
+    pub altered: usize,
+    /// Messages held here whose route was dropped.
+    pub messages_dropped: usize,
+    /// Messages held here whose route was moved.
+    pub messages_moved: usize,
+}
+
+impl RouteTable {
+    /// How the routes differ from those before.
+    fn changes_since(&self, before: &RouteTable) -> RouteChanges {
+        let mut changes = RouteChanges::default();
+        for (name, policy) in &self.routes {
+            match before.routes.get(name) {
+                None => changes.added += 1,
+                Some(former) if former.service != policy.service => changes.moved += 1,
+                Some(former) if former != policy => changes.altered += 1,
+                Some(_) => {}
+            }
+        }
+        changes.dropped = before.routes.keys().filter(|name| !self.routes.contains_key(*name)).count();
+        changes
+    }
+
+    fn is_moved_since(&self, before: &RouteTable, route: &str) -> bool {
+        let service = |table: &RouteTable| table.routes.get(route).map(|policy| policy.service.clone());
+        matches!((service(before), service(self)), (Some(former), Some(present)) if former != present)
+    }
+}
+
+impl fmt::Display for RouteChanges {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let RouteChanges { added, dropped, moved, altered, messages_dropped, messages_moved } = self;
+        write!(
+            f,
+            "routes: {added} added, {dropped} dropped, {moved} moved to another service, {altered} altered; messages \
+             held: {messages_dropped} of dropped routes, {messages_moved} of moved ones"
+        )
+    }
+}
+
+impl Queue {
+    /// What a table of routes would change; asked before [`Queue::set_routes`].
+    pub fn route_changes(&self, routes: &RouteTable) -> RouteChanges {
+        let mut changes = routes.changes_since(&self.routes);
+        for message in self.messages.values() {
+            let route = &message.record.route;
+            changes.messages_dropped += usize::from(!routes.routes.contains_key(route));
+            changes.messages_moved += usize::from(routes.is_moved_since(&self.routes, route));
+        }
+        changes
+    }
+
+    /// A configuration is in force. Messages whose route it dropped have ended.
+    pub fn set_routes(&mut self, now: Micros, routes: Arc<RouteTable>) -> Vec<Effect> {
+        self.now = now;
+        self.routes = routes;
+        let dropped: Vec<MessageKey> = self
+            .messages
+            .iter()
+            .filter(|(_, message)| !self.routes.routes.contains_key(&message.record.route))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in dropped {
+            self.route_dropped(key);
+        }
+        self.take_effects()
+    }
+}
--- a/crates/system/src/relay/configuration.rs
+++ b/crates/system/src/relay/configuration.rs
@@ -38,10 +38,11 @@
                 return;
             }
         };
-        log::info!("configuration {} is in force", compiled.version);
         let services = compiled.services().map(|service| service_config(service)).collect();
         self.delivery_inputs.push(DeliveryInput::Services(services));
         let table = Arc::new(route_table(&compiled));
+        let changes = self.planes.queue.route_changes(&table);
+        log::info!("configuration {} is in force; {changes}", compiled.version);
         self.config.store(compiled);
         self.configured.send_replace(true);
         let effects = self.planes.queue.set_routes(self.node.now(), table);
--- a/crates/system/src/relay/process.rs
+++ b/crates/system/src/relay/process.rs
@@ -193,10 +193,7 @@
     fn received(&mut self, origin: Origin, message: PeerMessage) {
         match message {
             PeerMessage::StoreResponse { call, response } => self.store_answered(origin, call, *response),
-            PeerMessage::Notice(notice) => {
-                let effects = self.planes.queue.notice(self.node.now(), notice);
-                self.queue_effects.extend(effects);
-            }
+            PeerMessage::Notice(notice) => self.store_notice(notice),
             PeerMessage::Control { from, message } => self.node.control_message(&from, *message),
             PeerMessage::Delivery { from, bytes } => {
                 self.delivery_inputs.push(DeliveryInput::Peer { from, bytes });
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -10,7 +10,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::{Owner, Role};
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::store::{StoreRequest, StoreResponse};
+use pewterseam_wire::store::{StoreNotice, StoreRequest, StoreResponse};
 
 use super::process::RelayProcess;
 use super::reads::FIRST_READ_CALL;
@@ -37,6 +37,23 @@
         }
     }
 
+    /// A store tells something unasked.
+    pub(super) fn store_notice(&mut self, notice: StoreNotice) {
+        let oldest_ms = match &notice {
+            StoreNotice::TakeOver { messages } => messages.iter().map(|message| message.age_ms).max(),
+            StoreNotice::PredecessorEnded { .. } => None,
+        };
+        let held = self.planes.queue.len();
+        let effects = self.planes.queue.notice(self.node.now(), notice);
+        self.queue_effects.extend(effects);
+        let taken = self.planes.queue.len().saturating_sub(held);
+        if let Some(oldest_ms) = oldest_ms.filter(|_| taken > 0) {
+            log::info!(
+                "messages to be taken over from other relays: {taken}; the oldest offered has {oldest_ms} ms"
+            );
+        }
+    }
+
     fn submit(&mut self, key: MessageKey, submission: Submission) {
         let submission = DeliverySubmission {
             key: key.0,
