--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -111,7 +111,7 @@
             }
             return;
         }
-        self.judge.written(key, &call.start.request_id);
+        self.judge.written(self.now, key, &call.start.request_id);
         let arrival = self.host_arrival(key.life);
         self.agenda.add(arrival, Event::CallArrives(key));
         if let Some((leftover, request_id)) = self.calls.held_by(key) {
@@ -174,7 +174,7 @@
             }
             Reaction::Runs { status, took, is_answer_lost } => {
                 let sent = SentMessage { request_id: &request_id, body: &body, ordering_key: &ordering_key };
-                self.judge.run_starts(self.now, &sent, key.life, service);
+                self.judge.run_starts(self.now, &sent, key, service);
                 self.last_run += 1;
                 let run = Run { host, call: key, request_id, status, is_answer_lost };
                 self.runs.insert(self.last_run, run);
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -10,7 +10,7 @@
 use pewterseam_queue::{RoutePolicy, RouteTable};
 use pewterseam_wire::Micros;
 
-use crate::plan::SECOND;
+use crate::plan::{SECOND, Scenario};
 
 /// Arrivals a second that the limited service allows.
 pub const RATE_PER_S: u32 = 8;
@@ -19,7 +19,9 @@
 /// Time of one attempt.
 pub const TIMEOUT_MS: u64 = 600;
 /// `retentionS`.
-pub const RETENTION: Micros = 90 * SECOND;
+const RETENTION: Micros = 90 * SECOND;
+/// The same on days that outlast it.
+const SHORT_RETENTION: Micros = 8 * SECOND;
 const LEAST_TARGET_MS: u64 = 400;
 const MORE_TARGET_MS: u64 = 400;
 const MILLISECONDS_A_SECOND: f64 = 1_000.0;
@@ -33,6 +35,11 @@
 /// A route that nobody uses; its number tells changes from each other.
 pub const MARK: &str = "mark";
 
+/// `retentionS` of all routes.
+pub fn retention(scenario: Scenario) -> Micros {
+    if scenario == Scenario::LongDays { SHORT_RETENTION } else { RETENTION }
+}
+
 /// The endpoint of the limited service.
 pub fn limited_address() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 3], 8_000))
@@ -44,8 +51,8 @@
     if mark >> place & 1 == 0 { PLAIN } else { ORDERED }
 }
 
-fn route(name: &str, mark: u64) -> String {
-    let (fifo, retention_s) = (name == ORDERED, RETENTION / SECOND);
+fn route(name: &str, mark: u64, retention: Micros) -> String {
+    let (fifo, retention_s) = (name == ORDERED, retention / SECOND);
     let service = match name {
         PLAIN | ORDERED | LIMITED => name,
         name if PASSING.contains(&name) => passing_service(name, mark),
@@ -69,18 +76,18 @@
 }
 
 /// Routes of a configuration of this mark.
-fn routes(names: &[&str], mark: u64) -> String {
-    let all: Vec<String> = names.iter().chain(&[MARK]).map(|name| route(name, mark)).collect();
+fn routes(names: &[&str], mark: u64, retention: Micros) -> String {
+    let all: Vec<String> = names.iter().chain(&[MARK]).map(|name| route(name, mark, retention)).collect();
     all.join(",")
 }
 
 /// A whole configuration, told from others by its mark, with these routes beside the usual ones, and with so many
 /// that nobody uses.
-pub fn document(version: u64, mark: u64, passing: &[&str], unused: usize) -> Bytes {
+pub fn document(version: u64, mark: u64, passing: &[&str], unused: usize, retention: Micros) -> Bytes {
     let names = [PLAIN, ORDERED, LIMITED];
     let unused: Vec<String> = (0..unused).map(|number| format!("unused-{number}")).collect();
     let unused: Vec<&str> = unused.iter().map(String::as_str).collect();
-    let routes = routes(&[&names, passing, &unused].concat(), mark);
+    let routes = routes(&[&names, passing, &unused].concat(), mark, retention);
     let services = names.map(service).join(",");
     Bytes::from(format!(
         r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
@@ -88,8 +95,8 @@
 }
 
 /// A change to one, that adds some of the passing routes and drops the others.
-pub fn patch(version: u64, mark: u64, passing: &[&str]) -> Bytes {
-    let routes = routes(&[&[PLAIN], passing].concat(), mark);
+pub fn patch(version: u64, mark: u64, passing: &[&str], retention: Micros) -> Bytes {
+    let routes = routes(&[&[PLAIN], passing].concat(), mark, retention);
     let dropped = PASSING.iter().filter(|name| !passing.contains(name));
     let dropped: Vec<String> = dropped.map(|name| format!("\"{name}\"")).collect();
     let dropped = dropped.join(",");
--- a/crates/cluster/src/event.rs
+++ b/crates/cluster/src/event.rs
@@ -169,4 +169,12 @@
         run: u64,
     },
     HostsChange,
+    /// All hosts of a service end.
+    ServiceEnds {
+        service: &'static str,
+    },
+    /// New hosts of a service begin after an outage.
+    ServiceReturns {
+        service: &'static str,
+    },
 }
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -127,7 +127,10 @@
                 let count = self.random.below(MOST_FAULTS + 1);
                 self.draw_usual_faults(count);
             }
-            Scenario::ManyChanges | Scenario::ChangingRoutes => self.draw_troubles_of_changes(),
+            Scenario::ManyChanges | Scenario::ChangingRoutes | Scenario::OutagesAndChanges => {
+                self.draw_troubles_of_changes();
+            }
+            Scenario::LongDays => self.draw_faults_of_a_long_day(),
             Scenario::ScaleIn => self.draw_scaling(),
             Scenario::LongTroubles => self.draw_long_troubles(),
             Scenario::OverlappingFaults => self.draw_overlapping_faults(),
--- a/crates/cluster/src/hosts.rs
+++ b/crates/cluster/src/hosts.rs
@@ -111,6 +111,17 @@
         });
     }
 
+    /// All hosts of a service that stand on the list end.
+    pub fn end_all(&mut self, service: &str) {
+        let listed = self.all.iter_mut().filter(|host| host.instance.is_some() && host.service == service);
+        listed.for_each(|host| host.is_up = false);
+    }
+
+    /// New hosts of a service begin, as many as at first.
+    pub fn begin_all(&mut self, service: &'static str) {
+        (0..HOSTS_OF_A_SERVICE).for_each(|_| self.begin(service));
+    }
+
     /// Something changes: a host ends or begins, drains, or is in trouble for a while.
     pub fn change(&mut self, now: Micros) {
         let listed: Vec<usize> =
--- a/crates/cluster/src/judge/bounds.rs
+++ b/crates/cluster/src/judge/bounds.rs
@@ -36,19 +36,25 @@
         }
     }
 
+    /// CONFIG: a client's request is refused as one without a route.
+    pub fn refused_without_route(&mut self, now: Micros, id: &Arc<str>, handler: Life) {
+        let Some(message) = self.tries.get(id) else { return };
+        let sent_at = message.sent_at;
+        self.handled(now, id, handler, Handled { service: None, sent_at });
+    }
+
     /// CONFIG: a request runs at a service, or is refused as one without a route.
-    pub fn handled(&mut self, now: Micros, id: &Arc<str>, handler: Life, service: Option<&str>) {
+    pub(super) fn handled(&mut self, now: Micros, id: &Arc<str>, handler: Life, handled: Handled<'_>) {
         let Some(message) = self.tries.get(id) else { return };
-        let (route, sent_at) = (message.route.clone(), message.sent_at);
-        let handled = Handled { route: &route, service, sent_at };
-        let done = service.map_or("is refused".to_owned(), |service| format!("runs at {service}"));
-        if let Some(version) = self.handling.passed_over(handled)
+        let route = message.route.clone();
+        let done = handled.service.map_or("is refused".to_owned(), |service| format!("runs at {service}"));
+        if let Some(version) = self.handling.passed_over(&route, handled)
             && self.is_handled_in_touch(now, id, handler)
         {
-            let what = format!("{id} of {route} was sent long after version {version}, and {done}");
+            let what = format!("{id} of {route} was sent on long after version {version}, and {done}");
             self.breach(Some(id), Rule::Config, what);
         }
-        if let Some(version) = self.handling.downgraded_from(now, handler, handled) {
+        if let Some(version) = self.handling.downgraded_from(now, handler, &route, handled) {
             let machine = handler.machine;
             let what = format!("{id} of {route} {done}, and machine {machine} has shown version {version}");
             self.breach(Some(id), Rule::Downgrade, what);
--- a/crates/cluster/src/judge/handling.rs
+++ b/crates/cluster/src/judge/handling.rs
@@ -17,12 +17,13 @@
 /// `downgradeSlackMs`.
 const DOWNGRADE_SLACK: Micros = 250 * MILLISECOND;
 
-/// A request of a passing route, and what became of it.
+/// What became of a request.
 #[derive(Clone, Copy, Debug)]
 pub struct Handled<'a> {
-    pub route: &'a str,
     /// The service that runs it; None if it was refused as one without a route.
     pub service: Option<&'a str>,
+    /// When its client sent one that is refused, and when a relay sent one that runs to the host: a message that waits in a
+    /// relay goes by the configuration of the time at which it is sent on.
     pub sent_at: Micros,
 }
 
@@ -36,8 +37,8 @@
 }
 
 impl Offer {
-    fn allows(&self, handled: Handled<'_>) -> bool {
-        let route = self.passing.iter().find(|route| **route == handled.route);
+    fn allows(&self, route: &str, handled: Handled<'_>) -> bool {
+        let route = self.passing.iter().find(|passing| **passing == route);
         route.map(|route| passing_service(route, self.mark)) == handled.service
     }
 }
@@ -76,8 +77,8 @@
     }
 
     /// The newest version that every machine in touch must have used, if only an older one allows what was done.
-    pub fn passed_over(&self, handled: Handled<'_>) -> Option<u64> {
-        if !PASSING.contains(&handled.route) {
+    pub fn passed_over(&self, route: &str, handled: Handled<'_>) -> Option<u64> {
+        if !PASSING.contains(&route) {
             return None;
         }
         let is_due = |(_, at): &(&u64, &Micros)| **at + APPLIED_WITHIN < handled.sent_at;
@@ -86,17 +87,19 @@
         // A change that stands on an older version cannot have come after this one.
         let may_follow = |offer: &&Offer| offer.version > base.version && offer.if_match >= base.version;
         let mut newer = self.offers.values().filter(may_follow);
-        let is_allowed = base.allows(handled) || newer.any(|offer| offer.allows(handled));
+        let is_allowed = base.allows(route, handled) || newer.any(|offer| offer.allows(route, handled));
         (!is_allowed).then_some(base.version)
     }
 
     /// A life of a process handled a request; the version whose effect it showed before, if only an older one allows this.
-    pub fn downgraded_from(&mut self, now: Micros, life: Life, handled: Handled<'_>) -> Option<u64> {
-        if !PASSING.contains(&handled.route) {
+    pub fn downgraded_from(
+        &mut self, now: Micros, life: Life, route: &str, handled: Handled<'_>,
+    ) -> Option<u64> {
+        if !PASSING.contains(&route) {
             return None;
         }
         let versions = || {
-            let allowing = self.offers.values().filter(|offer| offer.allows(handled));
+            let allowing = self.offers.values().filter(|offer| offer.allows(route, handled));
             let before_all = handled.service.is_none().then_some(0);
             allowing.map(|offer| offer.version).chain(before_all)
         };
--- a/crates/cluster/src/judge/mod.rs
+++ b/crates/cluster/src/judge/mod.rs
@@ -17,13 +17,12 @@
 use pewterseam_wire::control::ConfigDocument;
 use pewterseam_wire::record::MessageName;
 
-use handling::Handling;
+use handling::{Handled, Handling};
 use routes::Routes;
 pub use runs::SentMessage;
 use touch::Touch;
 
 use crate::calls::CallKey;
-use crate::configuration::RETENTION;
 use crate::event::Life;
 use crate::faults::Fault;
 use crate::history::History;
@@ -70,8 +69,8 @@
 
 impl Try {
     /// Whether it has ended, its time is over, or its route may have gone.
-    fn is_ended(&self, routes: &Routes, now: Micros) -> bool {
-        let is_over = self.ended_at.is_some() || now >= self.sent_at + RETENTION;
+    fn is_ended(&self, routes: &Routes, retention: Micros, now: Micros) -> bool {
+        let is_over = self.ended_at.is_some() || now >= self.sent_at + retention;
         is_over || routes.may_have_dropped(&self.route, self.sent_at, now)
     }
 }
@@ -79,6 +78,8 @@
 /// The judge of one run.
 #[derive(Default)]
 pub struct Judge {
+    /// `retentionS` of all routes.
+    retention: Micros,
     tries: BTreeMap<Arc<str>, Try>,
     keys: BTreeMap<Arc<str>, Vec<Arc<str>>>,
     /// Arrivals at the limited service, and the machines that sent them.
@@ -95,13 +96,19 @@
     indexes: BTreeMap<Life, u64>,
     taken: BTreeMap<u64, Arc<ConfigDocument>>,
     marks: BTreeMap<u64, Option<u64>>,
-    written: BTreeSet<CallKey>,
+    /// When each attempt left its sender.
+    written: BTreeMap<CallKey, Micros>,
     last_success_at: Micros,
     breaches: Vec<(Option<Arc<str>>, Rule, String)>,
     fingerprint: u64,
 }
 
 impl Judge {
+    /// The judge of a run with this `retentionS`.
+    pub fn new(retention: Micros) -> Self {
+        Judge { retention, ..Judge::default() }
+    }
+
     fn breach(&mut self, id: Option<&Arc<str>>, rule: Rule, what: String) {
         self.breaches.push((id.cloned(), rule, what));
     }
@@ -215,7 +222,7 @@
     }
 
     pub fn is_ended(&self, now: Micros, id: &str) -> bool {
-        self.tries.get(id).is_some_and(|message| message.is_ended(&self.routes, now))
+        self.tries.get(id).is_some_and(|message| message.is_ended(&self.routes, self.retention, now))
     }
 
     /// Judges what can only be judged at the end.
--- a/crates/cluster/src/judge/runs.rs
+++ b/crates/cluster/src/judge/runs.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use pewterseam_wire::Micros;
 
-use super::{CONTACT, Judge, Told};
+use super::{CONTACT, Handled, Judge, Told};
 use crate::calls::CallKey;
 use crate::configuration::{MOST_ATTEMPTS, RATE_PER_S};
 use crate::event::Life;
@@ -46,9 +46,9 @@
         }
     }
 
-    /// A host begins to work on a message.
-    pub fn run_starts(&mut self, now: Micros, sent: &SentMessage<'_>, sender: Life, service: &str) {
-        let id = sent.request_id;
+    /// A host begins to work on a message that came with this call.
+    pub fn run_starts(&mut self, now: Micros, sent: &SentMessage<'_>, call: CallKey, service: &str) {
+        let (id, sender) = (sent.request_id, call.life);
         let Some(message) = self.tries.get_mut(id) else {
             return self.breach(None, Rule::Unasked, format!("{id} was never sent"));
         };
@@ -74,7 +74,8 @@
         if read.is_some_and(|read| !self.is_excused(read)) && self.is_calm(now) {
             self.breach(Some(id), Rule::Twice, format!("{id} runs again after its success was read"));
         }
-        self.handled(now, id, sender, Some(service));
+        let sent_at = self.written.get(&call).copied().unwrap_or(now);
+        self.handled(now, id, sender, Handled { service: Some(service), sent_at });
         self.check_order(now, id);
         self.check_budget(now, id);
     }
@@ -104,8 +105,8 @@
     }
 
     /// A request leaves its sender. Each attempt leaves once.
-    pub fn written(&mut self, key: CallKey, id: &Arc<str>) {
-        if !self.written.insert(key) {
+    pub fn written(&mut self, now: Micros, key: CallKey, id: &Arc<str>) {
+        if self.written.insert(key, now).is_some() {
             self.breach(Some(id), Rule::SentTwice, format!("{id}: {key:?} is written twice"));
         }
     }
--- a/crates/cluster/src/judge/states.rs
+++ b/crates/cluster/src/judge/states.rs
@@ -44,9 +44,8 @@
                 let is_signed = message.signatures.contains(signature);
                 (!is_signed).then_some("is completed without a host's signature")
             }
-            StatusResult::Ended(_) => {
-                (!message.is_ended(&self.routes, now)).then_some("is a dead letter and has not ended")
-            }
+            StatusResult::Ended(_) => (!message.is_ended(&self.routes, self.retention, now))
+                .then_some("is a dead letter and has not ended"),
             _ => None,
         };
         if let Some(what) = wrong {
@@ -63,7 +62,7 @@
             Some(StatusResult::Ended(_)) => {
                 state.into_iter().for_each(|state| self.check_end(now, id, state))
             }
-            Some(StatusResult::Unknown) | None if !message.is_ended(&self.routes, now) => {
+            Some(StatusResult::Unknown) | None if !message.is_ended(&self.routes, self.retention, now) => {
                 let what = format!("{id} was accepted, has not ended, and its state does not come");
                 self.breach(Some(id), Rule::Lost, what);
             }
@@ -76,12 +75,18 @@
         let Some(message) = self.tries.get(id) else { return };
         let begins = message.earliest.max(message.last_run_at) + LEFT_LYING;
         let is_calm = !self.troubles.iter().any(|(_, until)| *until + CONTACT + LEFT_LYING >= now);
-        let has_failed =
-            |other: &Try| !other.is_ended(&self.routes, now) && other.failures + other.whole_refusals > 0;
+        let has_failed = |other: &Try| {
+            !other.is_ended(&self.routes, self.retention, now) && other.failures + other.whole_refusals > 0
+        };
         let of_key = message.key.iter().flat_map(|key| &self.keys[key]);
         let fails = has_failed(message) || of_key.filter_map(|id| self.tries.get(id)).any(has_failed);
         let is_busy = self.last_success_at + BUSY >= now;
-        if now > begins && is_calm && !fails && !is_busy && !message.is_ended(&self.routes, now) {
+        if now > begins
+            && is_calm
+            && !fails
+            && !is_busy
+            && !message.is_ended(&self.routes, self.retention, now)
+        {
             self.breach(Some(id), Rule::Lost, format!("{id} is pending, and no host has had it"));
         }
     }
@@ -89,7 +94,7 @@
     /// The body of an accepted message that has not ended; none if no relay can tell.
     pub fn final_body(&mut self, now: Micros, id: &Arc<str>, body: Option<&Bytes>) {
         let Some(message) = self.tries.get(id) else { return };
-        if message.is_ended(&self.routes, now) {
+        if message.is_ended(&self.routes, self.retention, now) {
             return;
         }
         let wrong = match body {
--- a/crates/cluster/src/machine.rs
+++ b/crates/cluster/src/machine.rs
@@ -13,7 +13,7 @@
 
 use crate::disk::{Disk, Ending, LogName};
 use crate::node::{FIRST_MOMENT, Node, NodeStart};
-use crate::plan::{Plan, Planted};
+use crate::plan::Plan;
 use crate::process::{Machines, Process};
 use crate::relay::RelayProcess;
 use crate::store::{StoreProcess, store_settings};
@@ -152,15 +152,15 @@
         let node = Node::start(start, wall);
         let machines = match self.role {
             Role::Relay => Machines::Relay(Box::new(RelayProcess::new(node, bootstrap, seed, planted))),
-            Role::Store => Machines::Store(Box::new(self.store(node, wall, planted))),
+            Role::Store => Machines::Store(Box::new(self.store(node, wall, plan))),
         };
         self.process = Some(Process::new(machines, now));
     }
 
-    fn store(&mut self, node: Node, wall: WallMicros, planted: Option<Planted>) -> StoreProcess {
+    fn store(&mut self, node: Node, wall: WallMicros, plan: &Plan) -> StoreProcess {
         let id = StoreId { name: self.name.clone(), disk: self.disk.unwrap_or(DiskId(0)) };
         let now = Now { steady: FIRST_MOMENT, wall };
-        let mut recovery = StoreRecovery::new(store_settings(id), now);
+        let mut recovery = StoreRecovery::new(store_settings(id, plan.scenario), now);
         let opened = self.message_log.open(&mut |found| {
             if let RecoveredFrom::Segment { position, .. } = found.from {
                 recovery.entry(position, found.payload);
@@ -170,7 +170,7 @@
             panic!("{}: {error}", self.name);
         }
         let store = recovery.finish().unwrap_or_else(|error| panic!("{}: {error}", self.name));
-        StoreProcess::new(node, store, planted)
+        StoreProcess::new(node, store, plan.planted)
     }
 
     /// The process ends.
--- a/crates/cluster/src/operators.rs
+++ b/crates/cluster/src/operators.rs
@@ -4,7 +4,7 @@
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 use pewterseam_wire::Micros;
 
-use crate::configuration::{PASSING, document, patch};
+use crate::configuration::{PASSING, document, patch, retention};
 use crate::event::{Event, Input};
 use crate::history::{Interval, Write};
 use crate::plan::{MILLISECOND, SECOND, Scenario};
@@ -19,6 +19,8 @@
 /// Of the runs with many changes one of so many has large configurations.
 const LARGE_EACH: u64 = 25;
 const MANY_ROUTES: usize = 250;
+/// Where changes mostly move routes, one of so many drops a passing route.
+const SELDOM_DROPPED: usize = 6;
 /// All operators of a run together make so many changes where changes are many.
 const MANY_CHANGES: usize = 300;
 
@@ -35,6 +37,8 @@
 }
 
 const USUAL_PACE: Pace = Pace { silence: SECOND, least_pause_ms: 300, more_pause_ms: 1_500 };
+/// Changes that last for longer than `configApplyMs` now and then.
+const SLOW_PACE: Pace = Pace { silence: SECOND, least_pause_ms: 500, more_pause_ms: 8_000 };
 const QUICK_PACE: Pace = Pace { silence: 150 * MILLISECOND, least_pause_ms: 1, more_pause_ms: 40 };
 
 /// A change that is sent until its fate is known.
@@ -103,6 +107,7 @@
     fn pace(&self) -> Pace {
         match self.plan.scenario {
             Scenario::ManyChanges => QUICK_PACE,
+            Scenario::OutagesAndChanges => SLOW_PACE,
             _ => USUAL_PACE,
         }
     }
@@ -150,10 +155,11 @@
         let mark = self.last_mark;
         let is_patch = if_match > 0 && self.random.below(2) == 0;
         let passing = self.draw_passing();
+        let retention = retention(self.plan.scenario);
         let text = if is_patch {
-            patch(version, mark, &passing)
+            patch(version, mark, &passing, retention)
         } else {
-            document(version, mark, &passing, self.unused_routes())
+            document(version, mark, &passing, self.unused_routes(), retention)
         };
         Change { if_match, version, mark, text, is_patch, passing }
     }
@@ -166,10 +172,12 @@
     }
 
     fn draw_passing(&mut self) -> Vec<&'static str> {
-        if self.plan.scenario != Scenario::ChangingRoutes {
-            return Vec::new();
-        }
-        PASSING.into_iter().filter(|_| self.random.below(2) == 0).collect()
+        let dropped_of = match self.plan.scenario {
+            Scenario::ChangingRoutes => 2,
+            Scenario::OutagesAndChanges => SELDOM_DROPPED,
+            _ => return Vec::new(),
+        };
+        PASSING.into_iter().filter(|_| self.random.below(dropped_of) > 0).collect()
     }
 
     /// Sends a change again that was acknowledged, as if its answer had not come.
--- a/crates/cluster/src/overlap.rs
+++ b/crates/cluster/src/overlap.rs
@@ -82,7 +82,7 @@
         self.traffic_begins + self.random.below(room) as Micros
     }
 
-    fn machines_of(&self, role: Role) -> Vec<usize> {
+    pub(crate) fn machines_of(&self, role: Role) -> Vec<usize> {
         (0..self.machines.len()).filter(|index| self.machines[*index].role == role).collect()
     }
 }
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -62,6 +62,10 @@
     ScaleIn,
     /// Changes of the configuration drop routes that clients use, and add them again.
     ChangingRoutes,
+    /// All hosts of a service are out for seconds, while changes move the routes of messages that wait for them.
+    OutagesAndChanges,
+    /// Traffic for longer than ends are remembered, with stores that miss ends and owners that stop long after.
+    LongDays,
     /// Hosts send answers twice, with the id of another message or none, and break them off.
     GarblingHosts,
     /// Many hosts drain, end and begin.
--- a/crates/cluster/src/size.rs
+++ b/crates/cluster/src/size.rs
@@ -28,6 +28,12 @@
 /// The same where changes are many, of the configuration or of hosts.
 const LEAST_CHANGING_MS: usize = 10_000;
 const MORE_CHANGING_MS: usize = 10_000;
+/// The same where the traffic outlasts the memory of ends.
+const LEAST_LONG_DAY_MS: usize = 50_000;
+const MORE_LONG_DAY_MS: usize = 15_000;
+/// The same where all hosts of a service are out meanwhile.
+const LEAST_OUTAGES_MS: usize = 14_000;
+const MORE_OUTAGES_MS: usize = 10_000;
 /// The same where stores come and go.
 const LEAST_SCALING_MS: usize = 12_000;
 const MORE_SCALING_MS: usize = 12_000;
@@ -63,6 +69,8 @@
         Scenario::ScaleIn => (LEAST_SCALING_MS, MORE_SCALING_MS),
         Scenario::ManyChanges => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
         Scenario::ChangingRoutes => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
+        Scenario::LongDays => (LEAST_LONG_DAY_MS, MORE_LONG_DAY_MS),
+        Scenario::OutagesAndChanges => (LEAST_OUTAGES_MS, MORE_OUTAGES_MS),
         Scenario::ChangingHosts => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
         Scenario::GarblingHosts => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
         Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -14,6 +14,7 @@
 use crate::agenda::Agenda;
 use crate::calls::{CallKey, Calls};
 use crate::clients::Client;
+use crate::configuration::retention;
 use crate::disk::{Ending, LogName};
 use crate::event::{Event, Input, Life, Origin, Output};
 use crate::garbled::Leftovers;
@@ -108,7 +109,7 @@
             strikes_left: 0,
             traffic_begins: TRAFFIC_BEGINS,
             traffic_ends: TRAFFIC_BEGINS + span,
-            judge: Judge::default(),
+            judge: Judge::new(retention(plan.scenario)),
             random,
         }
     }
@@ -136,7 +137,8 @@
         let span = (self.traffic_ends - self.traffic_begins) as usize;
         let is_crowded = self.random.below(3) == 0;
         let (most, limited) = if is_crowded { (CROWD, 7) } else { (MORE_CLIENTS, 2) };
-        let uses_passing = self.plan.scenario == Scenario::ChangingRoutes;
+        let uses_passing =
+            matches!(self.plan.scenario, Scenario::ChangingRoutes | Scenario::OutagesAndChanges);
         for client in 0..LEAST_CLIENTS + self.random.below(most) {
             let drawn = Client::draw(&mut self.random, limited, uses_passing);
             self.clients.push(drawn);
@@ -148,6 +150,9 @@
             let at = self.traffic_begins + self.random.below(span) as Micros;
             self.agenda.add(at, Event::HostsChange);
         }
+        if self.plan.scenario == Scenario::OutagesAndChanges {
+            self.draw_outages();
+        }
     }
 
     fn bring_back(&mut self) {
@@ -189,6 +194,8 @@
             Event::PermitUsedAgain(life) => self.judge.arrived(self.now, life, false),
             Event::RunEnds { run } => self.run_ends(run),
             Event::HostsChange => self.hosts.change(self.now),
+            Event::ServiceEnds { service } => self.hosts.end_all(service),
+            Event::ServiceReturns { service } => self.hosts.begin_all(service),
         }
     }
 
@@ -248,7 +255,7 @@
             }
             Output::NoRoute { token } => {
                 if let Some((_, id)) = self.requests.get(&token) {
-                    self.judge.handled(self.now, &id.clone(), life, None);
+                    self.judge.refused_without_route(self.now, &id.clone(), life);
                 }
             }
             Output::Status { read, result } => {
--- a/crates/cluster/tests/scenarios.rs
+++ b/crates/cluster/tests/scenarios.rs
@@ -40,16 +40,19 @@
 static OVERLAPPING_FAULTS: Days = Days::new(Scenario::OverlappingFaults, 300);
 static MANY_CHANGES: Days = Days::new(Scenario::ManyChanges, 150);
 static CHANGING_ROUTES: Days = Days::new(Scenario::ChangingRoutes, 200);
+static OUTAGES_AND_CHANGES: Days = Days::new(Scenario::OutagesAndChanges, 200);
+static LONG_DAYS: Days = Days::new(Scenario::LongDays, 150);
 static GARBLING_HOSTS: Days = Days::new(Scenario::GarblingHosts, 200);
 static CHANGING_HOSTS: Days = Days::new(Scenario::ChangingHosts, 150);
 static SCALE_IN: Days = Days::new(Scenario::ScaleIn, 200);
 
-static ALL_DAYS: [&Days; 7] = [
+static ALL_DAYS: [&Days; 8] = [
     &LONG_TROUBLES,
     &OVERLAPPING_FAULTS,
     &MANY_CHANGES,
     &SCALE_IN,
     &CHANGING_ROUTES,
+    &OUTAGES_AND_CHANGES,
     &GARBLING_HOSTS,
     &CHANGING_HOSTS,
 ];
@@ -96,6 +99,20 @@
     CHANGING_ROUTES.assert_other_rules();
 }
 
+/// Guards CONFIG for messages that wait in a relay while changes move their route to another service: all hosts of the
+/// former one are out meanwhile, and back before the messages have gone.
+#[test]
+fn held_messages_follow_their_routes() {
+    OUTAGES_AND_CHANGES.assert_other_rules();
+}
+
+/// Guards all rules on days that outlast the memory of ends: stores that were away when messages ended hold their records,
+/// and the owners of these stop long after.
+#[test]
+fn ended_messages_stay_ended_on_long_days() {
+    assert_kept(LONG_DAYS.reports(), |_| true);
+}
+
 /// Guards all rules where hosts send answers twice, with the id of the message before or none, and break them off.
 #[test]
 fn clusters_outlast_garbling_hosts() {
