Messages that are held follow their route when a change moves it

A change looked for dropped routes alone; a message that waited for a host, rested between attempts or had an attempt out kept service, time-out, priority and target for as long as no host took it. After an outage of 8 s, lines took over four seconds to work off at the old service. Class: a stale copy of versioned state, made at one moment and used at a later one.

Ruled out: relays that learn the version late (logs: all 58 within 33 ms); attempts whose permit was out (new attempts 3.4 s after the change).

Change: with each table of routes the queue tells delivery of the messages whose route differs (Effect::Revise). Delivery moves them to the line of their service; an attempt that is out runs on and its result counts, one whose connection still opens is not written, one that waits for the stores' word is given up.

--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -30,6 +30,8 @@
 use crate::stopping::Stopping;
 
 const MOST_BODY_BYTES: usize = 8 * 1024 * 1024;
+/// `maxSkewMs`.
+pub(crate) const CLOCK_ERROR: Micros = 20 * SECOND;
 const MOST_MESSAGES: usize = 4_000;
 const CALL_SLOTS: usize = 300;
 const CONNECT_TIMEOUT: Micros = SECOND;
@@ -66,6 +68,7 @@
             zone: node.info().zone.clone(),
             most_body_bytes: MOST_BODY_BYTES,
             most_messages: MOST_MESSAGES,
+            clock_error: CLOCK_ERROR,
         };
         let delivery_settings = DeliverySettings {
             me: node.info().name.clone(),
@@ -276,6 +279,10 @@
                 }
             }
             QueueEffect::Submit { key, submission } => self.submit(key, submission),
+            QueueEffect::Revise { key, submission } => {
+                let submission = self.delivery_submission(key, submission);
+                self.delivery_inputs.push(DeliveryInput::Revise(submission));
+            }
             QueueEffect::Withdraw { key } => {
                 self.delivery_inputs.push(DeliveryInput::Withdraw { key: key.0 });
             }
@@ -288,7 +295,12 @@
         if self.forgets(key) {
             return;
         }
-        self.delivery_inputs.push(DeliveryInput::Submit(DeliverySubmission {
+        let submission = self.delivery_submission(key, submission);
+        self.delivery_inputs.push(DeliveryInput::Submit(submission));
+    }
+
+    fn delivery_submission(&self, key: MessageKey, submission: Submission) -> DeliverySubmission {
+        DeliverySubmission {
             key: key.0,
             service: submission.service,
             priority: submission.priority,
@@ -296,7 +308,7 @@
             due_at: self.node.now,
             schedule_target: submission.schedule_target_ms * MILLISECOND,
             failures: submission.failures,
-        }));
+        }
     }
 
     fn ask_store(&mut self, store: &StoreId, call: CallId, request: Box<StoreRequest>) {
--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -83,7 +83,10 @@
         let Some(made) = self.attempts.get_mut(&attempt) else {
             return self.effects.push(Effect::Withhold { attempt });
         };
-        let is_current = self.messages.get(made.key).is_some_and(|held| held.is_out(made.message));
+        let is_current = self
+            .messages
+            .get(made.key)
+            .is_some_and(|held| held.is_out(made.message) && held.submission.service == made.service);
         let is_usable = self.hosts.get(made.host).is_some_and(|host| host.is_usable());
         let is_permitted = made.permit.is_none_or(|permit| now < permit.expires_at);
         if !(is_current && is_usable && is_permitted) {
@@ -163,6 +166,7 @@
             return true;
         };
         let spread = self.settings.seed ^ made.key;
+        let is_moved = held.submission.service != made.service;
         let rest = match fate {
             Fate::Finished(outcome) => {
                 self.finish(made.key, outcome);
@@ -187,9 +191,10 @@
         };
         match rest {
             Some(pause) => self.messages.rest(made.key, self.now + pause),
+            None if is_moved => self.messages.return_to_line(made.key),
             None => self.messages.set_out(made.key, false),
         }
-        rest.is_some()
+        rest.is_some() || is_moved
     }
 
     fn finish(&mut self, key: u64, outcome: Outcome) {
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -124,6 +124,7 @@
             Input::Relays(relays) => self.set_relays(relays),
             Input::AgreedHomes(homes) => self.permits.set_agreed_homes(self.now, &homes),
             Input::Submit(submission) => self.submit(submission),
+            Input::Revise(submission) => self.revise(submission),
             Input::Withdraw { key } => self.forget(key),
             Input::Opened { attempt } => self.opened(attempt),
             Input::Ended { attempt, end } => self.ended(attempt, &end),
@@ -157,6 +158,13 @@
         self.messages.add(submission, rest_until);
     }
 
+    /// Has a message go by another submission.
+    fn revise(&mut self, submission: Submission) {
+        if let Some(id) = self.messages.revise(submission) {
+            self.events.push(Event::Withdrawn(id));
+        }
+    }
+
     /// Forgets a message; an attempt that is out runs on.
     pub(crate) fn forget(&mut self, key: u64) {
         if let Some(id) = self.messages.remove(key) {
--- a/crates/delivery/src/interface.rs
+++ b/crates/delivery/src/interface.rs
@@ -120,6 +120,9 @@
     /// The relays that may hand out permits, as the core has agreed on them.
     AgreedHomes(Arc<Vec<NodeName>>),
     Submit(Submission),
+    /// What is asked of a message that was submitted has changed. An attempt that is out, or whose connection opens for
+    /// another service, is not cut off; what follows it goes by this.
+    Revise(Submission),
     /// The message is over for its owner; an attempt that is out runs on and its result is dropped.
     Withdraw {
         key: u64,
--- a/crates/delivery/src/messages.rs
+++ b/crates/delivery/src/messages.rs
@@ -96,6 +96,52 @@
         }
     }
 
+    /// Changes what is asked of a message, and gives its number where the decisions are to forget it: they know it with what
+    /// was asked before. One that is out stays there; its line is the new one once its attempt has ended.
+    pub(crate) fn revise(&mut self, submission: Submission) -> Option<MessageId> {
+        let key = submission.key;
+        let place = self.held.get(&key)?.place;
+        let is_out = matches!(place, Place::Out(_));
+        if !is_out {
+            self.leave(key);
+        }
+        let held = self.held.get_mut(&key)?;
+        let due_at = held.submission.due_at;
+        let former = std::mem::replace(&mut held.submission, Submission { due_at, ..submission });
+        if held.submission.service != former.service {
+            (held.silences, held.conflicts) = (0, 0);
+        }
+        self.drop_empty_line(&former.service);
+        match place {
+            Place::Out(_) => None,
+            Place::Resting { until } => {
+                self.rest(key, until);
+                None
+            }
+            Place::InLine => {
+                self.line_up(key);
+                None
+            }
+            Place::Handed(id) => {
+                self.line_up(key);
+                Some(id)
+            }
+        }
+    }
+
+    /// Puts a message whose attempt is over at its place in the line of its service.
+    pub(crate) fn return_to_line(&mut self, key: u64) {
+        self.leave(key);
+        self.line_up(key);
+    }
+
+    fn drop_empty_line(&mut self, service: &Arc<str>) {
+        if self.lines.get(service).is_some_and(|line| line.waiting.is_empty() && line.handed == 0) {
+            self.lines.remove(service);
+            self.ready.remove(service);
+        }
+    }
+
     /// Messages of a service that could start now.
     pub(crate) fn demand(&self, service: &str) -> usize {
         self.lines.get(service).map_or(0, |line| line.waiting.len() + line.handed)
@@ -150,11 +196,7 @@
     pub(crate) fn remove(&mut self, key: u64) -> Option<MessageId> {
         let place = self.leave(key)?;
         let held = self.held.remove(&key)?;
-        let service = held.submission.service;
-        if self.lines.get(&service).is_some_and(|line| line.waiting.is_empty() && line.handed == 0) {
-            self.lines.remove(&service);
-            self.ready.remove(&service);
-        }
+        self.drop_empty_line(&held.submission.service);
         match place {
             Place::Handed(id) | Place::Out(id) => Some(id),
             Place::InLine | Place::Resting { .. } => None,
--- a/crates/hollow/examples/relay.rs
+++ b/crates/hollow/examples/relay.rs
@@ -54,6 +54,7 @@
         zone: Arc::from("zone-1"),
         most_body_bytes: 1 << 33,
         most_messages: 10_000_000,
+        clock_error: 0,
     };
     let mut queue = Queue::new(settings, 1_000);
     let set: Vec<StoreEntry> = (0..stores).map(store).collect();
--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use pewterseam_wire::Micros;
 use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::record::{Headers, MessageName};
@@ -35,6 +36,8 @@
     pub most_body_bytes: usize,
     /// Messages that may be held.
     pub most_messages: usize,
+    /// How far the time of day may be wrong: ages of messages that are taken over may go by it.
+    pub clock_error: Micros,
 }
 
 /// A request that a client hands in.
@@ -109,6 +112,12 @@
     Withdraw {
         key: MessageKey,
     },
+    /// The route of a message that was submitted has changed: what is not sent yet goes by this submission. The result of
+    /// an attempt that is out still counts.
+    Revise {
+        key: MessageKey,
+        submission: Submission,
+    },
     /// Send the message to the host that was chosen.
     Send {
         permit: SendPermit,
--- a/crates/queue/src/routes.rs
+++ b/crates/queue/src/routes.rs
@@ -6,8 +6,11 @@
 
 use pewterseam_wire::Micros;
 
-use crate::io::{Effect, MessageKey};
+use pewterseam_wire::record::End;
+
+use crate::io::{Effect, MessageKey, Submission};
 use crate::machine::Queue;
+use crate::message::Stage;
 
 /// What a route asks of its messages.
 #[derive(Clone, Debug, PartialEq)]
@@ -42,6 +45,20 @@
     pub messages_moved: usize,
 }
 
+impl RoutePolicy {
+    /// What a message that has failed so often is handed to the runner with.
+    pub(crate) fn submission(&self, failures: u32) -> Submission {
+        Submission {
+            service: self.service.clone(),
+            priority: self.priority,
+            timeout_ms: self.timeout_ms,
+            schedule_target_ms: self.schedule_target_ms,
+            retention_ms: self.retention_ms,
+            failures,
+        }
+    }
+}
+
 impl RouteTable {
     /// How the routes differ from those before.
     fn changes_since(&self, before: &RouteTable) -> RouteChanges {
@@ -87,19 +104,52 @@
         changes
     }
 
-    /// A configuration is in force. Messages whose route it dropped have ended.
+    /// A configuration is in force. Messages whose route it dropped have ended; those that were submitted go by what it says
+    /// of their route from now on.
     pub fn set_routes(&mut self, now: Micros, routes: Arc<RouteTable>) -> Vec<Effect> {
         self.now = now;
-        self.routes = routes;
-        let dropped: Vec<MessageKey> = self
-            .messages
-            .iter()
-            .filter(|(_, message)| !self.routes.routes.contains_key(&message.record.route))
-            .map(|(key, _)| *key)
-            .collect();
-        for key in dropped {
-            self.route_dropped(key);
+        let before = std::mem::replace(&mut self.routes, routes);
+        for key in self.keys(|stage| matches!(stage, Stage::Waiting | Stage::Running)) {
+            self.follow_route(key, &before);
         }
         self.take_effects()
     }
+
+    /// Whether the configuration in force dropped the route of a message. One that is older than the one under which the
+    /// message was taken says nothing of it.
+    pub(crate) fn is_route_dropped(&self, key: MessageKey) -> bool {
+        let Some(message) = self.messages.get(&key) else { return false };
+        let is_missing = !self.routes.routes.contains_key(&message.record.route);
+        is_missing && self.routes.version >= message.record.config_version
+    }
+
+    fn follow_route(&mut self, key: MessageKey, before: &RouteTable) {
+        if self.is_route_dropped(key) {
+            return self.route_dropped(key);
+        }
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        let route = message.record.route.clone();
+        let Some(policy) = self.routes.routes.get(&route) else { return };
+        if message.stage == Stage::Waiting {
+            // Without its route it was not started, and has no timer.
+            return self.start_if_due(key);
+        }
+        if before.routes.get(&route) == Some(policy) {
+            return;
+        }
+        let submission = policy.submission(message.failures);
+        self.effects.push(Effect::Revise { key, submission });
+        let is_moved = self.routes.is_moved_since(before, &route);
+        if is_moved && let Some(unsent) = message.confirmation.take() {
+            self.effects.push(Effect::RefuseSend { attempt: unsent.attempt });
+        }
+    }
+
+    fn route_dropped(&mut self, key: MessageKey) {
+        let is_running = self.messages.get(&key).is_some_and(|message| message.stage == Stage::Running);
+        if is_running {
+            self.effects.push(Effect::Withdraw { key });
+        }
+        self.end(key, End::RouteDropped);
+    }
 }
--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -4,7 +4,7 @@
 use pewterseam_wire::record::{End, Fact};
 
 use crate::clock::Timer;
-use crate::io::{Effect, MessageKey, RunResult, Submission};
+use crate::io::{Effect, MessageKey, RunResult};
 use crate::machine::Queue;
 use crate::message::Stage;
 
@@ -28,7 +28,11 @@
         message.stage = Stage::Waiting;
         message.since = self.now;
         message.owned_since = self.now;
-        if !self.routes.routes.contains_key(&message.record.route) && self.routes.version > 0 {
+        if self.now >= message.expires_at {
+            self.end(key, End::Expired);
+            return;
+        }
+        if self.is_route_dropped(key) {
             self.end(key, End::RouteDropped);
             return;
         }
@@ -54,14 +58,7 @@
         let Some(policy) = self.routes.routes.get(&message.record.route) else { return };
         message.stage = Stage::Running;
         message.since = self.now;
-        let submission = Submission {
-            service: policy.service.clone(),
-            priority: policy.priority,
-            timeout_ms: policy.timeout_ms,
-            schedule_target_ms: policy.schedule_target_ms,
-            retention_ms: policy.retention_ms,
-            failures: message.failures,
-        };
+        let submission = policy.submission(message.failures);
         self.effects.push(Effect::Submit { key, submission });
     }
 
@@ -122,16 +119,4 @@
             _ => {}
         }
     }
-
-    pub(crate) fn route_dropped(&mut self, key: MessageKey) {
-        let Some(message) = self.messages.get(&key) else { return };
-        match message.stage {
-            Stage::Waiting => self.end(key, End::RouteDropped),
-            Stage::Running => {
-                self.effects.push(Effect::Withdraw { key });
-                self.end(key, End::RouteDropped);
-            }
-            _ => {}
-        }
-    }
 }
--- a/crates/queue/src/settle.rs
+++ b/crates/queue/src/settle.rs
@@ -9,7 +9,7 @@
 
 use crate::calls::Purpose;
 use crate::clock::Timer;
-use crate::io::MessageKey;
+use crate::io::{Effect, MessageKey};
 use crate::machine::Queue;
 use crate::message::Stage;
 
@@ -70,6 +70,10 @@
         message.since = self.now;
         let blockers = std::mem::take(&mut message.blockers);
         let name = message.record.name.clone();
+        // Danger: an attempt that waits for the stores' word would be sent once they have given it.
+        if let Some(unsent) = message.confirmation.take() {
+            self.effects.push(Effect::RefuseSend { attempt: unsent.attempt });
+        }
         for blocker in &blockers {
             self.forget_successor(blocker, key);
         }
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use pewterseam_queue::{
     Answer, AttemptNumber, CallId, ClientToken, Effect, MessageKey, NewMessage, Queue, QueueSettings,
-    RoutePolicy, RouteTable, RunResult, SendPermit,
+    RoutePolicy, RouteTable, RunResult, SendPermit, Submission,
 };
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::{DiskId, Life, NodeName, Owner};
@@ -42,6 +42,7 @@
     pub answers: HashMap<ClientToken, Answer>,
     pub submitted: Vec<MessageKey>,
     pub withdrawn: Vec<MessageKey>,
+    pub revised: Vec<(MessageKey, Submission)>,
     pub permits: Vec<SendPermit>,
     pub refused: Vec<AttemptNumber>,
     /// Claims are on their way until [`World::answer_claims`].
@@ -85,6 +86,7 @@
             zone: Arc::from("zone-0"),
             most_body_bytes: 1 << 20,
             most_messages: 1_000,
+            clock_error: 20_000 * MILLISECOND,
         };
         let entries: Vec<StoreEntry> = (0..4).map(entry).collect();
         let stores: BTreeMap<StoreId, FakeStore> =
@@ -105,6 +107,7 @@
             answers: HashMap::new(),
             submitted: Vec::new(),
             withdrawn: Vec::new(),
+            revised: Vec::new(),
             permits: Vec::new(),
             refused: Vec::new(),
             hold_claims: false,
@@ -160,6 +163,7 @@
                     assert!(self.answers.insert(token, answer).is_none(), "a client is answered once");
                 }
                 Effect::Submit { key, .. } => self.submitted.push(key),
+                Effect::Revise { key, submission } => self.revised.push((key, submission)),
                 Effect::Withdraw { key } => self.withdrawn.push(key),
                 Effect::Send { permit } => self.permits.push(permit),
                 Effect::RefuseSend { attempt } => self.refused.push(attempt),
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -29,6 +29,10 @@
                 }
             }
             QueueEffect::Submit { key, submission } => self.submit(key, submission),
+            QueueEffect::Revise { key, submission } => {
+                let submission = self.delivery_submission(key, submission);
+                self.delivery_inputs.push(DeliveryInput::Revise(submission));
+            }
             QueueEffect::Withdraw { key } => {
                 self.delivery_inputs.push(DeliveryInput::Withdraw { key: key.0 });
             }
@@ -55,7 +59,12 @@
     }
 
     fn submit(&mut self, key: MessageKey, submission: Submission) {
-        let submission = DeliverySubmission {
+        let submission = self.delivery_submission(key, submission);
+        self.delivery_inputs.push(DeliveryInput::Submit(submission));
+    }
+
+    fn delivery_submission(&self, key: MessageKey, submission: Submission) -> DeliverySubmission {
+        DeliverySubmission {
             key: key.0,
             service: submission.service,
             priority: submission.priority,
@@ -63,8 +72,7 @@
             due_at: self.node.now(),
             schedule_target: submission.schedule_target_ms * MICROS_A_MILLISECOND,
             failures: submission.failures,
-        };
-        self.delivery_inputs.push(DeliveryInput::Submit(submission));
+        }
     }
 
     fn ask_store(&mut self, store: &StoreId, call: CallId, request: Box<StoreRequest>) {
