Records end with their retentionS at each store, ends outlast them, copies keep their age

Ends were forgotten statusTtlS after they were learnt. Once they were, and the owner of such a record stopped, the store offered it, a read quorum knew of no end, and a message that had succeeded ran again. The timer for retentionS went by while the message was being taken over. Class: resurrection of deleted data, a tombstone that is collected before the last replica has seen it.

Change: a store ends by itself what is older than retentionS, the owners' margin and the error of the time of day; relays do not take over what is over, at whatever stage the time ends; an end is remembered until no store can hold its record open, for 600 s at the most.

Tests that were changed: ends_are_forgotten_in_time, what_was_forgotten_stays_so and the_log_stays_small took statusTtlS for the memory of all ends; they use records whose retentionS is short enough for that to hold, and the memory of others is bounded from both sides in tests/expiry.rs. what_was_acknowledged_stays took an end by time for one that nobody sent; its records do not end within the test.

--- a/crates/cluster/src/store.rs
+++ b/crates/cluster/src/store.rs
@@ -13,10 +13,13 @@
 use crate::message::PeerMessage;
 use crate::node::{Node, NodeEvent};
 use crate::plan::{Planted, SECOND, Scenario};
+use crate::relay::CLOCK_ERROR;
 
 const STATUS_TTL: Micros = 600 * SECOND;
 /// The same on days that outlast it.
 const SHORT_STATUS_TTL: Micros = 14 * SECOND;
+/// `maxSkewMs` on these days, on which no clock is stepped.
+const SMALL_CLOCK_ERROR: Micros = 2 * SECOND;
 const DISK_BYTES: u64 = 64 * 1024 * 1024;
 const MEMORY_BYTES: usize = 4 * 1024;
 /// Small, so that cleaning happens in short runs.
@@ -25,7 +28,9 @@
 /// How the stores of simulated clusters are kept.
 pub fn store_settings(id: StoreId, scenario: Scenario) -> StoreSettings {
     let status_ttl = if scenario == Scenario::LongDays { SHORT_STATUS_TTL } else { STATUS_TTL };
+    let clock_error = if scenario == Scenario::LongDays { SMALL_CLOCK_ERROR } else { CLOCK_ERROR };
     StoreSettings {
+        clock_error,
         memory_bytes: MEMORY_BYTES,
         clean_above_bytes: CLEAN_ABOVE_BYTES,
         ..StoreSettings::new(id, status_ttl, DISK_BYTES)
--- a/crates/message-log/src/gathering.rs
+++ b/crates/message-log/src/gathering.rs
@@ -117,6 +117,7 @@
             claim: held.map_or(0, |held| held.claim),
             failures: message.failures,
             end: message.end.clone(),
+            age_ms: held.map_or(0, |held| self.age_ms(held)),
         })
     }
 }
--- a/crates/message-log/src/interface.rs
+++ b/crates/message-log/src/interface.rs
@@ -18,12 +18,17 @@
     pub wall: WallMicros,
 }
 
+/// How far the time of day may be wrong where settings do not say.
+const CLOCK_ERROR: Micros = 20_000_000;
+
 /// How a store is kept.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
     pub id: StoreId,
     /// How long the end of a message, and the body of a dead one, is kept.
     pub status_ttl: Micros,
+    /// How far the time of day may be wrong: over a restart, ages of messages go by it.
+    pub clock_error: Micros,
     /// Bytes of open messages that stay in memory; the rest is read back from the log.
     pub memory_bytes: usize,
     /// Bytes that the log may take on the disk.
@@ -40,6 +45,7 @@
         StoreSettings {
             id,
             status_ttl,
+            clock_error: CLOCK_ERROR,
             memory_bytes: 16 * 1024 * 1024,
             disk_bytes,
             waiting_bytes: 8 * 1024 * 1024,
--- a/crates/message-log/src/lib.rs
+++ b/crates/message-log/src/lib.rs
@@ -8,6 +8,7 @@
 mod contents;
 mod copying;
 mod entry;
+mod expiry;
 mod gathering;
 mod interface;
 mod late_facts;
--- a/crates/message-log/src/message.rs
+++ b/crates/message-log/src/message.rs
@@ -27,6 +27,8 @@
     pub record: Option<Box<HeldRecord>>,
     pub end: Option<End>,
     pub failures: u32,
+    /// From when on the record is over; none where it was never here.
+    pub expires_at: Option<Moment>,
     /// When the end was learnt; without one, when the first fact was.
     pub noted_at: Moment,
     /// The write that holds the end; [`NOT_WRITTEN`] after it failed.
@@ -50,6 +52,7 @@
     pub owner: Owner,
     pub claim: u32,
     pub is_released: bool,
+    /// When the first store took the record.
     pub taken_at: Moment,
     /// It waits to be offered to an heir.
     pub is_queued: bool,
@@ -61,6 +64,7 @@
             record: None,
             end: None,
             failures: 0,
+            expires_at: None,
             noted_at,
             end_ticket: NOT_WRITTEN,
             needed_from: NO_SEGMENT,
--- a/crates/message-log/src/messages.rs
+++ b/crates/message-log/src/messages.rs
@@ -1,6 +1,6 @@
 //! All messages of a store with the indexes over them.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use pewterseam_storage::Position;
@@ -9,6 +9,7 @@
 use pewterseam_wire::placement::Partition;
 use pewterseam_wire::record::{End, MessageName};
 
+use crate::expiry::Memory;
 use crate::message::{HeldRecord, Message, Moment};
 
 /// Names may wait in the queue of records in memory beyond those that are there.
@@ -30,8 +31,10 @@
     by_key: HashMap<Arc<str>, Vec<MessageName>>,
     pub by_owner: HashMap<Owner, Owned>,
     successors: HashMap<MessageName, Vec<MessageName>>,
-    /// Ended messages, and those of which only facts are known, in the order in which they are forgotten.
-    expiring: VecDeque<(Moment, MessageName)>,
+    /// Ended messages, and those of which only facts are known, in the order in which that was noted.
+    ended: VecDeque<(Moment, MessageName)>,
+    /// Those that are remembered for longer than others, by when they are forgotten.
+    remembered: BTreeSet<(Moment, MessageName)>,
     /// Open messages with their record in memory, oldest first; others may be among them.
     resident: VecDeque<MessageName>,
     resident_count: usize,
@@ -88,7 +91,9 @@
     }
 
     /// Puts a record to a message that has none. Strings that other messages share are shared here too.
-    pub fn insert_record(&mut self, name: &MessageName, mut record: HeldRecord, now: Micros) {
+    pub fn insert_record(
+        &mut self, name: &MessageName, mut record: HeldRecord, expires_at: Moment, now: Micros,
+    ) {
         if let Some((known, _)) = self.by_owner.get_key_value(&record.owner) {
             record.owner = known.clone();
         }
@@ -101,6 +106,7 @@
             self.live_bytes += crate::message::FACT_BYTES;
             Message::new(now as Moment)
         });
+        message.expires_at = Some(expires_at);
         let is_open = message.end.is_none();
         self.live_bytes += record.bytes();
         if let Some(payload) = &record.payload {
@@ -187,7 +193,7 @@
 
     fn insert_facts(&mut self, name: &MessageName, message: Message) {
         self.live_bytes += message.log_bytes();
-        self.expiring.push_back((message.noted_at, name.clone()));
+        self.ended.push_back((message.noted_at, name.clone()));
         self.by_name.insert(name.clone(), message);
     }
 
@@ -213,7 +219,7 @@
             message.end_ticket = ticket;
             if is_first {
                 message.noted_at = at;
-                self.expiring.push_back((at, name.clone()));
+                self.ended.push_back((at, name.clone()));
             }
         }
         if matches!(end, End::Completed { .. }) {
@@ -240,15 +246,15 @@
         }
         if message.end.is_none() {
             if message.failures == 0 {
-                self.forget(name);
+                self.drop_message(name);
             } else {
                 let noted_at = message.noted_at;
-                self.expiring.push_back((noted_at, name.clone()));
+                self.ended.push_back((noted_at, name.clone()));
             }
         }
     }
 
-    fn forget(&mut self, name: &MessageName) {
+    fn drop_message(&mut self, name: &MessageName) {
         if let Some(message) = self.by_name.remove(name) {
             self.live_bytes = self.live_bytes.saturating_sub(message.log_bytes());
             if let Some(payload) = message.record.and_then(|record| record.payload) {
@@ -258,30 +264,40 @@
         }
     }
 
-    /// When the first message of those that will be forgotten was noted.
-    pub fn first_expiring(&self) -> Option<Moment> {
-        self.expiring.front().map(|(noted_at, _)| *noted_at)
+    /// When something is to be forgotten.
+    pub fn forget_due(&self, memory: &Memory) -> Option<Moment> {
+        let first = self.ended.front().map(|(noted_at, _)| noted_at + memory.status_ttl);
+        let remembered = self.remembered.first().map(|(until, _)| *until);
+        first.into_iter().chain(remembered).min()
     }
 
-    /// Forgets messages that ended, or were only heard of, before a moment.
-    pub fn forget_before(&mut self, moment: Moment) {
-        while let Some((noted_at, name)) = self.expiring.front() {
-            if *noted_at > moment {
+    /// Forgets messages that ended, or were only heard of, long enough ago.
+    pub fn forget(&mut self, now: Moment, memory: &Memory) {
+        while let Some((_, name)) =
+            self.ended.pop_front_if(|(noted_at, _)| *noted_at + memory.status_ttl <= now)
+        {
+            let Some(message) = self.get(&name).filter(|message| !message.is_open()) else { continue };
+            let until = memory.ends_of(message);
+            if until <= now {
+                self.drop_message(&name);
+            } else {
+                self.remembered.insert((until, name));
+            }
+        }
+        while let Some((until, name)) = self.remembered.pop_first() {
+            if until > now {
+                self.remembered.insert((until, name));
                 return;
             }
-            let is_over =
-                self.get(name).is_some_and(|message| message.noted_at <= moment && !message.is_open());
-            if let Some((_, name)) = self.expiring.pop_front()
-                && is_over
-            {
-                self.forget(&name);
+            if self.get(&name).is_some_and(|message| !message.is_open()) {
+                self.drop_message(&name);
             }
         }
     }
 
     /// Puts the queue of what is forgotten in order after a recovery.
-    pub fn sort_expiring(&mut self) {
-        self.expiring.make_contiguous().sort();
+    pub fn sort_ended(&mut self) {
+        self.ended.make_contiguous().sort();
     }
 
     /// Notes where the entry with the record of a message lies.
--- a/crates/message-log/src/offers.rs
+++ b/crates/message-log/src/offers.rs
@@ -10,7 +10,7 @@
 
 use crate::gathering::{Job, Purpose};
 use crate::interface::{Effect, Members};
-use crate::message::{Message, Moment};
+use crate::message::Message;
 use crate::owners::Judgement;
 use crate::store::Store;
 
@@ -178,7 +178,7 @@
                 continue;
             }
             let Some(held) = self.messages.get(name).and_then(Message::open_record) else { continue };
-            let age = (self.now.steady as Moment - held.taken_at).max(0);
+            let age_ms = self.age_ms(held);
             let Some(stored) = self.stored(name, payload.as_ref()) else { continue };
             let Some(record) = stored.record else { continue };
             messages.push(OrphanMessage {
@@ -186,7 +186,7 @@
                 owner: held.owner.clone(),
                 claim: stored.claim,
                 failures: stored.failures,
-                age_ms: age as u64 / 1_000,
+                age_ms,
             });
         }
         if !messages.is_empty() {
--- a/crates/message-log/src/recovery.rs
+++ b/crates/message-log/src/recovery.rs
@@ -60,7 +60,7 @@
         if let Some(error) = self.error {
             return Err(error);
         }
-        self.store.messages.sort_expiring();
+        self.store.messages.sort_ended();
         self.store.note_ended_predecessors();
         Ok(self.store)
     }
@@ -129,6 +129,7 @@
     });
     match (stored.record, is_needed) {
         (Some(record), true) => {
+            let expires_at = store.expiry_of(&record, taken_at);
             let held = HeldRecord {
                 payload: None,
                 position: Some(position),
@@ -142,7 +143,7 @@
                 taken_at,
                 is_queued: false,
             };
-            store.messages.insert_record(&name, held, store.now.steady);
+            store.messages.insert_record(&name, held, expires_at, store.now.steady);
             if kept.is_released {
                 store.queue_orphan(&name);
             }
--- a/crates/message-log/src/requests.rs
+++ b/crates/message-log/src/requests.rs
@@ -7,6 +7,7 @@
 use pewterseam_wire::store::{Decline, Status, StoreRequest, StoreResponse, StoredMessage};
 
 use crate::entry::{KeptMessage, LogEntry};
+use crate::expiry::age;
 use crate::gathering::{Job, Purpose};
 use crate::interface::Effect;
 use crate::message::{HeldRecord, Message, Moment, NOT_WRITTEN};
@@ -153,6 +154,7 @@
             claim: 0,
             failures,
             end: None,
+            age_ms: 0,
         };
         match self.add_record(stored) {
             Some(ticket) => self.appended_after(token, ticket, &record),
@@ -183,6 +185,8 @@
         }
         let noted_at = self.messages.get(&name).map_or(self.now.steady as Moment, |message| message.noted_at);
         let record = stored.record.as_ref()?;
+        let taken_at = self.now.steady as Moment - age(stored.age_ms);
+        let expires_at = self.expiry_of(record, taken_at);
         let mut held = HeldRecord {
             payload: None,
             position: None,
@@ -193,18 +197,18 @@
             owner: stored.owner.clone().unwrap_or_else(|| record.owner.clone()),
             claim: stored.claim,
             is_released: false,
-            taken_at: self.now.steady as Moment,
+            taken_at,
             is_queued: false,
         };
-        let kept =
-            KeptMessage { stored, taken: self.now.wall, ended: self.wall_of(noted_at), is_released: false };
+        let taken = self.wall_of(taken_at);
+        let kept = KeptMessage { stored, taken, ended: self.wall_of(noted_at), is_released: false };
         let entry = LogEntry::Message(Box::new(kept)).encode().ok()?;
         if entry.len() > pewterseam_storage::MOST_PAYLOAD_BYTES {
             return None;
         }
         held.payload = Some(entry.clone());
         let ticket = self.persistence.add(entry, Written::Record(name.clone()));
-        self.messages.insert_record(&name, held, self.now.steady);
+        self.messages.insert_record(&name, held, expires_at, self.now.steady);
         self.check_owner(&name);
         self.tell_of_ended_predecessors(&name);
         Some(ticket)
--- a/crates/message-log/src/store.rs
+++ b/crates/message-log/src/store.rs
@@ -76,6 +76,10 @@
     pub(crate) moved_on: HashMap<u64, MessageName>,
     /// Ends whose write has failed.
     pub(crate) unwritten_ends: Vec<MessageName>,
+    /// The longest `retentionS` of all records that were seen.
+    pub(crate) longest_retention: Moment,
+    /// When open records were last looked through for those that are over.
+    pub(crate) expired_at: Micros,
     /// The token of the last request to another store.
     pub(crate) last_request: u64,
     pub(crate) out: Vec<Effect>,
@@ -101,6 +105,8 @@
             late_facts: LateFacts::default(),
             moved_on: HashMap::new(),
             unwritten_ends: Vec::new(),
+            longest_retention: 0,
+            expired_at: now.steady,
             last_request: 0,
             out: Vec::new(),
             held: VecDeque::new(),
@@ -138,13 +144,15 @@
         self.release_held(false);
         self.retry_disk();
         self.messages.fit_memory(self.settings.memory_bytes);
+        self.expire_records();
         self.send_end_notices();
         self.make_offers();
         self.drive_copying();
         self.tell_late_facts();
         self.clean();
         if self.forget_due().is_some_and(|due| due <= self.now.steady as Moment) {
-            self.messages.forget_before(self.now.steady as Moment - self.settings.status_ttl as Moment);
+            let memory = self.memory();
+            self.messages.forget(self.now.steady as Moment, &memory);
         }
     }
 
@@ -233,8 +241,7 @@
     }
 
     fn forget_due(&self) -> Option<Moment> {
-        let first = self.messages.first_expiring()?;
-        Some(first + self.settings.status_ttl as Moment + FORGET_SLACK as Moment)
+        Some(self.messages.forget_due(&self.memory())? + FORGET_SLACK as Moment)
     }
 
     /// Asks to be woken when the next thing is due, unless it did already.
@@ -248,6 +255,7 @@
             self.offers.judge_at,
             self.copying.as_ref().and_then(Copying::due),
             self.late_facts.due(),
+            self.expiry_due(),
             self.forget_due().map(|due| due.max(0) as Micros),
         ];
         let now = self.now.steady;
--- a/crates/message-log/tests/common/mod.rs
+++ b/crates/message-log/tests/common/mod.rs
@@ -16,6 +16,8 @@
 pub const MILLISECOND: u64 = 1_000;
 pub const SECOND: u64 = 1_000_000;
 pub const STATUS_TTL: u64 = 120 * SECOND;
+/// So short a `retentionS` that ends are remembered for no longer than `statusTtlS`.
+pub const SHORT_RETENTION_MS: u64 = 60_000;
 
 /// The time of day when the steady clock starts.
 pub const WALL_START: u64 = 1_700_000_000 * SECOND;
--- a/crates/message-log/tests/copying.rs
+++ b/crates/message-log/tests/copying.rs
@@ -376,3 +376,34 @@
     new.input(Input::Placement(placement(3, &[OLD, NEW, NEWEST])));
     assert_eq!(new.open_names(3, "key"), [], "also after a restart");
 }
+
+/// Guards against a copy that counts as young as its store is new: its message would be due, and over, that much too late.
+#[test]
+fn a_copy_is_as_old_as_its_source() {
+    let mut nodes = stores(&["s1", "s2", "s3", "s4"], 1, &[OLD]);
+    let before = placement(1, &[OLD]);
+    let first = record("first");
+    write(&mut nodes, &before, &first, 0);
+    for node in &mut nodes {
+        node.advance(60 * SECOND);
+    }
+    for node in &mut nodes {
+        node.input(Input::Placement(placement(2, &[OLD, NEW])));
+    }
+    deliver(&mut nodes);
+    let copy = node(&mut nodes, "s4");
+    copy.input(Input::Members(members(&[relay("b", 1)], &[owner("a", 1)])));
+    copy.advance(SECOND);
+    let offers = copy.take_offers();
+    let ages: Vec<u64> = offers.iter().flat_map(|(_, messages)| messages.iter().map(|m| m.age_ms)).collect();
+    assert!(!ages.is_empty());
+    assert!(ages.iter().all(|age_ms| (60_000..62_000).contains(age_ms)), "{ages:?}");
+    copy.files.lose_power(1);
+    copy.restart();
+    copy.input(Input::Placement(placement(2, &[OLD, NEW])));
+    copy.input(Input::Members(members(&[relay("b", 1)], &[owner("a", 1)])));
+    copy.advance(3 * SECOND);
+    let offers = copy.take_offers();
+    let mut ages = offers.iter().flat_map(|(_, messages)| messages.iter().map(|m| m.age_ms));
+    assert!(ages.all(|age_ms| (60_000..66_000).contains(&age_ms)), "after a restart");
+}
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -4,7 +4,7 @@
 
 use pewterseam_wire::placement::{Group, Partition, StoreId};
 use pewterseam_wire::record::{MessageName, Record};
-use pewterseam_wire::store::StoreRequest;
+use pewterseam_wire::store::{RETENTION_MARGIN, StoreRequest};
 use pewterseam_wire::{Micros, WallMicros};
 
 use crate::calls::Purpose;
@@ -26,8 +26,6 @@
 const RETRY_AFTER_FULL_MS: u64 = 500;
 /// Open messages of one key that a new one may have as predecessors.
 const MOST_PREDECESSORS: usize = 400;
-/// Time added to `retentionS`, so that steps of the time of day never end a message early.
-const RETENTION_MARGIN: Micros = 5_000_000;
 
 const MILLISECOND: Micros = 1_000;
 
--- a/crates/queue/src/adopt.rs
+++ b/crates/queue/src/adopt.rs
@@ -4,8 +4,8 @@
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::record::{Fact, MessageName};
-use pewterseam_wire::store::{OrphanMessage, Status, StoreNotice, StoreRequest};
+use pewterseam_wire::record::{End, Fact, MessageName};
+use pewterseam_wire::store::{OrphanMessage, RETENTION_MARGIN, Status, StoreNotice, StoreRequest};
 
 use crate::calls::Purpose;
 use crate::clock::Timer;
@@ -15,8 +15,6 @@
 
 /// When facts about an orphan are asked for again.
 const ADOPT_AGAIN: Micros = 500_000;
-/// Time added to `retentionS`, as for messages that were taken here.
-const RETENTION_MARGIN: Micros = 5_000_000;
 const MILLISECOND: Micros = 1_000;
 
 /// What a store's word on an orphan means.
@@ -48,6 +46,7 @@
         for orphan in orphans {
             match self.by_name.get(&orphan.record.name) {
                 Some(key) => self.assert_ownership(*key, orphan.claim),
+                None if self.is_over(&orphan) => self.tell_over(orphan),
                 None => keys.extend(self.insert_orphan(orphan)),
             }
         }
@@ -64,9 +63,29 @@
         }
     }
 
+    /// Time that a message of another relay has in all. Its age may be told wrong, as it goes by the time of day over a
+    /// restart of the store.
+    fn time_of_orphan(&self, orphan: &OrphanMessage) -> Micros {
+        orphan.record.retention_ms * MILLISECOND + RETENTION_MARGIN + self.settings.clock_error
+    }
+
+    fn is_over(&self, orphan: &OrphanMessage) -> bool {
+        orphan.age_ms * MILLISECOND >= self.time_of_orphan(orphan)
+    }
+
+    /// The time of a message that a store offers is over: it is not run, whatever the store knows of it.
+    ///
+    /// Danger: the store may have missed its end, and those that knew it may have forgotten it by now.
+    fn tell_over(&mut self, orphan: OrphanMessage) {
+        let stores = self.stores.placement.stores(orphan.record.partition);
+        let name = orphan.record.name;
+        self.post(&stores, &Fact::Ended { name: name.clone(), end: End::Expired });
+        self.unblock_successors(&name);
+    }
+
     fn insert_orphan(&mut self, orphan: OrphanMessage) -> Option<MessageKey> {
         let (delay, age) = (orphan.record.delay_ms * MILLISECOND, orphan.age_ms * MILLISECOND);
-        let left = orphan.record.retention_ms * MILLISECOND + RETENTION_MARGIN;
+        let left = self.time_of_orphan(&orphan);
         let stage = Stage::Adopting { answered: BTreeSet::new(), from: orphan.owner, claim: orphan.claim };
         let mut message = Message::new(orphan.record, stage, self.now);
         message.is_adopted = true;
--- a/crates/system/src/store/process.rs
+++ b/crates/system/src/store/process.rs
@@ -205,5 +205,6 @@
     let disk_bytes = (settings.limits.disk_mb * BYTES_A_MEGABYTE * DISK_PART) as u64;
     let status_ttl = settings.bounds.status_ttl().as_micros() as Micros;
     let memory_bytes = (settings.limits.memory_mb * BYTES_A_MEGABYTE * MEMORY_PART) as usize;
-    StoreSettings { memory_bytes, ..StoreSettings::new(id, status_ttl, disk_bytes) }
+    let clock_error = settings.bounds.max_skew().as_micros() as Micros;
+    StoreSettings { memory_bytes, clock_error, ..StoreSettings::new(id, status_ttl, disk_bytes) }
 }
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -17,6 +17,9 @@
 /// bounds how far two steady clocks drift apart within a lease.
 pub const OWNER_LEASE_MARGIN: Micros = 100_000;
 
+/// Time added to `retentionS` wherever a message is given up for its age: what remains of it may still be on its way then.
+pub const RETENTION_MARGIN: Micros = 5_000_000;
+
 /// A request to a store. Each is answered by one [`StoreResponse`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreRequest {
@@ -120,6 +123,10 @@
     pub claim: u32,
     pub failures: u32,
     pub end: Option<End>,
+    /// How long ago the first store that handed it on took the record. Danger: a copy that begins with age 0 is due, and
+    /// over, as much too late as the message was old.
+    #[serde(default)]
+    pub age_ms: u64,
 }
 
 /// What a store tells a relay unasked. Lost ones are told again for as long as they hold.
