A soak of the whole system: real processes, signals, restarts, outages and changes that overlap

Clients use open connections until the process is gone; runs with odd seeds have planned work alone, those with even seeds kills as well. Judged: LOST, TWICE, ORDER, REFUSED, CONFIG, UNASKED, MIXED, ends and panics of processes.

Its first run showed ORDER once at seed 1: the judge noted a success after the host had written it, and the successor began in between. It notes it before now.

--- /dev/null
+++ b/crates/relay/tests/soak/main.rs
@@ -0,0 +1,181 @@
+//! A soak of the whole system: real processes, signals, restarts, outages and changes that come in series and overlap, and
+//! clients that use open connections until the process is gone. Each run is drawn from a seed; its times are those of the
+//! machine, so that a run does not repeat to the letter.
+//!
+//! `SOAK_SEED=n` plays one seed and keeps its logs, `SOAK_FROM=n` and `SOAK_SEEDS=n` play so many from there on. `SOAK_RELAYS`, `SOAK_STORES`
+//! and `SOAK_CLIENTS` make runs larger.
+
+mod clients;
+mod cluster;
+mod hosts;
+mod http;
+mod judge;
+mod operator;
+mod plan;
+
+use std::net::Ipv4Addr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pewterseam_wire::random::Random;
+use rustix::process::Signal;
+
+use clients::Client;
+use cluster::Cluster;
+use hosts::Hosts;
+use judge::Judge;
+use plan::{Disturbance, Plan, Size};
+
+/// Seeds where the environment says nothing: one with planned work alone, one with kills, and one more of each.
+const SEEDS: u64 = 4;
+const USUAL: Size = Size { core: 3, relays: 2, stores: 3, clients: 9 };
+/// All relays are ready by then.
+const START_LIMIT: Duration = Duration::from_secs(40);
+/// What was accepted has run by then, after the traffic.
+const SETTLED_WITHIN: Duration = Duration::from_secs(20);
+const LOOK_PERIOD: Duration = Duration::from_millis(50);
+const READ_PATIENCE: Duration = Duration::from_secs(2);
+
+fn number(variable: &str) -> Option<u64> {
+    std::env::var(variable).ok()?.parse().ok()
+}
+
+fn size() -> Size {
+    let or = |variable: &str, usual: usize| number(variable).map_or(usual, |number| number as usize);
+    let relays = or("SOAK_RELAYS", USUAL.core + USUAL.relays).max(USUAL.core);
+    Size {
+        core: USUAL.core,
+        relays: relays - USUAL.core,
+        stores: or("SOAK_STORES", USUAL.stores),
+        clients: or("SOAK_CLIENTS", USUAL.clients),
+    }
+}
+
+/// The second and third number of this run's addresses.
+fn network(seed: u64) -> [u8; 2] {
+    let process = std::process::id();
+    [10 + (process % 200) as u8, ((u64::from(process) / 200 + seed) % 250) as u8]
+}
+
+fn wait_until(within: Duration, is_so: impl Fn() -> bool) -> bool {
+    let until = Instant::now() + within;
+    while !is_so() {
+        if Instant::now() >= until {
+            return false;
+        }
+        thread::sleep(LOOK_PERIOD);
+    }
+    true
+}
+
+fn is_ready(cluster: &Cluster) -> bool {
+    let is_ready = |node: &cluster::Node| {
+        let answer = http::call(node.readiness(), "GET", "/-/ready", &[("Host", "ready")], "", READ_PATIENCE);
+        answer.is_some_and(|answer| answer.status == 200)
+    };
+    cluster.relays().iter().all(is_ready)
+}
+
+/// Carries out the disturbances, each on a thread of its own, so that they overlap.
+fn disturb(plan: &Plan, cluster: &Cluster, hosts: &Hosts) {
+    let begins = Instant::now();
+    thread::scope(|scope| {
+        for (at, disturbance) in plan.disturbances.clone() {
+            thread::sleep((begins + at).saturating_duration_since(Instant::now()));
+            scope.spawn(move || match disturbance {
+                Disturbance::Stop { node } => cluster.cycle(node, Signal::TERM),
+                Disturbance::Kill { node } => cluster.cycle(node, Signal::KILL),
+                Disturbance::Reload { node } => cluster.reload(node),
+                Disturbance::Outage { service, span } => hosts.outage(service, span),
+            });
+        }
+    });
+    thread::sleep((begins + plan.ends).saturating_duration_since(Instant::now()));
+}
+
+/// Everything that was accepted has run, and each relay tells so.
+fn check_accepted(cluster: &Cluster, judge: &Judge) {
+    let accepted = judge.accepted();
+    let has_run = || accepted.iter().all(|(id, _)| judge.has_succeeded(id));
+    wait_until(SETTLED_WITHIN, has_run);
+    for (number, (id, name)) in accepted.iter().enumerate() {
+        if !judge.has_succeeded(id) {
+            judge.breach(format!("LOST: {id} was accepted and has not run"));
+            continue;
+        }
+        let relay = &cluster.relays()[number % cluster.relays().len()];
+        let path = format!("/-/message/{name}");
+        let read = || {
+            let headers = [("Host", operator::HOSTNAME)];
+            http::call(relay.front(), "GET", &path, &headers, "", READ_PATIENCE)
+        };
+        let is_completed = || {
+            let answer = read().filter(|answer| answer.status == 200);
+            answer.is_some_and(|answer| String::from_utf8_lossy(&answer.body).contains("completed"))
+        };
+        if !wait_until(READ_PATIENCE, is_completed) {
+            let told =
+                read().map(|answer| (answer.status, String::from_utf8_lossy(&answer.body).into_owned()));
+            judge.breach(format!("MIXED: {id} has run, and relay {} tells {told:?}", relay.name));
+        }
+    }
+}
+
+/// Plays one run and returns what it broke.
+fn play(plan: &Plan, folder: &Path) -> Vec<String> {
+    let judge = Arc::new(Judge::default());
+    let network = network(plan.seed);
+    let stand_ins = Ipv4Addr::new(127, network[0], network[1], 1);
+    let hosts = Hosts::start(stand_ins, judge.clone(), plan.seed);
+    let list = Hosts::list_address(stand_ins);
+    let cluster = Cluster::new(folder, network, plan.size, list, judge.clone());
+    for node in 0..cluster.nodes.len() {
+        cluster.write_settings(node, true);
+        cluster.start(node);
+    }
+    let mut random = Random::new(plan.seed);
+    operator::configure(&cluster, &judge, &mut random);
+    if !wait_until(START_LIMIT, || is_ready(&cluster)) {
+        return vec![format!("START: not ready within {START_LIMIT:?}")];
+    }
+    let is_over = AtomicBool::new(false);
+    let (ended, cluster_ref, judge_ref) = (&is_over, &cluster, judge.as_ref());
+    thread::scope(|scope| {
+        for number in 0..plan.size.clients {
+            let random = Random::new(random.draw());
+            scope.spawn(move || {
+                Client { number, cluster: cluster_ref, judge: judge_ref, random }.run(ended);
+            });
+        }
+        let mut operator = Random::new(random.draw());
+        scope.spawn(move || operator::operate(cluster_ref, judge_ref, &mut operator, ended));
+        disturb(plan, cluster_ref, &hosts);
+        is_over.store(true, Ordering::Relaxed);
+    });
+    check_accepted(&cluster, &judge);
+    cluster.end();
+    cluster.check_logs();
+    println!("seed {}: {}", plan.seed, judge.figures());
+    judge.breaches()
+}
+
+/// Guards the rules over series of signals, restarts, outages and changes that overlap.
+#[test]
+fn the_system_outlasts_a_soak() {
+    let one = number("SOAK_SEED");
+    let from = one.or_else(|| number("SOAK_FROM")).unwrap_or(1);
+    let count = if one.is_some() { 1 } else { number("SOAK_SEEDS").unwrap_or(SEEDS) };
+    let mut broken = Vec::new();
+    for seed in from..from + count {
+        let folder = tempfile::tempdir().expect("a folder");
+        let breaches = play(&Plan::of_seed(seed, size()), folder.path());
+        if one.is_some() || !breaches.is_empty() {
+            println!("seed {seed}: logs are in {}", folder.keep().display());
+        }
+        broken.extend(breaches.into_iter().map(|breach| format!("seed {seed}: {breach}")));
+    }
+    assert!(broken.is_empty(), "{} breaches\n{}", broken.len(), broken.join("\n"));
+}
