--- a/crates/variants/src/claimant/message.rs
+++ b/crates/variants/src/claimant/message.rs
@@ -1,67 +1,26 @@
 //! A message at the relay that took it, from its claim to its end.
 
+mod telling;
+
 use pewterseam::interface::Micros;
 use pewterseam_fleet::interface::MemberId;
 
+use super::plan::Plan;
 use super::round::{Round, Verdict};
 use crate::claims::{ClaimOp, End, Item, Op, Said};
 use crate::interface::Unmerged;
-use crate::rules::{Full, Key, Rule, Unsure};
+use crate::rules::{Full, Key, Unsure};
 
 /// An owner that has not answered is asked again so soon: many times what a healthy call takes.
 const ASK_AGAIN: Micros = 60_000;
 /// The wait between looks at a message that another one has, from the first to the longest. Owners tell of
 /// its end; the looks are for what they told in vain.
 const LOOKS: (Micros, Micros) = (100_000, 1_000_000);
-/// What is to be noted is said again until two owners have noted it, so often.
-const MOST_TOLD: u32 = 12;
-const TELL_AGAIN: Micros = 250_000;
 /// A message that waits is handed back so long before its deadline, so that its client can still be told.
 const BEFORE_DEADLINE: Micros = 50_000;
 /// While owners are being replaced they are waited for longer than the class's patience.
 const SETTLING: Micros = 1_000_000;
 
-/// A key of the message.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Use {
-    pub key: Key,
-    /// Taken in its place where the key is that of several messages.
-    pub narrow: Key,
-    pub prints: Vec<Option<u64>>,
-}
-
-/// What the class says, and the message's own.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Plan {
-    pub handle: u64,
-    pub class: String,
-    pub unsure: Unsure,
-    pub full: Full,
-    pub window_s: u32,
-    pub lease: Micros,
-    pub patience: Micros,
-    pub retry: Micros,
-    pub deadline: Micros,
-    pub resumed: bool,
-    /// By the older rule first. Danger: messages that take keys in different orders wait for one another.
-    pub keys: Vec<Use>,
-}
-
-impl Plan {
-    pub fn new(
-        handle: u64, class: &str, rule: &Rule, deadline: Micros, resumed: bool, keys: Vec<Use>,
-    ) -> Self {
-        let class = class.to_owned();
-        let (lease, patience, retry) = (rule.lease(), rule.patience(), rule.retry());
-        let Rule { unsure, full, window_s, .. } = *rule;
-        Plan { handle, class, unsure, full, window_s, lease, patience, retry, deadline, resumed, keys }
-    }
-
-    fn bold(&self) -> bool {
-        self.unsure == Unsure::Deliver
-    }
-}
-
 /// What is to be done.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Act {
@@ -420,74 +379,4 @@
         let pause = (pause << self.ballot.min(4)).min(LOOKS.1);
         self.state = State::Waiting { look: now + pause / 2 + apart / 2, pause };
     }
-
-    /// Gives up what some owners may have granted of a key.
-    fn release(&self, at: usize, owners: OwnersOf<'_>, acts: &mut Vec<Act>) {
-        let Some(of) = self.plan.keys.get(at).filter(|_| self.may_free()) else { return };
-        let item = Item { key: of.key, handle: self.plan.handle, ballot: self.ballot, op: Op::Release };
-        acts.extend(owners(of.key).into_iter().map(|to| Act::Ask { to, item: item.clone() }));
-    }
-
-    /// Whether some owner may have granted what is given up now, and may forget it. Danger: what an earlier
-    /// process delivered may have run.
-    fn may_free(&self) -> bool {
-        let granted = match &self.state {
-            State::Asking { round, .. } => round.may_hold(),
-            _ => true,
-        };
-        granted && (self.plan.bold() || !self.plan.resumed)
-    }
-
-    fn hand_back(&mut self, now: Micros, owners: OwnersOf<'_>, acts: &mut Vec<Act>) {
-        acts.push(Act::HandBack { after: self.plan.retry });
-        self.over(now, None, owners, acts);
-    }
-
-    /// It is not delivered by this relay: keys that it holds are given up, or told the end of the other.
-    fn over(&mut self, now: Micros, end: Option<End>, owners: OwnersOf<'_>, acts: &mut Vec<Act>) {
-        let window_s = self.plan.window_s;
-        let op = end.filter(|_| self.at > 0).map_or(Op::Release, |end| Op::End { end, window_s });
-        self.plan.keys.truncate(self.at + 1);
-        if op == Op::Release && !(self.may_free() || self.at > 0) || self.plan.resumed && !self.plan.bold() {
-            self.state = State::Over;
-            return;
-        }
-        acts.extend(self.finish(now, op, owners));
-    }
-
-    fn renew(&mut self, now: Micros, owners: OwnersOf<'_>, acts: &mut Vec<Act>) {
-        self.state = State::Delivering { renew: now + self.plan.lease / 3 };
-        // What has no claim has none to renew.
-        if self.unmerged {
-            return;
-        }
-        for at in 0..self.plan.keys.len() {
-            let item = self.claim(now, at);
-            acts.extend(owners(item.key).into_iter().map(|to| Act::Ask { to, item: item.clone() }));
-        }
-    }
-
-    fn tell(&mut self, now: Micros, owners: OwnersOf<'_>, acts: &mut Vec<Act>) {
-        let State::Telling { op, noted, again, told } = &mut self.state else { return };
-        *told += 1;
-        *again = now + TELL_AGAIN;
-        for (of, noted) in self.plan.keys.iter().zip(noted.iter()) {
-            let item = Item { key: of.key, handle: self.plan.handle, ballot: self.ballot, op: op.clone() };
-            let missing = owners(of.key).into_iter().filter(|owner| !noted.contains(owner));
-            acts.extend(missing.map(|to| Act::Ask { to, item: item.clone() }));
-        }
-        let releases = *op == Op::Release;
-        // A release that is lost costs others a lease; an end that is lost costs them the answer.
-        if *told >= if releases { 2 } else { MOST_TOLD } || acts.is_empty() {
-            self.state = State::Over;
-        }
-    }
-
-    fn told(&mut self, owners: OwnersOf<'_>) {
-        let State::Telling { noted, .. } = &self.state else { return };
-        let all = |(of, noted): (&Use, &Vec<MemberId>)| owners(of.key).iter().all(|of| noted.contains(of));
-        if self.plan.keys.iter().zip(noted).all(all) {
-            self.state = State::Over;
-        }
-    }
 }
