--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -52,10 +52,11 @@
 }
 
 impl Calls {
-    /// What the connection of a call holds, and the id of the call's message.
+    /// What is read on the connection of a call as soon as its request has arrived, and the id of the call's message.
     fn held_by(&mut self, key: CallKey) -> Option<(Leftover, Arc<str>)> {
         let call = self.open.get_mut(&key)?;
-        Some((call.leftover.take()?, call.start.request_id.clone()))
+        let leftover = call.leftover.take_if(|leftover| !leftover.comes_before_the_next())?;
+        Some((leftover, call.start.request_id.clone()))
     }
 }
 
@@ -220,6 +221,11 @@
                 self.judge.success_read(self.now, &call.start.request_id, key.life);
             }
         }
+        // What the connection held comes first, and the answer right behind it.
+        let is_passed_by = call.leftover.as_ref().is_some_and(|held| held.ends_call(&call.start.request_id));
+        if is_passed_by && matches!(result, AttemptResult::Answered(_)) {
+            return self.end_call(key, &call, AttemptResult::Broken(BrokenBy::OtherAnswer));
+        }
         if let AttemptResult::Answered(answer) = &result {
             let (address, id) = (call.start.target.address, call.start.request_id.clone());
             self.leave_over(key.life, address, &id, answer.status);
--- a/crates/cluster/src/faults.rs
+++ b/crates/cluster/src/faults.rs
@@ -123,7 +123,7 @@
     /// Draws the faults of this run, all within the traffic.
     pub(crate) fn draw_faults(&mut self) {
         match self.plan.scenario {
-            Scenario::Usual | Scenario::GarblingHosts | Scenario::ChangingHosts => {
+            Scenario::Usual | Scenario::GarblingHosts | Scenario::SecondAnswers | Scenario::ChangingHosts => {
                 let count = self.random.below(MOST_FAULTS + 1);
                 self.draw_usual_faults(count);
             }
--- a/crates/cluster/src/garbled.rs
+++ b/crates/cluster/src/garbled.rs
@@ -1,13 +1,14 @@
 //! Hosts that garble: answers that are sent twice, belong to the message before, carry no id, or break off.
 //!
-//! The connections of the simulation carry no bytes: what becomes of a garbled answer follows from the rule of
-//! `pewterseam-outbound` for what counts as the answer to a request, which stands here as [`counts`].
+//! The connections of the simulation carry no bytes: what becomes of an answer follows from the rule of `pewterseam-outbound`
+//! for what ends a call.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use pewterseam_delivery::{Answer, AttemptResult, BrokenBy};
+use pewterseam_outbound::{Reading, read_as};
 use pewterseam_wire::Micros;
 
 use crate::calls::CallKey;
@@ -31,16 +32,32 @@
     not_executed: bool,
     /// The id of the message that it was for, if it tells.
     request_id: Option<Arc<str>>,
+    comes: Comes,
 }
 
-/// The answers that idle connections hold.
-pub type Leftovers = BTreeMap<(Life, SocketAddr), Leftover>;
+/// When an answer that nobody waits for comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Comes {
+    /// As soon as the next request on the connection has arrived.
+    AtOnce,
+    /// Just before the answer to that request.
+    BeforeTheNext,
+}
+
+impl Leftover {
+    pub fn comes_before_the_next(&self) -> bool {
+        self.comes == Comes::BeforeTheNext
+    }
 
-/// Whether an answer is the one to a request, as `pewterseam-outbound` decides it in `answer.rs`.
-fn counts(told: Option<&str>, request_id: &str) -> bool {
-    told == Some(request_id)
+    /// Whether it ends the call of a message that finds it on its connection.
+    pub fn ends_call(&self, request_id: &str) -> bool {
+        read_as(self.request_id.as_deref(), request_id) == Reading::EndsCall
+    }
 }
 
+/// The answers that idle connections hold.
+pub type Leftovers = BTreeMap<(Life, SocketAddr), Leftover>;
+
 impl World {
     /// Whether a host breaks off the answer that it sends now.
     pub(crate) fn is_cut_short(&mut self) -> bool {
@@ -49,7 +66,12 @@
 
     /// A call was answered; the host may send something after it.
     pub(crate) fn leave_over(&mut self, life: Life, address: SocketAddr, request_id: &Arc<str>, status: u16) {
-        if self.plan.scenario != Scenario::GarblingHosts || self.random.below(100) >= FOLLOWED {
+        let comes = match self.plan.scenario {
+            Scenario::GarblingHosts => Comes::AtOnce,
+            Scenario::SecondAnswers => Comes::BeforeTheNext,
+            _ => return,
+        };
+        if self.random.below(100) >= FOLLOWED {
             return;
         }
         // Most are the same answer once more.
@@ -62,7 +84,7 @@
         let not_executed = matches!(status, 421 | 429 | 503);
         let carried = request_id.clone();
         let request_id = (self.random.below(2) == 0).then(|| request_id.clone());
-        self.leftovers.insert((life, address), Leftover { carried, status, not_executed, request_id });
+        self.leftovers.insert((life, address), Leftover { carried, status, not_executed, request_id, comes });
     }
 
     /// A call takes an idle connection. One that holds an answer is closed, if that is seen before the request goes. The
@@ -73,7 +95,9 @@
         match self.leftovers.remove(&(life, address)) {
             Some(leftover) if *leftover.carried == *request_id => TakenConnection::Closed,
             None => TakenConnection::Clean,
-            Some(_) if self.random.below(2) == 0 => TakenConnection::Closed,
+            Some(leftover) if leftover.comes == Comes::AtOnce && self.random.below(2) == 0 => {
+                TakenConnection::Closed
+            }
             Some(leftover) => TakenConnection::Holds(leftover),
         }
     }
@@ -82,15 +106,14 @@
     pub(crate) fn read_leftover(
         &mut self, key: CallKey, leftover: &Leftover, request_id: &str, arrival: Micros,
     ) {
-        let result = if counts(leftover.request_id.as_deref(), request_id) {
-            AttemptResult::Answered(Answer {
+        let result = match read_as(leftover.request_id.as_deref(), request_id) {
+            Reading::Own => AttemptResult::Answered(Answer {
                 status: leftover.status,
                 not_executed: leftover.not_executed,
                 signature: None,
                 retry_after: None,
-            })
-        } else {
-            AttemptResult::Broken(BrokenBy::OtherAnswer)
+            }),
+            Reading::EndsCall => AttemptResult::Broken(BrokenBy::OtherAnswer),
         };
         self.agenda.add(arrival + READ_AFTER, Event::LeftoverRead(key, result));
     }
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -68,6 +68,8 @@
     LongDays,
     /// Hosts send answers twice, with the id of another message or none, and break them off.
     GarblingHosts,
+    /// Hosts send answers a second time, long after, just before the answer to the next message on the connection.
+    SecondAnswers,
     /// Many hosts drain, end and begin.
     ChangingHosts,
 }
--- a/crates/cluster/src/size.rs
+++ b/crates/cluster/src/size.rs
@@ -72,7 +72,7 @@
         Scenario::LongDays => (LEAST_LONG_DAY_MS, MORE_LONG_DAY_MS),
         Scenario::OutagesAndChanges => (LEAST_OUTAGES_MS, MORE_OUTAGES_MS),
         Scenario::ChangingHosts => (LEAST_CHANGING_MS, MORE_CHANGING_MS),
-        Scenario::GarblingHosts => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
+        Scenario::GarblingHosts | Scenario::SecondAnswers => (LEAST_TRAFFIC_MS, MORE_TRAFFIC_MS),
         Scenario::OverlappingFaults => (LEAST_OVERLAP_TRAFFIC_MS, MORE_OVERLAP_TRAFFIC_MS),
     };
     (least + random.below(more)) as Micros * MILLISECOND
--- a/crates/cluster/tests/scenarios.rs
+++ b/crates/cluster/tests/scenarios.rs
@@ -43,6 +43,7 @@
 static OUTAGES_AND_CHANGES: Days = Days::new(Scenario::OutagesAndChanges, 200);
 static LONG_DAYS: Days = Days::new(Scenario::LongDays, 150);
 static GARBLING_HOSTS: Days = Days::new(Scenario::GarblingHosts, 200);
+static SECOND_ANSWERS: Days = Days::new(Scenario::SecondAnswers, 150);
 static CHANGING_HOSTS: Days = Days::new(Scenario::ChangingHosts, 150);
 static SCALE_IN: Days = Days::new(Scenario::ScaleIn, 200);
 
@@ -120,6 +121,13 @@
     GARBLING_HOSTS.assert_other_rules();
 }
 
+/// Guards all rules where hosts send answers a second time, long after, just before the answer to the next message on the
+/// connection. The sender has read the success of that message then, wherever it stands.
+#[test]
+fn clusters_heed_the_own_answer_behind_a_second_one() {
+    assert_kept(SECOND_ANSWERS.reports(), |_| true);
+}
+
 /// Guards replays on days of all kinds: the same seed gives the same run.
 #[test]
 fn a_seed_gives_the_same_days() {
--- a/crates/outbound/src/answer.rs
+++ b/crates/outbound/src/answer.rs
@@ -9,6 +9,8 @@
 use hyper::body::Incoming;
 use pewterseam_delivery::{Answer, BrokenBy};
 
+use crate::reading::{Reading, read_as};
+
 /// What was read of an answer.
 #[derive(Debug)]
 pub(crate) struct ReadAnswer {
@@ -50,7 +52,7 @@
     let told = text(headers, "x-request-id");
     // Danger: a host sends an answer a second time, or one to nobody, and it is read as that to the next message. Every
     // answer carries the id of its message.
-    if told != Some(request_id) {
+    if read_as(told, request_id) != Reading::Own {
         return Err(BrokenBy::OtherAnswer);
     }
     let marked = has_marked_end(&response);
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -10,9 +10,11 @@
 mod list;
 mod outbound;
 mod pool;
+mod reading;
 mod request;
 
 pub use dialer::{ByteStream, Dialer, Dialing, TcpDialer};
 pub use list::{ListEvent, PlatformList, instances};
 pub use outbound::{CallTimes, Outbound, OutboundEvent, OutboundSettings};
+pub use reading::{Reading, read_as};
 pub use request::DeliveryRequest;
--- /dev/null
+++ b/crates/outbound/src/reading.rs
@@ -0,0 +1,15 @@
+//! Which answers on the connection of a call end it.
+
+/// What an answer on the connection of a call means to the call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reading {
+    /// It is the answer to the message that is out.
+    Own,
+    /// It is to another message, or to none; the call ends without an answer.
+    EndsCall,
+}
+
+/// Reads an answer by the id that it carries. Every answer carries the `X-Request-Id` of its message.
+pub fn read_as(told: Option<&str>, request_id: &str) -> Reading {
+    if told == Some(request_id) { Reading::Own } else { Reading::EndsCall }
+}
--- a/crates/outbound/tests/streams/host.rs
+++ b/crates/outbound/tests/streams/host.rs
@@ -287,6 +287,9 @@
             }
             _ => self.write(&answer).await,
         }
+        if let Ok(attempt) = request.attempt.parse() {
+            self.note(|connection| connection.answered.push((attempt, Instant::now())));
+        }
     }
 
     async fn write_in_pieces(&mut self, bytes: &[u8]) {
--- a/crates/outbound/tests/streams/judge.rs
+++ b/crates/outbound/tests/streams/judge.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pewterseam_delivery::{AttemptEnd, AttemptResult};
+use pewterseam_delivery::{AttemptEnd, AttemptResult, BrokenBy};
 use tokio::time::Instant;
 
 use crate::script::Reaction;
@@ -20,6 +20,8 @@
     pub reactions: Vec<(String, Reaction)>,
     /// When its caller could first tell that something is wrong.
     pub doubted_at: Option<Instant>,
+    /// When the whole answer to an attempt was written.
+    pub answered: Vec<(u64, Instant)>,
     /// Paths of health checks that the host answered with success.
     pub passed_checks: Vec<String>,
 }
@@ -99,6 +101,27 @@
         breaches
     }
 
+    /// Attempts whose answer came whole and did not count, whatever came before it.
+    pub fn unheeded_answers(&self) -> Vec<String> {
+        let answered: BTreeMap<u64, Instant> =
+            self.connections.iter().flat_map(|connection| connection.answered.iter().copied()).collect();
+        let mut unheeded = Vec::new();
+        for (number, attempt) in &self.attempts {
+            let Some((at, end)) = attempt.ends.first() else { continue };
+            let is_there = answered.get(number).is_some_and(|answered| answered < at);
+            let is_lost = match end.result {
+                AttemptResult::Broken(BrokenBy::OtherAnswer) => true,
+                AttemptResult::Broken(BrokenBy::CalledOff) => false,
+                AttemptResult::Broken(_) | AttemptResult::TimedOut => is_there,
+                _ => false,
+            };
+            if is_lost {
+                unheeded.push(format!("attempt {number} ends as {:?} at {at:?}", end.result));
+            }
+        }
+        unheeded
+    }
+
     /// Each attempt ends once and in time, with its own answer if with any. One that is withheld does not end; where it
     /// was called off at the same moment, either word may be heard.
     fn check_end(&self, number: u64, attempt: &Attempt) -> Vec<String> {
--- a/crates/outbound/tests/streams/main.rs
+++ b/crates/outbound/tests/streams/main.rs
@@ -27,6 +27,18 @@
     runtime.expect("a runtime").block_on(async move { Caller::new(seed).play().await })
 }
 
+/// Guards against an answer that is there being given up, as another one came before it.
+#[test]
+fn own_answers_count_whatever_comes_before() {
+    let unheeded: Vec<String> = (1..=number("STREAM_SEEDS").unwrap_or(SEEDS))
+        .flat_map(|seed| {
+            let unheeded = play(seed).unheeded_answers();
+            unheeded.into_iter().map(move |what| format!("seed {seed}: {what}"))
+        })
+        .collect();
+    assert!(unheeded.is_empty(), "{} answers\n{}", unheeded.len(), unheeded.join("\n"));
+}
+
 /// Guards against answers that are taken for another attempt's, connections that are used again after a doubt, attempts
 /// that are written twice or beyond their right to send, and attempts without an end, or with two.
 #[test]
