--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -306,7 +306,7 @@
             service: submission.service,
             priority: submission.priority,
             timeout: submission.timeout_ms * MILLISECOND,
-            due_at: self.node.now,
+            due_at: submission.due_at,
             schedule_target: submission.schedule_target_ms * MILLISECOND,
             failures: submission.failures,
         }
--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -77,6 +77,8 @@
     pub schedule_target_ms: u64,
     pub retention_ms: u64,
     pub failures: u32,
+    /// When its first run was due, by the clock of the calls.
+    pub due_at: Micros,
 }
 
 /// What became of a run.
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -74,6 +74,8 @@
     pub confirmation: Option<Confirmation>,
     pub failures: u32,
     pub due_at: Micros,
+    /// When it was first handed to the runner.
+    first_run_due: Option<Micros>,
     /// No run before then: the pause after a failed one.
     pub pause_until: Micros,
     pub expires_at: Micros,
@@ -104,6 +106,7 @@
             confirmation: None,
             failures: 0,
             due_at: now,
+            first_run_due: None,
             pause_until: 0,
             expires_at: Micros::MAX,
             since: now,
@@ -115,6 +118,13 @@
         self.asked.iter().any(|store| !self.declined.contains(store))
     }
 
+    /// When its first run was due: now, if it is handed to the runner for the first time.
+    ///
+    /// Danger: a message that fails again and again would look as one that has just come, and go before all that wait.
+    pub fn first_run_due(&mut self, now: Micros) -> Micros {
+        *self.first_run_due.get_or_insert(now)
+    }
+
     /// The moment from which it may run.
     pub fn runs_from(&self) -> Micros {
         self.due_at.max(self.pause_until)
--- a/crates/queue/src/routes.rs
+++ b/crates/queue/src/routes.rs
@@ -47,7 +47,7 @@
 
 impl RoutePolicy {
     /// What a message that has failed so often is handed to the runner with.
-    pub(crate) fn submission(&self, failures: u32) -> Submission {
+    pub(crate) fn submission(&self, failures: u32, due_at: Micros) -> Submission {
         Submission {
             service: self.service.clone(),
             priority: self.priority,
@@ -55,6 +55,7 @@
             schedule_target_ms: self.schedule_target_ms,
             retention_ms: self.retention_ms,
             failures,
+            due_at,
         }
     }
 }
@@ -137,7 +138,7 @@
         if before.routes.get(&route) == Some(policy) {
             return;
         }
-        let submission = policy.submission(message.failures);
+        let submission = policy.submission(message.failures, message.first_run_due(self.now));
         self.effects.push(Effect::Revise { key, submission });
         let is_moved = self.routes.is_moved_since(before, &route);
         if is_moved && let Some(unsent) = message.confirmation.take() {
--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -58,7 +58,7 @@
         let Some(policy) = self.routes.routes.get(&message.record.route) else { return };
         message.stage = Stage::Running;
         message.since = self.now;
-        let submission = policy.submission(message.failures);
+        let submission = policy.submission(message.failures, message.first_run_due(self.now));
         self.effects.push(Effect::Submit { key, submission });
     }
 
--- a/crates/queue/src/settle.rs
+++ b/crates/queue/src/settle.rs
@@ -13,7 +13,7 @@
 use crate::machine::Queue;
 use crate::message::Stage;
 
-/// How long facts wait for others to travel with.
+/// Facts are sent at once, and then no sooner than this after the last ones, so that many travel together.
 const BATCH: Micros = 10_000;
 /// Facts in one request.
 const MOST_FACTS: usize = 256;
@@ -53,6 +53,8 @@
 pub(crate) struct Outbox {
     waiting: BTreeMap<StoreId, Vec<(Option<MessageKey>, Fact)>>,
     is_flush_set: bool,
+    /// No flush before then.
+    next_flush_at: Micros,
     pub ended: Ended,
 }
 
@@ -154,16 +156,21 @@
         }
     }
 
+    /// Danger: what is known here alone is lost with the process. The message of an end that nobody was told of runs again, so
+    /// that a fact must not wait for others where none have gone lately.
     pub(crate) fn post_to(&mut self, store: &StoreId, key: Option<MessageKey>, fact: Fact) {
         self.outbox.waiting.entry(store.clone()).or_default().push((key, fact));
         if !self.outbox.is_flush_set {
             self.outbox.is_flush_set = true;
-            self.clock.set(self.now + BATCH, Timer::Flush);
+            self.clock.set(self.outbox.next_flush_at.max(self.now), Timer::Flush);
         }
     }
 
     pub(crate) fn flush(&mut self) {
         self.outbox.is_flush_set = false;
+        if !self.outbox.waiting.is_empty() {
+            self.outbox.next_flush_at = self.now + BATCH;
+        }
         for (store, mut waiting) in std::mem::take(&mut self.outbox.waiting) {
             while !waiting.is_empty() {
                 let rest = waiting.split_off(waiting.len().min(MOST_FACTS));
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -46,17 +46,23 @@
 
     /// A store tells something unasked.
     pub(super) fn store_notice(&mut self, notice: StoreNotice) {
-        let oldest_ms = match &notice {
-            StoreNotice::TakeOver { messages } => messages.iter().map(|message| message.age_ms).max(),
+        let oldest = match &notice {
+            StoreNotice::TakeOver { messages } => messages.iter().max_by_key(|message| message.age_ms),
             StoreNotice::PredecessorEnded { .. } => None,
         };
+        let oldest =
+            oldest.map(|message| (message.record.name.clone(), message.owner.clone(), message.age_ms));
         let held = self.planes.queue.len();
         let effects = self.planes.queue.notice(self.node.now(), notice);
         self.queue_effects.extend(effects);
         let taken = self.planes.queue.len().saturating_sub(held);
-        if let Some(oldest_ms) = oldest_ms.filter(|_| taken > 0) {
+        if let Some((name, owner, age_ms)) = oldest.filter(|_| taken > 0) {
             log::info!(
-                "messages to be taken over from other relays: {taken}; the oldest offered has {oldest_ms} ms"
+                "messages to be taken over from other relays: {taken}; the oldest offered is {} of {} in life {}, and has \
+                 {age_ms} ms",
+                name.0,
+                owner.name,
+                owner.life.0
             );
         }
     }
@@ -72,7 +78,7 @@
             service: submission.service,
             priority: submission.priority,
             timeout: submission.timeout_ms * MICROS_A_MILLISECOND,
-            due_at: self.node.now(),
+            due_at: submission.due_at,
             schedule_target: submission.schedule_target_ms * MICROS_A_MILLISECOND,
             failures: submission.failures,
         }
