--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -167,7 +167,7 @@
 }
 
 /// A relay that is killed right after it has read a success cannot keep the message from running again; the shorter the time
-/// until a store has been told, the fewer do. Seen: successes read 2 to 4 ms before a kill ran again once an outage of their
+/// until a store has been told, the fewer do. Seen: successes read at most 10 ms before a kill ran again once an outage of their
 /// hosts was over, as ends waited 10 ms for others to travel with.
 #[test]
 fn an_end_is_told_at_once() {
--- a/crates/relay/tests/soak/judge.rs
+++ b/crates/relay/tests/soak/judge.rs
@@ -13,7 +13,7 @@
 /// A relay that is killed so soon after a host has written a success, or so shortly before, cannot have told it to a store
 /// that has synced it: nobody can know of the success, and its message runs again, after an outage of its hosts even long
 /// after. Seen at seed 632, where two relays are killed 0.3 s apart and all hosts of a service are out until 5 s after: the
-/// messages that ran again had been read 2 to 4 ms before the kill of their sender, or not at all as it was gone by then;
+/// messages that ran again had been read at most 10 ms before the kill of their sender, or not at all as it was gone by then;
 /// heirs owned them within 1.1 s, and tried them in vain until the outage was over.
 const READER_KILLED: Duration = Duration::from_millis(100);
 /// `lossSlackMs`.
