After the reread: the log asks the delivery plane which ends are unclear; one constant for a millisecond

The log of attempts had a list of its own of answers that leave open whether a message ran (502, 504, unsigned success); what the delivery plane takes for unclear is more. It asks AttemptResult::is_unclear now, which is the judgement itself, so that unusual answers are told as well. Milliseconds stood as a constant three times in crates/system. No decision, check or test changes.

--- a/crates/cluster/src/calls.rs
+++ b/crates/cluster/src/calls.rs
@@ -261,7 +261,7 @@
     pub(crate) fn abort(&mut self, key: CallKey) {
         if let Some(call) = self.calls.open.remove(&key) {
             self.drop_run(key.life, &call);
-            self.end_call(key, &call, AttemptResult::Broken(BrokenBy::Close));
+            self.end_call(key, &call, AttemptResult::Broken(BrokenBy::CalledOff));
         }
     }
 
--- a/crates/delivery/src/judging.rs
+++ b/crates/delivery/src/judging.rs
@@ -47,6 +47,14 @@
     }
 }
 
+impl AttemptResult {
+    /// Whether it leaves open if the message has run.
+    pub fn is_unclear(&self) -> bool {
+        // Whether the host is listed makes no difference to that.
+        matches!(judge(self, true), (Fate::Unknown, _))
+    }
+}
+
 fn judge_answer(answer: &Answer) -> (Fate, Health) {
     let full = Health::Full { wait: answer.retry_after };
     match (answer.status, answer.not_executed, &answer.signature) {
--- a/crates/system/src/clock.rs
+++ b/crates/system/src/clock.rs
@@ -4,6 +4,9 @@
 
 use pewterseam_wire::{Micros, WallMicros};
 
+/// Microseconds of a millisecond.
+pub const MICROS_A_MILLISECOND: Micros = 1_000;
+
 /// The steady clock, counted from the start of the process.
 #[derive(Clone, Copy, Debug)]
 pub struct SteadyClock {
--- a/crates/system/src/node/mod.rs
+++ b/crates/system/src/node/mod.rs
@@ -30,8 +30,6 @@
 use member_cache::MemberCache;
 use owners::EndedLives;
 
-const MICROS_A_MILLISECOND: u64 = 1_000;
-
 /// What a process learns from its node.
 #[derive(Clone, Debug)]
 pub enum NodeEvent {
@@ -335,7 +333,7 @@
 fn node_info(settings: &Settings, role: Role, disk: Option<DiskId>) -> NodeInfo {
     NodeInfo {
         name: NodeName::new(&settings.node_name),
-        life: Life(clock::wall() / MICROS_A_MILLISECOND),
+        life: Life(clock::wall() / clock::MICROS_A_MILLISECOND),
         role,
         peer_address: SocketAddr::new(settings.ip, settings.port_range.0),
         zone: Arc::from(settings.zone.as_str()),
--- a/crates/system/src/node/report.rs
+++ b/crates/system/src/node/report.rs
@@ -5,7 +5,8 @@
 use pewterseam_wire::identity::{NodeInfo, Role};
 use pewterseam_wire::placement::{Placement, StoreId};
 
-use super::{MICROS_A_MILLISECOND, Node};
+use super::Node;
+use crate::clock::MICROS_A_MILLISECOND;
 use crate::status::{ContactStatus, EndedLife, MemberStatus, NodeStatus, PlacementStatus};
 
 impl Node {
--- a/crates/system/src/relay/attempt_log.rs
+++ b/crates/system/src/relay/attempt_log.rs
@@ -1,9 +1,9 @@
 //! Log lines on attempts that ended without a clear answer, or behind answers to other messages.
 
 use pewterseam_delivery::{AttemptEnd, AttemptResult, Target};
-use pewterseam_wire::Micros;
 
-const MICROS_A_MILLISECOND: Micros = 1_000;
+use crate::clock::MICROS_A_MILLISECOND;
+
 /// Lines between two calls of [`AttemptLog::begin_period`]; an outage ends hundreds of attempts a second.
 const MOST_LINES: u32 = 20;
 
@@ -37,11 +37,9 @@
 
     /// An attempt is over; so many answers to other messages came before.
     pub fn ended(&mut self, attempt: &SentAttempt, end: &AttemptEnd, passed_over: u32) {
-        let reason = match unclear(&end.result) {
-            Some(reason) => reason,
-            None if passed_over > 0 => "answered".to_owned(),
-            None => return,
-        };
+        if passed_over == 0 && !end.result.is_unclear() {
+            return;
+        }
         if self.written >= MOST_LINES {
             self.left_out += 1;
             return;
@@ -51,7 +49,7 @@
         let host = target.instance.as_deref().unwrap_or("static");
         let after = end.took / MICROS_A_MILLISECOND;
         let connection = if end.idle_for.is_some() { "a used" } else { "a new" };
-        let behind = behind(passed_over);
+        let (reason, behind) = (reason(&end.result), behind(passed_over));
         log::info!(
             "attempt of {request_id} at {host} ({}), on {connection} connection, ended after {after} ms: {reason}{behind}",
             target.address
@@ -66,19 +64,15 @@
     }
 }
 
-/// What is to be told of an end that leaves open whether the message has run.
-fn unclear(result: &AttemptResult) -> Option<String> {
+/// What is to be told of an end.
+fn reason(result: &AttemptResult) -> String {
     match result {
-        AttemptResult::Broken(reason) => Some(reason.to_string()),
-        AttemptResult::TimedOut => Some("no answer in time".to_owned()),
-        AttemptResult::Answered(answer) if is_unclear(answer.status, answer.signature.is_some()) => {
-            Some(format!("answered {} without a word whether it ran", answer.status))
+        AttemptResult::Broken(reason) => reason.to_string(),
+        AttemptResult::TimedOut => "no answer in time".to_owned(),
+        AttemptResult::Answered(answer) if result.is_unclear() => {
+            format!("answered {} without a word whether it ran", answer.status)
         }
-        AttemptResult::Answered(_) | AttemptResult::ConnectFailed | AttemptResult::Unsent => None,
+        AttemptResult::Answered(_) => "answered".to_owned(),
+        AttemptResult::ConnectFailed | AttemptResult::Unsent => "nothing was written".to_owned(),
     }
 }
-
-/// A success without a signature, and failures at a gateway or a deadline.
-fn is_unclear(status: u16, is_signed: bool) -> bool {
-    matches!(status, 200..=299) && !is_signed || matches!(status, 502 | 504)
-}
--- a/crates/system/src/relay/queue_driver.rs
+++ b/crates/system/src/relay/queue_driver.rs
@@ -7,17 +7,15 @@
 use pewterseam_delivery::{Input as DeliveryInput, Submission as DeliverySubmission};
 use pewterseam_queue::{CallId, Effect as QueueEffect, MessageKey, Submission};
 use pewterseam_transport::Origin;
-use pewterseam_wire::Micros;
 use pewterseam_wire::identity::{Owner, Role};
 use pewterseam_wire::placement::StoreId;
 use pewterseam_wire::store::{StoreNotice, StoreRequest, StoreResponse};
 
 use super::process::RelayProcess;
 use super::reads::FIRST_READ_CALL;
+use crate::clock::MICROS_A_MILLISECOND;
 use crate::message::PeerMessage;
 
-const MICROS_A_MILLISECOND: Micros = 1_000;
-
 impl RelayProcess {
     pub(super) fn carry_out_queue(&mut self, effect: QueueEffect) {
         match effect {
