Homes of limited services are kept from change to change of the list of relays

Cause: each change of the list of relays sorted all relays for each limited service by a rendezvous hash that was computed anew in each comparison, where the greatest alone is wanted; half of all samples while 300 processes start. Ruled out: a cache of hashes by relay and service, which is 72,000 entries a process and still wants a pass. Change: rank and order stand in crates/permits/src/ranking.rs. Each service keeps the home that the list names; a relay that comes is compared with it, all are looked at in one pass only where it has gone. Witnesses are found by a partial selection, agreed relays by a set.

--- a/crates/permits/src/claims.rs
+++ b/crates/permits/src/claims.rs
@@ -6,7 +6,8 @@
 use pewterseam_wire::identity::NodeName;
 
 use crate::message::{ClaimId, PermitMessage, Seen};
-use crate::permits::{PermitEffect, Permits, rank, ranked};
+use crate::permits::{PermitEffect, Permits};
+use crate::ranking::Ranking;
 use crate::service::Yielded;
 use crate::witness::{Asked, Witness};
 use crate::{MARGIN, VALIDITY};
@@ -29,8 +30,7 @@
             let claim = granting.map(|home| home.claim);
             service.leave_home(now, has_word);
             let (Some(claim), Some(told)) = (claim, service.yielded.take()) else { continue };
-            let next = ranked(&self.relays, name).into_iter().find(|relay| **relay != self.settings.me);
-            let Some(to) = next.cloned() else { continue };
+            let Some(to) = service.next_home(&self.relays, &self.settings.me).cloned() else { continue };
             let message = PermitMessage::HandOver { service: name.clone(), claim, ledger: told.ledger };
             self.effects.push(PermitEffect::Send { to, message });
         }
@@ -47,7 +47,7 @@
             if service.claim_at.is_none_or(|at| at > now) {
                 continue;
             }
-            let witnesses = witnesses(&self.relays, name, me);
+            let witnesses = witnesses(&self.relays, service.listed.ranking(), me);
             let asked = Asked { witnesses: &witnesses, agreed };
             home.reconsider(me, &service.witness, &asked, self.settings.core_lease, now);
             let is_open = home.is_open(now);
@@ -66,23 +66,25 @@
     /// A relay claims to be the home: it is followed, and told what is known here of earlier homes.
     pub(crate) fn claimed(&mut self, now: Micros, from: &NodeName, service: &Arc<str>, claim: ClaimId) {
         let has_word = self.has_word(now);
-        let listed = ranked(&self.relays, service).first().map(|home| (*home).clone());
         let Some(entry) = self.services.get_mut(service) else { return };
+        let listed = entry.listed.get();
         // Danger: one that was cut off claims what another relay is the home of. Who followed it would ask a home
         // that goes by the list again and grants nothing.
-        let goes_before = |home: &NodeName| rank(service, home) > rank(service, from);
-        if listed.as_ref().is_some_and(goes_before) {
+        let ranking = entry.listed.ranking();
+        let goes_before = |home: &NodeName| ranking.rank(home) > ranking.rank(from);
+        if listed.is_some_and(goes_before) {
             let message = PermitMessage::Deny { service: service.clone(), claim };
             self.effects.push(PermitEffect::Send { to: from.clone(), message });
             return;
         }
+        let is_listed = listed == Some(from);
         if entry.home.as_ref() != Some(from) {
             entry.holder.change_home();
             entry.leave_home(now, has_word);
         }
         (entry.home, entry.claim_at) = (Some(from.clone()), None);
         entry.heard_claim = Some((from.clone(), claim));
-        entry.review_at = (listed.as_ref() != Some(from)).then_some(now + FOLLOW_UNLISTED);
+        entry.review_at = (!is_listed).then_some(now + FOLLOW_UNLISTED);
         let wait = self.settings.core_lease + VALIDITY;
         let service = service.clone();
         let message = match entry.ledger_for((from.clone(), claim), now, wait) {
@@ -111,9 +113,9 @@
         &mut self, now: Micros, from: &NodeName, service: &Arc<str>, claim: ClaimId, seen: &Seen,
     ) {
         let me = &self.settings.me;
-        let witnesses = witnesses(&self.relays, service, me);
-        let asked = Asked { witnesses: &witnesses, agreed: self.agreed.as_deref() };
         let Some(service) = self.services.get_mut(service) else { return };
+        let witnesses = witnesses(&self.relays, service.listed.ranking(), me);
+        let asked = Asked { witnesses: &witnesses, agreed: self.agreed.as_deref() };
         if let Some(home) = service.granting.as_mut().filter(|home| home.claim == claim) {
             home.vouch(from.clone(), Witness::told(seen, now));
             home.reconsider(me, &service.witness, &asked, self.settings.core_lease, now);
@@ -157,6 +159,6 @@
 }
 
 /// The relays that know best who was the home of a service: those that come next by rank.
-fn witnesses<'a>(relays: &'a [NodeName], service: &str, me: &NodeName) -> Vec<&'a NodeName> {
-    ranked(relays, service).into_iter().filter(|relay| *relay != me).take(CLAIMED_FROM).collect()
+fn witnesses<'a>(relays: &'a [NodeName], ranking: Ranking, me: &NodeName) -> Vec<&'a NodeName> {
+    ranking.first_few(CLAIMED_FROM, relays.iter().filter(|relay| *relay != me))
 }
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -26,6 +26,7 @@
 mod home;
 mod message;
 mod permits;
+pub mod ranking;
 mod service;
 mod shares;
 mod witness;
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -1,15 +1,15 @@
 //! The permits of one relay: those that it holds, and those that it hands out where it is the home.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
-use pewterseam_wire::placement::hash;
 
 use crate::holder::Permit;
 use crate::home::{Home, Opening};
 use crate::message::{ClaimId, PermitMessage};
+use crate::ranking::RelayChanges;
 use crate::service::Service;
 use crate::{MARGIN, VALIDITY};
 
@@ -83,8 +83,8 @@
         let mut before = std::mem::take(&mut self.services);
         for (name, rate) in services.into_iter().filter(|(_, rate)| *rate > 0.0) {
             let kept = before.remove(&name).filter(|service| service.rate == rate);
-            let new = || Service::new(rate, now);
-            self.services.insert(name, kept.unwrap_or_else(new));
+            let service = kept.unwrap_or_else(|| Service::new(&name, rate, &self.relays, now));
+            self.services.insert(name, service);
         }
         self.choose_homes(now);
     }
@@ -107,8 +107,14 @@
     }
 
     fn choose_candidates(&mut self, now: Micros) {
-        let is_agreed = |relay: &&NodeName| self.agreed.as_ref().is_none_or(|agreed| agreed.contains(relay));
-        self.relays = self.live.iter().filter(is_agreed).cloned().collect();
+        let agreed: Option<HashSet<&NodeName>> = self.agreed.as_ref().map(|agreed| agreed.iter().collect());
+        let is_agreed = |relay: &&NodeName| agreed.as_ref().is_none_or(|agreed| agreed.contains(relay));
+        let relays: Vec<NodeName> = self.live.iter().filter(is_agreed).cloned().collect();
+        let changes = RelayChanges::between(&self.relays, &relays);
+        self.relays = relays;
+        for service in self.services.values_mut() {
+            service.listed.update(&changes, &self.relays);
+        }
         self.choose_homes(now);
     }
 
@@ -246,17 +252,18 @@
         now < self.core_until
     }
 
-    /// Finds the home of each service anew.
+    /// Takes the home of each service from the list.
     pub(crate) fn choose_homes(&mut self, now: Micros) {
         let has_word = self.has_word(now);
         let Settings { me, life, window, overshoot, core_lease, .. } = &self.settings;
         let named = !self.relays.is_empty() && !self.services.is_empty();
         for (name, service) in &mut self.services {
-            let may_be_home = |relay: &&&NodeName| !self.is_leaving || **relay != me;
-            let home = ranked(&self.relays, name).iter().find(may_be_home).map(|home| (*home).clone());
-            if home == service.home {
+            let home =
+                if self.is_leaving { service.next_home(&self.relays, me) } else { service.listed.get() };
+            if home == service.home.as_ref() {
                 continue;
             }
+            let home = home.cloned();
             service.holder.change_home();
             (service.claim_at, service.review_at) = (None, None);
             service.claims_made = 0;
@@ -283,15 +290,3 @@
         }
     }
 }
-
-/// The relays by their rank for a service; the first is its home.
-pub(crate) fn ranked<'a>(relays: &'a [NodeName], service: &str) -> Vec<&'a NodeName> {
-    let mut ranked: Vec<_> = relays.iter().collect();
-    ranked.sort_by_key(|relay| std::cmp::Reverse(rank(service, relay)));
-    ranked
-}
-
-/// The rank of a relay for a service by rendezvous hashing; the name settles what is equal.
-pub(crate) fn rank<'a>(service: &str, relay: &'a NodeName) -> (u64, &'a NodeName) {
-    (hash(relay.0.as_bytes(), hash(service.as_bytes(), 0)), relay)
-}
--- a/crates/permits/src/service.rs
+++ b/crates/permits/src/service.rs
@@ -7,6 +7,7 @@
 use crate::holder::Holder;
 use crate::home::Home;
 use crate::message::ClaimId;
+use crate::ranking::ListedHome;
 use crate::witness::Witness;
 
 /// How long a ledger that was handed over is worth something. Shorter than any new home waits that has none.
@@ -16,6 +17,9 @@
 pub(crate) struct Service {
     pub(crate) rate: f64,
     pub(crate) holder: Holder,
+    /// The home by the list of relays.
+    pub(crate) listed: ListedHome,
+    /// The home that is followed; another than the listed one while that one has not heard of the list.
     pub(crate) home: Option<NodeName>,
     /// Where this relay is the home.
     pub(crate) granting: Option<Home>,
@@ -41,10 +45,11 @@
 }
 
 impl Service {
-    pub(crate) fn new(rate: f64, now: Micros) -> Self {
+    pub(crate) fn new(name: &str, rate: f64, relays: &[NodeName], now: Micros) -> Self {
         Service {
             rate,
             holder: Holder::default(),
+            listed: ListedHome::new(name, relays),
             home: None,
             granting: None,
             claim_at: None,
@@ -56,6 +61,11 @@
         }
     }
 
+    /// The home of the list once `leaving` has left it.
+    pub(crate) fn next_home<'a>(&self, relays: &'a [NodeName], leaving: &NodeName) -> Option<&'a NodeName> {
+        self.listed.ranking().first(relays.iter().filter(|relay| *relay != leaving))
+    }
+
     /// Another relay may have been home since: what this one knows as home is worth nothing.
     pub(crate) fn forget_home(&mut self, now: Micros) {
         (self.home, self.granting, self.yielded) = (None, None, None);
