An attempt that is called off ends with its answer where that is there already, and writes nothing afterwards

Cause: attempt::run chose by chance between the end of the call and the word to call it off where both were there. A success that had arrived was lost; and, found by the test, a request whose word to write was there too was written after its attempt had been called off. Change: the word to call off goes first until the request is written; afterwards the call is looked at once more, behind a yield, so that the runtime has seen what its sockets hold. Tests, paused clock, streams in memory: an answer that is there, try 1 of 200 failed before; a word to write that crosses it, try 4 of 200 failed before; none after.

--- a/crates/outbound/src/attempt.rs
+++ b/crates/outbound/src/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt at a host, from the connection to the end of the answer.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use pewterseam_delivery::{AttemptEnd, AttemptId, AttemptResult, BrokenBy, Target};
@@ -51,12 +53,12 @@
     shared: Arc<Shared>, plan: Plan, word: oneshot::Receiver<Word>, aborted: oneshot::Receiver<()>,
 ) {
     let began = Instant::now();
-    let call = call(&shared, &plan, word);
+    let is_written = AtomicBool::new(false);
+    let mut call = pin!(call(&shared, &plan, word, &is_written));
     let ended = tokio::select! {
-        ended = call => ended,
-        Ok(()) = aborted => {
-            Some(Ended::without_connection(AttemptResult::Broken(BrokenBy::CalledOff), None))
-        }
+        biased;
+        Ok(()) = aborted => called_off(call, &is_written).await,
+        ended = &mut call => ended,
     };
     let Some(Ended { result, idle_for, kept, passed_over }) = ended else { return };
     let end = AttemptEnd {
@@ -73,7 +75,26 @@
     shared.tell(OutboundEvent::Ended { attempt: plan.attempt, end, passed_over });
 }
 
-async fn call(shared: &Shared, plan: &Plan, word: oneshot::Receiver<Word>) -> Option<Ended> {
+/// The end of a call that is called off: by its answer if that is there already, as it may tell of a success.
+///
+/// Danger: a request that is not written yet must not be written after this.
+async fn called_off(call: impl Future<Output = Option<Ended>>, is_written: &AtomicBool) -> Option<Ended> {
+    let without_answer = Ended::without_connection(AttemptResult::Broken(BrokenBy::CalledOff), None);
+    if !is_written.load(Ordering::Relaxed) {
+        return Some(without_answer);
+    }
+    // The runtime looks at its sockets before a task that has yielded goes on.
+    tokio::task::yield_now().await;
+    tokio::select! {
+        biased;
+        ended = call => ended,
+        () = std::future::ready(()) => Some(without_answer),
+    }
+}
+
+async fn call(
+    shared: &Shared, plan: &Plan, word: oneshot::Receiver<Word>, is_written: &AtomicBool,
+) -> Option<Ended> {
     let Ok(request) = request(&plan.message, &plan.target, plan.timeout) else {
         return Some(Ended::without_connection(AttemptResult::Broken(BrokenBy::Unwritable), None));
     };
@@ -109,6 +130,7 @@
             return Some(Ended { result: AttemptResult::Unsent, idle_for, kept, passed_over: 0 });
         }
         connection.carries(&plan.message.request_id);
+        is_written.store(true, Ordering::Relaxed);
         match exchange(shared, plan, &mut connection, &request).await {
             Exchange::Ended(result, keep_for) => {
                 let passed_over = connection.passed_over;
@@ -120,7 +142,7 @@
             Exchange::Unwritten if !is_new && word.is_none() => {
                 return Some(Ended::without_connection(AttemptResult::Unsent, None));
             }
-            Exchange::Unwritten if !is_new => {}
+            Exchange::Unwritten if !is_new => is_written.store(false, Ordering::Relaxed),
             Exchange::Unwritten => {
                 return Some(Ended::without_connection(AttemptResult::ConnectFailed, None));
             }
