Signals are taken before the settings are read and the disk is opened

Ruled out: masking signals in the parent, which the platform does not do. Change: the runtime and the handlers come first. local also ends at once on a signal while it becomes ready; before, the first took effect after that.

--- a/crates/console/src/local/mod.rs
+++ b/crates/console/src/local/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Instant, sleep};
 
 use crate::client::{self, Call};
@@ -48,6 +48,8 @@
 
 /// Starts the system, and ends it when the time is over or a signal comes.
 pub async fn run(options: Options) -> Result<(), ConsoleError> {
+    // Danger: a signal that comes before this ends this process by the system's default, and leaves its children.
+    let mut signals = StopSignals::new()?;
     let temporary = match &options.folder {
         Some(_) => None,
         None => Some(tempfile::tempdir().map_err(|error| written(&std::env::temp_dir(), error))?),
@@ -62,9 +64,13 @@
     let worked = async {
         become_ready(&layout).await?;
         tell_ready(&layout);
-        until_end(options.end_after).await
+        time_is_over(options.end_after).await;
+        Ok(())
+    };
+    let result = tokio::select! {
+        result = worked => result,
+        () = signals.next() => Ok(()),
     };
-    let result = worked.await;
     println!("ending");
     children.end().await;
     result
@@ -124,19 +130,29 @@
     println!("  pewterseam status {}", first.control());
 }
 
-async fn until_end(end_after: Option<Duration>) -> Result<(), ConsoleError> {
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(ConsoleError::Signals)?;
-    let mut terminate = signal(SignalKind::terminate()).map_err(ConsoleError::Signals)?;
-    let end = async {
-        match end_after {
-            Some(span) => sleep(span).await,
-            None => std::future::pending().await,
+async fn time_is_over(end_after: Option<Duration>) {
+    match end_after {
+        Some(span) => sleep(span).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The signals that end the system: SIGINT and SIGTERM.
+struct StopSignals {
+    interrupt: Signal,
+    terminate: Signal,
+}
+
+impl StopSignals {
+    fn new() -> Result<Self, ConsoleError> {
+        let take = |kind| signal(kind).map_err(ConsoleError::Signals);
+        Ok(StopSignals { interrupt: take(SignalKind::interrupt())?, terminate: take(SignalKind::terminate())? })
+    }
+
+    async fn next(&mut self) {
+        tokio::select! {
+            _ = self.interrupt.recv() => {}
+            _ = self.terminate.recv() => {}
         }
-    };
-    tokio::select! {
-        () = end => {}
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
     }
-    Ok(())
 }
--- a/crates/system/src/lib.rs
+++ b/crates/system/src/lib.rs
@@ -17,6 +17,7 @@
 
 use error::SystemError;
 use settings_file::SettingsFile;
+use signals::Signals;
 use tokio::task::LocalSet;
 
 /// Runs a relay until it is told to stop.
@@ -30,11 +31,14 @@
 }
 
 fn run<F: Future<Output = Result<(), SystemError>>>(
-    process: impl FnOnce(SettingsFile) -> F,
+    process: impl FnOnce(SettingsFile, Signals) -> F,
 ) -> Result<(), SystemError> {
-    logging::start(logging::level());
-    let file = SettingsFile::from_environment()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(SystemError::Runtime)?;
-    LocalSet::new().block_on(&runtime, process(file))
+    LocalSet::new().block_on(&runtime, async {
+        // Danger: a signal that comes before this ends the process by the system's default, whatever it has opened.
+        let signals = Signals::new()?;
+        logging::start(logging::level());
+        process(SettingsFile::from_environment()?, signals).await
+    })
 }
--- a/crates/system/src/relay/mod.rs
+++ b/crates/system/src/relay/mod.rs
@@ -36,8 +36,7 @@
 }
 
 /// Runs a relay until it is told to stop.
-pub async fn run(file: SettingsFile) -> Result<(), SystemError> {
-    let mut signals = Signals::new()?;
+pub async fn run(file: SettingsFile, mut signals: Signals) -> Result<(), SystemError> {
     let (mut process, mut node, mut inputs) = start::start(file)?;
     let mut wake = Wake::new(process.node.clock);
     let mut datagram = vec![0; DATAGRAM_BYTES];
--- a/crates/system/src/store/mod.rs
+++ b/crates/system/src/store/mod.rs
@@ -23,13 +23,12 @@
 const LINGER: Duration = Duration::from_millis(250);
 
 /// Runs a store until it is told to stop.
-pub async fn run(mut file: SettingsFile) -> Result<(), SystemError> {
+pub async fn run(mut file: SettingsFile, mut signals: Signals) -> Result<(), SystemError> {
     let settings = file.read()?;
     let path = settings.data_dir.clone().ok_or(SystemError::Missing { what: "dataDir" })?;
     let disk = disk::disk_id(&mut disk::open_folder(&path)?)?;
     let (node, mut inputs) = Node::start(&settings, Role::Store, Some(disk))?;
     let (events, mut log_events) = mpsc::unbounded_channel();
-    let mut signals = Signals::new()?;
     let mut wake = Wake::new(node.clock);
     let mut process = StoreProcess::start(node, &settings, events)?;
     let mut datagram = vec![0; DATAGRAM_BYTES];
