Ages of messages and lives of owners no longer rest on a time of day that was set

A clock set forward by 3.9 s just before a loss of power made a record 3.9 s older than it was, and a delayed message ran early. Change 1: times in the log are those of the log's own clock (log_clock.rs), which runs with the steady clock and goes on over a restart from the newest entry; of a time away only what is beyond maxSkewMs counts. What was not counted is told beside the age (away_ms), and counts towards retentionS. A reading of both clocks is written each second while anything is written or open, and carried forward by cleaning. Cause 2: a relay whose clock was set back by 20 s came back, after a loss of all power, with a life below the one that owned its messages. A store took any live life that is not above the owner's for the owner. Such an owner now has the grace of a stranger (2 s) and is then over. Beside it: a message that was taken over counted as due only then; it keeps its place among those that wait.

--- a/crates/cluster/tests/clusters.rs
+++ b/crates/cluster/tests/clusters.rs
@@ -15,6 +15,9 @@
 const SEEDS_AS_DEPLOYED: u64 = 600;
 /// Seeds at which the home of the limited service stops near the end of the traffic.
 const SEEDS_OF_STOPPED_HOMES: [u64; 7] = [1985, 2049, 2386, 2985, 4430, 5011, 5670];
+/// Seeds at which clocks are set and all power is lost: a node's next life counts as an earlier one (LOST, 8504), and a store
+/// took a record for older than it was (EARLY, 4665).
+const SEEDS_OF_SET_CLOCKS: [u64; 2] = [8504, 4665];
 
 /// The clusters of this test program, played once.
 fn reports() -> &'static [Report] {
@@ -53,6 +56,13 @@
     assert_kept(&reports, |rule| rule != Rule::Twice);
 }
 
+/// Guards against ages and lives that go by a time of day which was set before a loss of all power.
+#[test]
+fn clocks_that_are_set_lose_and_hurry_nothing() {
+    let reports: Vec<Report> = SEEDS_OF_SET_CLOCKS.map(Plan::of_seed).map(run).into();
+    assert_kept(&reports, |_| true);
+}
+
 /// Guards all rules with copies that stay within zones and homes that are agreed on, as both are deployed.
 #[test]
 fn clusters_keep_the_rules_as_deployed() {
--- a/crates/console/src/local/mod.rs
+++ b/crates/console/src/local/mod.rs
@@ -146,7 +146,10 @@
 impl StopSignals {
     fn new() -> Result<Self, ConsoleError> {
         let take = |kind| signal(kind).map_err(ConsoleError::Signals);
-        Ok(StopSignals { interrupt: take(SignalKind::interrupt())?, terminate: take(SignalKind::terminate())? })
+        Ok(StopSignals {
+            interrupt: take(SignalKind::interrupt())?,
+            terminate: take(SignalKind::terminate())?,
+        })
     }
 
     async fn next(&mut self) {
--- a/crates/message-log/src/cleaning.rs
+++ b/crates/message-log/src/cleaning.rs
@@ -42,6 +42,8 @@
     segments: BTreeMap<u64, u64>,
     /// Where the noted copied sets lie.
     copied_in: Option<u64>,
+    /// Where the newest reading of the clocks lies.
+    time_in: Option<u64>,
     cleaning: Option<Cleaning>,
     not_before: Micros,
 }
@@ -89,6 +91,7 @@
                 self.messages.update(name, |message| message.needed_from = message.needed_from.min(segment));
             }
             Written::CopiedSet { .. } => self.log_map.note_copied_set(segment),
+            Written::Time => self.log_map.time_in = self.log_map.time_in.max(Some(segment)),
             Written::Other => {}
         }
     }
@@ -122,6 +125,7 @@
                 // The segment is looked through again.
                 self.log_map.cleaning = None;
             }
+            Written::Time => self.clock.forget_reading(),
             Written::Facts(_) | Written::CopiedSet { .. } | Written::Other => {}
         }
     }
@@ -160,6 +164,8 @@
             self.gather(names, Purpose::Clean);
         } else if self.log_map.copied_in.is_some_and(|copied_in| copied_in <= segment) {
             self.copy_sets_forward();
+        } else if self.log_map.time_in.is_some_and(|time_in| time_in <= segment) {
+            self.write_time_forward();
         } else {
             self.log_map.segments.remove(&segment);
             self.log_map.cleaning = None;
@@ -187,6 +193,18 @@
     fn copy_sets_forward(&mut self) {
         self.log_map.copied_in = None;
         self.write_copied_sets();
+        self.await_open_entries();
+    }
+
+    fn write_time_forward(&mut self) {
+        self.log_map.time_in = None;
+        self.clock.forget_reading();
+        self.write_time();
+        self.await_open_entries();
+    }
+
+    /// Cleaning goes on once all that was gathered is synced.
+    fn await_open_entries(&mut self) {
         if let Some(cleaning) = &mut self.log_map.cleaning {
             cleaning.ticket = RECOVERED_TICKET;
             if self.persistence.has_open_entries() {
@@ -240,9 +258,10 @@
         let held = message.record.as_deref();
         Some(KeptMessage {
             stored,
-            taken: self.wall_of(held.map_or(message.noted_at, |held| held.taken_at)),
-            ended: self.wall_of(message.noted_at),
+            taken: held.map_or(message.noted_at, |held| held.taken_at),
+            ended: message.noted_at,
             is_released: held.is_some_and(|held| held.is_released),
+            away_before: held.map_or(0, |held| held.away_before),
         })
     }
 }
--- a/crates/message-log/src/entry.rs
+++ b/crates/message-log/src/entry.rs
@@ -1,7 +1,7 @@
 //! The entries of a store's log.
 //!
 //! Entries may be applied in any order and more than once: what a store knows is their union. The field and variant
-//! names are short, as they are written out; they must not change.
+//! names are short, as they are written out; they must not change. Times are those of the log's clock.
 
 use bytes::Bytes;
 use pewterseam_wire::WallMicros;
@@ -12,6 +12,8 @@
 use pewterseam_wire::store::StoredMessage;
 use serde::{Deserialize, Serialize};
 
+use crate::message::Moment;
+
 /// One entry.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum LogEntry {
@@ -19,9 +21,9 @@
     #[serde(rename = "m")]
     Message(Box<KeptMessage>),
     #[serde(rename = "e")]
-    Ended { name: MessageName, end: End, at: WallMicros },
+    Ended { name: MessageName, end: End, at: Moment },
     #[serde(rename = "a")]
-    Attempted { name: MessageName, failures: u32, at: WallMicros },
+    Attempted { name: MessageName, failures: u32, at: Moment },
     #[serde(rename = "c")]
     Claimed { names: Vec<MessageName>, owner: Owner, claim: u32 },
     #[serde(rename = "r")]
@@ -32,6 +34,9 @@
     /// Nothing; written to find out whether the disk takes entries again.
     #[serde(rename = "p")]
     Probe,
+    /// The log's clock and the time of day at one moment.
+    #[serde(rename = "t")]
+    Time { at: Moment, wall: WallMicros, away: Moment },
 }
 
 /// A message with what a store alone knows of it.
@@ -39,10 +44,13 @@
 pub(crate) struct KeptMessage {
     pub stored: StoredMessage,
     /// When this store took the record, or first heard of the message.
-    pub taken: WallMicros,
+    pub taken: Moment,
     /// When this store learnt of the end; only meant where there is one.
-    pub ended: WallMicros,
+    pub ended: Moment,
     pub is_released: bool,
+    /// Where the clock's count of times away stood when the record was taken.
+    #[serde(default)]
+    pub away_before: Moment,
 }
 
 impl LogEntry {
--- a/crates/message-log/src/expiry.rs
+++ b/crates/message-log/src/expiry.rs
@@ -51,16 +51,32 @@
 }
 
 impl Store {
-    /// From when on a record is over. By then its owner, whose clock may differ, has given it up.
-    pub(crate) fn expiry_of(&mut self, record: &Record, taken_at: Moment) -> Moment {
+    /// From when on a record is over, of whose age this much time away is not counted. By then its owner, whose clock may
+    /// differ, has given it up.
+    pub(crate) fn expiry_of(&mut self, record: &Record, taken_at: Moment, away: Moment) -> Moment {
         let retention = age(record.retention_ms);
         self.longest_retention = self.longest_retention.max(retention);
-        taken_at + retention + (RETENTION_MARGIN + self.settings.clock_error) as Moment
+        taken_at - away + retention + (RETENTION_MARGIN + self.settings.clock_error) as Moment
     }
 
-    /// How long ago the first store took a record.
+    /// Brings the ends of all records forward by the times away that are not counted in their ages.
+    pub(crate) fn expire_by_times_away(&mut self) {
+        let away = self.clock.away();
+        self.messages.update_all(|message| {
+            if let (Some(record), Some(expires_at)) = (&message.record, &mut message.expires_at) {
+                *expires_at -= away - record.away_before;
+            }
+        });
+    }
+
+    /// How long the stores of a record were away that its age does not count, by the time of day.
+    pub(crate) fn away_ms(&self, held: &HeldRecord) -> u64 {
+        (self.clock.away() - held.away_before).max(0) as u64 / MILLISECOND
+    }
+
+    /// How long ago the first store took a record, at the least.
     pub(crate) fn age_ms(&self, held: &HeldRecord) -> u64 {
-        (self.now.steady as Moment - held.taken_at).max(0) as u64 / MILLISECOND
+        (self.moment() - held.taken_at).max(0) as u64 / MILLISECOND
     }
 
     /// How long ends are remembered.
@@ -88,7 +104,7 @@
             return;
         }
         self.expired_at = self.now.steady;
-        let now = self.now.steady as Moment;
+        let now = self.moment();
         let is_over = |name: &&MessageName| {
             let message = self.messages.get(name).filter(|message| message.is_open());
             message.and_then(|message| message.expires_at).is_some_and(|expires_at| expires_at <= now)
--- a/crates/message-log/src/gathering.rs
+++ b/crates/message-log/src/gathering.rs
@@ -118,6 +118,7 @@
             failures: message.failures,
             end: message.end.clone(),
             age_ms: held.map_or(0, |held| self.age_ms(held)),
+            away_ms: held.map_or(0, |held| self.away_ms(held)),
         })
     }
 }
--- a/crates/message-log/src/lib.rs
+++ b/crates/message-log/src/lib.rs
@@ -13,6 +13,7 @@
 mod interface;
 mod late_facts;
 mod leases;
+mod log_clock;
 mod message;
 mod messages;
 mod offers;
--- a/crates/message-log/src/message.rs
+++ b/crates/message-log/src/message.rs
@@ -8,7 +8,7 @@
 use pewterseam_wire::placement::Partition;
 use pewterseam_wire::record::{End, MessageName};
 
-/// A point in time of the steady clock that may lie before the clock's start, for messages of an earlier life.
+/// A point in time of the log's clock ([`crate::log_clock`]), in microseconds.
 pub(crate) type Moment = i64;
 
 /// The number of a segment that no message needs yet.
@@ -54,6 +54,8 @@
     pub is_released: bool,
     /// When the first store took the record.
     pub taken_at: Moment,
+    /// Where the clock's count of times away stood then.
+    pub away_before: Moment,
     /// It waits to be offered to an heir.
     pub is_queued: bool,
 }
--- a/crates/message-log/src/messages.rs
+++ b/crates/message-log/src/messages.rs
@@ -76,6 +76,11 @@
         self.by_name.get_mut(name).map(change)
     }
 
+    /// Changes all messages.
+    pub fn update_all(&mut self, change: impl FnMut(&mut Message)) {
+        self.by_name.values_mut().for_each(change);
+    }
+
     /// The open messages of a key.
     pub fn open_of_key(&self, key: &str, partition: Partition) -> Vec<MessageName> {
         let names = self.by_key.get(key).map(Vec::as_slice).unwrap_or_default();
--- a/crates/message-log/src/offers.rs
+++ b/crates/message-log/src/offers.rs
@@ -178,7 +178,7 @@
                 continue;
             }
             let Some(held) = self.messages.get(name).and_then(Message::open_record) else { continue };
-            let age_ms = self.age_ms(held);
+            let (age_ms, away_ms) = (self.age_ms(held), self.away_ms(held));
             let Some(stored) = self.stored(name, payload.as_ref()) else { continue };
             let Some(record) = stored.record else { continue };
             messages.push(OrphanMessage {
@@ -187,6 +187,7 @@
                 claim: stored.claim,
                 failures: stored.failures,
                 age_ms,
+                away_ms,
             });
         }
         if !messages.is_empty() {
--- a/crates/message-log/src/owners.rs
+++ b/crates/message-log/src/owners.rs
@@ -80,9 +80,11 @@
         }
         match self.lives.get(&owner.name) {
             Some(life) if *life > owner.life => Judgement::Over,
-            Some(_) => Judgement::Alive,
-            None if now >= known_since.max(first_seen) + UNKNOWN_OWNER_GRACE => Judgement::Over,
-            None => Judgement::Unknown,
+            Some(life) if *life == owner.life => Judgement::Alive,
+            // Danger: a life below the owner's is no later one where the time of day was set back and a loss of all power
+            // has made everyone forget the owner's. Membership knows as little of this owner as of a stranger.
+            Some(_) | None if now >= known_since.max(first_seen) + UNKNOWN_OWNER_GRACE => Judgement::Over,
+            Some(_) | None => Judgement::Unknown,
         }
     }
 
--- a/crates/message-log/src/persistence.rs
+++ b/crates/message-log/src/persistence.rs
@@ -30,6 +30,8 @@
         set: u64,
         epoch: PlacementEpoch,
     },
+    /// A reading of the clocks.
+    Time,
     Other,
 }
 
--- a/crates/message-log/src/recovery.rs
+++ b/crates/message-log/src/recovery.rs
@@ -1,12 +1,12 @@
 //! Rebuilds a store from its log.
 
 use pewterseam_storage::Position;
-use pewterseam_wire::WallMicros;
 use pewterseam_wire::frame::FrameError;
 use pewterseam_wire::record::{End, MessageName};
 
 use crate::entry::{KeptMessage, LogEntry};
 use crate::interface::{Now, StoreSettings};
+use crate::log_clock::{Reading, RecoveredClock};
 use crate::message::{HeldRecord, Message, Moment, NO_SEGMENT};
 use crate::persistence::{RECOVERED_TICKET, Written};
 use crate::store::Store;
@@ -36,13 +36,14 @@
 /// A store that is being rebuilt: each entry of its log in order, then [`StoreRecovery::finish`].
 pub struct StoreRecovery {
     store: Store,
+    clock: RecoveredClock,
     error: Option<RecoverError>,
 }
 
 impl StoreRecovery {
     /// Begins with nothing. A store on an empty disk has no entries.
     pub fn new(settings: StoreSettings, now: Now) -> Self {
-        StoreRecovery { store: Store::empty(settings, now), error: None }
+        StoreRecovery { store: Store::empty(settings, now), clock: RecoveredClock::default(), error: None }
     }
 
     /// Takes the next entry.
@@ -60,6 +61,9 @@
         if let Some(error) = self.error {
             return Err(error);
         }
+        let (now, clock_error) = (self.store.now, self.store.settings.clock_error);
+        self.store.clock.resume(&self.clock, now, clock_error);
+        self.store.expire_by_times_away();
         self.store.messages.sort_ended();
         self.store.note_ended_predecessors();
         Ok(self.store)
@@ -69,16 +73,18 @@
         let store = &mut self.store;
         let written = match entry {
             LogEntry::Message(kept) => {
+                self.clock.entry(kept.taken.max(kept.ended));
                 let name = kept.stored.name.clone();
                 apply_message(store, position, *kept);
                 Written::Record(name)
             }
             LogEntry::Ended { name, end, at } => {
+                self.clock.entry(at);
                 apply_end(store, &name, &end, at);
                 Written::End(name)
             }
             LogEntry::Attempted { name, failures, at } => {
-                let at = store.moment_of(at);
+                self.clock.entry(at);
                 store.messages.note_failures(&name, failures, at);
                 let has_record = store.messages.get(&name).is_some_and(|message| message.record.is_some());
                 if has_record { Written::Other } else { Written::Facts(name) }
@@ -105,13 +111,16 @@
                 Written::CopiedSet { set, epoch }
             }
             LogEntry::Probe => Written::Other,
+            LogEntry::Time { at, wall, away } => {
+                self.clock.reading(Reading { at, wall, away });
+                Written::Time
+            }
         };
         store.note_written(&written, position);
     }
 }
 
-fn apply_end(store: &mut Store, name: &MessageName, end: &End, at: WallMicros) {
-    let at = store.moment_of(at);
+fn apply_end(store: &mut Store, name: &MessageName, end: &End, at: Moment) {
     store.messages.note_end(name, end, at, RECOVERED_TICKET);
 }
 
@@ -122,14 +131,15 @@
     if let Some(end) = &stored.end {
         apply_end(store, &name, end, kept.ended);
     }
-    store.messages.note_failures(&name, stored.failures, store.moment_of(kept.taken));
-    let taken_at = store.moment_of(kept.taken);
+    let taken_at = kept.taken;
+    store.messages.note_failures(&name, stored.failures, taken_at);
     let is_needed = store.messages.get(&name).is_none_or(|message| {
         message.record.is_none() && !matches!(message.end, Some(End::Completed { .. }))
     });
     match (stored.record, is_needed) {
         (Some(record), true) => {
-            let expires_at = store.expiry_of(&record, taken_at);
+            // Times away are taken off once all of them are known.
+            let expires_at = store.expiry_of(&record, taken_at, 0);
             let held = HeldRecord {
                 payload: None,
                 position: Some(position),
@@ -141,6 +151,7 @@
                 claim: stored.claim,
                 is_released: kept.is_released,
                 taken_at,
+                away_before: kept.away_before,
                 is_queued: false,
             };
             store.messages.insert_record(&name, held, expires_at, store.now.steady);
@@ -159,18 +170,6 @@
 }
 
 impl Store {
-    /// The point in time of a time of day before now. Where the clock was set back, that is now.
-    pub(crate) fn moment_of(&self, wall: WallMicros) -> Moment {
-        let age = self.now.wall.saturating_sub(wall);
-        self.now.steady as Moment - age.min(Moment::MAX as u64 / 2) as Moment
-    }
-
-    /// The time of day of a point in time.
-    pub(crate) fn wall_of(&self, moment: Moment) -> WallMicros {
-        let age = (self.now.steady as Moment - moment).max(0) as u64;
-        self.now.wall.saturating_sub(age)
-    }
-
     fn note_ended_predecessors(&mut self) {
         let mut pairs = Vec::new();
         for (name, message) in self.messages.after(None) {
--- a/crates/message-log/src/requests.rs
+++ b/crates/message-log/src/requests.rs
@@ -10,7 +10,7 @@
 use crate::expiry::age;
 use crate::gathering::{Job, Purpose};
 use crate::interface::Effect;
-use crate::message::{HeldRecord, Message, Moment, NOT_WRITTEN};
+use crate::message::{HeldRecord, Message, NOT_WRITTEN};
 use crate::persistence::Written;
 use crate::placement_view::{EpochOrder, Standing};
 use crate::store::{Held, Store};
@@ -155,6 +155,7 @@
             failures,
             end: None,
             age_ms: 0,
+            away_ms: 0,
         };
         match self.add_record(stored) {
             Some(ticket) => self.appended_after(token, ticket, &record),
@@ -183,10 +184,12 @@
         if known_end.is_some() {
             stored.end = known_end;
         }
-        let noted_at = self.messages.get(&name).map_or(self.now.steady as Moment, |message| message.noted_at);
+        let noted_at = self.messages.get(&name).map_or(self.moment(), |message| message.noted_at);
         let record = stored.record.as_ref()?;
-        let taken_at = self.now.steady as Moment - age(stored.age_ms);
-        let expires_at = self.expiry_of(record, taken_at);
+        let taken_at = self.moment() - age(stored.age_ms);
+        let away = age(stored.away_ms);
+        let expires_at = self.expiry_of(record, taken_at, away);
+        let away_before = self.clock.away() - away;
         let mut held = HeldRecord {
             payload: None,
             position: None,
@@ -198,10 +201,10 @@
             claim: stored.claim,
             is_released: false,
             taken_at,
+            away_before,
             is_queued: false,
         };
-        let taken = self.wall_of(taken_at);
-        let kept = KeptMessage { stored, taken, ended: self.wall_of(noted_at), is_released: false };
+        let kept = KeptMessage { stored, taken: taken_at, ended: noted_at, is_released: false, away_before };
         let entry = LogEntry::Message(Box::new(kept)).encode().ok()?;
         if entry.len() > pewterseam_storage::MOST_PAYLOAD_BYTES {
             return None;
@@ -248,13 +251,13 @@
     }
 
     pub(crate) fn note_attempts(&mut self, name: &MessageName, failures: u32) {
-        let now = self.now.steady;
-        if failures == 0 || !self.messages.note_failures(name, failures, now as Moment) {
+        let now = self.moment();
+        if failures == 0 || !self.messages.note_failures(name, failures, now) {
             return;
         }
         let has_record = self.messages.get(name).is_some_and(|message| message.record.is_some());
         let written = if has_record { Written::Other } else { Written::Facts(name.clone()) };
-        let entry = LogEntry::Attempted { name: name.clone(), failures, at: self.now.wall };
+        let entry = LogEntry::Attempted { name: name.clone(), failures, at: now };
         self.write_lazily(&entry, written);
     }
 
@@ -267,7 +270,7 @@
     /// Takes an end and returns the ticket of its write.
     pub(crate) fn note_end(&mut self, name: &MessageName, end: End) -> u64 {
         let ticket = self.persistence.open_ticket();
-        let at = self.now.steady as Moment;
+        let at = self.moment();
         if self.messages.note_end(name, &end, at, ticket) {
             for successor in self.messages.successors(name) {
                 self.end_notices.add(successor, name.clone());
@@ -297,7 +300,7 @@
     }
 
     fn write_end(&mut self, name: &MessageName, end: End) {
-        let entry = LogEntry::Ended { name: name.clone(), end, at: self.now.wall };
+        let entry = LogEntry::Ended { name: name.clone(), end, at: self.moment() };
         if let Ok(entry) = entry.encode() {
             self.persistence.add(entry, Written::End(name.clone()));
         }
--- a/crates/message-log/src/store.rs
+++ b/crates/message-log/src/store.rs
@@ -16,6 +16,7 @@
 use crate::interface::{Effect, Input, Now, StoreSettings};
 use crate::late_facts::LateFacts;
 use crate::leases::OwnerLeases;
+use crate::log_clock::{LogClock, Reading};
 use crate::message::Moment;
 use crate::messages::Messages;
 use crate::offers::Offers;
@@ -61,6 +62,7 @@
 pub struct Store {
     pub(crate) settings: StoreSettings,
     pub(crate) now: Now,
+    pub(crate) clock: LogClock,
     pub(crate) messages: Messages,
     pub(crate) persistence: Persistence,
     pub(crate) log_map: LogMap,
@@ -93,6 +95,7 @@
             view: PlacementView::new(settings.id.clone()),
             settings,
             now,
+            clock: LogClock::new(now),
             messages: Messages::default(),
             persistence: Persistence::new(),
             log_map: LogMap::default(),
@@ -133,6 +136,9 @@
             Input::Tick => {}
         }
         self.do_what_is_due();
+        if self.persistence.has_open_entries() || self.reading_due().is_some_and(|due| due <= now.steady) {
+            self.write_time();
+        }
         if let Some(persist) = self.persistence.flush(self.now.steady) {
             self.out.push(persist);
         }
@@ -150,12 +156,31 @@
         self.drive_copying();
         self.tell_late_facts();
         self.clean();
-        if self.forget_due().is_some_and(|due| due <= self.now.steady as Moment) {
+        if self.forget_due().is_some_and(|due| due <= self.moment()) {
             let memory = self.memory();
-            self.messages.forget(self.now.steady as Moment, &memory);
+            self.messages.forget(self.moment(), &memory);
+        }
+    }
+
+    /// The time by the log's clock.
+    pub(crate) fn moment(&self) -> Moment {
+        self.clock.moment(self.now.steady)
+    }
+
+    /// Writes a reading of the clocks, if it is time for one.
+    pub(crate) fn write_time(&mut self) {
+        let Some(Reading { at, wall, away }) = self.clock.reading(self.now) else { return };
+        if let Ok(entry) = (LogEntry::Time { at, wall, away }).encode() {
+            self.persistence.add_lazily(entry, Written::Time, self.now.steady);
         }
     }
 
+    /// When a reading is to be written by itself: while messages are open, their ages must not be lost.
+    fn reading_due(&self) -> Option<Micros> {
+        (!self.messages.by_owner.is_empty() && self.persistence.failed_at.is_none())
+            .then(|| self.clock.next_reading())
+    }
+
     fn set_placement(&mut self, placement: Arc<Placement>) {
         if self.view.set(placement) {
             self.late_facts.keep_those_in(self.view.placement());
@@ -256,7 +281,8 @@
             self.copying.as_ref().and_then(Copying::due),
             self.late_facts.due(),
             self.expiry_due(),
-            self.forget_due().map(|due| due.max(0) as Micros),
+            self.forget_due().map(|due| self.clock.steady(due)),
+            self.reading_due(),
         ];
         let now = self.now.steady;
         let due = dues.into_iter().flatten().min().map(|due| due.max(now + SHORTEST_WAIT));
--- a/crates/message-log/tests/owners.rs
+++ b/crates/message-log/tests/owners.rs
@@ -8,7 +8,7 @@
 use pewterseam_message_log::Input;
 use pewterseam_wire::identity::{NodeName, Owner};
 use pewterseam_wire::placement::PlacementEpoch;
-use pewterseam_wire::record::{End, MessageName};
+use pewterseam_wire::record::{End, MessageName, Record};
 use pewterseam_wire::store::{Decline, OWNER_LEASE, Status, StoreNotice, StoreRequest, StoreResponse};
 
 fn claim(name: &MessageName, owner: &Owner, claim: u32) -> StoreRequest {
@@ -372,3 +372,30 @@
     node.advance(SECOND / 2);
     assert_eq!(node.notices, [notice], "also after a restart");
 }
+
+/// Guards LOST, seed 8504 of whole clusters: all processes lose power, a relay's time of day is set back, and its next life
+/// counts as an earlier one. Nobody remembers the life that owned the message; the store alone does, in its record.
+#[test]
+fn an_owner_whose_node_came_back_with_a_lower_life_is_over() {
+    let mut node = Node::in_first_placement("s1");
+    let first = Record { owner: owner("a", 9), ..record("first") };
+    node.ask(append(1, &first));
+    node.restart();
+    node.input(Input::Placement(placement(1, &[&["s1", "s2", "s3"]])));
+    node.input(Input::Members(members(&[relay("a", 5), relay("b", 5)], &[])));
+    node.advance(SECOND);
+    assert!(node.take_offers().is_empty(), "membership may not have heard of the owner's life yet");
+    node.advance(3 * SECOND);
+    assert!(offered(&mut node).iter().any(|(_, name)| *name == first.name));
+}
+
+/// Guards against the same grace being given to a life that membership has: its messages are offered to nobody.
+#[test]
+fn an_owner_of_the_life_that_lives_is_not_over() {
+    let mut node = Node::in_first_placement("s1");
+    let first = Record { owner: owner("a", 9), ..record("first") };
+    node.ask(append(1, &first));
+    node.input(Input::Members(members(&[relay("a", 9), relay("b", 5)], &[])));
+    node.advance(10 * SECOND);
+    assert!(node.take_offers().is_empty());
+}
--- a/crates/outbound/tests/called_off.rs
+++ b/crates/outbound/tests/called_off.rs
@@ -51,11 +51,7 @@
     fn new(pause: Duration) -> Self {
         let ((tell, events), (ends, streams)) = (unbounded_channel(), unbounded_channel());
         let dialer = Box::new(MemoryDialer { pause, ends });
-        Caller {
-            outbound: Outbound::with_dialer(OutboundSettings::default(), tell, dialer),
-            events,
-            streams,
-        }
+        Caller { outbound: Outbound::with_dialer(OutboundSettings::default(), tell, dialer), events, streams }
     }
 
     fn start(&mut self, attempt: AttemptId) {
--- a/crates/queue/src/adopt.rs
+++ b/crates/queue/src/adopt.rs
@@ -63,14 +63,14 @@
         }
     }
 
-    /// Time that a message of another relay has in all. Its age may be told wrong, as it goes by the time of day over a
-    /// restart of the store.
+    /// Time that a message of another relay has in all. How long its stores were away may be told wrong, as that goes by the
+    /// time of day.
     fn time_of_orphan(&self, orphan: &OrphanMessage) -> Micros {
         orphan.record.retention_ms * MILLISECOND + RETENTION_MARGIN + self.settings.clock_error
     }
 
     fn is_over(&self, orphan: &OrphanMessage) -> bool {
-        orphan.age_ms * MILLISECOND >= self.time_of_orphan(orphan)
+        (orphan.age_ms + orphan.away_ms) * MILLISECOND >= self.time_of_orphan(orphan)
     }
 
     /// The time of a message that a store offers is over: it is not run, whatever the store knows of it.
@@ -91,8 +91,9 @@
         message.is_adopted = true;
         message.blockers = message.record.predecessors.iter().cloned().collect();
         message.failures = orphan.failures;
-        message.due_at = self.now + delay.saturating_sub(age);
-        message.expires_at = self.now + left.saturating_sub(age);
+        // One that should have run keeps its place among those that wait; it does not count as due only now.
+        message.due_at = (self.now + delay).saturating_sub(age);
+        message.expires_at = self.now + left.saturating_sub(age + orphan.away_ms * MILLISECOND);
         self.insert(message)
     }
 
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -350,6 +350,7 @@
         claim: 0,
         failures: 1,
         age_ms: 10,
+        away_ms: 0,
     };
     (world, name, orphan)
 }
--- a/crates/relay/tests/signals.rs
+++ b/crates/relay/tests/signals.rs
@@ -39,7 +39,8 @@
 impl Process {
     fn start(role: Role, signal: Signal, folder: &Path, number: u64) -> Self {
         let own = std::process::id();
-        let test = if matches!(role, Role::Relay) { 0 } else { 1 } + if signal == Signal::HUP { 2 } else { 0 };
+        let test =
+            if matches!(role, Role::Relay) { 0 } else { 1 } + if signal == Signal::HUP { 2 } else { 0 };
         let address = Ipv4Addr::new(127, 212 + test, (own % 250) as u8, (number + 1) as u8);
         let folder = folder.join(number.to_string());
         fs::create_dir_all(&folder).expect("a folder");
@@ -102,7 +103,8 @@
             "[bindAddrs]\nfront = \"{address}:7400\"\nreadiness = \"{address}:7401\"\ncontrol = \"{address}:7402\"\n"
         );
     }
-    text += "[limits]\ncores = 1\nmemoryMb = 160\nmaxFds = 1024\ndiskMb = 64\n[faultTolerance]\nmachines = 1\n";
+    text +=
+        "[limits]\ncores = 1\nmemoryMb = 160\nmaxFds = 1024\ndiskMb = 64\n[faultTolerance]\nmachines = 1\n";
     text + &format!("[cloudApi]\naddress = \"{address}:7500\"\nratePerS = 100.0\nlagMs = 0\n")
 }
 
--- a/crates/relay/tests/soak/cluster.rs
+++ b/crates/relay/tests/soak/cluster.rs
@@ -12,6 +12,7 @@
 
 use crate::judge::Judge;
 use crate::plan::Size;
+use crate::senders::Senders;
 
 const FRONT_PORT: u16 = 7_400;
 const READINESS_PORT: u16 = 7_401;
@@ -87,12 +88,16 @@
     pub size: Size,
     list: SocketAddr,
     judge: Arc<Judge>,
+    senders: Arc<Senders>,
     processes: Vec<std::sync::Mutex<Option<Child>>>,
 }
 
 impl Cluster {
     /// Addresses of the cluster are those of the stand-ins' network, from the second on.
-    pub fn new(folder: &Path, network: [u8; 2], size: Size, list: SocketAddr, judge: Arc<Judge>) -> Self {
+    pub fn new(
+        folder: &Path, network: [u8; 2], size: Size, list: SocketAddr, judge: Arc<Judge>,
+        senders: Arc<Senders>,
+    ) -> Self {
         let relays = size.core + size.relays;
         let node = |index: usize| {
             let is_relay = index < relays;
@@ -103,7 +108,7 @@
         };
         let nodes: Vec<Node> = (0..relays + size.stores).map(node).collect();
         let processes = nodes.iter().map(|_| std::sync::Mutex::new(None)).collect();
-        Cluster { nodes, size, list, judge, processes }
+        Cluster { nodes, size, list, judge, senders, processes }
     }
 
     pub fn relays(&self) -> &[Node] {
@@ -128,8 +133,11 @@
             .stderr(log)
             .spawn()
             .expect("started");
+        if name.is_relay {
+            self.senders.started(node, child.id());
+        }
         *self.processes[node].lock().expect("whole") = Some(child);
-        self.judge.disturbed();
+        self.judge.disturbed(name.is_relay);
     }
 
     pub fn signal(&self, node: usize, signal: Signal) -> bool {
@@ -169,7 +177,7 @@
         if is_kill {
             self.judge.killed(node, self.nodes[node].is_relay);
         } else {
-            self.judge.disturbed();
+            self.judge.disturbed(self.nodes[node].is_relay);
         }
         if self.signal(node, signal) && self.wait_for_end(node, GRACE) {
             thread::sleep(RESTART_PAUSE);
@@ -180,7 +188,7 @@
 
     pub fn reload(&self, node: usize) {
         self.write_settings(node, false);
-        self.judge.disturbed();
+        self.judge.disturbed(self.nodes[node].is_relay);
         self.signal(node, Signal::HUP);
     }
 
--- a/crates/relay/tests/soak/hosts.rs
+++ b/crates/relay/tests/soak/hosts.rs
@@ -4,13 +4,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use pewterseam_wire::random::Random;
 
 use crate::http::{Connection, answer};
-use crate::judge::Judge;
+use crate::judge::{Judge, Run};
 use crate::plan::Service;
+use crate::senders::Senders;
 
 const LIST_PORT: u16 = 7_500;
 const FIRST_HOST_PORT: u16 = 7_501;
@@ -40,13 +41,14 @@
 pub struct Hosts {
     all: Vec<Arc<Host>>,
     judge: Arc<Judge>,
+    senders: Arc<Senders>,
     runs: AtomicU64,
     seed: u64,
 }
 
 impl Hosts {
     /// Starts the list and the hosts. Their threads end with this process.
-    pub fn start(address: Ipv4Addr, judge: Arc<Judge>, seed: u64) -> Arc<Self> {
+    pub fn start(address: Ipv4Addr, judge: Arc<Judge>, senders: Arc<Senders>, seed: u64) -> Arc<Self> {
         let mut all = Vec::new();
         for service in Service::ALL {
             for _ in 0..HOSTS_OF_A_SERVICE {
@@ -55,7 +57,7 @@
                 all.push(Arc::new(Host { service, address, incarnation, is_down }));
             }
         }
-        let hosts = Arc::new(Hosts { all, judge, runs: AtomicU64::new(0), seed });
+        let hosts = Arc::new(Hosts { all, judge, senders, runs: AtomicU64::new(0), seed });
         hosts.serve(Hosts::list_address(address), None);
         for host in &hosts.all {
             hosts.serve(host.address, Some(host.clone()));
@@ -93,6 +95,7 @@
     }
 
     fn serve_host(&self, host: &Host, stream: TcpStream) {
+        let sender = stream.peer_addr().ok().and_then(|from| self.senders.of(from, host.address));
         let mut connection = Connection::new(stream);
         if connection.set_patience(IDLE).is_err() {
             return;
@@ -112,8 +115,9 @@
             let id = request.header("x-request-id").unwrap_or_default().to_owned();
             let is_for_another =
                 request.header("x-target-instance").is_some_and(|target| target != host.id());
+            let run = Run { began: Instant::now(), sender };
             let status = if is_for_another { 421 } else { self.run(host, &id, &mut random) };
-            if !self.tell(&mut connection, &id, status) {
+            if !self.tell(&mut connection, &id, status, run) {
                 return;
             }
         }
@@ -129,7 +133,7 @@
         if random.below(100) < FAILED { 500 } else { 200 }
     }
 
-    fn tell(&self, connection: &mut Connection, id: &str, status: u16) -> bool {
+    fn tell(&self, connection: &mut Connection, id: &str, status: u16, run: Run) -> bool {
         let signature = format!("s-{}", self.runs.fetch_add(1, Ordering::Relaxed));
         let mut headers = vec![("X-Request-Id", id)];
         match status {
@@ -142,7 +146,7 @@
         }
         let is_told = connection.write(&answer(status, &headers, "")).is_ok();
         if is_told && status == 200 {
-            self.judge.succeeded(id);
+            self.judge.succeeded(id, run);
         }
         is_told
     }
@@ -156,12 +160,14 @@
         let set = |is_down: bool| {
             self.of(service).for_each(|host| *host.is_down.lock().expect("whole") = is_down);
         };
+        let number = self.judge.outage_began();
         set(true);
         thread::sleep(span);
         for host in self.of(service) {
             host.incarnation.fetch_add(1, Ordering::Relaxed);
         }
         set(false);
+        self.judge.outage_ended(number);
     }
 }
 
--- a/crates/relay/tests/soak/judge.rs
+++ b/crates/relay/tests/soak/judge.rs
@@ -4,18 +4,23 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use crate::operator::LEAST_TIMEOUT_MS;
 use crate::plan::Service;
 
+/// The shortest `timeoutMs` of a route.
+const LEAST_TIMEOUT: Duration = Duration::from_millis(LEAST_TIMEOUT_MS as u64);
 /// `configApplyMs`.
 const APPLIED_WITHIN: Duration = Duration::from_secs(3);
 /// A kill or a start of a process excuses what depends on its being in touch for so long (`contactMs`), after it is back.
 const CONTACT: Duration = Duration::from_secs(5);
-/// A relay that is killed so soon after a host has written a success, or so shortly before, cannot have told it to a store
-/// that has synced it: nobody can know of the success, and its message runs again, after an outage of its hosts even long
-/// after. Seen at seed 632, where two relays are killed 0.3 s apart and all hosts of a service are out until 5 s after: the
-/// messages that ran again had been read at most 10 ms before the kill of their sender, or not at all as it was gone by then;
-/// heirs owned them within 1.1 s, and tried them in vain until the outage was over.
-const READER_KILLED: Duration = Duration::from_millis(100);
+/// The rule TWICE counts an answer as read in time that was complete so long before the route's time-out.
+const READ_WITHIN: Duration = Duration::from_millis(50);
+/// A relay tells a success to the stores within this, and the slowest disk of the deployments has synced it.
+const TOLD_WITHIN: Duration = Duration::from_millis(12);
+/// From a host's last byte until a relay that lives has made its success known: whoever sent the message and is killed later
+/// leaves nobody in doubt. Of one that is killed earlier nobody can know what it had read, and the message may run again, after
+/// an outage of its hosts even long after (seed 632).
+const KNOWN_WITHIN: Duration = READ_WITHIN.saturating_add(TOLD_WITHIN);
 /// `lossSlackMs`.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// An answer may be cut by a kill so shortly after it.
@@ -30,12 +35,27 @@
     accepted_at: Option<Instant>,
     name: Option<String>,
     is_declined: bool,
-    runs: Vec<(Instant, Service)>,
-    succeeded_at: Option<Instant>,
+    runs: usize,
+    success: Option<Success>,
     /// A host has done it, and is about to say so.
     is_done: bool,
 }
 
+/// One run of a message at a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    pub began: Instant,
+    /// The relay that sent it; none where its process was gone when its connection came.
+    pub sender: Option<usize>,
+}
+
+/// The first success of a message that its host has written whole.
+#[derive(Clone, Copy, Debug)]
+struct Success {
+    run: Run,
+    at: Instant,
+}
+
 /// A change of the configuration that may be in force.
 struct Change {
     version: u64,
@@ -52,7 +72,10 @@
     /// Starts and stops, planned ones too.
     disturbances: Vec<Instant>,
     kills_of: BTreeMap<usize, Vec<Instant>>,
-    relay_kills: Vec<Instant>,
+    /// Starts and ends of stores, planned ones too.
+    store_disturbances: Vec<Instant>,
+    /// When each outage of a service's hosts ended; none while it lasts.
+    outages: Vec<Option<Instant>>,
     /// Requests that each relay declined.
     declined_by: BTreeMap<usize, usize>,
     breaches: BTreeSet<String>,
@@ -78,14 +101,37 @@
         self.breaches.insert(text);
     }
 
+    /// Whether there was no unplanned trouble for `contactMs`: kills and what follows them, and outages of hosts.
     fn is_calm(&self, now: Instant) -> bool {
-        !self.kills.iter().any(|at| now.duration_since(*at) < CONTACT)
+        let is_over =
+            |ended: &Option<Instant>| ended.is_some_and(|ended| now.duration_since(ended) >= CONTACT);
+        !self.kills.iter().any(|at| now.duration_since(*at) < CONTACT) && self.outages.iter().all(is_over)
     }
 
-    /// Whether the relay that read a success, or was to read it, may have been killed before it could tell of it.
-    fn may_be_untold(&self, succeeded_at: Instant) -> bool {
-        let distance = |at: &Instant| at.max(&succeeded_at).duration_since(*at.min(&succeeded_at));
-        self.relay_kills.iter().any(|at| distance(at) < READER_KILLED)
+    /// Whether the relay that sent a run was killed before it could make the success known.
+    fn may_be_untold(&self, success: &Success) -> bool {
+        let Some(sender) = success.run.sender else { return true };
+        let kills = self.kills_of.get(&sender).into_iter().flatten();
+        kills.into_iter().any(|at| (success.run.began..success.at + KNOWN_WITHIN).contains(at))
+    }
+
+    /// Whether all stores were there for long when a success was to be told to them, so that each heir learns of it.
+    fn is_told_to_stores(&self, success: &Success) -> bool {
+        let told_at = success.at + KNOWN_WITHIN;
+        let reaches = |at: &Instant| *at < told_at && success.at < *at + CONTACT;
+        !self.store_disturbances.iter().any(reaches)
+    }
+
+    /// What a run breaks of a message that has succeeded before.
+    fn repeat(&self, now: Instant, success: &Success) -> Option<&'static str> {
+        let is_read_in_time = success.at + READ_WITHIN < success.run.began + LEAST_TIMEOUT;
+        if !is_read_in_time || self.may_be_untold(success) {
+            return None;
+        }
+        if self.is_calm(now) {
+            return Some("TWICE");
+        }
+        self.is_told_to_stores(success).then_some("FORGOTTEN")
     }
 
     fn is_in_touch(&self, now: Instant) -> bool {
@@ -111,7 +157,7 @@
 
     pub fn killed(&self, node: usize, is_relay: bool) {
         self.with(|known| {
-            known.relay_kills.extend(is_relay.then(Instant::now));
+            known.store_disturbances.extend((!is_relay).then(Instant::now));
             known.kills.push(Instant::now());
             known.kills_of.entry(node).or_default().push(Instant::now());
             known.disturbances.push(Instant::now());
@@ -119,8 +165,23 @@
     }
 
     /// A process begins, stops or reads its settings again.
-    pub fn disturbed(&self) {
-        self.with(|known| known.disturbances.push(Instant::now()));
+    pub fn disturbed(&self, is_relay: bool) {
+        self.with(|known| {
+            known.disturbances.push(Instant::now());
+            known.store_disturbances.extend((!is_relay).then(Instant::now));
+        });
+    }
+
+    /// The hosts of a service take nothing from now on, up to [`Judge::outage_ended`].
+    pub fn outage_began(&self) -> usize {
+        self.with(|known| {
+            known.outages.push(None);
+            known.outages.len() - 1
+        })
+    }
+
+    pub fn outage_ended(&self, number: usize) {
+        self.with(|known| known.outages[number] = Some(Instant::now()));
     }
 
     /// A process that was killed is back.
@@ -158,7 +219,7 @@
                 408 | 421 | 429 | 503 => {
                     seen.is_declined = true;
                     *known.declined_by.entry(relay).or_default() += 1;
-                    if !seen.runs.is_empty() {
+                    if seen.runs > 0 {
                         known.breach(format!("REFUSED: {id} ran and is told {status}"));
                     }
                 }
@@ -185,26 +246,25 @@
     pub fn run_starts(&self, id: &str, service: Service) {
         self.with(|known| {
             let now = Instant::now();
-            let is_calm = known.is_calm(now);
             let passed_over = known.passed_over(now, service).filter(|_| known.is_in_touch(now));
             let Some(seen) = known.messages.get_mut(id) else {
                 return known.breach(format!("UNASKED: {id}"));
             };
-            seen.runs.push((now, service));
-            let (moves, succeeded_at) = (seen.moves, seen.succeeded_at);
+            seen.runs += 1;
+            let (moves, success) = (seen.moves, seen.success);
             let (sent_at, key, is_declined) = (seen.sent_at, seen.key, seen.is_declined);
             if is_declined {
                 known.breach(format!("REFUSED: {id} runs"));
             }
-            if let Some(at) = succeeded_at
-                && is_calm
-                && !known.may_be_untold(at)
+            if let Some(success) = success
+                && let Some(rule) = known.repeat(now, &success)
             {
-                let kills: Vec<Duration> =
-                    known.relay_kills.iter().map(|kill| now.duration_since(*kill)).collect();
+                let sender = success.run.sender;
+                let kills = sender.and_then(|sender| known.kills_of.get(&sender)).into_iter().flatten();
+                let kills: Vec<Duration> = kills.map(|kill| now.duration_since(*kill)).collect();
                 known.breach(format!(
-                    "TWICE: {id} runs {:?} after its success; relays were killed {kills:?} before",
-                    now.duration_since(at)
+                    "{rule}: {id} runs {:?} after its success; its sender {sender:?} was killed {kills:?} before",
+                    now.duration_since(success.at)
                 ));
             }
             if moves && let Some(version) = passed_over {
@@ -234,10 +294,10 @@
     }
 
     /// A host has written its whole answer of success.
-    pub fn succeeded(&self, id: &str) {
+    pub fn succeeded(&self, id: &str, run: Run) {
         self.with(|known| {
             if let Some(seen) = known.messages.get_mut(id) {
-                seen.succeeded_at.get_or_insert_with(Instant::now);
+                seen.success.get_or_insert_with(|| Success { run, at: Instant::now() });
             }
         });
     }
@@ -269,7 +329,7 @@
     }
 
     pub fn has_succeeded(&self, id: &str) -> bool {
-        self.with(|known| known.messages.get(id).is_some_and(|seen| seen.succeeded_at.is_some()))
+        self.with(|known| known.messages.get(id).is_some_and(|seen| seen.success.is_some()))
     }
 
     /// Figures of the run.
@@ -282,7 +342,7 @@
                 count(|seen| seen.accepted_at.is_some()),
                 count(|seen| seen.is_declined),
                 known.declined_by,
-                known.messages.values().map(|seen| seen.runs.len()).sum::<usize>(),
+                known.messages.values().map(|seen| seen.runs).sum::<usize>(),
                 known.changes.iter().filter(|change| change.acknowledged_at.is_some()).count(),
                 known.kills.len(),
                 known.disturbances.len(),
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod judge;
 mod operator;
 mod plan;
+mod senders;
 
 use std::net::Ipv4Addr;
 use std::path::Path;
@@ -28,10 +29,12 @@
 use hosts::Hosts;
 use judge::Judge;
 use plan::{Disturbance, Plan, Size};
+use senders::Senders;
 
-/// Seeds where the environment says nothing: two with planned work alone, two with kills, and one with kills in series and an
-/// outage at the same time, where repeats came too long after the kills to be excused by them.
-const SEEDS: [u64; 5] = [1, 2, 3, 4, 632];
+/// Seeds where the environment says nothing: two with planned work alone, two with kills, one with kills in series and an
+/// outage at the same time, where repeats came too long after the kills to be excused by them, and one where stops in series
+/// hit a store that had just started.
+const SEEDS: [u64; 6] = [1, 2, 3, 4, 632, 706];
 const USUAL: Size = Size { core: 3, relays: 2, stores: 3, clients: 9 };
 /// All relays are ready by then.
 const START_LIMIT: Duration = Duration::from_secs(40);
@@ -140,9 +143,10 @@
     let judge = Arc::new(Judge::default());
     let network = network(plan.seed);
     let stand_ins = Ipv4Addr::new(127, network[0], network[1], 1);
-    let hosts = Hosts::start(stand_ins, judge.clone(), plan.seed);
+    let senders = Arc::new(Senders::default());
+    let hosts = Hosts::start(stand_ins, judge.clone(), senders.clone(), plan.seed);
     let list = Hosts::list_address(stand_ins);
-    let cluster = Cluster::new(folder, network, plan.size, list, judge.clone());
+    let cluster = Cluster::new(folder, network, plan.size, list, judge.clone(), senders);
     for node in 0..cluster.nodes.len() {
         cluster.write_settings(node, true);
         cluster.start(node);
--- a/crates/relay/tests/soak/operator.rs
+++ b/crates/relay/tests/soak/operator.rs
@@ -16,7 +16,7 @@
 const LEAST_PAUSE_MS: usize = 200;
 /// Now and then a change lasts for longer than `configApplyMs`.
 const MORE_PAUSE_MS: usize = 5_000;
-const LEAST_TIMEOUT_MS: usize = 600;
+pub const LEAST_TIMEOUT_MS: usize = 600;
 const MORE_TIMEOUT_MS: usize = 600;
 pub const HOSTNAME: &str = "soak.example";
 /// The path of messages whose route moves.
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -127,6 +127,10 @@
     /// over, as much too late as the message was old.
     #[serde(default)]
     pub age_ms: u64,
+    /// Time for which its stores were away that the age does not count. It goes by the time of day, which may have been set
+    /// meanwhile, and may be wrong by `maxSkewMs`.
+    #[serde(default)]
+    pub away_ms: u64,
 }
 
 /// What a store tells a relay unasked. Lost ones are told again for as long as they hold.
@@ -148,8 +152,11 @@
     /// The claim that the next owner makes is above this.
     pub claim: u32,
     pub failures: u32,
-    /// How long ago the store took the record, by its steady clock since, or by the time of day over a restart.
+    /// How long ago the first store took the record, at the least: by steady clocks alone.
     pub age_ms: u64,
+    /// Time for which its stores were away that the age does not count, by the time of day.
+    #[serde(default)]
+    pub away_ms: u64,
 }
 
 /// A body alone, for callers that hold the rest.
