--- a/crates/message-log/tests/ages.rs
+++ b/crates/message-log/tests/ages.rs
@@ -134,7 +134,7 @@
 }
 
 fn ages_are_never_too_great(steps: Vec<Step>) -> bool {
-    let options = LogOptions { segment_bytes: 4 * 1024, ..LogOptions::default() };
+    let options = LogOptions { segment_bytes: 4 * 1024 };
     let mut settings = settings("s1");
     settings.clock_error = CLOCK_ERROR;
     settings.clean_above_bytes = 8 * 1024;
