Control: messages of other epochs and rounds, directed and held back until any later moment

A promise, and the answer to a heartbeat, that counted whatever their epoch passed all tests of this package.

--- a/crates/control/tests/control/cluster.rs
+++ b/crates/control/tests/control/cluster.rs
@@ -13,6 +13,9 @@
 /// Random runs, and how many run side by side. Overridden by CONTROL_RUNS and CONTROL_SEED.
 const RUNS: u64 = 3_000;
 const THREADS: u64 = 4;
+const RUNS_WITH_LATE_MESSAGES: u64 = 1_000;
+/// Of a hundred messages so many come a second time.
+const LATE_PERCENT: usize = 10;
 
 /// Guards against a system that does not come up: no core, no leader, no placement, or processes never current.
 #[test]
@@ -85,10 +88,11 @@
 }
 
 /// One run with trouble. Returns what broke, and how many orders were completed.
-fn trouble(seed: u64, planted: Planted, disk_trouble: bool) -> (Vec<String>, usize) {
+fn trouble(seed: u64, planted: Planted, disk_trouble: bool, late_percent: usize) -> (Vec<String>, usize) {
     let core = 3 + (seed % 3) as usize;
     let mut cluster = formed(seed, core, 2, 3);
     cluster.planted = planted;
+    cluster.late_percent = late_percent;
     let mut operators = [Operator::new(1, core + 2), Operator::new(2, core + 2)];
     let mut faults = Faults { core, disks: 1, spares: 1, disk_trouble };
     for _ in 0..8 {
@@ -129,12 +133,12 @@
 }
 
 /// Runs seeds side by side. Returns what broke with its seed.
-fn many(planted: Planted, runs: u64) -> (Vec<(u64, String)>, usize) {
+fn many(planted: Planted, runs: u64, late_percent: usize) -> (Vec<(u64, String)>, usize) {
     let first = number("CONTROL_SEED", 1);
     let worker = |thread: u64| {
         let mut found = (Vec::new(), 0);
         for seed in (first..first + runs).filter(|seed| seed % THREADS == thread) {
-            let (broken, completed) = trouble(seed, planted, true);
+            let (broken, completed) = trouble(seed, planted, true, late_percent);
             found.0.extend(broken.into_iter().map(|text| (seed, text)));
             found.1 += completed;
         }
@@ -157,7 +161,7 @@
 #[test]
 fn random_trouble_breaks_nothing() {
     let runs = number("CONTROL_RUNS", RUNS);
-    let (broken, completed) = many(Planted::Nothing, runs);
+    let (broken, completed) = many(Planted::Nothing, runs, 0);
     println!("{runs} runs, {completed} orders completed, {} broken", broken.len());
     for (seed, text) in broken.iter().take(20) {
         println!("seed {seed}: {text}");
@@ -166,11 +170,24 @@
     assert!(completed as u64 > runs * 4, "the operators got hardly anything done");
 }
 
+/// Guards against what counts although it belongs to another epoch, life or configuration of the core: messages come a second
+/// time at any later moment, also to a later life of their receiver.
+#[test]
+fn late_messages_break_nothing() {
+    let runs = number("CONTROL_RUNS", RUNS_WITH_LATE_MESSAGES);
+    let (broken, completed) = many(Planted::Nothing, runs, LATE_PERCENT);
+    for (seed, text) in broken.iter().take(20) {
+        println!("seed {seed}: {text}");
+    }
+    assert!(broken.is_empty());
+    assert!(completed as u64 > runs * 4, "the operators got hardly anything done");
+}
+
 /// Guards against what random runs once found: a member that only seemed dead was removed, and then needed.
 #[test]
 fn runs_that_once_failed_pass() {
     for seed in [101_388, 103_323, 109_134] {
-        let (broken, _) = trouble(seed, Planted::Nothing, false);
+        let (broken, _) = trouble(seed, Planted::Nothing, false, 0);
         assert_eq!(broken, Vec::<String>::new(), "seed {seed}");
     }
 }
@@ -194,7 +211,7 @@
 /// Guards against checks that see nothing: a candidate that does not read a majority must be found out.
 #[test]
 fn a_leader_that_reads_no_majority_is_found() {
-    let (broken, _) = many(Planted::NoMajorityRead, 2_000);
+    let (broken, _) = many(Planted::NoMajorityRead, 2_000, 0);
     assert!(
         broken.iter().any(|(_, text)| text.contains("acknowledged") || text.contains("index")),
         "not found"
@@ -207,7 +224,7 @@
 /// Guards against checks that see nothing: promises and entries that are not synced must be found out.
 #[test]
 fn a_disk_that_does_not_sync_is_found() {
-    let (broken, _) = many(Planted::LyingDisk, 1_000);
+    let (broken, _) = many(Planted::LyingDisk, 1_000, 0);
     let tells = |text: &str| text.contains("acknowledged") || text.contains("index");
     let found: BTreeSet<u64> = broken.iter().filter(|(_, text)| tells(text)).map(|(seed, _)| *seed).collect();
     println!("found with {} seeds: {found:?}", found.len());
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -12,6 +12,7 @@
 mod many_changes;
 mod membership;
 mod orders;
+mod other_epochs;
 mod repeated_calls;
 mod restore;
 mod retirement;
--- /dev/null
+++ b/crates/control/tests/control/other_epochs.rs
@@ -0,0 +1,347 @@
+//! Messages of other epochs and other rounds count for nothing.
+//!
+//! A promise, and the answer to a heartbeat, that counted whatever their epoch passed all tests of this package: on the
+//! simulated network no message outlived the election that it belonged to. Here a member of a core of three stands alone, and
+//! is told what may come late.
+
+use pewterseam_control::{
+    Control, ControlMessage, ControlSettings, CoreMember, Effect, Entry, OperatorRequest, Outcome, Stamp,
+    Token,
+};
+use pewterseam_wire::identity::NodeName;
+
+use crate::simulation::cluster::{MS, document};
+use crate::{call, formed};
+
+/// A leader has begun another round of heartbeats by then.
+const ROUND_PERIOD: u64 = 600 * MS;
+
+/// A member of the core whose peers are played by the test. Its disk syncs at once.
+struct Member {
+    control: Control,
+    name: NodeName,
+    now: u64,
+    others: Vec<CoreMember>,
+    sent: Vec<ControlMessage>,
+    answers: Vec<(Token, Outcome)>,
+}
+
+impl Member {
+    /// Member 0 of a core that has agreed on a configuration, after a start.
+    fn of_formed_core() -> Self {
+        let mut cluster = formed(1, 3, 2, 3);
+        call(&mut cluster, 3, 1, OperatorRequest::put(0, document(5, "first")));
+        cluster.run(1_000 * MS);
+        let node = &cluster.nodes[0];
+        let core = cluster.control(0).expect("runs").core().to_vec();
+        let others = core.into_iter().filter(|member| member.name != node.info.name).collect();
+        let settings = ControlSettings::default();
+        let control = Control::new(cluster.now, &node.info, settings, node.disk.log(), 1);
+        let mut member = Member {
+            control: control.expect("the log can be read"),
+            name: node.info.name.clone(),
+            now: cluster.now,
+            others,
+            sent: Vec::new(),
+            answers: Vec::new(),
+        };
+        member.pass(0);
+        member
+    }
+
+    /// One that stands for an epoch, which is returned.
+    fn standing() -> (Self, u64) {
+        let mut member = Member::of_formed_core();
+        let epoch = member.wait_for(|message| match message {
+            ControlMessage::PreVote { epoch } => Some(*epoch),
+            _ => None,
+        });
+        (member, epoch)
+    }
+
+    /// One that was granted the pre-vote, and gathers promises.
+    fn candidate() -> (Self, u64) {
+        let (mut member, epoch) = Member::standing();
+        member.pre_vote_answers(epoch);
+        (member, epoch)
+    }
+
+    /// One that leads and serves.
+    fn leader() -> (Self, u64) {
+        let (mut member, epoch) = Member::candidate();
+        member.promises(epoch);
+        let entry = member.proposed().expect("the first entry of its epoch");
+        member.sent.clear();
+        member.accept_answers(epoch, entry.stamp);
+        (member, epoch)
+    }
+
+    fn carry_out(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            let more = match effect {
+                Effect::Send { to, message } if to == self.name => {
+                    self.control.message(self.now, &self.name.clone(), message)
+                }
+                Effect::Send { message, .. } => {
+                    self.sent.push(message);
+                    continue;
+                }
+                Effect::Persist { sequence, .. } | Effect::Snapshot { sequence, .. } => {
+                    self.control.persisted(self.now, sequence)
+                }
+                Effect::Answer { token, outcome } => {
+                    self.answers.push((token, outcome));
+                    continue;
+                }
+                _ => continue,
+            };
+            self.carry_out(more);
+        }
+    }
+
+    fn pass(&mut self, span: u64) {
+        self.now += span;
+        let effects = self.control.tick(self.now);
+        self.carry_out(effects);
+    }
+
+    /// Lets time pass until a message is sent that tells something.
+    fn wait_for<T>(&mut self, tells: impl Fn(&ControlMessage) -> Option<T>) -> T {
+        for _ in 0..1_000 {
+            if let Some(told) = self.sent.iter().find_map(&tells) {
+                return told;
+            }
+            self.pass(10 * MS);
+        }
+        panic!("nothing is sent");
+    }
+
+    fn hear(&mut self, from: &CoreMember, message: ControlMessage) {
+        let effects = self.control.message(self.now, &from.name, message);
+        self.carry_out(effects);
+    }
+
+    fn hear_from_all(&mut self, message: impl Fn(&CoreMember) -> ControlMessage) {
+        for other in self.others.clone() {
+            self.hear(&other, message(&other));
+        }
+    }
+
+    fn pre_vote_answers(&mut self, epoch: u64) {
+        self.hear_from_all(|member| ControlMessage::PreVoteAnswer {
+            epoch,
+            member: member.clone(),
+            granted: true,
+        });
+    }
+
+    fn promises(&mut self, epoch: u64) {
+        let stamp = self.control.accepted_stamp();
+        self.hear_from_all(|member| ControlMessage::Promise { epoch, member: member.clone(), stamp });
+    }
+
+    fn accept_answers(&mut self, epoch: u64, stamp: Stamp) {
+        self.hear_from_all(|member| ControlMessage::AcceptAnswer { epoch, member: member.clone(), stamp });
+    }
+
+    fn heartbeat_answers(&mut self, epoch: u64, round: u64) {
+        let committed = self.control.index();
+        self.hear_from_all(|member| ControlMessage::HeartbeatAnswer {
+            epoch,
+            round,
+            member: member.clone(),
+            committed,
+        });
+    }
+
+    fn has_asked_for_promises(&self) -> bool {
+        self.sent.iter().any(|message| matches!(message, ControlMessage::Prepare { .. }))
+    }
+
+    fn proposed(&self) -> Option<Entry> {
+        self.sent.iter().find_map(|message| match message {
+            ControlMessage::Accept { entry, .. } => Some(entry.clone()),
+            _ => None,
+        })
+    }
+
+    /// The newest round of heartbeats.
+    fn round(&self) -> u64 {
+        let round = |message: &ControlMessage| match message {
+            ControlMessage::Heartbeat { round, .. } => Some(*round),
+            _ => None,
+        };
+        self.sent.iter().filter_map(round).max().expect("a heartbeat")
+    }
+
+    fn is_refused(&self) -> bool {
+        self.sent.iter().any(|message| matches!(message, ControlMessage::Refused { .. }))
+    }
+}
+
+/// Guards against a candidate that stands although nobody would promise it this epoch.
+#[test]
+fn a_pre_vote_of_another_epoch_counts_for_nothing() {
+    let (mut member, epoch) = Member::standing();
+    for other in [epoch - 1, epoch + 1] {
+        member.pre_vote_answers(other);
+        assert!(!member.has_asked_for_promises(), "{other} in place of {epoch}");
+    }
+    member.pre_vote_answers(epoch);
+    assert!(member.has_asked_for_promises());
+}
+
+/// Guards against a refused pre-vote that counts.
+#[test]
+fn a_pre_vote_that_is_not_granted_counts_for_nothing() {
+    let (mut member, epoch) = Member::standing();
+    member.hear_from_all(|other| ControlMessage::PreVoteAnswer {
+        epoch,
+        member: other.clone(),
+        granted: false,
+    });
+    assert!(!member.has_asked_for_promises());
+}
+
+/// Guards against two leaders: members that promised another epoch may have promised this one to somebody else.
+#[test]
+fn a_promise_of_another_epoch_counts_for_nothing() {
+    let (mut member, epoch) = Member::candidate();
+    for other in [epoch - 1, epoch + 1] {
+        member.promises(other);
+        assert!(!member.control.is_leader(), "{other} in place of {epoch}");
+    }
+    member.promises(epoch);
+    assert!(member.control.is_leader());
+}
+
+/// Guards against a leader by its own promise alone.
+#[test]
+fn a_candidate_needs_a_majority_of_promises() {
+    let (member, _) = Member::candidate();
+    assert!(!member.control.is_leader(), "its own promise is synced");
+}
+
+/// Guards against a change that counts as accepted by members which accepted it of an earlier leader, or another entry.
+#[test]
+fn an_acceptance_of_another_epoch_or_entry_counts_for_nothing() {
+    let (mut member, epoch) = Member::candidate();
+    member.promises(epoch);
+    let entry = member.proposed().expect("the first entry of its epoch");
+    let index = member.control.index();
+    for other in [epoch - 1, epoch + 1] {
+        member.accept_answers(other, entry.stamp);
+        assert_eq!(member.control.index(), index, "{other} in place of {epoch}");
+    }
+    member.accept_answers(epoch, entry.previous);
+    assert_eq!(member.control.index(), index, "the entry before");
+    member.accept_answers(epoch, entry.stamp);
+    assert_eq!(member.control.index(), entry.stamp.index);
+}
+
+/// Guards against a read that is confirmed by answers of another epoch: a newer leader may have been followed meanwhile.
+#[test]
+fn a_heartbeat_answered_in_another_epoch_confirms_no_read() {
+    let (mut member, epoch) = Member::leader();
+    let effects = member.control.operator(member.now, Token(7), OperatorRequest::ReadConfig);
+    member.carry_out(effects);
+    member.pass(ROUND_PERIOD);
+    let round = member.round();
+    for other in [epoch - 1, epoch + 1] {
+        member.heartbeat_answers(other, round);
+        assert_eq!(member.answers, [], "{other} in place of {epoch}");
+    }
+    member.heartbeat_answers(epoch, round);
+    assert!(matches!(member.answers[..], [(Token(7), Outcome::Config(_))]), "{:?}", member.answers);
+}
+
+/// Guards against a read that is confirmed by a round of heartbeats which began before it.
+#[test]
+fn a_heartbeat_of_an_earlier_round_confirms_no_read() {
+    let (mut member, epoch) = Member::leader();
+    member.pass(300 * MS);
+    let before = member.round();
+    let effects = member.control.operator(member.now, Token(7), OperatorRequest::ReadConfig);
+    member.carry_out(effects);
+    member.heartbeat_answers(epoch, before);
+    assert_eq!(member.answers, []);
+}
+
+/// Guards against a leader that stays one by answers of another epoch.
+#[test]
+fn a_heartbeat_answered_in_another_epoch_keeps_no_leader() {
+    for (answered, leads) in [(0, true), (-1, false), (1, false)] {
+        let (mut member, epoch) = Member::leader();
+        for _ in 0..40 {
+            member.pass(100 * MS);
+            if member.control.is_leader() {
+                let round = member.round();
+                member.heartbeat_answers(epoch.saturating_add_signed(answered), round);
+            }
+        }
+        assert_eq!(member.control.is_leader(), leads, "answers of epoch {answered:+}");
+    }
+}
+
+/// Guards against a leader that gives way to an epoch which is not above its own.
+#[test]
+fn only_a_higher_promise_ends_a_leader() {
+    let (mut member, epoch) = Member::leader();
+    let other = member.others[0].clone();
+    for promised in [epoch - 1, epoch] {
+        member.hear(&other, ControlMessage::Refused { promised });
+        assert!(member.control.is_leader(), "{promised} beside {epoch}");
+    }
+    member.hear(&other, ControlMessage::Refused { promised: epoch + 1 });
+    assert!(!member.control.is_leader());
+}
+
+/// Guards against a member that follows a leader of an epoch below its promise, or keeps a leader going that way.
+#[test]
+fn a_member_heeds_no_leader_below_its_promise() {
+    let mut member = Member::of_formed_core();
+    let other = member.others[0].clone();
+    let (stamp, index) = (member.control.accepted_stamp(), member.control.index());
+    let promised = stamp.epoch + 5;
+    member.hear(&other, ControlMessage::Prepare { epoch: promised });
+    member.sent.clear();
+    let epoch = promised - 1;
+    member.hear(&other, ControlMessage::Heartbeat { epoch, round: 1, committed: stamp });
+    assert!(member.is_refused());
+    let answers = |message: &ControlMessage| matches!(message, ControlMessage::HeartbeatAnswer { .. });
+    assert!(!member.sent.iter().any(answers));
+    let lead = pewterseam_control::Command::Lead { leader: other.name.clone() };
+    let entry = |epoch| Entry {
+        previous: stamp,
+        stamp: Stamp { epoch, index: stamp.index + 1 },
+        command: lead.clone(),
+    };
+    member.sent.clear();
+    member.hear(&other, ControlMessage::Accept { epoch, entry: entry(epoch), committed: stamp });
+    assert!(member.is_refused());
+    assert_eq!((member.control.accepted_stamp(), member.control.index()), (stamp, index));
+    // An entry of another epoch than its message is of no leader.
+    member.hear(&other, ControlMessage::Accept { epoch: promised, entry: entry(epoch), committed: stamp });
+    assert_eq!(member.control.accepted_stamp(), stamp);
+    member.hear(&other, ControlMessage::Accept { epoch: promised, entry: entry(promised), committed: stamp });
+    assert_eq!(member.control.accepted_stamp().epoch, promised);
+}
+
+/// Guards against an epoch that is promised twice, or after a higher one.
+#[test]
+fn a_member_promises_rising_epochs_once() {
+    let mut member = Member::of_formed_core();
+    let (first, second) = (member.others[0].clone(), member.others[1].clone());
+    let epoch = member.control.accepted_stamp().epoch + 5;
+    let promised = |member: &Member| {
+        member.sent.iter().filter(|message| matches!(message, ControlMessage::Promise { .. })).count()
+    };
+    member.hear(&first, ControlMessage::Prepare { epoch });
+    assert_eq!(promised(&member), 1);
+    for (from, other) in [(&second, epoch), (&first, epoch), (&second, epoch - 1)] {
+        member.hear(from, ControlMessage::Prepare { epoch: other });
+        assert_eq!(promised(&member), 1, "{other} after {epoch}");
+    }
+    member.hear(&second, ControlMessage::Prepare { epoch: epoch + 1 });
+    assert_eq!(promised(&member), 2);
+}
--- a/crates/control/tests/control/simulation/cluster.rs
+++ b/crates/control/tests/control/simulation/cluster.rs
@@ -68,12 +68,33 @@
 
 #[derive(Clone)]
 pub(super) enum Event {
-    Message { from: usize, to: usize, life: u64, message: ControlMessage },
-    Wake { node: usize, life: u64 },
-    Synced { node: usize, life: u64, sequence: u64 },
-    Start { node: usize },
-    Thaw { node: usize },
-    Copied { node: usize, life: u64, epoch: u64 },
+    /// For one life of the receiver, or for whichever runs where there is none.
+    Message {
+        from: usize,
+        to: usize,
+        life: Option<u64>,
+        message: ControlMessage,
+    },
+    Wake {
+        node: usize,
+        life: u64,
+    },
+    Synced {
+        node: usize,
+        life: u64,
+        sequence: u64,
+    },
+    Start {
+        node: usize,
+    },
+    Thaw {
+        node: usize,
+    },
+    Copied {
+        node: usize,
+        life: u64,
+        epoch: u64,
+    },
     Look,
 }
 
@@ -104,6 +125,8 @@
     /// What links take longer, by direction.
     pub slow: BTreeMap<(usize, usize), u64>,
     pub drop_percent: usize,
+    /// Of a hundred messages so many come a second time, at any later moment: after changes of leaders and restarts.
+    pub late_percent: usize,
     /// Clocks that run slower than time.
     pub clocks: BTreeMap<usize, SlowClock>,
     /// Bytes that a node may send in a second, all links together. None: without bound.
@@ -167,6 +190,7 @@
             cuts: BTreeSet::new(),
             slow: BTreeMap::new(),
             drop_percent: 0,
+            late_percent: 0,
             clocks: BTreeMap::new(),
             rate: None,
             rates: BTreeMap::new(),
@@ -291,7 +315,7 @@
 
     pub(super) fn happen(&mut self, event: Event) {
         let place = match &event {
-            Event::Message { to, life, .. } => Some((*to, *life)),
+            Event::Message { to, life, .. } => Some((*to, life.unwrap_or(self.nodes[*to].life))),
             Event::Wake { node, life }
             | Event::Synced { node, life, .. }
             | Event::Copied { node, life, .. } => Some((*node, *life)),
--- a/crates/control/tests/control/simulation/network.rs
+++ b/crates/control/tests/control/simulation/network.rs
@@ -5,6 +5,9 @@
 
 use super::cluster::{Cluster, Event, LOSS_UNIT, MS, Planted};
 
+/// A message that comes again comes within this time.
+const LATEST: usize = 8_000 * MS as usize;
+
 fn size_of(message: &ControlMessage) -> usize {
     pewterseam_wire::frame::encode(message).map_or(0, |bytes| bytes.len())
 }
@@ -41,10 +44,20 @@
         if is_dropped || is_held || self.cuts.contains(&(from, to)) {
             return;
         }
-        let life = self.nodes[to].life;
+        self.come_again_late(at, from, to, &message);
+        let life = Some(self.nodes[to].life);
         self.schedule_at(at, Event::Message { from, to, life, message });
     }
 
+    /// Now and then a message comes again much later, to whichever life of the receiver runs then.
+    fn come_again_late(&mut self, at: u64, from: usize, to: usize, message: &ControlMessage) {
+        if self.late_percent > 0 && self.random.below(100) < self.late_percent {
+            let later = self.random.below(LATEST) as u64;
+            let message = message.clone();
+            self.schedule_at(at + later, Event::Message { from, to, life: None, message });
+        }
+    }
+
     /// Notes what tells who leads which epoch.
     fn watch(&mut self, from: usize, to: usize, message: &ControlMessage) {
         match message {
@@ -85,7 +98,7 @@
         let member_id = pewterseam_control::CoreMember { name: info.name.clone(), disk };
         let stamp = pewterseam_control::Stamp::default();
         let message = ControlMessage::Promise { epoch, member: member_id, stamp };
-        let life = self.nodes[candidate].life;
+        let life = Some(self.nodes[candidate].life);
         self.schedule(MS, Event::Message { from: member, to: candidate, life, message });
     }
 }
