The door reads what it does not take, has a time-out for writes, and names the message that it does not know

Bodies of requests that are not taken are read, up to 256 KiB. A client that read nothing kept its connection for ever; it ends after 15 s without a byte (tokio-io-timeout).

--- a/crates/ingress/src/answers.rs
+++ b/crates/ingress/src/answers.rs
@@ -58,12 +58,24 @@
     answer
 }
 
-pub(crate) fn of_status(answer: &StatusAnswer) -> HttpAnswer {
+/// No message of this name is known. The page asks for no body here; this one is for people.
+fn unknown_message(name: &str) -> HttpAnswer {
+    let text = format!(
+        "no message {name:?} is known here: ask for the name that the 202 gave in X-Queue-Message-Id; states are kept \
+         for statusTtlS after a message's end\n"
+    );
+    let mut answer = plain(StatusCode::NOT_FOUND);
+    *answer.body_mut() = Full::new(Bytes::from(text));
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain; charset=utf-8"));
+    answer
+}
+
+pub(crate) fn of_status(name: &str, answer: &StatusAnswer) -> HttpAnswer {
     let (state, signature) = match answer {
         StatusAnswer::Pending => ("pending", None),
         StatusAnswer::Completed { signature } => ("completed", Some(signature.as_ref())),
         StatusAnswer::DeadLetter => ("dead_letter", None),
-        StatusAnswer::Unknown => return plain(StatusCode::NOT_FOUND),
+        StatusAnswer::Unknown => return unknown_message(name),
         StatusAnswer::Unavailable => return not_taken(0),
     };
     let Ok(text) = serde_json::to_vec(&StateDocument { state, signature }) else {
@@ -74,10 +86,10 @@
     answer
 }
 
-pub(crate) fn of_body(answer: BodyAnswer) -> HttpAnswer {
+pub(crate) fn of_body(name: &str, answer: BodyAnswer) -> HttpAnswer {
     match answer {
         BodyAnswer::Found(bytes) => Response::new(Full::new(bytes)),
-        BodyAnswer::Unknown => plain(StatusCode::NOT_FOUND),
+        BodyAnswer::Unknown => unknown_message(name),
         BodyAnswer::Unavailable => not_taken(0),
     }
 }
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -20,10 +20,11 @@
 use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio_io_timeout::TimeoutStream;
 
 use crate::answers::{self, HttpAnswer};
 use crate::message;
-use crate::requests::{Configured, FrontRequest, RouteChoice, Router};
+use crate::requests::{BodyAnswer, Configured, FrontRequest, RouteChoice, Router, StatusAnswer};
 use crate::stop::{Phase, Stopper};
 
 const BACKLOG: i32 = 1024;
@@ -33,6 +34,11 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 /// How long a client may take for a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// How long a client may read nothing of what is written to it.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(15);
+/// So much of the body of a request that is not taken is read before its answer, so that the answer is not cut: a connection
+/// that is closed on what nobody has read is reset.
+const UNWANTED_BODY_BYTES: usize = 256 * 1024;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 const STATUS_PREFIX: &str = "/-/message/";
@@ -127,12 +133,14 @@
     /// Serves the requests of one connection, whatever bytes come over.
     pub async fn serve_connection<S: AsyncRead + AsyncWrite + Unpin>(&self, stream: S) {
         let service = service_fn(|request| async { Ok::<_, Infallible>(self.respond(request).await) });
+        let mut stream = TimeoutStream::new(stream);
+        stream.set_write_timeout(Some(WRITE_TIMEOUT));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEADER_TIMEOUT)
             .max_buf_size(BUFFER_BYTES)
             .half_close(true)
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(TokioIo::new(Box::pin(stream)), service);
         tokio::pin!(connection);
         tokio::select! {
             _ = &mut connection => return,
@@ -154,12 +162,15 @@
     async fn answer(&self, request: Request<Incoming>) -> HttpAnswer {
         let path = request.uri().path();
         if path.starts_with(OWN_PREFIX) {
-            return self.answer_own(&request).await;
+            let answer = self.answer_own(&request).await;
+            return pass_over(request, answer).await;
         }
-        let Some(host) = host_of(&request) else { return answers::plain(StatusCode::BAD_REQUEST) };
+        let Some(host) = host_of(&request) else {
+            return pass_over(request, answers::plain(StatusCode::BAD_REQUEST)).await;
+        };
         match self.route(&request, &host).await {
-            RouteChoice::NotConfigured => answers::not_taken(0),
-            RouteChoice::NoRoute => answers::plain(StatusCode::NOT_FOUND),
+            RouteChoice::NotConfigured => pass_over(request, answers::not_taken(0)).await,
+            RouteChoice::NoRoute => pass_over(request, answers::plain(StatusCode::NOT_FOUND)).await,
             RouteChoice::Route { name, is_ordered, most_body_bytes } => {
                 let (parts, body) = request.into_parts();
                 let body = Limited::new(body, most_body_bytes);
@@ -214,17 +225,27 @@
         if let Some(name) = path.strip_prefix(STATUS_PREFIX) {
             let (reply, answer) = oneshot::channel();
             let _ = self.requests.send(FrontRequest::Status { name: name.into(), reply });
-            return answer.await.map_or_else(|_| answers::not_taken(0), |answer| answers::of_status(&answer));
+            let answer = answer.await.unwrap_or(StatusAnswer::Unavailable);
+            return answers::of_status(name, &answer);
         }
         if let Some(name) = path.strip_prefix(BODY_PREFIX) {
             let (reply, answer) = oneshot::channel();
             let _ = self.requests.send(FrontRequest::Body { name: name.into(), reply });
-            return answer.await.map_or_else(|_| answers::not_taken(0), answers::of_body);
+            let answer = answer.await.unwrap_or(BodyAnswer::Unavailable);
+            return answers::of_body(name, answer);
         }
         answers::plain(StatusCode::NOT_FOUND)
     }
 }
 
+/// Reads the body of a request that is not taken, and gives its answer. A body that is too long, late or broken off is left.
+async fn pass_over(request: Request<Incoming>, answer: HttpAnswer) -> HttpAnswer {
+    let body = Limited::new(request.into_body(), UNWANTED_BODY_BYTES);
+    // Danger: none. The answer is the same, whatever became of the body.
+    let _ = tokio::time::timeout(BODY_TIMEOUT, body.collect()).await;
+    answer
+}
+
 /// Counts one for as long as it lives.
 ///
 /// Danger: a connection that breaks takes the request that it serves with it, wherever that waits.
