--- a/crates/message-log/src/expiry.rs
+++ b/crates/message-log/src/expiry.rs
@@ -18,8 +18,11 @@
 const EXPIRY_PERIOD: Micros = 5_000_000;
 /// A relay that was offered a record needs this time to take it over.
 const TAKE_OVER_TIME: Micros = 5_000_000;
-/// Ends are not remembered for longer, or for `statusTtlS` if that is more: memory is limited.
+/// Where memory is short ([`StoreSettings::remembered_ends`](crate::StoreSettings)), ends are not remembered for longer, or
+/// for `statusTtlS` if that is more.
 const LONGEST_MEMORY: Micros = 600_000_000;
+/// Longer than any record is kept.
+const NO_LIMIT: Moment = Moment::MAX / 4;
 const MILLISECOND: Micros = 1_000;
 
 /// A span that was told in milliseconds.
@@ -85,12 +88,9 @@
         let unknown =
             self.longest_retention + (RETENTION_MARGIN + self.settings.clock_error + slack) as Moment;
         let status_ttl = self.settings.status_ttl as Moment;
-        Memory {
-            status_ttl,
-            slack: slack as Moment,
-            unknown,
-            longest: status_ttl.max(LONGEST_MEMORY as Moment),
-        }
+        let has_room = self.messages.remembered_count() < self.settings.remembered_ends;
+        let longest = if has_room { NO_LIMIT } else { status_ttl.max(LONGEST_MEMORY as Moment) };
+        Memory { status_ttl, slack: slack as Moment, unknown, longest }
     }
 
     /// When open records are looked through next.
--- a/crates/message-log/src/interface.rs
+++ b/crates/message-log/src/interface.rs
@@ -21,6 +21,9 @@
 /// How far the time of day may be wrong where settings do not say.
 const CLOCK_ERROR: Micros = 20_000_000;
 
+/// Ends that are remembered for the sake of their records, where settings do not say; they take some 25 MB.
+const REMEMBERED_ENDS: usize = 100_000;
+
 /// How a store is kept.
 #[derive(Clone, Debug)]
 pub struct StoreSettings {
@@ -31,6 +34,9 @@
     pub clock_error: Micros,
     /// Bytes of open messages that stay in memory; the rest is read back from the log.
     pub memory_bytes: usize,
+    /// Ends that are remembered beyond `status_ttl`, for as long as a record of theirs may be open. Once there are so many,
+    /// further ones are remembered for 600 s at the most.
+    pub remembered_ends: usize,
     /// Bytes that the log may take on the disk.
     pub disk_bytes: u64,
     /// Bytes that may wait for the disk before appends are declined as `Busy`.
@@ -47,6 +53,7 @@
             status_ttl,
             clock_error: CLOCK_ERROR,
             memory_bytes: 16 * 1024 * 1024,
+            remembered_ends: REMEMBERED_ENDS,
             disk_bytes,
             waiting_bytes: 8 * 1024 * 1024,
             clean_above_bytes: 16 * 1024 * 1024,
--- a/crates/message-log/src/messages.rs
+++ b/crates/message-log/src/messages.rs
@@ -269,6 +269,11 @@
         }
     }
 
+    /// Messages that are remembered beyond `statusTtlS`, as a record of theirs may be open somewhere.
+    pub fn remembered_count(&self) -> usize {
+        self.remembered.len()
+    }
+
     /// When something is to be forgotten.
     pub fn forget_due(&self, memory: &Memory) -> Option<Moment> {
         let first = self.ended.front().map(|(noted_at, _)| noted_at + memory.status_ttl);
--- a/crates/message-log/tests/expiry.rs
+++ b/crates/message-log/tests/expiry.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use pewterseam_message_log::Input;
+use pewterseam_message_log::{Input, StoreSettings};
 use pewterseam_wire::record::{End, Record};
 use pewterseam_wire::store::{Status, StoreResponse};
 
@@ -107,3 +107,41 @@
     node.advance(300 * SECOND);
     assert_eq!(node.look(&elsewhere.name), Some(Status::Ended(completed("signature"))));
 }
+
+/// Guards TWICE: ends used to be forgotten after 600 s at the most, while a store that had missed one kept its record open for
+/// a `retentionS` that was longer.
+#[test]
+fn an_end_outlasts_a_record_that_is_kept_for_an_hour() {
+    let mut node = Node::in_first_placement("s1");
+    let first = Record { retention_ms: 3_600_000, ..record("first") };
+    node.ask(append(1, &first));
+    node.ask(ended(&first.name, completed("signature")));
+    node.advance(3_600 * SECOND);
+    assert_eq!(node.look(&first.name), Some(Status::Ended(completed("signature"))));
+    node.advance(LONG_AFTER);
+    assert_eq!(node.look(&first.name), Some(Status::Unknown));
+}
+
+/// Guards the memory: of very many ends the later ones are remembered for no longer than 600 s.
+#[test]
+fn the_memory_of_long_kept_records_is_bounded() {
+    const REMEMBERED: usize = 50;
+    const LONGEST_MEMORY: u64 = 600 * SECOND;
+    let mut node = Node::new(StoreSettings { remembered_ends: REMEMBERED, ..settings("s1") });
+    node.input(Input::Placement(placement(1, &[&["s1", "s2", "s3"]])));
+    let long_lived = |id: &str| Record { retention_ms: 3_600_000, ..record(id) };
+    for number in 0..REMEMBERED {
+        let early = long_lived(&format!("early-{number}"));
+        node.ask(append(1, &early));
+        node.ask(ended(&early.name, End::Refused));
+    }
+    node.advance(STATUS_TTL + SECOND);
+    let late = long_lived("late");
+    node.ask(append(1, &late));
+    node.ask(ended(&late.name, End::Refused));
+    node.advance(LONGEST_MEMORY - 2 * SECOND);
+    assert_eq!(node.look(&late.name), Some(Status::Ended(End::Refused)));
+    node.advance(4 * SECOND);
+    assert_eq!(node.look(&late.name), Some(Status::Unknown));
+    assert_eq!(node.look(&long_lived("early-7").name), Some(Status::Ended(End::Refused)));
+}
