--- a/crates/control/tests/control/other_epochs.rs
+++ b/crates/control/tests/control/other_epochs.rs
@@ -345,3 +345,39 @@
     member.hear(&second, ControlMessage::Prepare { epoch: epoch + 1 });
     assert_eq!(promised(&member), 2);
 }
+
+/// Guards against an election that is begun for an epoch which this member would not promise.
+#[test]
+fn a_pre_vote_below_the_promise_is_not_granted() {
+    let mut member = Member::of_formed_core();
+    let other = member.others[0].clone();
+    let epoch = member.control.accepted_stamp().epoch + 5;
+    member.hear(&other, ControlMessage::Prepare { epoch });
+    let granted = |member: &mut Member, asked: u64| {
+        member.sent.clear();
+        member.hear(&other, ControlMessage::PreVote { epoch: asked });
+        member.sent.iter().any(|message| {
+            matches!(message, ControlMessage::PreVoteAnswer { epoch, granted: true, .. } if *epoch == asked)
+        })
+    };
+    assert!(!granted(&mut member, epoch - 1));
+    assert!(!granted(&mut member, epoch));
+    assert!(granted(&mut member, epoch + 1));
+}
+
+/// Guards links against whole states that go to candidates of other epochs, which have no use for them.
+#[test]
+fn a_state_is_handed_to_the_candidate_that_was_promised() {
+    let mut member = Member::of_formed_core();
+    let other = member.others[0].clone();
+    let epoch = member.control.accepted_stamp().epoch + 5;
+    member.hear(&other, ControlMessage::Prepare { epoch });
+    let hands_out = |member: &mut Member, asked: u64| {
+        member.sent.clear();
+        member.hear(&other, ControlMessage::ReadAccepted { epoch: asked });
+        member.sent.iter().any(|message| matches!(message, ControlMessage::StatePiece(_)))
+    };
+    assert!(!hands_out(&mut member, epoch - 1));
+    assert!(!hands_out(&mut member, epoch + 1));
+    assert!(hands_out(&mut member, epoch));
+}
--- a/crates/control/tests/control/spread.rs
+++ b/crates/control/tests/control/spread.rs
@@ -81,3 +81,26 @@
         assert!(time < 4_000 * MS, "seed {seed}: {} ms", time / MS);
     }
 }
+
+/// Guards links where a store that passes a large change on goes: those below it are to be sent what they lack, not the whole
+/// state again and again. The bound is that of catching up: 1.2 times what has to be sent once.
+#[test]
+fn behind_a_process_that_goes_only_what_is_missing_is_sent() {
+    let change = large_change().len();
+    let mut most = 0.0_f64;
+    for seed in 0..12 {
+        let mut cluster = large_system(seed);
+        cluster.rate = Some(SLOW_LINK);
+        cluster.received.clear();
+        assert!(cluster.operator(0, pewterseam_control::Token(2), OperatorRequest::patch(1, large_change())));
+        cluster.run((100 + 25 * seed) * MS);
+        cluster.kill(CORE + RELAYS + seed as usize);
+        all_know(&mut cluster, 2, 20_000 * MS);
+        let running = (0..cluster.nodes.len()).filter(|node| cluster.control(*node).is_some()).count();
+        let sent: usize = cluster.received.values().sum();
+        let part = sent as f64 / (running * change) as f64;
+        println!("seed {seed}: {sent} bytes to {running} processes, {part:.2} of the change to each");
+        most = most.max(part);
+    }
+    assert!(most <= 1.2, "{most:.2} times the change was sent to each process in the mean");
+}
--- a/crates/permits/tests/ceiling.rs
+++ b/crates/permits/tests/ceiling.rs
@@ -202,3 +202,11 @@
     let unknown = standstill_after_loss_of_all_power(long);
     assert!(unknown > long.word, "{unknown} us: the list makes no difference");
 }
+
+/// Guards against a limited service that stands still where its home dies: by the aim no second passes in which one with
+/// hosts, and half of its relays well, sends nothing.
+#[test]
+fn no_second_passes_without_a_request_where_a_home_dies() {
+    let longest = longest_standstill(8 * SECOND, Network::kill);
+    assert!(longest < SECOND, "{longest} us without a request");
+}
