--- a/crates/relay/tests/soak/cluster.rs
+++ b/crates/relay/tests/soak/cluster.rs
@@ -1,5 +1,6 @@
 //! Relays and stores as processes of the program, on loopback addresses of their own.
 
+use std::collections::BTreeSet;
 use std::fs::{self, OpenOptions};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
@@ -12,7 +13,7 @@
 
 use crate::judge::Judge;
 use crate::plan::Size;
-use crate::senders::Senders;
+use crate::senders::{Connection, connections_of};
 
 const FRONT_PORT: u16 = 7_400;
 const READINESS_PORT: u16 = 7_401;
@@ -88,16 +89,12 @@
     pub size: Size,
     list: SocketAddr,
     judge: Arc<Judge>,
-    senders: Arc<Senders>,
     processes: Vec<std::sync::Mutex<Option<Child>>>,
 }
 
 impl Cluster {
     /// Addresses of the cluster are those of the stand-ins' network, from the second on.
-    pub fn new(
-        folder: &Path, network: [u8; 2], size: Size, list: SocketAddr, judge: Arc<Judge>,
-        senders: Arc<Senders>,
-    ) -> Self {
+    pub fn new(folder: &Path, network: [u8; 2], size: Size, list: SocketAddr, judge: Arc<Judge>) -> Self {
         let relays = size.core + size.relays;
         let node = |index: usize| {
             let is_relay = index < relays;
@@ -108,7 +105,7 @@
         };
         let nodes: Vec<Node> = (0..relays + size.stores).map(node).collect();
         let processes = nodes.iter().map(|_| std::sync::Mutex::new(None)).collect();
-        Cluster { nodes, size, list, judge, senders, processes }
+        Cluster { nodes, size, list, judge, processes }
     }
 
     pub fn relays(&self) -> &[Node] {
@@ -133,9 +130,6 @@
             .stderr(log)
             .spawn()
             .expect("started");
-        if name.is_relay {
-            self.senders.started(node, child.id());
-        }
         *self.processes[node].lock().expect("whole") = Some(child);
         self.judge.disturbed(name.is_relay);
     }
@@ -171,11 +165,17 @@
         }
     }
 
+    /// What a relay has open to hosts.
+    fn relay_connections(&self, node: usize) -> Option<BTreeSet<Connection>> {
+        let process = self.processes[node].lock().expect("whole").as_ref().map(Child::id);
+        self.nodes[node].is_relay.then(|| process.map_or_else(BTreeSet::new, connections_of))
+    }
+
     /// Ends a process with a signal and starts it again.
     pub fn cycle(&self, node: usize, signal: Signal) {
         let is_kill = signal == Signal::KILL;
         if is_kill {
-            self.judge.killed(node, self.nodes[node].is_relay);
+            self.judge.killed(node, self.relay_connections(node));
         } else {
             self.judge.disturbed(self.nodes[node].is_relay);
         }
--- a/crates/relay/tests/soak/hosts.rs
+++ b/crates/relay/tests/soak/hosts.rs
@@ -11,7 +11,7 @@
 use crate::http::{Connection, answer};
 use crate::judge::{Judge, Run};
 use crate::plan::Service;
-use crate::senders::Senders;
+use crate::senders;
 
 const LIST_PORT: u16 = 7_500;
 const FIRST_HOST_PORT: u16 = 7_501;
@@ -41,14 +41,13 @@
 pub struct Hosts {
     all: Vec<Arc<Host>>,
     judge: Arc<Judge>,
-    senders: Arc<Senders>,
     runs: AtomicU64,
     seed: u64,
 }
 
 impl Hosts {
     /// Starts the list and the hosts. Their threads end with this process.
-    pub fn start(address: Ipv4Addr, judge: Arc<Judge>, senders: Arc<Senders>, seed: u64) -> Arc<Self> {
+    pub fn start(address: Ipv4Addr, judge: Arc<Judge>, seed: u64) -> Arc<Self> {
         let mut all = Vec::new();
         for service in Service::ALL {
             for _ in 0..HOSTS_OF_A_SERVICE {
@@ -57,7 +56,7 @@
                 all.push(Arc::new(Host { service, address, incarnation, is_down }));
             }
         }
-        let hosts = Arc::new(Hosts { all, judge, senders, runs: AtomicU64::new(0), seed });
+        let hosts = Arc::new(Hosts { all, judge, runs: AtomicU64::new(0), seed });
         hosts.serve(Hosts::list_address(address), None);
         for host in &hosts.all {
             hosts.serve(host.address, Some(host.clone()));
@@ -95,7 +94,8 @@
     }
 
     fn serve_host(&self, host: &Host, stream: TcpStream) {
-        let sender = stream.peer_addr().ok().and_then(|from| self.senders.of(from, host.address));
+        let Ok(from) = stream.peer_addr() else { return };
+        let accepted = senders::Connection::accepted(from, host.address);
         let mut connection = Connection::new(stream);
         if connection.set_patience(IDLE).is_err() {
             return;
@@ -115,7 +115,7 @@
             let id = request.header("x-request-id").unwrap_or_default().to_owned();
             let is_for_another =
                 request.header("x-target-instance").is_some_and(|target| target != host.id());
-            let run = Run { began: Instant::now(), sender };
+            let run = Run { began: Instant::now(), connection: accepted };
             let status = if is_for_another { 421 } else { self.run(host, &id, &mut random) };
             if !self.tell(&mut connection, &id, status, run) {
                 return;
--- a/crates/relay/tests/soak/judge.rs
+++ b/crates/relay/tests/soak/judge.rs
@@ -6,6 +6,7 @@
 
 use crate::operator::LEAST_TIMEOUT_MS;
 use crate::plan::Service;
+use crate::senders::Connection;
 
 /// The shortest `timeoutMs` of a route.
 const LEAST_TIMEOUT: Duration = Duration::from_millis(LEAST_TIMEOUT_MS as u64);
@@ -45,8 +46,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
     pub began: Instant,
-    /// The relay that sent it; none where its process was gone when its connection came.
-    pub sender: Option<usize>,
+    /// The connection on which it came.
+    pub connection: Connection,
 }
 
 /// The first success of a message that its host has written whole.
@@ -56,6 +57,12 @@
     at: Instant,
 }
 
+/// A relay that was killed, with what it had open then.
+struct KilledRelay {
+    at: Instant,
+    connections: BTreeSet<Connection>,
+}
+
 /// A change of the configuration that may be in force.
 struct Change {
     version: u64,
@@ -72,6 +79,7 @@
     /// Starts and stops, planned ones too.
     disturbances: Vec<Instant>,
     kills_of: BTreeMap<usize, Vec<Instant>>,
+    killed_relays: Vec<KilledRelay>,
     /// Starts and ends of stores, planned ones too.
     store_disturbances: Vec<Instant>,
     /// When each outage of a service's hosts ended; none while it lasts.
@@ -110,9 +118,10 @@
 
     /// Whether the relay that sent a run was killed before it could make the success known.
     fn may_be_untold(&self, success: &Success) -> bool {
-        let Some(sender) = success.run.sender else { return true };
-        let kills = self.kills_of.get(&sender).into_iter().flatten();
-        kills.into_iter().any(|at| (success.run.began..success.at + KNOWN_WITHIN).contains(at))
+        let connection = &success.run.connection;
+        let has_sent = |killed: &KilledRelay| killed.connections.contains(connection);
+        let killed = |killed: &KilledRelay| has_sent(killed) && killed.at < success.at + KNOWN_WITHIN;
+        self.killed_relays.iter().any(killed)
     }
 
     /// Whether all stores were there for long when a success was to be told to them, so that each heir learns of it.
@@ -155,9 +164,15 @@
         act(&mut self.known.lock().expect("no thread of a run panics"))
     }
 
-    pub fn killed(&self, node: usize, is_relay: bool) {
+    /// A process is killed. A relay has these connections to hosts; a store has none.
+    pub fn killed(&self, node: usize, relay_connections: Option<BTreeSet<Connection>>) {
         self.with(|known| {
-            known.store_disturbances.extend((!is_relay).then(Instant::now));
+            match relay_connections {
+                Some(connections) => {
+                    known.killed_relays.push(KilledRelay { at: Instant::now(), connections });
+                }
+                None => known.store_disturbances.push(Instant::now()),
+            }
             known.kills.push(Instant::now());
             known.kills_of.entry(node).or_default().push(Instant::now());
             known.disturbances.push(Instant::now());
@@ -259,11 +274,10 @@
             if let Some(success) = success
                 && let Some(rule) = known.repeat(now, &success)
             {
-                let sender = success.run.sender;
-                let kills = sender.and_then(|sender| known.kills_of.get(&sender)).into_iter().flatten();
-                let kills: Vec<Duration> = kills.map(|kill| now.duration_since(*kill)).collect();
+                let kills = known.killed_relays.iter().map(|kill| now.duration_since(kill.at));
+                let kills: Vec<Duration> = kills.collect();
                 known.breach(format!(
-                    "{rule}: {id} runs {:?} after its success; its sender {sender:?} was killed {kills:?} before",
+                    "{rule}: {id} runs {:?} after its success; relays were killed {kills:?} before",
                     now.duration_since(success.at)
                 ));
             }
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -29,7 +29,6 @@
 use hosts::Hosts;
 use judge::Judge;
 use plan::{Disturbance, Plan, Size};
-use senders::Senders;
 
 /// Seeds where the environment says nothing: two with planned work alone, two with kills, one with kills in series and an
 /// outage at the same time, where repeats came too long after the kills to be excused by them, and one where stops in series
@@ -151,10 +150,9 @@
     let judge = Arc::new(Judge::default());
     let network = network(plan.seed);
     let stand_ins = Ipv4Addr::new(127, network[0], network[1], 1);
-    let senders = Arc::new(Senders::default());
-    let hosts = Hosts::start(stand_ins, judge.clone(), senders.clone(), plan.seed);
+    let hosts = Hosts::start(stand_ins, judge.clone(), plan.seed);
     let list = Hosts::list_address(stand_ins);
-    let cluster = Cluster::new(folder, network, plan.size, list, judge.clone(), senders);
+    let cluster = Cluster::new(folder, network, plan.size, list, judge.clone());
     for node in 0..cluster.nodes.len() {
         cluster.write_settings(node, true);
         cluster.start(node);
--- a/crates/relay/tests/soak/senders.rs
+++ b/crates/relay/tests/soak/senders.rs
@@ -1,51 +1,56 @@
-//! Which relay a connection comes from. All processes of a run share the loopback interface, so that an address does not
-//! tell; the kernel's table of sockets and the open files of the processes do.
+//! Which connections to hosts a relay holds. All processes of a run share the loopback interface, so that an address does not
+//! tell who sent a request; the kernel's table of sockets and the open files of a process do. Looking there takes milliseconds,
+//! so it is done where a relay is about to be killed, and not for each connection.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeSet, HashSet};
 use std::fs;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 
 /// Columns of the kernel's table of TCP sockets.
 const LOCAL_ADDRESS: usize = 1;
 const REMOTE_ADDRESS: usize = 2;
 const INODE: usize = 9;
 
-/// The processes of the relays that run.
-#[derive(Default)]
-pub struct Senders {
-    processes: Mutex<BTreeMap<usize, u32>>,
+/// A connection to a host: the ports of the relay's end and of the host's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Connection {
+    relay: u16,
+    host: u16,
 }
 
-impl Senders {
-    /// A relay runs as this process from now on.
-    pub fn started(&self, relay: usize, process: u32) {
-        self.processes.lock().expect("whole").insert(relay, process);
-    }
-
-    /// The relay that opened a connection, by both of its ends; none where its process is gone.
-    pub fn of(&self, from: SocketAddr, to: SocketAddr) -> Option<usize> {
-        let link = format!("socket:[{}]", inode(from, to)?);
-        let processes = self.processes.lock().expect("whole").clone();
-        processes.into_iter().find(|(_, process)| holds(*process, &link)).map(|(relay, _)| relay)
+impl Connection {
+    /// The connection that a host has accepted.
+    pub fn accepted(from: SocketAddr, host: SocketAddr) -> Self {
+        Connection { relay: from.port(), host: host.port() }
     }
 }
 
-/// The inode of the socket at the end `from`.
-fn inode(from: SocketAddr, to: SocketAddr) -> Option<String> {
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let suffix = |address: SocketAddr| format!(":{:04X}", address.port());
-    let (from, to) = (suffix(from), suffix(to));
-    let is_meant = |columns: &Vec<&str>| {
-        columns[LOCAL_ADDRESS].ends_with(&from) && columns[REMOTE_ADDRESS].ends_with(&to)
+/// The connections that a process has open.
+pub fn connections_of(process: u32) -> BTreeSet<Connection> {
+    let sockets = sockets_of(process);
+    let table = fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let connection = |line: &str| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let is_held = sockets.contains(*columns.get(INODE)?);
+        let (relay, host) = (port(columns[LOCAL_ADDRESS])?, port(columns[REMOTE_ADDRESS])?);
+        is_held.then_some(Connection { relay, host })
     };
-    let mut sockets = table.lines().skip(1).map(|line| line.split_whitespace().collect::<Vec<_>>());
-    sockets
-        .find(|columns| columns.len() > INODE && is_meant(columns))
-        .map(|columns| columns[INODE].to_owned())
+    table.lines().filter_map(connection).collect()
 }
 
-fn holds(process: u32, link: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
-    files.flatten().any(|file| fs::read_link(file.path()).is_ok_and(|target| target.as_os_str() == link))
+/// The port of an address as the kernel writes it.
+fn port(address: &str) -> Option<u16> {
+    let (_, port) = address.rsplit_once(':')?;
+    u16::from_str_radix(port, 16).ok()
+}
+
+/// The inodes of the sockets that a process has open.
+fn sockets_of(process: u32) -> HashSet<String> {
+    let files = fs::read_dir(format!("/proc/{process}/fd")).into_iter().flatten().flatten();
+    let targets = files.filter_map(|file| fs::read_link(file.path()).ok());
+    let inode = |target: std::path::PathBuf| {
+        let inode = target.to_str()?.strip_prefix("socket:[")?.strip_suffix(']')?;
+        Some(inode.to_owned())
+    };
+    targets.filter_map(inode).collect()
 }
