--- a/crates/cluster/tests/common/mod.rs
+++ b/crates/cluster/tests/common/mod.rs
@@ -3,6 +3,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use pewterseam_cluster::{Plan, Report, Rule, run};
+use pewterseam_known_red::is_passed_over;
 
 const THREADS: usize = 3;
 
@@ -10,12 +11,6 @@
     std::env::var(variable).ok()?.parse().ok()
 }
 
-/// Whether `KNOWN-RED.txt` lists this seed of one of these tests, as CI tells in `KNOWN_RED_SEEDS`.
-fn is_known_red(tests: &[&str], seed: u64) -> bool {
-    let listed = std::env::var("KNOWN_RED_SEEDS").unwrap_or_default();
-    listed.split(' ').any(|entry| tests.iter().any(|test| entry == format!("{test}={seed}")))
-}
-
 /// Plays so many seeds, or those that the environment names, for the test that runs: the test runner names its thread after
 /// it.
 pub fn play_all(count: u64, plan: impl Fn(u64) -> Plan + Sync) -> Vec<Report> {
@@ -38,7 +33,7 @@
             if seed > count {
                 return reports;
             }
-            if !is_known_red(tests, seed) {
+            if !is_passed_over(tests, seed) {
                 reports.push(run(plan(seed)));
             }
         }
--- a/crates/control/tests/control/other_epochs.rs
+++ b/crates/control/tests/control/other_epochs.rs
@@ -76,6 +76,15 @@
         (member, epoch)
     }
 
+    /// One that has promised an epoch to the first of the others; both are returned.
+    fn after_a_promise() -> (Self, CoreMember, u64) {
+        let mut member = Member::of_formed_core();
+        let other = member.others[0].clone();
+        let epoch = member.control.accepted_stamp().epoch + 5;
+        member.hear(&other, ControlMessage::Prepare { epoch });
+        (member, other, epoch)
+    }
+
     fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             let more = match effect {
@@ -349,10 +358,7 @@
 /// Guards against an election that is begun for an epoch which this member would not promise.
 #[test]
 fn a_pre_vote_below_the_promise_is_not_granted() {
-    let mut member = Member::of_formed_core();
-    let other = member.others[0].clone();
-    let epoch = member.control.accepted_stamp().epoch + 5;
-    member.hear(&other, ControlMessage::Prepare { epoch });
+    let (mut member, other, epoch) = Member::after_a_promise();
     let granted = |member: &mut Member, asked: u64| {
         member.sent.clear();
         member.hear(&other, ControlMessage::PreVote { epoch: asked });
@@ -368,10 +374,7 @@
 /// Guards links against whole states that go to candidates of other epochs, which have no use for them.
 #[test]
 fn a_state_is_handed_to_the_candidate_that_was_promised() {
-    let mut member = Member::of_formed_core();
-    let other = member.others[0].clone();
-    let epoch = member.control.accepted_stamp().epoch + 5;
-    member.hear(&other, ControlMessage::Prepare { epoch });
+    let (mut member, other, epoch) = Member::after_a_promise();
     let hands_out = |member: &mut Member, asked: u64| {
         member.sent.clear();
         member.hear(&other, ControlMessage::ReadAccepted { epoch: asked });
--- a/crates/known-red/src/lib.rs
+++ b/crates/known-red/src/lib.rs
@@ -21,5 +21,5 @@
 mod play;
 
 pub use entry::{Entry, Seed};
-pub use list::{ListError, passed_over_seeds, read, skipped_tests};
+pub use list::{ListError, is_passed_over, passed_over_seeds, read, skipped_tests};
 pub use play::{Outcome, PlayError, Verdict, outcome_of, play, verdict};
--- a/crates/known-red/src/list.rs
+++ b/crates/known-red/src/list.rs
@@ -139,6 +139,15 @@
     entries.iter().filter(|entry| entry.seed == Seed::Any).map(|entry| entry.test.as_str())
 }
 
+/// The variable by which CI tells tests that play by seeds what to leave out.
+const SEEDS_VARIABLE: &str = "KNOWN_RED_SEEDS";
+
+/// Whether this seed of one of these tests is to be left out, as CI has told in `KNOWN_RED_SEEDS`.
+pub fn is_passed_over(tests: &[&str], seed: u64) -> bool {
+    let listed = std::env::var(SEEDS_VARIABLE).unwrap_or_default();
+    listed.split(' ').any(|entry| tests.iter().any(|test| entry == format!("{test}={seed}")))
+}
+
 /// What tests that play by seeds leave out, as the variable `KNOWN_RED_SEEDS` tells them: `test=seed`, apart by spaces.
 pub fn passed_over_seeds(entries: &[Entry]) -> String {
     let one = |entry: &Entry| match entry.seed {
--- a/crates/outbound/tests/called_off.rs
+++ b/crates/outbound/tests/called_off.rs
@@ -61,6 +61,17 @@
         self.outbound.start(attempt, target, message(), times, false);
     }
 
+    /// Starts an attempt that is told to write once its connection is open, and has not gone on yet.
+    async fn told_to_write(attempt: AttemptId) -> Self {
+        let mut caller = Caller::new(Duration::ZERO);
+        caller.start(attempt);
+        let OutboundEvent::Opened { .. } = caller.events.recv().await.expect("an event") else {
+            panic!("it opens")
+        };
+        caller.outbound.carry_out(&Effect::Write { attempt });
+        caller
+    }
+
     async fn end(&mut self) -> AttemptEnd {
         loop {
             if let OutboundEvent::Ended { end, .. } = self.events.recv().await.expect("an event") {
@@ -86,12 +97,7 @@
 async fn an_answer_that_is_there_goes_before_the_word_to_call_off() {
     for number in 1..=TRIES {
         let attempt = AttemptId(number);
-        let mut caller = Caller::new(Duration::ZERO);
-        caller.start(attempt);
-        let OutboundEvent::Opened { .. } = caller.events.recv().await.expect("an event") else {
-            panic!("it opens")
-        };
-        caller.outbound.carry_out(&Effect::Write { attempt });
+        let mut caller = Caller::told_to_write(attempt).await;
         let mut host = caller.streams.recv().await.expect("a stream");
         host.read_u8().await.expect("a request");
         host.write_all(GOOD.as_bytes()).await.expect("room for an answer");
@@ -107,12 +113,7 @@
 async fn nothing_is_written_after_the_word_to_call_off() {
     for number in 1..=TRIES {
         let attempt = AttemptId(number);
-        let mut caller = Caller::new(Duration::ZERO);
-        caller.start(attempt);
-        let OutboundEvent::Opened { .. } = caller.events.recv().await.expect("an event") else {
-            panic!("it opens")
-        };
-        caller.outbound.carry_out(&Effect::Write { attempt });
+        let mut caller = Caller::told_to_write(attempt).await;
         caller.outbound.carry_out(&Effect::Abort { attempt });
         let end = caller.end().await;
         assert_eq!(end.result, AttemptResult::Broken(BrokenBy::CalledOff), "try {number}");
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -21,6 +21,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+use pewterseam_known_red::is_passed_over;
 use pewterseam_wire::random::Random;
 use rustix::process::Signal;
 
@@ -46,19 +47,13 @@
     std::env::var(variable).ok()?.parse().ok()
 }
 
-/// Whether `KNOWN-RED.txt` lists this seed of a test, as CI tells in `KNOWN_RED_SEEDS`.
-fn is_known_red(test: &str, seed: u64) -> bool {
-    let listed = std::env::var("KNOWN_RED_SEEDS").unwrap_or_default();
-    listed.split(' ').any(|entry| entry == format!("{test}={seed}"))
-}
-
 /// The seeds that the environment asks for.
 fn seeds(one: Option<u64>) -> Vec<u64> {
     let (from, count) = (number("SOAK_FROM"), number("SOAK_SEEDS"));
     match one {
         Some(seed) => vec![seed],
         None if from.is_none() && count.is_none() => {
-            SEEDS.into_iter().filter(|seed| !is_known_red("the_system_outlasts_a_soak", *seed)).collect()
+            SEEDS.into_iter().filter(|seed| !is_passed_over(&["the_system_outlasts_a_soak"], *seed)).collect()
         }
         None => (from.unwrap_or(1)..).take(count.unwrap_or(1) as usize).collect(),
     }
