Review: each script itself writes its record

Cause: the scripts left the naming of record.txt to the stand-ins' file beside the cases. The cases, their checks and their times are as they were.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -92,4 +92,4 @@
     return breaches
 
 
-play(FOLDER, case, stores=4)
+play(case, stores=4)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -123,4 +123,4 @@
     return breaches
 
 
-play(FOLDER, case, plain=1)
+play(case, plain=1)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -62,4 +62,4 @@
     return breaches
 
 
-play(FOLDER, case)
+play(case)
--- a/review/rig.py
+++ b/review/rig.py
@@ -50,7 +50,7 @@
     """What was sent, answered and run, with the time since the start."""
 
     def __init__(self, path):
-        self.file = open(path, "w")
+        self.file = open(path, "a")
         self.began = time.monotonic()
         self.lock = threading.Lock()
 
@@ -278,8 +278,8 @@
 
 
 class Rig:
-    def __init__(self, folder, relays=3, stores=3, plain=0):
-        self.record = Record(os.path.join(folder, "record.txt"))
+    def __init__(self, record, relays=3, stores=3, plain=0):
+        self.record = Record(record)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.commands = deploy_commands()
         self.nodes = []
@@ -442,12 +442,13 @@
             "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}
 
 
-def play(folder, case, **size):
-    """Plays a case: `case(rig, trouble)` gives the breaches that were seen. Ends the process with the script's status."""
+def play(case, **size):
+    """Plays a case: `case(rig, trouble)` gives the breaches that were seen. Ends the process with the script's status.
+    The record is written to the file that the script names."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     rig, status = None, 2
     try:
-        rig = Rig(folder, **size)
+        rig = Rig(sys.argv[1], **size)
         rig.record("trouble: %s" % ("yes" if trouble else "no"))
         breaches = case(rig, trouble)
         for breach in breaches:
