Calls to the leader are named across lives, so that no process takes the answer to another's call

Cause: a call went to the leader under the node's name and a token that began at 1 with each process (at 2^63 for a process's own questions). Answers go to a node by its name, so the answer to call 1 of a killed process answered call 1 of the next one: a change by another change's answer, a read by a change's, the lease of contact by an answer from before the process began.

Ruled out: the leader's memory of changes (it refused the second change), the operator's API (an answer goes to whom asked with that token), calls to stores (answered on their own connection), heartbeats and promises (of an epoch, which one life leads).

Change: control counts the calls of a process from a number of 64 bits drawn at its start (CallId); the driver's Token stays within the process and can't be sent any more.

repeated_calls.rs found an order's sendings by the driver's token in the message; it finds them by the order itself now, with the same assertions on when each was sent.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -9,8 +9,9 @@
 
 use pewterseam_wire::Micros;
 
+use crate::forward::Caller;
 use crate::machine::Control;
-use crate::operator::{OperatorRequest, Outcome, Token};
+use crate::operator::{CallId, OperatorRequest, Outcome};
 
 /// The pause before the next question after one that was not answered.
 const ASK_PAUSE: Micros = 50_000;
@@ -55,7 +56,7 @@
     /// Answers whose index is not known here yet, in the order of the questions.
     behind: VecDeque<Confirmation>,
     /// The question under way, and when it was sent first.
-    asked: Option<(Token, Micros)>,
+    asked: Option<(CallId, Micros)>,
     next_ask: Micros,
     /// What the driver was told last.
     told: Contact,
@@ -137,15 +138,14 @@
             Contact::InTouch { .. } => OperatorRequest::RenewLease,
             Contact::CatchingUp | Contact::LostSince(_) => OperatorRequest::ReadIndex,
         };
-        let token = self.forwarder.own_token();
-        self.lease.asked = Some((token, self.now));
-        self.forward(token, request);
+        let call = self.forward(Caller::Lease, request);
+        self.lease.asked = Some((call, self.now));
         self.run_forwarder();
     }
 
     /// A question of this process itself has its outcome.
-    pub(crate) fn lease_answered(&mut self, token: Token, outcome: &Outcome) {
-        let Some((_, asked_at)) = self.lease.asked.take_if(|(asked, _)| *asked == token) else { return };
+    pub(crate) fn lease_answered(&mut self, call: CallId, outcome: &Outcome) {
+        let Some((_, asked_at)) = self.lease.asked.take_if(|(asked, _)| *asked == call) else { return };
         let Outcome::Index(index) = *outcome else {
             self.lease.next_ask = self.now + ASK_PAUSE;
             return;
--- a/crates/control/src/forward.rs
+++ b/crates/control/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::effect::Effect;
 use crate::machine::Control;
 use crate::message::ControlMessage;
-use crate::operator::{FIRST_OWN_TOKEN, OperatorRequest, Outcome, Token};
+use crate::operator::{CallId, OperatorRequest, Outcome, Token};
 use crate::transfer::time_to_carry;
 
 /// A core member that knows no leader is asked again after this.
@@ -18,8 +18,17 @@
 /// if its receiver is alive; to the same receiver then after twice as long each time.
 const PATIENCE: Micros = 3;
 
+/// Who made a call, within this process.
+#[derive(Clone, Copy)]
+pub(crate) enum Caller {
+    Operator(Token),
+    /// This process renews its lease.
+    Lease,
+}
+
 #[derive(Clone)]
 struct Call {
+    caller: Caller,
     request: OperatorRequest,
     deadline: Micros,
     send_at: Micros,
@@ -41,34 +50,35 @@
 /// The calls under way.
 #[derive(Clone)]
 pub(crate) struct Forwarder {
-    calls: BTreeMap<Token, Call>,
-    next_own: u64,
+    calls: BTreeMap<CallId, Call>,
+    next_call: CallId,
     /// Rises with each choice among core members where no leader is known.
     turn: usize,
 }
 
-impl Default for Forwarder {
-    fn default() -> Self {
-        Forwarder { calls: BTreeMap::new(), next_own: FIRST_OWN_TOKEN, turn: 0 }
+impl Forwarder {
+    /// `first` is a number that no other process of this node counts from.
+    pub(crate) fn new(first: CallId) -> Self {
+        Forwarder { calls: BTreeMap::new(), next_call: first, turn: 0 }
     }
-}
 
-impl Forwarder {
     pub(crate) fn next_wake(&self) -> Micros {
         self.calls.values().map(|call| call.deadline.min(call.send_at)).min().unwrap_or(Micros::MAX)
     }
 
-    pub(crate) fn own_token(&mut self) -> Token {
-        self.next_own += 1;
-        Token(self.next_own)
+    fn add(&mut self, call: Call) -> CallId {
+        let id = self.next_call;
+        self.next_call = CallId(id.0.wrapping_add(1));
+        self.calls.insert(id, call);
+        id
     }
 }
 
 impl Control {
-    pub(crate) fn forward(&mut self, token: Token, request: OperatorRequest) {
+    pub(crate) fn forward(&mut self, caller: Caller, request: OperatorRequest) -> CallId {
         let deadline = self.now + self.settings.call_timeout + time_to_carry(request.size());
-        let call = Call { request, deadline, send_at: self.now, sent_to: None, pause: 0 };
-        self.forwarder.calls.insert(token, call);
+        let call = Call { caller, request, deadline, send_at: self.now, sent_to: None, pause: 0 };
+        self.forwarder.add(call)
     }
 
     pub(crate) fn run_forwarder(&mut self) {
@@ -76,25 +86,15 @@
             return;
         }
         let now = self.now;
-        let over: Vec<Token> = self
-            .forwarder
-            .calls
-            .iter()
-            .filter(|(_, call)| call.deadline <= now)
-            .map(|(token, _)| *token)
-            .collect();
-        for token in over {
-            self.answered(token, Outcome::Unknown);
+        let over: Vec<CallId> =
+            self.forwarder.calls.iter().filter(|(_, call)| call.deadline <= now).map(|(id, _)| *id).collect();
+        for id in over {
+            self.answered(id, Outcome::Unknown);
         }
-        let due: Vec<Token> = self
-            .forwarder
-            .calls
-            .iter()
-            .filter(|(_, call)| call.send_at <= now)
-            .map(|(token, _)| *token)
-            .collect();
-        for token in due {
-            self.send_call(token);
+        let due: Vec<CallId> =
+            self.forwarder.calls.iter().filter(|(_, call)| call.send_at <= now).map(|(id, _)| *id).collect();
+        for id in due {
+            self.send_call(id);
         }
     }
 
@@ -123,9 +123,9 @@
         live.filter(|name| *name != self.name && could_be(name)).collect()
     }
 
-    fn send_call(&mut self, token: Token) {
+    fn send_call(&mut self, id: CallId) {
         let receiver = self.receiver();
-        let Some(call) = self.forwarder.calls.get_mut(&token) else { return };
+        let Some(call) = self.forwarder.calls.get_mut(&id) else { return };
         let Some(receiver) = receiver else {
             call.send_at = self.now + NO_LEADER_PAUSE;
             return;
@@ -133,17 +133,14 @@
         let first_pause = self.settings.resend * PATIENCE + time_to_carry(call.request.size());
         call.sent(&receiver, self.now, first_pause);
         let request = call.request.clone();
-        self.send(receiver, ControlMessage::Operator { token, request });
+        self.send(receiver, ControlMessage::Operator { call: id, request });
     }
 
-    pub(crate) fn answered(&mut self, token: Token, outcome: Outcome) {
-        if self.forwarder.calls.remove(&token).is_none() {
-            return;
-        }
-        if token.0 < FIRST_OWN_TOKEN {
-            self.effects.push(Effect::Answer { token, outcome });
-        } else {
-            self.lease_answered(token, &outcome);
+    pub(crate) fn answered(&mut self, id: CallId, outcome: Outcome) {
+        let Some(call) = self.forwarder.calls.remove(&id) else { return };
+        match call.caller {
+            Caller::Operator(token) => self.effects.push(Effect::Answer { token, outcome }),
+            Caller::Lease => self.lease_answered(id, &outcome),
         }
     }
 
@@ -160,12 +157,12 @@
     }
 
     /// The receiver does not lead. It may know who does.
-    pub(crate) fn not_leader(&mut self, from: &NodeName, token: Token, leader: Option<NodeName>) {
+    pub(crate) fn not_leader(&mut self, from: &NodeName, id: CallId, leader: Option<NodeName>) {
         if self.leader_hint.as_ref() == Some(from) || self.leader_hint.is_none() {
             self.leader_hint = leader.clone().filter(|leader| leader != from && *leader != self.name);
         }
         let now = self.now;
-        let Some(call) = self.forwarder.calls.get_mut(&token) else { return };
+        let Some(call) = self.forwarder.calls.get_mut(&id) else { return };
         if call.sent_to.as_ref() != Some(from) {
             return;
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -43,7 +43,7 @@
 pub use entry::{Change, Command, CoreMember, Entry, RequestId, Stamp};
 pub use machine::Control;
 pub use message::{ControlMessage, FormationMessage};
-pub use operator::{OperatorRequest, Outcome, Token};
+pub use operator::{CallId, OperatorRequest, Outcome, Token};
 pub use serving::Serving;
 pub use settings::ControlSettings;
 pub use transfer::{StateKind, StateName, StatePiece};
--- a/crates/control/src/machine.rs
+++ b/crates/control/src/machine.rs
@@ -20,9 +20,9 @@
 use crate::election::Role;
 use crate::entry::{CoreMember, Stamp};
 use crate::formation::Formation;
-use crate::forward::Forwarder;
+use crate::forward::{Caller, Forwarder};
 use crate::message::ControlMessage;
-use crate::operator::{OperatorRequest, Token};
+use crate::operator::{CallId, OperatorRequest, Token};
 use crate::peers::{Peer, Peers};
 use crate::replica::Replica;
 use crate::settings::ControlSettings;
@@ -58,7 +58,8 @@
 }
 
 impl Control {
-    /// A process that starts, with what its log holds. Call [`Control::tick`] at once.
+    /// A process that starts, with what its log holds. `seed` is one that no earlier process of this node had. Call
+    /// [`Control::tick`] at once.
     pub fn new(
         now: Micros, info: &NodeInfo, settings: ControlSettings, log: (Option<Bytes>, Vec<Bytes>), seed: u64,
     ) -> Result<Self, ControlError> {
@@ -83,7 +84,7 @@
             highest_epoch: 0,
             leader_hint: None,
             formation,
-            forwarder: Forwarder::default(),
+            forwarder: Forwarder::new(first_call(seed)),
             catch_up: CatchUp::default(),
             lease: Lease::new(now, settings.contact),
             copied: None,
@@ -206,7 +207,7 @@
     /// An operator's call. It is answered by one [`Effect::Answer`].
     pub fn operator(&mut self, now: Micros, token: Token, request: OperatorRequest) -> Vec<Effect> {
         self.enter(now);
-        self.forward(token, request);
+        self.forward(Caller::Operator(token), request);
         self.finish()
     }
 
@@ -312,10 +313,15 @@
             ControlMessage::StatePiece(piece) => self.state_piece(from, piece),
             ControlMessage::FetchPieces { state, numbers } => self.fetch_pieces(from, state, &numbers),
             ControlMessage::NoSuchState { state } => self.no_such_state(state),
-            ControlMessage::Operator { token, request } => self.order(from, token, request),
-            ControlMessage::OperatorAnswer { token, outcome } => self.answered(token, outcome),
-            ControlMessage::NotLeader { token, leader } => self.not_leader(from, token, leader),
+            ControlMessage::Operator { call, request } => self.order(from, call, request),
+            ControlMessage::OperatorAnswer { call, outcome } => self.answered(call, outcome),
+            ControlMessage::NotLeader { call, leader } => self.not_leader(from, call, leader),
             ControlMessage::Copied { store, epoch } => self.store_copied(store, epoch),
         }
     }
 }
+
+/// The number from which a process counts its calls. Two seeds never give the same.
+fn first_call(seed: u64) -> CallId {
+    CallId(Random::new(!seed).draw())
+}
--- a/crates/control/src/message.rs
+++ b/crates/control/src/message.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::entry::{CoreMember, Entry, Stamp};
-use crate::operator::{OperatorRequest, Outcome, Token};
+use crate::operator::{CallId, OperatorRequest, Outcome};
 use crate::transfer::{StateName, StatePiece};
 
 /// A message of control. The driver tells the sender's name beside it.
@@ -100,16 +100,16 @@
         state: StateName,
     },
     Operator {
-        token: Token,
+        call: CallId,
         request: OperatorRequest,
     },
     OperatorAnswer {
-        token: Token,
+        call: CallId,
         outcome: Outcome,
     },
     /// The call was not settled here.
     NotLeader {
-        token: Token,
+        call: CallId,
         leader: Option<NodeName>,
     },
     /// A store holds all that its part of the placement of this epoch asks for.
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -9,12 +9,16 @@
 
 use crate::entry::Change;
 
-/// Names a call within the relay that took it. Drivers choose numbers below 2^63.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+/// Names an operator's call within the process that took it. The driver chooses it; no other process sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Token(pub u64);
 
-/// The first token that a machine gives to requests of its own.
-pub(crate) const FIRST_OWN_TOKEN: u64 = 1 << 63;
+/// Names a call between the process that makes it and the leader.
+///
+/// Answers go to a node by its name, so they may reach a later process of the node than the one that asked. A process
+/// counts its calls from a number that is drawn at random, which no other process of the node shares.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CallId(pub u64);
 
 /// What an operator asks for.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -11,7 +11,7 @@
 use crate::leader::{InFlight, Leader};
 use crate::machine::Control;
 use crate::message::ControlMessage;
-use crate::operator::{OperatorRequest, Outcome, Token};
+use crate::operator::{CallId, OperatorRequest, Outcome};
 
 /// Calls that may wait at a leader.
 const MOST_QUEUED: usize = 64;
@@ -20,7 +20,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct Asker {
     pub node: NodeName,
-    pub token: Token,
+    pub call: CallId,
 }
 
 /// A call that may change the state.
@@ -61,11 +61,11 @@
 
 impl Control {
     /// A call arrived from the relay that took it.
-    pub(crate) fn order(&mut self, from: &NodeName, token: Token, request: OperatorRequest) {
-        let asker = Asker { node: from.clone(), token };
+    pub(crate) fn order(&mut self, from: &NodeName, call: CallId, request: OperatorRequest) {
+        let asker = Asker { node: from.clone(), call };
         let Role::Leader(leader) = &mut self.role else {
             let leader = self.leader_hint.clone();
-            return self.send(from.clone(), ControlMessage::NotLeader { token, leader });
+            return self.send(from.clone(), ControlMessage::NotLeader { call, leader });
         };
         match request {
             OperatorRequest::ReadConfig => self.ask(asker, Question::Config),
@@ -210,7 +210,7 @@
     }
 
     fn answer(&mut self, asker: Asker, outcome: Outcome) {
-        self.send(asker.node, ControlMessage::OperatorAnswer { token: asker.token, outcome });
+        self.send(asker.node, ControlMessage::OperatorAnswer { call: asker.call, outcome });
     }
 
     /// This process leads no longer: the relays ask the next leader, which knows what became of the changes.
@@ -220,7 +220,7 @@
         let reads = leader.reads.into_iter().map(|read| read.asker);
         let askers: Vec<Asker> = in_flight.chain(queued).chain(reads).collect();
         for asker in askers {
-            self.send(asker.node, ControlMessage::NotLeader { token: asker.token, leader: None });
+            self.send(asker.node, ControlMessage::NotLeader { call: asker.call, leader: None });
         }
     }
 }
--- a/crates/control/tests/control/main.rs
+++ b/crates/control/tests/control/main.rs
@@ -4,6 +4,7 @@
 mod changes;
 mod cluster;
 mod contact;
+mod earlier_processes;
 mod elections;
 mod exploration;
 mod formation;
--- a/crates/control/tests/control/repeated_calls.rs
+++ b/crates/control/tests/control/repeated_calls.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
+use pewterseam_control::{
+    CallId, Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token,
+};
 use pewterseam_membership::MemberChange;
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
 
@@ -54,7 +56,7 @@
     }
 }
 
-fn relay(number: u8, disk: Option<DiskId>) -> NodeInfo {
+pub fn relay(number: u8, disk: Option<DiskId>) -> NodeInfo {
     NodeInfo {
         name: NodeName::new(&format!("node-{number}")),
         life: Life(1),
@@ -68,13 +70,14 @@
     }
 }
 
-/// One relay that calls a core member that is alive and never answers. Returns when each order was sent, by its token.
-fn sendings(orders: &[OperatorRequest], span: u64) -> BTreeMap<Token, Vec<u64>> {
+/// One relay that calls a core member that is alive and never answers. Returns when each order was sent, in their order.
+fn sendings(orders: &[OperatorRequest], span: u64) -> Vec<Vec<u64>> {
     let settings = ControlSettings { call_timeout: span, ..ControlSettings::default() };
     let control = Control::new(0, &relay(1, None), settings, (None, Vec::new()), 1);
     let mut control = control.expect("starts");
     control.member(0, &MemberChange::Up(Arc::new(relay(2, Some(DiskId(2))))));
-    let mut sent: BTreeMap<Token, Vec<u64>> = BTreeMap::new();
+    let mut sent: BTreeMap<CallId, Vec<u64>> = BTreeMap::new();
+    let mut calls = Vec::new();
     let mut effects = Vec::new();
     for (number, order) in orders.iter().enumerate() {
         effects.extend(control.operator(0, Token(number as u64), order.clone()));
@@ -82,14 +85,21 @@
     let mut now = 0;
     while now < span {
         for effect in std::mem::take(&mut effects) {
-            if let Effect::Send { message: ControlMessage::Operator { token, .. }, .. } = effect {
-                sent.entry(token).or_default().push(now);
+            if let Effect::Send { message: ControlMessage::Operator { call, request }, .. } = effect {
+                if !sent.contains_key(&call)
+                    && let Some(place) = orders.iter().position(|order| *order == request)
+                {
+                    calls.push((place, call));
+                }
+                sent.entry(call).or_default().push(now);
             }
         }
         now = control.next_wake();
         effects = control.tick(now);
     }
-    sent
+    calls.sort();
+    assert_eq!(calls.len(), orders.len());
+    calls.iter().filter_map(|(_, call)| sent.remove(call)).collect()
 }
 
 /// Guards against pauses that are as long for a megabyte as for a read, and against pauses that do not grow: a link that
@@ -97,7 +107,7 @@
 #[test]
 fn pauses_grow_with_the_size_and_with_each_repeat() {
     let sent = sendings(&[OperatorRequest::ReadConfig, large_order()], 20 * SECOND);
-    let (small, large) = (&sent[&Token(0)], &sent[&Token(1)]);
+    let (small, large) = (&sent[0], &sent[1]);
     assert_eq!(small[..4], [0, 900 * MS, 2_700 * MS, 6_300 * MS]);
     let longer = (LARGE / 1024) as u64 * MS;
     assert!(large[1] >= 900 * MS + longer, "{large:?}");
