An order to empty a machine is about the machine, with whatever disk it comes back

Cause: a retirement was kept by StoreId, a node's name with its disk. With another disk the machine was a store that was neither retiring nor retired, so changed_set took it in as a new one; retire_state compared the name alone, and the first disk's end answered for the second.

Ruled out: copying (each record was at two stores of its group all the while), the second loss alone.

Change: retirements go by the node's name. A node that is being emptied, or was, gets no place with whatever disk; entries of its name leave; it is told to be empty only while no set has a place for it. A name that was emptied is not used again. State of the build before is read: a machine that it had taken in again keeps its place, and is no longer told to be empty.

Related paths: the disk lost while the machine is down, before the order; the disk lost after `completed`, before the removal.

--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -1,7 +1,6 @@
 //! Which stores hold messages: the leader's decisions.
 
-use std::collections::BTreeSet;
-
+use pewterseam_wire::control::ControlState;
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::{
     Group, PARTITIONS, Partition, Placement, PlacementEpoch, StoreEntry, StoreId,
@@ -18,6 +17,24 @@
     Some(StoreEntry { id: peer.store()?, zone: peer.info.zone.clone() })
 }
 
+/// Whether a node is in a list of stores, with whatever disk.
+///
+/// The operator retires a machine. One whose disk is lost meanwhile is another store, and the same machine: it is removed
+/// with all that it holds once it is told to be empty.
+fn is_listed(list: &[StoreId], node: &NodeName) -> bool {
+    list.iter().any(|store| store.name == *node)
+}
+
+/// Whether a node has a place in these sets, with whatever disk.
+fn is_placed(sets: &[Vec<StoreEntry>], node: &NodeName) -> bool {
+    sets.iter().flatten().any(|entry| entry.id.name == *node)
+}
+
+/// Whether a node is being emptied, or was.
+fn is_given_up(state: &ControlState, node: &NodeName) -> bool {
+    is_listed(&state.retiring, node) || is_listed(&state.retired, node)
+}
+
 /// Whether a store is in no group of the target that it was not in before.
 fn has_nothing_to_copy(
     store: &StoreId, current: &[StoreEntry], target: &[StoreEntry], in_force: &Placement,
@@ -66,12 +83,11 @@
         }
     }
 
-    /// A command with these sets. Retiring stores that stand in none of them are retired.
+    /// A command with these sets. Retiring stores whose nodes stand in none of them are retired.
     fn stores_command(&self, sets: Vec<Vec<StoreEntry>>) -> Command {
         let state = &self.replica.committed.state;
-        let is_placed = |store: &StoreId| sets.iter().flatten().any(|entry| entry.id == *store);
         let (retiring, emptied): (Vec<StoreId>, Vec<StoreId>) =
-            state.retiring.iter().cloned().partition(|store| is_placed(store));
+            state.retiring.iter().cloned().partition(|store| is_placed(&sets, &store.name));
         let mut retired = state.retired.clone();
         retired.extend(emptied);
         let epoch = PlacementEpoch(state.placement.epoch.0 + 1);
@@ -103,18 +119,18 @@
     /// The set that should follow the current one, if it is another.
     fn changed_set(&self, current: &[StoreEntry]) -> Option<Vec<StoreEntry>> {
         let state = &self.replica.committed.state;
-        let is_given_up = |store: &StoreId| state.retiring.contains(store) || state.retired.contains(store);
         let new: Vec<StoreEntry> = self
             .peers
             .settled(self.now, self.settings.settle)
             .filter_map(entry_of)
-            .filter(|entry| !is_given_up(&entry.id) && current.iter().all(|placed| placed.id != entry.id))
+            .filter(|entry| !is_given_up(state, &entry.id.name))
+            .filter(|entry| current.iter().all(|placed| placed.id != entry.id))
             .collect();
         let placed = current.iter().filter(|entry| self.peers.is_live_store(&entry.id));
         let mut successors: Vec<&StoreEntry> = new.iter().chain(placed).collect();
         let mut next: Vec<StoreEntry> = Vec::with_capacity(current.len() + new.len());
         for entry in current {
-            let is_leaving = state.retiring.contains(&entry.id)
+            let is_leaving = is_listed(&state.retiring, &entry.id.name)
                 || self.take_successor(entry, &mut successors)
                 || self.is_store_abandoned(entry, current);
             if !is_leaving {
@@ -181,20 +197,20 @@
 
     pub(crate) fn decide_retire(&self, node: &NodeName) -> Decision {
         let state = &self.replica.accepted.state;
-        let given_up = state.retiring.iter().chain(&state.retired);
-        let given_up: BTreeSet<&StoreId> = given_up.collect();
+        if is_listed(&state.retiring, node) {
+            return Decision::Answer(Outcome::Retiring);
+        }
         let target: &[StoreEntry] = state.placement.sets.last().map_or(&[], Vec::as_slice);
-        let Some(entry) = target.iter().find(|entry| entry.id.name == *node && !given_up.contains(&entry.id))
-        else {
-            let is_known = given_up.iter().any(|store| store.name == *node);
-            return if is_known {
+        let Some(entry) = target.iter().find(|entry| entry.id.name == *node) else {
+            return if is_listed(&state.retired, node) {
                 Decision::Answer(Outcome::Retiring)
             } else {
                 Decision::Refuse(Outcome::UnknownStore)
             };
         };
         let is_left = |other: &&StoreEntry| {
-            other.id != entry.id && !given_up.contains(&other.id) && self.peers.is_live_store(&other.id)
+            let is_other = other.id.name != *node && !is_listed(&state.retiring, &other.id.name);
+            is_other && self.peers.is_live_store(&other.id)
         };
         if target.iter().filter(is_left).count() < self.full_group().min(target.len()) {
             return Decision::Refuse(Outcome::TooFewStores);
@@ -205,12 +221,12 @@
         Decision::Propose(Command::Stores { placement, retiring, retired }, None)
     }
 
+    /// A machine is told to be empty only while no set has a place for it, with whatever disk.
     pub(crate) fn retire_state(&self, node: &NodeName) -> Outcome {
         let state = &self.replica.committed.state;
-        let in_list = |list: &[StoreId]| list.iter().any(|store| store.name == *node);
-        if in_list(&state.retiring) {
+        if is_listed(&state.retiring, node) {
             Outcome::RetireState { completed: false }
-        } else if in_list(&state.retired) {
+        } else if is_listed(&state.retired, node) && !is_placed(&state.placement.sets, node) {
             Outcome::RetireState { completed: true }
         } else {
             Outcome::UnknownStore
--- a/crates/control/tests/control/other_epochs.rs
+++ b/crates/control/tests/control/other_epochs.rs
@@ -17,8 +17,8 @@
 const ROUND_PERIOD: u64 = 600 * MS;
 
 /// A member of the core whose peers are played by the test. Its disk syncs at once.
-struct Member {
-    control: Control,
+pub struct Member {
+    pub control: Control,
     name: NodeName,
     now: u64,
     others: Vec<CoreMember>,
@@ -52,11 +52,15 @@
     /// One that stands for an epoch, which is returned.
     fn standing() -> (Self, u64) {
         let mut member = Member::of_formed_core();
-        let epoch = member.wait_for(|message| match message {
+        let epoch = member.stand();
+        (member, epoch)
+    }
+
+    fn stand(&mut self) -> u64 {
+        self.wait_for(|message| match message {
             ControlMessage::PreVote { epoch } => Some(*epoch),
             _ => None,
-        });
-        (member, epoch)
+        })
     }
 
     /// One that was granted the pre-vote, and gathers promises.
@@ -68,16 +72,35 @@
 
     /// One that leads and serves.
     fn leader() -> (Self, u64) {
-        let (mut member, epoch) = Member::candidate();
-        member.promises(epoch);
-        let entry = member.proposed().expect("the first entry of its epoch");
-        member.sent.clear();
-        member.accept_answers(epoch, entry.stamp);
+        let mut member = Member::of_formed_core();
+        let epoch = member.come_to_lead();
         (member, epoch)
     }
 
+    /// Stands for an epoch, which is returned, and leads and serves.
+    pub fn come_to_lead(&mut self) -> u64 {
+        self.sent.clear();
+        let epoch = self.stand();
+        self.pre_vote_answers(epoch);
+        self.promises(epoch);
+        let entry = self.proposed().expect("the first entry of its epoch");
+        self.sent.clear();
+        self.accept_answers(epoch, entry.stamp);
+        epoch
+    }
+
+    /// What a leader answers to a call once its next round of heartbeats is answered.
+    pub fn ask(&mut self, epoch: u64, request: OperatorRequest) -> Option<Outcome> {
+        self.answers.clear();
+        let effects = self.control.operator(self.now, Token(7), request);
+        self.carry_out(effects);
+        self.pass(ROUND_PERIOD);
+        self.heartbeat_answers(epoch, self.round());
+        self.answers.pop().map(|(_, outcome)| outcome)
+    }
+
     /// One that has promised an epoch to the first of the others; both are returned.
-    fn after_a_promise() -> (Self, CoreMember, u64) {
+    pub fn after_a_promise() -> (Self, CoreMember, u64) {
         let mut member = Member::of_formed_core();
         let other = member.others[0].clone();
         let epoch = member.control.accepted_stamp().epoch + 5;
@@ -125,7 +148,7 @@
         panic!("nothing is sent");
     }
 
-    fn hear(&mut self, from: &CoreMember, message: ControlMessage) {
+    pub fn hear(&mut self, from: &CoreMember, message: ControlMessage) {
         let effects = self.control.message(self.now, &from.name, message);
         self.carry_out(effects);
     }
--- a/crates/control/tests/control/retirement.rs
+++ b/crates/control/tests/control/retirement.rs
@@ -2,11 +2,12 @@
 
 use std::sync::Arc;
 
-use pewterseam_control::{OperatorRequest, Outcome, Token};
+use pewterseam_control::{Command, ControlMessage, Entry, OperatorRequest, Outcome, Stamp, Token};
 use pewterseam_wire::control::ControlState;
-use pewterseam_wire::identity::NodeName;
+use pewterseam_wire::identity::{DiskId, NodeName};
 use pewterseam_wire::placement::{StoreEntry, StoreId};
 
+use crate::other_epochs::Member;
 use crate::simulation::cluster::{Cluster, MS};
 use crate::{call, formed};
 
@@ -50,9 +51,10 @@
         let seed = self.seed;
         let state = newest(cluster);
         let before = std::mem::replace(&mut self.before, state.clone());
-        let is_placed =
-            |retired: &StoreId| state.placement.sets.iter().flatten().any(|entry| entry.id == *retired);
-        assert!(!state.retired.iter().any(is_placed), "seed {seed}: told to be retired in mid-move");
+        let is_placed = |retired: &StoreId| {
+            state.placement.sets.iter().flatten().any(|entry| entry.id.name == retired.name)
+        };
+        assert!(!state.retired.iter().any(is_placed), "seed {seed}: told to be retired and in the placement");
         let (old, new) = (&before.placement, &state.placement);
         if new.epoch == old.epoch || old.sets.len() < 2 {
             return;
@@ -176,3 +178,85 @@
         assert_eq!((sets.len(), sets[0].len()), (1, 3), "seed {seed}");
     }
 }
+
+/// Runs for some time in which a machine that was ordered to be emptied ends up empty, and stays so.
+fn is_emptied_for_good(watch: &mut Watch, cluster: &mut Cluster, machine: usize) {
+    let seed = watch.seed;
+    for token in 100..105 {
+        watch.run(cluster, 4 * SECOND);
+        let is_over = token > 100;
+        let completed = is_completed(cluster, token, machine);
+        assert!(
+            completed == Some(true) || !is_over && completed == Some(false),
+            "seed {seed}: {completed:?}"
+        );
+        let sets = &newest(cluster).placement.sets;
+        let is_placed = sets.iter().flatten().any(|entry| entry.id.name == store(machine));
+        assert!(!is_over || !is_placed, "seed {seed}: a machine that may be removed is in the placement");
+    }
+    assert_eq!(newest(cluster).placement.sets[0].len(), 3, "seed {seed}");
+}
+
+/// Guards against a machine that is told to be empty, and is removed, while it holds the only further copy of messages: it
+/// lost its disk between the order and its end, and came back as another store.
+#[test]
+fn a_retiring_store_that_loses_its_disk_gets_no_messages_again() {
+    for seed in 0..20 {
+        let mut cluster = formed(seed, 3, 2, 4);
+        let mut watch = Watch::new(&cluster, seed);
+        let answer = watch.retire(&mut cluster, 1, FIRST_STORE);
+        assert_eq!(answer, Some(Outcome::Retiring), "seed {seed}");
+        watch.run(&mut cluster, seed * 40 * MS);
+        for _ in 0..1 + seed % 2 {
+            cluster.lose_disk(FIRST_STORE);
+            cluster.start_after(FIRST_STORE, seed % 5 * 300 * MS);
+            watch.run(&mut cluster, seed % 5 * 300 * MS + 700 * MS);
+        }
+        is_emptied_for_good(&mut watch, &mut cluster, FIRST_STORE);
+    }
+}
+
+/// Guards against the same where the disk is lost before the order, while the machine is down, and after the operator was
+/// told that the machine is empty.
+#[test]
+fn a_store_is_retired_with_whatever_disk_it_comes_back() {
+    for seed in 0..20 {
+        let mut cluster = formed(seed, 3, 2, 4);
+        let mut watch = Watch::new(&cluster, seed);
+        cluster.lose_disk(FIRST_STORE);
+        watch.run(&mut cluster, seed * 20 * MS);
+        let answer = watch.retire(&mut cluster, 1, FIRST_STORE);
+        assert_eq!(answer, Some(Outcome::Retiring), "seed {seed}");
+        cluster.start_after(FIRST_STORE, seed % 5 * 300 * MS);
+        is_emptied_for_good(&mut watch, &mut cluster, FIRST_STORE);
+        cluster.lose_disk(FIRST_STORE);
+        cluster.start_after(FIRST_STORE, seed % 5 * 300 * MS);
+        is_emptied_for_good(&mut watch, &mut cluster, FIRST_STORE);
+        let again = watch.retire(&mut cluster, 2, FIRST_STORE);
+        assert_eq!(again, Some(Outcome::Retiring), "seed {seed}: the order sent again");
+    }
+}
+
+/// What a leader says of a machine that has a place with another disk than the one that was listed so by the build before.
+fn told_of_the_build_before(list: impl Fn(StoreId) -> (Vec<StoreId>, Vec<StoreId>)) -> Option<Outcome> {
+    let (mut member, other, epoch) = Member::after_a_promise();
+    let placement = (*member.control.state().placement).clone();
+    let placed = placement.sets[0][0].id.clone();
+    let (retiring, retired) =
+        list(StoreId { name: placed.name.clone(), disk: DiskId(placed.disk.0 + 1_000) });
+    let previous = member.control.accepted_stamp();
+    let stamp = Stamp { epoch, index: previous.index + 1 };
+    let entry = Entry { previous, stamp, command: Command::Stores { placement, retiring, retired } };
+    member.hear(&other, ControlMessage::Accept { epoch, entry, committed: previous });
+    let epoch = member.come_to_lead();
+    member.ask(epoch, OperatorRequest::ReadRetire { node: placed.name })
+}
+
+/// Guards against a machine that the build before took in again with another disk, and that is told to be empty.
+#[test]
+fn no_machine_with_a_place_is_told_to_be_empty_after_an_upgrade() {
+    let retired = told_of_the_build_before(|lost| (Vec::new(), vec![lost]));
+    assert_eq!(retired, Some(Outcome::UnknownStore), "it was emptied, and is in use again");
+    let retiring = told_of_the_build_before(|lost| (vec![lost], Vec::new()));
+    assert_eq!(retiring, Some(Outcome::RetireState { completed: false }));
+}
