A message stays with its route, whatever name a configuration gives that

Cause: a record kept its route's name, and the queue went by it: the start of a run, the number of attempts, what a change moves or drops, what is taken over.

Ruled out: the door (each message was taken on the right route), delivery (it ran each at the service that it was handed).

Change: RouteKey (host and prefix) is what makes a route the same one. The door finds it, the record keeps it, the queue's table goes by it. A message ends with its route when no route has that host and prefix; a shorter prefix does not stand in for it. The table is made of a configuration in one place (RouteTable::of); it stood twice, in the driver and in the harness.

Form: a record has one more field at its end, left out where it is not known. Records of the build before are read, written on as they were, and find their route by host and path; that build can't read new ones, so stores are replaced first, then relays.

Tests that made tables and orphans by a route's name make them by its key, with the same assertions.

--- a/crates/cluster/src/clients.rs
+++ b/crates/cluster/src/clients.rs
@@ -7,7 +7,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::random::Random;
 
-use crate::configuration::{LIMITED, ORDERED, PASSING, PLAIN};
+use crate::configuration::{HOST, LIMITED, ORDERED, PASSING, PLAIN, route_key};
 use crate::event::{Event, Input, Life};
 use crate::plan::MILLISECOND;
 use crate::world::World;
@@ -70,7 +70,8 @@
             token: ClientToken(request),
             request_id: id.clone(),
             route: Arc::from(client.route),
-            host: Arc::from("h.example"),
+            route_key: route_key(client.route),
+            host: Arc::from(HOST),
             method: Arc::from("POST"),
             target: Arc::from(format!("/{}/x", client.route)),
             headers: Vec::new(),
--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -1,14 +1,13 @@
 //! The configurations that operators send, and what relays make of them.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_config::{CompiledConfig, Route, Service};
+use pewterseam_config::{CompiledConfig, Service};
 use pewterseam_delivery::ServiceConfig;
-use pewterseam_queue::{RoutePolicy, RouteTable};
 use pewterseam_wire::Micros;
+use pewterseam_wire::record::RouteKey;
 
 use crate::plan::{SECOND, Scenario};
 
@@ -24,7 +23,6 @@
 const SHORT_RETENTION: Micros = 8 * SECOND;
 const LEAST_TARGET_MS: u64 = 400;
 const MORE_TARGET_MS: u64 = 400;
-const MILLISECONDS_A_SECOND: f64 = 1_000.0;
 
 /// Routes of the configurations, each with its service.
 pub const PLAIN: &str = "plain";
@@ -35,6 +33,14 @@
 /// A route that nobody uses; its number tells changes from each other.
 pub const MARK: &str = "mark";
 
+/// The host of all routes.
+pub const HOST: &str = "h.example";
+
+/// What makes a route the same one in each configuration.
+pub fn route_key(route: &str) -> RouteKey {
+    RouteKey { hostname: Arc::from(HOST), path_prefix: Arc::from(format!("/{route}/")) }
+}
+
 /// `retentionS` of all routes.
 pub fn retention(scenario: Scenario) -> Micros {
     if scenario == Scenario::LongDays { SHORT_RETENTION } else { RETENTION }
@@ -61,7 +67,7 @@
     // Only that of the mark tells the change.
     let schedule_target_ms = if name == MARK { mark } else { LEAST_TARGET_MS + mark % MORE_TARGET_MS };
     format!(
-        r#"{{"name":"{name}","hostname":"h.example","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
+        r#"{{"name":"{name}","hostname":"{HOST}","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
     )
 }
 
@@ -134,21 +140,3 @@
         health_path: service.health_path.clone().unwrap_or_else(|| Arc::from("/health")),
     }
 }
-
-/// What the queue is told of a configuration.
-pub fn route_table(config: &CompiledConfig) -> RouteTable {
-    let routes: HashMap<_, _> =
-        config.routes().map(|route| (route.name.clone(), route_policy(route))).collect();
-    RouteTable { version: config.version, routes }
-}
-
-fn route_policy(route: &Route) -> RoutePolicy {
-    RoutePolicy {
-        service: route.backend.clone(),
-        priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
-        timeout_ms: route.timeout_ms.ceil() as u64,
-        schedule_target_ms: route.schedule_target_ms.ceil() as u64,
-        max_attempts: route.max_attempts,
-        retention_ms: route.retention_s.map_or(u64::MAX / 2_000_000, |s| (s * MILLISECONDS_A_SECOND) as u64),
-    }
-}
--- a/crates/cluster/src/in_force.rs
+++ b/crates/cluster/src/in_force.rs
@@ -4,9 +4,10 @@
 
 use pewterseam_config::CompiledConfig;
 use pewterseam_delivery::Input as DeliveryInput;
+use pewterseam_queue::RouteTable;
 use pewterseam_wire::control::{ConfigDocument, ControlState};
 
-use crate::configuration::{route_table, services};
+use crate::configuration::services;
 use crate::relay::RelayProcess;
 
 impl RelayProcess {
@@ -24,7 +25,7 @@
     pub(crate) fn use_config(&mut self, document: &ConfigDocument) {
         let compiled = self.compiled(document);
         self.delivery_inputs.push(DeliveryInput::Services(services(&compiled)));
-        let table = Arc::new(route_table(&compiled));
+        let table = Arc::new(RouteTable::of(&compiled));
         self.config = compiled;
         let effects = self.queue.set_routes(self.node.now, table);
         self.queue_effects.extend(effects);
--- a/crates/config/src/compiled.rs
+++ b/crates/config/src/compiled.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use pewterseam_wire::record::{RouteKey, without_port};
 use serde::Deserialize;
 
 use crate::document::{BACKENDS, Fields, LIMITS, ROUTES, read_raw};
@@ -44,6 +45,11 @@
 }
 
 impl Route {
+    /// What makes it the same route in another configuration.
+    pub fn key(&self) -> RouteKey {
+        RouteKey { hostname: self.hostname.clone(), path_prefix: self.path_prefix.clone() }
+    }
+
     /// The retention in whole milliseconds; the greatest number where none is given.
     pub fn retention_ms(&self) -> u64 {
         self.retention_s.map_or(u64::MAX, |seconds| (seconds * MILLISECONDS_PER_SECOND) as u64)
@@ -252,9 +258,5 @@
 
 /// A host in lower case without its port.
 fn normal_host(host: &str) -> Box<str> {
-    let name = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
-        _ => host,
-    };
-    name.to_ascii_lowercase().into_boxed_str()
+    without_port(host).to_ascii_lowercase().into_boxed_str()
 }
--- a/crates/hollow/examples/relay.rs
+++ b/crates/hollow/examples/relay.rs
@@ -17,6 +17,7 @@
 };
 use pewterseam_wire::identity::{DiskId, Life, NodeName, Owner};
 use pewterseam_wire::placement::{Placement, PlacementEpoch, StoreEntry, StoreId};
+use pewterseam_wire::record::RouteKey;
 use pewterseam_wire::store::StoreResponse;
 
 const SECOND: u64 = 1_000_000;
@@ -32,11 +33,16 @@
     StoreEntry { id, zone: Arc::from(format!("zone-{}", number % ZONES)) }
 }
 
+fn route_key() -> RouteKey {
+    RouteKey { hostname: Arc::from("host17.example"), path_prefix: Arc::from("/p17/") }
+}
+
 fn new_message(number: usize, body: &Bytes) -> NewMessage {
     NewMessage {
         token: ClientToken(number as u64),
         request_id: Arc::from(format!("request-{number:012}")),
         route: Arc::from("route"),
+        route_key: route_key(),
         host: Arc::from("host17.example"),
         method: Arc::from("POST"),
         target: Arc::from("/p17/order"),
@@ -70,7 +76,7 @@
         max_attempts: 2,
         retention_ms: 90_000,
     };
-    let routes = [(Arc::from("route"), policy)].into_iter().collect();
+    let routes = [(route_key(), policy)].into_iter().collect();
     queue.set_routes(1_000, Arc::new(RouteTable { version: 1, routes }));
     queue
 }
--- a/crates/hollow/examples/store.rs
+++ b/crates/hollow/examples/store.rs
@@ -12,7 +12,7 @@
 use pewterseam_storage::{DataFolder, Log, LogOptions, RecoveredFrom};
 use pewterseam_wire::identity::{DiskId, Life, NodeName, Owner};
 use pewterseam_wire::placement::{Partition, Placement, PlacementEpoch, StoreEntry, StoreId};
-use pewterseam_wire::record::{End, Fact, MessageName, Record};
+use pewterseam_wire::record::{End, Fact, MessageName, Record, RouteKey};
 use pewterseam_wire::store::{StoreRequest, StoreResponse};
 
 const FOLDER: &str = "target/hollow-store";
@@ -146,6 +146,7 @@
         target: Arc::from("/p17/order"),
         headers: vec![(Arc::from("content-type"), Arc::from("application/json"))],
         body: body.clone(),
+        route_key: Some(RouteKey { hostname: Arc::from("host17.example"), path_prefix: Arc::from("/p17/") }),
     }
 }
 
--- a/crates/ingress/src/front.rs
+++ b/crates/ingress/src/front.rs
@@ -24,7 +24,9 @@
 
 use crate::answers::{self, HttpAnswer};
 use crate::message;
-use crate::requests::{BodyAnswer, Configured, FrontRequest, RouteChoice, Router, StatusAnswer};
+use crate::requests::{
+    BodyAnswer, Configured, FrontRequest, RequestRoute, RouteChoice, Router, StatusAnswer,
+};
 use crate::stop::{Phase, Stopper};
 
 const BACKLOG: i32 = 1024;
@@ -171,16 +173,16 @@
         match self.route(&request, &host).await {
             RouteChoice::NotConfigured => pass_over(request, answers::not_taken(0)).await,
             RouteChoice::NoRoute => pass_over(request, answers::plain(StatusCode::NOT_FOUND)).await,
-            RouteChoice::Route { name, is_ordered, most_body_bytes } => {
+            RouteChoice::Route(route) => {
                 let (parts, body) = request.into_parts();
-                let body = Limited::new(body, most_body_bytes);
+                let body = Limited::new(body, route.most_body_bytes);
                 match tokio::time::timeout(BODY_TIMEOUT, body.collect()).await {
                     Err(_) => answers::plain(StatusCode::REQUEST_TIMEOUT),
                     Ok(Err(error)) if error.is::<LengthLimitError>() => {
                         answers::plain(StatusCode::PAYLOAD_TOO_LARGE)
                     }
                     Ok(Err(_)) => answers::plain(StatusCode::BAD_REQUEST),
-                    Ok(Ok(body)) => self.hand_in(&parts, name, is_ordered, &host, body.to_bytes()).await,
+                    Ok(Ok(body)) => self.hand_in(&parts, route, &host, body.to_bytes()).await,
                 }
             }
         }
@@ -202,9 +204,9 @@
     }
 
     async fn hand_in(
-        &self, parts: &Parts, route: std::sync::Arc<str>, is_ordered: bool, host: &str, body: bytes::Bytes,
+        &self, parts: &Parts, route: RequestRoute, host: &str, body: bytes::Bytes,
     ) -> HttpAnswer {
-        let Ok(new) = message::read(parts, route, is_ordered, host, body) else {
+        let Ok(new) = message::read(parts, route, host, body) else {
             return answers::plain(StatusCode::BAD_REQUEST);
         };
         let (reply, answer) = oneshot::channel();
--- a/crates/ingress/src/lib.rs
+++ b/crates/ingress/src/lib.rs
@@ -10,5 +10,5 @@
 mod stop;
 
 pub use front::{Front, FrontError, FrontSettings};
-pub use requests::{BodyAnswer, Configured, FrontRequest, RouteChoice, Router, StatusAnswer};
+pub use requests::{BodyAnswer, Configured, FrontRequest, RequestRoute, RouteChoice, Router, StatusAnswer};
 pub use stop::{Phase, Stopper};
--- a/crates/ingress/src/message.rs
+++ b/crates/ingress/src/message.rs
@@ -9,6 +9,8 @@
 use pewterseam_queue::{ClientToken, NewMessage};
 use pewterseam_wire::record::Headers;
 
+use crate::requests::RequestRoute;
+
 pub(crate) const REQUEST_ID: HeaderName = HeaderName::from_static("x-request-id");
 const ORDERING_KEY: HeaderName = HeaderName::from_static("x-ordering-key");
 const DELAY: HeaderName = HeaderName::from_static("x-delay-ms");
@@ -63,18 +65,19 @@
 }
 
 pub(crate) fn read(
-    parts: &Parts, route: Arc<str>, is_ordered: bool, host: &str, body: Bytes,
+    parts: &Parts, route: RequestRoute, host: &str, body: Bytes,
 ) -> Result<NewMessage, MessageError> {
     let headers = &parts.headers;
     let request_id = text(headers, &REQUEST_ID)?.ok_or(MessageError::RequestId)?;
     if !is_name(request_id) {
         return Err(MessageError::RequestId);
     }
-    let ordering_key = text(headers, &ORDERING_KEY)?.filter(|_| is_ordered);
+    let ordering_key = text(headers, &ORDERING_KEY)?.filter(|_| route.is_ordered);
     Ok(NewMessage {
         token: ClientToken(0),
         request_id: Arc::from(request_id),
-        route,
+        route: route.name,
+        route_key: route.key,
         host: Arc::from(host),
         method: Arc::from(parts.method.as_str()),
         target: Arc::from(parts.uri.path_and_query().map_or("/", |target| target.as_str())),
--- a/crates/ingress/src/requests.rs
+++ b/crates/ingress/src/requests.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use pewterseam_queue::{Answer, NewMessage};
+use pewterseam_wire::record::RouteKey;
 use tokio::sync::oneshot;
 
 /// A client's request, with the channel for its answer.
@@ -52,11 +53,17 @@
     /// No configuration is known yet.
     NotConfigured,
     NoRoute,
-    Route {
-        name: Arc<str>,
-        is_ordered: bool,
-        most_body_bytes: usize,
-    },
+    Route(RequestRoute),
+}
+
+/// What the configuration says of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RequestRoute {
+    pub name: Arc<str>,
+    pub key: RouteKey,
+    /// Its ordering key counts.
+    pub is_ordered: bool,
+    pub most_body_bytes: usize,
 }
 
 /// Becomes true once a configuration is known.
--- a/crates/ingress/tests/holding.rs
+++ b/crates/ingress/tests/holding.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pewterseam_ingress::{Front, FrontRequest, RouteChoice, Router, Stopper};
+use pewterseam_ingress::{Front, FrontRequest, RequestRoute, RouteChoice, Router, Stopper};
 use pewterseam_queue::Answer;
 use pewterseam_wire::placement::Partition;
-use pewterseam_wire::record::MessageName;
+use pewterseam_wire::record::{MessageName, RouteKey};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep};
@@ -23,7 +23,9 @@
         if !is_known.get() {
             return RouteChoice::NotConfigured;
         }
-        RouteChoice::Route { name: Arc::from("a"), is_ordered: false, most_body_bytes: 1024 }
+        let key = RouteKey { hostname: Arc::from("h.example"), path_prefix: Arc::from("/a/") };
+        let name = Arc::from("a");
+        RouteChoice::Route(RequestRoute { name, key, is_ordered: false, most_body_bytes: 1024 })
     })
 }
 
--- a/crates/ingress/tests/streams/relay.rs
+++ b/crates/ingress/tests/streams/relay.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pewterseam_ingress::{BodyAnswer, FrontRequest, RouteChoice, Router, StatusAnswer};
+use pewterseam_ingress::{BodyAnswer, FrontRequest, RequestRoute, RouteChoice, Router, StatusAnswer};
 use pewterseam_queue::Answer;
 use pewterseam_wire::placement::hash;
-use pewterseam_wire::record::MessageName;
+use pewterseam_wire::record::{MessageName, RouteKey};
 use tokio::sync::mpsc::UnboundedReceiver;
 
 use crate::requests::MOST_BODY_BYTES;
@@ -51,7 +51,14 @@
 pub fn router() -> Router {
     Rc::new(|_, path| {
         if path.starts_with("/x/") {
-            RouteChoice::Route { name: Arc::from("x"), is_ordered: false, most_body_bytes: MOST_BODY_BYTES }
+            let key = RouteKey { hostname: Arc::from("h.example"), path_prefix: Arc::from("/x/") };
+            let name = Arc::from("x");
+            RouteChoice::Route(RequestRoute {
+                name,
+                key,
+                is_ordered: false,
+                most_body_bytes: MOST_BODY_BYTES,
+            })
         } else {
             RouteChoice::NoRoute
         }
--- a/crates/message-log/tests/common/mod.rs
+++ b/crates/message-log/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use pewterseam_storage::{Log, LogOptions, RecoveredFrom, SimulatedFiles, StorageError};
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Owner, Role};
 use pewterseam_wire::placement::{Partition, Placement, PlacementEpoch, StoreEntry, StoreId};
-use pewterseam_wire::record::{End, Fact, MessageName, Record};
+use pewterseam_wire::record::{End, Fact, MessageName, Record, RouteKey};
 use pewterseam_wire::store::{OrphanMessage, Status, StoreNotice, StoreRequest, StoreResponse};
 
 pub const MILLISECOND: u64 = 1_000;
@@ -84,6 +84,7 @@
         target: Arc::from("/path"),
         headers: vec![(Arc::from("X-Request-Id"), Arc::from(id))],
         body: Bytes::from(format!("body of {id}")),
+        route_key: Some(RouteKey { hostname: Arc::from("host"), path_prefix: Arc::from("/") }),
     }
 }
 
--- a/crates/queue/src/accept.rs
+++ b/crates/queue/src/accept.rs
@@ -33,7 +33,7 @@
     /// A client hands in a message.
     pub fn accept(&mut self, now: Micros, wall: WallMicros, new: NewMessage) -> Vec<Effect> {
         self.now = now;
-        let policy = self.routes.routes.get(&new.route);
+        let policy = self.routes.routes.get(&new.route_key);
         let retention_ms = policy.map_or(0, |policy| policy.retention_ms);
         if policy.is_none() || !self.has_room(new.body.len()) {
             self.answer(new.token, Answer::Declined { retry_after_ms: RETRY_AFTER_FULL_MS });
@@ -85,6 +85,7 @@
             target: new.target,
             headers: new.headers,
             body: new.body,
+            route_key: Some(new.route_key),
         };
         let stage = if is_ordered {
             Stage::Listing { answered: BTreeSet::new(), found: BTreeSet::new() }
--- a/crates/queue/src/io.rs
+++ b/crates/queue/src/io.rs
@@ -6,7 +6,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::record::{Headers, MessageName};
+use pewterseam_wire::record::{Headers, MessageName, RouteKey};
 use pewterseam_wire::store::StoreRequest;
 
 use crate::sending::SendPermit;
@@ -45,7 +45,9 @@
 pub struct NewMessage {
     pub token: ClientToken,
     pub request_id: Arc<str>,
+    /// The route's name.
     pub route: Arc<str>,
+    pub route_key: RouteKey,
     pub host: Arc<str>,
     pub method: Arc<str>,
     pub target: Arc<str>,
--- a/crates/queue/src/message.rs
+++ b/crates/queue/src/message.rs
@@ -5,7 +5,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::Owner;
 use pewterseam_wire::placement::StoreId;
-use pewterseam_wire::record::{End, MessageName, Record};
+use pewterseam_wire::record::{End, MessageName, Record, RouteKey};
 
 use crate::io::{AttemptNumber, ClientToken};
 
@@ -40,6 +40,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Message {
     pub record: Record,
+    /// Its route; none until it is found, for a record that does not tell it.
+    pub route: Option<RouteKey>,
     pub stage: Stage,
     /// The client that waits, until it is answered.
     pub client: Option<ClientToken>,
@@ -86,6 +88,7 @@
 impl Message {
     pub fn new(record: Record, stage: Stage, now: Micros) -> Self {
         Message {
+            route: record.route_key.clone(),
             record,
             stage,
             client: None,
--- a/crates/queue/src/routes.rs
+++ b/crates/queue/src/routes.rs
@@ -4,14 +4,18 @@
 use std::fmt;
 use std::sync::Arc;
 
+use pewterseam_config::{CompiledConfig, Route};
 use pewterseam_wire::Micros;
-
-use pewterseam_wire::record::End;
+use pewterseam_wire::record::{End, Record, RouteKey};
 
 use crate::io::{Effect, MessageKey, Submission};
 use crate::machine::Queue;
 use crate::message::Stage;
 
+const MILLISECONDS_A_SECOND: f64 = 1_000.0;
+/// `retentionS` of a route that names none: longer than any process runs, and far from an overflow in microseconds.
+const ENDLESS_MS: u64 = u64::MAX / 2_000_000;
+
 /// What a route asks of its messages.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RoutePolicy {
@@ -23,11 +27,11 @@
     pub retention_ms: u64,
 }
 
-/// The routes in force, by name.
+/// The routes in force.
 #[derive(Clone, Debug, Default)]
 pub struct RouteTable {
     pub version: u64,
-    pub routes: HashMap<Arc<str>, RoutePolicy>,
+    pub routes: HashMap<RouteKey, RoutePolicy>,
 }
 
 /// How one table of routes differs from the one before, and which messages that concerns.
@@ -46,6 +50,18 @@
 }
 
 impl RoutePolicy {
+    fn of(route: &Route) -> Self {
+        let retention_ms = |seconds: f64| (seconds * MILLISECONDS_A_SECOND) as u64;
+        RoutePolicy {
+            service: route.backend.clone(),
+            priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
+            timeout_ms: route.timeout_ms.ceil() as u64,
+            schedule_target_ms: route.schedule_target_ms.ceil() as u64,
+            max_attempts: route.max_attempts,
+            retention_ms: route.retention_s.map_or(ENDLESS_MS, retention_ms),
+        }
+    }
+
     /// What a message that has failed so often is handed to the runner with.
     pub(crate) fn submission(&self, failures: u32, due_at: Micros) -> Submission {
         Submission {
@@ -61,24 +77,40 @@
 }
 
 impl RouteTable {
+    /// The routes of a configuration.
+    pub fn of(config: &CompiledConfig) -> Self {
+        let routes = config.routes().map(|route| (route.key(), RoutePolicy::of(route))).collect();
+        RouteTable { version: config.version, routes }
+    }
+
+    pub(crate) fn policy(&self, route: Option<&RouteKey>) -> Option<&RoutePolicy> {
+        self.routes.get(route?)
+    }
+
+    /// The route that a message falls under, as if it came now.
+    fn find(&self, record: &Record) -> Option<&RouteKey> {
+        let matches = |route: &&RouteKey| route.matches(&record.host, &record.target);
+        self.routes.keys().filter(matches).max_by_key(|route| route.path_prefix.len())
+    }
+
     /// How the routes differ from those before.
     fn changes_since(&self, before: &RouteTable) -> RouteChanges {
         let mut changes = RouteChanges::default();
-        for (name, policy) in &self.routes {
-            match before.routes.get(name) {
+        for (route, policy) in &self.routes {
+            match before.routes.get(route) {
                 None => changes.added += 1,
                 Some(former) if former.service != policy.service => changes.moved += 1,
                 Some(former) if former != policy => changes.altered += 1,
                 Some(_) => {}
             }
         }
-        changes.dropped = before.routes.keys().filter(|name| !self.routes.contains_key(*name)).count();
+        changes.dropped = before.routes.keys().filter(|route| !self.routes.contains_key(*route)).count();
         changes
     }
 
-    fn is_moved_since(&self, before: &RouteTable, route: &str) -> bool {
-        let service = |table: &RouteTable| table.routes.get(route).map(|policy| policy.service.clone());
-        matches!((service(before), service(self)), (Some(former), Some(present)) if former != present)
+    fn is_moved_since(&self, before: &RouteTable, route: Option<&RouteKey>) -> bool {
+        let (former, present) = (before.policy(route), self.policy(route));
+        matches!((former, present), (Some(former), Some(present)) if former.service != present.service)
     }
 }
 
@@ -98,8 +130,8 @@
     pub fn route_changes(&self, routes: &RouteTable) -> RouteChanges {
         let mut changes = routes.changes_since(&self.routes);
         for message in self.messages.values() {
-            let route = &message.record.route;
-            changes.messages_dropped += usize::from(!routes.routes.contains_key(route));
+            let route = message.route.as_ref();
+            changes.messages_dropped += usize::from(route.is_some() && routes.policy(route).is_none());
             changes.messages_moved += usize::from(routes.is_moved_since(&self.routes, route));
         }
         changes
@@ -116,31 +148,41 @@
         self.take_effects()
     }
 
+    /// Finds the route of a message whose record does not tell it, in the first configuration that is not older than the one
+    /// under which it was taken.
+    pub(crate) fn find_route(&mut self, key: MessageKey) {
+        let Some(message) = self.messages.get_mut(&key) else { return };
+        if message.route.is_none() && self.routes.version >= message.record.config_version {
+            message.route = self.routes.find(&message.record).cloned();
+        }
+    }
+
     /// Whether the configuration in force dropped the route of a message. One that is older than the one under which the
     /// message was taken says nothing of it.
     pub(crate) fn is_route_dropped(&self, key: MessageKey) -> bool {
         let Some(message) = self.messages.get(&key) else { return false };
-        let is_missing = !self.routes.routes.contains_key(&message.record.route);
+        let is_missing = self.routes.policy(message.route.as_ref()).is_none();
         is_missing && self.routes.version >= message.record.config_version
     }
 
     fn follow_route(&mut self, key: MessageKey, before: &RouteTable) {
+        self.find_route(key);
         if self.is_route_dropped(key) {
             return self.route_dropped(key);
         }
         let Some(message) = self.messages.get_mut(&key) else { return };
-        let route = message.record.route.clone();
-        let Some(policy) = self.routes.routes.get(&route) else { return };
+        let route = message.route.clone();
+        let Some(policy) = self.routes.policy(route.as_ref()) else { return };
         if message.stage == Stage::Waiting {
             // Without its route it was not started, and has no timer.
             return self.start_if_due(key);
         }
-        if before.routes.get(&route) == Some(policy) {
+        if before.policy(route.as_ref()) == Some(policy) {
             return;
         }
         let submission = policy.submission(message.failures, message.first_run_due(self.now));
         self.effects.push(Effect::Revise { key, submission });
-        let is_moved = self.routes.is_moved_since(before, &route);
+        let is_moved = self.routes.is_moved_since(before, route.as_ref());
         if is_moved && let Some(unsent) = message.confirmation.take() {
             self.effects.push(Effect::RefuseSend { attempt: unsent.attempt });
         }
--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -24,6 +24,7 @@
 impl Queue {
     /// The record is durable, or was taken over: from here on the message waits for its turn.
     pub(crate) fn begin_waiting(&mut self, key: MessageKey) {
+        self.find_route(key);
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.stage = Stage::Waiting;
         message.since = self.now;
@@ -55,7 +56,7 @@
             self.clock.set(from, Timer::Due(key));
             return;
         }
-        let Some(policy) = self.routes.routes.get(&message.record.route) else { return };
+        let Some(policy) = self.routes.policy(message.route.as_ref()) else { return };
         message.stage = Stage::Running;
         message.since = self.now;
         let submission = policy.submission(message.failures, message.first_run_due(self.now));
@@ -80,7 +81,7 @@
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.failures += 1;
         let failures = message.failures;
-        let most = self.routes.routes.get(&message.record.route).map(|policy| policy.max_attempts);
+        let most = self.routes.policy(message.route.as_ref()).map(|policy| policy.max_attempts);
         if most.is_some_and(|most| failures >= most) {
             self.end(key, End::AttemptsUsed);
             return;
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::{DiskId, Life, NodeName, Owner};
 use pewterseam_wire::placement::{Partition, Placement, PlacementEpoch, StoreEntry, StoreId};
-use pewterseam_wire::record::{End, Fact, MessageName, Record};
+use pewterseam_wire::record::{End, Fact, MessageName, Record, RouteKey};
 use pewterseam_wire::store::{Decline, OrphanMessage, Status, StoreNotice, StoreRequest, StoreResponse};
 
 pub const MILLISECOND: Micros = 1_000;
@@ -41,6 +41,8 @@
     pub unanswered: Vec<(StoreId, CallId, StoreRequest)>,
     pub answers: HashMap<ClientToken, Answer>,
     pub submitted: Vec<MessageKey>,
+    /// The service that each of these was handed to, in the same order.
+    pub services: Vec<Arc<str>>,
     /// When each of these was due.
     pub due: Vec<Micros>,
     pub withdrawn: Vec<MessageKey>,
@@ -77,8 +79,13 @@
     }
 }
 
+/// A route whose prefix is its name.
+pub fn route_key(name: &str) -> RouteKey {
+    RouteKey { hostname: Arc::from("host.example"), path_prefix: Arc::from(format!("/{name}/")) }
+}
+
 pub fn routes(version: u64, names: &[&str]) -> Arc<RouteTable> {
-    let routes = names.iter().map(|name| (Arc::from(*name), policy())).collect();
+    let routes = names.iter().map(|name| (route_key(name), policy())).collect();
     Arc::new(RouteTable { version, routes })
 }
 
@@ -110,6 +117,7 @@
             unanswered: Vec::new(),
             answers: HashMap::new(),
             submitted: Vec::new(),
+            services: Vec::new(),
             due: Vec::new(),
             withdrawn: Vec::new(),
             revised: Vec::new(),
@@ -125,13 +133,15 @@
 
     pub fn message(&mut self, id: &str, key: Option<&str>) -> NewMessage {
         self.next_token += 1;
+        let route = if key.is_some() { "ordered" } else { "plain" };
         NewMessage {
             token: ClientToken(self.next_token),
             request_id: Arc::from(id),
-            route: Arc::from(if key.is_some() { "ordered" } else { "plain" }),
+            route: Arc::from(route),
+            route_key: route_key(route),
             host: Arc::from("host.example"),
             method: Arc::from("POST"),
-            target: Arc::from("/path"),
+            target: Arc::from(format!("/{route}/path")),
             headers: Vec::new(),
             body: Bytes::from_static(b"body"),
             ordering_key: key.map(Arc::from),
@@ -170,6 +180,7 @@
                 }
                 Effect::Submit { key, submission } => {
                     self.submitted.push(key);
+                    self.services.push(submission.service);
                     self.due.push(submission.due_at);
                 }
                 Effect::Revise { key, submission } => self.revised.push((key, submission)),
--- a/crates/system/src/relay/configuration.rs
+++ b/crates/system/src/relay/configuration.rs
@@ -1,19 +1,17 @@
 //! Agreed state coming in force, and settings that change.
 
-use std::collections::HashMap;
 use std::sync::Arc;
 
+use pewterseam_config::Service;
 use pewterseam_config::settings::Settings;
-use pewterseam_config::{CompiledConfig, Route, Service};
 use pewterseam_delivery::{Input as DeliveryInput, ServiceConfig};
-use pewterseam_queue::{RoutePolicy, RouteTable};
+use pewterseam_queue::RouteTable;
 use pewterseam_wire::control::ControlState;
 
 use super::planes;
 use super::process::RelayProcess;
 use crate::error::SystemError;
 
-const MILLISECONDS_A_SECOND: f64 = 1_000.0;
 /// The path that hosts are checked at where a service does not say.
 const DEFAULT_HEALTH_PATH: &str = "/health";
 
@@ -40,7 +38,7 @@
         };
         let services = compiled.services().map(|service| service_config(service)).collect();
         self.delivery_inputs.push(DeliveryInput::Services(services));
-        let table = Arc::new(route_table(&compiled));
+        let table = Arc::new(RouteTable::of(&compiled));
         let changes = self.planes.queue.route_changes(&table);
         log::info!("configuration {} is in force; {changes}", compiled.version);
         self.config.store(compiled);
@@ -87,20 +85,3 @@
         health_path: service.health_path.clone().unwrap_or_else(|| Arc::from(DEFAULT_HEALTH_PATH)),
     }
 }
-
-fn route_table(config: &CompiledConfig) -> RouteTable {
-    let routes: HashMap<_, _> =
-        config.routes().map(|route| (route.name.clone(), route_policy(route))).collect();
-    RouteTable { version: config.version, routes }
-}
-
-fn route_policy(route: &Route) -> RoutePolicy {
-    RoutePolicy {
-        service: route.backend.clone(),
-        priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
-        timeout_ms: route.timeout_ms.ceil() as u64,
-        schedule_target_ms: route.schedule_target_ms.ceil() as u64,
-        max_attempts: route.max_attempts,
-        retention_ms: route.retention_s.map_or(u64::MAX / 2_000_000, |s| (s * MILLISECONDS_A_SECOND) as u64),
-    }
-}
--- a/crates/system/src/relay/start.rs
+++ b/crates/system/src/relay/start.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use pewterseam_config::CompiledConfig;
 use pewterseam_config::settings::Settings;
-use pewterseam_ingress::{Front, FrontSettings, RouteChoice, Router, Stopper};
+use pewterseam_ingress::{Front, FrontSettings, RequestRoute, RouteChoice, Router, Stopper};
 use pewterseam_wire::identity::Role;
 use tokio::sync::{mpsc, watch};
 
@@ -88,10 +88,11 @@
             return RouteChoice::NotConfigured;
         }
         let Some(route) = config.route(host, path) else { return RouteChoice::NoRoute };
-        RouteChoice::Route {
+        RouteChoice::Route(RequestRoute {
             name: route.name.clone(),
+            key: route.key(),
             is_ordered: route.fifo,
             most_body_bytes: config.limits.max_body_bytes as usize,
-        }
+        })
     })
 }
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -43,6 +43,29 @@
 /// Headers in order, names in lower case.
 pub type Headers = Vec<(Arc<str>, Arc<str>)>;
 
+/// What a route takes messages by. It stays the same route for as long as this stays: its name may be given to another.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RouteKey {
+    /// In lower case, without a port.
+    pub hostname: Arc<str>,
+    pub path_prefix: Arc<str>,
+}
+
+impl RouteKey {
+    /// Whether a request with this `Host` header and target falls under the route. A longer prefix goes first.
+    pub fn matches(&self, host: &str, target: &str) -> bool {
+        without_port(host).eq_ignore_ascii_case(&self.hostname) && target.starts_with(&*self.path_prefix)
+    }
+}
+
+/// A `Host` header without its port.
+pub fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
 /// An accepted request. It never changes once it is written.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -59,7 +82,7 @@
     pub retention_ms: u64,
     /// The version of the configuration that it was taken under.
     pub config_version: u64,
-    /// The route's name.
+    /// The name that its route had then, for those who read logs.
     pub route: Arc<str>,
     pub host: Arc<str>,
     pub method: Arc<str>,
@@ -68,6 +91,9 @@
     /// Headers to pass on, in order.
     pub headers: Headers,
     pub body: Bytes,
+    /// Its route. Records of earlier builds do not have it, and are written as they were read.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub route_key: Option<RouteKey>,
 }
 
 /// How a message ended.
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -21,6 +21,10 @@
 pub const RETENTION_MARGIN: Micros = 5_000_000;
 
 /// A request to a store. Each is answered by one [`StoreResponse`].
+#[expect(
+    clippy::large_enum_variant,
+    reason = "requests are short-lived and moved once; a box would cost an allocation"
+)]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StoreRequest {
     /// Keep a record. `Done` once it is synced. A record that is there already is acknowledged again; where it has ended
