An answer of another disk at a store's address counts for nothing

A request goes to the address of a store; where that machine has come back with an empty disk and membership does not know it yet, the new disk answers. The queue booked the answer for the store that it had asked: the word that an end or a record is synced counted towards a quorum of a set in which the answering disk does not stand. Reads of state and body go by the store that the answer names already.

Change: the store in the answer is compared with the one that was asked; another one counts as a failed call, and a further store is asked. A refusal counts as before: nothing was taken.

Evidence: an_answer_of_another_disk_counts_for_nothing; on the code before it fails with "one store has it, and an empty disk says so too: left: Some(Accepted)". Not seen in a run of real processes.

--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -70,22 +70,31 @@
     pub fn store_answered(&mut self, now: Micros, call: CallId, response: StoreResponse) -> Vec<Effect> {
         self.now = now;
         if let Some(call) = self.calls.open.remove(&call) {
-            if let StoreResponse::Declined { reason, .. } = response {
-                if !matches!(reason, Decline::AlreadyClaimed | Decline::OwnerHoldsLease) {
-                    self.stores.declined(&call.store, now);
-                }
-                self.call_declined(call.store, call.purpose, reason);
-            } else {
-                self.stores.answered(&call.store, now.saturating_sub(call.at));
-                if matches!(call.purpose, Purpose::Append(_) | Purpose::Confirm(..)) {
-                    self.leases.renewed(&call.store, call.at, now);
-                }
-                self.call_answered(call.store, call.purpose, response);
+            match response {
+                StoreResponse::Declined { reason, .. } => self.declined(call, reason),
+                // The disk that was asked is gone: another one is at its address.
+                response if *response.store() != call.store => self.call_failed(call),
+                response => self.answered(call, response),
             }
         }
         self.take_effects()
     }
 
+    fn declined(&mut self, call: Call, reason: Decline) {
+        if !matches!(reason, Decline::AlreadyClaimed | Decline::OwnerHoldsLease) {
+            self.stores.declined(&call.store, self.now);
+        }
+        self.call_declined(call.store, call.purpose, reason);
+    }
+
+    fn answered(&mut self, call: Call, response: StoreResponse) {
+        self.stores.answered(&call.store, self.now.saturating_sub(call.at));
+        if matches!(call.purpose, Purpose::Append(_) | Purpose::Confirm(..)) {
+            self.leases.renewed(&call.store, call.at, self.now);
+        }
+        self.call_answered(call.store, call.purpose, response);
+    }
+
     /// A request could not be sent, or its connection broke.
     pub fn store_failed(&mut self, now: Micros, call: CallId) -> Vec<Effect> {
         self.now = now;
@@ -94,7 +103,12 @@
     }
 
     pub(crate) fn fail_call(&mut self, call: CallId) {
-        let Some(call) = self.calls.open.remove(&call) else { return };
+        if let Some(call) = self.calls.open.remove(&call) {
+            self.call_failed(call);
+        }
+    }
+
+    fn call_failed(&mut self, call: Call) {
         self.stores.failed(&call.store, self.now);
         self.probe_later();
         match call.purpose {
--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -6,8 +6,10 @@
 
 use common::{MILLISECOND, World, routes};
 use pewterseam_queue::{Answer, RunResult};
-use pewterseam_wire::placement::Partition;
+use pewterseam_wire::identity::DiskId;
+use pewterseam_wire::placement::{Partition, StoreId};
 use pewterseam_wire::record::{End, MessageName};
+use pewterseam_wire::store::StoreResponse;
 
 fn completed() -> RunResult {
     RunResult::Completed { signature: Arc::from("signature") }
@@ -352,3 +354,39 @@
     world.run_for(100 * MILLISECOND);
     assert!(matches!(world.answers.get(&token), Some(Answer::Accepted { .. })), "{:?}", world.answers);
 }
+
+/// Guards against a message that is accepted, or whose end is forgotten, on the word of an empty disk that has come to the
+/// address of a store: that disk is in no set, and nobody reads it.
+#[test]
+fn an_answer_of_another_disk_counts_for_nothing() {
+    let mut world = World::new();
+    let name = MessageName::new("a", Partition::of("a"));
+    let group = world.group(&name);
+    world.silent.extend(group[1..].iter().cloned());
+    let mut new = world.message("a", None);
+    new.patience_ms = 10_000;
+    let token = world.accept(new);
+    let (store, call, _) = world.unanswered.remove(0);
+    let other_disk = StoreId { disk: DiskId(store.disk.0 + 1_000), ..store };
+    let effects =
+        world.queue.store_answered(world.now, call, StoreResponse::Done { store: other_disk.clone() });
+    world.carry_out(effects);
+    assert_eq!(world.answers.get(&token), None, "one store has it, and an empty disk says so too");
+    world.silent.clear();
+    world.run_for(3_000 * MILLISECOND);
+    assert_eq!(world.answers.get(&token), Some(&Answer::Accepted { name: name.clone() }));
+
+    world.silent.extend(group);
+    world.ran(world.submitted[0], completed());
+    world.run_for(20 * MILLISECOND);
+    for (store, call, _) in std::mem::take(&mut world.unanswered) {
+        let other_disk = StoreId { disk: DiskId(store.disk.0 + 1_000), ..store };
+        let response = StoreResponse::Done { store: other_disk };
+        let effects = world.queue.store_answered(world.now, call, response);
+        world.carry_out(effects);
+    }
+    assert!(!world.queue.is_empty(), "no store of the message knows its end");
+    world.silent.clear();
+    world.run_for(3_000 * MILLISECOND);
+    assert!(world.queue.is_empty() && world.ends(&name) >= 2);
+}
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -86,6 +86,20 @@
     },
 }
 
+impl StoreResponse {
+    /// The store that answers.
+    pub fn store(&self) -> &StoreId {
+        match self {
+            StoreResponse::Done { store }
+            | StoreResponse::OpenMessages { store, .. }
+            | StoreResponse::Statuses { store, .. }
+            | StoreResponse::Found { store, .. }
+            | StoreResponse::Contents { store, .. }
+            | StoreResponse::Declined { store, .. } => store,
+        }
+    }
+}
+
 /// Why a store did nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decline {
