Two services whose names lead to one number get their own messages

A service is known to the decisions, and to the messages between relays, by 28 bits of its name's hash.

Change: numbers are given to the services of a configuration in the order of their names, each the first of its draws that is not taken, so that all relays with one configuration agree; the first draw is the number as before. A host's number goes with that of its service. Where a service is renumbered, as the other one comes or goes, its messages are taken back from the decisions and handed on by the new number. Where an attempt starts, the host is compared with the message's service: another one's host is never called.

Tried first and dropped: the comparison alone. One of 160 messages then never went, as the decisions chose the same wrong host each time.

On the code before the first fails with "the first one got others' messages"; with messages that are not taken back the second had 800 of 1,600 messages delivered after 20 s.

Beside it: a route with maxAttempts 0, or without the field, has no limit of attempts, as its comment says; it ended messages at their first failure (without_a_limit_of_attempts_no_failure_ends_a_message).

--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use pewterseam::interface::{Carrier, Ended, Event, HostId, MessageId, Outcome as Seen};
+use pewterseam::interface::{Carrier, DestinationId, Ended, Event, HostId, MessageId, Outcome as Seen};
 use pewterseam::state::chance;
 use pewterseam_permits::Permit;
 use pewterseam_wire::Micros;
 
-use crate::backoff::{AFTER_LIMIT, AFTER_SILENCE, WHILE_RUNNING};
+use crate::backoff::{AFTER_LIMIT, AFTER_SILENCE, OTHER_SERVICE, WHILE_RUNNING};
 use crate::delivery::Delivery;
 use crate::interface::{AttemptEnd, AttemptId, AttemptResult, DropReason, Effect, HostKey, Outcome};
 use crate::judging::{Fate, Health, judge};
@@ -24,6 +24,8 @@
     number: u32,
     host: HostId,
     service: Arc<str>,
+    /// The number that the decisions knew the service by.
+    destination: DestinationId,
     /// Not known to be sent yet.
     permit: Option<Permit>,
 }
@@ -37,9 +39,14 @@
         let (Some(held), Some(known)) = (self.messages.get(key), self.hosts.get(host)) else { return };
         let (timeout, service, target) =
             (held.submission.timeout, held.submission.service.clone(), known.target.clone());
-        let has_room = known.has_room();
+        let (has_room, is_of_service) = (known.has_room(), known.service == service);
         self.messages.set_out(key, true);
-        let mut made = Attempt { key, message: id, number, host, service: service.clone(), permit: None };
+        let destination = self.services.number(&service).destination;
+        let mut made =
+            Attempt { key, message: id, number, host, service: service.clone(), destination, permit: None };
+        if !is_of_service {
+            return self.take_back_for_a_while(&made);
+        }
         // Danger: the decisions choose several at a time, and only the first of them find the host as it was told.
         if !has_room {
             return self.take_back(&made);
@@ -63,18 +70,29 @@
 
     /// The decisions have booked an attempt that is not made: for them it never was.
     fn take_back(&mut self, attempt: &Attempt) {
-        let Attempt { key, message, number, .. } = *attempt;
+        self.not_made(attempt, false);
+        self.messages.set_out(attempt.key, false);
+    }
+
+    /// The decisions chose a host of another service, which has the number now that the message's service had when it came
+    /// before them. They get the message again, by its new number, after a pause.
+    fn take_back_for_a_while(&mut self, attempt: &Attempt) {
+        self.not_made(attempt, true);
+        let pause = OTHER_SERVICE.pause(1, self.now, self.settings.seed ^ attempt.key);
+        self.messages.rest(attempt.key, self.now + pause);
+    }
+
+    fn not_made(&mut self, attempt: &Attempt, closed: bool) {
         let ended = Ended {
-            id: message,
-            attempt: number,
+            id: attempt.message,
+            attempt: attempt.number,
             outcome: Seen::Moot,
             took: 0,
-            closed: false,
+            closed,
             limit: None,
             carrier: Some(UNUSED),
         };
         self.events.push(Event::Ended(ended));
-        self.messages.set_out(key, false);
     }
 
     /// A connection is open: the attempt goes if its host and its permit are still good.
@@ -171,7 +189,8 @@
             return true;
         };
         let spread = self.settings.seed ^ made.key;
-        let is_moved = held.submission.service != made.service;
+        let is_renumbered = self.services.number(&made.service).destination != made.destination;
+        let is_moved = held.submission.service != made.service || is_renumbered;
         let rest = match fate {
             Fate::Finished(outcome) => {
                 self.finish(made.key, outcome);
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -1,6 +1,7 @@
 //! The machine: takes what happened, lets the decisions choose, and gives what is to be done.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use pewterseam::Brain;
@@ -15,9 +16,9 @@
 use crate::backoff::{AFTER_FAILURE, AFTER_GIVING_UP};
 use crate::connections::IdleConnections;
 use crate::hosts::Hosts;
-use crate::interface::{AttemptId, Effect, Input, Submission};
+use crate::interface::{AttemptId, Effect, Input, ServiceConfig, Submission};
 use crate::messages::Messages;
-use crate::numbering::destination;
+use crate::numbering::ServiceNumber;
 use crate::peers::{PeerMessage, Peers};
 use crate::services::Services;
 use crate::settings::{BrainSettings, DeliverySettings};
@@ -111,15 +112,7 @@
 
     fn take(&mut self, input: Input) {
         match input {
-            Input::Services(services) => {
-                let limited = services.iter().filter(|service| service.is_limited());
-                let limited: Vec<_> =
-                    limited.map(|service| (service.name.clone(), service.rate_per_s)).collect();
-                self.services.replace(services);
-                self.hosts.refresh(&self.services);
-                self.idle.retain(|name| self.services.get(name).is_some());
-                self.permits.set_services(self.now, limited);
-            }
+            Input::Services(services) => self.set_services(services),
             Input::Hosts(instances) => self.hosts.set_list(instances, &self.services, self.now),
             Input::Relays(relays) => self.set_relays(relays),
             Input::AgreedHomes(homes) => self.permits.set_agreed_homes(self.now, &homes),
@@ -141,6 +134,22 @@
         }
     }
 
+    fn set_services(&mut self, services: Vec<ServiceConfig>) {
+        let limited = services.iter().filter(|service| service.is_limited());
+        let limited: Vec<_> = limited.map(|service| (service.name.clone(), service.rate_per_s)).collect();
+        let numbered = |name: &Arc<str>| (name.clone(), self.services.number(name));
+        let before: Vec<_> = self.messages.services().map(numbered).collect();
+        self.services.replace(services);
+        self.hosts.refresh(&self.services);
+        self.idle.retain(|name| self.services.get(name).is_some());
+        self.permits.set_services(self.now, limited);
+        // The decisions know messages by the number that their service had.
+        let is_renumbered = |(name, known): &(Arc<str>, ServiceNumber)| self.services.number(name) != *known;
+        let renumbered = before.into_iter().filter(is_renumbered).map(|(name, _)| name).collect();
+        let forgotten = self.messages.take_back(&renumbered);
+        self.events.extend(forgotten.into_iter().map(Event::Withdrawn));
+    }
+
     fn set_relays(&mut self, relays: Vec<NodeName>) {
         self.peers.set_relays(relays);
         let relays = self.peers.relays();
@@ -241,7 +250,7 @@
             let Submission { schedule_target, priority, due_at, ref service, .. } = held.submission;
             let (class, deadline) = self.brain_settings.class(schedule_target, priority, due_at, self.now);
             let history = History { restored: true, ..History::default() };
-            let destination = destination(service);
+            let destination = self.services.number(service).destination;
             let request = Request { id, class, destination, tenant: 0, key: None, deadline, history };
             self.events.push(Event::Message(request));
         }
--- a/crates/delivery/src/hosts.rs
+++ b/crates/delivery/src/hosts.rs
@@ -10,7 +10,6 @@
 use crate::connections::{to_one_host, to_service};
 use crate::interface::{HostKey, Instance, Target};
 use crate::messages::Messages;
-use crate::numbering::{destination, listed_host, static_host};
 use crate::services::Services;
 use crate::spread::{Candidate, Place, Spread};
 
@@ -118,8 +117,8 @@
     }
 
     pub(crate) fn set_list(&mut self, instances: Vec<Instance>, services: &Services, now: Micros) {
-        let cold: Vec<_> =
-            instances.iter().map(|of| (listed_host(of), of.cold_remaining_ms * 1000)).collect();
+        let id = |of: &Instance| services.number(&of.service).listed_host(of);
+        let cold: Vec<_> = instances.iter().map(|of| (id(of), of.cold_remaining_ms * 1000)).collect();
         self.instances = instances;
         self.refresh(services);
         for (id, left) in cold {
@@ -143,7 +142,7 @@
         for instance in std::mem::take(&mut self.instances) {
             let service = services.get(&instance.service).filter(|service| service.static_address.is_none());
             if let Some(service) = service {
-                let id = listed_host(&instance);
+                let id = services.number(&service.name).listed_host(&instance);
                 let target = Target { address: instance.address, instance: Some(instance.id.clone()) };
                 let slots = if instance.slots > 0 { instance.slots as usize } else { usize::MAX };
                 let limit = to_one_host(service.max_connections, self.place.relays).min(slots);
@@ -154,7 +153,8 @@
         }
         let no_zone = Arc::from("");
         for service in services.all() {
-            if let Some((address, id)) = service.static_address.zip(static_host(service)) {
+            let id = services.number(&service.name).static_host(service);
+            if let Some((address, id)) = service.static_address.zip(id) {
                 let limit = to_one_host(service.max_connections, self.place.relays);
                 let target = Target { address, instance: None };
                 self.put(id, &service.name, &no_zone, target, true, limit);
@@ -307,7 +307,7 @@
         let host = self.hosts.get_mut(&id).filter(|host| host.told != Some(lifecycle))?;
         host.told = Some(lifecycle);
         let weight = services.get(&host.service).map_or(1.0, |service| service.weight());
-        let destination = destination(&host.service);
+        let destination = services.number(&host.service).destination;
         Some(Listed { host: id, zone: 0, kind: 0, destination, lifecycle, weight })
     }
 
--- a/crates/delivery/src/messages.rs
+++ b/crates/delivery/src/messages.rs
@@ -135,6 +135,25 @@
         self.line_up(key);
     }
 
+    /// Services that messages are on hand for.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.lines.keys()
+    }
+
+    /// Puts what is before the decisions of these services back in line, and gives the numbers that the decisions are to
+    /// forget.
+    pub(crate) fn take_back(&mut self, services: &BTreeSet<Arc<str>>) -> BTreeSet<MessageId> {
+        let handed = self.held.iter().filter_map(|(key, held)| match held.place {
+            Place::Handed(id) if services.contains(&held.submission.service) => Some((id, *key)),
+            _ => None,
+        });
+        let handed: BTreeMap<MessageId, u64> = handed.collect();
+        for key in handed.values() {
+            self.return_to_line(*key);
+        }
+        handed.into_keys().collect()
+    }
+
     fn drop_empty_line(&mut self, service: &Arc<str>) {
         if self.lines.get(service).is_some_and(|line| line.waiting.is_empty() && line.handed == 0) {
             self.lines.remove(service);
--- a/crates/delivery/src/numbering.rs
+++ b/crates/delivery/src/numbering.rs
@@ -11,17 +11,36 @@
 const STATIC_SEED: u64 = 0x7374_6174;
 
 /// The number of a service.
-pub(crate) fn destination(service: &str) -> DestinationId {
-    (hash(service.as_bytes(), 0) >> (u64::BITS - DESTINATION_BITS)) as DestinationId
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ServiceNumber {
+    pub(crate) destination: DestinationId,
+    /// How many numbers of its name other services have.
+    draw: u64,
 }
 
-/// The number of a listed host, by its incarnation.
-pub(crate) fn listed_host(instance: &Instance) -> HostId {
-    HostId(hash(instance.id.as_bytes(), HOST_SEED))
-}
+impl ServiceNumber {
+    /// The first number of a service that is not taken.
+    pub(crate) fn of(service: &str, is_taken: impl Fn(DestinationId) -> bool) -> Self {
+        let mut draw = 0;
+        loop {
+            let destination =
+                (hash(service.as_bytes(), draw) >> (u64::BITS - DESTINATION_BITS)) as DestinationId;
+            if !is_taken(destination) {
+                return ServiceNumber { destination, draw };
+            }
+            draw += 1;
+        }
+    }
+
+    /// The number of a listed host of the service, by its incarnation. It is another one with another number of the service.
+    pub(crate) fn listed_host(self, instance: &Instance) -> HostId {
+        HostId(hash(instance.id.as_bytes(), HOST_SEED.wrapping_add(self.draw)))
+    }
 
-/// The number of the only endpoint of a service.
-pub(crate) fn static_host(service: &ServiceConfig) -> Option<HostId> {
-    let address = service.static_address?.to_string();
-    Some(HostId(hash(address.as_bytes(), hash(service.name.as_bytes(), STATIC_SEED))))
+    /// The number of the only endpoint of the service.
+    pub(crate) fn static_host(self, service: &ServiceConfig) -> Option<HostId> {
+        let address = service.static_address?.to_string();
+        let seed = hash(service.name.as_bytes(), STATIC_SEED.wrapping_add(self.draw));
+        Some(HostId(hash(address.as_bytes(), seed)))
+    }
 }
--- a/crates/delivery/src/services.rs
+++ b/crates/delivery/src/services.rs
@@ -6,7 +6,7 @@
 use pewterseam::interface::DestinationId;
 
 use crate::interface::ServiceConfig;
-use crate::numbering::destination;
+use crate::numbering::ServiceNumber;
 
 /// Calls a second that stand for no limit.
 const UNLIMITED: f64 = 10_000.0;
@@ -15,14 +15,27 @@
 #[derive(Debug, Default)]
 pub(crate) struct Services {
     by_name: BTreeMap<Arc<str>, ServiceConfig>,
+    numbers: BTreeMap<Arc<str>, ServiceNumber>,
     names: BTreeMap<DestinationId, Arc<str>>,
 }
 
 impl Services {
     pub(crate) fn replace(&mut self, services: Vec<ServiceConfig>) {
-        self.names =
-            services.iter().map(|service| (destination(&service.name), service.name.clone())).collect();
         self.by_name = services.into_iter().map(|service| (service.name.clone(), service)).collect();
+        self.numbers.clear();
+        self.names.clear();
+        // In the order of their names, so that all relays with this configuration give the same numbers.
+        for name in self.by_name.keys() {
+            let number = ServiceNumber::of(name, |taken| self.names.contains_key(&taken));
+            self.names.insert(number.destination, name.clone());
+            self.numbers.insert(name.clone(), number);
+        }
+    }
+
+    /// The number of a service. One that the configuration does not have gets a number that no other one has.
+    pub(crate) fn number(&self, name: &str) -> ServiceNumber {
+        let free = || ServiceNumber::of(name, |taken| self.names.contains_key(&taken));
+        self.numbers.get(name).copied().unwrap_or_else(free)
     }
 
     pub(crate) fn get(&self, name: &str) -> Option<&ServiceConfig> {
--- a/crates/delivery/tests/messages.rs
+++ b/crates/delivery/tests/messages.rs
@@ -65,6 +65,68 @@
     assert!((4..=15).contains(&asked), "asked {asked} times");
 }
 
+/// Two services whose hashes begin with the same 28 bits, found by trying names.
+const ALIKE: [&str; 2] = ["partner-12659", "partner-12714"];
+
+/// Whether each of the two endpoints got messages of its own service alone, each of them once. Those of the second service
+/// have keys above 500 in each thousand.
+fn assert_own_messages(world: &World, messages: usize) {
+    assert!(
+        world.arrivals_at(1).all(|arrival| arrival.key % 1_000 <= 500),
+        "the first got the second's messages"
+    );
+    assert!(
+        world.arrivals_at(2).all(|arrival| arrival.key % 1_000 > 500),
+        "the second got the first's messages"
+    );
+    assert_eq!((world.finished(), world.arrivals.len()), (messages, messages));
+}
+
+fn submit_to_both(world: &mut World, from: u64) {
+    let now = world.now;
+    for relay in 0..2 {
+        let base = 1_000 * (from + relay as u64);
+        world.submit(relay, (1..=40).map(|key| submission(base + key, ALIKE[0], now)));
+        world.submit(relay, (501..=540).map(|key| submission(base + key, ALIKE[1], now)));
+    }
+}
+
+/// Guards against messages of a service that another one runs, or that wait for ever, since both names lead to one number.
+#[test]
+fn two_services_with_names_of_one_number_get_their_own_messages() {
+    let mut world = World::new(2, 100);
+    world.static_host(1, SERVE);
+    world.static_host(2, SERVE);
+    world.tell_all(&Input::Services(vec![fixed(ALIKE[0], 1), fixed(ALIKE[1], 2)]));
+    submit_to_both(&mut world, 0);
+    world.run(5 * SECOND);
+    assert_own_messages(&world, 160);
+}
+
+/// Guards against the same where a service comes, or goes, that has the number of another one which has messages waiting.
+#[test]
+fn a_service_that_takes_the_number_of_another_gets_none_of_its_messages() {
+    let mut world = World::new(2, 100);
+    world.static_host(1, SERVE);
+    world.static_host(2, SERVE);
+    let (first, second) = (fixed(ALIKE[0], 1), fixed(ALIKE[1], 2));
+    for (from, services) in [
+        (0, vec![second.clone()]),
+        (10, vec![first.clone(), second.clone()]),
+        (20, vec![first.clone()]),
+        (30, vec![second.clone()]),
+        (40, vec![second.clone(), first.clone()]),
+    ] {
+        submit_to_both(&mut world, from);
+        world.tell_all(&Input::Services(services));
+        world.run(20 * MILLISECOND);
+        submit_to_both(&mut world, from + 5);
+        world.run(30 * MILLISECOND);
+    }
+    world.run(20 * SECOND);
+    assert_own_messages(&world, 1_600);
+}
+
 /// Guards against what may have run being dropped, and against repeats without a growing pause.
 #[test]
 fn a_message_that_may_have_run_is_tried_again_with_growing_pauses() {
--- a/crates/queue/src/routes.rs
+++ b/crates/queue/src/routes.rs
@@ -23,6 +23,7 @@
     pub priority: u8,
     pub timeout_ms: u64,
     pub schedule_target_ms: u64,
+    /// 0: no limit.
     pub max_attempts: u32,
     pub retention_ms: u64,
 }
@@ -62,6 +63,11 @@
         }
     }
 
+    /// Whether a message that has failed so often has ended.
+    pub(crate) fn is_used_up(&self, failures: u32) -> bool {
+        self.max_attempts > 0 && failures >= self.max_attempts
+    }
+
     /// What a message that has failed so often is handed to the runner with.
     pub(crate) fn submission(&self, failures: u32, due_at: Micros) -> Submission {
         Submission {
--- a/crates/queue/src/run.rs
+++ b/crates/queue/src/run.rs
@@ -81,8 +81,8 @@
         let Some(message) = self.messages.get_mut(&key) else { return };
         message.failures += 1;
         let failures = message.failures;
-        let most = self.routes.policy(message.route.as_ref()).map(|policy| policy.max_attempts);
-        if most.is_some_and(|most| failures >= most) {
+        let policy = self.routes.policy(message.route.as_ref());
+        if policy.is_some_and(|policy| policy.is_used_up(failures)) {
             self.end(key, End::AttemptsUsed);
             return;
         }
--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use common::{MILLISECOND, World, routes};
-use pewterseam_queue::{Answer, RunResult};
+use pewterseam_queue::{Answer, RouteTable, RunResult};
 use pewterseam_wire::identity::DiskId;
 use pewterseam_wire::placement::{Partition, StoreId};
 use pewterseam_wire::record::{End, MessageName};
@@ -238,6 +238,25 @@
     assert_eq!(ends, [&End::AttemptsUsed, &End::AttemptsUsed]);
 }
 
+/// Guards against a route without a limit of attempts, or without the field, whose messages end at their first failure.
+#[test]
+fn without_a_limit_of_attempts_no_failure_ends_a_message() {
+    let mut world = World::new();
+    let mut table = RouteTable::clone(&routes(1, &["plain"]));
+    table.routes.values_mut().for_each(|policy| policy.max_attempts = 0);
+    let effects = world.queue.set_routes(world.now, Arc::new(table));
+    world.carry_out(effects);
+    let name = MessageName::new("a", Partition::of("a"));
+    let new = world.message("a", None);
+    world.accept(new);
+    for attempts in 1..=8 {
+        assert_eq!(world.submitted.len(), attempts);
+        world.ran(world.submitted[attempts - 1], RunResult::Failed);
+        world.run_for(6_000 * MILLISECOND);
+    }
+    assert_eq!(world.ends(&name), 0);
+}
+
 // Danger: a delayed message runs early.
 #[test]
 fn a_delay_is_waited_for() {
