Harness: machines lose their disk while they are emptied, and routes are named anew

ScaleIn: four of ten machines that are being emptied lose their disk within 1.5 s of the order, and come back with another one; the loss after a removal waits until no other machine counts as lost, in place of not coming about. ChangingRoutes: in every second run operators write whole configurations that number the routes, so that a route that is dropped or added gives its name to the next one.

--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_config::{CompiledConfig, Service};
+use pewterseam_config::{CompiledConfig, Route, Service};
 use pewterseam_delivery::ServiceConfig;
 use pewterseam_wire::Micros;
 use pewterseam_wire::record::RouteKey;
@@ -57,7 +57,25 @@
     if mark >> place & 1 == 0 { PLAIN } else { ORDERED }
 }
 
-fn route(name: &str, mark: u64, retention: Micros) -> String {
+/// What routes are called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Naming {
+    /// Each by its prefix, in every configuration.
+    ByPrefix,
+    /// By their places in a configuration, so that a route that is dropped or added gives its name to the next one.
+    Numbered,
+}
+
+impl Naming {
+    fn name(self, route: &str, place: usize) -> String {
+        match self {
+            Naming::ByPrefix => route.to_owned(),
+            Naming::Numbered => format!("route-{place}"),
+        }
+    }
+}
+
+fn route(name: &str, called: &str, mark: u64, retention: Micros) -> String {
     let (fifo, retention_s) = (name == ORDERED, retention / SECOND);
     let service = match name {
         PLAIN | ORDERED | LIMITED => name,
@@ -67,7 +85,7 @@
     // Only that of the mark tells the change.
     let schedule_target_ms = if name == MARK { mark } else { LEAST_TARGET_MS + mark % MORE_TARGET_MS };
     format!(
-        r#"{{"name":"{name}","hostname":"{HOST}","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
+        r#"{{"name":"{called}","hostname":"{HOST}","pathPrefix":"/{name}/","type":"async","timeoutMs":{TIMEOUT_MS},"targetLatencyMs":80,"priority":1,"backend":"{service}","maxAttempts":{MOST_ATTEMPTS},"fifo":{fifo},"retentionS":{retention_s}.0,"callbackUrl":false,"scheduleTargetMs":{schedule_target_ms}}}"#
     )
 }
 
@@ -82,18 +100,26 @@
 }
 
 /// Routes of a configuration of this mark.
-fn routes(names: &[&str], mark: u64, retention: Micros) -> String {
-    let all: Vec<String> = names.iter().chain(&[MARK]).map(|name| route(name, mark, retention)).collect();
-    all.join(",")
+fn routes(names: &[&str], mark: u64, retention: Micros, naming: Naming) -> String {
+    let places = names.iter().chain(&[MARK]).enumerate();
+    let all = places.map(|(place, name)| route(name, &naming.name(name, place), mark, retention));
+    all.collect::<Vec<String>>().join(",")
+}
+
+/// The route of a configuration that has this prefix.
+fn has_prefix(route: &Route, name: &str) -> bool {
+    route.path_prefix.trim_matches('/') == name
 }
 
 /// A whole configuration, told from others by its mark, with these routes beside the usual ones, and with so many
 /// that nobody uses.
-pub fn document(version: u64, mark: u64, passing: &[&str], unused: usize, retention: Micros) -> Bytes {
+pub fn document(
+    version: u64, mark: u64, passing: &[&str], unused: usize, retention: Micros, naming: Naming,
+) -> Bytes {
     let names = [PLAIN, ORDERED, LIMITED];
     let unused: Vec<String> = (0..unused).map(|number| format!("unused-{number}")).collect();
     let unused: Vec<&str> = unused.iter().map(String::as_str).collect();
-    let routes = routes(&[&names, passing, &unused].concat(), mark, retention);
+    let routes = routes(&[passing, &names, &unused].concat(), mark, retention, naming);
     let services = names.map(service).join(",");
     Bytes::from(format!(
         r#"{{"version":{version},"routes":[{routes}],"backends":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
@@ -102,7 +128,7 @@
 
 /// A change to one, that adds some of the passing routes and drops the others.
 pub fn patch(version: u64, mark: u64, passing: &[&str], retention: Micros) -> Bytes {
-    let routes = routes(&[&[PLAIN], passing].concat(), mark, retention);
+    let routes = routes(&[&[PLAIN], passing].concat(), mark, retention, Naming::ByPrefix);
     let dropped = PASSING.iter().filter(|name| !passing.contains(name));
     let dropped: Vec<String> = dropped.map(|name| format!("\"{name}\"")).collect();
     let dropped = dropped.join(",");
@@ -114,14 +140,14 @@
 /// The passing routes that a configuration has.
 pub fn passing_routes(text: &[u8]) -> Vec<&'static str> {
     let Ok(compiled) = CompiledConfig::compile(text) else { return Vec::new() };
-    let has = |name: &&'static str| compiled.routes().any(|route| *route.name == **name);
+    let has = |name: &&'static str| compiled.routes().any(|route| has_prefix(route, name));
     PASSING.into_iter().filter(has).collect()
 }
 
 /// The mark of the change that led to a configuration; 0 before the first.
 pub fn mark(text: &[u8]) -> Option<u64> {
     let compiled = CompiledConfig::compile(text).ok()?;
-    let marked = compiled.routes().find(|route| *route.name == *MARK);
+    let marked = compiled.routes().find(|route| has_prefix(route, MARK));
     Some(marked.map_or(0, |route| route.schedule_target_ms as u64))
 }
 
--- a/crates/cluster/src/in_force.rs
+++ b/crates/cluster/src/in_force.rs
@@ -4,7 +4,6 @@
 
 use pewterseam_config::CompiledConfig;
 use pewterseam_delivery::Input as DeliveryInput;
-use pewterseam_queue::RouteTable;
 use pewterseam_wire::control::{ConfigDocument, ControlState};
 
 use crate::configuration::services;
@@ -25,7 +24,7 @@
     pub(crate) fn use_config(&mut self, document: &ConfigDocument) {
         let compiled = self.compiled(document);
         self.delivery_inputs.push(DeliveryInput::Services(services(&compiled)));
-        let table = Arc::new(RouteTable::of(&compiled));
+        let table = Arc::new(self.route_table(&compiled));
         self.config = compiled;
         let effects = self.queue.set_routes(self.node.now, table);
         self.queue_effects.extend(effects);
--- a/crates/cluster/src/operators.rs
+++ b/crates/cluster/src/operators.rs
@@ -4,7 +4,7 @@
 use pewterseam_control::{OperatorRequest, Outcome, Token};
 use pewterseam_wire::Micros;
 
-use crate::configuration::{PASSING, document, patch, retention};
+use crate::configuration::{Naming, PASSING, document, patch, retention};
 use crate::event::{Event, Input};
 use crate::history::{Interval, Write};
 use crate::plan::{MILLISECOND, SECOND, Scenario};
@@ -19,6 +19,8 @@
 /// Of the runs with many changes one of so many has large configurations.
 const LARGE_EACH: u64 = 25;
 const MANY_ROUTES: usize = 250;
+/// Of the runs with changes of routes one of so many has them named anew with each change.
+const NUMBERED_EACH: u64 = 2;
 /// Where changes mostly move routes, one of so many drops a passing route.
 const SELDOM_DROPPED: usize = 6;
 /// All operators of a run together make so many changes where changes are many.
@@ -153,17 +155,25 @@
         let version = if_match + 1 + self.random.below(3) as u64;
         self.last_mark += 1;
         let mark = self.last_mark;
-        let is_patch = if_match > 0 && self.random.below(2) == 0;
+        let naming = self.naming();
+        let is_patch = if_match > 0 && self.random.below(2) == 0 && naming == Naming::ByPrefix;
         let passing = self.draw_passing();
         let retention = retention(self.plan.scenario);
         let text = if is_patch {
             patch(version, mark, &passing, retention)
         } else {
-            document(version, mark, &passing, self.unused_routes(), retention)
+            document(version, mark, &passing, self.unused_routes(), retention, naming)
         };
         Change { if_match, version, mark, text, is_patch, passing }
     }
 
+    /// Where routes change, every second run has operators who write whole configurations and number their routes.
+    fn naming(&self) -> Naming {
+        let is_numbered =
+            self.plan.scenario == Scenario::ChangingRoutes && self.plan.seed.is_multiple_of(NUMBERED_EACH);
+        if is_numbered { Naming::Numbered } else { Naming::ByPrefix }
+    }
+
     /// Routes that make a configuration large, so that states go in pieces.
     fn unused_routes(&self) -> usize {
         let is_large =
--- a/crates/cluster/src/plan.rs
+++ b/crates/cluster/src/plan.rs
@@ -28,6 +28,8 @@
     EarlyCopies,
     /// Relays keep the routes of the first configuration that comes into force.
     KeptRoutes,
+    /// Relays take routes for the same ones that have the same name.
+    RoutesByName,
     /// Relays put configurations in force some seconds after they know them.
     LateConfigurations,
     /// Relays go back to the configuration before, soon after they put one in force.
--- a/crates/cluster/src/planted.rs
+++ b/crates/cluster/src/planted.rs
@@ -1,16 +1,17 @@
 //! Faults of the program that are planted in relays.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use bytes::Bytes;
+use pewterseam_config::CompiledConfig;
 use pewterseam_control::{Change, OperatorRequest, Outcome, Token};
 use pewterseam_delivery::Input as DeliveryInput;
-use pewterseam_queue::MessageKey;
+use pewterseam_queue::{MessageKey, RouteTable};
 use pewterseam_wire::Micros;
 use pewterseam_wire::control::ConfigDocument;
 use pewterseam_wire::placement::{StoreId, hash};
-use pewterseam_wire::record::MessageName;
+use pewterseam_wire::record::{MessageName, RouteKey};
 use pewterseam_wire::store::{Status, StoreRequest, StoreResponse};
 
 use crate::event::Output;
@@ -60,6 +61,20 @@
         }
     }
 
+    /// The routes of a configuration. With a planted fault, each keeps the key that the first route of its name had.
+    pub(crate) fn route_table(&mut self, config: &CompiledConfig) -> RouteTable {
+        let mut table = RouteTable::of(config);
+        if self.has(Planted::RoutesByName) {
+            let named = table.routes.clone();
+            for route in config.routes() {
+                let first = self.held_back.first_keys.entry(route.name.clone());
+                let first = first.or_insert_with(|| route.key()).clone();
+                table.routes.extend(named.get(&route.key()).map(|policy| (first, policy.clone())));
+            }
+        }
+        table
+    }
+
     /// Uses what a planted fault has held back long enough.
     pub(crate) fn use_held_back(&mut self) {
         let now = self.node.now;
@@ -110,6 +125,8 @@
     newest: Option<Arc<ConfigDocument>>,
     /// Those that are to be used, and when.
     due: VecDeque<(Micros, Arc<ConfigDocument>)>,
+    /// The key of the first route of each name.
+    first_keys: BTreeMap<Arc<str>, RouteKey>,
 }
 
 const LATE_BY: Micros = 4 * SECOND;
--- a/crates/cluster/src/scale_in.rs
+++ b/crates/cluster/src/scale_in.rs
@@ -24,6 +24,10 @@
 /// Of the stores that were there at the start, so many may be retired.
 const MOST_RETIRED: usize = 2;
 const MOST_USUAL_FAULTS: usize = 4;
+/// Of a hundred machines that are being emptied, so many lose their disk meanwhile.
+const LOST_MEANWHILE: usize = 40;
+/// They lose it within this after the order.
+const MEANWHILE_MS: usize = 1_500;
 
 /// A step of an operator who changes the set of stores.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -121,6 +125,15 @@
         self.judge.event(self.now, format!("retirement of machine {machine}: {outcome:?}"));
         if *outcome == Outcome::Retiring && !std::mem::replace(&mut self.machines[machine].retires, true) {
             self.agenda.add(self.now + POLL, Event::Scaling(Scaling::AskRetired { machine }));
+            self.lose_disk_meanwhile(machine);
+        }
+    }
+
+    /// A machine may lose its disk while it is being emptied, and come back with another one.
+    fn lose_disk_meanwhile(&mut self, machine: usize) {
+        if self.random.below(100) < LOST_MEANWHILE {
+            let pause = self.random.below(MEANWHILE_MS) as Micros * MILLISECOND;
+            self.agenda.add(self.now + pause, Event::Fault(Fault::LoseDisk { machine }));
         }
     }
 
@@ -167,13 +180,13 @@
         self.agenda.add(self.now + vacancy, Event::Scaling(Scaling::Succeed { machine: by, to: machine }));
     }
 
-    /// The disk of one of those left is lost, soon after another has gone.
+    /// The disk of one of those left is lost, soon after another has gone, or once no other machine counts as lost.
     fn lose_one_of_the_rest(&mut self) {
         let stores = self.stores(|is_present| is_present);
         if self.random.below(3) > 0 {
             let machine = stores[self.random.below(stores.len())];
             let soon = self.random.below(2 * SECOND as usize) as Micros;
-            let at = (self.now + soon).min(self.traffic_ends);
+            let at = (self.now.max(self.lost_until) + soon).min(self.traffic_ends);
             self.agenda.add(at, Event::Fault(Fault::LoseDisk { machine }));
         }
     }
--- a/crates/cluster/tests/planted.rs
+++ b/crates/cluster/tests/planted.rs
@@ -20,6 +20,12 @@
     seed
 }
 
+/// Guards that relays which go by the names of routes are found, where changes give these to other routes.
+#[test]
+fn routes_by_name_are_found() {
+    find_in(Scenario::ChangingRoutes, Planted::RoutesByName, Rule::Config, 100);
+}
+
 /// Guards that a 202 before the second sync is found.
 #[test]
 fn early_acknowledgements_are_found() {
