Harness: where stores go, operators ask late and messages wait for long

A record is lost only if it was taken while the machine stood in the placement again, and still waits when the next disk goes; operators asked every 300 ms from the start, and no delay was longer than 2.5 s.

Change, in ScaleIn alone: the first question whether a store is empty comes up to 5.3 s after the order, delays last up to 14 s.

--- a/crates/cluster/src/clients.rs
+++ b/crates/cluster/src/clients.rs
@@ -14,7 +14,6 @@
 
 const KEYS: usize = 3;
 const MOST_TRIES: u32 = 4;
-const MOST_DELAY_MS: usize = 2_500;
 const LEAST_PATIENCE_MS: usize = 300;
 const MORE_PATIENCE_MS: usize = 1_200;
 const LEAST_BODY: usize = 8;
@@ -33,8 +32,8 @@
 }
 
 impl Client {
-    /// Draws one; of ten, so many are for the limited service.
-    pub fn draw(random: &mut Random, limited: usize, uses_passing: bool) -> Self {
+    /// Draws one; of ten, so many are for the limited service. One in six has a delay.
+    pub fn draw(random: &mut Random, limited: usize, uses_passing: bool, most_delay_ms: usize) -> Self {
         let (route, key) = match random.below(10) {
             _ if uses_passing && random.below(2) == 0 => (PASSING[random.below(PASSING.len())], None),
             kind if kind < limited => (LIMITED, None),
@@ -46,7 +45,7 @@
         Client {
             route,
             key,
-            delay_ms: if is_delayed { random.below(MOST_DELAY_MS) as u64 } else { 0 },
+            delay_ms: if is_delayed { random.below(most_delay_ms) as u64 } else { 0 },
             patience_ms: (LEAST_PATIENCE_MS + random.below(MORE_PATIENCE_MS)) as u64,
             body: Bytes::from(body),
             tries: 0,
--- a/crates/cluster/src/scale_in.rs
+++ b/crates/cluster/src/scale_in.rs
@@ -13,6 +13,8 @@
 
 /// Between two questions whether a store is empty, and before an order without an answer is sent again.
 const POLL: Micros = 300 * MILLISECOND;
+/// The first such question comes at most so much later: messages come in while the store is empty and nobody knows.
+const MOST_FIRST_PAUSE_MS: usize = 5_000;
 /// An order that too few stores stand against is given again then.
 const REST: Micros = SECOND;
 /// `catchUpS`: so long after its return a machine counts as lost.
@@ -124,7 +126,8 @@
     pub(crate) fn retire_answered(&mut self, machine: usize, outcome: &Outcome) {
         self.judge.event(self.now, format!("retirement of machine {machine}: {outcome:?}"));
         if *outcome == Outcome::Retiring && !std::mem::replace(&mut self.machines[machine].retires, true) {
-            self.agenda.add(self.now + POLL, Event::Scaling(Scaling::AskRetired { machine }));
+            let pause = POLL + self.random.below(MOST_FIRST_PAUSE_MS) as Micros * MILLISECOND;
+            self.agenda.add(self.now + pause, Event::Scaling(Scaling::AskRetired { machine }));
             self.lose_disk_meanwhile(machine);
         }
     }
--- a/crates/cluster/src/size.rs
+++ b/crates/cluster/src/size.rs
@@ -35,6 +35,8 @@
 const LEAST_OUTAGES_MS: usize = 14_000;
 const MORE_OUTAGES_MS: usize = 10_000;
 /// The same where stores come and go.
+const USUAL_DELAY_MS: usize = 2_500;
+const LONG_DELAY_MS: usize = 14_000;
 const LEAST_SCALING_MS: usize = 12_000;
 const MORE_SCALING_MS: usize = 12_000;
 /// Fewer changes of hosts than so many.
@@ -61,6 +63,11 @@
     if scenario == Scenario::ChangingHosts { MANY_CHANGES_OF_HOSTS } else { USUAL_CHANGES_OF_HOSTS }
 }
 
+/// How long clients have messages wait at most. Where stores go, some wait until another loss is borne.
+pub fn most_delay_ms(scenario: Scenario) -> usize {
+    if scenario == Scenario::ScaleIn { LONG_DELAY_MS } else { USUAL_DELAY_MS }
+}
+
 /// How long the traffic lasts.
 pub fn random_span(random: &mut Random, scenario: Scenario) -> Micros {
     let (least, more) = match scenario {
--- a/crates/cluster/src/world.rs
+++ b/crates/cluster/src/world.rs
@@ -139,8 +139,9 @@
         let (most, limited) = if is_crowded { (CROWD, 7) } else { (MORE_CLIENTS, 2) };
         let uses_passing =
             matches!(self.plan.scenario, Scenario::ChangingRoutes | Scenario::OutagesAndChanges);
+        let most_delay_ms = size::most_delay_ms(self.plan.scenario);
         for client in 0..LEAST_CLIENTS + self.random.below(most) {
-            let drawn = Client::draw(&mut self.random, limited, uses_passing);
+            let drawn = Client::draw(&mut self.random, limited, uses_passing, most_delay_ms);
             self.clients.push(drawn);
             let at = self.traffic_begins + self.random.below(span) as Micros;
             self.agenda.add(at, Event::ClientSends { client });
