What was asked for in vain during a short cut is asked for again once contact is back

Change: contact counts as back for this purpose where no question of the lease was answered for two periods (2 s), in place of a lease that has lapsed.

--- a/crates/control/src/contact.rs
+++ b/crates/control/src/contact.rs
@@ -19,6 +19,9 @@
 /// Questions are sent this often in the span of contact that the settings name.
 const QUESTIONS_A_SPAN: Micros = 4;
 
+/// Contact was interrupted where no question was answered for so many periods. One answer alone may be late.
+const UNANSWERED_PERIODS: Micros = 2;
+
 /// A monotonic clock may run slow by one part of so many.
 const DRIFT_PART: Micros = 200;
 
@@ -109,6 +112,11 @@
         ends.into_iter().flatten().fold(ask, Micros::min)
     }
 
+    /// Whether questions before the one that was sent then went unanswered: what else was asked meanwhile was in vain.
+    fn was_interrupted(&self, asked_at: Micros) -> bool {
+        self.confirmed.is_none_or(|confirmed| asked_at > confirmed + UNANSWERED_PERIODS * self.period)
+    }
+
     fn confirm(&mut self, confirmation: Confirmation, now: Micros) {
         self.confirmed = self.confirmed.max(Some(confirmation.asked_at));
         let length = self.length;
@@ -150,7 +158,7 @@
             self.lease.next_ask = self.now + ASK_PAUSE;
             return;
         };
-        if matches!(self.lease.contact(self.now), Contact::LostSince(_)) {
+        if self.lease.was_interrupted(asked_at) {
             self.catch_up.contact_is_back(self.now);
         }
         self.lease.next_ask = asked_at + self.lease.period;
--- a/crates/control/tests/control/catch_up.rs
+++ b/crates/control/tests/control/catch_up.rs
@@ -182,3 +182,58 @@
         catch_up(&configuration(5_000), "5,000 routes", changes);
     }
 }
+
+/// `configApplyMs` of a small site.
+const APPLIED_WITHIN: u64 = 3_000 * MS;
+
+/// What a cut does to the links of a machine.
+const CUT_KINDS: u64 = 3;
+
+/// Cuts a machine off from all others: both ways, what it sends, or what it is sent.
+fn cut(cluster: &mut Cluster, node: usize, kind: u64) {
+    for other in (0..cluster.nodes.len()).filter(|other| *other != node) {
+        if kind != 1 {
+            cluster.cuts.insert((other, node));
+        }
+        if kind != 2 {
+            cluster.cuts.insert((node, other));
+        }
+    }
+}
+
+/// Guards against a machine that is back and goes by an older configuration, as it waits out the pause of a question that it
+/// asked in vain during the cut. Cuts of all lengths, of all machines; changes right before, in and right at the end of
+/// them, and another cut before.
+#[test]
+fn the_newest_version_is_known_soon_after_a_cut() {
+    let mut longest = (0, 0);
+    for seed in (0..400).chain([2_970]) {
+        let mut changing = Changing::new(seed, configuration(3));
+        let node = seed as usize % changing.cluster.nodes.len();
+        changing.relay = if node == CORE { CORE + 1 } else { CORE };
+        let below = |changing: &mut Changing, most: u64| changing.cluster.random.below(most as usize) as u64;
+        for _ in 0..1 + seed % 2 {
+            let (kind, span) = (below(&mut changing, CUT_KINDS), 200 * MS + below(&mut changing, 7 * SECOND));
+            let end = changing.cluster.now + span;
+            cut(&mut changing.cluster, node, kind);
+            while changing.cluster.now < end {
+                let left = end - changing.cluster.now;
+                let pause = below(&mut changing, 2 * SECOND).min(left);
+                changing.cluster.run(pause);
+                changing.change(1);
+            }
+            changing.cluster.cuts.clear();
+            let pause = below(&mut changing, 3 * SECOND);
+            if seed % 4 == 1 {
+                changing.cluster.run(pause);
+            }
+        }
+        let version = changing.version;
+        let time = changing.reach(&[node], version, 10 * SECOND, None);
+        longest = longest.max((time, seed));
+        changing.cluster.run(SECOND);
+        changing.whole();
+    }
+    println!("longest: {} ms at seed {}", longest.0 / MS, longest.1);
+    assert!(longest.0 < APPLIED_WITHIN, "seed {}: {} ms", longest.1, longest.0 / MS);
+}
