Grants of two homes never have one name

A grant was named by its home's life and a count from 1 (GrantId, "unique over all homes and their lives"). A life is the time of its start in milliseconds: two homes that started within one have the same, as after a return of power. What a relay told of the first home's grant settled a grant of the second one's, whose permits could then be granted again; and a grant of the second looked like a copy.

Change: a home counts from the hash of its name. The form of the messages is the same.

Evidence: grants_of_two_homes_never_have_one_name; before, both homes' first grant was { home_life: 1, number: 1 }.

--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -171,7 +171,7 @@
         }
         self.shares.leave_waiting();
         for (name, (life, sent_at, count)) in counts {
-            *last_grant += 1;
+            *last_grant = last_grant.wrapping_add(1);
             self.budget.grant(*last_grant, count, now);
             let grant = GrantId { home_life, number: *last_grant };
             let service = self.service.clone();
--- a/crates/permits/src/message.rs
+++ b/crates/permits/src/message.rs
@@ -10,6 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct GrantId {
     pub home_life: u64,
+    /// Counted from the hash of the home's name: the lives of two homes may be alike.
     pub number: u64,
 }
 
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -5,6 +5,7 @@
 
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
+use pewterseam_wire::placement::hash;
 
 use crate::holder::Permit;
 use crate::home::{Home, Opening};
@@ -63,6 +64,8 @@
         let is_first = settings.bootstrap;
         let agreed = settings.homes_are_agreed.then(Vec::new);
         let (services, relays, effects) = (BTreeMap::new(), Vec::new(), Vec::new());
+        // Two homes may have one life, where they started at the same time.
+        let last_grant = hash(settings.me.0.as_bytes(), 0);
         Permits {
             settings,
             services,
@@ -70,7 +73,7 @@
             live: Vec::new(),
             agreed,
             core_until: 0,
-            last_grant: 0,
+            last_grant,
             last_claim: 0,
             is_first,
             is_leaving: false,
--- a/crates/permits/tests/claims.rs
+++ b/crates/permits/tests/claims.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use pewterseam_permits::{PermitEffect, PermitMessage, Permits, Seen, Settings};
+use pewterseam_permits::{GrantId, PermitEffect, PermitMessage, Permits, Seen, Settings};
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 
@@ -29,6 +29,33 @@
     permits
 }
 
+/// A grant of a home to another relay, some time after its start.
+fn grant(home: &NodeName, asker: &NodeName) -> GrantId {
+    let mut permits = permits(home, &[home.clone(), asker.clone()], SECOND);
+    for now in 1..60 {
+        permits.step(now * SECOND);
+    }
+    let (now, service) = (60 * SECOND, Arc::from(SERVICE));
+    let request = PermitMessage::Request { service, life: 7, sent_at: now, wanted: 1, settled: Vec::new() };
+    permits.receive(now, asker, request);
+    let granted =
+        permits.step(now).into_iter().find_map(|PermitEffect::Send { message, .. }| match message {
+            PermitMessage::Grant { grant, .. } => Some(grant),
+            _ => None,
+        });
+    granted.expect("a grant")
+}
+
+/// Guards against a home that takes the permits of another one for its own, as both started within one millisecond and
+/// count from the same number: what is left of the other's would be granted again.
+#[test]
+fn grants_of_two_homes_never_have_one_name() {
+    let [first, second, asker] = by_rank();
+    let (of_first, of_second) = (grant(&first, &asker), grant(&second, &asker));
+    assert_eq!(of_first.home_life, of_second.home_life);
+    assert_ne!(of_first, of_second);
+}
+
 /// Where a relay sends its requests for permits.
 fn asks(permits: &mut Permits, now: Micros) -> Vec<NodeName> {
     permits.set_demand(SERVICE, 1);
