Signals are held back while they are taken, so that none is lost

Traced by reading: signal-hook-registry, on which tokio's signals stand, sets its handler (sigaction) before it stores what the handler is to do. A signal that comes in between goes to the disposition before, and where that is the default the library does nothing (Prev::execute): the signal is lost, and the process runs on until it is killed.

Change: the three signals are blocked while the handlers are set, and come afterwards (nix, sigprocmask). There is one thread then.

No test of its own: the four of crates/relay/tests/signals.rs, which start 51 processes each, guard it as they did.

--- a/crates/system/src/signals.rs
+++ b/crates/system/src/signals.rs
@@ -1,5 +1,8 @@
 //! Signals of the platform.
 
+use std::io;
+
+use nix::sys::signal::{SigSet, SigmaskHow, Signal as Number};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use crate::error::SystemError;
@@ -21,7 +24,20 @@
 }
 
 impl Signals {
+    /// Takes the signals from now on. Call it before there are other threads.
+    ///
+    /// Danger: a handler stands for a moment before it knows what to do, and a signal that comes in between is lost. So the
+    /// signals are held back meanwhile, and come afterwards.
     pub fn new() -> Result<Self, SystemError> {
+        let heeded: SigSet = [Number::SIGTERM, Number::SIGINT, Number::SIGHUP].into_iter().collect();
+        let before = heeded.thread_swap_mask(SigmaskHow::SIG_BLOCK);
+        let before = before.map_err(|error| SystemError::Signals(io::Error::from(error)))?;
+        let signals = Signals::take();
+        before.thread_set_mask().map_err(|error| SystemError::Signals(io::Error::from(error)))?;
+        signals
+    }
+
+    fn take() -> Result<Self, SystemError> {
         let take = |kind| signal(kind).map_err(SystemError::Signals);
         Ok(Signals {
             terminate: take(SignalKind::terminate())?,
