After the reread: what stood twice, stands once; a check where an attempt starts; a test of renumbering

The check stays, beside that for room. - delivery, harness: what delivery is told of a service was written in the driver and in the harness; both call ServiceConfig::of now. - queue: retention is converted by Route::retention_ms, which config had; an answer of a store has one function for each kind, not two. - harness: whether a request has a route is asked of the configuration as the door asks it. - control's tests: outcomes of orders.rs, cut of contact.rs and one is_placed in place of copies; an order's sendings are found by the order alone. wire: the build before's record is read from the new bytes, in place of a copy of 15 fields. - New: messages_with_an_attempt_out_follow_the_number_of_their_service; without the comparison of numbers none of its 80 messages came.

Tests keep their assertions.

--- a/crates/cluster/src/configuration.rs
+++ b/crates/cluster/src/configuration.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use pewterseam_config::{CompiledConfig, Route, Service};
-use pewterseam_delivery::ServiceConfig;
+use pewterseam_config::{CompiledConfig, Route};
 use pewterseam_wire::Micros;
 use pewterseam_wire::record::RouteKey;
 
@@ -150,19 +149,3 @@
     let marked = compiled.routes().find(|route| has_prefix(route, MARK));
     Some(marked.map_or(0, |route| route.schedule_target_ms as u64))
 }
-
-/// What delivery is told of a configuration.
-pub fn services(config: &CompiledConfig) -> Vec<ServiceConfig> {
-    config.services().map(|service| service_config(service)).collect()
-}
-
-fn service_config(service: &Service) -> ServiceConfig {
-    ServiceConfig {
-        name: service.name.clone(),
-        rate_per_s: service.rate_per_s,
-        max_connections: service.max_conns,
-        static_address: service.static_address.as_ref().and_then(|address| address.parse().ok()),
-        idempotent: service.idempotent,
-        health_path: service.health_path.clone().unwrap_or_else(|| Arc::from("/health")),
-    }
-}
--- a/crates/cluster/src/in_force.rs
+++ b/crates/cluster/src/in_force.rs
@@ -3,10 +3,9 @@
 use std::sync::Arc;
 
 use pewterseam_config::CompiledConfig;
-use pewterseam_delivery::Input as DeliveryInput;
+use pewterseam_delivery::{Input as DeliveryInput, ServiceConfig};
 use pewterseam_wire::control::{ConfigDocument, ControlState};
 
-use crate::configuration::services;
 use crate::relay::RelayProcess;
 
 impl RelayProcess {
@@ -23,7 +22,8 @@
     /// Uses a configuration from now on.
     pub(crate) fn use_config(&mut self, document: &ConfigDocument) {
         let compiled = self.compiled(document);
-        self.delivery_inputs.push(DeliveryInput::Services(services(&compiled)));
+        let services = compiled.services().map(|service| ServiceConfig::of(service)).collect();
+        self.delivery_inputs.push(DeliveryInput::Services(services));
         let table = Arc::new(self.route_table(&compiled));
         self.config = compiled;
         let effects = self.queue.set_routes(self.node.now, table);
--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -207,7 +207,7 @@
             self.node.out.push(Output::Answer { token: new.token.0, answer });
             return;
         }
-        if !self.config.routes().any(|route| route.key() == new.route_key) {
+        if self.config.route(&new.host, &new.target).is_none() {
             self.node.out.push(Output::NoRoute { token: new.token.0 });
         }
         self.clients.insert(new.token.0);
--- a/crates/control/tests/control/catch_up.rs
+++ b/crates/control/tests/control/catch_up.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use pewterseam_control::{OperatorRequest, Outcome};
 
+use crate::contact::{Direction, cut};
 use crate::simulation::cluster::{Cluster, MS};
 use crate::simulation::routes::{configuration, route};
 use crate::{call, formed};
@@ -187,19 +188,7 @@
 const APPLIED_WITHIN: u64 = 3_000 * MS;
 
 /// What a cut does to the links of a machine.
-const CUT_KINDS: u64 = 3;
-
-/// Cuts a machine off from all others: both ways, what it sends, or what it is sent.
-fn cut(cluster: &mut Cluster, node: usize, kind: u64) {
-    for other in (0..cluster.nodes.len()).filter(|other| *other != node) {
-        if kind != 1 {
-            cluster.cuts.insert((other, node));
-        }
-        if kind != 2 {
-            cluster.cuts.insert((node, other));
-        }
-    }
-}
+const DIRECTIONS: [Direction; 3] = [Direction::Both, Direction::Out, Direction::In];
 
 /// Guards against a machine that is back and goes by an older configuration, as it waits out the pause of a question that it
 /// asked in vain during the cut. Cuts of all lengths, of all machines; changes right before, in and right at the end of
@@ -209,13 +198,15 @@
     let mut longest = (0, 0);
     for seed in (0..400).chain([2_970]) {
         let mut changing = Changing::new(seed, configuration(3));
-        let node = seed as usize % changing.cluster.nodes.len();
+        let all: Vec<usize> = (0..changing.cluster.nodes.len()).collect();
+        let node = seed as usize % all.len();
         changing.relay = if node == CORE { CORE + 1 } else { CORE };
         let below = |changing: &mut Changing, most: u64| changing.cluster.random.below(most as usize) as u64;
         for _ in 0..1 + seed % 2 {
-            let (kind, span) = (below(&mut changing, CUT_KINDS), 200 * MS + below(&mut changing, 7 * SECOND));
+            let direction = DIRECTIONS[below(&mut changing, DIRECTIONS.len() as u64) as usize];
+            let span = 200 * MS + below(&mut changing, 7 * SECOND);
             let end = changing.cluster.now + span;
-            cut(&mut changing.cluster, node, kind);
+            cut(&mut changing.cluster, node, &all, direction);
             while changing.cluster.now < end {
                 let left = end - changing.cluster.now;
                 let pause = below(&mut changing, 2 * SECOND).min(left);
--- a/crates/control/tests/control/contact.rs
+++ b/crates/control/tests/control/contact.rs
@@ -11,14 +11,14 @@
 
 /// Which messages of a machine are lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Direction {
+pub enum Direction {
     Both,
     Out,
     In,
 }
 
 /// Cuts links between a machine and others.
-fn cut(cluster: &mut Cluster, node: usize, others: &[usize], direction: Direction) {
+pub fn cut(cluster: &mut Cluster, node: usize, others: &[usize], direction: Direction) {
     for other in others.iter().copied().filter(|other| *other != node) {
         if direction != Direction::In {
             cluster.cuts.insert((node, other));
--- a/crates/control/tests/control/earlier_processes.rs
+++ b/crates/control/tests/control/earlier_processes.rs
@@ -8,6 +8,7 @@
 use pewterseam_wire::identity::{DiskId, NodeName};
 use serde::{Deserialize, Serialize};
 
+use crate::orders::outcomes;
 use crate::repeated_calls::relay;
 use crate::simulation::cluster::{Cluster, MS, document};
 use crate::{call, formed};
@@ -24,12 +25,6 @@
 
 const STANDS_STILL: u64 = 600 * MS;
 
-/// Every outcome of a call that was told at a node.
-fn outcomes(cluster: &Cluster, node: usize, token: Token) -> Vec<Outcome> {
-    let is_asked = |(at, answered, _): &&(usize, Token, Outcome)| *at == node && *answered == token;
-    cluster.answers.iter().filter(is_asked).map(|(_, _, outcome)| outcome.clone()).collect()
-}
-
 /// A cluster whose leader stands still while a relay passes on its first call, is killed and starts again. The next
 /// process has taken its first call when the leader goes on.
 fn call_in_two_processes(seed: u64, first: &OperatorRequest, second: &OperatorRequest) -> Cluster {
@@ -63,8 +58,8 @@
         assert!(cluster.operator(OTHER, SENT_AGAIN, first.clone()));
         cluster.run(2_000 * MS);
         let accepted = Outcome::Accepted { version: 2 };
-        let is_first = outcomes(&cluster, OTHER, SENT_AGAIN).contains(&accepted);
-        let is_second = outcomes(&cluster, RESTARTED, FIRST).contains(&accepted);
+        let is_first = outcomes(&mut cluster, SENT_AGAIN.0).contains(&accepted);
+        let is_second = outcomes(&mut cluster, FIRST.0).contains(&accepted);
         assert!(!(is_first && is_second), "seed {seed}: both changes on version 1 were acknowledged");
         acknowledged += usize::from(is_first || is_second);
     }
@@ -77,14 +72,14 @@
 fn a_read_gets_no_answer_to_a_change_of_an_earlier_process() {
     for seed in 0..SEEDS {
         let change = OperatorRequest::put(1, document(2, "the operator's"));
-        let cluster = call_in_two_processes(seed, &change, &OperatorRequest::ReadConfig);
-        let told = outcomes(&cluster, RESTARTED, FIRST);
+        let mut cluster = call_in_two_processes(seed, &change, &OperatorRequest::ReadConfig);
+        let told = outcomes(&mut cluster, FIRST.0);
         assert!(
             matches!(told.as_slice(), [Outcome::Config(_) | Outcome::Unknown]),
             "seed {seed}: a read was answered with {told:?}"
         );
-        let cluster = call_in_two_processes(seed, &OperatorRequest::ReadConfig, &change);
-        let told = outcomes(&cluster, RESTARTED, FIRST);
+        let mut cluster = call_in_two_processes(seed, &OperatorRequest::ReadConfig, &change);
+        let told = outcomes(&mut cluster, FIRST.0);
         let is_fitting = |outcome: &Outcome| {
             matches!(outcome, Outcome::Accepted { version: 2 } | Outcome::Conflict { .. } | Outcome::Unknown)
         };
--- a/crates/control/tests/control/orders.rs
+++ b/crates/control/tests/control/orders.rs
@@ -16,7 +16,7 @@
 }
 
 /// The outcomes of a call that was made with this token.
-fn outcomes(cluster: &mut Cluster, token: u64) -> Vec<Outcome> {
+pub fn outcomes(cluster: &mut Cluster, token: u64) -> Vec<Outcome> {
     let (found, others) =
         std::mem::take(&mut cluster.answers).into_iter().partition(|(_, answered, _)| answered.0 == token);
     cluster.answers = others;
--- a/crates/control/tests/control/repeated_calls.rs
+++ b/crates/control/tests/control/repeated_calls.rs
@@ -1,11 +1,8 @@
 //! Calls that go to the leader again: how often, and what it costs the link.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use pewterseam_control::{
-    CallId, Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token,
-};
+use pewterseam_control::{Control, ControlMessage, ControlSettings, Effect, OperatorRequest, Outcome, Token};
 use pewterseam_membership::MemberChange;
 use pewterseam_wire::identity::{DiskId, Life, NodeInfo, NodeName, Role};
 
@@ -76,8 +73,7 @@
     let control = Control::new(0, &relay(1, None), settings, (None, Vec::new()), 1);
     let mut control = control.expect("starts");
     control.member(0, &MemberChange::Up(Arc::new(relay(2, Some(DiskId(2))))));
-    let mut sent: BTreeMap<CallId, Vec<u64>> = BTreeMap::new();
-    let mut calls = Vec::new();
+    let mut sent = vec![Vec::new(); orders.len()];
     let mut effects = Vec::new();
     for (number, order) in orders.iter().enumerate() {
         effects.extend(control.operator(0, Token(number as u64), order.clone()));
@@ -85,21 +81,16 @@
     let mut now = 0;
     while now < span {
         for effect in std::mem::take(&mut effects) {
-            if let Effect::Send { message: ControlMessage::Operator { call, request }, .. } = effect {
-                if !sent.contains_key(&call)
-                    && let Some(place) = orders.iter().position(|order| *order == request)
-                {
-                    calls.push((place, call));
-                }
-                sent.entry(call).or_default().push(now);
+            if let Effect::Send { message: ControlMessage::Operator { request, .. }, .. } = effect
+                && let Some(place) = orders.iter().position(|order| *order == request)
+            {
+                sent[place].push(now);
             }
         }
         now = control.next_wake();
         effects = control.tick(now);
     }
-    calls.sort();
-    assert_eq!(calls.len(), orders.len());
-    calls.iter().filter_map(|(_, call)| sent.remove(call)).collect()
+    sent
 }
 
 /// Guards against pauses that are as long for a megabyte as for a read, and against pauses that do not grow: a link that
--- a/crates/control/tests/control/retirement.rs
+++ b/crates/control/tests/control/retirement.rs
@@ -51,10 +51,8 @@
         let seed = self.seed;
         let state = newest(cluster);
         let before = std::mem::replace(&mut self.before, state.clone());
-        let is_placed = |retired: &StoreId| {
-            state.placement.sets.iter().flatten().any(|entry| entry.id.name == retired.name)
-        };
-        assert!(!state.retired.iter().any(is_placed), "seed {seed}: told to be retired and in the placement");
+        let is_in_use = |retired: &StoreId| is_placed(&state, &retired.name);
+        assert!(!state.retired.iter().any(is_in_use), "seed {seed}: told to be retired and in the placement");
         let (old, new) = (&before.placement, &state.placement);
         if new.epoch == old.epoch || old.sets.len() < 2 {
             return;
@@ -78,6 +76,11 @@
     }
 }
 
+/// Whether a machine has a place in a set, with whatever disk.
+fn is_placed(state: &ControlState, machine: &NodeName) -> bool {
+    state.placement.sets.iter().flatten().any(|entry| entry.id.name == *machine)
+}
+
 fn newest(cluster: &Cluster) -> Arc<ControlState> {
     let running = cluster.nodes.iter().filter_map(|node| node.control.as_ref());
     let states = running.map(|control| control.state());
@@ -190,9 +193,8 @@
             completed == Some(true) || !is_over && completed == Some(false),
             "seed {seed}: {completed:?}"
         );
-        let sets = &newest(cluster).placement.sets;
-        let is_placed = sets.iter().flatten().any(|entry| entry.id.name == store(machine));
-        assert!(!is_over || !is_placed, "seed {seed}: a machine that may be removed is in the placement");
+        let is_in_use = is_placed(&newest(cluster), &store(machine));
+        assert!(!is_over || !is_in_use, "seed {seed}: a machine that may be removed is in the placement");
     }
     assert_eq!(newest(cluster).placement.sets[0].len(), 3, "seed {seed}");
 }
--- a/crates/delivery/src/attempts.rs
+++ b/crates/delivery/src/attempts.rs
@@ -7,7 +7,7 @@
 use pewterseam_permits::Permit;
 use pewterseam_wire::Micros;
 
-use crate::backoff::{AFTER_LIMIT, AFTER_SILENCE, OTHER_SERVICE, WHILE_RUNNING};
+use crate::backoff::{AFTER_LIMIT, AFTER_SILENCE, WHILE_RUNNING};
 use crate::delivery::Delivery;
 use crate::interface::{AttemptEnd, AttemptId, AttemptResult, DropReason, Effect, HostKey, Outcome};
 use crate::judging::{Fate, Health, judge};
@@ -39,16 +39,14 @@
         let (Some(held), Some(known)) = (self.messages.get(key), self.hosts.get(host)) else { return };
         let (timeout, service, target) =
             (held.submission.timeout, held.submission.service.clone(), known.target.clone());
-        let (has_room, is_of_service) = (known.has_room(), known.service == service);
+        let is_fit = known.has_room() && known.service == service;
         self.messages.set_out(key, true);
         let destination = self.services.number(&service).destination;
         let mut made =
             Attempt { key, message: id, number, host, service: service.clone(), destination, permit: None };
-        if !is_of_service {
-            return self.take_back_for_a_while(&made);
-        }
-        // Danger: the decisions choose several at a time, and only the first of them find the host as it was told.
-        if !has_room {
+        // Danger: the decisions choose several at a time, and only the first of them find the host as it was told. They
+        // know services by numbers, and a host of another service is never called, whatever they choose.
+        if !is_fit {
             return self.take_back(&made);
         }
         let Ok(permit) = self.permit(&service) else {
@@ -70,29 +68,18 @@
 
     /// The decisions have booked an attempt that is not made: for them it never was.
     fn take_back(&mut self, attempt: &Attempt) {
-        self.not_made(attempt, false);
-        self.messages.set_out(attempt.key, false);
-    }
-
-    /// The decisions chose a host of another service, which has the number now that the message's service had when it came
-    /// before them. They get the message again, by its new number, after a pause.
-    fn take_back_for_a_while(&mut self, attempt: &Attempt) {
-        self.not_made(attempt, true);
-        let pause = OTHER_SERVICE.pause(1, self.now, self.settings.seed ^ attempt.key);
-        self.messages.rest(attempt.key, self.now + pause);
-    }
-
-    fn not_made(&mut self, attempt: &Attempt, closed: bool) {
+        let Attempt { key, message, number, .. } = *attempt;
         let ended = Ended {
-            id: attempt.message,
-            attempt: attempt.number,
+            id: message,
+            attempt: number,
             outcome: Seen::Moot,
             took: 0,
-            closed,
+            closed: false,
             limit: None,
             carrier: Some(UNUSED),
         };
         self.events.push(Event::Ended(ended));
+        self.messages.set_out(key, false);
     }
 
     /// A connection is open: the attempt goes if its host and its permit are still good.
--- a/crates/delivery/src/backoff.rs
+++ b/crates/delivery/src/backoff.rs
@@ -20,8 +20,6 @@
 pub(crate) const WHILE_RUNNING: Backoff = Backoff { first: 150_000, longest: 1_500_000 };
 /// Where the decisions gave a message up.
 pub(crate) const AFTER_GIVING_UP: Backoff = Backoff { first: 100_000, longest: 500_000 };
-/// Where the decisions chose a host of another service.
-pub(crate) const OTHER_SERVICE: Backoff = Backoff { first: 20_000, longest: 20_000 };
 /// A host that turns messages away as full.
 pub(crate) const HOST_FULL: Backoff = Backoff { first: 60_000, longest: 2_000_000 };
 /// Health checks of a host that was found out of order.
--- a/crates/delivery/src/numbering.rs
+++ b/crates/delivery/src/numbering.rs
@@ -1,5 +1,8 @@
 //! Numbers that all relays give to the same services and hosts, as the decisions' messages to peers name them so.
 
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
 use pewterseam::interface::{DestinationId, HostId};
 use pewterseam_wire::placement::hash;
 
@@ -19,13 +22,13 @@
 }
 
 impl ServiceNumber {
-    /// The first number of a service that is not taken.
-    pub(crate) fn of(service: &str, is_taken: impl Fn(DestinationId) -> bool) -> Self {
+    /// The first number of a service that none of the others has.
+    pub(crate) fn of(service: &str, others: &BTreeMap<DestinationId, Arc<str>>) -> Self {
         let mut draw = 0;
         loop {
             let destination =
                 (hash(service.as_bytes(), draw) >> (u64::BITS - DESTINATION_BITS)) as DestinationId;
-            if !is_taken(destination) {
+            if !others.contains_key(&destination) {
                 return ServiceNumber { destination, draw };
             }
             draw += 1;
--- a/crates/delivery/src/services.rs
+++ b/crates/delivery/src/services.rs
@@ -4,10 +4,13 @@
 use std::sync::Arc;
 
 use pewterseam::interface::DestinationId;
+use pewterseam_config::Service;
 
 use crate::interface::ServiceConfig;
 use crate::numbering::ServiceNumber;
 
+/// The path that hosts are checked at where a service does not say.
+const DEFAULT_HEALTH_PATH: &str = "/health";
 /// Calls a second that stand for no limit.
 const UNLIMITED: f64 = 10_000.0;
 
@@ -26,7 +29,7 @@
         self.names.clear();
         // In the order of their names, so that all relays with this configuration give the same numbers.
         for name in self.by_name.keys() {
-            let number = ServiceNumber::of(name, |taken| self.names.contains_key(&taken));
+            let number = ServiceNumber::of(name, &self.names);
             self.names.insert(number.destination, name.clone());
             self.numbers.insert(name.clone(), number);
         }
@@ -34,8 +37,7 @@
 
     /// The number of a service. One that the configuration does not have gets a number that no other one has.
     pub(crate) fn number(&self, name: &str) -> ServiceNumber {
-        let free = || ServiceNumber::of(name, |taken| self.names.contains_key(&taken));
-        self.numbers.get(name).copied().unwrap_or_else(free)
+        self.numbers.get(name).copied().unwrap_or_else(|| ServiceNumber::of(name, &self.names))
     }
 
     pub(crate) fn get(&self, name: &str) -> Option<&ServiceConfig> {
@@ -52,6 +54,18 @@
 }
 
 impl ServiceConfig {
+    /// A service of a configuration.
+    pub fn of(service: &Service) -> Self {
+        ServiceConfig {
+            name: service.name.clone(),
+            rate_per_s: service.rate_per_s,
+            max_connections: service.max_conns,
+            static_address: service.static_address.as_ref().and_then(|address| address.parse().ok()),
+            idempotent: service.idempotent,
+            health_path: service.health_path.clone().unwrap_or_else(|| Arc::from(DEFAULT_HEALTH_PATH)),
+        }
+    }
+
     pub(crate) fn is_limited(&self) -> bool {
         self.rate_per_s > 0.0
     }
--- a/crates/delivery/tests/messages.rs
+++ b/crates/delivery/tests/messages.rs
@@ -127,6 +127,28 @@
     assert_own_messages(&world, 1_600);
 }
 
+/// Guards against messages that wait for ever, as their attempt was out when the number of their service changed: the
+/// decisions know them by the former number, to which no host belongs any more.
+#[test]
+fn messages_with_an_attempt_out_follow_the_number_of_their_service() {
+    let mut world = World::new(2, 100);
+    world.static_host(1, SERVE);
+    world.static_host(2, Behaviour::Hang);
+    let (first, second) = (fixed(ALIKE[0], 1), fixed(ALIKE[1], 2));
+    world.tell_all(&Input::Services(vec![second.clone()]));
+    let now = world.now;
+    for relay in 0..2 {
+        world.submit(relay, (501..=540).map(|key| submission(1_000 * relay as u64 + key, ALIKE[1], now)));
+    }
+    world.run(100 * MILLISECOND);
+    assert!(world.arrivals_at(2).count() > 0, "attempts are out");
+    world.tell_all(&Input::Services(vec![first, second]));
+    world.run(100 * MILLISECOND);
+    world.static_host(2, SERVE);
+    world.run(20 * SECOND);
+    assert_eq!((world.finished(), world.arrivals_at(1).count()), (80, 0));
+}
+
 /// Guards against what may have run being dropped, and against repeats without a growing pause.
 #[test]
 fn a_message_that_may_have_run_is_tried_again_with_growing_pauses() {
--- a/crates/queue/src/calls.rs
+++ b/crates/queue/src/calls.rs
@@ -71,30 +71,15 @@
         self.now = now;
         if let Some(call) = self.calls.open.remove(&call) {
             match response {
-                StoreResponse::Declined { reason, .. } => self.declined(call, reason),
+                StoreResponse::Declined { reason, .. } => self.call_declined(call, reason),
                 // The disk that was asked is gone: another one is at its address.
                 response if *response.store() != call.store => self.call_failed(call),
-                response => self.answered(call, response),
+                response => self.call_answered(call, response),
             }
         }
         self.take_effects()
     }
 
-    fn declined(&mut self, call: Call, reason: Decline) {
-        if !matches!(reason, Decline::AlreadyClaimed | Decline::OwnerHoldsLease) {
-            self.stores.declined(&call.store, self.now);
-        }
-        self.call_declined(call.store, call.purpose, reason);
-    }
-
-    fn answered(&mut self, call: Call, response: StoreResponse) {
-        self.stores.answered(&call.store, self.now.saturating_sub(call.at));
-        if matches!(call.purpose, Purpose::Append(_) | Purpose::Confirm(..)) {
-            self.leases.renewed(&call.store, call.at, self.now);
-        }
-        self.call_answered(call.store, call.purpose, response);
-    }
-
     /// A request could not be sent, or its connection broke.
     pub fn store_failed(&mut self, now: Micros, call: CallId) -> Vec<Effect> {
         self.now = now;
@@ -142,7 +127,12 @@
         self.probe_later();
     }
 
-    fn call_answered(&mut self, store: StoreId, purpose: Purpose, response: StoreResponse) {
+    fn call_answered(&mut self, call: Call, response: StoreResponse) {
+        let Call { store, purpose, at } = call;
+        self.stores.answered(&store, self.now.saturating_sub(at));
+        if matches!(purpose, Purpose::Append(_) | Purpose::Confirm(..)) {
+            self.leases.renewed(&store, at, self.now);
+        }
         match (purpose, response) {
             (Purpose::List(key), StoreResponse::OpenMessages { names, .. }) => self.listed(key, store, names),
             (Purpose::Append(key) | Purpose::AppendCopy(key), StoreResponse::Done { .. }) => {
@@ -169,10 +159,13 @@
         }
     }
 
-    fn call_declined(&mut self, store: StoreId, purpose: Purpose, reason: Decline) {
-        match purpose {
+    fn call_declined(&mut self, call: Call, reason: Decline) {
+        if !matches!(reason, Decline::AlreadyClaimed | Decline::OwnerHoldsLease) {
+            self.stores.declined(&call.store, self.now);
+        }
+        match call.purpose {
             Purpose::List(key) => self.listing_failed(key),
-            Purpose::Append(key) => self.append_declined(key, store),
+            Purpose::Append(key) => self.append_declined(key, call.store),
             Purpose::Claim(key, _) if reason == Decline::AlreadyClaimed => self.claim_refused(key),
             Purpose::Settle(keys) => self.settle_failed(&keys),
             // Timers that were set with these see to what is missing.
--- a/crates/queue/src/routes.rs
+++ b/crates/queue/src/routes.rs
@@ -12,9 +12,9 @@
 use crate::machine::Queue;
 use crate::message::Stage;
 
-const MILLISECONDS_A_SECOND: f64 = 1_000.0;
-/// `retentionS` of a route that names none: longer than any process runs, and far from an overflow in microseconds.
-const ENDLESS_MS: u64 = u64::MAX / 2_000_000;
+/// The longest retention, also that of a route that names none: longer than any process runs, and far from an overflow in
+/// microseconds.
+const LONGEST_RETENTION_MS: u64 = u64::MAX / 2_000_000;
 
 /// What a route asks of its messages.
 #[derive(Clone, Debug, PartialEq)]
@@ -52,14 +52,13 @@
 
 impl RoutePolicy {
     fn of(route: &Route) -> Self {
-        let retention_ms = |seconds: f64| (seconds * MILLISECONDS_A_SECOND) as u64;
         RoutePolicy {
             service: route.backend.clone(),
             priority: u8::try_from(route.priority).unwrap_or(u8::MAX),
             timeout_ms: route.timeout_ms.ceil() as u64,
             schedule_target_ms: route.schedule_target_ms.ceil() as u64,
             max_attempts: route.max_attempts,
-            retention_ms: route.retention_s.map_or(ENDLESS_MS, retention_ms),
+            retention_ms: route.retention_ms().min(LONGEST_RETENTION_MS),
         }
     }
 
--- a/crates/queue/tests/life.rs
+++ b/crates/queue/tests/life.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use common::{MILLISECOND, World, routes};
-use pewterseam_queue::{Answer, RouteTable, RunResult};
+use pewterseam_queue::{Answer, CallId, RouteTable, RunResult};
 use pewterseam_wire::identity::DiskId;
 use pewterseam_wire::placement::{Partition, StoreId};
 use pewterseam_wire::record::{End, MessageName};
@@ -374,6 +374,13 @@
     assert!(matches!(world.answers.get(&token), Some(Answer::Accepted { .. })), "{:?}", world.answers);
 }
 
+/// A disk that has come to the address of a store answers a call to it.
+fn answer_of_another_disk(world: &mut World, store: StoreId, call: CallId) {
+    let other_disk = StoreId { disk: DiskId(store.disk.0 + 1_000), ..store };
+    let effects = world.queue.store_answered(world.now, call, StoreResponse::Done { store: other_disk });
+    world.carry_out(effects);
+}
+
 /// Guards against a message that is accepted, or whose end is forgotten, on the word of an empty disk that has come to the
 /// address of a store: that disk is in no set, and nobody reads it.
 #[test]
@@ -386,10 +393,7 @@
     new.patience_ms = 10_000;
     let token = world.accept(new);
     let (store, call, _) = world.unanswered.remove(0);
-    let other_disk = StoreId { disk: DiskId(store.disk.0 + 1_000), ..store };
-    let effects =
-        world.queue.store_answered(world.now, call, StoreResponse::Done { store: other_disk.clone() });
-    world.carry_out(effects);
+    answer_of_another_disk(&mut world, store, call);
     assert_eq!(world.answers.get(&token), None, "one store has it, and an empty disk says so too");
     world.silent.clear();
     world.run_for(3_000 * MILLISECOND);
@@ -399,10 +403,7 @@
     world.ran(world.submitted[0], completed());
     world.run_for(20 * MILLISECOND);
     for (store, call, _) in std::mem::take(&mut world.unanswered) {
-        let other_disk = StoreId { disk: DiskId(store.disk.0 + 1_000), ..store };
-        let response = StoreResponse::Done { store: other_disk };
-        let effects = world.queue.store_answered(world.now, call, response);
-        world.carry_out(effects);
+        answer_of_another_disk(&mut world, store, call);
     }
     assert!(!world.queue.is_empty(), "no store of the message knows its end");
     world.silent.clear();
--- a/crates/system/src/relay/configuration.rs
+++ b/crates/system/src/relay/configuration.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use pewterseam_config::Service;
 use pewterseam_config::settings::Settings;
 use pewterseam_delivery::{Input as DeliveryInput, ServiceConfig};
 use pewterseam_queue::RouteTable;
@@ -12,9 +11,6 @@
 use super::process::RelayProcess;
 use crate::error::SystemError;
 
-/// The path that hosts are checked at where a service does not say.
-const DEFAULT_HEALTH_PATH: &str = "/health";
-
 impl RelayProcess {
     /// Agreed state is in force: the sets of stores, and the configuration if it is another one.
     pub(super) fn in_force(&mut self, state: &Arc<ControlState>) {
@@ -36,7 +32,7 @@
                 return;
             }
         };
-        let services = compiled.services().map(|service| service_config(service)).collect();
+        let services = compiled.services().map(|service| ServiceConfig::of(service)).collect();
         self.delivery_inputs.push(DeliveryInput::Services(services));
         let table = Arc::new(RouteTable::of(&compiled));
         let changes = self.planes.queue.route_changes(&table);
@@ -74,14 +70,3 @@
         self.planes.attempt_log.begin_period();
     }
 }
-
-fn service_config(service: &Service) -> ServiceConfig {
-    ServiceConfig {
-        name: service.name.clone(),
-        rate_per_s: service.rate_per_s,
-        max_connections: service.max_conns,
-        static_address: service.static_address.as_ref().and_then(|address| address.parse().ok()),
-        idempotent: service.idempotent,
-        health_path: service.health_path.clone().unwrap_or_else(|| Arc::from(DEFAULT_HEALTH_PATH)),
-    }
-}
--- a/crates/system/src/signals.rs
+++ b/crates/system/src/signals.rs
@@ -1,7 +1,6 @@
 //! Signals of the platform.
 
-use std::io;
-
+use nix::errno::Errno;
 use nix::sys::signal::{SigSet, SigmaskHow, Signal as Number};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 
@@ -29,11 +28,11 @@
     /// Danger: a handler stands for a moment before it knows what to do, and a signal that comes in between is lost. So the
     /// signals are held back meanwhile, and come afterwards.
     pub fn new() -> Result<Self, SystemError> {
+        let failed = |error: Errno| SystemError::Signals(error.into());
         let heeded: SigSet = [Number::SIGTERM, Number::SIGINT, Number::SIGHUP].into_iter().collect();
-        let before = heeded.thread_swap_mask(SigmaskHow::SIG_BLOCK);
-        let before = before.map_err(|error| SystemError::Signals(io::Error::from(error)))?;
+        let before = heeded.thread_swap_mask(SigmaskHow::SIG_BLOCK).map_err(failed)?;
         let signals = Signals::take();
-        before.thread_set_mask().map_err(|error| SystemError::Signals(io::Error::from(error)))?;
+        before.thread_set_mask().map_err(failed)?;
         signals
     }
 
--- a/crates/wire/src/record.rs
+++ b/crates/wire/src/record.rs
@@ -44,7 +44,7 @@
 pub type Headers = Vec<(Arc<str>, Arc<str>)>;
 
 /// What a route takes messages by. It stays the same route for as long as this stays: its name may be given to another.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct RouteKey {
     /// In lower case, without a port.
     pub hostname: Arc<str>,
--- a/crates/wire/tests/record.rs
+++ b/crates/wire/tests/record.rs
@@ -52,32 +52,14 @@
     }
 }
 
-fn old(record: Record) -> OldRecord {
-    OldRecord {
-        name: record.name,
-        partition: record.partition,
-        ordering_key: record.ordering_key,
-        predecessors: record.predecessors,
-        owner: record.owner,
-        accepted_at: record.accepted_at,
-        delay_ms: record.delay_ms,
-        retention_ms: record.retention_ms,
-        config_version: record.config_version,
-        route: record.route,
-        host: record.host,
-        method: record.method,
-        target: record.target,
-        headers: record.headers,
-        body: record.body,
-    }
-}
-
 /// Guards against records of the build before, from a disk or from a peer, that cannot be read, and against their copies
 /// that the build before could not read.
 #[test]
 fn a_record_of_the_build_before_is_read_and_written_as_it_was() {
     let known = record(None);
-    let bytes = frame::encode(&old(known.clone())).expect("encodes");
+    let old: OldRecord =
+        frame::decode(&frame::encode(&known).expect("encodes")).expect("the build before reads it");
+    let bytes = frame::encode(&old).expect("encodes");
     let read: Record = frame::decode(&bytes).expect("decodes");
     assert_eq!(read, known);
     assert_eq!(frame::encode(&read).expect("encodes"), bytes);
