Logs: homes of limited services tell what they do, and requests that left late

Now a home tells that it waits, opens (with the basis of its budget), ends, and, at most every 2 s, that more permits are out than the rate grants while they are good.

No decision changes.

--- a/crates/cluster/src/relay.rs
+++ b/crates/cluster/src/relay.rs
@@ -351,7 +351,7 @@
                 self.node.send(&to, PeerMessage::Delivery { from, bytes });
             }
             Effect::Wake(at) => self.delivery_wake = at,
-            Effect::Dropped { .. } => {}
+            Effect::Dropped { .. } | Effect::ReportHome { .. } => {}
             Effect::Withhold { attempt } => {
                 self.attempts.remove(&attempt);
                 self.node.out.push(Output::Withhold(attempt));
--- a/crates/delivery/src/delivery.rs
+++ b/crates/delivery/src/delivery.rs
@@ -208,6 +208,8 @@
         for PermitEffect::Send { to, message } in self.permits.step(self.now) {
             self.peers.send(to, &PeerMessage::Permits(message));
         }
+        let events = self.permits.take_events(self.now).into_iter();
+        self.effects.extend(events.map(|(service, event)| Effect::ReportHome { service, event }));
         for name in &names {
             let held = self.permits.available(self.now, name) == 0;
             self.hosts.hold(name, held);
--- a/crates/delivery/src/interface.rs
+++ b/crates/delivery/src/interface.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use pewterseam_permits::HomeEvent;
 use pewterseam_wire::Micros;
 use pewterseam_wire::identity::NodeName;
 
@@ -248,6 +249,8 @@
     Finished { key: u64, outcome: Outcome },
     /// What the answer to an attempt says of its message has no effect. For the log.
     Dropped { attempt: AttemptId, outcome: Outcome, reason: DropReason },
+    /// Something became of this relay's place as home of a limited service. For the log.
+    ReportHome { service: Arc<str>, event: HomeEvent },
     /// `GET` the health path.
     Probe { host: HostKey, target: Target, path: Arc<str>, timeout: Micros },
     /// Close the idle connections to an address.
--- a/crates/delivery/tests/world/mod.rs
+++ b/crates/delivery/tests/world/mod.rs
@@ -288,6 +288,7 @@
                 assert!(before.is_none(), "message {key} ends twice");
             }
             Effect::Dropped { attempt, .. } => self.relays[relay].dropped.push(attempt),
+            Effect::ReportHome { .. } => {}
             Effect::Probe { host, target, .. } => self.probe(relay, host, &target),
             Effect::CloseIdle { address } => {
                 self.relays[relay].idle.remove(&address);
--- a/crates/outbound/src/attempt.rs
+++ b/crates/outbound/src/attempt.rs
@@ -13,7 +13,7 @@
 
 use crate::answer::{self, REQUEST_ID, ReadAnswer};
 use crate::connection::{CallFailure, Called, ConnectError, Connection, connect};
-use crate::outbound::{OutboundEvent, Shared, Word};
+use crate::outbound::{CallNotes, OutboundEvent, Shared, Word};
 use crate::reading::Reading;
 use crate::request::{DeliveryRequest, request};
 
@@ -39,12 +39,12 @@
     result: AttemptResult,
     idle_for: Option<Duration>,
     kept: Option<(Connection, Duration)>,
-    passed_over: u32,
+    notes: CallNotes,
 }
 
 impl Ended {
     fn without_connection(result: AttemptResult, idle_for: Option<Duration>) -> Self {
-        Ended { result, idle_for, kept: None, passed_over: 0 }
+        Ended { result, idle_for, kept: None, notes: CallNotes::default() }
     }
 }
 
@@ -60,7 +60,7 @@
         Ok(()) = aborted => called_off(call, &is_written).await,
         ended = &mut call => ended,
     };
-    let Some(Ended { result, idle_for, kept, passed_over }) = ended else { return };
+    let Some(Ended { result, idle_for, kept, notes }) = ended else { return };
     let end = AttemptEnd {
         result,
         took: began.elapsed().as_micros() as u64,
@@ -72,7 +72,7 @@
         connection.rest(Instant::now(), keep_for);
         shared.pool().put(plan.target.address, connection);
     }
-    shared.tell(OutboundEvent::Ended { attempt: plan.attempt, end, passed_over });
+    shared.tell(OutboundEvent::Ended { attempt: plan.attempt, end, notes });
 }
 
 /// The end of a call that is called off: by its answer if that is there already, as it may tell of a success.
@@ -99,6 +99,7 @@
         return Some(Ended::without_connection(AttemptResult::Broken(BrokenBy::Unwritable), None));
     };
     let (address, mut word) = (plan.target.address, Some(word));
+    let mut told_at = None;
     loop {
         let idle = shared.pool().take(address, Some(&plan.message.request_id), Instant::now());
         let is_new = idle.is_none();
@@ -118,7 +119,9 @@
             && let Some(word) = word.take()
         {
             shared.tell(OutboundEvent::Opened { attempt: plan.attempt });
-            if !matches!(word.await, Ok(Word::Write)) {
+            if let Ok(Word::Write { told_at: at }) = word.await {
+                told_at = Some(at);
+            } else {
                 connection.rest(Instant::now(), shared.settings.idle_close);
                 shared.pool().put(address, connection);
                 return None;
@@ -127,15 +130,20 @@
         // Danger: a connection that was long in opening, or a process that stood still, outlives the right to send.
         if Instant::now() >= plan.write_by {
             let kept = Some((connection, shared.settings.idle_close));
-            return Some(Ended { result: AttemptResult::Unsent, idle_for, kept, passed_over: 0 });
+            return Some(Ended {
+                result: AttemptResult::Unsent,
+                idle_for,
+                kept,
+                notes: CallNotes::default(),
+            });
         }
         connection.carries(&plan.message.request_id);
         is_written.store(true, Ordering::Relaxed);
         match exchange(shared, plan, &mut connection, &request).await {
             Exchange::Ended(result, keep_for) => {
-                let passed_over = connection.passed_over;
+                let notes = notes(&connection, told_at);
                 let kept = keep_for.map(|span| (connection, span));
-                return Some(Ended { result, idle_for, kept, passed_over });
+                return Some(Ended { result, idle_for, kept, notes });
             }
             // The host had closed it while it was idle; nothing was written. Danger: the word to write was for that
             // moment, and a new connection may take long to open.
@@ -150,6 +158,13 @@
     }
 }
 
+/// What is to be told of a call that ended on this connection; `told_at` is when its word to write was given.
+fn notes(connection: &Connection, told_at: Option<Instant>) -> CallNotes {
+    let write_delay =
+        told_at.zip(connection.written_at).map(|(from, until)| until.saturating_duration_since(from));
+    CallNotes { passed_over: connection.passed_over, write_delay: write_delay.unwrap_or_default() }
+}
+
 /// Opens a connection to a host.
 async fn open(
     shared: &Shared, address: SocketAddr, within: Duration, silence: Duration,
--- a/crates/outbound/src/connection.rs
+++ b/crates/outbound/src/connection.rs
@@ -35,6 +35,8 @@
     carried: VecDeque<Arc<str>>,
     /// Answers to other messages than the one that was out.
     pub(crate) passed_over: u32,
+    /// When the last request had gone whole.
+    pub(crate) written_at: Option<Instant>,
 }
 
 impl fmt::Debug for Connection {
@@ -156,7 +158,10 @@
         if *writing == Writing::UnderWay {
             let stream = Pin::new(&mut self.stream);
             *writing = match Sink::<&Request>::poll_flush(stream, context) {
-                Poll::Ready(Ok(())) => Writing::Done,
+                Poll::Ready(Ok(())) => {
+                    self.written_at = Some(Instant::now());
+                    Writing::Done
+                }
                 Poll::Ready(Err(_)) => Writing::Failed,
                 Poll::Pending => Writing::UnderWay,
             };
@@ -198,5 +203,12 @@
     let opening = tokio::time::timeout(within, dialer.dial(address, silence)).await;
     let stream = opening.map_err(|_| ConnectError::TimedOut)?.map_err(ConnectError::Io)?;
     let stream = Framed::new(stream, client);
-    Ok(Connection { stream, idle_since: None, kept_until: None, carried: VecDeque::new(), passed_over: 0 })
+    Ok(Connection {
+        stream,
+        idle_since: None,
+        kept_until: None,
+        carried: VecDeque::new(),
+        passed_over: 0,
+        written_at: None,
+    })
 }
--- a/crates/outbound/src/lib.rs
+++ b/crates/outbound/src/lib.rs
@@ -15,6 +15,6 @@
 
 pub use dialer::{ByteStream, Dialer, Dialing, TcpDialer};
 pub use list::{ListEvent, PlatformList, instances};
-pub use outbound::{CallTimes, Outbound, OutboundEvent, OutboundSettings};
+pub use outbound::{CallNotes, CallTimes, Outbound, OutboundEvent, OutboundSettings};
 pub use reading::{Reading, read_as};
 pub use request::DeliveryRequest;
--- a/crates/outbound/src/outbound.rs
+++ b/crates/outbound/src/outbound.rs
@@ -41,22 +41,21 @@
     pub write_within: Duration,
 }
 
+/// What the log is to tell of a call.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallNotes {
+    /// Answers to other messages that came on its connection.
+    pub passed_over: u32,
+    /// From the word to write until the request had gone whole.
+    pub write_delay: Duration,
+}
+
 /// What became of a call.
 #[derive(Clone, Debug)]
 pub enum OutboundEvent {
-    Opened {
-        attempt: AttemptId,
-    },
-    Ended {
-        attempt: AttemptId,
-        end: AttemptEnd,
-        /// Answers to other messages that came on its connection.
-        passed_over: u32,
-    },
-    Probed {
-        host: HostKey,
-        healthy: bool,
-    },
+    Opened { attempt: AttemptId },
+    Ended { attempt: AttemptId, end: AttemptEnd, notes: CallNotes },
+    Probed { host: HostKey, healthy: bool },
 }
 
 impl From<OutboundEvent> for Input {
@@ -72,7 +71,7 @@
 /// Whether an attempt is written on the connection that was opened for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Word {
-    Write,
+    Write { told_at: Instant },
     Withhold,
 }
 
@@ -144,10 +143,10 @@
         tokio::spawn(attempt::run(shared, plan, heard_word, aborted));
     }
 
-    /// Carries out all effects but `Start`, `Finished`, `Dropped`, `Tell` and `Wake`, which are the caller's.
+    /// Carries out all effects but `Start`, `Finished`, `Dropped`, `ReportHome`, `Tell` and `Wake`, which are the caller's.
     pub fn carry_out(&mut self, effect: &Effect) {
         match effect {
-            Effect::Write { attempt } => self.say(*attempt, Word::Write),
+            Effect::Write { attempt } => self.say(*attempt, Word::Write { told_at: Instant::now() }),
             Effect::Withhold { attempt } => {
                 self.say(*attempt, Word::Withhold);
                 self.running.remove(attempt);
@@ -167,6 +166,7 @@
             Effect::Start { .. }
             | Effect::Finished { .. }
             | Effect::Dropped { .. }
+            | Effect::ReportHome { .. }
             | Effect::Tell { .. }
             | Effect::Wake(_) => {}
         }
--- a/crates/permits/src/budget.rs
+++ b/crates/permits/src/budget.rs
@@ -4,6 +4,8 @@
 
 use pewterseam_wire::Micros;
 
+use crate::event::PermitCounts;
+use crate::recent::RecentGrants;
 use crate::{MARGIN, VALIDITY};
 
 /// Requests beyond rate x window x overshoot that the home allows in a window; the rule allows five.
@@ -27,13 +29,23 @@
     /// Until when how many permits may count in a window.
     releases: BTreeMap<Micros, u32>,
     occupied: u32,
-    /// Grants that may still be used: where in `releases` they stand, and how many permits.
-    open: HashMap<u64, (Micros, u32)>,
+    /// Grants that may still be used.
+    open: HashMap<u64, OpenGrant>,
+    recent: RecentGrants,
     tokens: f64,
     filled_at: Micros,
     swept_at: Micros,
 }
 
+/// A grant of which something may be left.
+#[derive(Clone, Copy, Debug)]
+struct OpenGrant {
+    granted_at: Micros,
+    /// Where in `releases` its permits stand.
+    until: Micros,
+    count: u32,
+}
+
 impl Budget {
     pub(crate) fn new(rate: f64, window: Micros, overshoot: f64, now: Micros) -> Self {
         let capacity = (rate * window as f64 / 1e6 * overshoot + ALLOWANCE).floor() as u32;
@@ -45,6 +57,7 @@
             releases,
             occupied: 0,
             open,
+            recent: RecentGrants::default(),
             tokens: 1.0,
             filled_at: now,
             swept_at: now,
@@ -114,13 +127,25 @@
         }
         if now >= self.swept_at + SWEEP {
             self.swept_at = now;
-            self.open.retain(|_, (until, _)| *until > now);
+            self.open.retain(|_, grant| grant.until > now);
         }
+        self.recent.advance(now);
         let gained = now.saturating_sub(self.filled_at) as f64 / 1e6 * self.rate;
         self.tokens = (self.tokens + gained).min(self.burst());
         self.filled_at = now;
     }
 
+    /// What is to be told of it.
+    pub(crate) fn counts(&self, now: Micros) -> PermitCounts {
+        PermitCounts { booked: self.occupied, capacity: self.capacity, out: self.recent.out(now) }
+    }
+
+    /// Whether more permits may be used at once than the pace grants while they are good.
+    pub(crate) fn has_many_out(&self, now: Micros) -> bool {
+        let paced = self.burst() + self.rate * VALIDITY as f64 / 1e6;
+        f64::from(self.recent.out(now)) > paced
+    }
+
     /// Permits that may be handed out now.
     pub(crate) fn available(&self) -> u32 {
         (self.tokens as u32).min(self.capacity.saturating_sub(self.occupied))
@@ -138,14 +163,16 @@
     pub(crate) fn grant(&mut self, number: u64, count: u32, now: Micros) {
         self.tokens -= f64::from(count);
         let until = self.occupy(now + VALIDITY + MARGIN + self.window + MARGIN, count);
-        self.open.insert(number, (until, count));
+        self.open.insert(number, OpenGrant { granted_at: now, until, count });
+        self.recent.grant(count, now);
     }
 
     /// Books that nothing of a grant is left, and that so many of its permits were used up to now.
     pub(crate) fn settle(&mut self, number: u64, used: u32, now: Micros) {
-        let Some((until, count)) = self.open.remove(&number) else { return };
+        let Some(OpenGrant { granted_at, until, count }) = self.open.remove(&number) else { return };
         let used = used.min(count);
         self.release(until, count);
+        self.recent.give_back(count - used, granted_at);
         self.tokens = (self.tokens + f64::from(count - used)).min(self.burst());
         if used > 0 {
             self.occupy(now + self.window + MARGIN, used);
--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -7,6 +7,7 @@
 use pewterseam_wire::identity::NodeName;
 
 use crate::budget::Budget;
+use crate::event::{BudgetBasis, HomeEvent};
 use crate::message::{ClaimId, GrantId, PermitMessage, Settled};
 use crate::shares::Shares;
 use crate::witness::{
@@ -16,6 +17,8 @@
 
 /// The longest time for which a request that could not be met at once is kept.
 const PATIENCE: Micros = VALIDITY / 2;
+/// Between two lines on many permits that are out.
+const MANY_OUT_AGAIN: Micros = 2 * VALIDITY;
 
 /// When a home begins.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +29,14 @@
     pub(crate) follows: bool,
 }
 
+/// How far the log tells of a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Told {
+    Nothing,
+    Waits,
+    Opens,
+}
+
 /// A service's permits at their home.
 #[derive(Debug)]
 pub(crate) struct Home {
@@ -43,6 +54,9 @@
     follows: bool,
     /// The home before it has told of its permits, and grants none any more.
     has_taken_over: bool,
+    /// What was told of it last.
+    told: Told,
+    many_out_told_at: Option<Micros>,
     /// What relays that follow this one have seen.
     vouched: BTreeMap<NodeName, Witness>,
 }
@@ -68,6 +82,8 @@
             opens_at,
             follows,
             has_taken_over: false,
+            told: Told::Nothing,
+            many_out_told_at: None,
             vouched: BTreeMap::new(),
         }
     }
@@ -180,6 +196,48 @@
         grants
     }
 
+    /// What the log is to tell now.
+    pub(crate) fn event(&mut self, now: Micros) -> Option<HomeEvent> {
+        match self.told {
+            Told::Nothing if !self.is_open(now) => {
+                self.told = Told::Waits;
+                Some(HomeEvent::Waits { span: self.opens_at.saturating_sub(now) })
+            }
+            Told::Nothing | Told::Waits if self.is_open(now) => {
+                self.told = Told::Opens;
+                self.budget.advance(now);
+                Some(HomeEvent::Opens { basis: self.basis(), counts: self.budget.counts(now) })
+            }
+            Told::Opens => self.many_out(now),
+            Told::Nothing | Told::Waits => None,
+        }
+    }
+
+    /// What the log is to tell when this home ends; nothing of one that has not begun.
+    pub(crate) fn end(&mut self, now: Micros) -> Option<HomeEvent> {
+        self.budget.advance(now);
+        (self.told == Told::Opens).then(|| HomeEvent::Ends { counts: self.budget.counts(now) })
+    }
+
+    fn basis(&self) -> BudgetBasis {
+        if self.has_taken_over {
+            BudgetBasis::Ledger
+        } else if self.follows {
+            BudgetBasis::Assumption
+        } else {
+            BudgetBasis::NoPredecessor
+        }
+    }
+
+    fn many_out(&mut self, now: Micros) -> Option<HomeEvent> {
+        let is_due = self.many_out_told_at.is_none_or(|at| at + MANY_OUT_AGAIN <= now);
+        if !is_due || !self.budget.has_many_out(now) {
+            return None;
+        }
+        self.many_out_told_at = Some(now);
+        Some(HomeEvent::ManyOut { counts: self.budget.counts(now) })
+    }
+
     /// When there is something to do again.
     pub(crate) fn next_at(&self, now: Micros) -> Option<Micros> {
         let waits = self.shares.wants();
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -22,15 +22,18 @@
 
 mod budget;
 mod claims;
+mod event;
 mod holder;
 mod home;
 mod message;
 mod permits;
 pub mod ranking;
+mod recent;
 mod service;
 mod shares;
 mod witness;
 
+pub use event::{BudgetBasis, HomeEvent, PermitCounts};
 pub use holder::Permit;
 pub use message::{ClaimId, GrantId, PermitMessage, Seen, Settled};
 pub use permits::{PermitEffect, Permits, Settings};
--- a/crates/permits/src/permits.rs
+++ b/crates/permits/src/permits.rs
@@ -7,6 +7,7 @@
 use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::placement::hash;
 
+use crate::event::HomeEvent;
 use crate::holder::Permit;
 use crate::home::{Home, Opening};
 use crate::message::{ClaimId, PermitMessage};
@@ -238,6 +239,19 @@
         std::mem::take(&mut self.effects)
     }
 
+    /// What became of this relay's places as home since the last call, by service. For the log.
+    pub fn take_events(&mut self, now: Micros) -> Vec<(Arc<str>, HomeEvent)> {
+        let has_word = self.has_word(now);
+        let mut events = Vec::new();
+        for (name, service) in &mut self.services {
+            let home = service.granting.as_mut().filter(|_| has_word);
+            let newest = home.and_then(|home| home.event(now));
+            let of_service = service.events.drain(..).chain(newest);
+            events.extend(of_service.map(|event| (name.clone(), event)));
+        }
+        events
+    }
+
     /// When [`Permits::step`] is due.
     pub fn next_at(&self, now: Micros) -> Option<Micros> {
         let has_word = self.has_word(now);
--- a/crates/permits/src/service.rs
+++ b/crates/permits/src/service.rs
@@ -4,6 +4,7 @@
 use pewterseam_wire::identity::NodeName;
 
 use crate::VALIDITY;
+use crate::event::HomeEvent;
 use crate::holder::Holder;
 use crate::home::Home;
 use crate::message::ClaimId;
@@ -32,6 +33,8 @@
     pub(crate) witness: Witness,
     /// The newest claim that this relay has heard, and whose it was.
     pub(crate) heard_claim: Option<(NodeName, ClaimId)>,
+    /// For the log.
+    pub(crate) events: Vec<HomeEvent>,
 }
 
 /// A place as home that was given up, and what the next home has to know of its permits.
@@ -58,6 +61,7 @@
             review_at: None,
             witness: Witness::new(now),
             heard_claim: None,
+            events: Vec::new(),
         }
     }
 
@@ -68,7 +72,9 @@
 
     /// Another relay may have been home since: what this one knows as home is worth nothing.
     pub(crate) fn forget_home(&mut self, now: Micros) {
-        (self.home, self.granting, self.yielded) = (None, None, None);
+        let ended = self.granting.take().and_then(|mut home| home.end(now));
+        self.events.extend(ended);
+        (self.home, self.yielded) = (None, None);
         self.witness = Witness::new(now);
     }
 
@@ -94,8 +100,9 @@
         if let Some(home) = self.home.take().filter(|_| !has_waited) {
             self.witness.ended(home, now);
         }
-        let was_home = self.granting.take().filter(|home| home.is_open(now) && has_word);
-        if let Some(mut home) = was_home {
+        let mut granting = self.granting.take();
+        self.events.extend(granting.as_mut().and_then(|home| home.end(now)));
+        if let Some(mut home) = granting.filter(|home| home.is_open(now) && has_word) {
             let ledger = home.ledger(now);
             self.yielded = Some(Yielded { at: now, handed_by: None, to: None, ledger });
         }
--- a/crates/system/src/relay/delivery.rs
+++ b/crates/system/src/relay/delivery.rs
@@ -44,6 +44,7 @@
             Effect::Dropped { attempt, outcome, reason } => {
                 log::warn!("the answer to attempt {} has no effect ({outcome:?}): {reason}", attempt.0);
             }
+            Effect::ReportHome { service, event } => log::info!("limit of {service}: {event}"),
             Effect::Tell { to, bytes } => {
                 let from = self.node.info().name.clone();
                 self.node.send(&to, &PeerMessage::Delivery { from, bytes });
@@ -106,10 +107,10 @@
     /// Something became of a call to a host.
     pub fn host_event(&mut self, event: OutboundEvent) {
         self.planes.hosts.heard(&event);
-        if let OutboundEvent::Ended { attempt, end, passed_over } = &event
+        if let OutboundEvent::Ended { attempt, end, notes } = &event
             && let Some(sent) = self.planes.attempts.remove(attempt)
         {
-            self.planes.attempt_log.ended(&sent, end, *passed_over);
+            self.planes.attempt_log.ended(&sent, end, notes);
         }
         self.delivery_inputs.push(event.into());
     }
