Soak: a limited service whose hosts are out, and whose home ends around their return

Until now the soak had no limited service, so that CEILING was not judged there. A run of the new test has three clients that send 70 to 80 messages a second to a service of 100 a second, two outages of its host (which refuses connections meanwhile), and a kill or stop of the relay that grants its permits within a second of the return, beside kills of other processes.

The runs of the other test keep their draws; their configuration has the limited service too.

--- a/crates/relay/tests/soak/clients.rs
+++ b/crates/relay/tests/soak/clients.rs
@@ -9,7 +9,7 @@
 use crate::cluster::Cluster;
 use crate::http::{self, Connection, Message, ReadEnd};
 use crate::judge::{Judge, Lost};
-use crate::operator::{HOSTNAME, MOVED, ORDERED};
+use crate::operator::{HOSTNAME, LIMITED, MOVED, ORDERED};
 
 /// `X-Deadline-Ms`.
 const DEADLINE_MS: &str = "2000";
@@ -22,9 +22,33 @@
 /// Of so many clients one sends messages with an ordering key.
 const ORDERED_EACH: usize = 3;
 
+/// What a client sends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Moved,
+    Ordered,
+    Limited,
+}
+
+impl Kind {
+    /// What a client sends by its number, where it is not one of the limited service.
+    pub fn of_number(number: usize) -> Self {
+        if number.is_multiple_of(ORDERED_EACH) { Kind::Ordered } else { Kind::Moved }
+    }
+
+    fn path(self) -> &'static str {
+        match self {
+            Kind::Moved => MOVED,
+            Kind::Ordered => ORDERED,
+            Kind::Limited => LIMITED,
+        }
+    }
+}
+
 /// A client.
 pub struct Client<'a> {
     pub number: usize,
+    pub kind: Kind,
     pub cluster: &'a Cluster,
     pub judge: &'a Judge,
     pub random: Random,
@@ -75,15 +99,14 @@
 
     fn send(&mut self, connection: &mut Connection, relay: usize, sent: u64) -> End {
         let id = format!("m{}-{sent}", self.number);
-        let key = self.number.is_multiple_of(ORDERED_EACH).then_some(self.number);
+        let key = (self.kind == Kind::Ordered).then_some(self.number);
         let key_text = format!("key-{}", self.number);
-        let path = if key.is_some() { ORDERED } else { MOVED };
         let mut headers = vec![("Host", HOSTNAME), ("X-Request-Id", &id), ("X-Deadline-Ms", DEADLINE_MS)];
         if key.is_some() {
             headers.push(("X-Ordering-Key", &key_text));
         }
-        let bytes = http::request("POST", path, &headers, "body of a message");
-        self.judge.sent(&id, key.is_none(), key);
+        let bytes = http::request("POST", self.kind.path(), &headers, "body of a message");
+        self.judge.sent(&id, self.kind == Kind::Moved, key);
         if connection.write(&bytes).is_err() {
             return End::Lost;
         }
--- a/crates/relay/tests/soak/cluster.rs
+++ b/crates/relay/tests/soak/cluster.rs
@@ -83,6 +83,11 @@
     }
 }
 
+/// The name of a relay.
+pub fn relay_name(index: usize) -> String {
+    format!("relay-{index}")
+}
+
 /// Who is there, and where the platform's list is.
 pub struct Cluster {
     pub nodes: Vec<Node>,
@@ -98,7 +103,7 @@
         let relays = size.core + size.relays;
         let node = |index: usize| {
             let is_relay = index < relays;
-            let name = if is_relay { format!("relay-{index}") } else { format!("store-{}", index - relays) };
+            let name = if is_relay { relay_name(index) } else { format!("store-{}", index - relays) };
             let address = Ipv4Addr::new(127, network[0], network[1], index as u8 + 2);
             let has_disk = index < size.core || !is_relay;
             Node { index, folder: folder.join(&name), name, address, is_relay, has_disk }
--- a/crates/relay/tests/soak/hosts.rs
+++ b/crates/relay/tests/soak/hosts.rs
@@ -15,7 +15,8 @@
 
 const LIST_PORT: u16 = 7_500;
 const FIRST_HOST_PORT: u16 = 7_501;
-const HOSTS_OF_A_SERVICE: u16 = 2;
+/// An outage of the limited service ends its listener, which begins again so soon after it.
+const LISTEN_AGAIN: Duration = Duration::from_millis(5);
 const SLOTS: u32 = 6;
 /// Out of a hundred requests.
 const TURNED_AWAY: usize = 2;
@@ -32,6 +33,10 @@
 }
 
 impl Host {
+    fn is_down(&self) -> bool {
+        *self.is_down.lock().expect("whole")
+    }
+
     fn id(&self) -> String {
         format!("i-{}-{}", self.address.port(), self.incarnation.load(Ordering::Relaxed))
     }
@@ -50,7 +55,7 @@
     pub fn start(address: Ipv4Addr, judge: Arc<Judge>, seed: u64) -> Arc<Self> {
         let mut all = Vec::new();
         for service in Service::ALL {
-            for _ in 0..HOSTS_OF_A_SERVICE {
+            for _ in 0..hosts_of(service) {
                 let address = SocketAddr::from((address, FIRST_HOST_PORT + all.len() as u16));
                 let (incarnation, is_down) = (AtomicU64::new(1), Mutex::new(false));
                 all.push(Arc::new(Host { service, address, incarnation, is_down }));
@@ -59,11 +64,42 @@
         let hosts = Arc::new(Hosts { all, judge, runs: AtomicU64::new(0), seed });
         hosts.serve(Hosts::list_address(address), None);
         for host in &hosts.all {
-            hosts.serve(host.address, Some(host.clone()));
+            match host.service {
+                Service::Limited => hosts.serve_between_outages(host),
+                Service::Left | Service::Right => hosts.serve(host.address, Some(host.clone())),
+            }
         }
         hosts
     }
 
+    /// The one host of the limited service.
+    pub fn limited_host(&self) -> SocketAddr {
+        self.of(Service::Limited).next().expect("it has one").address
+    }
+
+    /// Serves a host that refuses connections while it is down.
+    fn serve_between_outages(self: &Arc<Self>, host: &Arc<Host>) {
+        let (hosts, host) = (self.clone(), host.clone());
+        let mut listener = TcpListener::bind(host.address).ok();
+        thread::spawn(move || {
+            loop {
+                let accepted = listener.as_ref().map(TcpListener::accept);
+                if host.is_down() {
+                    listener = None;
+                    thread::sleep(LISTEN_AGAIN);
+                    continue;
+                }
+                if let Some(Ok((stream, _))) = accepted {
+                    let (hosts, host) = (hosts.clone(), host.clone());
+                    thread::spawn(move || hosts.serve_host(&host, stream));
+                }
+                if listener.is_none() {
+                    listener = TcpListener::bind(host.address).ok();
+                }
+            }
+        });
+    }
+
     pub fn list_address(address: Ipv4Addr) -> SocketAddr {
         SocketAddr::from((address, LIST_PORT))
     }
@@ -85,7 +121,8 @@
     fn serve_list(&self, stream: TcpStream) {
         let mut connection = Connection::new(stream);
         while connection.read_request().is_ok() {
-            let entries: Vec<String> = self.all.iter().map(|host| entry(host)).collect();
+            let listed = self.all.iter().filter(|host| host.service != Service::Limited);
+            let entries: Vec<String> = listed.map(|host| entry(host)).collect();
             let text = format!("{{\"instances\":[{}],\"nextToken\":null}}", entries.join(","));
             if connection.write(&answer(200, &[("Content-Type", "application/json")], &text)).is_err() {
                 return;
@@ -102,7 +139,10 @@
         }
         let mut random = Random::new(self.seed ^ self.runs.fetch_add(1, Ordering::Relaxed));
         while let Ok(request) = connection.read_request() {
-            if *host.is_down.lock().expect("whole") {
+            if host.service == Service::Limited && request.method != "GET" {
+                self.judge.limited_arrived();
+            }
+            if host.is_down() {
                 return;
             }
             if request.method == "GET" {
@@ -113,8 +153,9 @@
                 continue;
             }
             let id = request.header("x-request-id").unwrap_or_default().to_owned();
+            let is_listed = host.service != Service::Limited;
             let is_for_another =
-                request.header("x-target-instance").is_some_and(|target| target != host.id());
+                is_listed && request.header("x-target-instance").is_some_and(|target| target != host.id());
             let run = Run { began: Instant::now(), connection: accepted };
             let status = if is_for_another { 421 } else { self.run(host, &id, &mut random) };
             if !self.tell(&mut connection, &id, status, run) {
@@ -162,6 +203,10 @@
         };
         let number = self.judge.outage_began();
         set(true);
+        if service == Service::Limited {
+            // The thread that accepts connections notices the outage.
+            drop(TcpStream::connect(self.limited_host()));
+        }
         thread::sleep(span);
         for host in self.of(service) {
             host.incarnation.fetch_add(1, Ordering::Relaxed);
@@ -171,6 +216,10 @@
     }
 }
 
+fn hosts_of(service: Service) -> u16 {
+    if service == Service::Limited { 1 } else { 2 }
+}
+
 fn entry(host: &Host) -> String {
     format!(
         "{{\"id\":\"{}\",\"backend\":\"{}\",\"address\":\"{}\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":{SLOTS},\
--- a/crates/relay/tests/soak/judge.rs
+++ b/crates/relay/tests/soak/judge.rs
@@ -4,7 +4,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use crate::operator::LEAST_TIMEOUT_MS;
+use crate::operator::{LEAST_TIMEOUT_MS, LIMITED_RATE};
 use crate::plan::Service;
 use crate::senders::Connection;
 
@@ -24,6 +24,10 @@
 const KNOWN_WITHIN: Duration = READ_WITHIN.saturating_add(TOLD_WITHIN);
 /// `lossSlackMs`.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// `originWindowS` and `originOvershoot`; the rule allows some requests more.
+const WINDOW: Duration = Duration::from_secs(5);
+const OVERSHOOT: f64 = 1.1;
+const ALLOWANCE: f64 = 5.0;
 /// An answer may be cut by a kill so shortly after it.
 const CUT_BY_KILL: Duration = Duration::from_secs(2);
 
@@ -86,6 +90,8 @@
     outages: Vec<Option<Instant>>,
     /// Requests that each relay declined.
     declined_by: BTreeMap<usize, usize>,
+    /// When requests came to the limited service.
+    limited_arrivals: Vec<Instant>,
     breaches: BTreeSet<String>,
 }
 
@@ -105,6 +111,15 @@
 }
 
 impl Known {
+    /// The most requests that came to the limited service in any window.
+    fn most_in_a_window(&self) -> usize {
+        let arrivals = &self.limited_arrivals;
+        let in_window = |(number, first): (usize, &Instant)| {
+            arrivals[number..].partition_point(|at| at.duration_since(*first) <= WINDOW)
+        };
+        arrivals.iter().enumerate().map(in_window).max().unwrap_or(0)
+    }
+
     fn breach(&mut self, text: String) {
         self.breaches.insert(text);
     }
@@ -346,12 +361,29 @@
         self.with(|known| known.messages.get(id).is_some_and(|seen| seen.success.is_some()))
     }
 
+    /// A request came to the limited service.
+    pub fn limited_arrived(&self) {
+        self.with(|known| known.limited_arrivals.push(Instant::now()));
+    }
+
+    /// CEILING: no window sees more requests than the limited service's rate allows.
+    pub fn check_rate(&self) {
+        let allowed = LIMITED_RATE * WINDOW.as_secs_f64() * OVERSHOOT + ALLOWANCE;
+        self.with(|known| {
+            let most = known.most_in_a_window();
+            if most as f64 > allowed {
+                known.breach(format!("CEILING: {most} requests in {WINDOW:?}, {allowed} allowed"));
+            }
+        });
+    }
+
     /// Figures of the run.
     pub fn figures(&self) -> String {
         self.with(|known| {
             let count = |is: fn(&Seen) -> bool| known.messages.values().filter(|seen| is(seen)).count();
             format!(
-                "{} sent, {} accepted, {} declined (by relay: {:?}), {} runs, {} changes, {} kills, {} disturbances",
+                "{} sent, {} accepted, {} declined (by relay: {:?}), {} runs, {} changes, {} kills, {} disturbances, \
+                 at most {} to the limited service in {WINDOW:?}",
                 known.messages.len(),
                 count(|seen| seen.accepted_at.is_some()),
                 count(|seen| seen.is_declined),
@@ -360,6 +392,7 @@
                 known.changes.iter().filter(|change| change.acknowledged_at.is_some()).count(),
                 known.kills.len(),
                 known.disturbances.len(),
+                known.most_in_a_window(),
             )
         })
     }
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -25,16 +25,20 @@
 use pewterseam_wire::random::Random;
 use rustix::process::Signal;
 
-use clients::Client;
-use cluster::Cluster;
+use clients::{Client, Kind};
+use cluster::{Cluster, relay_name};
 use hosts::Hosts;
 use judge::Judge;
-use plan::{Disturbance, Plan, Size};
+use pewterseam_permits::ranking::Ranking;
+use pewterseam_wire::identity::NodeName;
+use plan::{Disturbance, Plan, Service, Size};
 
 /// Seeds where the environment says nothing: two with planned work alone, two with kills, one with kills in series and an
 /// outage at the same time, where repeats came too long after the kills to be excused by them, and one where stops in series
 /// hit a store that had just started.
 const SEEDS: [u64; 6] = [1, 2, 3, 4, 632, 706];
+/// Seeds of runs with traffic to the limited service.
+const LIMITED_SEEDS: [u64; 2] = [1, 2];
 const USUAL: Size = Size { core: 3, relays: 2, stores: 3, clients: 9 };
 /// All relays are ready by then.
 const START_LIMIT: Duration = Duration::from_secs(40);
@@ -47,13 +51,13 @@
     std::env::var(variable).ok()?.parse().ok()
 }
 
-/// The seeds that the environment asks for.
-fn seeds(one: Option<u64>) -> Vec<u64> {
+/// The seeds that the environment asks for; where it asks for none, these, without those listed as known faults of the test.
+fn seeds(one: Option<u64>, usual: &[u64], test: &str) -> Vec<u64> {
     let (from, count) = (number("SOAK_FROM"), number("SOAK_SEEDS"));
     match one {
         Some(seed) => vec![seed],
         None if from.is_none() && count.is_none() => {
-            SEEDS.into_iter().filter(|seed| !is_passed_over(&["the_system_outlasts_a_soak"], *seed)).collect()
+            usual.iter().copied().filter(|seed| !is_passed_over(&[test], *seed)).collect()
         }
         None => (from.unwrap_or(1)..).take(count.unwrap_or(1) as usize).collect(),
     }
@@ -153,7 +157,7 @@
         cluster.start(node);
     }
     let mut random = Random::new(plan.seed);
-    operator::configure(&cluster, &judge, &mut random);
+    operator::configure(&cluster, &judge, &mut random, hosts.limited_host());
     if !wait_until(START_LIMIT, || is_ready(&cluster)) {
         return vec![format!("START: not ready within {START_LIMIT:?}")];
     }
@@ -163,29 +167,45 @@
         for number in 0..plan.size.clients {
             let random = Random::new(random.draw());
             scope.spawn(move || {
-                Client { number, cluster: cluster_ref, judge: judge_ref, random }.run(ended);
+                let kind = Kind::of_number(number);
+                Client { number, kind, cluster: cluster_ref, judge: judge_ref, random }.run(ended);
             });
         }
         let mut operator = Random::new(random.draw());
+        for number in (plan.size.clients..).take(plan.limited_clients) {
+            let random = Random::new(random.draw());
+            scope.spawn(move || {
+                let kind = Kind::Limited;
+                Client { number, kind, cluster: cluster_ref, judge: judge_ref, random }.run(ended);
+            });
+        }
         scope.spawn(move || operator::operate(cluster_ref, judge_ref, &mut operator, ended));
         disturb(plan, cluster_ref, &hosts);
         is_over.store(true, Ordering::Relaxed);
     });
     check_accepted(&cluster, &judge);
+    judge.check_rate();
     cluster.end();
     cluster.check_logs();
     println!("seed {}: {}", plan.seed, judge.figures());
     judge.breaches()
 }
 
-/// Guards the rules over series of signals, restarts, outages and changes that overlap.
-#[test]
-fn the_system_outlasts_a_soak() {
+/// The relay that grants the permits of the limited service while all live.
+fn home_of_the_limited_service(size: Size) -> usize {
+    let names: Vec<_> = (0..size.core + size.relays).map(|index| NodeName::new(&relay_name(index))).collect();
+    let ranking = Ranking::of(Service::Limited.name());
+    let home = ranking.first(&names).expect("there are relays");
+    names.iter().position(|name| name == home).expect("it is one of them")
+}
+
+/// Plays the runs that the environment asks for, or the usual ones of a test.
+fn assert_kept(test: &str, usual: &[u64], plan_of_seed: impl Fn(u64) -> Plan) {
     let one = number("SOAK_SEED");
     let mut broken = Vec::new();
-    for seed in seeds(one) {
+    for seed in seeds(one, usual, test) {
         let folder = tempfile::tempdir().expect("a folder");
-        let breaches = play(&Plan::of_seed(seed, size()), folder.path());
+        let breaches = play(&plan_of_seed(seed), folder.path());
         if one.is_some() || !breaches.is_empty() {
             println!("seed {seed}: logs are in {}", folder.keep().display());
         }
@@ -193,3 +213,19 @@
     }
     assert!(broken.is_empty(), "{} breaches\n{}", broken.len(), broken.join("\n"));
 }
+
+/// Guards the rules over series of signals, restarts, outages and changes that overlap.
+#[test]
+fn the_system_outlasts_a_soak() {
+    assert_kept("the_system_outlasts_a_soak", &SEEDS, |seed| Plan::of_seed(seed, size()));
+}
+
+/// Guards a service's rate (CEILING) where its hosts are out, and the relay that grants its permits ends around their return.
+#[test]
+fn a_limited_service_outlasts_a_soak() {
+    let size = size();
+    let home = home_of_the_limited_service(size);
+    assert_kept("a_limited_service_outlasts_a_soak", &LIMITED_SEEDS, |seed| {
+        Plan::of_limited(seed, size, home)
+    });
+}
--- a/crates/relay/tests/soak/operator.rs
+++ b/crates/relay/tests/soak/operator.rs
@@ -1,5 +1,6 @@
 //! The operator, who moves a route between two services, again and again.
 
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::Duration;
@@ -23,6 +24,10 @@
 pub const MOVED: &str = "/moved/";
 /// The path of messages with an ordering key.
 pub const ORDERED: &str = "/ordered/";
+/// The path of messages to the limited service.
+pub const LIMITED: &str = "/limited/";
+/// Requests a second that the limited service takes.
+pub const LIMITED_RATE: f64 = 100.0;
 
 fn route(name: &str, path: &str, service: Service, fifo: bool, timeout_ms: usize) -> String {
     format!(
@@ -31,19 +36,24 @@
     )
 }
 
-fn backend(service: Service) -> String {
+fn backend(service: Service, limited_host: SocketAddr) -> String {
+    let (rate, host) = match service {
+        Service::Limited => (LIMITED_RATE, format!("\"{limited_host}\"")),
+        Service::Left | Service::Right => (0.0, "null".to_owned()),
+    };
     format!(
-        r#"{{"name":"{}","healthPath":"/health","maxConns":200,"protocol":"h1","tls":false,"ratePerS":0.0,"idempotent":false,"pullMode":false,"static":null}}"#,
+        r#"{{"name":"{}","healthPath":"/health","maxConns":200,"protocol":"h1","tls":false,"ratePerS":{rate:.1},"idempotent":false,"pullMode":false,"static":{host}}}"#,
         service.name()
     )
 }
 
-fn document(version: u64, service: Service) -> String {
+fn document(version: u64, service: Service, limited_host: SocketAddr) -> String {
     let routes = [
         route("moved", MOVED, service, false, LEAST_TIMEOUT_MS),
         route("ordered", ORDERED, Service::Right, true, LEAST_TIMEOUT_MS),
+        route("limited", LIMITED, Service::Limited, false, LEAST_TIMEOUT_MS),
     ];
-    let backends = Service::ALL.map(backend).join(",");
+    let backends = Service::ALL.map(|service| backend(service, limited_host)).join(",");
     format!(
         r#"{{"version":{version},"routes":[{}],"backends":[{backends}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":262144,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#,
         routes.join(",")
@@ -90,9 +100,10 @@
 }
 
 /// Puts the first configuration.
-pub fn configure(cluster: &Cluster, judge: &Judge, random: &mut Random) {
+pub fn configure(cluster: &Cluster, judge: &Judge, random: &mut Random, limited_host: SocketAddr) {
     let service = Service::Left;
-    let order = Order { method: "PUT", body: document(1, service), if_match: 0, version: 1, service };
+    let order =
+        Order { method: "PUT", body: document(1, service, limited_host), if_match: 0, version: 1, service };
     send(cluster, judge, random, &order);
 }
 
