--- a/crates/relay/tests/soak/cluster.rs
+++ b/crates/relay/tests/soak/cluster.rs
@@ -186,6 +186,7 @@
         }
         if self.signal(node, signal) && self.wait_for_end(node, GRACE) {
             thread::sleep(RESTART_PAUSE);
+            self.write_settings(node, false);
             self.start(node);
             self.judge.returned(is_kill);
         }
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -209,6 +209,7 @@
         if one.is_some() || !breaches.is_empty() {
             println!("seed {seed}: logs are in {}", folder.keep().display());
         }
+        breaches.iter().for_each(|breach| println!("seed {seed}: {breach}"));
         broken.extend(breaches.into_iter().map(|breach| format!("seed {seed}: {breach}")));
     }
     assert!(broken.is_empty(), "{} breaches\n{}", broken.len(), broken.join("\n"));
