--- a/crates/permits/src/budget.rs
+++ b/crates/permits/src/budget.rs
@@ -160,12 +160,6 @@
         PermitCounts { booked: self.occupied, capacity: self.capacity, out: self.recent.out(now) }
     }
 
-    /// Whether more permits may be used at once than the pace grants while they are good.
-    pub(crate) fn has_many_out(&self, now: Micros) -> bool {
-        let paced = self.burst() + self.rate * VALIDITY as f64 / 1e6;
-        f64::from(self.recent.out(now)) > paced
-    }
-
     /// Permits that may be handed out at the time of the last [`Budget::advance`].
     pub(crate) fn available(&self) -> u32 {
         let spare_excess = self.most_excess() - self.recent.excess(self.filled_at);
--- a/crates/permits/src/event.rs
+++ b/crates/permits/src/event.rs
@@ -52,8 +52,6 @@
     Waits { span: Micros },
     /// It grants from now on.
     Opens { basis: BudgetBasis, counts: PermitCounts },
-    /// Many more permits are out than the rate grants within their validity, as many come back unused.
-    ManyOut { counts: PermitCounts },
     /// It grants nothing any more.
     Ends { counts: PermitCounts },
 }
@@ -65,7 +63,6 @@
                 write!(f, "this relay is the home, and waits for {} ms at most", span / MICROS_A_MILLISECOND)
             }
             HomeEvent::Opens { basis, counts } => write!(f, "this relay grants permits; {basis}; {counts}"),
-            HomeEvent::ManyOut { counts } => write!(f, "many permits are out at once; {counts}"),
             HomeEvent::Ends { counts } => write!(f, "this relay grants no permits any more; {counts}"),
         }
     }
--- a/crates/permits/src/home.rs
+++ b/crates/permits/src/home.rs
@@ -17,8 +17,6 @@
 
 /// The longest time for which a request that could not be met at once is kept.
 const PATIENCE: Micros = VALIDITY / 2;
-/// Between two lines on many permits that are out.
-const MANY_OUT_AGAIN: Micros = 2 * VALIDITY;
 
 /// When a home begins.
 #[derive(Clone, Copy, Debug)]
@@ -56,7 +54,6 @@
     has_taken_over: bool,
     /// What was told of it last.
     told: Told,
-    many_out_told_at: Option<Micros>,
     /// What relays that follow this one have seen.
     vouched: BTreeMap<NodeName, Witness>,
 }
@@ -83,7 +80,6 @@
             follows,
             has_taken_over: false,
             told: Told::Nothing,
-            many_out_told_at: None,
             vouched: BTreeMap::new(),
         }
     }
@@ -208,8 +204,7 @@
                 self.budget.advance(now);
                 Some(HomeEvent::Opens { basis: self.basis(), counts: self.budget.counts(now) })
             }
-            Told::Opens => self.many_out(now),
-            Told::Nothing | Told::Waits => None,
+            _ => None,
         }
     }
 
@@ -229,15 +224,6 @@
         }
     }
 
-    fn many_out(&mut self, now: Micros) -> Option<HomeEvent> {
-        let is_due = self.many_out_told_at.is_none_or(|at| at + MANY_OUT_AGAIN <= now);
-        if !is_due || !self.budget.has_many_out(now) {
-            return None;
-        }
-        self.many_out_told_at = Some(now);
-        Some(HomeEvent::ManyOut { counts: self.budget.counts(now) })
-    }
-
     /// When there is something to do again.
     pub(crate) fn next_at(&self, now: Micros) -> Option<Micros> {
         let waits = self.shares.wants();
