Soak: runs of two tests at a time have addresses of their own

Both tests of the soak play in one process at the same time, and addresses went by process and seed, so that seeds 1 and 2 of both met. Now by process and a count of runs.

--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -17,7 +17,7 @@
 use std::net::Ipv4Addr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -74,10 +74,14 @@
     }
 }
 
+/// Runs that this process has begun: several tests play at the same time.
+static BEGUN: AtomicU64 = AtomicU64::new(0);
+
 /// The second and third number of this run's addresses.
-fn network(seed: u64) -> [u8; 2] {
+fn network() -> [u8; 2] {
     let process = std::process::id();
-    [10 + (process % 200) as u8, ((u64::from(process) / 200 + seed) % 250) as u8]
+    let run = BEGUN.fetch_add(1, Ordering::Relaxed);
+    [10 + (process % 200) as u8, ((u64::from(process) / 200 + run) % 250) as u8]
 }
 
 fn wait_until(within: Duration, is_so: impl Fn() -> bool) -> bool {
@@ -147,7 +151,7 @@
 /// Plays one run and returns what it broke.
 fn play(plan: &Plan, folder: &Path) -> Vec<String> {
     let judge = Arc::new(Judge::default());
-    let network = network(plan.seed);
+    let network = network();
     let stand_ins = Ipv4Addr::new(127, network[0], network[1], 1);
     let hosts = Hosts::start(stand_ins, judge.clone(), plan.seed);
     let list = Hosts::list_address(stand_ins);
