--- a/crates/permits/src/budget.rs
+++ b/crates/permits/src/budget.rs
@@ -5,13 +5,12 @@
 use pewterseam_wire::Micros;
 
 use crate::event::PermitCounts;
+use crate::rate::{STEP, permits_in, rounded_up};
 use crate::recent::RecentGrants;
 use crate::{MARGIN, VALIDITY};
 
 /// Requests beyond rate x window x overshoot that the home allows in a window; the rule allows five.
 const ALLOWANCE: f64 = 3.0;
-/// Times are rounded up to this.
-const STEP: Micros = 10_000;
 /// Steps of time in which one home tells the next of its permits.
 const LEDGER_STEP: Micros = 100_000;
 /// Time between looks for grants that were never settled.
@@ -48,7 +47,7 @@
 
 impl Budget {
     pub(crate) fn new(rate: f64, window: Micros, overshoot: f64, now: Micros) -> Self {
-        let capacity = (rate * window as f64 / 1e6 * overshoot + ALLOWANCE).floor() as u32;
+        let capacity = (permits_in(rate, window) * overshoot + ALLOWANCE).floor() as u32;
         let (releases, open) = (BTreeMap::new(), HashMap::new());
         Budget {
             rate,
@@ -73,7 +72,7 @@
     /// Danger: the next home books this much where nobody can tell it more, and grants a burst and the rate from its first
     /// moment on. Both together must stay below the capacity.
     fn most_excess(&self) -> f64 {
-        let paced = self.rate * self.window as f64 / 1e6;
+        let paced = permits_in(self.rate, self.window);
         (f64::from(self.capacity) - paced - self.burst()).max(self.burst())
     }
 
@@ -83,11 +82,11 @@
     /// A permit is used within [`VALIDITY`] and [`MARGIN`] of its grant. So those that are used in the last span before
     /// `until` were granted in the last span of the same length before the earlier home ended.
     pub(crate) fn assume_predecessor(&mut self, until: Micros) {
-        let (steps, step_s) = (self.window / STEP, STEP as f64 / 1e6);
+        let steps = self.window / STEP;
         let most_excess = self.most_excess();
         let mut booked = 0.0;
         for step in 0..=steps {
-            let before = most_excess + self.rate * step_s * step as f64;
+            let before = most_excess + permits_in(self.rate, step * STEP);
             let count = (before - booked).ceil().max(0.0);
             booked += count;
             let used_by = until.saturating_sub(step.saturating_sub(1) * STEP);
@@ -125,7 +124,7 @@
     }
 
     fn occupy(&mut self, until: Micros, count: u32) -> Micros {
-        let until = until.div_ceil(STEP) * STEP;
+        let until = rounded_up(until);
         let booked = self.releases.entry(until).or_default();
         *booked = booked.saturating_add(count);
         self.occupied = self.occupied.saturating_add(count);
@@ -150,7 +149,7 @@
             self.open.retain(|_, grant| grant.until > now);
         }
         self.recent.advance(now);
-        let gained = now.saturating_sub(self.filled_at) as f64 / 1e6 * self.rate;
+        let gained = permits_in(self.rate, now.saturating_sub(self.filled_at));
         self.tokens = (self.tokens + gained).min(self.burst());
         self.filled_at = now;
     }
@@ -160,17 +159,20 @@
         PermitCounts { booked: self.occupied, capacity: self.capacity, out: self.recent.out(now) }
     }
 
+    /// Permits that the pace and the excess leave; less than none where the excess is used up.
+    fn paced(&self, now: Micros) -> f64 {
+        self.tokens.min(self.most_excess() - self.recent.excess(now))
+    }
+
     /// Permits that may be handed out at the time of the last [`Budget::advance`].
     pub(crate) fn available(&self) -> u32 {
-        let spare_excess = self.most_excess() - self.recent.excess(self.filled_at);
-        let paced = self.tokens.min(spare_excess).max(0.0);
-        (paced as u32).min(self.capacity.saturating_sub(self.occupied))
+        (self.paced(self.filled_at) as u32).min(self.capacity.saturating_sub(self.occupied))
     }
 
     /// When one more may be handed out, if none may now.
     pub(crate) fn next_at(&self, now: Micros) -> Micros {
-        let spare_excess = self.most_excess() - self.recent.excess(now);
-        let paced = ((1.0 - self.tokens.min(spare_excess)).max(0.0) / self.rate.max(1e-3) * 1e6) as Micros;
+        let missing = 1.0 - self.paced(now);
+        let paced = (missing.max(0.0) / self.rate.max(1e-3) * 1e6) as Micros;
         let free = self.occupied < self.capacity;
         let room = if free { now } else { *self.releases.keys().next().unwrap_or(&now) };
         (now + paced).max(room)
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -28,6 +28,7 @@
 mod message;
 mod permits;
 pub mod ranking;
+mod rate;
 mod recent;
 mod service;
 mod shares;
--- a/crates/permits/src/recent.rs
+++ b/crates/permits/src/recent.rs
@@ -5,9 +5,8 @@
 use pewterseam_wire::Micros;
 
 use crate::VALIDITY;
+use crate::rate::{permits_in, rounded_up};
 
-/// Times of grants are rounded up to this.
-const STEP: Micros = 10_000;
 /// How long a grant is kept by itself. A holder tells of unused permits soon after they have expired.
 const KEPT: Micros = 2 * VALIDITY;
 
@@ -22,7 +21,7 @@
 impl Excess {
     /// The excess at a later time, if nothing is granted until then.
     fn after(self, rate: f64, now: Micros) -> Excess {
-        let gained = now.saturating_sub(self.at) as f64 / 1e6 * rate;
+        let gained = permits_in(rate, now.saturating_sub(self.at));
         Excess { at: self.at.max(now), permits: (self.permits - gained).max(0.0) }
     }
 
@@ -65,14 +64,16 @@
 
     /// Books permits that are granted now.
     pub(crate) fn grant(&mut self, count: u32, now: Micros) {
-        let at = rounded(now);
+        let at = rounded_up(now);
         *self.grants.entry(at).or_default() += count;
         self.excess = self.excess.granted(self.rate, count, at);
     }
 
     /// Books permits that were granted at a time and never used.
     pub(crate) fn give_back(&mut self, count: u32, granted_at: Micros) {
-        let Some(granted) = self.grants.get_mut(&rounded(granted_at)).filter(|_| count > 0) else { return };
+        let Some(granted) = self.grants.get_mut(&rounded_up(granted_at)).filter(|_| count > 0) else {
+            return;
+        };
         *granted = granted.saturating_sub(count);
         let all = self.grants.iter();
         self.excess =
@@ -97,7 +98,3 @@
         self.grants.range(now.saturating_sub(VALIDITY)..).map(|(_, count)| count).sum()
     }
 }
-
-fn rounded(at: Micros) -> Micros {
-    at.div_ceil(STEP) * STEP
-}
--- a/crates/permits/src/service.rs
+++ b/crates/permits/src/service.rs
@@ -72,8 +72,7 @@
 
     /// Another relay may have been home since: what this one knows as home is worth nothing.
     pub(crate) fn forget_home(&mut self, now: Micros) {
-        let ended = self.granting.take().and_then(|mut home| home.end(now));
-        self.events.extend(ended);
+        self.end_granting(now);
         (self.home, self.yielded) = (None, None);
         self.witness = Witness::new(now);
     }
@@ -94,14 +93,20 @@
         self.granting.as_ref().is_some_and(|home| home.is_open(now))
     }
 
+    /// Ends this relay's own time as home, if it is the home.
+    fn end_granting(&mut self, now: Micros) -> Option<Home> {
+        let mut home = self.granting.take()?;
+        self.events.extend(home.end(now));
+        Some(home)
+    }
+
     /// Ends the time of the present home, in this relay's eyes. One that has waited in vain has granted nothing.
     pub(crate) fn leave_home(&mut self, now: Micros, has_word: bool) {
         let has_waited = self.granting.is_some() && !self.is_granting(now);
         if let Some(home) = self.home.take().filter(|_| !has_waited) {
             self.witness.ended(home, now);
         }
-        let mut granting = self.granting.take();
-        self.events.extend(granting.as_mut().and_then(|home| home.end(now)));
+        let granting = self.end_granting(now);
         if let Some(mut home) = granting.filter(|home| home.is_open(now) && has_word) {
             let ledger = home.ledger(now);
             self.yielded = Some(Yielded { at: now, handed_by: None, to: None, ledger });
--- a/crates/relay/tests/soak/hosts.rs
+++ b/crates/relay/tests/soak/hosts.rs
@@ -153,9 +153,8 @@
                 continue;
             }
             let id = request.header("x-request-id").unwrap_or_default().to_owned();
-            let is_listed = host.service != Service::Limited;
             let is_for_another =
-                is_listed && request.header("x-target-instance").is_some_and(|target| target != host.id());
+                request.header("x-target-instance").is_some_and(|target| target != host.id());
             let run = Run { began: Instant::now(), connection: accepted };
             let status = if is_for_another { 421 } else { self.run(host, &id, &mut random) };
             if !self.tell(&mut connection, &id, status, run) {
--- a/crates/relay/tests/soak/main.rs
+++ b/crates/relay/tests/soak/main.rs
@@ -22,6 +22,8 @@
 use std::time::{Duration, Instant};
 
 use pewterseam_known_red::is_passed_over;
+use pewterseam_permits::ranking::Ranking;
+use pewterseam_wire::identity::NodeName;
 use pewterseam_wire::random::Random;
 use rustix::process::Signal;
 
@@ -29,8 +31,6 @@
 use cluster::{Cluster, relay_name};
 use hosts::Hosts;
 use judge::Judge;
-use pewterseam_permits::ranking::Ranking;
-use pewterseam_wire::identity::NodeName;
 use plan::{Disturbance, Plan, Service, Size};
 
 /// Seeds where the environment says nothing: two with planned work alone, two with kills, one with kills in series and an
@@ -168,20 +168,16 @@
     let is_over = AtomicBool::new(false);
     let (ended, cluster_ref, judge_ref) = (&is_over, &cluster, judge.as_ref());
     thread::scope(|scope| {
+        let begin = |number: usize, kind: Kind, random: Random| {
+            let mut client = Client { number, kind, cluster: cluster_ref, judge: judge_ref, random };
+            scope.spawn(move || client.run(ended));
+        };
         for number in 0..plan.size.clients {
-            let random = Random::new(random.draw());
-            scope.spawn(move || {
-                let kind = Kind::of_number(number);
-                Client { number, kind, cluster: cluster_ref, judge: judge_ref, random }.run(ended);
-            });
+            begin(number, Kind::of_number(number), Random::new(random.draw()));
         }
         let mut operator = Random::new(random.draw());
         for number in (plan.size.clients..).take(plan.limited_clients) {
-            let random = Random::new(random.draw());
-            scope.spawn(move || {
-                let kind = Kind::Limited;
-                Client { number, kind, cluster: cluster_ref, judge: judge_ref, random }.run(ended);
-            });
+            begin(number, Kind::Limited, Random::new(random.draw()));
         }
         scope.spawn(move || operator::operate(cluster_ref, judge_ref, &mut operator, ended));
         disturb(plan, cluster_ref, &hosts);
--- a/crates/relay/tests/soak/plan.rs
+++ b/crates/relay/tests/soak/plan.rs
@@ -113,9 +113,7 @@
                 ));
             }
         }
-        disturbances.sort_by_key(|(at, _)| *at);
-        let ends = Duration::from_millis(DISTURBED_MS as u64) + CALM;
-        Plan { seed, size, disturbances, limited_clients: 0, ends }
+        Plan::new(seed, size, disturbances, 0)
     }
 
     /// A run with traffic to the limited service: its hosts are out twice, and the relay that grants its permits is killed
@@ -138,8 +136,14 @@
                 disturbances.push((at, Disturbance::Kill { node: other }));
             }
         }
+        Plan::new(seed, size, disturbances, LIMITED_CLIENTS)
+    }
+
+    fn new(
+        seed: u64, size: Size, mut disturbances: Vec<(Duration, Disturbance)>, limited_clients: usize,
+    ) -> Self {
         disturbances.sort_by_key(|(at, _)| *at);
         let ends = Duration::from_millis(DISTURBED_MS as u64) + CALM;
-        Plan { seed, size, disturbances, limited_clients: LIMITED_CLIENTS, ends }
+        Plan { seed, size, disturbances, limited_clients, ends }
     }
 }
